--- /dev/null
+++ b/balsam/main.go
@@ -0,0 +1,7 @@
+// Command balsam is not built yet.
+package main
+
+import "C"
+
+func main() {
+}
--- /dev/null
+++ b/coord/link/node.go
@@ -0,0 +1,228 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	defaultIdle         = 3 * time.Second
+	defaultStreamWindow = 256 << 10
+	defaultConnWindow   = 4 << 20
+	maxStreams          = 1 << 16
+	keepalives          = 3
+)
+
+// Node is one process's end of the network: it listens on one UDP address
+// and uses the same socket to call others. All methods may be called
+// concurrently.
+type Node struct {
+	name         string
+	tls          TLS
+	gate         Gate
+	idle         time.Duration
+	streamWindow uint64
+	connWindow   uint64
+	handlers     map[string]Handler
+	transport    *quic.Transport
+	listener     *quic.Listener
+
+	mu    sync.Mutex // guards peers
+	peers map[string]*peer
+}
+
+// TLS gives the configurations for both directions; they are asked for at
+// each new connection, so certificates may be replaced while running.
+type TLS interface {
+	Server() *tls.Config
+	Client() *tls.Config
+}
+
+// New returns a Node that calls itself name. Handle has to be called before
+// Listen.
+func New(name string, t TLS, opts ...Option) *Node {
+	n := &Node{
+		name: name, tls: t, gate: openGate{}, idle: defaultIdle,
+		streamWindow: defaultStreamWindow, connWindow: defaultConnWindow,
+		handlers: make(map[string]Handler), peers: make(map[string]*peer),
+	}
+	for _, opt := range opts {
+		opt(n)
+	}
+	return n
+}
+
+// Handle sets the handler of verb.
+func (n *Node) Handle(verb string, h Handler) { n.handlers[verb] = h }
+
+// Listen binds the node's UDP address, an IP number with a port.
+func (n *Node) Listen(address string) error {
+	udp, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return &DialError{Address: address, Err: err}
+	}
+	conn, err := net.ListenUDP("udp", udp)
+	if err != nil {
+		return &DialError{Address: address, Err: err}
+	}
+	n.transport = &quic.Transport{Conn: conn}
+	n.listener, err = n.transport.Listen(n.tls.Server(), n.config())
+	if err != nil {
+		return &DialError{Address: address, Err: errors.Join(err, conn.Close())}
+	}
+	return nil
+}
+
+// Address returns the address that Listen bound.
+func (n *Node) Address() string { return n.transport.Conn.LocalAddr().String() }
+
+// Run serves calls until ctx ends, then waits for the handlers and closes
+// the socket.
+func (n *Node) Run(ctx context.Context) error {
+	var g errgroup.Group
+	for {
+		conn, err := n.listener.Accept(ctx)
+		if err != nil {
+			break
+		}
+		g.Go(func() error { n.serveConn(ctx, conn); return nil })
+	}
+	err := g.Wait()
+	return errors.Join(err, n.close())
+}
+
+// Open opens a stream to address and names the verb. The error is a
+// *DialError: nothing has been sent to a handler then.
+func (n *Node) Open(ctx context.Context, address, verb string) (*Stream, error) {
+	if !n.gate.Open(address) {
+		return nil, &DialError{Address: address, Err: &CutError{Address: address}}
+	}
+	p := n.peer(address)
+	conn, err := p.connect(ctx, n)
+	if err != nil {
+		return nil, &DialError{Address: address, Err: err}
+	}
+	qs, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, &DialError{Address: address, Err: err}
+	}
+	s := &Stream{quic: qs, from: n.name, verb: verb}
+	if err := s.write(hello{Verb: verb, From: n.name}); err != nil {
+		s.Cancel()
+		return nil, &DialError{Address: address, Err: err}
+	}
+	return s, nil
+}
+
+// Call sends in and receives one message into out. A *DialError means that
+// nothing was sent; with any other error the other side may have acted.
+func (n *Node) Call(ctx context.Context, address, verb string, in, out any) error {
+	s, err := n.Open(ctx, address, verb)
+	if err != nil {
+		return err
+	}
+	defer s.Cancel()
+	stop := context.AfterFunc(ctx, s.Cancel)
+	defer stop()
+	sendErr := s.Send(in)
+	if sendErr == nil {
+		_ = s.CloseSend()
+	}
+	// A handler that refuses without reading stops the sending side, and its
+	// reason can still be received.
+	recvErr := s.Recv(out)
+	var remote *RemoteError
+	if sendErr != nil && !errors.As(recvErr, &remote) {
+		return sendErr
+	}
+	return recvErr
+}
+
+func (n *Node) peer(address string) *peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p := n.peers[address]
+	if p == nil {
+		p = &peer{address: address}
+		n.peers[address] = p
+	}
+	return p
+}
+
+func (n *Node) config() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:           n.idle,
+		MaxIdleTimeout:                 n.idle,
+		KeepAlivePeriod:                n.idle / keepalives,
+		InitialStreamReceiveWindow:     min(n.streamWindow, 64<<10),
+		MaxStreamReceiveWindow:         n.streamWindow,
+		InitialConnectionReceiveWindow: min(n.connWindow, 128<<10),
+		MaxConnectionReceiveWindow:     n.connWindow,
+		MaxIncomingStreams:             maxStreams,
+		MaxIncomingUniStreams:          -1,
+	}
+}
+
+func (n *Node) close() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, p := range n.peers {
+		p.close()
+	}
+	return errors.Join(n.listener.Close(), n.transport.Close(), n.transport.Conn.Close())
+}
+
+func (n *Node) serveConn(ctx context.Context, conn *quic.Conn) {
+	var g errgroup.Group
+	for {
+		qs, err := conn.AcceptStream(ctx)
+		if err != nil {
+			break
+		}
+		g.Go(func() error { n.serveStream(ctx, conn, qs); return nil })
+	}
+	_ = g.Wait()
+	_ = conn.CloseWithError(0, "")
+}
+
+func (n *Node) serveStream(ctx context.Context, conn *quic.Conn, qs *quic.Stream) {
+	s := &Stream{quic: qs}
+	defer func() { s.quic.CancelRead(cancelCode) }()
+	var h hello
+	_ = qs.SetReadDeadline(time.Now().Add(n.idle))
+	if err := s.read(&h); err != nil {
+		s.Cancel()
+		return
+	}
+	_ = qs.SetReadDeadline(time.Time{})
+	s.from, s.verb = h.From, h.Verb
+	if !n.gate.Open(conn.RemoteAddr().String()) || !n.gate.Open(h.From) {
+		s.Cancel()
+		return
+	}
+	handler := n.handlers[h.Verb]
+	if handler == nil {
+		_ = s.Fail("verb", "unknown verb "+h.Verb)
+		_ = s.CloseSend()
+		return
+	}
+	connCtx, cancel := context.WithCancel(conn.Context())
+	defer cancel()
+	stop := context.AfterFunc(ctx, cancel)
+	defer stop()
+	if err := handler.Handle(connCtx, s); err != nil {
+		var remote *RemoteError
+		if !errors.As(err, &remote) {
+			remote = &RemoteError{Code: "error", Text: err.Error()}
+		}
+		_ = s.Fail(remote.Code, remote.Text)
+	}
+	_ = s.CloseSend()
+}
--- /dev/null
+++ b/coord/logs/doc.go
@@ -0,0 +1,2 @@
+// Package logs makes the logger of a process: JSON lines on standard error.
+package logs
--- /dev/null
+++ b/coord/point/errors.go
@@ -0,0 +1,35 @@
+package point
+
+// FencedError reports that the caller isn't the endpoint's owner. Nothing was
+// done.
+type FencedError struct {
+	Owner Owner `json:"owner"` // the present one
+	Held  bool  `json:"held"`  // an Open came within the present owner's term
+}
+
+// Error implements error.
+func (e *FencedError) Error() string { return "endpoint belongs to " + e.Owner.Holder }
+
+// RefusedError reports that the endpoint didn't start the task; it has not
+// run there and will not.
+type RefusedError struct {
+	Endpoint string
+	Reason   string // a wire.Reason code: busy or leaving
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string { return e.Endpoint + " refused: " + e.Reason }
+
+// LostError reports a call whose answer didn't come whole; it may have taken
+// effect unless Unsent is true.
+type LostError struct {
+	Endpoint string
+	Unsent   bool
+	Err      error
+}
+
+// Error implements error.
+func (e *LostError) Error() string { return e.Endpoint + ": answer lost: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *LostError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/coord/wire/request.go
@@ -0,0 +1,22 @@
+package wire
+
+import "time"
+
+// Request is one accepted request on its way from an entry to a placer.
+type Request struct {
+	ID         string        `cbor:"id"`
+	Attempt    uint32        `cbor:"attempt"` // counts the entry's sends of this request, from 1
+	Team       string        `cbor:"team"`    // empty in an open queue
+	Queue      string        `cbor:"queue"`
+	Kind       Kind          `cbor:"kind"`
+	Name       string        `cbor:"name,omitempty"` // job name, the key of learned sizes
+	Needs      Needs         `cbor:"needs"`          // of one task
+	Tasks      int           `cbor:"tasks"`          // 1 for quick
+	Runtime    time.Duration `cbor:"runtime,omitempty"`
+	Budget     time.Duration `cbor:"budget,omitempty"` // what is left of the caller's deadline when sent; 0 is none
+	Idempotent bool          `cbor:"idempotent,omitempty"`
+	Urgent     bool          `cbor:"urgent,omitempty"`
+	Avoid      []string      `cbor:"avoid,omitempty"`   // endpoints that failed this request
+	Version    uint64        `cbor:"version,omitempty"` // configuration under which it was admitted
+	Body       []byte        `cbor:"body,omitempty"`
+}
--- /dev/null
+++ b/coord/wire/verbs.go
@@ -0,0 +1,50 @@
+package wire
+
+// The verbs that placers serve.
+const (
+	// VerbPlace: Request in; Events out until one has an Outcome. A Phase
+	// Queued event on a job means that the placer drives it now, whatever
+	// becomes of the stream.
+	VerbPlace = "place"
+	// VerbStatus: Lookup in, Job out.
+	VerbStatus = "status"
+	// VerbCancel: Lookup in, Cancelled out.
+	VerbCancel = "cancel"
+	// VerbLoad: Empty in, Load out.
+	VerbLoad = "load"
+	// VerbBeat: placers of a zone tell one another that they live.
+	VerbBeat = "beat"
+	// VerbPart: placers move parts of upper limits.
+	VerbPart = "part"
+	// VerbTell: hosts tell one another configuration heads; served by both
+	// programs, as is VerbFetch, which returns a whole configuration.
+	VerbTell  = "tell"
+	VerbFetch = "fetch"
+)
+
+// Empty is a message without content.
+type Empty struct{}
+
+// Lookup names a request.
+type Lookup struct {
+	ID string `cbor:"id"`
+}
+
+// Cancelled answers a VerbCancel. NotRun is true only if the request was
+// still queued and will never start.
+type Cancelled struct {
+	Found  bool `cbor:"found"`
+	NotRun bool `cbor:"notrun"`
+}
+
+// Load is what a placer says of itself, for routing.
+type Load struct {
+	Name    string           `cbor:"name"`
+	Zone    string           `cbor:"zone"`
+	Epoch   uint64           `cbor:"epoch"`   // of its process; a later one replaces an earlier one
+	Free    map[Kind]Needs   `cbor:"free"`    // room by kind of request that could use it
+	Queued  map[string]int   `cbor:"queued"`  // requests waiting, by queue
+	Wait    map[string]int64 `cbor:"wait"`    // estimated wait in milliseconds, by queue
+	Version uint64           `cbor:"version"` // of its configuration
+	Leaving bool             `cbor:"leaving,omitempty"`
+}
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,7 @@
+// Command entry is not built yet.
+package main
+
+import "C"
+
+func main() {
+}
--- /dev/null
+++ b/placer/main.go
@@ -0,0 +1,7 @@
+// Command placer is not built yet.
+package main
+
+import "C"
+
+func main() {
+}
