Add endpoint stand-ins and the client that speaks with endpoints

Tests of ownership, leases and answers need endpoints that fence by epoch, end tasks whose leases run out, never run an attempt twice, and log what happened to them, with fault switches. point.Client verifies id, size and sum of each answer and streams it through a bounded window; a Stop of an attempt that hasn't come bars its later start. Connections are known to their client (coord/dial), so that no call outlives Close.

--- /dev/null
+++ b/coord/dial/error.go
@@ -0,0 +1,13 @@
+package dial
+
+// Error reports a connection that could not be made; nothing was sent.
+type Error struct {
+	Address string
+	Err     error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return "connect to " + e.Address + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/coord/point/client.go
@@ -0,0 +1,115 @@
+package point
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/balsamford/balsamford/coord/dial"
+)
+
+const (
+	defaultTimeout     = 2 * time.Second
+	defaultRunTimeout  = time.Minute
+	defaultConnections = 24
+	defaultWindow      = 16 << 10 // bytes
+	writeBuffer        = 4 << 10  // bytes
+)
+
+// Client calls endpoints over HTTP. An address is an IP number with a port.
+// All methods may be called concurrently. They fail with a *FencedError, a
+// *RefusedError, a *FailedError or a *LostError.
+type Client struct {
+	timeout    time.Duration
+	runTimeout time.Duration
+	http       *fasthttp.Client
+	pool       dial.Pool
+	group      errgroup.Group // calls that may outlive their contexts
+}
+
+// NewClient returns a Client for any number of endpoints.
+func NewClient(opts ...ClientOption) *Client {
+	c := &Client{
+		timeout:    defaultTimeout,
+		runTimeout: defaultRunTimeout,
+		http: &fasthttp.Client{
+			NoDefaultUserAgentHeader:  true,
+			MaxIdemponentCallAttempts: 1,
+			MaxConnsPerHost:           defaultConnections,
+			MaxConnWaitTimeout:        defaultTimeout,
+			ReadBufferSize:            defaultWindow,
+			WriteBufferSize:           writeBuffer,
+			StreamResponseBody:        true,
+		},
+	}
+	c.http.DialTimeout = c.pool.Dial
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Close closes all connections and waits for the calls that used them.
+func (c *Client) Close() {
+	c.pool.Close()
+	_ = c.group.Wait()
+}
+
+// Open takes ownership of an endpoint.
+func (c *Client) Open(ctx context.Context, address string, in Open) (View, error) {
+	var v View
+	err := c.post(ctx, address, PathOpen, c.timeout, in, &v)
+	return v, err
+}
+
+// Renew keeps ownership of an endpoint and the leases of its tasks.
+func (c *Client) Renew(ctx context.Context, address string, in Renew) (Report, error) {
+	var r Report
+	err := c.post(ctx, address, PathRenew, c.timeout+in.Wait, in, &r)
+	return r, err
+}
+
+// Release gives ownership of an endpoint up.
+func (c *Client) Release(ctx context.Context, address string, in Owner) error {
+	return c.post(ctx, address, PathRelease, c.timeout, in, nil)
+}
+
+// Start asks a worker to run a task.
+func (c *Client) Start(ctx context.Context, address string, in Start) error {
+	return c.post(ctx, address, PathStart, c.timeout, in, nil)
+}
+
+// Stop asks for the end of a task. A task that has not come yet will not be
+// started.
+func (c *Client) Stop(ctx context.Context, address string, in Stop) error {
+	return c.post(ctx, address, PathStop, c.timeout, in, nil)
+}
+
+// View asks an endpoint what it says of itself.
+func (c *Client) View(ctx context.Context, address string) (View, error) {
+	var v View
+	err := c.call(ctx, exchange{address: address, path: PathTasks, method: fasthttp.MethodGet, timeout: c.timeout}, &v)
+	return v, err
+}
+
+// Run asks an executor to run a task and returns its answer once it begins
+// to come. The caller has to close the answer. The context bounds the answer
+// too.
+func (c *Client) Run(ctx context.Context, address string, in Start) (*Answer, error) {
+	body, err := encode(address, in)
+	if err != nil {
+		return nil, err
+	}
+	q := exchange{address: address, path: PathRun, method: fasthttp.MethodPost, timeout: c.runTimeout, body: body}
+	res, err := c.exchange(ctx, q)
+	if err != nil {
+		return nil, err
+	}
+	if res.StatusCode() != fasthttp.StatusOK {
+		defer closeResponse(res)
+		return nil, failure(address, res)
+	}
+	return newAnswer(ctx, c, address, in, res)
+}
--- a/coord/point/errors.go
+++ b/coord/point/errors.go
@@ -1,5 +1,7 @@
 package point
 
+import "strconv"
+
 // FencedError reports that the caller isn't the endpoint's owner. Nothing was
 // done.
 type FencedError struct {
@@ -33,3 +35,37 @@
 
 // Unwrap returns the cause.
 func (e *LostError) Unwrap() error { return e.Err }
+
+// FailedError reports a task that ran on an executor and ended in a state
+// other than Done.
+type FailedError struct {
+	Endpoint string `json:"endpoint"`
+	ID       string `json:"id"`
+	State    State  `json:"state"`
+	Code     int    `json:"code"`
+}
+
+// Error implements error.
+func (e *FailedError) Error() string {
+	return e.ID + " on " + e.Endpoint + ": " + string(e.State)
+}
+
+// AnswerError is the cause of a LostError whose answer came, but not whole or
+// not for the task that was asked for.
+type AnswerError struct {
+	Field string // ID, size or sum
+	Want  string
+	Got   string
+}
+
+// Error implements error.
+func (e *AnswerError) Error() string {
+	return "answer has " + e.Field + " " + e.Got + " in place of " + e.Want
+}
+
+// StatusError is the cause of a LostError whose answer has a status that the
+// interface doesn't have.
+type StatusError struct{ Status int }
+
+// Error implements error.
+func (e *StatusError) Error() string { return "status " + strconv.Itoa(e.Status) }
--- a/coord/store/call.go
+++ b/coord/store/call.go
@@ -5,11 +5,12 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net"
 	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/balsamford/balsamford/coord/dial"
 )
 
 // call is one request of a Client.
@@ -66,7 +67,7 @@
 
 func (c *Client) decode(q call, r reply, out any) error {
 	if r.err != nil {
-		var unsent *dialError
+		var unsent *dial.Error
 		return c.lost(q.op, errors.As(r.err, &unsent) || errors.Is(r.err, fasthttp.ErrNoFreeConns), r.err)
 	}
 	switch r.status {
@@ -100,27 +101,6 @@
 	return &UnavailableError{Op: op, Unsent: unsent, Err: err}
 }
 
-// dial marks failures to connect, after which nothing can have been sent.
-func dial(address string, timeout time.Duration) (net.Conn, error) {
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	conn, err := net.DialTimeout("tcp", address, timeout)
-	if err != nil {
-		return nil, &dialError{err: err}
-	}
-	return conn, nil
-}
-
-// dialError reports a connection that could not be made.
-type dialError struct{ err error }
-
-// Error implements error.
-func (e *dialError) Error() string { return e.err.Error() }
-
-// Unwrap returns the cause.
-func (e *dialError) Unwrap() error { return e.err }
-
 // statusError reports a status that the interface doesn't have.
 type statusError struct{ status int }
 
--- a/coord/store/client.go
+++ b/coord/store/client.go
@@ -8,6 +8,8 @@
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/balsamford/balsamford/coord/dial"
 )
 
 const (
@@ -24,6 +26,7 @@
 	timeout time.Duration
 	counts  *counts
 	http    *fasthttp.Client
+	pool    dial.Pool
 	group   errgroup.Group // calls that may outlive their contexts
 }
 
@@ -42,20 +45,19 @@
 			MaxConnWaitTimeout:        defaultTimeout,
 			ReadBufferSize:            clientBuffer,
 			WriteBufferSize:           clientBuffer,
-			DialTimeout:               dial,
 		},
 	}
+	c.http.DialTimeout = c.pool.Dial
 	for _, opt := range opts {
 		opt(c)
 	}
 	return c
 }
 
-// Close waits for calls whose contexts have ended and closes idle
-// connections.
+// Close closes all connections and waits for the calls that used them.
 func (c *Client) Close() {
+	c.pool.Close()
 	_ = c.group.Wait()
-	c.http.CloseIdleConnections()
 }
 
 // Get returns one row.
--- a/coord/store/gate.go
+++ b/coord/store/gate.go
@@ -25,8 +25,9 @@
 	case fateLose:
 		_ = effect()
 		return m.lost(op, nil)
+	default:
+		return effect()
 	}
-	return effect()
 }
 
 // fate is what the fault switches do to one write.
--- a/coord/store/memory_test.go
+++ b/coord/store/memory_test.go
@@ -7,9 +7,10 @@
 	"testing"
 	"time"
 
-	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/balsamford/balsamford/coord/timer"
 )
 
 func TestCommit(t *testing.T) {
--- a/coord/store/option.go
+++ b/coord/store/option.go
@@ -3,8 +3,9 @@
 import (
 	"time"
 
-	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/balsamford/balsamford/coord/timer"
 )
 
 // Option changes how New makes a Memory.
--- a/coord/store/table.go
+++ b/coord/store/table.go
@@ -59,6 +59,7 @@
 	case Delete:
 		t.floor = max(t.floor, r.Version)
 		delete(t.rows, op.Key)
+	case Check:
 	}
 }
 
--- /dev/null
+++ b/standin/engine/endpoint_test.go
@@ -0,0 +1,277 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/balsamford/balsamford/coord/point"
+	"github.com/balsamford/balsamford/coord/setup"
+	"github.com/balsamford/balsamford/coord/timer"
+	"github.com/balsamford/balsamford/coord/wire"
+)
+
+var background = context.Background()
+
+func owner(holder string, epoch uint64) point.Owner {
+	return point.Owner{Holder: holder, Epoch: epoch}
+}
+
+// worker returns a worker of 4 processors that p1 holds for 10 s, with
+// epoch 5.
+func worker(t *testing.T, opts ...Option) (*Endpoint, *timer.Service) {
+	t.Helper()
+	s := timer.New(timer.WithManual(time.Unix(0, 0)))
+	opts = append([]Option{WithTimer(s), WithCapacity(wire.Needs{CPU: 4000, Mem: 1000})}, opts...)
+	e := New("w1", opts...)
+	_, err := e.Open(background, point.Open{Owner: owner("p1", 5), Term: 10 * time.Second})
+	is.New(t).NoErr(err)
+	return e, s
+}
+
+func start(t *testing.T, id string, cpu int64, b Body) point.Start {
+	t.Helper()
+	data, err := json.Marshal(b)
+	is.New(t).NoErr(err)
+	return point.Start{Owner: owner("p1", 5), ID: id, Attempt: 1, Kind: wire.Batch, Team: "t",
+		Needs: wire.Needs{CPU: cpu}, Lease: 10 * time.Second, Body: data}
+}
+
+func state(t *testing.T, e *Endpoint, id string) point.State {
+	t.Helper()
+	v, err := e.View(background)
+	is.New(t).NoErr(err)
+	for i := range v.Tasks {
+		if v.Tasks[i].ID == id {
+			return v.Tasks[i].State
+		}
+	}
+	return ""
+}
+
+func count(e *Endpoint, kind Kind) int {
+	n := 0
+	for _, ev := range e.Log().Events() {
+		if ev.Event == kind {
+			n++
+		}
+	}
+	return n
+}
+
+func TestOpen(t *testing.T) {
+	tests := map[string]struct {
+		fence   point.Fence
+		after   time.Duration // since the open of p1 with epoch 5
+		release bool
+		by      point.Owner
+		fenced  bool
+		held    bool
+	}{
+		"same again":                   {by: owner("p1", 5)},
+		"same holder, later epoch":     {by: owner("p1", 6)},
+		"same holder, earlier epoch":   {by: owner("p1", 4), fenced: true, held: true},
+		"other holder within the term": {by: owner("p2", 6), fenced: true, held: true},
+		"other holder, same epoch":     {after: 20 * time.Second, by: owner("p2", 5), fenced: true},
+		"other holder after the term":  {after: 10 * time.Second, by: owner("p2", 6)},
+		"other holder after a release": {release: true, by: owner("p2", 6)},
+		"clock fence":                  {fence: point.FenceClock, by: owner("p2", 1)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var opts []Option
+			if tt.fence != "" {
+				opts = append(opts, WithFence(tt.fence))
+			}
+			e, s := worker(t, opts...)
+			if tt.release {
+				is.NoErr(e.Release(background, owner("p1", 5)))
+			}
+			s.Advance(tt.after)
+			_, err := e.Open(background, point.Open{Owner: tt.by, Term: time.Second})
+			var fenced *point.FencedError
+			is.Equal(errors.As(err, &fenced), tt.fenced)
+			if tt.fenced {
+				is.Equal(fenced.Held, tt.held)
+				is.Equal(fenced.Owner, owner("p1", 5))
+				is.Equal(count(e, Fenced), 1)
+				return
+			}
+			_, err = e.Renew(background, point.Renew{Owner: owner("p1", 5), Term: time.Second})
+			is.Equal(err == nil, tt.by == owner("p1", 5) || tt.fence == point.FenceClock)
+		})
+	}
+}
+
+func TestLeases(t *testing.T) {
+	is := is.New(t)
+	e, s := worker(t)
+	is.NoErr(e.Start(background, start(t, "kept", 1000, Body{Work: setup.Duration(time.Hour)})))
+	is.NoErr(e.Start(background, start(t, "done", 1000, Body{Work: setup.Duration(9 * time.Second)})))
+	s.Advance(8 * time.Second)
+	_, err := e.Renew(background, point.Renew{Owner: owner("p1", 5), Term: 10 * time.Second, Lease: 10 * time.Second})
+	is.NoErr(err)
+	s.Advance(9 * time.Second)
+	is.Equal(state(t, e, "kept"), point.Running)
+	is.Equal(state(t, e, "done"), point.Done)
+	s.Advance(time.Second)
+	is.Equal(state(t, e, "kept"), point.Lapsed)
+	is.Equal(count(e, Lapse), 1)
+	is.Equal(count(e, Ended), 1)
+}
+
+// A renewal with a shorter lease ends the task at the time that the owner
+// counts on.
+func TestShorterLease(t *testing.T) {
+	is := is.New(t)
+	e, s := worker(t)
+	is.NoErr(e.Start(background, start(t, "a", 1000, Body{Work: setup.Duration(time.Hour)})))
+	_, err := e.Renew(background, point.Renew{Owner: owner("p1", 5), Term: time.Minute, Lease: 2 * time.Second})
+	is.NoErr(err)
+	s.Advance(2 * time.Second)
+	is.Equal(state(t, e, "a"), point.Lapsed)
+}
+
+func TestNothingRunsTwice(t *testing.T) {
+	is := is.New(t)
+	e, s := worker(t)
+	in := start(t, "a", 1000, Body{Work: setup.Duration(time.Second)})
+	is.NoErr(e.Start(background, in))
+	is.NoErr(e.Start(background, in))
+	s.Advance(time.Second)
+	_, err := e.Renew(background, point.Renew{Owner: owner("p1", 5), Term: time.Minute, Ack: 1 << 20})
+	is.NoErr(err)
+	is.NoErr(e.Start(background, in)) // ended and forgotten by the report
+	is.Equal(count(e, Began), 1)
+	is.Equal(count(e, Again), 2)
+}
+
+func TestOver(t *testing.T) {
+	tests := map[string]struct {
+		strict  bool
+		second  int64 // processors of the second task, the first has 3000
+		use     float64
+		reason  string // of the event, empty if it fits
+		refused bool
+	}{
+		"fits":                    {strict: true, second: 1000},
+		"granted too much":        {strict: true, second: 1001, reason: "granted", refused: true},
+		"uses too much":           {strict: true, second: 500, use: 3, reason: "used", refused: true},
+		"granted too much, loose": {second: 1001, reason: "granted"},
+		"uses too much, loose":    {second: 500, use: 3, reason: "used"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e, _ := worker(t, WithStrict(tt.strict))
+			is.NoErr(e.Start(background, start(t, "a", 3000, Body{Work: setup.Duration(time.Hour)})))
+			err := e.Start(background, start(t, "b", tt.second, Body{Work: setup.Duration(time.Hour), Use: tt.use}))
+			var refused *point.RefusedError
+			is.Equal(errors.As(err, &refused), tt.refused)
+			over := ""
+			for _, ev := range e.Log().Events() {
+				if ev.Event == Over {
+					over = ev.Reason
+				}
+			}
+			is.Equal(over, tt.reason)
+			is.Equal(e.Running() == 2, !tt.refused)
+		})
+	}
+}
+
+func TestStop(t *testing.T) {
+	tests := map[string]struct {
+		mode   point.StopMode
+		before time.Duration // of 2 s of work
+		after  time.Duration
+		want   point.State
+	}{
+		"stopped":                   {mode: point.ModeStop, before: time.Second, want: point.Stopped},
+		"checkpointed":              {mode: point.ModeCheckpoint, before: time.Second, want: point.Saved},
+		"throttled, before its end": {mode: point.ModeThrottle, before: time.Second, after: 1999 * time.Millisecond, want: point.Running},
+		"throttled, at its end":     {mode: point.ModeThrottle, before: time.Second, after: 2 * time.Second, want: point.Done},
+		"an end is not undone":      {mode: point.ModeStop, before: 2 * time.Second, want: point.Done},
+		"an unknown mode":           {mode: "other", before: time.Second, want: point.Running},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e, s := worker(t)
+			is.NoErr(e.Start(background, start(t, "a", 1000, Body{Work: setup.Duration(2 * time.Second)})))
+			s.Advance(tt.before)
+			err := e.Stop(background, point.Stop{Owner: owner("p1", 5), ID: "a", Attempt: 1, Mode: tt.mode})
+			is.Equal(err == nil, tt.mode != "other")
+			s.Advance(tt.after)
+			is.Equal(state(t, e, "a"), tt.want)
+		})
+	}
+}
+
+func TestUsageIsReportedLate(t *testing.T) {
+	is := is.New(t)
+	e, s := worker(t, WithUsageLag(3*time.Second))
+	is.NoErr(e.Start(background, start(t, "a", 1000, Body{Work: setup.Duration(time.Hour), Use: 2})))
+	for _, want := range []int64{0, 0, 2000} {
+		s.Advance(time.Second)
+		r, err := e.Renew(background, point.Renew{Owner: owner("p1", 5), Term: time.Minute, Lease: time.Minute})
+		is.NoErr(err)
+		is.Equal(r.Reported.CPU, want)
+		is.Equal(r.Tasks[0].Reported.CPU, want)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	is := is.New(t)
+	e, s := worker(t)
+	var lost *point.LostError
+
+	e.SetFaults(Faults{Next: 1})
+	is.True(errors.As(e.Start(background, start(t, "lost", 100, Body{Work: setup.Duration(time.Hour)})), &lost))
+	is.Equal(state(t, e, "lost"), point.Running) // it took effect
+
+	e.SetFaults(Faults{Fail: true})
+	is.NoErr(e.Start(background, start(t, "bad", 100, Body{Work: setup.Duration(time.Hour)})))
+	s.Advance(failTime)
+	is.Equal(state(t, e, "bad"), point.Failed)
+
+	e.SetFaults(Faults{Cut: []string{"p1"}})
+	is.True(errors.As(e.Release(background, owner("p1", 5)), &lost))
+	_, err := e.View(background) // nobody's call
+	is.NoErr(err)
+
+	e.SetFaults(Faults{Leaving: true, Quiet: true})
+	is.NoErr(e.Start(background, start(t, "quiet", 100, Body{Work: setup.Duration(time.Hour)})))
+	e.SetFaults(Faults{Leaving: true})
+	var refused *point.RefusedError
+	is.True(errors.As(e.Start(background, start(t, "leaving", 100, Body{})), &refused))
+	is.Equal(refused.Reason, wire.ReasonLeaving)
+	is.Equal(count(e, Leave), 1)
+
+	e.SetFaults(Faults{Double: true})
+	r, err := e.Renew(background, point.Renew{Owner: owner("p1", 5), Term: time.Minute, Lease: time.Minute})
+	is.NoErr(err)
+	is.Equal(len(r.Tasks), 6) // three tasks, each twice
+}
+
+// A frozen task makes no progress, and its lease runs on.
+func TestFreeze(t *testing.T) {
+	is := is.New(t)
+	e, s := worker(t)
+	is.NoErr(e.Start(background, start(t, "a", 100, Body{Work: setup.Duration(4 * time.Second)})))
+	is.NoErr(e.Start(background, start(t, "b", 100, Body{Work: setup.Duration(9 * time.Second)})))
+	s.Advance(2 * time.Second)
+	e.SetFaults(Faults{Freeze: true})
+	s.Advance(5 * time.Second)
+	is.Equal(e.Running(), 2)
+	e.SetFaults(Faults{})
+	s.Advance(2 * time.Second)
+	is.Equal(state(t, e, "a"), point.Done)
+	s.Advance(time.Second)
+	is.Equal(state(t, e, "b"), point.Lapsed)
+}
--- a/standin/serve/platform.go
+++ b/standin/serve/platform.go
@@ -8,8 +8,9 @@
 	"strings"
 	"time"
 
-	"github.com/balsamford/balsamford/coord/store"
 	"github.com/valyala/fasthttp"
+
+	"github.com/balsamford/balsamford/coord/store"
 )
 
 // patience is how long a call of the platform may be held up by its fault
--- a/standin/serve/platform_test.go
+++ b/standin/serve/platform_test.go
@@ -7,11 +7,12 @@
 	"testing"
 	"time"
 
-	"github.com/balsamford/balsamford/coord/store"
-	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/balsamford/balsamford/coord/store"
+	"github.com/balsamford/balsamford/coord/timer"
 )
 
 // listen serves h on a free loopback port until the test ends.
--- a/standin/serve/server.go
+++ b/standin/serve/server.go
@@ -25,6 +25,7 @@
 		MaxRequestBodySize:    bodyLimit,
 		Concurrency:           conns,
 		CloseOnShutdown:       true,
+		Logger:                quiet{},
 	}
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
@@ -34,3 +35,9 @@
 	}
 	return err
 }
+
+// quiet drops what the library logs of connections that fault switches close.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
