--- /dev/null
+++ b/coord/pages/proofs_test.go
@@ -0,0 +1,80 @@
+package pages
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const root = "../.."
+
+var (
+	testFunc = regexp.MustCompile(`(?m)^func ((?:Test|Benchmark|Example)\w+)\(`)
+	testName = regexp.MustCompile("`((?:Test|Benchmark|Example)\\w+)")
+	pageLink = regexp.MustCompile(`\]\(([^)#]+\.md)`)
+)
+
+// testNames returns the test functions of all modules.
+func testNames(t *testing.T) map[string]bool {
+	t.Helper()
+	names := make(map[string]bool)
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for _, m := range testFunc.FindAllSubmatch(data, -1) {
+			names[string(m[1])] = true
+		}
+		return nil
+	})
+	is.New(t).NoErr(err)
+	return names
+}
+
+// pageFiles returns the Markdown pages of the repository.
+func pageFiles(t *testing.T) []string {
+	t.Helper()
+	is := is.New(t)
+	files, err := filepath.Glob(filepath.Join(root, "*.md"))
+	is.NoErr(err)
+	docs, err := filepath.Glob(filepath.Join(root, "docs", "*.md"))
+	is.NoErr(err)
+	return append(files, docs...)
+}
+
+func TestNamedTestsExist(t *testing.T) {
+	names := testNames(t)
+	for _, page := range pageFiles(t) {
+		data, err := os.ReadFile(page)
+		is.New(t).NoErr(err)
+		for _, m := range testName.FindAllSubmatch(data, -1) {
+			if !names[string(m[1])] {
+				t.Errorf("%s names %s, which doesn't exist", filepath.Base(page), m[1])
+			}
+		}
+	}
+}
+
+func TestLinkedPagesExist(t *testing.T) {
+	for _, page := range pageFiles(t) {
+		data, err := os.ReadFile(page)
+		is.New(t).NoErr(err)
+		for _, m := range pageLink.FindAllSubmatch(data, -1) {
+			if strings.Contains(string(m[1]), "://") {
+				continue
+			}
+			if _, err := os.Stat(filepath.Join(filepath.Dir(page), string(m[1]))); err != nil {
+				t.Errorf("%s links to %s, which doesn't exist", filepath.Base(page), m[1])
+			}
+		}
+	}
+}
