--- /dev/null
+++ b/placer/internal/sched/decide.go
@@ -0,0 +1,153 @@
+package sched
+
+import (
+	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/placer/internal/cell"
+)
+
+// depth is how many entries of a line are looked at behind one that doesn't
+// fit.
+const depth = 32
+
+// decide appends the decisions of one pass.
+func (p *pool) decide(out []Decision) []Decision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pass.reset()
+	p.rate()
+	for {
+		t := p.next()
+		if t == nil {
+			return out
+		}
+		before := len(out)
+		if out = p.serve(t, out); len(out) == before {
+			t.done = true
+			continue
+		}
+		t.share = p.dominant(t)
+	}
+}
+
+// rate prepares the teams for a pass.
+func (p *pool) rate() {
+	for _, t := range p.order {
+		t.done = t.live == 0
+		t.share = p.dominant(t)
+	}
+}
+
+// next returns the team that is to be served, or nil.
+func (p *pool) next() *team {
+	var best *team
+	for _, t := range p.order {
+		if t.done || t.live == 0 {
+			continue
+		}
+		if best == nil || t.share/t.weight < best.share/best.weight {
+			best = t
+		}
+	}
+	return best
+}
+
+// dominant returns a team's largest part of any resource.
+func (p *pool) dominant(t *team) float64 {
+	return dominant(t.used, p.table.Capacity())
+}
+
+func dominant(used, capacity wire.Needs) float64 {
+	s := part(used.CPU, capacity.CPU)
+	s = max(s, part(used.Mem, capacity.Mem))
+	s = max(s, part(used.Accel, capacity.Accel))
+	s = max(s, part(used.Slots, capacity.Slots))
+	return max(s, part(used.Conns, capacity.Conns))
+}
+
+func part(used, capacity int64) float64 {
+	if capacity <= 0 {
+		return 0
+	}
+	return float64(used) / float64(capacity)
+}
+
+// serve starts one task or gang of a team, if any can.
+func (p *pool) serve(t *team, out []Decision) []Decision {
+	for _, l := range t.lanes {
+		seen := 0
+		for _, e := range l.entries {
+			if e.lane != l {
+				continue
+			}
+			if seen++; seen > depth {
+				break
+			}
+			before := len(out)
+			if out = p.try(e, out); len(out) > before {
+				return out
+			}
+		}
+	}
+	return out
+}
+
+// try starts one task of an entry, or all of a gang.
+func (p *pool) try(e *entry, out []Decision) []Decision {
+	if e.gang() {
+		return p.tryGang(e, out)
+	}
+	needs := e.granted
+	if p.pass.missed(needs) {
+		return out
+	}
+	row := p.table.FirstFit(needs, e.item.Avoid)
+	if row == nil {
+		if len(e.item.Avoid) == 0 {
+			p.pass.miss(needs)
+		}
+		return out
+	}
+	if !p.limit.Take(e.item.Team, 1) {
+		return out
+	}
+	out = p.place(e, row, out)
+	p.close(e)
+	return out
+}
+
+// tryGang starts all tasks of a gang or none.
+func (p *pool) tryGang(e *entry, out []Decision) []Decision {
+	before, n := len(out), int64(len(e.pending))
+	if e.broken || !p.limit.Take(e.item.Team, n) {
+		return out
+	}
+	for len(e.pending) > 0 {
+		row := p.table.FirstFit(e.granted, e.item.Avoid)
+		if row == nil {
+			p.undo(e, out[before:])
+			p.limit.Give(e.item.Team, n)
+			return out[:before]
+		}
+		out = p.place(e, row, out)
+	}
+	p.close(e)
+	return out
+}
+
+// place gives an entry's first waiting task room on an endpoint.
+func (p *pool) place(e *entry, row *cell.Row, out []Decision) []Decision {
+	next := e.pending[0]
+	e.pending = e.pending[1:]
+	p.hold(e, next.number, next.attempt, row, e.granted, p.timer.Now())
+	return append(out, Decision{
+		ID: e.item.ID, Task: next.number, Attempt: next.attempt, Endpoint: row.Name(), Needs: e.granted, Kind: e.item.Kind,
+	})
+}
+
+// undo takes the decisions of a gang back.
+func (p *pool) undo(e *entry, decided []Decision) {
+	for _, d := range decided {
+		p.release(p.runs[e.key(d.Task)])
+		e.pending = append(e.pending, pending{d.Task, d.Attempt})
+	}
+}
--- /dev/null
+++ b/placer/internal/sched/lane.go
@@ -0,0 +1,55 @@
+package sched
+
+// lane is the line of one team's entries of one queue and urgency, in the
+// order of their submits. Entries that left are skipped and removed later, so
+// that a cancellation costs the same wherever its entry stands.
+type lane struct {
+	queue   string
+	urgent  bool
+	rank    int
+	entries []*entry
+	live    int // entries that wait
+}
+
+// minCompact is the length below which a lane isn't worth compacting.
+const minCompact = 32
+
+func (l *lane) push(e *entry) {
+	l.trim()
+	e.lane = l
+	l.live++
+	i := len(l.entries)
+	for i > 0 && l.entries[i-1].seq > e.seq {
+		i--
+	}
+	if i > 0 && l.entries[i-1] == e { // still in its old place
+		return
+	}
+	l.entries = append(l.entries, nil)
+	copy(l.entries[i+1:], l.entries[i:])
+	l.entries[i] = e
+}
+
+func (l *lane) remove(e *entry) {
+	e.lane = nil
+	l.live--
+	l.trim()
+}
+
+// trim removes entries that left, once they are the majority.
+func (l *lane) trim() {
+	if len(l.entries) < minCompact && l.live > 0 {
+		return
+	}
+	if l.live*2 > len(l.entries) {
+		return
+	}
+	kept := l.entries[:0]
+	for _, e := range l.entries {
+		if e.lane == l {
+			kept = append(kept, e)
+		}
+	}
+	clear(l.entries[len(kept):])
+	l.entries = kept
+}
--- /dev/null
+++ b/placer/internal/sched/settle.go
@@ -0,0 +1,147 @@
+package sched
+
+import (
+	"container/heap"
+
+	"github.com/balsamford/balsamford/coord/wire"
+)
+
+// adopt counts a task found running. It reports whether the endpoint is one
+// of the pool's.
+func (p *pool) adopt(endpoint string, t *Task) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	row := p.table.Row(endpoint)
+	if row == nil {
+		return false
+	}
+	if p.runs[taskKey{t.ID, t.Number}] != nil {
+		return true
+	}
+	e := p.entries[t.ID]
+	if e == nil {
+		p.seq++
+		e = &entry{item: t.item(), since: p.timer.Now().Add(-t.Age), seq: p.seq, heapIndex: -1, granted: t.Needs}
+		p.entries[t.ID] = e
+	}
+	e.take(t.Number)
+	r := p.hold(e, t.Number, t.Attempt, row, t.Needs, p.timer.Now().Add(-t.Age))
+	r.started = true
+	p.limit.Adopt(t.Team, 1)
+	p.close(e)
+	return true
+}
+
+func (t *Task) item() Item {
+	return Item{
+		ID: t.ID, Attempt: t.Attempt, Team: t.Team, Queue: t.Queue, Kind: t.Kind,
+		Name: t.Name, Needs: t.Needs, Tasks: 1, Urgent: t.Urgent,
+	}
+}
+
+// cancel drops what waits of a request. It reports whether the request is
+// known and whether all of it waited.
+func (p *pool) cancel(id string) (found, unstarted bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.entries[id]
+	if e == nil {
+		return false, false
+	}
+	unstarted = len(e.runs) == 0
+	e.cancelled = true
+	e.pending = nil
+	p.close(e)
+	return true, unstarted
+}
+
+func (p *pool) started(id string, number int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.runs[taskKey{id, number}]
+	if r == nil {
+		return false
+	}
+	if !r.started {
+		r.started, r.start = true, p.timer.Now()
+	}
+	return true
+}
+
+// unsent undoes a decision.
+func (p *pool) unsent(id string, number int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.runs[taskKey{id, number}]
+	if r == nil {
+		return false
+	}
+	e := r.entry
+	p.release(r)
+	p.limit.Give(e.item.Team, 1)
+	if e.cancelled {
+		p.close(e)
+		return true
+	}
+	e.pending = append(e.pending, pending{number, r.attempt + 1})
+	if e.gang() {
+		e.broken = true
+		p.reunite(e)
+		return true
+	}
+	p.enqueue(e)
+	return true
+}
+
+// reunite lets a gang wait again once none of its members runs.
+func (p *pool) reunite(e *entry) {
+	if e.broken && len(e.runs) == 0 && len(e.pending) > 0 {
+		e.broken = false
+		p.enqueue(e)
+	}
+}
+
+func (p *pool) ended(id string, number int, _ bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.runs[taskKey{id, number}]
+	if r == nil {
+		return false
+	}
+	e := r.entry
+	p.release(r)
+	p.limit.Give(e.item.Team, 1)
+	if e.broken && !e.cancelled {
+		e.pending = append(e.pending, pending{number, r.attempt + 1})
+	}
+	p.reunite(e)
+	p.close(e)
+	return true
+}
+
+// expire drops entries whose deadline has passed and returns what waited.
+func (p *pool) expire(items []Item) []Item {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.timer.Now()
+	for len(p.deadlines) > 0 && !p.deadlines[0].item.Deadline.After(now) {
+		e := heap.Pop(&p.deadlines).(*entry)
+		items = append(items, e.left())
+		e.pending = nil
+		p.close(e)
+	}
+	return items
+}
+
+// free returns the room on open endpoints.
+func (p *pool) free() wire.Needs {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var sum wire.Needs
+	for _, r := range p.table.Rows() {
+		if r.Open() {
+			sum = sum.Add(r.Free().Max(wire.Needs{}))
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/placer/internal/sched/submit.go
@@ -0,0 +1,68 @@
+package sched
+
+import (
+	"container/heap"
+	"strconv"
+
+	"github.com/balsamford/balsamford/coord/wire"
+)
+
+// submit queues an item.
+func (p *pool) submit(item Item) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.admit(&item); err != nil {
+		return err
+	}
+	e := p.entries[item.ID]
+	if e == nil {
+		p.seq++
+		e = &entry{item: item, since: p.timer.Now(), seq: p.seq, heapIndex: -1}
+		p.entries[item.ID] = e
+	}
+	if e.heapIndex >= 0 {
+		heap.Remove(&p.deadlines, e.heapIndex)
+	}
+	e.item.Deadline, e.item.Avoid = item.Deadline, item.Avoid
+	e.granted = item.Needs
+	for _, n := range item.numbers() {
+		e.pending = append(e.pending, pending{n, item.Attempt})
+	}
+	p.enqueue(e)
+	return nil
+}
+
+// admit says why an item can't be queued, or returns nil.
+func (p *pool) admit(item *Item) error {
+	refuse := func(reason, detail string) error {
+		return &RefusedError{ID: item.ID, Reason: reason, Detail: detail}
+	}
+	if !item.Deadline.IsZero() && !item.Deadline.After(p.timer.Now()) {
+		return refuse(wire.ReasonDeadline, "the deadline has passed")
+	}
+	if bound := p.policy.Queues[item.Queue].Bound; bound > 0 && p.queued[item.Queue] >= bound {
+		return refuse(wire.ReasonBusy, "queue "+item.Queue+" holds its bound of "+strconv.Itoa(bound)+" requests")
+	}
+	if e := p.entries[item.ID]; e != nil {
+		for _, n := range item.numbers() {
+			if e.waits(n) || p.runs[e.key(n)] != nil {
+				return refuse(wire.ReasonDuplicate, "task "+strconv.Itoa(n)+" waits or runs already")
+			}
+		}
+	}
+	return p.fits(item, refuse)
+}
+
+// fits refuses what no endpoint of the placer could ever run.
+func (p *pool) fits(item *Item, refuse func(reason, detail string) error) error {
+	if len(p.table.Rows()) == 0 {
+		return refuse(wire.ReasonBusy, "this placer owns no endpoint for it")
+	}
+	if p.table.Slots(item.Needs, 1) == 0 {
+		return refuse(wire.ReasonNever, p.table.Lack(item.Needs))
+	}
+	if item.Kind == wire.Gang && p.table.Slots(item.Needs, item.count()) < item.count() {
+		return refuse(wire.ReasonNever, "gang of "+strconv.Itoa(item.count())+" tasks exceeds all endpoints together")
+	}
+	return nil
+}
