--- a/standin/engine/endpoint.go
+++ b/standin/engine/endpoint.go
@@ -91,7 +91,8 @@
 func (e *Endpoint) recordTask(kind Kind, in *point.Start, body Body, ev Event) {
 	ev.Event = kind
 	ev.Task, ev.Attempt, ev.Team, ev.Queue, ev.Kind = in.ID, in.Attempt, in.Team, in.Queue, in.Kind
-	ev.Holder, ev.Epoch, ev.Needs, ev.Once = in.Holder, in.Epoch, in.Needs, body.Once
+	ev.Holder, ev.Epoch, ev.Needs = in.Holder, in.Epoch, in.Needs
+	ev.Once, ev.Tag = body.Once, body.Tag
 	e.record(ev)
 }
 
--- a/standin/engine/event.go
+++ b/standin/engine/event.go
@@ -16,6 +16,7 @@
 	Rack     string      `json:"rack,omitempty"`
 	Task     string      `json:"task,omitempty"`
 	Attempt  uint32      `json:"attempt,omitempty"`
+	Tag      string      `json:"tag,omitempty"` // the caller's own name of the request
 	Team     string      `json:"team,omitempty"`
 	Queue    string      `json:"queue,omitempty"`
 	Kind     wire.Kind   `json:"kind,omitempty"`
