--- /dev/null
+++ b/trial/cell/address.go
@@ -0,0 +1,52 @@
+package cell
+
+// Door is the callers' address of one entry.
+type Door struct {
+	Host    string
+	Zone    string
+	Address string
+	Page    string // metrics, health and readiness of the entry
+	Placer  string // the same of the placer on the host
+}
+
+// Doors returns the callers' addresses.
+func (c *Cell) Doors() []Door {
+	list := make([]Door, 0)
+	for _, z := range c.plan.zones {
+		for _, h := range z.hosts {
+			list = append(list, Door{Host: h.name, Zone: z.name, Address: h.door, Page: h.entryPage, Placer: h.placerPage})
+		}
+	}
+	return list
+}
+
+// Endpoint is the address of one endpoint.
+type Endpoint struct {
+	Kind    string
+	Zone    string
+	Address string
+}
+
+// Endpoints returns the addresses of all endpoints.
+func (c *Cell) Endpoints() []Endpoint {
+	list := make([]Endpoint, 0)
+	for _, z := range c.plan.zones {
+		for i := range z.groups {
+			for _, a := range z.groups[i].Addresses {
+				list = append(list, Endpoint{Kind: z.groups[i].Kind, Zone: z.name, Address: a})
+			}
+		}
+	}
+	return list
+}
+
+// PlatformDoor returns the platform's address for a zone, which can be cut
+// off alone.
+func (c *Cell) PlatformDoor(zone string) string {
+	for _, z := range c.plan.zones {
+		if z.name == zone {
+			return z.platform
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/trial/cell/files.go
@@ -0,0 +1,95 @@
+package cell
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/balsamford/balsamford/coord/link"
+	"github.com/balsamford/balsamford/coord/setup"
+)
+
+// The roles of processes.
+const (
+	RoleEntry     = "entry"
+	RolePlacer    = "placer"
+	RolePlatform  = "platform"
+	RoleEndpoints = "endpoints"
+)
+
+// files writes certificates and settings into dir and returns the processes
+// that run on them, in the order in which they are started.
+func (p *plan) files(dir, binaries string) ([]*Process, error) {
+	if _, err := link.IssueFiles(dir); err != nil {
+		return nil, err
+	}
+	w := &writer{dir: dir, binaries: binaries}
+	w.add(RolePlatform, "platform", "", "standin", p.platformSettings())
+	for _, z := range p.zones {
+		w.add(RoleEndpoints, "endpoints-"+z.name, z.name, "standin", standinSettings{Role: RoleEndpoints,
+			Name: "endpoints-" + z.name, Level: p.spec.Level, Platform: p.platform, Groups: z.groups})
+	}
+	own := certs{Cert: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), Authority: filepath.Join(dir, "authority.pem")}
+	for _, z := range p.zones {
+		for _, h := range z.hosts {
+			w.add(RolePlacer, "placer-"+h.name, z.name, "placer", p.placerSettings(z, h, own))
+		}
+	}
+	for _, z := range p.zones {
+		for _, h := range z.hosts {
+			w.add(RoleEntry, "entry-"+h.name, z.name, "entry", p.entrySettings(z, h, own))
+		}
+	}
+	return w.processes, w.err
+}
+
+func (p *plan) platformSettings() standinSettings {
+	doors := make([]string, 0, len(p.zones))
+	for _, z := range p.zones {
+		doors = append(doors, z.platform)
+	}
+	return standinSettings{Role: RolePlatform, Name: "platform", Level: p.spec.Level, Listen: p.platform, Doors: doors,
+		Lag: &lags{Hosts: setup.Duration(p.spec.HostLag), Objects: setup.Duration(p.spec.ObjectLag)}}
+}
+
+func (p *plan) placerSettings(z *zone, h *host, own certs) placerSettings {
+	return placerSettings{
+		Host: h.name, Zone: z.name, Link: h.placerLink, Page: h.placerPage, Platform: z.platform,
+		Level: p.spec.Level, Fault: true, Certs: own, Peers: p.peers(func(h *host) string { return h.placerLink }, h.name),
+	}
+}
+
+func (p *plan) entrySettings(z *zone, h *host, own certs) entrySettings {
+	return entrySettings{
+		Host: h.name, Zone: z.name, Zones: p.spec.Zones, Door: h.door, Page: h.entryPage, Link: h.entryLink,
+		Platform: z.platform, Level: p.spec.Level, Fault: true, Certs: own,
+		Peers:   p.peers(func(h *host) string { return h.entryLink }, h.name),
+		Placers: p.peers(func(h *host) string { return h.placerLink }, ""),
+	}
+}
+
+// writer writes settings files until one can't be written.
+type writer struct {
+	dir       string
+	binaries  string
+	processes []*Process
+	err       error
+}
+
+func (w *writer) add(role, name, zone, program string, settings any) {
+	if w.err != nil {
+		return
+	}
+	path := filepath.Join(w.dir, name+".toml")
+	data, err := toml.Marshal(settings)
+	if err == nil {
+		err = os.WriteFile(path, data, 0o600)
+	}
+	if err != nil {
+		w.err = &ProcessError{Name: name, Err: err}
+		return
+	}
+	w.processes = append(w.processes, &Process{name: name, role: role, zone: zone,
+		binary: filepath.Join(w.binaries, program), config: path, output: filepath.Join(w.dir, name+".log")})
+}
--- /dev/null
+++ b/trial/cell/settings.go
@@ -0,0 +1,77 @@
+package cell
+
+import (
+	"github.com/balsamford/balsamford/coord/setup"
+	"github.com/balsamford/balsamford/coord/wire"
+)
+
+// The settings files of the programs, as far as a deployment sets them.
+
+// entrySettings is the file of an entry.
+type entrySettings struct {
+	Host     string   `toml:"host"`
+	Zone     string   `toml:"zone"`
+	Zones    []string `toml:"zones"`
+	Door     string   `toml:"door"`
+	Page     string   `toml:"page"`
+	Link     string   `toml:"link"`
+	Platform string   `toml:"platform"`
+	Level    string   `toml:"level"`
+	Fault    bool     `toml:"fault"`
+	Certs    certs    `toml:"certs"`
+	Peers    []peer   `toml:"peers,omitempty"`
+	Placers  []peer   `toml:"placers"`
+}
+
+// placerSettings is the file of a placer.
+type placerSettings struct {
+	Host     string `toml:"host"`
+	Zone     string `toml:"zone"`
+	Link     string `toml:"link"`
+	Page     string `toml:"page"`
+	Platform string `toml:"platform"`
+	Level    string `toml:"level"`
+	Fault    bool   `toml:"fault"`
+	Certs    certs  `toml:"certs"`
+	Peers    []peer `toml:"peers,omitempty"`
+}
+
+// standinSettings is the file of a stand-in.
+type standinSettings struct {
+	Role     string   `toml:"role"`
+	Name     string   `toml:"name"`
+	Level    string   `toml:"level"`
+	Listen   string   `toml:"listen,omitempty"`
+	Doors    []string `toml:"doors,omitempty"`
+	Lag      *lags    `toml:"lag,omitempty"`
+	Platform string   `toml:"platform,omitempty"`
+	Groups   []group  `toml:"group,omitempty"`
+}
+
+type certs struct {
+	Cert      string `toml:"cert"`
+	Key       string `toml:"key"`
+	Authority string `toml:"authority"`
+}
+
+type peer struct {
+	Name string `toml:"name"`
+	Zone string `toml:"zone"`
+	Link string `toml:"link"`
+}
+
+type lags struct {
+	Hosts   setup.Duration `toml:"hosts"`
+	Objects setup.Duration `toml:"objects"`
+}
+
+type group struct {
+	Name      string         `toml:"name"`
+	Kind      string         `toml:"kind"`
+	Zone      string         `toml:"zone"`
+	Rack      string         `toml:"rack"`
+	Per       int            `toml:"per"`
+	Addresses []string       `toml:"addresses"`
+	Capacity  wire.Needs     `toml:"capacity"`
+	Lag       setup.Duration `toml:"lag"`
+}
