--- /dev/null
+++ b/coord/config/cell_test.go
@@ -0,0 +1,121 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/balsamford/balsamford/coord/link"
+	"github.com/balsamford/balsamford/coord/store"
+	"github.com/balsamford/balsamford/coord/timer"
+	"github.com/balsamford/balsamford/coord/wire"
+)
+
+// testCell is a platform and some followers that call one another directly,
+// on manual time.
+type testCell struct {
+	timers    *timer.Service
+	platform  *store.Memory
+	followers map[string]*Follower
+	peers     []Peer
+	cut       map[string]bool // hosts that no call reaches or leaves
+	delay     time.Duration   // that every answer of a peer takes
+}
+
+func newTestCell() *testCell {
+	c := &testCell{
+		timers:    timer.New(timer.WithManual(time.Unix(0, 0))),
+		followers: make(map[string]*Follower),
+		cut:       make(map[string]bool),
+	}
+	c.platform = store.New(store.WithTimer(c.timers))
+	c.timers.Advance(time.Hour)
+	return c
+}
+
+// start makes a follower, or a new one in the place of an old one.
+func (c *testCell) start(name, zone string, opts ...Option) *Follower {
+	if c.followers[name] == nil {
+		c.peers = append(c.peers, Peer{Name: name, Zone: zone, Address: name})
+	}
+	roster := RosterFunc(func() []Peer { return c.peers })
+	opts = append([]Option{WithPeers(roster, &testCaller{cell: c, from: name}, name)}, opts...)
+	f := NewFollower(name, zone, &testReader{cell: c, name: name}, c.timers, opts...)
+	c.followers[name] = f
+	return f
+}
+
+// testReader is the platform as seen from one host.
+type testReader struct {
+	cell *testCell
+	name string
+}
+
+func (r *testReader) Get(ctx context.Context, table, key string) (store.Row, error) {
+	if r.cell.cut[r.name] {
+		return store.Row{}, &store.UnavailableError{Op: "get"}
+	}
+	return r.cell.platform.Get(ctx, table, key)
+}
+
+func (r *testReader) Object(ctx context.Context, name string) ([]byte, error) {
+	if r.cell.cut[r.name] {
+		return nil, &store.UnavailableError{Op: "object"}
+	}
+	return r.cell.platform.Object(ctx, name)
+}
+
+// testCaller calls the other followers of a cell.
+type testCaller struct {
+	cell *testCell
+	from string
+}
+
+func (c *testCaller) Call(ctx context.Context, address, verb string, in, out any) error {
+	f := c.cell.followers[address]
+	if f == nil || c.cell.cut[address] != c.cell.cut[c.from] {
+		return &link.DialError{Address: address, Err: &link.CutError{Address: address}}
+	}
+	switch verb {
+	case wire.VerbHead:
+		*out.(*Status) = f.Status()
+	case wire.VerbTell:
+		f.told(ctx, in.(Told))
+		*out.(*Status) = f.Status()
+	case wire.VerbFetch:
+		*out.(*Content) = f.content(in.(Fetch))
+	}
+	c.cell.timers.Advance(c.cell.delay)
+	return nil
+}
+
+// write puts a version into the platform without the checks of a Publisher.
+func (c *testCell) write(t *testing.T, version uint64, set *Set) Head {
+	t.Helper()
+	is := is.New(t)
+	snap := NewSnapshot(version, set)
+	h := Head{Version: version, Digest: snap.Digest(), Grace: snap.Grace()}
+	value, err := json.Marshal(h)
+	is.NoErr(err)
+	ctx := context.Background()
+	is.NoErr(c.platform.PutObject(ctx, ObjectName(h.Digest), snap.Data()))
+	is.NoErr(c.platform.Commit(ctx, []store.Op{{Table: Table, Key: KeyHead, Expect: store.Any, Value: value, Action: store.Put}}))
+	return h
+}
+
+// round lets every follower refresh once.
+func (c *testCell) round() {
+	for _, p := range c.peers {
+		c.followers[p.Name].refresh(context.Background())
+	}
+}
+
+// setWith returns a set with one team, the key of it and a queue for each
+// kind of grace.
+func setWith(t *testing.T, text string) *Set {
+	t.Helper()
+	return parse(t, "[team.shop]\n[queue.plain]\n[queue.patient]\npolicy = \"patient\"\n[policy.patient]\ngrace = \"10s\"\n"+text)
+}
--- /dev/null
+++ b/coord/config/check.go
@@ -0,0 +1,96 @@
+package config
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Check returns all that is wrong with the set as a whole: bounds, broken
+// references, cycles, objects that say the same thing twice, shares and limits
+// that contradict one another; and warnings. It changes nothing.
+func (s *Set) Check() []Fault {
+	c := &checker{set: s}
+	for _, ref := range s.Refs() {
+		c.object(s.objects[ref])
+	}
+	c.cycles()
+	c.single()
+	c.limits()
+	c.shares()
+	c.capacity()
+	slices.SortStableFunc(c.faults, func(a, b Fault) int {
+		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line))
+	})
+	return c.faults
+}
+
+// checker gathers the faults of one set.
+type checker struct {
+	set    *Set
+	faults []Fault
+}
+
+func (c *checker) add(ref Ref, field, text string) {
+	c.faults = append(c.faults, c.set.places[ref].fault(ref, field, text))
+}
+
+func (c *checker) warn(ref Ref, field, text string) {
+	f := c.set.places[ref].fault(ref, field, text)
+	f.Warning = true
+	c.faults = append(c.faults, f)
+}
+
+func (c *checker) object(o Object) {
+	for _, p := range o.check() {
+		c.add(o.Ref(), p.field, p.text)
+	}
+	for _, l := range o.links() {
+		if l.to.Name == "" {
+			c.add(o.Ref(), l.field, "missing; name a "+string(l.to.Type))
+			continue
+		}
+		if c.set.objects[l.to] == nil {
+			c.add(o.Ref(), l.field, c.broken(l.to))
+		}
+	}
+}
+
+// broken says that there is no such object and names the nearest one.
+func (c *checker) broken(to Ref) string {
+	text := "there is no " + string(to.Type) + " " + quote(to.Name)
+	best, distance := "", len(to.Name)/2+1
+	for _, ref := range c.set.Refs() {
+		if ref.Type != to.Type {
+			continue
+		}
+		if d := editDistance(ref.Name, to.Name); d < distance {
+			best, distance = ref.Name, d
+		}
+	}
+	if best != "" {
+		return text + "; write " + quote(best) + " or add [" + to.String() + "]"
+	}
+	return text + "; add [" + to.String() + "] or name another"
+}
+
+// editDistance returns how many letters have to be changed, added or removed
+// to make b of a.
+func editDistance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := 1
+			if a[i] == b[j] {
+				cost = 0
+			}
+			next := min(row[j]+1, row[j+1]+1, diagonal+cost)
+			diagonal, row[j+1] = row[j+1], next
+		}
+	}
+	return row[len(b)]
+}
--- /dev/null
+++ b/coord/config/checkteam.go
@@ -0,0 +1,107 @@
+package config
+
+import "strconv"
+
+// single reports a second share or limit of one team, and two keys with one
+// digest.
+func (c *checker) single() {
+	shares, limits := make(map[string]Ref), make(map[string]Ref)
+	digests := make(map[Digest]Ref)
+	for _, ref := range c.set.Refs() {
+		switch o := c.set.objects[ref].(type) {
+		case *Share:
+			c.once(shares, o.Team, ref, "share")
+		case *Limit:
+			c.once(limits, o.Team, ref, "limit")
+		case *Key:
+			if first, ok := digests[o.Digest]; ok && o.Digest != "" {
+				c.add(ref, "digest", "the same as that of "+first.String()+"; make another secret with balsam key")
+				continue
+			}
+			digests[o.Digest] = ref
+		}
+	}
+}
+
+func (c *checker) once(seen map[string]Ref, team string, ref Ref, what string) {
+	if first, ok := seen[team]; ok {
+		c.add(ref, "team", "team "+quote(team)+" has a "+what+" already, "+first.String()+"; remove one")
+		return
+	}
+	seen[team] = ref
+}
+
+// limits reports teams whose limit can't hold: the limits of a team's
+// children have to fit under its own, so that it holds without counting
+// across teams.
+func (c *checker) limits() {
+	x := indexTeams(c.set)
+	for _, ref := range c.set.Refs() {
+		team, ok := c.set.objects[ref].(*Team)
+		if !ok {
+			continue
+		}
+		limit := x.limits[team.Name]
+		if limit == nil || len(x.children[team.Name]) == 0 {
+			continue
+		}
+		sum := int64(0)
+		for _, child := range x.children[team.Name] {
+			l := x.limits[child]
+			if l == nil {
+				c.add(Ref{TypeTeam, child}, "parent", "team "+quote(team.Name)+" has a limit and this one has none; add a limit of at most "+strconv.FormatInt(limit.Tasks, 10)+" tasks")
+				continue
+			}
+			sum += l.Tasks
+		}
+		if sum > limit.Tasks {
+			c.add(limit.Ref(), "tasks", "the limits of the teams in "+quote(team.Name)+" add up to "+strconv.FormatInt(sum, 10)+"; raise this one to that, or lower theirs")
+		}
+	}
+}
+
+// shares reports teams that are to get a share and may run nothing.
+func (c *checker) shares() {
+	x := indexTeams(c.set)
+	for _, ref := range c.set.Refs() {
+		share, ok := c.set.objects[ref].(*Share)
+		if !ok {
+			continue
+		}
+		if l := x.limits[share.Team]; l != nil && l.Tasks == 0 {
+			c.add(ref, "team", "team "+quote(share.Team)+" has a share, and "+l.Ref().String()+" lets it run nothing; remove the share or raise the limit")
+		}
+	}
+}
+
+// capacity warns of limits above what the cell can run at once.
+func (c *checker) capacity() {
+	room, known := c.set.room()
+	if !known {
+		return
+	}
+	for _, ref := range c.set.Refs() {
+		l, ok := c.set.objects[ref].(*Limit)
+		if ok && l.Tasks > room {
+			c.warn(ref, "tasks", "above the "+strconv.FormatInt(room, 10)+" tasks that the cell's endpoints can run at once, so it never takes effect")
+		}
+	}
+}
+
+// room returns how many of the smallest tasks the cell can run: one to a slot
+// of an executor, one to a thousandth of a processor of a worker.
+func (s *Set) room() (tasks int64, known bool) {
+	for _, o := range s.objects {
+		e, ok := o.(*Endpoint)
+		if !ok {
+			continue
+		}
+		known = true
+		per := e.Needs.Slots
+		if per == 0 {
+			per = e.Needs.CPU
+		}
+		tasks += per * e.Count
+	}
+	return tasks, known
+}
--- /dev/null
+++ b/coord/config/encode.go
@@ -0,0 +1,13 @@
+package config
+
+import "github.com/pelletier/go-toml/v2"
+
+// EncodeObject returns o as a TOML table.
+func EncodeObject(o Object) []byte {
+	body, err := toml.Marshal(o)
+	if err != nil {
+		// The types of objects hold nothing that can't be written.
+		body = []byte("# " + err.Error() + "\n")
+	}
+	return append([]byte("["+o.Ref().String()+"]\n"), body...)
+}
--- /dev/null
+++ b/coord/config/follower_test.go
@@ -0,0 +1,179 @@
+package config
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/balsamford/balsamford/coord/store"
+)
+
+func TestFollowerAppliesAndLapses(t *testing.T) {
+	is := is.New(t)
+	c := newTestCell()
+	f := c.start("a", "z1")
+	c.round()
+	is.True(f.Current() == nil)
+	is.True(!f.Fresh())
+	c.write(t, 1, setWith(t, ""))
+	c.round()
+	is.Equal(f.Current().Version(), uint64(1))
+	is.True(f.Fresh() && f.Honours("plain") && f.Honours("patient"))
+	c.platform.SetFaults(store.Faults{Down: true})
+	c.timers.Advance(DefaultPeriod + DefaultGrace)
+	c.round()
+	is.True(f.Fresh() && f.Honours("plain"))
+	c.timers.Advance(time.Millisecond)
+	is.True(!f.Fresh() && !f.Honours("plain"))
+	is.True(f.Honours("patient"))
+	c.timers.Advance(10 * time.Second)
+	is.True(!f.Honours("patient"))
+	is.Equal(f.Current().Version(), uint64(1)) // open queues go on
+	c.platform.SetFaults(store.Faults{})
+	c.round()
+	is.True(f.Fresh())
+}
+
+func TestVersionsGoUpOnly(t *testing.T) {
+	is := is.New(t)
+	c := newTestCell()
+	f := c.start("a", "z1")
+	var seen []uint64
+	f.Subscribe(func(s *Snapshot) { seen = append(seen, s.Version()) })
+	c.write(t, 3, setWith(t, "[team.x]\n"))
+	c.round()
+	c.write(t, 2, setWith(t, "[team.y]\n"))
+	c.timers.Advance(DefaultPeriod + DefaultGrace + 1)
+	c.round()
+	is.Equal(seen, []uint64{3})
+	is.Equal(f.Current().Version(), uint64(3))
+	is.True(!f.Fresh()) // an older head confirms nothing
+}
+
+func TestDigestMismatchIsNotApplied(t *testing.T) {
+	is := is.New(t)
+	c := newTestCell()
+	f := c.start("a", "z1")
+	c.write(t, 1, setWith(t, ""))
+	c.round()
+	h := c.write(t, 2, setWith(t, "[team.x]\n"))
+	is.NoErr(c.platform.PutObject(t.Context(), ObjectName(h.Digest), []byte("[team.evil]\n")))
+	c.round()
+	is.Equal(f.Current().Version(), uint64(1))
+	c.timers.Advance(DefaultPeriod + DefaultGrace + 1)
+	c.round()
+	is.True(!f.Fresh()) // the head shows that version 1 is no longer the newest
+}
+
+func TestObjectStoreLagsBehindTable(t *testing.T) {
+	is := is.New(t)
+	c := newTestCell()
+	f := c.start("a", "z1")
+	c.platform.SetFaults(store.Faults{Lag: time.Second})
+	c.write(t, 1, setWith(t, ""))
+	c.round()
+	is.True(f.Current() == nil)
+	c.timers.Advance(time.Second)
+	c.round()
+	is.Equal(f.Current().Version(), uint64(1))
+}
+
+func TestNewHostGetsConfigurationFromPeers(t *testing.T) {
+	is := is.New(t)
+	c := newTestCell()
+	c.start("a", "z1")
+	c.write(t, 1, setWith(t, ""))
+	c.round()
+	c.timers.Advance(time.Millisecond)
+	c.platform.SetFaults(store.Faults{Down: true})
+	b := c.start("b", "z2")
+	c.round()
+	is.Equal(b.Current().Version(), uint64(1))
+	is.True(!b.Fresh()) // the read that confirmed it was sent before b started
+}
+
+// TestRestartCountsNoEarlierRead is the case that a restarted host must not
+// take an old version for confirmed from a peer that lags.
+func TestRestartCountsNoEarlierRead(t *testing.T) {
+	is := is.New(t)
+	c := newTestCell()
+	a := c.start("a", "z1")
+	b := c.start("b", "z1")
+	c.write(t, 1, setWith(t, ""))
+	c.round()
+	c.write(t, 2, setWith(t, "[team.x]\n"))
+	b.refresh(t.Context())
+	is.Equal(b.Current().Version(), uint64(2))
+	c.timers.Advance(time.Millisecond)
+	c.platform.SetFaults(store.Faults{Down: true})
+	b = c.start("b", "z1")
+	is.NoErr(b.pull(t.Context(), c.peers[0]))
+	is.True(a.Fresh())
+	is.Equal(b.Current().Version(), uint64(1))
+	is.True(!b.Fresh())
+}
+
+// TestSlowPeerMakesOlder shows that the time of a question counts, not that of
+// its answer.
+func TestSlowPeerMakesOlder(t *testing.T) {
+	is := is.New(t)
+	c := newTestCell()
+	a, b := c.start("a", "z1"), c.start("b", "z1")
+	c.write(t, 1, setWith(t, ""))
+	c.timers.Advance(time.Second)
+	a.refresh(t.Context())
+	c.timers.Advance(time.Second)
+	c.delay = time.Second
+	is.NoErr(b.pull(t.Context(), c.peers[0]))
+	age, ok := b.Age()
+	is.True(ok)
+	is.True(age >= 2*time.Second)
+}
+
+// TestReadsAreBounded counts reads of the platform in a second at the sizes of
+// today and of the plan, two processes to a host.
+func TestReadsAreBounded(t *testing.T) {
+	tests := map[string]struct {
+		zones, perZone int
+		most           int64
+	}{
+		"9 hosts":   {zones: 4, perZone: 5, most: 400},
+		"200 hosts": {zones: 9, perZone: 44, most: 400},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newTestCell()
+			c.write(t, 1, setWith(t, ""))
+			for z := range tt.zones {
+				for i := range tt.perZone {
+					c.start(number(float64(z))+"-"+number(float64(i)), number(float64(z)))
+				}
+			}
+			for range 6 { // the first rounds bring the configuration to all
+				c.round()
+				c.timers.Advance(DefaultInterval)
+			}
+			before := c.reads()
+			for range time.Second / DefaultInterval {
+				c.round()
+				c.timers.Advance(DefaultInterval)
+			}
+			reads := c.reads() - before
+			t.Logf("%d reads a second", reads)
+			is.True(reads <= tt.most)
+			for _, f := range c.followers {
+				is.True(f.Fresh())
+			}
+		})
+	}
+}
+
+func (c *testCell) reads() int64 {
+	sum := int64(0)
+	for _, f := range c.followers {
+		sum += f.counts.reads.Count()
+	}
+	return sum
+}
--- /dev/null
+++ b/coord/config/key.go
@@ -0,0 +1,51 @@
+package config
+
+// Role says at which door a key opens.
+type Role string
+
+// The roles. A key has one of them: callers' keys are refused at the
+// operators' door, and the other way round.
+const (
+	RoleCaller   Role = "caller"
+	RoleOperator Role = "operator"
+)
+
+// Key is a secret's digest and what the secret gives access to. A team may
+// have any number of keys at the same time.
+type Key struct {
+	Name   string `toml:"-"`
+	Team   string `toml:"team,omitempty"` // required for callers
+	Role   Role   `toml:"role,omitempty"` // caller if empty
+	Digest Digest `toml:"digest"`
+	Note   string `toml:"note,omitempty"`
+}
+
+// Ref implements Object.
+func (k *Key) Ref() Ref { return Ref{TypeKey, k.Name} }
+
+// Operator reports whether the key is an operator's.
+func (k *Key) Operator() bool { return k.Role == RoleOperator }
+
+func (k *Key) links() []refers {
+	if k.Team == "" {
+		return nil
+	}
+	return []refers{{"team", Ref{TypeTeam, k.Team}}}
+}
+
+func (k *Key) check() []problem {
+	ps := checkNote(k.Note)
+	switch k.Role {
+	case "", RoleCaller:
+		if k.Team == "" {
+			ps = append(ps, problem{"team", "missing; name the team that the key belongs to"})
+		}
+	case RoleOperator:
+	default:
+		ps = append(ps, problem{"role", quote(string(k.Role)) + ` is no role; write "caller" or "operator"`})
+	}
+	if err := k.Digest.check(); err != nil {
+		ps = append(ps, problem{"digest", err.Error()})
+	}
+	return ps
+}
--- /dev/null
+++ b/coord/config/message.go
@@ -0,0 +1,35 @@
+package config
+
+import "time"
+
+// Status answers a wire.VerbHead: what a process has applied and how old the
+// read is that confirms it.
+type Status struct {
+	Name string `cbor:"name"`
+	Zone string `cbor:"zone"`
+	Head Head   `cbor:"head"` // of the version applied; Version 0 if none is
+	// Age is how long before the answer the confirming read was sent;
+	// negative if none was.
+	Age time.Duration `cbor:"age"`
+}
+
+// Told is the message of a wire.VerbTell: there is a new head. It confirms
+// nothing, because it may have been long on its way.
+type Told struct {
+	Head    Head   `cbor:"head"`
+	Address string `cbor:"address"` // where its content can be fetched
+}
+
+// Fetch is the message of a wire.VerbFetch.
+type Fetch struct {
+	Have string `cbor:"have,omitempty"` // digest of the content that the asker has
+}
+
+// Content answers a wire.VerbFetch with the newest version that the process
+// has applied: the whole encoded set, or what changed since the version that
+// the asker has.
+type Content struct {
+	Head   Head    `cbor:"head"`
+	Data   []byte  `cbor:"data,omitempty"`
+	Change *Change `cbor:"change,omitempty"`
+}
--- /dev/null
+++ b/coord/config/offer.go
@@ -0,0 +1,138 @@
+package config
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// historySize is how many older versions a process keeps, to send its peers
+// changes instead of whole sets.
+const historySize = 4
+
+// offer is a head that was learnt, and how.
+type offer struct {
+	head Head
+	// sent is when the read was sent that returned the head; counted is
+	// false if it is unknown.
+	sent    time.Duration
+	counted bool
+	source  string // address of a peer that has the content; empty for the platform
+}
+
+// take deals with an offer: it confirms the current version, starts loading a
+// newer one, or drops it.
+func (f *Follower) take(ctx context.Context, o offer) {
+	if o.head.Version == 0 {
+		return
+	}
+	f.mu.Lock()
+	have := f.Head()
+	switch {
+	case o.head.Version < have.Version:
+		f.counts.old.Inc(1)
+		f.mu.Unlock()
+		return
+	case o.head.Version == have.Version:
+		f.confirmLocked(o)
+		f.mu.Unlock()
+		return
+	}
+	if o.head.Version > f.wanted.head.Version || o.head.Version == f.wanted.head.Version && o.counted && (!f.wanted.counted || o.sent > f.wanted.sent) {
+		f.wanted = o
+	}
+	if f.loading {
+		f.mu.Unlock()
+		return
+	}
+	f.loading = true
+	f.mu.Unlock()
+	f.loadWanted(ctx)
+}
+
+// confirmLocked counts a read that returned the current version. A read that
+// was sent before this process started confirms nothing: an earlier process
+// of this host may have confirmed a later version since.
+func (f *Follower) confirmLocked(o offer) {
+	if o.head.Digest != f.Head().Digest {
+		f.counts.corrupt.Inc(1)
+		return
+	}
+	if !o.counted || o.sent < f.started || f.counted && o.sent <= f.sent {
+		return
+	}
+	f.sent, f.counted = o.sent, true
+}
+
+// loadWanted loads the newest version offered until there is none newer than
+// the current one, or loading fails.
+func (f *Follower) loadWanted(ctx context.Context) {
+	for {
+		f.mu.Lock()
+		o := f.wanted
+		if o.head.Version <= f.Head().Version {
+			f.loading = false
+			f.mu.Unlock()
+			return
+		}
+		f.mu.Unlock()
+		head, snap, err := f.load(ctx, o)
+		if err != nil {
+			f.counts.failed.Inc(1)
+			f.log.Warn("configuration not loaded", zap.Uint64("version", o.head.Version), zap.Error(err))
+			f.mu.Lock()
+			f.loading = false
+			f.wanted = offer{}
+			f.mu.Unlock()
+			return
+		}
+		f.apply(head, snap, o)
+	}
+}
+
+// apply makes snap the current version if it is newer, confirms it if the
+// offer was for it, and tells subscribers and peers.
+func (f *Follower) apply(head Head, snap *Snapshot, o offer) {
+	f.mu.Lock()
+	old := f.current.Load()
+	if old != nil && old.head.Version >= head.Version {
+		f.mu.Unlock()
+		return
+	}
+	if old != nil {
+		f.history = append(f.history, old.snap)
+		f.history = f.history[max(0, len(f.history)-historySize):]
+	}
+	f.current.Store(&applied{head: head, snap: snap})
+	f.counted = false
+	if o.head.Version == head.Version {
+		f.confirmLocked(o)
+	}
+	watchers := append([]*watcher(nil), f.watchers...)
+	f.mu.Unlock()
+	f.counts.applied.Inc(1)
+	f.log.Info("configuration applied", zap.Uint64("version", head.Version), zap.String("digest", head.Digest))
+	for _, w := range watchers {
+		w.tell(snap)
+	}
+	f.spread(head)
+}
+
+// spread lets Run tell peers of head, or of a newer one that comes up before.
+func (f *Follower) spread(head Head) {
+	for {
+		select {
+		case f.news <- head:
+			return
+		default:
+		}
+		select {
+		case waiting := <-f.news:
+			if waiting.Version > head.Version {
+				head = waiting
+			}
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/coord/config/peer.go
@@ -0,0 +1,27 @@
+package config
+
+import "context"
+
+// Peer is another process that follows the configuration.
+type Peer struct {
+	Name    string // unique among all processes
+	Zone    string
+	Address string // of its link.Node
+}
+
+// Roster returns the processes that follow the configuration, as far as this
+// one knows them. It is called concurrently. The process itself may be in it.
+type Roster interface {
+	Peers() []Peer
+}
+
+// RosterFunc is a function that serves as a Roster.
+type RosterFunc func() []Peer
+
+// Peers implements Roster.
+func (f RosterFunc) Peers() []Peer { return f() }
+
+// Caller calls peers; a *link.Node is one.
+type Caller interface {
+	Call(ctx context.Context, address, verb string, in, out any) error
+}
--- /dev/null
+++ b/coord/config/platform.go
@@ -0,0 +1,22 @@
+package config
+
+import (
+	"context"
+
+	"github.com/balsamford/balsamford/coord/store"
+)
+
+// Reader is what a Follower needs of the platform; a *store.Client and a
+// *store.Memory are one.
+type Reader interface {
+	Get(ctx context.Context, table, key string) (store.Row, error)
+	Object(ctx context.Context, name string) ([]byte, error)
+}
+
+// Platform is what a Publisher needs of the platform; a *store.Client and a
+// *store.Memory are one.
+type Platform interface {
+	Reader
+	Commit(ctx context.Context, ops []store.Op) error
+	PutObject(ctx context.Context, name string, data []byte) error
+}
--- /dev/null
+++ b/coord/config/queue.go
@@ -0,0 +1,75 @@
+package config
+
+import (
+	"slices"
+
+	"github.com/balsamford/balsamford/coord/wire"
+)
+
+const (
+	defaultBound = 1000
+	maxBound     = 1_000_000
+)
+
+// Queue takes requests of some kinds from some teams.
+type Queue struct {
+	Name   string      `toml:"-"`
+	Open   bool        `toml:"open,omitempty"`  // takes requests without a key
+	Teams  []string    `toml:"teams,omitempty"` // that may use it; all if empty
+	Kinds  []wire.Kind `toml:"kinds,omitempty"` // that it takes; all if empty
+	Policy string      `toml:"policy,omitempty"`
+	Bound  int         `toml:"bound,omitempty"` // requests that may wait in it at one host; 1000 if 0
+	Note   string      `toml:"note,omitempty"`
+}
+
+// Ref implements Object.
+func (q *Queue) Ref() Ref { return Ref{TypeQueue, q.Name} }
+
+// Allows reports whether the team may use the queue. The empty team stands
+// for callers without a key.
+func (q *Queue) Allows(team string) bool {
+	if team == "" {
+		return q.Open
+	}
+	return len(q.Teams) == 0 || slices.Contains(q.Teams, team)
+}
+
+// Takes reports whether the queue takes requests of that kind.
+func (q *Queue) Takes(k wire.Kind) bool {
+	return len(q.Kinds) == 0 || slices.Contains(q.Kinds, k)
+}
+
+func (q *Queue) links() []refers {
+	links := make([]refers, 0, len(q.Teams)+1)
+	for _, t := range q.Teams {
+		links = append(links, refers{"teams", Ref{TypeTeam, t}})
+	}
+	if q.Policy != "" {
+		links = append(links, refers{"policy", Ref{TypePolicy, q.Policy}})
+	}
+	return links
+}
+
+func (q *Queue) check() []problem {
+	ps := checkNote(q.Note)
+	ps = append(ps, checkRange("bound", float64(q.Bound), maxBound)...)
+	seen := make(map[string]bool)
+	for _, t := range q.Teams {
+		if seen[t] {
+			ps = append(ps, problem{"teams", quote(t) + " stands there twice; remove one"})
+		}
+		seen[t] = true
+	}
+	for i, k := range q.Kinds {
+		if !k.Valid() {
+			ps = append(ps, problem{"kinds", quote(string(k)) + ` is no kind; write "quick", "service", "batch" or "gang"`})
+		}
+		if slices.Contains(q.Kinds[:i], k) {
+			ps = append(ps, problem{"kinds", quote(string(k)) + " stands there twice; remove one"})
+		}
+	}
+	if q.Open && len(q.Teams) > 0 {
+		ps = append(ps, problem{"teams", "an open queue takes requests without a key; remove teams, or remove open"})
+	}
+	return ps
+}
--- /dev/null
+++ b/coord/config/ref.go
@@ -0,0 +1,24 @@
+package config
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Ref names one object.
+type Ref struct {
+	Type Type   `json:"type" cbor:"type"`
+	Name string `json:"name" cbor:"name"`
+}
+
+// String returns the reference as it stands in a table header, like
+// "team.shop".
+func (r Ref) String() string { return string(r.Type) + "." + r.Name }
+
+// compareRefs orders references by type, in the order of Types, then by name.
+func compareRefs(a, b Ref) int {
+	if a.Type != b.Type {
+		return cmp.Compare(slices.Index(Types(), a.Type), slices.Index(Types(), b.Type))
+	}
+	return cmp.Compare(a.Name, b.Name)
+}
--- /dev/null
+++ b/coord/config/section.go
@@ -0,0 +1,71 @@
+package config
+
+import (
+	"strings"
+)
+
+// section is one table of a file: its header and the lines below it.
+type section struct {
+	header string // without brackets; empty before the first header
+	line   int    // of the header, 1-based
+	lines  []string
+}
+
+// sections cuts a file at its table headers, so that a fault in one object
+// hides none in another.
+func sections(data []byte) []section {
+	out := []section{{line: 1}}
+	for i, text := range strings.Split(string(data), "\n") {
+		trimmed := strings.TrimSpace(text)
+		if strings.HasPrefix(trimmed, "[") {
+			out = append(out, section{header: headerName(trimmed), line: i + 1})
+			continue
+		}
+		last := &out[len(out)-1]
+		last.lines = append(last.lines, text)
+	}
+	return out
+}
+
+// headerName returns what stands between the brackets of a header line, or
+// the line itself if it isn't a plain one.
+func headerName(line string) string {
+	name, rest, found := strings.Cut(line[1:], "]")
+	rest = strings.TrimSpace(rest)
+	if !found || strings.HasPrefix(name, "[") || rest != "" && !strings.HasPrefix(rest, "#") {
+		return line
+	}
+	return strings.TrimSpace(name)
+}
+
+// firstLine returns the section's first line with content, or 0.
+func (s section) firstLine() int {
+	for i, text := range s.lines {
+		trimmed := strings.TrimSpace(text)
+		if trimmed != "" && !strings.HasPrefix(trimmed, "#") {
+			return s.bodyLine() + i
+		}
+	}
+	return 0
+}
+
+// bodyLine returns the line number of the first line below the header.
+func (s section) bodyLine() int {
+	if s.header == "" {
+		return s.line
+	}
+	return s.line + 1
+}
+
+// fieldLines returns the line of each field.
+func (s section) fieldLines() map[string]int {
+	fields := make(map[string]int, len(s.lines))
+	for i, text := range s.lines {
+		name, _, found := strings.Cut(text, "=")
+		name = strings.TrimSpace(name)
+		if found && !strings.HasPrefix(name, "#") {
+			fields[name] = s.bodyLine() + i
+		}
+	}
+	return fields
+}
--- /dev/null
+++ b/coord/config/serve.go
@@ -0,0 +1,104 @@
+package config
+
+import (
+	"context"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/balsamford/balsamford/coord/link"
+	"github.com/balsamford/balsamford/coord/wire"
+)
+
+// tellers bounds how many peers are told at a time.
+const tellers = 16
+
+// Registrar takes the handlers of calls; a *link.Node is one.
+type Registrar interface {
+	Handle(verb string, h link.Handler)
+}
+
+// Register sets the handlers by which peers tell this process of heads, ask
+// for its head and fetch its configuration. It has to be called before the
+// node listens.
+func (f *Follower) Register(r Registrar) {
+	r.Handle(wire.VerbTell, link.HandlerFunc(f.serveTell))
+	r.Handle(wire.VerbHead, link.HandlerFunc(f.serveHead))
+	r.Handle(wire.VerbFetch, link.HandlerFunc(f.serveFetch))
+}
+
+func (f *Follower) serveTell(ctx context.Context, s *link.Stream) error {
+	var in Told
+	if err := s.Recv(&in); err != nil {
+		return err
+	}
+	f.told(ctx, in)
+	return s.Send(f.Status())
+}
+
+func (f *Follower) serveHead(_ context.Context, s *link.Stream) error {
+	var in wire.Empty
+	if err := s.Recv(&in); err != nil {
+		return err
+	}
+	return s.Send(f.Status())
+}
+
+func (f *Follower) serveFetch(_ context.Context, s *link.Stream) error {
+	var in Fetch
+	if err := s.Recv(&in); err != nil {
+		return err
+	}
+	return s.Send(f.content(in))
+}
+
+// told takes a head that a peer knows.
+func (f *Follower) told(ctx context.Context, in Told) {
+	f.take(ctx, offer{head: in.Head, source: in.Address})
+}
+
+// Status returns what this process says of itself.
+func (f *Follower) Status() Status {
+	s := Status{Name: f.name, Zone: f.zone, Age: -1}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.Head = f.Head()
+	if f.counted {
+		s.Age = f.timers.Boot() - f.sent
+	}
+	return s
+}
+
+// content answers a Fetch with a change, if the asker's version is one that
+// is still kept, or with everything.
+func (f *Follower) content(in Fetch) Content {
+	f.mu.Lock()
+	cur, history := f.current.Load(), f.history
+	f.mu.Unlock()
+	if cur == nil {
+		return Content{}
+	}
+	for _, old := range history {
+		if old.Digest() == in.Have {
+			return Content{Head: cur.head, Change: changeBetween(old.Set(), cur.snap.Set())}
+		}
+	}
+	return Content{Head: cur.head, Data: cur.snap.Data()}
+}
+
+// tell passes a new head on to the processes of the zone that ask this one for
+// it. Whoever is missed learns it by its own reading.
+func (f *Follower) tell(ctx context.Context, head Head) {
+	var g errgroup.Group
+	g.SetLimit(tellers)
+	for _, p := range f.children() {
+		g.Go(func() error {
+			ctx, cancel := f.timeout(ctx, f.period)
+			defer cancel()
+			f.counts.tells.Inc(1)
+			var out Status
+			_ = f.caller.Call(ctx, p.Address, wire.VerbTell, Told{Head: head, Address: f.address}, &out)
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
--- /dev/null
+++ b/coord/config/share.go
@@ -0,0 +1,27 @@
+package config
+
+const (
+	defaultWeight = 1.0
+	maxWeight     = 1000.0
+)
+
+// Share is a team's weight against the others for times when all is full.
+type Share struct {
+	Name   string  `toml:"-"`
+	Team   string  `toml:"team"`
+	Weight float64 `toml:"weight"` // 1 for a team without a share
+	Note   string  `toml:"note,omitempty"`
+}
+
+// Ref implements Object.
+func (s *Share) Ref() Ref { return Ref{TypeShare, s.Name} }
+
+func (s *Share) links() []refers { return []refers{{"team", Ref{TypeTeam, s.Team}}} }
+
+func (s *Share) check() []problem {
+	ps := checkNote(s.Note)
+	if !(s.Weight > 0 && s.Weight <= maxWeight) {
+		ps = append(ps, problem{"weight", `write a number above 0 and at most 1000, like "weight = 2.0"`})
+	}
+	return ps
+}
--- /dev/null
+++ b/coord/config/snapshot.go
@@ -0,0 +1,175 @@
+package config
+
+import (
+	"slices"
+	"time"
+)
+
+// Snapshot is one version of the configuration. It never changes and may be
+// used concurrently.
+type Snapshot struct {
+	version uint64
+	digest  string
+	set     *Set
+	data    []byte
+	teams   []string
+	weights map[string]float64
+	limits  map[string]int64
+	rules   map[string]Rule
+	grace   time.Duration
+}
+
+// NewSnapshot returns set as a version. The set has to be free of faults and
+// must not be changed afterwards.
+func NewSnapshot(version uint64, set *Set) *Snapshot {
+	return newSnapshot(version, set, set.Encode())
+}
+
+func newSnapshot(version uint64, set *Set, data []byte) *Snapshot {
+	s := &Snapshot{
+		version: version, digest: sumOf(data), set: set, data: data,
+		weights: make(map[string]float64), limits: make(map[string]int64), rules: make(map[string]Rule),
+	}
+	x := indexTeams(set)
+	s.rules[""] = defaultRule()
+	for _, ref := range set.Refs() {
+		switch o := set.objects[ref].(type) {
+		case *Team:
+			s.addTeam(x, o)
+		case *Policy:
+			s.rules[o.Name] = ruleOf(set, o)
+		}
+	}
+	s.grace = s.longestGrace()
+	return s
+}
+
+func (s *Snapshot) addTeam(x teamIndex, t *Team) {
+	s.teams = append(s.teams, t.Name)
+	if tasks, ok := x.own(t.Name); ok {
+		s.limits[t.Name] = tasks
+	}
+	if t.Parent == "" {
+		x.split(t.Name, x.raw(t.Name), s.weights)
+	}
+}
+
+// Load reads a snapshot's encoding, as Data gave it. It fails with a
+// *CorruptError if the content is not the one that the digest names, and with
+// an *InvalidError if it can't be read.
+func Load(version uint64, digest string, data []byte) (*Snapshot, error) {
+	if sum := sumOf(data); sum != digest {
+		return nil, &CorruptError{Version: version, Want: digest, Got: sum}
+	}
+	set, faults := Parse(File{Data: data})
+	if len(faults) > 0 {
+		return nil, &InvalidError{Faults: faults}
+	}
+	return newSnapshot(version, set, data), nil
+}
+
+// Version returns the version, which is 1 for the first one published.
+func (s *Snapshot) Version() uint64 { return s.version }
+
+// Digest returns the SHA-256 of Data in hexadecimal.
+func (s *Snapshot) Digest() string { return s.digest }
+
+// Data returns the encoded set. It must not be changed.
+func (s *Snapshot) Data() []byte { return s.data }
+
+// Set returns the objects. The set must not be changed; Clone it first.
+func (s *Snapshot) Set() *Set { return s.set }
+
+// KeyTeam returns the team and the role of the key that secret belongs to. The
+// team of an operator's key may be empty.
+func (s *Snapshot) KeyTeam(secret string) (team, role string, ok bool) {
+	k := s.Key(secret)
+	if k == nil {
+		return "", "", false
+	}
+	if k.Operator() {
+		return k.Team, string(RoleOperator), true
+	}
+	return k.Team, string(RoleCaller), true
+}
+
+// Key returns the key that secret belongs to, or nil.
+func (s *Snapshot) Key(secret string) *Key {
+	k, ok := s.set.objects[Ref{TypeKey, SecretName(secret)}].(*Key)
+	if !ok {
+		Digest("").Matches(secret) // An unknown name takes as long as a known one.
+		return nil
+	}
+	if !k.Digest.Matches(secret) {
+		return nil
+	}
+	return k
+}
+
+// Queue returns the queue of that name.
+func (s *Snapshot) Queue(name string) (Queue, bool) {
+	q, ok := s.set.objects[Ref{TypeQueue, name}].(*Queue)
+	if !ok {
+		return Queue{}, false
+	}
+	out := *q
+	if out.Bound == 0 {
+		out.Bound = defaultBound
+	}
+	return out, true
+}
+
+// Teams returns the names of all teams in order.
+func (s *Snapshot) Teams() []string { return slices.Clone(s.teams) }
+
+// Weight returns a team's weight against all others, its place among its
+// parent's teams taken into account. It is 0 for an unknown team and for the
+// empty one, which stands for callers without a key.
+func (s *Snapshot) Weight(team string) float64 { return s.weights[team] }
+
+// Limit returns the most tasks that a team may have running across the fleet,
+// its children's limits taken off. There is none if ok is false.
+func (s *Snapshot) Limit(team string) (limit Limit, ok bool) {
+	tasks, ok := s.limits[team]
+	return Limit{Team: team, Tasks: tasks}, ok
+}
+
+// Policy returns the policy of that name with all fields filled in; the empty
+// name gives the rule of queues without a policy.
+func (s *Snapshot) Policy(name string) (Rule, bool) {
+	r, ok := s.rules[name]
+	return r, ok
+}
+
+// QueuePolicy returns the rule of a queue; the default one for an unknown
+// queue.
+func (s *Snapshot) QueuePolicy(queue string) Rule {
+	q, _ := s.set.objects[Ref{TypeQueue, queue}].(*Queue)
+	if q == nil {
+		return s.rules[""]
+	}
+	return s.rules[q.Policy]
+}
+
+// Endpoints returns the endpoint objects by name.
+func (s *Snapshot) Endpoints() []Endpoint {
+	var out []Endpoint
+	for _, ref := range s.set.Refs() {
+		if e, ok := s.set.objects[ref].(*Endpoint); ok {
+			out = append(out, *e)
+		}
+	}
+	return out
+}
+
+// Grace returns the longest grace of any policy in force, the default one
+// included.
+func (s *Snapshot) Grace() time.Duration { return s.grace }
+
+func (s *Snapshot) longestGrace() time.Duration {
+	var longest time.Duration
+	for _, r := range s.rules {
+		longest = max(longest, r.grace)
+	}
+	return longest
+}
--- /dev/null
+++ b/coord/config/team.go
@@ -0,0 +1,21 @@
+package config
+
+// Team is a group of callers. Work belongs to a team, and shares and limits
+// are counted for it.
+type Team struct {
+	Name   string `toml:"-"`
+	Parent string `toml:"parent,omitempty"` // team that this one is part of
+	Note   string `toml:"note,omitempty"`   // for people
+}
+
+// Ref implements Object.
+func (t *Team) Ref() Ref { return Ref{TypeTeam, t.Name} }
+
+func (t *Team) links() []refers {
+	if t.Parent == "" {
+		return nil
+	}
+	return []refers{{"parent", Ref{TypeTeam, t.Parent}}}
+}
+
+func (t *Team) check() []problem { return checkNote(t.Note) }
--- /dev/null
+++ b/coord/config/teams.go
@@ -0,0 +1,71 @@
+package config
+
+import "slices"
+
+// teamIndex finds what belongs to a team.
+type teamIndex struct {
+	children map[string][]string
+	limits   map[string]*Limit
+	shares   map[string]*Share
+}
+
+func indexTeams(s *Set) teamIndex {
+	x := teamIndex{
+		children: make(map[string][]string),
+		limits:   make(map[string]*Limit),
+		shares:   make(map[string]*Share),
+	}
+	for _, o := range s.objects {
+		switch o := o.(type) {
+		case *Team:
+			if o.Parent != "" {
+				x.children[o.Parent] = append(x.children[o.Parent], o.Name)
+			}
+		case *Limit:
+			x.limits[o.Team] = o
+		case *Share:
+			x.shares[o.Team] = o
+		}
+	}
+	for _, names := range x.children {
+		slices.Sort(names)
+	}
+	return x
+}
+
+// own returns what is left of a team's limit for its own tasks once its
+// children's limits are taken off.
+func (x teamIndex) own(team string) (tasks int64, ok bool) {
+	l := x.limits[team]
+	if l == nil {
+		return 0, false
+	}
+	tasks = l.Tasks
+	for _, child := range x.children[team] {
+		if c := x.limits[child]; c != nil {
+			tasks -= c.Tasks
+		}
+	}
+	return max(tasks, 0), true
+}
+
+// raw returns the weight of a team's own share.
+func (x teamIndex) raw(team string) float64 {
+	if s := x.shares[team]; s != nil {
+		return s.Weight
+	}
+	return defaultWeight
+}
+
+// split returns the weights of the teams at and below team, given that of all
+// of them together. A team takes part in its own division with weight 1.
+func (x teamIndex) split(team string, weight float64, out map[string]float64) {
+	sum := defaultWeight
+	for _, child := range x.children[team] {
+		sum += x.raw(child)
+	}
+	out[team] = weight * defaultWeight / sum
+	for _, child := range x.children[team] {
+		x.split(child, weight*x.raw(child)/sum, out)
+	}
+}
--- a/coord/wire/verbs.go
+++ b/coord/wire/verbs.go
@@ -20,6 +20,9 @@
 	// programs, as is VerbFetch, which returns a whole configuration.
 	VerbTell  = "tell"
 	VerbFetch = "fetch"
+	// VerbHead: Empty in; what the host knows of the newest configuration out
+	// (config.Status). Served by both programs.
+	VerbHead = "head"
 )
 
 // Empty is a message without content.
