Publish versions with their audit records and wait until they are in force

Cause: configuration could be followed and not published. Change: coord/audit (the trail); Publisher writes head, version row and audit record in one transaction and resolves lost answers by the record under the publish id; edits of different objects without a base are made again on the newer version; Waiter tells all listed processes and knows when the others have lapsed. A process lists itself in the table before a read of the head counts, so a publisher's scan after its write misses nobody who could hold an older version. Measured: unit tests only.

--- /dev/null
+++ b/coord/config/base.go
@@ -0,0 +1,113 @@
+package config
+
+import (
+	"context"
+
+	"github.com/balsamford/balsamford/coord/audit"
+)
+
+// readBase reads the newest version and what is known to be in force.
+func (p *Publisher) readBase(ctx context.Context) (base, error) {
+	head, row, err := readHead(ctx, p.platform)
+	if err != nil {
+		return base{}, err
+	}
+	b := base{head: head, row: row}
+	if head.Version == 0 {
+		return b, nil
+	}
+	if b.accepted, _, err = readAccepted(ctx, p.platform); err != nil {
+		return base{}, err
+	}
+	p.mu.Lock()
+	last := p.last
+	p.mu.Unlock()
+	if last != nil && last.Version() == head.Version && last.Digest() == head.Digest {
+		b.snap = last
+		return b, nil
+	}
+	if b.snap, err = readSnapshot(ctx, p.platform, head); err != nil {
+		return base{}, err
+	}
+	p.remember(b.snap)
+	return b, nil
+}
+
+// set returns the base's objects.
+func (b base) set() *Set {
+	if b.snap == nil {
+		return NewSet()
+	}
+	return b.snap.Set()
+}
+
+// next returns the set that e makes of the base, checked.
+func (b base) next(e *Edit) (*Set, []Fault, error) {
+	next, faults := e.apply(b.set())
+	faults = append(faults, next.Check()...)
+	if errs := Errors(faults); len(errs) > 0 {
+		return nil, nil, &InvalidError{Faults: faults}
+	}
+	return next, faults, nil
+}
+
+// newHead returns the head of snap as the version after b. Hosts may still
+// hold any version since the newest that is known to be in force, so the
+// longest grace of those is carried on.
+func (b base) newHead(e *Edit, snap *Snapshot) Head {
+	older := b.head.Grace
+	if b.accepted < b.head.Version {
+		older = max(older, b.head.Older)
+	}
+	return Head{
+		Version: snap.Version(), Digest: snap.Digest(), Base: b.head.Digest,
+		Author: e.Author, Publish: e.ID, Grace: snap.Grace(), Older: older,
+	}
+}
+
+// since returns what changed between an older version and the present one,
+// nothing if the older one can't be read.
+func (p *Publisher) since(ctx context.Context, version uint64, now base) []Difference {
+	snap, err := p.Version(ctx, version)
+	if err != nil {
+		return nil
+	}
+	return Compare(snap.Set(), now.set())
+}
+
+// Version returns any version. Its errors are *MissingVersionError and those
+// of the platform.
+func (p *Publisher) Version(ctx context.Context, version uint64) (*Snapshot, error) {
+	head, err := readVersion(ctx, p.platform, version)
+	if err != nil {
+		return nil, err
+	}
+	if head.Version == 0 && version > 0 {
+		return nil, &MissingVersionError{Version: version}
+	}
+	return readSnapshot(ctx, p.platform, head)
+}
+
+// Newest returns the newest version, with version 0 and no objects before the
+// first publish.
+func (p *Publisher) Newest(ctx context.Context) (Head, *Snapshot, error) {
+	b, err := p.readBase(ctx)
+	if err != nil {
+		return Head{}, nil, err
+	}
+	if b.snap == nil {
+		b.snap = NewSnapshot(0, NewSet())
+	}
+	return b.head, b.snap, nil
+}
+
+// record writes the record of an edit that took no effect. It is given up
+// when the platform doesn't answer: only records of accepted changes are never
+// lost.
+func (p *Publisher) record(ctx context.Context, e *Edit, v audit.Verdict, base uint64, changes []Difference, detail string) {
+	r := e.record(p.timers.Now(), v, base, changes)
+	r.ID, r.Detail = audit.NewID(p.timers.Now()), detail
+	if err := p.trail.Write(ctx, r); err != nil {
+		p.log.Warn("audit record not written")
+	}
+}
--- a/coord/config/cell_test.go
+++ b/coord/config/cell_test.go
@@ -17,19 +17,21 @@
 // testCell is a platform and some followers that call one another directly,
 // on manual time.
 type testCell struct {
-	timers    *timer.Service
-	platform  *store.Memory
-	followers map[string]*Follower
-	peers     []Peer
-	cut       map[string]bool // hosts that no call reaches or leaves
-	delay     time.Duration   // that every answer of a peer takes
+	timers     *timer.Service
+	platform   *store.Memory
+	followers  map[string]*Follower
+	peers      []Peer
+	cut        map[string]bool // hosts that no call reaches or leaves
+	noPlatform map[string]bool // hosts that can't reach the platform
+	delay      time.Duration   // that every answer of a peer takes
 }
 
 func newTestCell() *testCell {
 	c := &testCell{
-		timers:    timer.New(timer.WithManual(time.Unix(0, 0))),
-		followers: make(map[string]*Follower),
-		cut:       make(map[string]bool),
+		timers:     timer.New(timer.WithManual(time.Unix(0, 0))),
+		followers:  make(map[string]*Follower),
+		cut:        make(map[string]bool),
+		noPlatform: make(map[string]bool),
 	}
 	c.platform = store.New(store.WithTimer(c.timers))
 	c.timers.Advance(time.Hour)
@@ -55,14 +57,21 @@
 }
 
 func (r *testReader) Get(ctx context.Context, table, key string) (store.Row, error) {
-	if r.cell.cut[r.name] {
+	if r.cell.cut[r.name] || r.cell.noPlatform[r.name] {
 		return store.Row{}, &store.UnavailableError{Op: "get"}
 	}
 	return r.cell.platform.Get(ctx, table, key)
 }
 
+func (r *testReader) Commit(ctx context.Context, ops []store.Op) error {
+	if r.cell.cut[r.name] || r.cell.noPlatform[r.name] {
+		return &store.UnavailableError{Op: "commit"}
+	}
+	return r.cell.platform.Commit(ctx, ops)
+}
+
 func (r *testReader) Object(ctx context.Context, name string) ([]byte, error) {
-	if r.cell.cut[r.name] {
+	if r.cell.cut[r.name] || r.cell.noPlatform[r.name] {
 		return nil, &store.UnavailableError{Op: "object"}
 	}
 	return r.cell.platform.Object(ctx, name)
@@ -81,7 +90,7 @@
 	}
 	switch verb {
 	case wire.VerbHead:
-		*out.(*Status) = f.Status()
+		*out.(*Status) = f.asked(ctx, in.(Ask))
 	case wire.VerbTell:
 		f.told(ctx, in.(Told))
 		*out.(*Status) = f.Status()
--- a/coord/config/follower.go
+++ b/coord/config/follower.go
@@ -23,7 +23,7 @@
 type Follower struct {
 	name, zone string
 	address    string
-	platform   Reader
+	platform   Joiner
 	timers     *timer.Service
 	roster     Roster
 	caller     Caller
@@ -33,7 +33,6 @@
 	log        *zap.Logger
 	registry   metrics.Registry
 	counts     counts
-	started    time.Duration // on the timer's Boot; reads sent before confirm nothing
 	turn       atomic.Uint64 // rotates the peers that are asked
 	current    atomic.Pointer[applied]
 	news       chan Head // a head that Run has to tell peers of
@@ -41,6 +40,8 @@
 	mu       sync.Mutex // guards the fields below
 	sent     time.Duration
 	counted  bool // sent holds a read that confirms the current version
+	member   membership
+	left     bool // Leave was called
 	wanted   offer
 	loading  bool
 	history  []*Snapshot
@@ -55,7 +56,7 @@
 
 // NewFollower returns a Follower for the process of that name and zone. It
 // has no version until Run or Handle gets one.
-func NewFollower(name, zone string, platform Reader, timers *timer.Service, opts ...Option) *Follower {
+func NewFollower(name, zone string, platform Joiner, timers *timer.Service, opts ...Option) *Follower {
 	f := &Follower{
 		name: name, zone: zone, platform: platform, timers: timers,
 		roster: RosterFunc(func() []Peer { return nil }),
@@ -65,7 +66,7 @@
 	for _, opt := range opts {
 		opt(f)
 	}
-	f.started = timers.Boot()
+	f.member.floor = timers.Boot()
 	f.counts = newCounts(f)
 	return f
 }
@@ -94,7 +95,7 @@
 // version; ok is false if there was none.
 func (f *Follower) Age() (age time.Duration, ok bool) {
 	f.mu.Lock()
-	sent, counted := f.sent, f.counted
+	sent, counted := f.sent, f.counted && f.listedLocked()
 	f.mu.Unlock()
 	return f.timers.Boot() - sent, counted
 }
--- a/coord/config/follower_test.go
+++ b/coord/config/follower_test.go
@@ -93,6 +93,38 @@
 	is.True(!b.Fresh()) // the read that confirmed it was sent before b started
 }
 
+// TestUnlistedHostHonoursNoKeys: a publisher doesn't ask a process that isn't
+// listed, so that one must not take its version for the newest.
+func TestUnlistedHostHonoursNoKeys(t *testing.T) {
+	is := is.New(t)
+	c := newTestCell()
+	f := c.start("a", "z1")
+	c.write(t, 1, setWith(t, ""))
+	is.NoErr(f.read(t.Context()))
+	is.Equal(f.Current().Version(), uint64(1))
+	is.True(!f.Fresh())
+	c.timers.Advance(time.Millisecond)
+	c.round()
+	is.True(f.Fresh())
+}
+
+func TestJoinThroughPeer(t *testing.T) {
+	is := is.New(t)
+	c := newTestCell()
+	c.start("a", "z1")
+	b := c.start("b", "z2")
+	c.write(t, 1, setWith(t, ""))
+	c.noPlatform["b"] = true
+	for range 2 {
+		c.round()
+		c.timers.Advance(DefaultInterval)
+	}
+	is.True(b.Fresh())
+	row, err := c.platform.Get(t.Context(), Table, memberPrefix+"b")
+	is.NoErr(err)
+	is.Equal(row.Version, uint64(1))
+}
+
 // TestRestartCountsNoEarlierRead is the case that a restarted host must not
 // take an old version for confirmed from a peer that lags.
 func TestRestartCountsNoEarlierRead(t *testing.T) {
@@ -121,6 +153,7 @@
 	c := newTestCell()
 	a, b := c.start("a", "z1"), c.start("b", "z1")
 	c.write(t, 1, setWith(t, ""))
+	is.True(!b.join(t.Context()))
 	c.timers.Advance(time.Second)
 	a.refresh(t.Context())
 	c.timers.Advance(time.Second)
--- a/coord/config/head.go
+++ b/coord/config/head.go
@@ -1,6 +1,9 @@
 package config
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // The table and keys in which the platform keeps the configuration.
 const (
@@ -11,6 +14,9 @@
 	// KeyAccepted is the row of the newest version known to be in force
 	// everywhere, an Accepted in JSON.
 	KeyAccepted = "accepted"
+	// versionPrefix stands before the number in the key of a version's row,
+	// which holds its Head in JSON and is never changed.
+	versionPrefix = "version/"
 	// objectPrefix stands before the digest in the name of a snapshot's
 	// object.
 	objectPrefix = "config/"
@@ -36,3 +42,6 @@
 // ObjectName returns the name of the object that holds the snapshot of that
 // digest.
 func ObjectName(digest string) string { return objectPrefix + digest }
+
+// VersionKey returns the key of a version's row.
+func VersionKey(version uint64) string { return fmt.Sprintf("%s%012d", versionPrefix, version) }
--- a/coord/config/message.go
+++ b/coord/config/message.go
@@ -11,6 +11,8 @@
 	// Age is how long before the answer the confirming read was sent;
 	// negative if none was.
 	Age time.Duration `cbor:"age"`
+	// Joined says that the process wrote the asker's row.
+	Joined bool `cbor:"joined,omitempty"`
 }
 
 // Told is the message of a wire.VerbTell: there is a new head. It confirms
--- a/coord/config/offer.go
+++ b/coord/config/offer.go
@@ -52,14 +52,15 @@
 }
 
 // confirmLocked counts a read that returned the current version. A read that
-// was sent before this process started confirms nothing: an earlier process
-// of this host may have confirmed a later version since.
+// was sent before this process started confirms nothing, because an earlier
+// process of this host may have confirmed a later version since; nor does one
+// that was sent before the process was listed.
 func (f *Follower) confirmLocked(o offer) {
 	if o.head.Digest != f.Head().Digest {
 		f.counts.corrupt.Inc(1)
 		return
 	}
-	if !o.counted || o.sent < f.started || f.counted && o.sent <= f.sent {
+	if !o.counted || o.sent < f.member.floor || f.counted && o.sent <= f.sent {
 		return
 	}
 	f.sent, f.counted = o.sent, true
--- a/coord/config/peer.go
+++ b/coord/config/peer.go
@@ -4,9 +4,9 @@
 
 // Peer is another process that follows the configuration.
 type Peer struct {
-	Name    string // unique among all processes
-	Zone    string
-	Address string // of its link.Node
+	Name    string `json:"name" cbor:"name"` // unique among all processes
+	Zone    string `json:"zone" cbor:"zone"`
+	Address string `json:"address" cbor:"address"` // of its link.Node
 }
 
 // Roster returns the processes that follow the configuration, as far as this
--- a/coord/config/platform.go
+++ b/coord/config/platform.go
@@ -6,17 +6,22 @@
 	"github.com/balsamford/balsamford/coord/store"
 )
 
-// Reader is what a Follower needs of the platform; a *store.Client and a
-// *store.Memory are one.
+// Reader reads the platform; a *store.Client and a *store.Memory are one.
 type Reader interface {
 	Get(ctx context.Context, table, key string) (store.Row, error)
 	Object(ctx context.Context, name string) ([]byte, error)
 }
 
-// Platform is what a Publisher needs of the platform; a *store.Client and a
+// Joiner is what a Follower needs of the platform; a *store.Client and a
 // *store.Memory are one.
-type Platform interface {
+type Joiner interface {
 	Reader
 	Commit(ctx context.Context, ops []store.Op) error
+}
+
+// Platform is what a Publisher needs of the platform; a *store.Client and a
+// *store.Memory are one.
+type Platform interface {
+	Joiner
 	PutObject(ctx context.Context, name string, data []byte) error
 }
--- a/coord/config/refresh.go
+++ b/coord/config/refresh.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/balsamford/balsamford/coord/store"
 	"github.com/balsamford/balsamford/coord/wire"
 )
 
@@ -25,6 +22,11 @@
 // refresh learns the head once: from the process of its zone that it asks by
 // plan, else from the platform, else from other peers.
 func (f *Follower) refresh(ctx context.Context) {
+	if f.join(ctx) {
+		for _, p := range f.others(spareSourcesOfHead) {
+			_ = f.joinVia(ctx, p)
+		}
+	}
 	if parent, ok := f.parent(); ok && f.pull(ctx, parent) == nil {
 		if age, ok := f.Age(); ok && age <= f.period/2 {
 			return
@@ -52,24 +54,6 @@
 	return nil
 }
 
-// readHead returns the head and the version of its row, both 0 if there is
-// none yet.
-func readHead(ctx context.Context, platform Reader) (Head, uint64, error) {
-	row, err := platform.Get(ctx, Table, KeyHead)
-	var missing *store.MissingError
-	if errors.As(err, &missing) {
-		return Head{}, 0, nil
-	}
-	if err != nil {
-		return Head{}, 0, err
-	}
-	var head Head
-	if err := json.Unmarshal(row.Value, &head); err != nil {
-		return Head{}, 0, &FormError{Key: KeyHead, Err: err}
-	}
-	return head, row.Version, nil
-}
-
 // pull asks a peer for its head. The peer's age is counted from before the
 // question was sent, so that time spent on the way makes the result older,
 // never younger.
@@ -79,7 +63,7 @@
 	f.counts.pulls.Inc(1)
 	sent := f.timers.Boot()
 	var out Status
-	if err := f.caller.Call(ctx, p.Address, wire.VerbHead, wire.Empty{}, &out); err != nil {
+	if err := f.caller.Call(ctx, p.Address, wire.VerbHead, Ask{}, &out); err != nil {
 		return err
 	}
 	f.take(ctx, offer{head: out.Head, sent: sent - out.Age, counted: out.Age >= 0, source: p.Address})
--- a/coord/config/serve.go
+++ b/coord/config/serve.go
@@ -35,12 +35,12 @@
 	return s.Send(f.Status())
 }
 
-func (f *Follower) serveHead(_ context.Context, s *link.Stream) error {
-	var in wire.Empty
+func (f *Follower) serveHead(ctx context.Context, s *link.Stream) error {
+	var in Ask
 	if err := s.Recv(&in); err != nil {
 		return err
 	}
-	return s.Send(f.Status())
+	return s.Send(f.asked(ctx, in))
 }
 
 func (f *Follower) serveFetch(_ context.Context, s *link.Stream) error {
@@ -51,6 +51,19 @@
 	return s.Send(f.content(in))
 }
 
+// asked answers an Ask.
+func (f *Follower) asked(ctx context.Context, in Ask) Status {
+	joined := false
+	if in.Join != nil {
+		ctx, cancel := f.timeout(ctx, f.period)
+		defer cancel()
+		joined = writeMember(ctx, f.platform, *in.Join) == nil
+	}
+	s := f.Status()
+	s.Joined = joined
+	return s
+}
+
 // told takes a head that a peer knows.
 func (f *Follower) told(ctx context.Context, in Told) {
 	f.take(ctx, offer{head: in.Head, source: in.Address})
@@ -62,7 +75,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s.Head = f.Head()
-	if f.counted {
+	if f.counted && f.listedLocked() {
 		s.Age = f.timers.Boot() - f.sent
 	}
 	return s
--- a/coord/wire/verbs.go
+++ b/coord/wire/verbs.go
@@ -20,7 +20,7 @@
 	// programs, as is VerbFetch, which returns a whole configuration.
 	VerbTell  = "tell"
 	VerbFetch = "fetch"
-	// VerbHead: Empty in; what the host knows of the newest configuration out
+	// VerbHead: config.Ask in; what the host knows of the newest configuration out
 	// (config.Status). Served by both programs.
 	VerbHead = "head"
 )
