--- a/coord/lease/watch.go
+++ b/coord/lease/watch.go
@@ -31,6 +31,9 @@
 // Sent notes that a renewal is about to leave.
 func (w *Watch) Sent() { w.pending = true }
 
+// Unsent takes Sent back: the renewal surely didn't leave.
+func (w *Watch) Unsent() { w.pending = false }
+
 // Answered notes at now that a renewal or a probe was answered.
 func (w *Watch) Answered(now time.Duration) {
 	w.contact, w.pending = now, false
--- /dev/null
+++ b/placer/internal/hold/renew.go
@@ -0,0 +1,179 @@
+package hold
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/balsamford/balsamford/coord/lease"
+	"github.com/balsamford/balsamford/coord/point"
+)
+
+// renew keeps the endpoint and the leases of its tasks. The call stays with
+// the endpoint for a part of the term unless something happens there.
+func (s *Seat) renew(ctx context.Context) time.Duration {
+	t, in := s.renewal()
+	sent := s.clock.Boot()
+	if !s.fence.Renew(ctx, t, in.Owner) {
+		s.pause()
+	}
+	s.watch.Sent()
+	ctx, cancel := context.WithTimeout(ctx, in.Wait+s.term/periods)
+	defer cancel()
+	report, err := s.client.Renew(ctx, t.Address, in)
+	if err != nil {
+		return s.missed(err)
+	}
+	s.watch.Answered(s.clock.Boot())
+	s.failed = 0
+	s.reported(sent, report)
+	return s.rest(sent, in.Wait)
+}
+
+// rest spaces renewals that were answered without waiting, so that an endpoint
+// with many events isn't asked without pause.
+func (s *Seat) rest(sent, wait time.Duration) time.Duration {
+	least := s.term / (10 * periods)
+	if spent := s.clock.Boot() - sent; wait > 0 && spent < least {
+		return least - spent
+	}
+	return 0
+}
+
+func (s *Seat) renewal() (Target, point.Renew) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	in := point.Renew{Owner: s.owner, Term: s.term, Lease: s.lease, Since: s.since, Ack: s.since, Wait: s.term / periods}
+	if s.hasty || s.yields {
+		in.Wait, s.hasty = 0, false
+	}
+	for seq := range s.pending {
+		in.Ack = min(in.Ack, seq-1)
+	}
+	return s.target, in
+}
+
+func (s *Seat) reported(sent time.Duration, report *point.Report) {
+	s.since = max(s.since, report.Seq)
+	s.mu.Lock()
+	s.current = lease.NewTerm(sent, s.term)
+	s.state = open
+	s.target.Leaving = s.target.Leaving || report.Leaving
+	for i := range report.Tasks {
+		if report.Tasks[i].State.Ended() {
+			s.pending[report.Tasks[i].Seq] = struct{}{}
+		}
+	}
+	t := s.target
+	resume := s.paused && !s.yields && s.inTermLocked()
+	if resume {
+		s.paused = false
+	}
+	s.mu.Unlock()
+	s.sink.Reported(t, report)
+	if resume {
+		s.sink.Resumed(t)
+	}
+}
+
+// missed handles a renewal that wasn't answered with a report.
+func (s *Seat) missed(err error) time.Duration {
+	var fenced *point.FencedError
+	if errors.As(err, &fenced) {
+		s.fenced(fenced)
+		return 0
+	}
+	var lost *point.LostError
+	if errors.As(err, &lost) && lost.Unsent {
+		s.watch.Unsent()
+	}
+	s.failed++
+	s.mu.Lock()
+	s.state = silent
+	s.mu.Unlock()
+	s.pause()
+	return s.backoff()
+}
+
+// fenced drops an endpoint that belongs to another.
+func (s *Seat) fenced(e *point.FencedError) {
+	s.epoch.Meet(e.Owner.Epoch)
+	s.close()
+}
+
+// pause stops new work on the endpoint.
+func (s *Seat) pause() {
+	s.mu.Lock()
+	was := s.paused
+	s.paused = true
+	t := s.target
+	s.mu.Unlock()
+	if !was {
+		s.sink.Paused(t)
+	}
+}
+
+func (s *Seat) close() {
+	s.mu.Lock()
+	s.state, s.pending = closed, nil
+	t := s.target
+	s.mu.Unlock()
+	s.sink.Closed(t)
+}
+
+// probe looks at an endpoint that left a renewal unanswered, without renewing
+// anything, until it answers or all leases there have run out.
+func (s *Seat) probe(ctx context.Context) time.Duration {
+	if s.watch.Over(s.clock.Boot()) {
+		s.sink.Lapsed(s.Target())
+		s.close()
+		return s.backoff()
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.term/periods)
+	defer cancel()
+	view, err := s.client.View(ctx, s.Target().Address)
+	if err != nil {
+		s.failed++
+		return s.backoff()
+	}
+	s.failed = 0
+	s.mu.Lock()
+	mine := view.Owner == s.owner
+	if mine {
+		s.state, s.hasty = open, true
+	}
+	s.mu.Unlock()
+	if !mine {
+		s.fenced(&point.FencedError{Owner: view.Owner})
+		return 0
+	}
+	s.watch.Answered(s.clock.Boot())
+	return 0
+}
+
+// handOver gives the endpoint up: no new work, then the calls under way, then
+// the release. Tasks run on under their leases, which the next owner renews.
+func (s *Seat) handOver(ctx context.Context) time.Duration {
+	s.pause()
+	if s.busy() {
+		return s.renew(ctx)
+	}
+	s.mu.Lock()
+	t, o := s.target, s.owner
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, s.term/periods)
+	defer cancel()
+	if err := s.client.Release(ctx, t.Address, o); err != nil {
+		var fenced *point.FencedError
+		if !errors.As(err, &fenced) {
+			s.failed++
+			s.mu.Lock()
+			s.state = silent
+			s.mu.Unlock()
+			return s.backoff()
+		}
+	}
+	s.fence.Release(ctx, t, o)
+	s.close()
+	return 0
+}
