--- a/coord/wire/job.go
+++ b/coord/wire/job.go
@@ -20,6 +20,7 @@
 type JobTask struct {
 	Attempt  uint32  `cbor:"attempt"`
 	Endpoint string  `cbor:"endpoint,omitempty"`
+	Epoch    uint64  `cbor:"epoch,omitempty"` // of the endpoint's owner at the start
 	Phase    Phase   `cbor:"phase"`
 	Outcome  Outcome `cbor:"outcome,omitempty"`
 	Code     int     `cbor:"code,omitempty"`
--- a/coord/wire/verbs.go
+++ b/coord/wire/verbs.go
@@ -16,6 +16,9 @@
 	VerbBeat = "beat"
 	// VerbPart: placers move parts of upper limits.
 	VerbPart = "part"
+	// VerbNote: placers of a zone tell one another what happened to tasks and
+	// endpoints whose job the other drives.
+	VerbNote = "note"
 	// VerbTell: hosts tell one another configuration heads; served by both
 	// programs, as is VerbFetch, which returns a whole configuration.
 	VerbTell  = "tell"
--- /dev/null
+++ b/placer/internal/conf/doc.go
@@ -0,0 +1,2 @@
+// Package conf is the placer's settings file.
+package conf
--- /dev/null
+++ b/placer/internal/conf/settings.go
@@ -0,0 +1,63 @@
+package conf
+
+import (
+	"time"
+
+	"github.com/balsamford/balsamford/coord/setup"
+)
+
+// Settings is the content of the file that --config names.
+type Settings struct {
+	Host      string         `toml:"host"`     // name of the host, unique among placers
+	Zone      string         `toml:"zone"`     // availability zone of the host
+	Link      string         `toml:"link"`     // UDP address for the system's processes
+	Page      string         `toml:"page"`     // TCP address for metrics, health and readiness
+	Platform  string         `toml:"platform"` // TCP address of the platform
+	Level     string         `toml:"level"`    // lowest level of log lines that are written
+	Fault     bool           `toml:"fault"`    // serves fault switches on the page
+	Term      setup.Duration `toml:"term"`     // how long an endpoint is owned without a renewal
+	Lease     setup.Duration `toml:"lease"`    // how long a task runs without a renewal
+	Beat      setup.Duration `toml:"beat"`     // time between heartbeats
+	Lapse     setup.Duration `toml:"lapse"`    // silence after which a placer counts as dead
+	List      setup.Duration `toml:"list"`     // time between reads of the platform's host list
+	Drain     setup.Duration `toml:"drain"`    // longest graceful stop
+	Certs     Certs          `toml:"certs"`
+	Peers     []Peer         `toml:"peers"`
+	Endpoints []Endpoint     `toml:"endpoints"`
+}
+
+// Certs names the PEM files of mutual TLS.
+type Certs struct {
+	Cert      string `toml:"cert"`
+	Key       string `toml:"key"`
+	Authority string `toml:"authority"`
+}
+
+// Peer is another placer. Those of the platform's host list are added.
+type Peer struct {
+	Name string `toml:"name"`
+	Zone string `toml:"zone"`
+	Link string `toml:"link"`
+}
+
+// Endpoint is an endpoint that is known without the platform's host list.
+type Endpoint struct {
+	Name    string `toml:"name"`
+	Kind    string `toml:"kind"`
+	Zone    string `toml:"zone"`
+	Rack    string `toml:"rack"`
+	Address string `toml:"address"`
+}
+
+// Default returns the settings that a file starts from.
+func Default() Settings {
+	return Settings{
+		Level: "info",
+		Term:  setup.Duration(4500 * time.Millisecond),
+		Lease: setup.Duration(9 * time.Second),
+		Beat:  setup.Duration(500 * time.Millisecond),
+		Lapse: setup.Duration(2 * time.Second),
+		List:  setup.Duration(time.Second),
+		Drain: setup.Duration(30 * time.Second),
+	}
+}
--- /dev/null
+++ b/placer/internal/desk/scheduler.go
@@ -0,0 +1,22 @@
+package desk
+
+import (
+	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/placer/internal/sched"
+)
+
+// Scheduler makes the decisions; a *sched.Scheduler is one.
+type Scheduler interface {
+	Join(e sched.Endpoint)
+	Leave(name string)
+	Drop(name string)
+	Report(name string, used wire.Needs)
+	Adopt(endpoint string, t sched.Task)
+	Submit(item sched.Item) error
+	Cancel(id string) bool
+	Decide() []sched.Decision
+	Started(id string, task int)
+	Unsent(id string, task int)
+	Ended(id string, task int, ok bool)
+	Expire() []sched.Item
+}
--- /dev/null
+++ b/placer/internal/exec/runner.go
@@ -0,0 +1,134 @@
+package exec
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/balsamford/balsamford/coord/timer"
+	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/placer/internal/desk"
+	"github.com/balsamford/balsamford/placer/internal/sched"
+)
+
+const (
+	// maxStarts bounds how many endpoints are tried for one attempt of the
+	// entry.
+	maxStarts = 5
+	// chunkSize is how much of an answer is passed on at a time, in bytes.
+	chunkSize = 32 << 10
+	// viewTimeout bounds one question to an endpoint after a lost answer.
+	viewTimeout = time.Second
+	// defaultLease covers a run whose request names no time.
+	defaultLease = time.Minute
+)
+
+// Runner runs quick requests. All methods may be called concurrently.
+type Runner struct {
+	timer   *timer.Service
+	queue   Queue
+	owner   Owner
+	client  Client
+	waits   metrics.Timer
+	ended   func(o wire.Outcome) // counts outcomes
+	running metrics.Counter
+}
+
+// New returns a Runner that counts in r.
+func New(s *timer.Service, q Queue, o Owner, c Client, r metrics.Registry) *Runner {
+	return &Runner{
+		timer: s, queue: q, owner: o, client: c,
+		waits:   metrics.GetOrRegisterTimer("placer.quick.wait", r),
+		running: metrics.GetOrRegisterCounter("placer.quick.running", r),
+		ended: func(o wire.Outcome) {
+			metrics.GetOrRegisterCounter("placer.quick."+string(o), r).Inc(1)
+		},
+	}
+}
+
+// Run answers one request with events on out. The context ends when the
+// caller has gone: a request that still waits is dropped then, one that runs
+// is left to its end.
+func (r *Runner) Run(ctx context.Context, req *wire.Request, out Sender) {
+	job := &run{runner: r, req: req, out: out, asked: r.timer.Now()}
+	if req.Budget > 0 {
+		job.deadline = job.asked.Add(req.Budget)
+	}
+	final := job.queue(ctx)
+	final.ID, final.Attempt = req.ID, req.Attempt
+	r.ended(final.Outcome)
+	_ = out.Send(final)
+}
+
+// run is one request under way.
+type run struct {
+	runner   *Runner
+	req      *wire.Request
+	out      Sender
+	asked    time.Time
+	deadline time.Time // zero if there is none
+	avoid    []string
+	starts   uint32
+}
+
+func (j *run) item() sched.Item {
+	return sched.Item{
+		ID: desk.QuickID(j.req.ID, j.req.Attempt), Attempt: desk.FirstAttempt(j.req.Attempt) + j.starts,
+		Team: j.req.Team, Queue: j.req.Queue, Kind: wire.Quick, Name: j.req.Name, Needs: j.req.Needs,
+		Tasks: 1, Runtime: j.req.Runtime, Deadline: j.deadline, Urgent: j.req.Urgent,
+		Avoid: append(append([]string(nil), j.req.Avoid...), j.avoid...),
+	}
+}
+
+// queue waits for decisions and tries them until one has an outcome.
+func (j *run) queue(ctx context.Context) *wire.Event {
+	var ticket *desk.Ticket
+	for {
+		if ticket == nil {
+			t, err := j.runner.queue.Queue(j.item())
+			if err != nil {
+				return refused(err)
+			}
+			ticket = t
+		}
+		o, err := ticket.Wait(ctx)
+		if err != nil {
+			return unplaced(err)
+		}
+		j.runner.waits.UpdateSince(j.asked)
+		event, again := j.try(ctx, o)
+		if !again {
+			ticket.Close()
+			return event
+		}
+		// The next try avoids the endpoint, which the scheduler has to be told
+		// by a new item.
+		ticket.Close()
+		ticket = nil
+	}
+}
+
+// refused returns the final event for a request that couldn't be queued.
+func refused(err error) *wire.Event {
+	var r *sched.RefusedError
+	if errors.As(err, &r) {
+		return &wire.Event{Outcome: wire.NotRun, Reason: r.Reason, Detail: r.Detail}
+	}
+	return &wire.Event{Outcome: wire.NotRun, Reason: wire.ReasonInvalid, Detail: err.Error()}
+}
+
+// unplaced returns the final event for a request that left the queue without
+// a decision.
+func unplaced(err error) *wire.Event {
+	var e *desk.ExpiredError
+	if errors.As(err, &e) {
+		return &wire.Event{Outcome: wire.NotRun, Reason: wire.ReasonDeadline, Detail: err.Error()}
+	}
+	var stop *StopError
+	if errors.As(err, &stop) {
+		return &wire.Event{Outcome: wire.NotRun, Reason: stop.Reason}
+	}
+	return &wire.Event{Outcome: wire.NotRun, Reason: wire.ReasonCancel}
+}
--- a/placer/internal/hold/client.go
+++ b/placer/internal/hold/client.go
@@ -9,8 +9,8 @@
 // Client calls endpoints; a *point.Client is one. Errors are those of package
 // point.
 type Client interface {
-	Open(ctx context.Context, address string, in point.Open) (*point.View, error)
-	Renew(ctx context.Context, address string, in point.Renew) (*point.Report, error)
+	Open(ctx context.Context, address string, in point.Open) (point.View, error)
+	Renew(ctx context.Context, address string, in point.Renew) (point.Report, error)
 	Release(ctx context.Context, address string, in point.Owner) error
-	View(ctx context.Context, address string) (*point.View, error)
+	View(ctx context.Context, address string) (point.View, error)
 }
--- a/placer/internal/hold/keeper.go
+++ b/placer/internal/hold/keeper.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/balsamford/balsamford/coord/lease"
 	"github.com/balsamford/balsamford/coord/owner"
 )
 
@@ -25,7 +26,7 @@
 // All methods may be called concurrently.
 type Keeper struct {
 	name    string
-	holder  string
+	tag     uint16
 	term    time.Duration
 	lease   time.Duration
 	client  Client
@@ -65,11 +66,11 @@
 	return func(k *Keeper) { k.fence = f }
 }
 
-// New returns a Keeper for the placer called name. holder is what endpoints
-// are opened with; it has to differ between processes of the same name.
-func New(name, holder string, members Members, client Client, clock Clock, sink Sink, opts ...Option) *Keeper {
+// New returns a Keeper for the placer called name. tag should differ between
+// processes of the same name.
+func New(name string, tag uint16, members Members, client Client, clock Clock, sink Sink, opts ...Option) *Keeper {
 	k := &Keeper{
-		name: name, holder: holder, members: members, client: client, clock: clock, sink: sink,
+		name: name, tag: tag, members: members, client: client, clock: clock, sink: sink,
 		term: defaultTerm, lease: defaultLease, fence: noFence{}, seats: make(map[string]*chair),
 	}
 	for _, opt := range opts {
@@ -126,7 +127,7 @@
 
 func (k *Keeper) newSeat(t Target) *Seat {
 	return &Seat{
-		holder: k.holder, term: k.term, lease: k.lease, client: k.client,
+		holder: k.name, epoch: lease.NewEpoch(k.tag), term: k.term, lease: k.lease, client: k.client,
 		clock: k.clock, sink: k.sink, fence: k.fence, target: t,
 	}
 }
--- a/placer/internal/hold/renew.go
+++ b/placer/internal/hold/renew.go
@@ -26,7 +26,7 @@
 	}
 	s.watch.Answered(s.clock.Boot())
 	s.failed = 0
-	s.reported(sent, report)
+	s.reported(sent, &report)
 	return s.rest(sent, in.Wait)
 }
 
@@ -121,34 +121,16 @@
 	s.sink.Closed(t)
 }
 
-// probe looks at an endpoint that left a renewal unanswered, without renewing
-// anything, until it answers or all leases there have run out.
-func (s *Seat) probe(ctx context.Context) time.Duration {
+// reopen tries to open an endpoint again that left a renewal unanswered, until
+// it answers or all leases there have run out. Nothing is renewed before, and
+// the new epoch keeps out what may still be under way of the old one.
+func (s *Seat) reopen(ctx context.Context) time.Duration {
 	if s.watch.Over(s.clock.Boot()) {
 		s.sink.Lapsed(s.Target())
 		s.close()
 		return s.backoff()
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.term/periods)
-	defer cancel()
-	view, err := s.client.View(ctx, s.Target().Address)
-	if err != nil {
-		s.failed++
-		return s.backoff()
-	}
-	s.failed = 0
-	s.mu.Lock()
-	mine := view.Owner == s.owner
-	if mine {
-		s.state, s.hasty = open, true
-	}
-	s.mu.Unlock()
-	if !mine {
-		s.fenced(&point.FencedError{Owner: view.Owner})
-		return 0
-	}
-	s.watch.Answered(s.clock.Boot())
-	return 0
+	return s.take(ctx)
 }
 
 // handOver gives the endpoint up: no new work, then the calls under way, then
--- a/placer/internal/hold/seat.go
+++ b/placer/internal/hold/seat.go
@@ -159,7 +159,7 @@
 	case at == closed:
 		return s.take(ctx)
 	case at == silent:
-		return s.probe(ctx)
+		return s.reopen(ctx)
 	case !want:
 		return s.handOver(ctx)
 	default:
--- a/placer/internal/hold/take.go
+++ b/placer/internal/hold/take.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return s.refused(err)
 	}
-	s.opened(in.Owner, sent, view)
+	s.opened(in.Owner, sent, &view)
 	return 0
 }
 
@@ -43,6 +43,9 @@
 		return s.backoff()
 	}
 	s.failed = 0
+	if fenced.Owner.Holder != s.holder {
+		s.lose()
+	}
 	first := fenced.Owner.Epoch > s.epoch.Seen()
 	s.epoch.Meet(fenced.Owner.Epoch)
 	if !fenced.Held && first {
@@ -51,6 +54,13 @@
 	return s.term / (2 * periods)
 }
 
+// lose closes the seat if it was owned.
+func (s *Seat) lose() {
+	if _, owned := s.Owned(); owned {
+		s.close()
+	}
+}
+
 func (s *Seat) opened(o point.Owner, sent time.Duration, view *point.View) {
 	s.epoch.Meet(o.Epoch)
 	s.failed = 0
--- /dev/null
+++ b/placer/internal/jobs/carry.go
@@ -0,0 +1,139 @@
+package jobs
+
+import (
+	"context"
+
+	"github.com/balsamford/balsamford/coord/point"
+	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/placer/internal/desk"
+)
+
+// Decided implements desk.Jobs.
+func (d *Driver) Decided(id string, orders []desk.Order) {
+	mine := append([]desk.Order(nil), orders...)
+	d.spawn(func(ctx context.Context) {
+		starts := mine[:0]
+		for _, o := range mine {
+			if o.Preempt {
+				d.preempt(ctx, o)
+				continue
+			}
+			starts = append(starts, o)
+		}
+		if len(starts) > 0 {
+			d.carry(ctx, id, starts)
+		}
+	})
+}
+
+// carry writes the attempts of decided tasks and then sends their starts.
+func (d *Driver) carry(ctx context.Context, id string, orders []desk.Order) {
+	j := d.find(id)
+	if j == nil || !j.send(orders) {
+		d.queue.Cancel(id)
+		for _, o := range orders {
+			d.queue.Unsent(o)
+		}
+		return
+	}
+	if err := d.flush(ctx, j); err != nil {
+		d.unstarted(ctx, j, orders, "")
+		return
+	}
+	for _, o := range orders {
+		d.spawn(func(ctx context.Context) { d.start(ctx, j, o) })
+	}
+}
+
+// send notes that starts are about to leave. It reports false if nothing may
+// be started any more.
+func (j *job) send(orders []desk.Order) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !j.activeLocked() {
+		return false
+	}
+	for _, o := range orders {
+		j.tasks[o.Task].order, j.tasks[o.Task].live, j.tasks[o.Task].queued = o, true, false
+		t := &j.row.Tasks[o.Task]
+		t.Attempt, t.Endpoint, t.Epoch, t.Phase = o.Attempt, o.Endpoint, o.Epoch, wire.Sent
+	}
+	if j.row.Phase == wire.Queued || j.row.Phase == "" {
+		j.row.Phase = wire.Sent
+	}
+	j.editLocked()
+	return true
+}
+
+// unstarted lets tasks wait again whose starts surely didn't happen.
+func (d *Driver) unstarted(ctx context.Context, j *job, orders []desk.Order, avoid string) {
+	gang := j.row.Request.Kind == wire.Gang
+	j.mu.Lock()
+	for _, o := range orders {
+		t := &j.tasks[o.Task]
+		if t.order != o || !t.live {
+			continue
+		}
+		t.live, t.doubt, t.queued = false, false, false
+		t.avoid = addAvoid(t.avoid, avoid)
+		j.row.Tasks[o.Task].Phase, j.row.Tasks[o.Task].Endpoint = wire.Queued, ""
+	}
+	j.regroup = gang
+	j.editLocked()
+	d.dequeueLocked(j)
+	for _, o := range orders {
+		d.queue.Unsent(o)
+	}
+	j.mu.Unlock()
+	d.save(j)
+	if gang {
+		d.stopAll(ctx, j)
+	}
+	d.requeueAfter(ctx, j)
+}
+
+// dequeueLocked takes all waiting tasks out of the queue. Those that are never
+// to be started get their outcome.
+func (d *Driver) dequeueLocked(j *job) {
+	d.queue.Cancel(j.id())
+	for n := range j.tasks {
+		t := &j.tasks[n]
+		t.queued = false
+		if j.row.Cancel && !t.live && j.row.Tasks[n].Outcome == "" {
+			j.endTaskLocked(n, neverRan(&j.row.Tasks[n]))
+		}
+	}
+	j.concludeLocked()
+}
+
+// requeueAfter queues what waits after a pause.
+func (d *Driver) requeueAfter(ctx context.Context, j *job) {
+	if d.timer.Sleep(ctx, pause) == nil {
+		d.submit(j)
+	}
+}
+
+// maxAvoid bounds the endpoints that a task avoids.
+const maxAvoid = 8
+
+func addAvoid(list []string, name string) []string {
+	if name == "" {
+		return list
+	}
+	list = append(list, name)
+	return list[max(0, len(list)-maxAvoid):]
+}
+
+// preempt checkpoints a task so that urgent work gets its room. One that may
+// run only once is left alone.
+func (d *Driver) preempt(ctx context.Context, o desk.Order) {
+	if j := d.find(o.ID); j != nil && !j.repeatable() {
+		return
+	}
+	d.halt(ctx, halt{ID: o.ID, Task: o.Task, Attempt: o.Attempt, Endpoint: o.Endpoint, Mode: point.ModeCheckpoint})
+}
+
+// repeatable reports whether a task may be started again after it has run.
+func (j *job) repeatable() bool {
+	return j.row.Request.Idempotent || j.row.Request.Kind == wire.Service
+}
--- /dev/null
+++ b/placer/internal/jobs/doubt.go
@@ -0,0 +1,149 @@
+package jobs
+
+import (
+	"context"
+	"time"
+
+	"github.com/balsamford/balsamford/coord/point"
+	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/placer/internal/desk"
+)
+
+const (
+	// doubtPeriod is the time between questions about tasks in doubt.
+	doubtPeriod = time.Second
+	// auditRounds is after how many periods tasks at endpoints of other owners
+	// are asked for, in case that a note got lost.
+	auditRounds = 30
+	// goneTime is how long an endpoint is missing from settings and the host
+	// list before nothing is expected of it. It is longer than the list lags
+	// and leases last.
+	goneTime = time.Minute
+)
+
+// doubtLoop asks endpoints about tasks of which nobody knows whether they run.
+func (d *Driver) doubtLoop(ctx context.Context) {
+	gone := make(map[string]time.Duration)
+	for round := 1; d.timer.Sleep(ctx, doubtPeriod) == nil; round++ {
+		if round%auditRounds == 0 {
+			d.audit()
+		}
+		for endpoint, list := range d.doubts() {
+			d.inquire(ctx, endpoint, list, gone)
+		}
+	}
+}
+
+// doubtful is a task in doubt and its job.
+type doubtful struct {
+	job *job
+	placed
+}
+
+func (d *Driver) doubts() map[string][]doubtful {
+	out := make(map[string][]doubtful)
+	for _, j := range d.all() {
+		for _, e := range j.at("") {
+			if e.doubt {
+				out[e.endpoint] = append(out[e.endpoint], doubtful{j, e})
+			}
+		}
+	}
+	return out
+}
+
+// audit puts tasks in doubt that run at endpoints of other owners.
+func (d *Driver) audit() {
+	for _, j := range d.all() {
+		for _, e := range j.at("") {
+			if seat := d.owner.Seat(e.endpoint); seat != nil {
+				if _, owned := seat.Owned(); owned {
+					continue
+				}
+			}
+			j.mu.Lock()
+			j.tasks[e.n].doubt = j.tasks[e.n].live
+			j.mu.Unlock()
+		}
+	}
+}
+
+func (d *Driver) inquire(ctx context.Context, endpoint string, list []doubtful, gone map[string]time.Duration) {
+	seat := d.owner.Seat(endpoint)
+	if seat == nil {
+		d.missing(endpoint, list, gone)
+		return
+	}
+	delete(gone, endpoint)
+	halted := make([]bool, len(list))
+	for i, e := range list {
+		halted[i] = d.haltUnarrived(ctx, e)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	view, err := d.client.View(ctx, seat.Target().Address)
+	if err != nil {
+		return
+	}
+	for i, e := range list {
+		d.resolve(e, &view, halted[i])
+	}
+}
+
+// missing gives up tasks at an endpoint that has long been gone from the host
+// list; its host was replaced.
+func (d *Driver) missing(endpoint string, list []doubtful, gone map[string]time.Duration) {
+	now := d.timer.Boot()
+	since, ok := gone[endpoint]
+	if !ok {
+		gone[endpoint] = now
+		return
+	}
+	if now-since < goneTime {
+		return
+	}
+	for _, e := range list {
+		d.ended(e.job, e.ending)
+	}
+}
+
+// haltUnarrived stops a start of this process that got no answer, under the
+// epoch in which it was sent, and reports whether it will not begin any more
+// if it hasn't.
+func (d *Driver) haltUnarrived(ctx context.Context, e doubtful) bool {
+	return e.job.sentHere(&e.placed) &&
+		d.haltHere(ctx, halt{ID: e.job.id(), Task: e.n, Attempt: e.attempt, Endpoint: e.endpoint, Mode: point.ModeStop})
+}
+
+// sentHere reports whether this process sent the start of a placed task and
+// got no answer.
+func (j *job) sentHere(e *placed) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	o := j.tasks[e.n].order
+	return o.Endpoint == e.endpoint && o.Attempt == e.attempt && o.Epoch == e.epoch && e.phase == wire.Sent
+}
+
+// resolve settles a task with what its endpoint says. A task that isn't there
+// surely doesn't run only if its start can't arrive any more: the endpoint has
+// a later owner, or the start was stopped before the endpoint was asked.
+func (d *Driver) resolve(e doubtful, view *point.View, halted bool) {
+	t := findTask(view.Tasks, e.job.id(), e.n, e.attempt)
+	switch {
+	case t != nil || view.Owner.Epoch > e.epoch:
+		d.compare(e.job, e.placed, view.Tasks)
+	case e.phase == wire.Running:
+		// It ran under the present owner and is gone: its end was taken note
+		// of by the driver before, or the endpoint was restarted.
+		d.ended(e.job, e.ending)
+	case halted && view.Owner.Epoch == e.epoch:
+		o := e.job.orderOf(e.n)
+		d.spawn(func(ctx context.Context) { d.unstarted(ctx, e.job, []desk.Order{o}, e.endpoint) })
+	}
+}
+
+func (j *job) orderOf(n int) desk.Order {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.tasks[n].order
+}
--- /dev/null
+++ b/placer/internal/jobs/end.go
@@ -0,0 +1,184 @@
+package jobs
+
+import (
+	"context"
+
+	"github.com/balsamford/balsamford/coord/point"
+	"github.com/balsamford/balsamford/coord/wire"
+)
+
+// ending is the end of one attempt of a task, as an endpoint reported it.
+type ending struct {
+	n        int
+	attempt  uint32
+	endpoint string
+	state    point.State
+	code     int
+	output   []byte
+}
+
+// ended records the end of an attempt and decides what follows. acks are
+// called for once it is written.
+func (d *Driver) ended(j *job, e ending, acks ...ack) {
+	j.mu.Lock()
+	if e.n >= len(j.tasks) {
+		j.mu.Unlock()
+		return
+	}
+	j.acks = append(j.acks, acks...)
+	t, row := &j.tasks[e.n], &j.row.Tasks[e.n]
+	if !t.live || row.Attempt != e.attempt || row.Endpoint != e.endpoint {
+		j.editLocked() // writes once more, so that the endpoint may forget
+		j.mu.Unlock()
+		d.save(j)
+		return
+	}
+	t.live, t.doubt = false, false
+	again := j.endLocked(e)
+	done := j.concludeLocked()
+	broken := j.row.Request.Kind == wire.Gang && e.state != point.Done
+	j.mu.Unlock()
+	d.save(j)
+	if done || !again && !broken {
+		return
+	}
+	d.spawn(func(ctx context.Context) { d.restart(ctx, j, broken) })
+}
+
+// restart queues tasks again after a pause; all others of a gang end first.
+func (d *Driver) restart(ctx context.Context, j *job, gang bool) {
+	if gang {
+		d.stopAll(ctx, j)
+	}
+	d.counts.restarts.Inc(1)
+	if d.timer.Sleep(ctx, pause) == nil {
+		d.submit(j)
+	}
+}
+
+// endLocked records how an attempt ended and reports whether the task is to
+// be started again.
+func (j *job) endLocked(e ending) bool {
+	t, row := &j.tasks[e.n], &j.row.Tasks[e.n]
+	row.Code, row.Output = e.code, e.output
+	if e.state == point.Done && j.row.Request.Kind != wire.Service && !j.regroup {
+		j.endTaskLocked(e.n, wire.Done)
+		return false
+	}
+	if e.state == point.Failed {
+		t.fails++
+	}
+	if j.mayRepeatLocked(t, e.state) {
+		t.avoid = addAvoid(t.avoid, avoided(e))
+		row.Phase, row.Endpoint = wire.Queued, ""
+		j.regroupLocked()
+		j.editLocked()
+		return true
+	}
+	j.endTaskLocked(e.n, j.failedOutcome(e.state))
+	return false
+}
+
+// regroupLocked lets all tasks of a gang wait again, also those that were
+// done, since its tasks run together or not at all.
+func (j *job) regroupLocked() {
+	if j.row.Request.Kind != wire.Gang {
+		return
+	}
+	j.regroup = true
+	for n := range j.row.Tasks {
+		if !j.tasks[n].live {
+			j.row.Tasks[n].Phase, j.row.Tasks[n].Outcome = wire.Queued, ""
+		}
+	}
+}
+
+// avoided returns the endpoint that a restart should avoid, if any. One that
+// only checkpointed the task is as good as another.
+func avoided(e ending) string {
+	if e.state == point.Failed || e.state == point.Lapsed {
+		return e.endpoint
+	}
+	return ""
+}
+
+// mayRepeatLocked reports whether a task that ended in that state is started
+// again.
+func (j *job) mayRepeatLocked(t *task, s point.State) bool {
+	switch {
+	case j.row.Cancel || j.replaced || j.row.Outcome != "":
+		return false
+	case j.row.Request.Kind == wire.Service:
+		return true
+	case !j.row.Request.Idempotent:
+		return false
+	}
+	return s != point.Failed || t.fails < maxFails
+}
+
+// failedOutcome returns the outcome of a task that isn't repeated. One whose
+// lease ran out was seen running last.
+func (j *job) failedOutcome(s point.State) wire.Outcome {
+	switch {
+	case s == point.Lapsed:
+		return wire.Unknown
+	case j.row.Cancel && j.row.Request.Kind == wire.Service:
+		return wire.Done
+	}
+	return wire.Failed
+}
+
+// endTaskLocked records a task's outcome.
+func (j *job) endTaskLocked(n int, o wire.Outcome) {
+	j.row.Tasks[n].Phase, j.row.Tasks[n].Outcome = wire.Ended, o
+	j.editLocked()
+}
+
+// concludeLocked sets the job's outcome once all its tasks have one, and
+// reports whether it has.
+func (j *job) concludeLocked() bool {
+	if j.row.Outcome != "" {
+		return true
+	}
+	worst := wire.Outcome("")
+	for n := range j.row.Tasks {
+		o := j.row.Tasks[n].Outcome
+		if o == "" || j.tasks[n].live {
+			return false
+		}
+		if worst == "" {
+			worst = o
+		}
+		worst = worse(worst, o)
+	}
+	j.row.Phase, j.row.Outcome = wire.Ended, worst
+	if j.row.Reason == "" {
+		j.row.Reason = j.reasonLocked(worst)
+	}
+	j.editLocked()
+	return true
+}
+
+func (j *job) reasonLocked(o wire.Outcome) string {
+	switch {
+	case j.row.Cancel:
+		return wire.ReasonCancel
+	case o == wire.Failed:
+		return wire.ReasonError
+	case o == wire.Unknown:
+		return wire.ReasonLost
+	}
+	return ""
+}
+
+// worse returns the outcome of two tasks together. Only if neither ran is it
+// that nothing was run.
+func worse(a, b wire.Outcome) wire.Outcome {
+	switch {
+	case a == b:
+		return a
+	case a == wire.Unknown || b == wire.Unknown:
+		return wire.Unknown
+	}
+	return wire.Failed
+}
--- /dev/null
+++ b/placer/internal/jobs/note.go
@@ -0,0 +1,138 @@
+package jobs
+
+import (
+	"context"
+
+	"github.com/balsamford/balsamford/coord/link"
+	"github.com/balsamford/balsamford/coord/point"
+	"github.com/balsamford/balsamford/coord/wire"
+)
+
+// note is what the owner of an endpoint tells the placers that may drive the
+// jobs of its tasks, or what a driver asks of them.
+type note struct {
+	Endpoint string       `cbor:"endpoint,omitempty"`
+	Epoch    uint64       `cbor:"epoch,omitempty"`  // with Opened
+	Opened   bool         `cbor:"opened,omitempty"` // Tasks is all that the endpoint has
+	Lapsed   bool         `cbor:"lapsed,omitempty"` // nothing runs there any more
+	Tasks    []point.Task `cbor:"tasks,omitempty"`  // without Opened: ended ones
+	Halt     *halt        `cbor:"halt,omitempty"`
+	Fit      *fit         `cbor:"fit,omitempty"`
+}
+
+// noted answers a note.
+type noted struct {
+	Known []bool `cbor:"known,omitempty"` // of Tasks: driven here, and the end is written
+	Done  bool   `cbor:"done,omitempty"`  // Halt was carried out, or Fit holds
+}
+
+// halt asks for the end of one attempt of a task.
+type halt struct {
+	ID       string         `cbor:"id"`
+	Task     int            `cbor:"task"`
+	Attempt  uint32         `cbor:"attempt"`
+	Endpoint string         `cbor:"endpoint"`
+	Mode     point.StopMode `cbor:"mode"`
+}
+
+// fit asks whether a placer's endpoints could run tasks.
+type fit struct {
+	Needs wire.Needs `cbor:"needs"`
+	Tasks int        `cbor:"tasks"`
+}
+
+// Note serves wire.VerbNote.
+func (d *Driver) Note(ctx context.Context, s *link.Stream) error {
+	var in note
+	if err := s.Recv(&in); err != nil {
+		return err
+	}
+	out := d.noted(ctx, &in)
+	return s.Send(&out)
+}
+
+func (d *Driver) noted(ctx context.Context, in *note) noted {
+	switch {
+	case in.Halt != nil:
+		return noted{Done: d.haltHere(ctx, *in.Halt)}
+	case in.Fit != nil:
+		return noted{Done: d.queue.Fits(in.Fit.Needs, in.Fit.Tasks)}
+	case in.Lapsed:
+		d.lapsed(in.Endpoint)
+	case in.Opened:
+		d.opened(in.Endpoint, in.Epoch, in.Tasks)
+	default:
+		return noted{Known: d.known(ctx, in)}
+	}
+	return noted{}
+}
+
+// known records ended tasks of jobs that are driven here.
+func (d *Driver) known(ctx context.Context, in *note) []bool {
+	out := make([]bool, len(in.Tasks))
+	jobs := make([]*job, len(in.Tasks))
+	for i := range in.Tasks {
+		jobs[i] = d.endedAt(in.Endpoint, &in.Tasks[i])
+	}
+	for i, j := range jobs {
+		out[i] = j != nil && d.flush(ctx, j) == nil
+	}
+	return out
+}
+
+// endedAt records the end of a task and returns its job, or nil if it is
+// driven elsewhere.
+func (d *Driver) endedAt(endpoint string, t *point.Task, acks ...ack) *job {
+	e, id, ok := endingOf(endpoint, t)
+	if !ok {
+		return nil
+	}
+	j := d.find(id)
+	if j != nil {
+		d.ended(j, e, acks...)
+	}
+	return j
+}
+
+// lapsed ends what ran at an endpoint. A start that got no answer may still
+// arrive there, so it stays in doubt until the endpoint is opened again.
+func (d *Driver) lapsed(endpoint string) {
+	for _, j := range d.all() {
+		for _, e := range j.at(endpoint) {
+			if e.phase == wire.Running {
+				d.ended(j, e.ending)
+			}
+		}
+	}
+}
+
+// opened compares what an endpoint has under a new epoch with what should be
+// there. Starts of earlier epochs can't arrive any more.
+func (d *Driver) opened(endpoint string, epoch uint64, tasks []point.Task) {
+	for _, j := range d.all() {
+		for _, e := range j.at(endpoint) {
+			if e.epoch < epoch {
+				d.compare(j, e, tasks)
+			}
+		}
+	}
+}
+
+// compare settles one task with what its endpoint has.
+func (d *Driver) compare(j *job, e placed, tasks []point.Task) {
+	t := findTask(tasks, j.id(), e.n, e.attempt)
+	switch {
+	case t == nil:
+		d.ended(j, e.ending)
+	case !t.State.Ended():
+		j.mu.Lock()
+		if j.tasks[e.n].live && j.row.Tasks[e.n].Attempt == e.attempt {
+			j.tasks[e.n].doubt = false
+			j.runLocked(e.n)
+		}
+		j.mu.Unlock()
+		d.save(j)
+	default:
+		d.endedAt(e.endpoint, t)
+	}
+}
--- /dev/null
+++ b/placer/internal/jobs/notice.go
@@ -0,0 +1,189 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/balsamford/balsamford/coord/point"
+	"github.com/balsamford/balsamford/coord/roster"
+	"github.com/balsamford/balsamford/coord/store"
+	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/placer/internal/desk"
+	"github.com/balsamford/balsamford/placer/internal/hold"
+)
+
+const (
+	// noticePeriod is the time between attempts to find the drivers of ended
+	// tasks.
+	noticePeriod = 500 * time.Millisecond
+	// noteTimeout bounds one note; the other side writes a row meanwhile.
+	noteTimeout = 5 * time.Second
+	// rowRounds is after how many attempts without a driver the row is read.
+	rowRounds = 6
+	// maxNotes bounds the tasks in one note.
+	maxNotes = 64
+)
+
+// notice is an ended task whose job is driven elsewhere.
+type notice struct {
+	endpoint string
+	task     point.Task
+	rounds   int
+}
+
+// Ended implements desk.Jobs.
+func (d *Driver) Ended(t hold.Target, task *point.Task) {
+	if d.endedAt(t.Name, task, ack{endpoint: t.Name, seq: task.Seq}) != nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lonely[task.ID+"@"+t.Name] = &notice{endpoint: t.Name, task: *task}
+}
+
+// Opened implements desk.Jobs.
+func (d *Driver) Opened(t hold.Target, view *point.View) {
+	tasks := make([]point.Task, len(view.Tasks))
+	copy(tasks, view.Tasks)
+	d.opened(t.Name, view.Owner.Epoch, tasks)
+	for i := range tasks {
+		tasks[i].Output = nil
+	}
+	n := note{Endpoint: t.Name, Epoch: view.Owner.Epoch, Opened: true, Tasks: tasks}
+	d.spawn(func(ctx context.Context) { d.tellAll(ctx, &n) })
+}
+
+// Lapsed implements desk.Jobs.
+func (d *Driver) Lapsed(t hold.Target) {
+	d.lapsed(t.Name)
+	n := note{Endpoint: t.Name, Lapsed: true}
+	d.spawn(func(ctx context.Context) { d.tellAll(ctx, &n) })
+}
+
+// peers returns the other placers of the zone that live.
+func (d *Driver) peers() []roster.Member {
+	live := d.members.Live()
+	out := make([]roster.Member, 0, len(live))
+	for _, m := range live {
+		if m.Name != d.name && m.Zone == d.zone {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (d *Driver) tell(ctx context.Context, m roster.Member, n *note) (noted, error) {
+	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
+	defer cancel()
+	var out noted
+	err := d.caller.Call(ctx, m.Link, wire.VerbNote, n, &out)
+	return out, err
+}
+
+func (d *Driver) tellAll(ctx context.Context, n *note) {
+	var g errgroup.Group
+	for _, m := range d.peers() {
+		g.Go(func() error { _, err := d.tell(ctx, m, n); return err })
+	}
+	_ = g.Wait()
+}
+
+// noticeLoop tells the drivers of ended tasks until the end of each is
+// written; then the endpoint may forget it.
+func (d *Driver) noticeLoop(ctx context.Context) {
+	for d.timer.Sleep(ctx, noticePeriod) == nil {
+		for endpoint, list := range d.notices() {
+			d.deliver(ctx, endpoint, list)
+		}
+	}
+}
+
+func (d *Driver) notices() map[string][]*notice {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make(map[string][]*notice)
+	for _, n := range d.lonely {
+		if len(out[n.endpoint]) < maxNotes {
+			out[n.endpoint] = append(out[n.endpoint], n)
+		}
+	}
+	return out
+}
+
+func (d *Driver) deliver(ctx context.Context, endpoint string, list []*notice) {
+	in := note{Endpoint: endpoint}
+	for _, n := range list {
+		if d.endedAt(endpoint, &n.task, ack{endpoint: endpoint, seq: n.task.Seq}) != nil {
+			d.settled(n, false) // the job came here; its write acknowledges
+			continue
+		}
+		in.Tasks = append(in.Tasks, n.task)
+	}
+	for _, m := range d.peers() {
+		if len(in.Tasks) == 0 {
+			return
+		}
+		out, err := d.tell(ctx, m, &in)
+		if err != nil {
+			continue
+		}
+		in.Tasks = d.confirmed(endpoint, in.Tasks, out.Known)
+	}
+	for i := range in.Tasks {
+		d.undriven(ctx, endpoint, &in.Tasks[i])
+	}
+}
+
+// confirmed drops what a driver has written and returns the rest.
+func (d *Driver) confirmed(endpoint string, tasks []point.Task, known []bool) []point.Task {
+	rest := make([]point.Task, 0, len(tasks))
+	for i := range tasks {
+		if i < len(known) && known[i] {
+			d.settled(&notice{endpoint: endpoint, task: tasks[i]}, true)
+			continue
+		}
+		rest = append(rest, tasks[i])
+	}
+	return rest
+}
+
+func (d *Driver) settled(n *notice, forget bool) {
+	d.mu.Lock()
+	delete(d.lonely, n.task.ID+"@"+n.endpoint)
+	d.mu.Unlock()
+	if forget {
+		d.owner.Ack(n.endpoint, n.task.Seq)
+	}
+}
+
+// undriven looks at the row of a task that no placer drives. If the row has
+// no use for its end any more the endpoint may forget it.
+func (d *Driver) undriven(ctx context.Context, endpoint string, t *point.Task) {
+	d.mu.Lock()
+	n := d.lonely[t.ID+"@"+endpoint]
+	if n != nil {
+		n.rounds++
+	}
+	look := n != nil && n.rounds%rowRounds == 0
+	d.mu.Unlock()
+	if !look {
+		return
+	}
+	id, i, ok := desk.SplitTaskID(t.ID)
+	if !ok {
+		d.settled(n, true)
+		return
+	}
+	row, _, err := d.read(ctx, id)
+	var missing *store.MissingError
+	if errors.As(err, &missing) {
+		d.settled(n, true)
+		return
+	}
+	if err == nil && (row.Outcome != "" || i >= len(row.Tasks) || row.Tasks[i].Attempt > t.Attempt || row.Tasks[i].Outcome != "") {
+		d.settled(n, true)
+	}
+}
--- /dev/null
+++ b/placer/internal/jobs/parts.go
@@ -0,0 +1,64 @@
+package jobs
+
+import (
+	"context"
+
+	"github.com/balsamford/balsamford/coord/link"
+	"github.com/balsamford/balsamford/coord/point"
+	"github.com/balsamford/balsamford/coord/roster"
+	"github.com/balsamford/balsamford/coord/store"
+	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/placer/internal/desk"
+	"github.com/balsamford/balsamford/placer/internal/hold"
+	"github.com/balsamford/balsamford/placer/internal/sched"
+)
+
+// Table is the platform's table; a *store.Client is one.
+type Table interface {
+	Get(ctx context.Context, table, key string) (store.Row, error)
+	Scan(ctx context.Context, table, prefix string) ([]store.Row, error)
+	Commit(ctx context.Context, ops []store.Op) error
+}
+
+// Queue decides where tasks run; a *desk.Desk is one.
+type Queue interface {
+	Submit(item sched.Item) error
+	Cancel(id string) bool
+	Fits(needs wire.Needs, tasks int) bool
+	Started(o desk.Order)
+	Unsent(o desk.Order) bool
+	Ended(o desk.Order, ok bool)
+}
+
+// Client calls workers; a *point.Client is one.
+type Client interface {
+	Start(ctx context.Context, address string, in point.Start) error
+	Stop(ctx context.Context, address string, in point.Stop) error
+	View(ctx context.Context, address string) (point.View, error)
+}
+
+// Owner lets calls to endpoints pass; a *hold.Keeper is one.
+type Owner interface {
+	Enter(endpoint string, epoch uint64) (*hold.Pass, error)
+	Control(endpoint string) (*hold.Pass, error)
+	Leaving(endpoint string)
+	Ack(endpoint string, seq uint64)
+	Seat(endpoint string) *hold.Seat
+}
+
+// Members knows the placers of the zone; a *roster.Roster is one.
+type Members interface {
+	Live() []roster.Member
+	Alive(name string) (roster.Member, bool)
+}
+
+// Caller calls other placers; a *link.Node is one.
+type Caller interface {
+	Call(ctx context.Context, address, verb string, in, out any) error
+	Open(ctx context.Context, address, verb string) (*link.Stream, error)
+}
+
+// Sender takes the events of one request; a *link.Stream is one.
+type Sender interface {
+	Send(v any) error
+}
--- /dev/null
+++ b/placer/internal/jobs/place.go
@@ -0,0 +1,172 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/balsamford/balsamford/coord/link"
+	"github.com/balsamford/balsamford/coord/store"
+	"github.com/balsamford/balsamford/coord/wire"
+)
+
+// maxTakes bounds the conditional writes that are tried to become the driver.
+const maxTakes = 4
+
+// Place takes a job over unless another placer that lives drives it, and
+// reports its phases and its end on out. Once a Queued event was sent the job
+// is driven whatever becomes of the stream.
+func (d *Driver) Place(ctx context.Context, req *wire.Request, out Sender) error {
+	j, row, err := d.take(ctx, req.ID)
+	if err != nil {
+		return remote(err)
+	}
+	event := wire.Event{ID: req.ID, Attempt: req.Attempt, Phase: wire.Queued}
+	if j == nil {
+		return out.Send(final(&event, row))
+	}
+	if err := out.Send(&event); err != nil {
+		return nil
+	}
+	return d.relay(ctx, j, event, out)
+}
+
+// relay reports changes of the job's phase until it ends.
+func (d *Driver) relay(ctx context.Context, j *job, event wire.Event, out Sender) error {
+	for {
+		row, replaced, changed := j.watch()
+		if row.Outcome != "" {
+			return out.Send(final(&event, &row))
+		}
+		if replaced {
+			return remote(&ReplacedError{ID: row.Request.ID})
+		}
+		if row.Phase != event.Phase {
+			event.Phase = row.Phase
+			if err := out.Send(&event); err != nil {
+				return nil
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// final returns the event that ends the stream of a job.
+func final(event *wire.Event, row *wire.Job) *wire.Event {
+	event.Phase, event.Outcome, event.Reason = wire.Ended, row.Outcome, row.Reason
+	for i := range row.Tasks {
+		event.Code = max(event.Code, row.Tasks[i].Code)
+	}
+	return event
+}
+
+// remote returns the failure for another process.
+func remote(err error) error {
+	var driven *DrivenError
+	if errors.As(err, &driven) {
+		return &link.RemoteError{Code: wire.ReasonDuplicate, Text: err.Error()}
+	}
+	var missing *store.MissingError
+	if errors.As(err, &missing) {
+		return &link.RemoteError{Code: wire.ReasonGone, Text: err.Error()}
+	}
+	return &link.RemoteError{Code: wire.ReasonRoute, Text: err.Error()}
+}
+
+// take makes this placer the driver of the job. It returns the job, or the row
+// of one that has ended.
+func (d *Driver) take(ctx context.Context, id string) (*job, *wire.Job, error) {
+	var failed error
+	for range maxTakes {
+		if j := d.find(id); j != nil {
+			return j, nil, nil
+		}
+		row, version, err := d.read(ctx, id)
+		if err != nil {
+			return nil, nil, err
+		}
+		if row.Outcome != "" {
+			return nil, row, nil
+		}
+		if m, alive := d.members.Alive(row.Driver); row.Driver != d.name && alive && !m.Leaving {
+			return nil, nil, &DrivenError{ID: id, Driver: row.Driver}
+		}
+		row.Driver = d.name
+		row.Epoch++
+		if failed = d.claim(ctx, row, version); failed == nil {
+			return d.adopt(row, version+1), nil, nil
+		}
+		var conflict *store.ConflictError
+		if errors.As(failed, &conflict) {
+			continue
+		}
+		// The write may have taken effect; only what this process has read
+		// back or written counts, so it takes the next epoch.
+		if err := d.timer.Sleep(ctx, pause); err != nil {
+			return nil, nil, err
+		}
+	}
+	return nil, nil, failed
+}
+
+func (d *Driver) key(id string) string { return d.zone + "/" + id }
+
+func (d *Driver) read(ctx context.Context, id string) (*wire.Job, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	row, err := d.table.Get(ctx, tableName, d.key(id))
+	if err != nil {
+		return nil, 0, err
+	}
+	j := new(wire.Job)
+	if err := cbor.Unmarshal(row.Value, j); err != nil {
+		return nil, 0, &RowError{Key: row.Key, Err: err}
+	}
+	return j, row.Version, nil
+}
+
+func (d *Driver) claim(ctx context.Context, row *wire.Job, version uint64) error {
+	value, err := cbor.Marshal(row)
+	if err != nil {
+		return &RowError{Key: d.key(row.Request.ID), Err: err}
+	}
+	op := store.Op{Table: tableName, Key: d.key(row.Request.ID), Expect: version, Value: value, Action: store.Put}
+	return d.commit(ctx, []store.Op{op})
+}
+
+// adopt begins to drive a job whose row names this placer.
+func (d *Driver) adopt(row *wire.Job, version uint64) *job {
+	fresh := newJob(d.key(row.Request.ID), row, version)
+	if row.Request.Budget > 0 {
+		fresh.deadline = d.timer.Now().Add(row.Request.Budget)
+	}
+	d.mu.Lock()
+	j := d.jobs[row.Request.ID]
+	won := j == nil
+	if won {
+		j = fresh
+		d.jobs[row.Request.ID] = j
+	}
+	d.counts.driven.Update(int64(len(d.jobs)))
+	d.mu.Unlock()
+	if !won {
+		// Another call took the same job with an earlier epoch.
+		j.mu.Lock()
+		j.row.Epoch, j.version = max(j.row.Epoch, row.Epoch), max(j.version, version)
+		j.mu.Unlock()
+		return j
+	}
+	if row.Epoch > 1 {
+		d.counts.takeovers.Inc(1)
+	}
+	if row.Cancel {
+		d.cancel(j)
+	}
+	d.submit(j)
+	return j
+}
--- /dev/null
+++ b/placer/internal/jobs/start.go
@@ -0,0 +1,113 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/balsamford/balsamford/coord/point"
+	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/placer/internal/desk"
+	"github.com/balsamford/balsamford/placer/internal/hold"
+)
+
+const (
+	// maxSends bounds how often one start is sent. The endpoint answers the
+	// same attempt as the first time.
+	maxSends = 4
+	// firstLease covers a task until the first renewal after its start.
+	firstLease = 9 * time.Second
+)
+
+// start sends the start of one task, whose attempt has been written.
+func (d *Driver) start(ctx context.Context, j *job, o desk.Order) {
+	pass, err := d.owner.Enter(o.Endpoint, o.Epoch)
+	if err != nil {
+		d.unstarted(ctx, j, []desk.Order{o}, "")
+		return
+	}
+	defer pass.Done()
+	d.counts.starts.Inc(1)
+	in := j.message(o, pass.Owner())
+	for range maxSends {
+		if !pass.Valid() {
+			break
+		}
+		if err = d.startOnce(ctx, pass, in); err == nil {
+			d.running(j, o)
+			return
+		}
+		if reason, surely := unstartedBy(err); surely {
+			if reason == wire.ReasonLeaving {
+				d.owner.Leaving(o.Endpoint)
+			}
+			d.unstarted(ctx, j, []desk.Order{o}, o.Endpoint)
+			return
+		}
+		if d.timer.Sleep(ctx, pause/2) != nil {
+			return
+		}
+	}
+	d.log.Warn("start got no answer", zap.String("id", o.ID), zap.Int("task", o.Task), zap.String("endpoint", o.Endpoint), zap.Error(err))
+	j.mu.Lock()
+	if t := &j.tasks[o.Task]; t.order == o && t.live {
+		t.doubt = true
+	}
+	j.mu.Unlock()
+}
+
+func (d *Driver) startOnce(ctx context.Context, pass *hold.Pass, in point.Start) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return d.client.Start(ctx, pass.Address(), in)
+}
+
+// unstartedBy reports whether a start that failed with err surely didn't
+// happen, and the endpoint's reason.
+func unstartedBy(err error) (reason string, surely bool) {
+	var refused *point.RefusedError
+	if errors.As(err, &refused) {
+		return refused.Reason, true
+	}
+	var fenced *point.FencedError
+	if errors.As(err, &fenced) {
+		return wire.ReasonFenced, true
+	}
+	return "", false
+}
+
+// message returns the start of one task.
+func (j *job) message(o desk.Order, owner point.Owner) point.Start {
+	req := &j.row.Request
+	return point.Start{
+		Owner: owner, ID: desk.TaskID(o.ID, o.Task), Attempt: o.Attempt, Team: req.Team, Queue: req.Queue,
+		Kind: req.Kind, Name: req.Name, Needs: o.Needs, Lease: firstLease, Body: req.Body,
+	}
+}
+
+// running notes that the task of an order runs.
+func (d *Driver) running(j *job, o desk.Order) {
+	d.queue.Started(o)
+	j.mu.Lock()
+	t := &j.tasks[o.Task]
+	current := t.order == o && t.live
+	if current {
+		t.doubt = false
+		j.runLocked(o.Task)
+	}
+	j.mu.Unlock()
+	if current {
+		d.save(j)
+	}
+}
+
+// runLocked notes that a task runs.
+func (j *job) runLocked(n int) {
+	j.row.Tasks[n].Phase = wire.Running
+	if j.row.Phase != wire.Ended {
+		j.row.Phase = wire.Running
+	}
+	j.editLocked()
+}
--- /dev/null
+++ b/placer/internal/jobs/submit.go
@@ -0,0 +1,110 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+
+	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/placer/internal/sched"
+)
+
+// submit queues the tasks that wait. A gang is queued only as a whole, once
+// none of its tasks runs.
+func (d *Driver) submit(j *job) {
+	j.mu.Lock()
+	err := d.submitLocked(j)
+	j.mu.Unlock()
+	var refused *sched.RefusedError
+	if !errors.As(err, &refused) {
+		return
+	}
+	d.spawn(func(ctx context.Context) { d.refused(ctx, j, refused) })
+}
+
+func (d *Driver) submitLocked(j *job) error {
+	item := j.itemLocked()
+	if len(item.Numbers) == 0 {
+		return nil
+	}
+	err := d.queue.Submit(item)
+	for _, n := range item.Numbers {
+		j.tasks[n].queued = err == nil
+	}
+	if err == nil {
+		j.regroup, j.nevers = false, 0
+	}
+	return err
+}
+
+// itemLocked returns the tasks that wait and aren't queued.
+func (j *job) itemLocked() sched.Item {
+	req := &j.row.Request
+	item := sched.Item{
+		ID: req.ID, Team: req.Team, Queue: req.Queue, Kind: req.Kind, Name: req.Name, Needs: req.Needs,
+		Runtime: req.Runtime, Deadline: j.deadline, Urgent: req.Urgent, Avoid: append([]string(nil), req.Avoid...),
+	}
+	if !j.activeLocked() || (req.Kind == wire.Gang && j.liveLocked() > 0) {
+		return item
+	}
+	for n := range j.tasks {
+		t := &j.tasks[n]
+		if t.queued || t.live || j.row.Tasks[n].Outcome != "" {
+			continue
+		}
+		item.Numbers = append(item.Numbers, n)
+		item.Attempt = max(item.Attempt, j.row.Tasks[n].Attempt+1)
+		item.Avoid = append(item.Avoid, t.avoid...)
+	}
+	item.Tasks = len(item.Numbers)
+	return item
+}
+
+// refused handles tasks that the scheduler didn't queue. What this placer's
+// endpoints can't run may fit those of another one.
+func (d *Driver) refused(ctx context.Context, j *job, e *sched.RefusedError) {
+	switch e.Reason {
+	case wire.ReasonDeadline:
+		d.giveUp(j, e.Reason)
+	case wire.ReasonNever:
+		if d.passOn(ctx, j) {
+			return
+		}
+		fallthrough
+	default:
+		if d.timer.Sleep(ctx, 2*pause) == nil {
+			d.submit(j)
+		}
+	}
+}
+
+// giveUp ends what of a job has not started.
+func (d *Driver) giveUp(j *job, reason string) {
+	d.queue.Cancel(j.id())
+	j.mu.Lock()
+	for n := range j.tasks {
+		if j.tasks[n].live || j.row.Tasks[n].Outcome != "" {
+			continue
+		}
+		j.tasks[n].queued = false
+		j.endTaskLocked(n, neverRan(&j.row.Tasks[n]))
+	}
+	j.row.Reason = reason
+	j.concludeLocked()
+	j.mu.Unlock()
+	d.save(j)
+}
+
+// neverRan returns the outcome of a task that waits and will not be started.
+func neverRan(t *wire.JobTask) wire.Outcome {
+	if t.Attempt == 0 {
+		return wire.NotRun
+	}
+	return wire.Failed
+}
+
+// Expired implements desk.Jobs.
+func (d *Driver) Expired(id string, _ []int) {
+	if j := d.find(id); j != nil {
+		d.giveUp(j, wire.ReasonDeadline)
+	}
+}
--- /dev/null
+++ b/placer/internal/serve/doc.go
@@ -0,0 +1,2 @@
+// Package serve answers what the system's other processes ask of a placer.
+package serve
--- /dev/null
+++ b/placer/internal/serve/server.go
@@ -0,0 +1,178 @@
+package serve
+
+import (
+	"context"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/balsamford/balsamford/coord/link"
+	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/placer/internal/exec"
+)
+
+// Runner runs quick requests; an *exec.Runner is one.
+type Runner interface {
+	Run(ctx context.Context, req *wire.Request, out exec.Sender)
+}
+
+// Jobs drives batch, service and gang requests; a *jobs.Driver is one.
+type Jobs interface {
+	// Place takes the job over and reports its phases and its end on out.
+	Place(ctx context.Context, req *wire.Request, out exec.Sender) error
+	// Job returns how a job stands.
+	Job(ctx context.Context, id string) (*wire.Job, error)
+	// Cancel asks for the end of a job.
+	Cancel(ctx context.Context, id string) (wire.Cancelled, error)
+}
+
+// Mux is where verbs are served; a *link.Node is one.
+type Mux interface {
+	Handle(verb string, h link.Handler)
+}
+
+// Server serves the verbs of a placer. All methods may be called
+// concurrently.
+type Server struct {
+	runner Runner
+	jobs   Jobs
+	load   func() wire.Load
+
+	mu      sync.Mutex // guards the fields below
+	leaving bool
+	next    uint64
+	calls   map[uint64]context.CancelCauseFunc
+	byID    map[string]uint64
+	group   errgroup.Group
+}
+
+// New returns a Server; load says what the placer has room for.
+func New(r Runner, j Jobs, load func() wire.Load) *Server {
+	return &Server{
+		runner: r, jobs: j, load: load,
+		calls: make(map[uint64]context.CancelCauseFunc), byID: make(map[string]uint64),
+	}
+}
+
+// Register sets the handlers of all verbs that the server serves.
+func (s *Server) Register(m Mux) {
+	m.Handle(wire.VerbPlace, link.HandlerFunc(s.place))
+	m.Handle(wire.VerbLoad, link.HandlerFunc(s.sendLoad))
+	m.Handle(wire.VerbStatus, link.HandlerFunc(s.status))
+	m.Handle(wire.VerbCancel, link.HandlerFunc(s.cancel))
+}
+
+// Leave refuses new requests from now on, and ends those that wait as not
+// run.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	s.leaving = true
+	calls := make([]context.CancelCauseFunc, 0, len(s.calls))
+	for _, c := range s.calls {
+		calls = append(calls, c)
+	}
+	s.mu.Unlock()
+	for _, c := range calls {
+		c(&exec.StopError{Reason: wire.ReasonLeaving})
+	}
+}
+
+// Leaving reports whether Leave was called.
+func (s *Server) Leaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
+// Busy returns how many requests are under way.
+func (s *Server) Busy() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.calls)
+}
+
+// enter notes a request; leave has to be called at its end. It reports false
+// if the placer is leaving.
+func (s *Server) enter(id string, stop context.CancelCauseFunc) (leave func(), ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving {
+		return nil, false
+	}
+	s.next++
+	n := s.next
+	s.calls[n], s.byID[id] = stop, n
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.calls, n)
+		if s.byID[id] == n {
+			delete(s.byID, id)
+		}
+	}, true
+}
+
+func (s *Server) place(ctx context.Context, stream *link.Stream) error {
+	var req wire.Request
+	if err := stream.Recv(&req); err != nil {
+		return err
+	}
+	if !req.Kind.Valid() || req.ID == "" || req.Needs.Negative() || req.Tasks < 0 {
+		return stream.Send(&wire.Event{ID: req.ID, Attempt: req.Attempt, Outcome: wire.NotRun, Reason: wire.ReasonInvalid})
+	}
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	gone := context.AfterFunc(stream.Context(), func() { stop(&exec.StopError{Reason: wire.ReasonCancel}) })
+	defer gone()
+	leave, ok := s.enter(req.ID, stop)
+	if !ok {
+		return stream.Send(&wire.Event{ID: req.ID, Attempt: req.Attempt, Outcome: wire.NotRun, Reason: wire.ReasonLeaving})
+	}
+	defer leave()
+	if req.Kind == wire.Quick {
+		s.runner.Run(ctx, &req, stream)
+		return nil
+	}
+	return s.jobs.Place(ctx, &req, stream)
+}
+
+func (s *Server) sendLoad(_ context.Context, stream *link.Stream) error {
+	var in wire.Empty
+	if err := stream.Recv(&in); err != nil {
+		return err
+	}
+	l := s.load()
+	l.Leaving = s.Leaving()
+	return stream.Send(&l)
+}
+
+func (s *Server) status(ctx context.Context, stream *link.Stream) error {
+	var in wire.Lookup
+	if err := stream.Recv(&in); err != nil {
+		return err
+	}
+	job, err := s.jobs.Job(ctx, in.ID)
+	if err != nil {
+		return &link.RemoteError{Code: wire.ReasonGone, Text: err.Error()}
+	}
+	return stream.Send(job)
+}
+
+func (s *Server) cancel(ctx context.Context, stream *link.Stream) error {
+	var in wire.Lookup
+	if err := stream.Recv(&in); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	stop := s.calls[s.byID[in.ID]]
+	s.mu.Unlock()
+	if stop != nil {
+		stop(&exec.StopError{Reason: wire.ReasonCancel})
+	}
+	out, err := s.jobs.Cancel(ctx, in.ID)
+	if err != nil {
+		return &link.RemoteError{Code: wire.ReasonRoute, Text: err.Error()}
+	}
+	out.Found = out.Found || stop != nil
+	return stream.Send(&out)
+}
