Let a lapsed lease stay lapsed in the stand-in

A renewal, a stop or the end of the work that came after the end of a lease but before the endpoint noticed it (a paused host) brought the task back. The new test failed for all three before the change to endLocked and renew.

--- a/standin/engine/answer.go
+++ b/standin/engine/answer.go
@@ -8,7 +8,9 @@
 )
 
 // Answer returns the answer of a task: size bytes that depend only on its id
-// and seed, so that a caller can tell its own answer from any other.
+// and seed, so that a caller can tell its own answer from any other. If the
+// task's Body has a Tag, the tag, "/" and the number of the task stand in
+// place of the id.
 func Answer(id string, seed uint64, size int) []byte {
 	data := make([]byte, size)
 	_, _ = io.ReadFull(NewReader(id, seed, size), data)
--- a/standin/engine/endpoint_test.go
+++ b/standin/engine/endpoint_test.go
@@ -275,3 +275,44 @@
 	s.Advance(time.Second)
 	is.Equal(state(t, e, "b"), point.Lapsed)
 }
+
+func TestAnswersOfTaggedTasks(t *testing.T) {
+	is := is.New(t)
+	e, s := worker(t)
+	is.NoErr(e.Start(background, start(t, "team/x/3", 100, Body{Size: 20, Seed: 9, Tag: "mine"})))
+	s.Advance(time.Second)
+	v, err := e.View(background)
+	is.NoErr(err)
+	is.Equal(v.Tasks[0].Output, Answer("mine/3", 9, 20))
+	is.Equal(e.Log().Events()[len(e.Log().Events())-1].Tag, "mine")
+}
+
+// What comes after the end of a lease, but before the endpoint has noticed
+// it, doesn't bring the task back: a renewal, the end of its work, a stop.
+func TestLeaseEndsWhenItRunsOut(t *testing.T) {
+	tests := map[string]func(e *Endpoint, s *timer.Service) error{
+		"renewed": func(e *Endpoint, _ *timer.Service) error {
+			_, err := e.Renew(background, point.Renew{Owner: owner("p1", 5), Term: time.Minute, Lease: time.Minute})
+			return err
+		},
+		"stopped": func(e *Endpoint, _ *timer.Service) error {
+			return e.Stop(background, point.Stop{Owner: owner("p1", 5), ID: "a", Attempt: 1, Mode: point.ModeStop})
+		},
+		"done": func(*Endpoint, *timer.Service) error { return nil },
+	}
+	for name, late := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e, s := worker(t)
+			var err error
+			// Subscribed before the task, so that it is called first.
+			s.After(10*time.Second, func() { err = late(e, s) })
+			is.NoErr(e.Start(background, start(t, "a", 1000, Body{Work: setup.Duration(10 * time.Second)})))
+			s.Advance(10 * time.Second)
+			is.NoErr(err)
+			is.Equal(state(t, e, "a"), point.Lapsed)
+			is.Equal(count(e, Lapse), 1)
+			is.Equal(count(e, Ended), 0)
+		})
+	}
+}
--- a/standin/engine/life.go
+++ b/standin/engine/life.go
@@ -115,12 +115,19 @@
 		return
 	}
 	if e.kind == point.Worker {
-		t.output = Answer(t.start.ID, t.body.Seed, min(t.body.Size, outputLimit))
+		t.output = Answer(t.answerName(), t.body.Seed, min(t.body.Size, outputLimit))
 	}
 	e.endLocked(t, point.Done, 0)
 }
 
+// endLocked ends the task. Once its lease has run out it has lapsed at that
+// moment, whatever ends it and however late that is noticed.
 func (e *Endpoint) endLocked(t *task, state point.State, code int) {
+	at := e.timer.Now()
+	if late := e.timer.Boot() - t.until; late >= 0 {
+		state, code, at = point.Lapsed, 0, at.Add(-late)
+		t.output = nil
+	}
 	t.state, t.code = state, code
 	t.reported = t.used
 	t.disarm()
@@ -129,7 +136,7 @@
 	if state == point.Lapsed {
 		kind = Lapse
 	}
-	e.recordTask(kind, &t.start, t.body, Event{Used: t.used, State: state})
+	e.recordTask(kind, &t.start, t.body, Event{Time: at, Used: t.used, State: state})
 	close(t.done)
 }
 
--- a/standin/engine/task.go
+++ b/standin/engine/task.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"strings"
 	"time"
 
 	"github.com/balsamford/balsamford/coord/point"
@@ -39,6 +40,16 @@
 
 func (t *task) key() taskKey { return taskKey{t.start.ID, t.start.Attempt} }
 
+// answerName is the name that the task's answer depends on: that of the
+// caller, if there is one, with the number of the task, or its id.
+func (t *task) answerName() string {
+	if t.body.Tag == "" {
+		return t.start.ID
+	}
+	number := t.start.ID[strings.LastIndexByte(t.start.ID, '/')+1:]
+	return t.body.Tag + "/" + number
+}
+
 // message returns what is told of the task.
 func (t *task) message(now time.Duration) point.Task {
 	s := &t.start
--- /dev/null
+++ b/trial/calls/client.go
@@ -0,0 +1,78 @@
+package calls
+
+import (
+	"encoding/json"
+	"errors"
+	"net/url"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/balsamford/balsamford/coord/dial"
+)
+
+const (
+	pathRequests = "/v1/requests"
+	connections  = 512 // to one entry
+)
+
+// Client calls entries. It may be used concurrently.
+type Client struct {
+	http    *fasthttp.Client
+	pool    dial.Pool
+	timeout time.Duration
+}
+
+// New returns a Client whose calls end after timeout.
+func New(timeout time.Duration) *Client {
+	c := &Client{timeout: timeout, http: &fasthttp.Client{
+		NoDefaultUserAgentHeader:  true,
+		MaxIdemponentCallAttempts: 1,
+		MaxConnsPerHost:           connections,
+	}}
+	c.http.DialTimeout = c.pool.Dial
+	return c
+}
+
+// Close closes all connections.
+func (c *Client) Close() { c.pool.Close() }
+
+// Submit sends a request to the entry at address, with the secret key unless
+// that is empty. The error is a *LostError.
+func (c *Client) Submit(address, key string, f *Form) (Reply, error) {
+	body, err := json.Marshal(f)
+	if err != nil {
+		return Reply{}, &LostError{Unsent: true, Err: err}
+	}
+	return c.do(fasthttp.MethodPost, address, pathRequests, key, body)
+}
+
+// Status asks where a request stands.
+func (c *Client) Status(address, key, id string) (Reply, error) {
+	return c.do(fasthttp.MethodGet, address, pathRequests+"/"+url.PathEscape(id), key, nil)
+}
+
+// Cancel asks for the end of a request.
+func (c *Client) Cancel(address, key, id string) (Reply, error) {
+	return c.do(fasthttp.MethodDelete, address, pathRequests+"/"+url.PathEscape(id), key, nil)
+}
+
+func (c *Client) do(method, address, path, key string, body []byte) (Reply, error) {
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + address + path)
+	if key != "" {
+		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+key)
+	}
+	if body != nil {
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(body)
+	}
+	if err := c.http.DoTimeout(req, res, c.timeout); err != nil {
+		var unsent *dial.Error
+		return Reply{}, &LostError{Unsent: errors.As(err, &unsent) || errors.Is(err, fasthttp.ErrNoFreeConns), Err: err}
+	}
+	return readReply(res)
+}
--- /dev/null
+++ b/trial/calls/doc.go
@@ -0,0 +1,2 @@
+// Package calls speaks with entries as their callers do.
+package calls
--- a/trial/judge/answers.go
+++ b/trial/judge/answers.go
@@ -4,6 +4,9 @@
 	"github.com/balsamford/balsamford/coord/point"
 )
 
+// service is the kind whose tasks run until they are stopped.
+const service = "service"
+
 // checkAnswers finds callers that were told a wrong or a partial answer, or
 // of a success that no endpoint knows of.
 func checkAnswers(r *Record, runs []*run) []Finding {
@@ -24,7 +27,7 @@
 			findings = append(findings, Finding{Answered, c.Tag, "the answer isn't whole"})
 		case !c.Own:
 			findings = append(findings, Finding{Answered, c.Tag, "the answer isn't that of its request"})
-		case !done[c.Tag]:
+		case !done[c.Tag] && c.Kind != service:
 			findings = append(findings, Finding{Answered, c.Tag, "told done, but no endpoint finished it"})
 		}
 	}
--- /dev/null
+++ b/trial/load/one.go
@@ -0,0 +1,125 @@
+package load
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/trial/calls"
+	"github.com/balsamford/balsamford/trial/judge"
+)
+
+// tries is how often a caller sends the same request, under the same id and
+// to different entries, while it doesn't know what became of it.
+const tries = 4
+
+// tryPause is the pause between two tries.
+const tryPause = 300 * time.Millisecond
+
+// one sends a request and follows it to its end.
+func (r *Runner) one(ctx context.Context, it *item) judge.Call {
+	c := judge.Call{Tag: it.form.Body.Tag, Key: it.team.key, Team: it.team.name, Kind: string(it.form.Kind),
+		Once: !it.form.Idempotent, Sent: time.Now()}
+	reply, ok := r.submit(ctx, it, &c)
+	if !ok {
+		return c
+	}
+	if it.form.Kind == wire.Quick {
+		c.Whole = len(reply.Answer) == it.form.Body.Size
+		c.Own = it.form.Own("0", reply.Answer)
+		return c
+	}
+	r.follow(ctx, it, &c)
+	return c
+}
+
+// submit sends the request until its caller knows what became of it, and
+// reports whether there is more to see: an answer, or a job.
+func (r *Runner) submit(ctx context.Context, it *item, c *judge.Call) (calls.Reply, bool) {
+	var reply calls.Reply
+	for try := range tries {
+		var err error
+		reply, err = r.client.Submit(r.door(it, try), it.team.secret, &it.form)
+		c.Outcome, c.Reason = string(reply.Outcome), reply.Reason
+		if reply.ID != "" {
+			c.ID = reply.ID
+		}
+		if err != nil {
+			c.Outcome, c.Reason = "", err.Error()
+		}
+		known := err == nil && reply.Outcome != wire.Unknown && reply.Status/100 != 5 || reply.Outcome == wire.NotRun
+		if known {
+			break
+		}
+		if !sleep(ctx, tryPause) {
+			break
+		}
+	}
+	if it.form.Kind == wire.Quick {
+		return reply, reply.Outcome == wire.Done && reply.Reason == ""
+	}
+	return reply, reply.Accepted() && reply.Outcome != wire.NotRun
+}
+
+// follow watches a job to its end. A service is cancelled after its stay.
+func (r *Runner) follow(ctx context.Context, it *item, c *judge.Call) {
+	if it.form.Kind == wire.Service {
+		sleep(ctx, it.stay)
+		r.cancel(ctx, it, c)
+	}
+	for try := 0; ; try++ {
+		reply, err := r.client.Status(r.door(it, try), it.team.secret, c.ID)
+		if err == nil && reply.Outcome != "" {
+			c.Outcome, c.Reason = string(reply.Outcome), reply.Reason
+			c.Whole, c.Own = outputs(it, &reply)
+			return
+		}
+		if !sleep(ctx, pollTime) {
+			c.Outcome, c.Reason = "", "the trial ended before the job"
+			return
+		}
+	}
+}
+
+// cancel asks for the end of a job until an entry has heard it.
+func (r *Runner) cancel(ctx context.Context, it *item, c *judge.Call) {
+	for try := 0; ; try++ {
+		reply, err := r.client.Cancel(r.door(it, try), it.team.secret, c.ID)
+		if err == nil && reply.Status/100 != 5 {
+			return
+		}
+		if !sleep(ctx, tryPause) {
+			return
+		}
+	}
+}
+
+// outputs checks the outputs of the tasks that are done.
+func outputs(it *item, reply *calls.Reply) (whole, own bool) {
+	for i := range reply.Tasks {
+		t := &reply.Tasks[i]
+		if t.Outcome != wire.Done {
+			continue
+		}
+		if len(t.Output) != it.form.Body.Size {
+			return false, false
+		}
+		if !it.form.Own(strconv.Itoa(i), t.Output) {
+			return true, false
+		}
+	}
+	return true, true
+}
+
+// sleep returns false if ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/trial/rules/doc.go
@@ -0,0 +1,3 @@
+// Package rules publishes configurations of trials: a file of objects, and
+// changes of it.
+package rules
