--- a/trial/cell/address.go
+++ b/trial/cell/address.go
@@ -5,8 +5,9 @@
 	Host    string
 	Zone    string
 	Address string
-	Page    string // metrics, health and readiness of the entry
-	Placer  string // the same of the placer on the host
+	Page    string   // metrics, health and readiness of the entry
+	Placer  string   // the same of the placer on the host
+	Links   []string // UDP addresses of the entry and the placer
 }
 
 // Doors returns the callers' addresses.
@@ -14,7 +15,8 @@
 	list := make([]Door, 0)
 	for _, z := range c.plan.zones {
 		for _, h := range z.hosts {
-			list = append(list, Door{Host: h.name, Zone: z.name, Address: h.door, Page: h.entryPage, Placer: h.placerPage})
+			list = append(list, Door{Host: h.name, Zone: z.name, Address: h.door, Page: h.entryPage, Placer: h.placerPage,
+				Links: []string{h.entryLink, h.placerLink}})
 		}
 	}
 	return list
@@ -50,3 +52,6 @@
 	}
 	return ""
 }
+
+// Zones returns the names of the availability zones.
+func (c *Cell) Zones() []string { return c.plan.spec.Zones }
--- /dev/null
+++ b/trial/internal/demo/demo.go
@@ -0,0 +1,59 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/balsamford/balsamford/trial/judge"
+	"github.com/balsamford/balsamford/trial/load"
+	"github.com/balsamford/balsamford/trial/report"
+	"github.com/balsamford/balsamford/trial/site"
+)
+
+// jobTime is how long jobs may run on after the last request was sent.
+const jobTime = 45 * time.Second
+
+// Settings say how the demo runs.
+type Settings struct {
+	Site  site.Settings
+	Count int     // requests
+	Rate  float64 // requests a second
+	Seed  uint64
+}
+
+// Run runs the demo, writes what it sees to w and returns the broken
+// promises.
+func Run(ctx context.Context, s Settings, w io.Writer) ([]judge.Finding, error) {
+	spec := s.Site.Spec
+	_, _ = fmt.Fprintf(w, "starting %d zones with %d entry hosts, %d executors and %d workers each\n",
+		len(spec.Zones), spec.Hosts, spec.Executors, spec.Workers)
+	st, err := site.Open(ctx, s.Site)
+	if st != nil {
+		defer st.Close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	_, _ = fmt.Fprintf(w, "all processes are ready; sending %d requests\n", s.Count)
+	r := load.New(s.Seed, s.Rate, jobTime, st.Book().Set(), st.Cell().Doors())
+	r.Run(ctx, s.Count)
+	record := &judge.Record{Calls: r.Calls(), Keys: load.Keys(st.Book().Set()), Limits: load.Limits(st.Book().Set()), End: time.Now()}
+	if record.Events, err = st.Events(); err != nil {
+		return nil, err
+	}
+	report.NewTable(record).Print(w)
+	st.Stop()
+	record.Exits = st.Exits()
+	for _, x := range record.Exits {
+		if x.Code != 0 {
+			_, _ = fmt.Fprintf(w, "%s ended with code %d\n", x.Process, x.Code)
+		}
+	}
+	findings := judge.Check(record)
+	if len(findings) == 0 {
+		_, _ = fmt.Fprintf(w, "all %d processes have ended gracefully; no promise was broken\n", len(record.Exits))
+	}
+	return findings, nil
+}
--- /dev/null
+++ b/trial/internal/faults/processes.go
@@ -0,0 +1,89 @@
+package faults
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/balsamford/balsamford/trial/cell"
+	"github.com/balsamford/balsamford/trial/judge"
+)
+
+// process picks an entry or a placer.
+func (m *maker) process() *cell.Process {
+	list := append(m.site.Cell().Role(cell.RoleEntry), m.site.Cell().Role(cell.RolePlacer)...)
+	return list[m.rand.IntN(len(list))]
+}
+
+func (m *maker) kill() *fault {
+	p := m.process()
+	return &fault{
+		text: "kill " + p.Name(), target: p.Name(), last: m.between(500*time.Millisecond, 4*time.Second),
+		begin: func(context.Context) error { m.site.Cell().Kill(p); return nil },
+		end:   func(context.Context) error { return m.site.Cell().Start(p) },
+	}
+}
+
+func (m *maker) pause() *fault {
+	p := m.process()
+	last := longPause
+	if m.rand.IntN(2) == 0 {
+		last = m.between(200*time.Millisecond, 5*time.Second)
+	}
+	return &fault{
+		text: "pause " + p.Name() + " for " + last.String(), target: p.Name(), last: last,
+		begin: func(context.Context) error { return p.Signal(syscall.SIGSTOP) },
+		end:   func(context.Context) error { return p.Signal(syscall.SIGCONT) },
+	}
+}
+
+func (m *maker) replace() *fault {
+	p := m.process()
+	return &fault{
+		text: "replace " + p.Name(), target: p.Name(), last: m.between(0, time.Second),
+		begin: func(context.Context) error {
+			m.site.Cell().Stop(p)
+			code, planned := p.Exit()
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.exits = append(m.exits, judge.Exit{Process: p.Name(), Planned: planned, Code: code})
+			return nil
+		},
+		end: func(context.Context) error { return m.site.Cell().Start(p) },
+	}
+}
+
+func (m *maker) host() *fault {
+	doors := m.site.Cell().Doors()
+	name := doors[m.rand.IntN(len(doors))].Host
+	list := m.site.Host(name)
+	return &fault{
+		text: "kill host " + name, target: name, last: m.between(time.Second, 6*time.Second),
+		begin: func(context.Context) error {
+			for _, p := range list {
+				m.site.Cell().Kill(p)
+			}
+			return nil
+		},
+		end: func(context.Context) error {
+			var err error
+			for _, p := range list {
+				if !p.Running() {
+					err = errors.Join(err, m.site.Cell().Start(p))
+				}
+			}
+			return err
+		},
+	}
+}
+
+func (m *maker) rack() *fault {
+	list := m.site.Cell().Role(cell.RoleEndpoints)
+	p := list[m.rand.IntN(len(list))]
+	return &fault{
+		text: "pause " + p.Name(), target: p.Name(), last: longPause,
+		begin: func(context.Context) error { return p.Signal(syscall.SIGSTOP) },
+		end:   func(context.Context) error { return p.Signal(syscall.SIGCONT) },
+	}
+}
--- a/trial/judge/config.go
+++ b/trial/judge/config.go
@@ -8,6 +8,9 @@
 	findings := make([]Finding, 0)
 	highest := make(map[string]uint64)
 	for _, v := range r.Versions {
+		if v.Version == 0 {
+			continue
+		}
 		if v.Version < highest[v.Host] {
 			findings = append(findings, Finding{Config, v.Host, fmt.Sprintf("version %d after %d", v.Version, highest[v.Host])})
 		}
--- /dev/null
+++ b/trial/load/facts.go
@@ -0,0 +1,28 @@
+package load
+
+import (
+	"time"
+
+	"github.com/balsamford/balsamford/coord/config"
+	"github.com/balsamford/balsamford/trial/judge"
+)
+
+// Keys returns the callers' keys of a set.
+func Keys(set *config.Set) []judge.Key {
+	keys := make([]judge.Key, 0)
+	for _, t := range teamsOf(set) {
+		keys = append(keys, judge.Key{Name: t.key, Team: t.name})
+	}
+	return keys
+}
+
+// Limits returns the upper limits of a set, in force from the beginning.
+func Limits(set *config.Set) []judge.Limit {
+	limits := make([]judge.Limit, 0)
+	for _, ref := range set.Refs() {
+		if l, ok := set.Object(ref).(*config.Limit); ok {
+			limits = append(limits, judge.Limit{Team: l.Team, Tasks: int(l.Tasks), From: time.Time{}})
+		}
+	}
+	return limits
+}
--- a/trial/main.go
+++ b/trial/main.go
@@ -1,7 +1,124 @@
-// Command trial is not built yet.
+// Command trial runs deployments on the loopback, loads them and judges what
+// it sees. It is a tool for tests: unlike the programs of the system it
+// starts processes.
 package main
 
 import "C"
 
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/balsamford/balsamford/trial/cell"
+	"github.com/balsamford/balsamford/trial/internal/demo"
+	"github.com/balsamford/balsamford/trial/internal/faults"
+	"github.com/balsamford/balsamford/trial/judge"
+	"github.com/balsamford/balsamford/trial/site"
+)
+
+// The exit codes.
+const (
+	exitBroken = 1 // a promise was broken, or a process didn't end well
+	exitFailed = 2 // the trial itself could not run
+)
+
+// options are the command line.
+type options struct {
+	objects  string
+	binaries string
+	dir      string
+	seed     uint64
+	count    int
+	rate     float64
+	long     time.Duration
+	today    bool
+}
+
 func main() {
+	o := options{objects: filepath.Join("deploy", "trilha.toml"), binaries: ownDir(), seed: 1, count: 600, rate: 60, long: 30 * time.Second}
+	play := flaggy.NewSubcommand("demo")
+	play.Description = "a small deployment, real requests of all kinds, a table, a graceful end"
+	harm := flaggy.NewSubcommand("faults")
+	harm.Description = "load of all kinds under seeded faults, judged by the endpoints' own logs"
+	flaggy.SetName("trial")
+	flaggy.SetDescription("runs deployments on the loopback and judges them")
+	for _, c := range []*flaggy.Subcommand{play, harm} {
+		c.String(&o.objects, "o", "objects", "file of configuration objects")
+		c.String(&o.binaries, "b", "binaries", "directory of the programs")
+		c.String(&o.dir, "d", "dir", "directory for settings and output; a temporary one if empty")
+		c.UInt64(&o.seed, "s", "seed", "of the requests and the faults")
+		c.Float64(&o.rate, "r", "rate", "requests a second")
+		c.Bool(&o.today, "t", "today", "run today's sizes: four zones, 52 executors, 48 workers")
+		flaggy.AttachSubcommand(c, 1)
+	}
+	play.Int(&o.count, "n", "count", "requests")
+	harm.Duration(&o.long, "l", "time", "how long faults are made")
+	flaggy.Parse()
+	run := o.demo
+	switch {
+	case harm.Used:
+		run = o.faults
+	case !play.Used:
+		flaggy.ShowHelpAndExit("name a command: demo or faults")
+	}
+	os.Exit(o.run(run))
+}
+
+// run runs one command and returns the exit code.
+func (o *options) run(command func(context.Context, site.Settings) ([]judge.Finding, error)) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	s := site.Settings{Dir: o.dir, Binaries: o.binaries, Objects: o.objects, Spec: cell.Small()}
+	if o.today {
+		s.Spec = cell.Today()
+	}
+	if s.Dir == "" {
+		dir, err := os.MkdirTemp("", "trial-")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "trial:", err)
+			return exitFailed
+		}
+		s.Dir = dir
+	}
+	findings, err := command(ctx, s)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "trial:", err)
+		fmt.Fprintln(os.Stderr, "trial: the processes' output is in", s.Dir)
+		return exitFailed
+	}
+	for _, f := range findings {
+		fmt.Println("broken", f)
+	}
+	if len(findings) > 0 {
+		fmt.Fprintln(os.Stderr, "trial: the processes' output is in", s.Dir)
+		return exitBroken
+	}
+	if o.dir == "" {
+		_ = os.RemoveAll(s.Dir)
+	}
+	return 0
+}
+
+func (o *options) demo(ctx context.Context, s site.Settings) ([]judge.Finding, error) {
+	return demo.Run(ctx, demo.Settings{Site: s, Count: o.count, Rate: o.rate, Seed: o.seed}, os.Stdout)
+}
+
+func (o *options) faults(ctx context.Context, s site.Settings) ([]judge.Finding, error) {
+	return faults.Run(ctx, faults.Settings{Site: s, Time: o.long, Rate: o.rate, Seed: o.seed}, os.Stdout)
+}
+
+// ownDir returns the directory of this program.
+func ownDir() string {
+	path, err := os.Executable()
+	if err != nil {
+		return "bin"
+	}
+	return filepath.Dir(path)
 }
