Ask for the outputs of jobs in trials, wait for owners before the load

Seen: services were judged by outputs that stopped tasks don't have (mended here), and placers say ready before they own endpoints, so the first requests were refused as busy (the trial now waits for owners).

--- a/trial/calls/client.go
+++ b/trial/calls/client.go
@@ -52,6 +52,12 @@
 	return c.do(fasthttp.MethodGet, address, pathRequests+"/"+url.PathEscape(id), key, nil)
 }
 
+// Result asks for the answer of a request that has ended, the outputs of a
+// job's tasks included.
+func (c *Client) Result(address, key, id string) (Reply, error) {
+	return c.do(fasthttp.MethodGet, address, pathRequests+"/"+url.PathEscape(id)+"/result", key, nil)
+}
+
 // Cancel asks for the end of a request.
 func (c *Client) Cancel(address, key, id string) (Reply, error) {
 	return c.do(fasthttp.MethodDelete, address, pathRequests+"/"+url.PathEscape(id), key, nil)
--- a/trial/internal/demo/demo.go
+++ b/trial/internal/demo/demo.go
@@ -44,6 +44,9 @@
 		return nil, err
 	}
 	report.NewTable(record).Print(w)
+	if err := report.Save(s.Site.Dir, record); err != nil {
+		return nil, err
+	}
 	st.Stop()
 	record.Exits = st.Exits()
 	for _, x := range record.Exits {
--- a/trial/internal/faults/run.go
+++ b/trial/internal/faults/run.go
@@ -71,6 +71,9 @@
 		return nil, err
 	}
 	report.NewTable(record).Print(w)
+	if err := report.Save(s.Site.Dir, record); err != nil {
+		return nil, err
+	}
 	if healed != nil {
 		return judge.Check(record), healed
 	}
--- a/trial/load/one.go
+++ b/trial/load/one.go
@@ -70,6 +70,9 @@
 	}
 	for try := 0; ; try++ {
 		reply, err := r.client.Status(r.door(it, try), it.team.secret, c.ID)
+		if err == nil && reply.Outcome != "" {
+			reply, err = r.client.Result(r.door(it, try), it.team.secret, c.ID)
+		}
 		if err == nil && reply.Outcome != "" {
 			c.Outcome, c.Reason = string(reply.Outcome), reply.Reason
 			c.Whole, c.Own = outputs(it, &reply)
@@ -95,8 +98,12 @@
 	}
 }
 
-// outputs checks the outputs of the tasks that are done.
+// outputs checks the outputs of the tasks that are done. Those of a service
+// have none, because they are stopped.
 func outputs(it *item, reply *calls.Reply) (whole, own bool) {
+	if it.form.Kind == wire.Service {
+		return true, true
+	}
 	for i := range reply.Tasks {
 		t := &reply.Tasks[i]
 		if t.Outcome != wire.Done {
--- a/trial/report/table.go
+++ b/trial/report/table.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -21,6 +23,7 @@
 type row struct {
 	sent     int
 	outcomes map[string]int
+	reasons  map[string]int          // of all outcomes but done
 	waits    *hdrhistogram.Histogram // in microseconds
 }
 
@@ -44,6 +47,9 @@
 			outcome = "none"
 		}
 		x.outcomes[outcome]++
+		if outcome != "done" {
+			x.reasons[outcome+" "+c.Reason]++
+		}
 		began, ok := first[c.Tag]
 		if c.Kind == "gang" {
 			began, ok = last[c.Tag]
@@ -79,7 +85,7 @@
 func (t *Table) row(kind string) *row {
 	x := t.rows[kind]
 	if x == nil {
-		x = &row{outcomes: make(map[string]int), waits: hdrhistogram.New(1, longestWait, digits)}
+		x = &row{outcomes: make(map[string]int), reasons: make(map[string]int), waits: hdrhistogram.New(1, longestWait, digits)}
 		t.rows[kind] = x
 	}
 	return x
@@ -103,6 +109,11 @@
 			o["unknown"], o["none"], x.waits.TotalCount(), milliseconds(x.waits.ValueAtQuantile(50)), milliseconds(x.waits.ValueAtQuantile(99)))
 	}
 	_ = tw.Flush()
+	for _, kind := range []string{"quick", "service", "batch", "gang"} {
+		for _, reason := range slices.Sorted(maps.Keys(t.row(kind).reasons)) {
+			_, _ = fmt.Fprintf(w, "%s: %d %s\n", kind, t.row(kind).reasons[reason], reason)
+		}
+	}
 }
 
 func milliseconds(us int64) float64 { return float64(us) / 1000 }
--- a/trial/site/site.go
+++ b/trial/site/site.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/balsamford/balsamford/coord/point"
 	"github.com/balsamford/balsamford/trial/cell"
 	"github.com/balsamford/balsamford/trial/judge"
 	"github.com/balsamford/balsamford/trial/rules"
@@ -63,7 +64,32 @@
 			return err
 		}
 	}
-	return s.Ready(ctx, readyTime)
+	if err := s.Ready(ctx, readyTime); err != nil {
+		return err
+	}
+	return s.owned(ctx)
+}
+
+// owned waits until every endpoint has an owner.
+func (s *Site) owned(ctx context.Context) error {
+	client := point.NewClient()
+	defer client.Close()
+	for _, e := range s.cell.Endpoints() {
+		reason := cell.Wait(ctx, readyTime, func() string {
+			v, err := client.View(ctx, e.Address)
+			switch {
+			case err != nil:
+				return err.Error()
+			case v.Left <= 0:
+				return "nobody owns it"
+			}
+			return ""
+		})
+		if reason != "" {
+			return &NotReadyError{What: e.Kind + " " + e.Address, Reason: reason}
+		}
+	}
+	return nil
 }
 
 // Ready waits until all entries and placers are ready, for at most d.
