--- a/placer/internal/sched/decide.go
+++ b/placer/internal/sched/decide.go
@@ -75,7 +75,7 @@
 func (p *pool) serve(t *team, out []Decision) []Decision {
 	for _, l := range t.lanes {
 		seen := 0
-		for _, e := range l.entries {
+		for _, e := range l.line() {
 			if e.lane != l {
 				continue
 			}
--- a/placer/internal/sched/entry.go
+++ b/placer/internal/sched/entry.go
@@ -18,7 +18,7 @@
 	lane      *lane     // where it waits; nil if it doesn't
 	heapIndex int       // in the deadlines; -1 if it isn't there
 	cancelled bool
-	broken    bool // a member of the gang was not sent
+	broken    bool       // a member of the gang was not sent
 	granted   wire.Needs // what each task is given
 }
 
@@ -37,7 +37,7 @@
 	needs   wire.Needs // granted
 	start   time.Time  // of the decision, or of the start once it is known
 	started bool
-	slot    int  // in the runs of its endpoint
+	slot    int // in the runs of its endpoint
 }
 
 // taskKey names a task.
--- a/placer/internal/sched/lane.go
+++ b/placer/internal/sched/lane.go
@@ -8,6 +8,7 @@
 	urgent  bool
 	rank    int
 	entries []*entry
+	head    int // entries before it left
 	live    int // entries that wait
 }
 
@@ -23,11 +24,22 @@
 		i--
 	}
 	if i > 0 && l.entries[i-1] == e { // still in its old place
+		l.head = min(l.head, i-1)
 		return
 	}
 	l.entries = append(l.entries, nil)
 	copy(l.entries[i+1:], l.entries[i:])
 	l.entries[i] = e
+	l.head = min(l.head, i)
+}
+
+// line returns the entries from the first one that waits, with those that
+// left among them.
+func (l *lane) line() []*entry {
+	for l.head < len(l.entries) && l.entries[l.head].lane != l {
+		l.head++
+	}
+	return l.entries[l.head:]
 }
 
 func (l *lane) remove(e *entry) {
@@ -51,5 +63,5 @@
 		}
 	}
 	clear(l.entries[len(kept):])
-	l.entries = kept
+	l.entries, l.head = kept, 0
 }
--- a/placer/internal/sched/load.go
+++ b/placer/internal/sched/load.go
@@ -26,11 +26,8 @@
 	now := p.timer.Now()
 	for _, t := range p.order {
 		for _, l := range t.lanes {
-			for _, e := range l.entries {
-				if e.lane == l {
-					m[l.queue] = max(m[l.queue], now.Sub(e.since))
-					break
-				}
+			if line := l.line(); len(line) > 0 {
+				m[l.queue] = max(m[l.queue], now.Sub(line[0].since))
 			}
 		}
 	}
