Take what ended out of an endpoint's reported usage

Cause: reports lag by 2 s, quick runs take 0.5 s, so ended runs went on holding room. Change: a run's end lowers what was reported since it started.

--- a/placer/internal/bench/books.go
+++ b/placer/internal/bench/books.go
@@ -55,6 +55,7 @@
 	}
 	if short > 0 {
 		d.result.busy.add(dominant(sum, b.capacity))
+		d.sampleHosts()
 	}
 	b.window.add(have, fill(b.weights, want, total))
 	if short >= 2 {
@@ -69,6 +70,20 @@
 	b.window, b.full = window{}, 0
 }
 
+// sampleHosts notes how many workers use more than they have.
+func (d *driver) sampleHosts() {
+	for _, h := range d.hosts {
+		if h.capacity.CPU == 0 {
+			continue
+		}
+		hot := 0.0
+		if h.used.CPU > h.capacity.CPU {
+			hot = 1
+		}
+		d.result.hot.add(hot)
+	}
+}
+
 func dominant(used, capacity wire.Needs) float64 {
 	s := ratio(used.CPU, capacity.CPU)
 	s = max(s, ratio(used.Mem, capacity.Mem))
--- a/placer/internal/bench/fcfs.go
+++ b/placer/internal/bench/fcfs.go
@@ -138,7 +138,7 @@
 func (l *line) free(k taskKey) (sched.Item, bool) {
 	g, ok := l.runs[k]
 	if ok {
-		l.table.Free(g.row, g.item.Needs)
+		l.table.Free(g.row, g.item.Needs, 0)
 		delete(l.runs, k)
 	}
 	return g.item, ok
--- a/placer/internal/cell/row.go
+++ b/placer/internal/cell/row.go
@@ -10,6 +10,7 @@
 	granted          wire.Needs
 	reported         wire.Needs
 	free             wire.Needs
+	reports          uint64 // how many have come
 	tasks            int
 	leaving          bool
 	barred           bool
@@ -39,6 +40,10 @@
 // endpoint reports more than it declares.
 func (r *Row) Free() wire.Needs { return r.free }
 
+// Reports returns how many reports of usage have come. A task that was there
+// before the last one is part of it.
+func (r *Row) Reports() uint64 { return r.reports }
+
 // Tasks returns how many tasks hold room.
 func (r *Row) Tasks() int { return r.tasks }
 
--- a/placer/internal/cell/table.go
+++ b/placer/internal/cell/table.go
@@ -64,6 +64,7 @@
 		return false
 	}
 	r.reported = used
+	r.reports++
 	r.settle()
 	return true
 }
@@ -87,10 +88,15 @@
 	r.settle()
 }
 
-// Free gives back the room of one task.
-func (t *Table) Free(r *Row, needs wire.Needs) {
+// Free gives back the room of one task that was granted after so many
+// reports. A report that came since then counted the task, so what it took is
+// no longer part of what was reported.
+func (t *Table) Free(r *Row, needs wire.Needs, reports uint64) {
 	r.granted = r.granted.Sub(needs)
 	r.tasks--
+	if reports < r.reports {
+		r.reported = r.reported.Sub(needs).Max(wire.Needs{})
+	}
 	r.settle()
 }
 
--- a/placer/internal/sched/entry.go
+++ b/placer/internal/sched/entry.go
@@ -37,7 +37,8 @@
 	needs   wire.Needs // granted
 	start   time.Time  // of the decision, or of the start once it is known
 	started bool
-	slot    int // in the runs of its endpoint
+	reports uint64 // of its endpoint when it was granted
+	slot    int    // in the runs of its endpoint
 }
 
 // taskKey names a task.
--- a/placer/internal/sched/pool.go
+++ b/placer/internal/sched/pool.go
@@ -105,7 +105,7 @@
 
 // hold takes room for a task that was decided or adopted.
 func (p *pool) hold(e *entry, number int, attempt uint32, row *cell.Row, needs wire.Needs, start time.Time) *run {
-	r := &run{entry: e, number: number, attempt: attempt, row: row, needs: needs, start: start}
+	r := &run{entry: e, number: number, attempt: attempt, row: row, needs: needs, start: start, reports: row.Reports()}
 	p.table.Adopt(row, needs)
 	r.slot = len(p.hosted[row])
 	p.hosted[row] = append(p.hosted[row], r)
@@ -120,7 +120,7 @@
 // release gives a task's room back. Its share of the limit is the caller's
 // to give.
 func (p *pool) release(r *run) {
-	p.table.Free(r.row, r.needs)
+	p.table.Free(r.row, r.needs, r.reports)
 	hosted := p.hosted[r.row]
 	last := len(hosted) - 1
 	hosted[r.slot] = hosted[last]
