Add the operators' door

Cause: configuration was published by library calls only. A read that confirmed a version goes on to count when a newer one is applied, since it showed that nothing newer than the older one was published. Seen first: TestDoor answered 503 stale right after each publish until the next read of the head, because a newly applied version counted as unconfirmed. Ruled out: the listing of the process (its row was there). Measured: unit tests, also under the race detector.

--- /dev/null
+++ b/coord/admin/empty.go
@@ -0,0 +1,4 @@
+package admin
+
+// Empty is an answer without content.
+type Empty struct{}
--- a/coord/config/base.go
+++ b/coord/config/base.go
@@ -88,6 +88,28 @@
 	return readSnapshot(ctx, p.platform, head)
 }
 
+// Versions returns the heads of the newest versions, the newest first.
+func (p *Publisher) Versions(ctx context.Context, most int) ([]Head, error) {
+	head, _, err := readHead(ctx, p.platform)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]Head, 0, most)
+	for v := head.Version; v > 0 && len(out) < most; v-- {
+		h, err := readVersion(ctx, p.platform, v)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, h)
+	}
+	return out, nil
+}
+
+// Refuse records an edit whose objects could not be read.
+func (p *Publisher) Refuse(ctx context.Context, e *Edit, faults []Fault) {
+	p.record(ctx, e, audit.Refused, 0, nil, (&InvalidError{Faults: faults}).Error())
+}
+
 // Newest returns the newest version, with version 0 and no objects before the
 // first publish.
 func (p *Publisher) Newest(ctx context.Context) (Head, *Snapshot, error) {
--- a/coord/config/digest.go
+++ b/coord/config/digest.go
@@ -61,8 +61,14 @@
 	return salt, ok && strings.ToLower(string(d)) == string(d)
 }
 
+// Valid reports whether d has the form of a digest.
+func (d Digest) Valid() bool {
+	_, ok := d.salt()
+	return ok
+}
+
 func (d Digest) check() error {
-	if _, ok := d.salt(); !ok {
+	if !d.Valid() {
 		return &DigestError{}
 	}
 	return nil
--- a/coord/config/editrecord.go
+++ b/coord/config/editrecord.go
@@ -34,8 +34,3 @@
 	}
 	return strings.Join(lines, "\n")
 }
-
-func parseRef(s string) Ref {
-	kind, name, _ := strings.Cut(s, ".")
-	return Ref{Type(kind), name}
-}
--- a/coord/config/follower.go
+++ b/coord/config/follower.go
@@ -39,7 +39,7 @@
 
 	mu       sync.Mutex // guards the fields below
 	sent     time.Duration
-	counted  bool // sent holds a read that confirms the current version
+	counted  bool // sent holds a read that showed no version newer than the current one
 	member   membership
 	left     bool // Leave was called
 	wanted   offer
@@ -114,7 +114,7 @@
 
 func (f *Follower) confirmed(grace time.Duration) bool {
 	age, ok := f.Age()
-	return ok && age <= f.period+grace
+	return ok && f.Current() != nil && age <= f.period+grace
 }
 
 // Run follows the head until ctx ends, and returns nil.
--- a/coord/config/offer.go
+++ b/coord/config/offer.go
@@ -24,9 +24,6 @@
 // take deals with an offer: it confirms the current version, starts loading a
 // newer one, or drops it.
 func (f *Follower) take(ctx context.Context, o offer) {
-	if o.head.Version == 0 {
-		return
-	}
 	f.mu.Lock()
 	have := f.Head()
 	switch {
@@ -93,7 +90,9 @@
 }
 
 // apply makes snap the current version if it is newer, confirms it if the
-// offer was for it, and tells subscribers and peers.
+// offer was for it, and tells subscribers and peers. The read that confirmed
+// the version before goes on to count: it showed that there was no version
+// newer than that one, so none newer than this one.
 func (f *Follower) apply(head Head, snap *Snapshot, o offer) {
 	f.mu.Lock()
 	old := f.current.Load()
@@ -106,7 +105,6 @@
 		f.history = f.history[max(0, len(f.history)-historySize):]
 	}
 	f.current.Store(&applied{head: head, snap: snap})
-	f.counted = false
 	if o.head.Version == head.Version {
 		f.confirmLocked(o)
 	}
--- a/coord/config/publisher.go
+++ b/coord/config/publisher.go
@@ -154,7 +154,7 @@
 func (p *Publisher) found(ctx context.Context, r audit.Record) (Result, error) {
 	res := Result{Published: p.timers.Boot()}
 	for _, c := range r.Changes {
-		res.Changes = append(res.Changes, Difference{Ref: parseRef(c.Object), Old: c.Old, New: c.New})
+		res.Changes = append(res.Changes, Difference{Ref: ParseRef(c.Object), Old: c.Old, New: c.New})
 	}
 	for {
 		head, err := readVersion(ctx, p.platform, r.Version)
--- a/coord/config/ref.go
+++ b/coord/config/ref.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 )
 
 // Ref names one object.
@@ -15,6 +16,13 @@
 // "team.shop".
 func (r Ref) String() string { return string(r.Type) + "." + r.Name }
 
+// ParseRef returns the reference that is written like "team.shop". It need not
+// be a valid one.
+func ParseRef(s string) Ref {
+	kind, name, _ := strings.Cut(s, ".")
+	return Ref{Type(kind), name}
+}
+
 // compareRefs orders references by type, in the order of Types, then by name.
 func compareRefs(a, b Ref) int {
 	if a.Type != b.Type {
--- /dev/null
+++ b/coord/config/seen.go
@@ -0,0 +1,55 @@
+package config
+
+import (
+	"context"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/balsamford/balsamford/coord/wire"
+)
+
+// Seen is what one process said of itself when it was asked.
+type Seen struct {
+	Peer    Peer
+	Reached bool
+	Status  Status // empty if it wasn't reached
+}
+
+// Hosts asks all listed processes for their versions.
+func (w *Waiter) Hosts(ctx context.Context) ([]Seen, error) {
+	peers, err := w.members(ctx)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]Seen, len(peers))
+	var mu sync.Mutex // guards out
+	var g errgroup.Group
+	g.SetLimit(tellers)
+	for i, p := range peers {
+		g.Go(func() error {
+			s := w.look(ctx, p)
+			mu.Lock()
+			defer mu.Unlock()
+			out[i] = s
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return out, nil
+}
+
+func (w *Waiter) look(ctx context.Context, p Peer) Seen {
+	f := w.follower
+	if p.Name == f.name {
+		return Seen{Peer: p, Reached: true, Status: f.Status()}
+	}
+	if f.caller == nil {
+		return Seen{Peer: p}
+	}
+	ctx, cancel := f.timeout(ctx, f.period/2)
+	defer cancel()
+	var out Status
+	err := f.caller.Call(ctx, p.Address, wire.VerbHead, Ask{}, &out)
+	return Seen{Peer: p, Reached: err == nil, Status: out}
+}
--- /dev/null
+++ b/entry/internal/oper/settings.go
@@ -0,0 +1,32 @@
+package oper
+
+import (
+	"github.com/balsamford/balsamford/coord/config"
+	"github.com/balsamford/balsamford/coord/setup"
+)
+
+// Settings are the door's settings. A program may have them as a table of its
+// settings file.
+type Settings struct {
+	Address string `toml:"address"` // IP number and port
+	Host    string `toml:"-"`       // name of this host, for the audit trail
+	// Bootstrap is the digest of a secret that may publish as long as there
+	// is no operator's key in the configuration; "balsam key bootstrap" makes
+	// both.
+	Bootstrap config.Digest `toml:"bootstrap"`
+	Cert      string        `toml:"cert"` // path of a PEM certificate; plain HTTP if empty
+	Key       string        `toml:"key"`  // path of the certificate's key
+}
+
+// Check returns the faults of the settings; their keys are relative to the
+// table.
+func (s Settings) Check() []setup.Fault {
+	faults := setup.Address("address", s.Address)
+	if s.Bootstrap != "" && !s.Bootstrap.Valid() {
+		faults = append(faults, setup.Fault{Key: "bootstrap", Text: `not a digest; run "balsam key bootstrap" and write the digest that it prints`})
+	}
+	if (s.Cert == "") != (s.Key == "") {
+		faults = append(faults, setup.Fault{Key: "cert", Text: "cert and key go together; write both or none"})
+	}
+	return faults
+}
