Run the placer: settings, discovery, verbs, metrics and a graceful stop

Cause: the parts of a placer have to run as one process. Conclusion: the thin path runs; failures are not tested yet.

--- /dev/null
+++ b/placer/internal/daemon/daemon.go
@@ -0,0 +1,169 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/balsamford/balsamford/coord/link"
+	"github.com/balsamford/balsamford/coord/logs"
+	"github.com/balsamford/balsamford/coord/meter"
+	"github.com/balsamford/balsamford/coord/point"
+	"github.com/balsamford/balsamford/coord/roster"
+	"github.com/balsamford/balsamford/coord/store"
+	"github.com/balsamford/balsamford/coord/timer"
+	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/placer/internal/conf"
+	"github.com/balsamford/balsamford/placer/internal/desk"
+	"github.com/balsamford/balsamford/placer/internal/exec"
+	"github.com/balsamford/balsamford/placer/internal/hold"
+	"github.com/balsamford/balsamford/placer/internal/hosts"
+	"github.com/balsamford/balsamford/placer/internal/jobs"
+	"github.com/balsamford/balsamford/placer/internal/sched"
+	"github.com/balsamford/balsamford/placer/internal/serve"
+)
+
+// Daemon is a placer.
+type Daemon struct {
+	settings *conf.Settings
+	log      *zap.Logger
+	registry metrics.Registry
+	timer    *timer.Service
+	epoch    uint64 // of the process
+	gate     *gate
+	certs    *link.Certs
+	node     *link.Node
+	members  *roster.Roster
+	table    *store.Client
+	client   *point.Client
+	sched    *sched.Scheduler
+	desk     *desk.Desk
+	keeper   *hold.Keeper
+	driver   *jobs.Driver
+	server   *serve.Server
+	finder   *hosts.Finder
+}
+
+// New returns a placer with these settings, which listens but doesn't serve
+// yet.
+func New(s *conf.Settings) (*Daemon, error) {
+	log, err := logs.New(s.Level, "placer", s.Host, s.Zone)
+	if err != nil {
+		return nil, err
+	}
+	certs, err := link.LoadCerts(s.Certs.Cert, s.Certs.Key, s.Certs.Authority)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{settings: s, log: log, certs: certs, registry: metrics.NewRegistry(), timer: timer.New(), gate: newGate()}
+	d.epoch = uint64(d.timer.Now().UnixNano())
+	d.node = link.New(s.Host, certs, link.WithGate(d.gate))
+	d.table = store.NewClient(s.Platform, store.WithClientRegistry(d.registry))
+	d.client = point.NewClient()
+	d.members = roster.New(
+		roster.Member{Name: s.Host, Zone: s.Zone, Link: s.Link, Epoch: d.epoch},
+		d.timer, roster.WithLapse(time.Duration(s.Lapse)))
+	d.build()
+	if err := d.node.Listen(s.Link); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// build makes the parts that depend on one another.
+func (d *Daemon) build() {
+	s := d.settings
+	d.sched = sched.New(sched.WithTimer(d.timer))
+	d.desk = desk.New(d.sched)
+	tag := uint16(d.epoch ^ d.epoch>>16 ^ d.epoch>>32 ^ d.epoch>>48)
+	d.keeper = hold.New(s.Host, tag, d.members, d.client, d.timer, d.desk,
+		hold.WithTerm(time.Duration(s.Term)), hold.WithLease(time.Duration(s.Lease)))
+	d.driver = jobs.New(s.Host, s.Zone, jobs.Parts{
+		Timer: d.timer, Table: d.table, Queue: d.desk, Owner: d.keeper, Client: d.client,
+		Members: d.members, Caller: d.node, Log: d.log, Metrics: d.registry,
+	})
+	d.desk.Attach(d.driver, d.keeper)
+	d.server = serve.New(exec.New(d.timer, d.desk, d.keeper, d.client, d.registry), d.driver, d.load)
+	d.finder = hosts.New(s, d.table, d.keeper, d.members)
+	d.server.Register(d.node)
+	d.node.Handle(wire.VerbBeat, link.HandlerFunc(d.members.Handle))
+	d.node.Handle(wire.VerbNote, link.HandlerFunc(d.driver.Note))
+	d.gauges()
+}
+
+// Run serves until stop ends, then stops gracefully. A kill ends it at once.
+func (d *Daemon) Run(stop, kill context.Context) error {
+	ctx, cancel := context.WithCancel(kill)
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return d.timer.Run(ctx) })
+	g.Go(func() error { return d.node.Run(ctx) })
+	g.Go(func() error { return d.page().Run(ctx, d.settings.Page) })
+	g.Go(func() error { return d.members.Run(ctx, d.node, d.timer, time.Duration(d.settings.Beat)) })
+	g.Go(func() error { return d.desk.Run(ctx, d.timer) })
+	g.Go(func() error { return d.driver.Run(ctx) })
+	g.Go(func() error { return d.own(ctx) })
+	g.Go(func() error {
+		select {
+		case <-stop.Done():
+			d.drain(ctx)
+		case <-ctx.Done():
+		}
+		cancel()
+		return nil
+	})
+	d.log.Info("placer runs", zap.String("link", d.settings.Link), zap.Uint64("epoch", d.epoch))
+	err := g.Wait()
+	d.client.Close()
+	d.table.Close()
+	d.log.Info("placer ends")
+	return err
+}
+
+// own begins to own endpoints once the placers that live have been heard.
+func (d *Daemon) own(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return d.finder.Run(ctx, d.timer) })
+	g.Go(func() error {
+		if d.timer.Sleep(ctx, time.Duration(d.settings.Lapse)/2) != nil {
+			return nil
+		}
+		return d.keeper.Run(ctx)
+	})
+	return g.Wait()
+}
+
+// load says what the placer has room for.
+func (d *Daemon) load() wire.Load {
+	l := wire.Load{
+		Name: d.settings.Host, Zone: d.settings.Zone, Epoch: d.epoch,
+		Free: d.sched.Free(), Queued: d.sched.Queued(), Wait: make(map[string]int64),
+	}
+	for q, w := range d.sched.Waits() {
+		l.Wait[q] = w.Milliseconds()
+	}
+	return l
+}
+
+// page returns the server of metrics, health and readiness.
+func (d *Daemon) page() *meter.Server {
+	var opts []meter.Option
+	if d.settings.Fault {
+		opts = append(opts, meter.WithPage("/fault", d.gate.serve))
+	}
+	return meter.New(d.registry, d.unready, opts...)
+}
+
+// unready returns why the placer isn't ready, or an empty string.
+func (d *Daemon) unready() string {
+	if d.server.Leaving() {
+		return "leaving"
+	}
+	if known, owned := d.keeper.Count(); known > 0 && owned == 0 && len(d.members.Names()) == 1 {
+		return "owns no endpoint"
+	}
+	return ""
+}
--- /dev/null
+++ b/placer/internal/daemon/doc.go
@@ -0,0 +1,3 @@
+// Package daemon puts the parts of a placer together, runs them and stops
+// them in order.
+package daemon
--- /dev/null
+++ b/placer/internal/daemon/gauges.go
@@ -0,0 +1,17 @@
+package daemon
+
+import "github.com/rcrowley/go-metrics"
+
+// gauges registers the metrics that are read when asked for.
+func (d *Daemon) gauges() {
+	read := map[string]func() int64{
+		"placer.endpoints.known": func() int64 { known, _ := d.keeper.Count(); return int64(known) },
+		"placer.endpoints.owned": func() int64 { _, owned := d.keeper.Count(); return int64(owned) },
+		"placer.members.live":    func() int64 { return int64(len(d.members.Names())) },
+		"placer.queue.waiting":   func() int64 { return int64(d.sched.Waiting()) },
+		"placer.requests.busy":   func() int64 { return int64(d.server.Busy()) },
+	}
+	for name, f := range read {
+		_ = d.registry.Register(name, metrics.NewFunctionalGauge(f))
+	}
+}
--- a/placer/internal/hold/renew.go
+++ b/placer/internal/hold/renew.go
@@ -9,6 +9,13 @@
 	"github.com/balsamford/balsamford/coord/point"
 )
 
+const (
+	// maxYields bounds the renewals during which a hand-over waits for calls.
+	maxYields = 10
+	// yieldParts is how many of these renewals fit into a term.
+	yieldParts = 30
+)
+
 // renew keeps the endpoint and the leases of its tasks. The call stays with
 // the endpoint for a part of the term unless something happens there.
 func (s *Seat) renew(ctx context.Context) time.Duration {
@@ -135,11 +142,14 @@
 
 // handOver gives the endpoint up: no new work, then the calls under way, then
 // the release. Tasks run on under their leases, which the next owner renews.
+// Calls that take long are not waited for: each has reached the endpoint by
+// then, or is refused there.
 func (s *Seat) handOver(ctx context.Context) time.Duration {
 	s.pause()
-	if s.busy() {
-		return s.renew(ctx)
+	if s.yielded++; s.busy() && s.yielded < maxYields {
+		return max(s.renew(ctx), s.term/yieldParts)
 	}
+	s.yielded = 0
 	s.mu.Lock()
 	t, o := s.target, s.owner
 	s.mu.Unlock()
--- a/placer/internal/hold/seat.go
+++ b/placer/internal/hold/seat.go
@@ -42,11 +42,12 @@
 	hasty   bool                // renew at once, without waiting for events
 
 	// Step's own.
-	epoch  lease.Epoch
-	asked  uint64 // epoch of an open that got no answer
-	since  uint64
-	watch  *lease.Watch
-	failed int // calls in a row without an answer
+	epoch   lease.Epoch
+	asked   uint64 // epoch of an open that got no answer
+	since   uint64
+	watch   *lease.Watch
+	failed  int // calls in a row without an answer
+	yielded int // renewals during a hand-over
 }
 
 // Target returns the endpoint.
--- a/placer/internal/jobs/cancel.go
+++ b/placer/internal/jobs/cancel.go
@@ -23,7 +23,7 @@
 func (d *Driver) Cancel(ctx context.Context, id string) (wire.Cancelled, error) {
 	j := d.find(id)
 	if j == nil {
-		return wire.Cancelled{}, nil
+		return d.cancelThere(ctx, id)
 	}
 	d.cancel(j)
 	out := wire.Cancelled{Found: true}
@@ -38,6 +38,29 @@
 	return out, nil
 }
 
+// cancelThere cancels a job that this placer doesn't drive: its driver is
+// asked, or the wish is written into its row for the next one.
+func (d *Driver) cancelThere(ctx context.Context, id string) (wire.Cancelled, error) {
+	row, _, err := d.read(ctx, id)
+	var missing *store.MissingError
+	if errors.As(err, &missing) {
+		return wire.Cancelled{}, nil
+	}
+	if err != nil || row.Outcome != "" {
+		return wire.Cancelled{Found: err == nil}, err
+	}
+	if m, alive := d.members.Alive(row.Driver); alive && row.Driver != d.name {
+		ctx, cancel := context.WithTimeout(ctx, noteTimeout)
+		defer cancel()
+		var out wire.Cancelled
+		err := d.caller.Call(ctx, m.Link, wire.VerbCancel, wire.Lookup{ID: id}, &out)
+		if err == nil {
+			return out, nil
+		}
+	}
+	return wire.Cancelled{Found: true}, d.wish(ctx, id)
+}
+
 // cancel marks a job as cancelled, drops what waits and stops what runs.
 func (d *Driver) cancel(j *job) {
 	j.mu.Lock()
--- a/placer/internal/jobs/driver.go
+++ b/placer/internal/jobs/driver.go
@@ -45,7 +45,6 @@
 	jobs    map[string]*job
 	unsaved map[*job]bool // with changes that the platform lacks
 	lonely  map[string]*notice
-	resting bool
 }
 
 // counts are the driver's metrics.
--- a/placer/internal/serve/server.go
+++ b/placer/internal/serve/server.go
@@ -4,11 +4,10 @@
 	"context"
 	"sync"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/balsamford/balsamford/coord/link"
 	"github.com/balsamford/balsamford/coord/wire"
 	"github.com/balsamford/balsamford/placer/internal/exec"
+	"github.com/balsamford/balsamford/placer/internal/jobs"
 )
 
 // Runner runs quick requests; an *exec.Runner is one.
@@ -19,7 +18,7 @@
 // Jobs drives batch, service and gang requests; a *jobs.Driver is one.
 type Jobs interface {
 	// Place takes the job over and reports its phases and its end on out.
-	Place(ctx context.Context, req *wire.Request, out exec.Sender) error
+	Place(ctx context.Context, req *wire.Request, out jobs.Sender) error
 	// Job returns how a job stands.
 	Job(ctx context.Context, id string) (*wire.Job, error)
 	// Cancel asks for the end of a job.
@@ -43,7 +42,6 @@
 	next    uint64
 	calls   map[uint64]context.CancelCauseFunc
 	byID    map[string]uint64
-	group   errgroup.Group
 }
 
 // New returns a Server; load says what the placer has room for.
--- a/placer/main.go
+++ b/placer/main.go
@@ -1,7 +1,80 @@
-// Command placer is not built yet.
+// Command placer owns endpoints of its availability zone, decides which
+// request starts on which of them, and drives jobs.
 package main
 
 import "C"
 
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/balsamford/balsamford/coord/setup"
+	"github.com/balsamford/balsamford/placer/internal/conf"
+	"github.com/balsamford/balsamford/placer/internal/daemon"
+)
+
+const (
+	exitFailed   = 1 // it couldn't start or run
+	exitSettings = 2 // the settings are wrong
+)
+
 func main() {
+	path := "placer.toml"
+	flaggy.SetName("placer")
+	flaggy.SetDescription("owns endpoints, places requests and drives jobs")
+	flaggy.String(&path, "c", "config", "settings file")
+	flaggy.Parse()
+	os.Exit(run(path))
+}
+
+func run(path string) int {
+	settings := conf.Default()
+	if err := setup.Load(path, &settings); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	d, err := daemon.New(&settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	stop, kill, release := signals()
+	defer release()
+	if err := d.Run(stop, kill); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return 0
+}
+
+// signals returns a context that ends with the first SIGTERM or SIGINT, which
+// asks for a graceful stop, and one that ends with the second.
+func signals() (stop, kill context.Context, release func()) {
+	stop, first := context.WithCancel(context.Background())
+	kill, second := context.WithCancel(context.Background())
+	in := make(chan os.Signal, 2)
+	signal.Notify(in, syscall.SIGTERM, os.Interrupt)
+	var g errgroup.Group
+	g.Go(func() error {
+		for _, end := range []context.CancelFunc{first, second} {
+			if _, ok := <-in; !ok {
+				return nil
+			}
+			end()
+		}
+		return nil
+	})
+	return stop, kill, func() {
+		signal.Stop(in)
+		close(in)
+		_ = g.Wait()
+		first()
+		second()
+	}
 }
