--- /dev/null
+++ b/entry/app.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"context"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/balsamford/balsamford/coord/link"
+	"github.com/balsamford/balsamford/coord/logs"
+	"github.com/balsamford/balsamford/coord/meter"
+	"github.com/balsamford/balsamford/coord/store"
+	"github.com/balsamford/balsamford/coord/timer"
+	"github.com/balsamford/balsamford/entry/internal/admit"
+	"github.com/balsamford/balsamford/entry/internal/door"
+	"github.com/balsamford/balsamford/entry/internal/jobs"
+	"github.com/balsamford/balsamford/entry/internal/params"
+	"github.com/balsamford/balsamford/entry/internal/record"
+	"github.com/balsamford/balsamford/entry/internal/relay"
+	"github.com/balsamford/balsamford/entry/internal/route"
+	"github.com/balsamford/balsamford/entry/internal/serve"
+)
+
+// app is all parts of the process.
+type app struct {
+	settings *params.Settings
+	logger   *zap.Logger
+	clock    *timer.Service
+	registry metrics.Registry
+	platform *store.Client
+	node     *link.Node
+	faults   *faults
+	rights   *rights
+	table    *route.Table
+	keeper   *record.Keeper
+	jobs     *jobs.Book
+	service  *serve.Service
+	door     *door.Server
+	page     *meter.Server
+	leaving  atomic.Bool
+}
+
+// newApp builds the parts; none of them runs yet.
+func newApp(s *params.Settings) (*app, error) {
+	logger, err := logs.New(s.Level, "entry", s.Host, s.Zone)
+	if err != nil {
+		return nil, err
+	}
+	certs, err := link.LoadCerts(s.Certs.Cert, s.Certs.Key, s.Certs.Authority)
+	if err != nil {
+		return nil, err
+	}
+	a := &app{settings: s, logger: logger, clock: timer.New(), registry: metrics.NewRegistry(), faults: newFaults()}
+	a.platform = store.NewClient(s.Platform)
+	a.node = link.New(s.Host, certs, link.WithGate(a.faults))
+	a.rights = newRights(a)
+	a.build()
+	return a, nil
+}
+
+// build makes the parts that serve callers.
+func (a *app) build() {
+	s := a.settings
+	self := record.Host{Name: s.Host, Zone: s.Zone, Link: s.Link}
+	hosts := []record.Host{self}
+	for _, p := range s.Peers {
+		hosts = append(hosts, record.Host{Name: p.Name, Zone: p.Zone, Link: p.Link})
+	}
+	placers := make([]route.Placer, 0, len(s.Placers))
+	for _, p := range s.Placers {
+		placers = append(placers, route.Placer{Name: p.Name, Zone: p.Zone, Link: p.Link})
+	}
+	ring := record.NewRing(s.Zones, hosts)
+	issuer := record.NewIssuer(a.clock, s.Zone, s.Host)
+	a.table = route.New(a.clock, a.node, s.Zone, placers, a.registry)
+	a.keeper = record.New(a.clock, a.node, a.platform, ring, self, issuer,
+		record.WithKeep(time.Duration(s.Limits.Keep)), record.WithLimit(s.Limits.Records), record.WithRegistry(a.registry))
+	a.jobs = jobs.New(a.clock, a.node, a.platform, ring, self, a.registry)
+	a.service = serve.New(serve.Parts{
+		Clock: a.clock, Config: a.rights, Net: a.node, Ring: ring, Self: self, Issuer: issuer, Keeper: a.keeper,
+		Gate:  admit.New(a.clock, s.Limits.Running, s.Limits.Waiting, a.registry),
+		Table: a.table, Runner: relay.New(a.clock, a.node, a.table, a.registry), Jobs: a.jobs,
+		Logger: a.logger, Registry: a.registry,
+	})
+	a.service.Mount(a.node)
+	a.door = door.New(a.clock, a.service, door.WithLimits(a.limits()), door.WithLogger(a.logger), door.WithRegistry(a.registry))
+	var options []meter.Option
+	if s.Fault {
+		options = append(options, meter.WithPage(faultPath, a.faults.page))
+	}
+	a.page = meter.New(a.registry, a.ready, options...)
+}
+
+func (a *app) limits() door.Limits {
+	l := door.DefaultLimits()
+	s := a.settings.Limits
+	l.Conns, l.Requests, l.Header, l.Body = s.Conns, s.Requests, s.Header, s.Body
+	l.Idle, l.Read, l.Write = time.Duration(s.Idle), time.Duration(s.Read), time.Duration(s.Write)
+	return l
+}
+
+// ready returns why this process should get no requests, or an empty text.
+func (a *app) ready() string {
+	switch {
+	case a.leaving.Load():
+		return "leaving"
+	case !a.rights.fresh():
+		return "the configuration is not confirmed"
+	case !a.table.Ready():
+		return "no placer can be reached"
+	}
+	return ""
+}
+
+// run serves until a signal comes, then stops gracefully.
+func (a *app) run(ctx context.Context, signals <-chan os.Signal) error {
+	if err := a.node.Listen(a.settings.Link); err != nil {
+		return err
+	}
+	st := newStages(ctx)
+	st.back(a.clock.Run)
+	st.back(a.node.Run)
+	st.back(a.rights.run)
+	st.back(a.table.Run)
+	st.back(a.keeper.Run)
+	st.back(func(ctx context.Context) error { return a.jobs.Run(ctx, a.service.Offer) })
+	st.back(func(ctx context.Context) error { return a.page.Run(ctx, a.settings.Page) })
+	st.front(func(ctx context.Context) error { return a.door.Run(ctx, a.settings.Door) })
+	a.logger.Info("entry has started", zap.String("door", a.settings.Door), zap.String("link", a.settings.Link))
+	select {
+	case <-st.failed():
+	case <-signals:
+		a.drain(st.ctx, signals)
+	}
+	err := st.end()
+	a.platform.Close()
+	a.logger.Info("entry has stopped", zap.Error(err))
+	_ = a.logger.Sync()
+	return err
+}
--- /dev/null
+++ b/entry/drain.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// drainLook is how often the end of all requests is looked for.
+	drainLook = 20 * time.Millisecond
+	// settleTime is what requests that are given up have to answer their
+	// callers.
+	settleTime = 3 * time.Second
+)
+
+// drain refuses new requests and waits for the running ones, until the drain
+// time has passed or a second signal comes. What then still runs is given up,
+// and its callers are told the truth about it.
+func (a *app) drain(ctx context.Context, signals <-chan os.Signal) {
+	a.logger.Info("entry is leaving", zap.Int("requests", a.busy()))
+	a.leaving.Store(true)
+	a.service.Leave()
+	a.door.Leave()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	limit := a.clock.After(time.Duration(a.settings.Limits.Drain), cancel)
+	defer limit.Stop()
+	for a.busy() > 0 && ctx.Err() == nil {
+		select {
+		case <-signals:
+			cancel()
+		default:
+			_ = a.clock.Sleep(ctx, drainLook)
+		}
+	}
+	a.settle()
+}
+
+// settle gives up what still runs and waits for its callers to be answered.
+func (a *app) settle() {
+	given := a.busy()
+	a.service.GiveUp()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	limit := a.clock.After(settleTime, cancel)
+	defer limit.Stop()
+	for a.busy() > 0 && ctx.Err() == nil {
+		_ = a.clock.Sleep(ctx, drainLook)
+	}
+	a.service.Wait()
+	a.logger.Info("entry has drained", zap.Int("givenup", given), zap.Int("unanswered", a.busy()))
+}
+
+// busy returns the number of requests in progress.
+func (a *app) busy() int { return max(a.door.Active(), a.service.Working()) }
--- /dev/null
+++ b/entry/internal/door/refusal.go
@@ -0,0 +1,40 @@
+package door
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	headerEnd         = "\r\n\r\n"
+	statusUnavailable = fasthttp.StatusServiceUnavailable
+)
+
+// Refusal is the body of an answer to a request that the door didn't let in.
+type Refusal struct {
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason"`
+	Detail  string `json:"detail"`
+}
+
+func refusalBody(reason, text string) []byte {
+	body, err := json.Marshal(Refusal{Outcome: "notrun", Reason: reason, Detail: text})
+	if err != nil {
+		return nil
+	}
+	return append(body, '\n')
+}
+
+// refusal returns a whole answer that closes its connection.
+func refusal(code int, reason, text string) []byte {
+	var resp fasthttp.Response
+	resp.SetStatusCode(code)
+	resp.SetConnectionClose()
+	resp.Header.SetContentType("application/json")
+	resp.SetBodyRaw(refusalBody(reason, text))
+	var out bytes.Buffer
+	_, _ = resp.WriteTo(&out)
+	return out.Bytes()
+}
--- /dev/null
+++ b/entry/internal/params/doc.go
@@ -0,0 +1,2 @@
+// Package params holds the settings of the entry program.
+package params
--- /dev/null
+++ b/entry/internal/params/settings.go
@@ -0,0 +1,175 @@
+package params
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"github.com/balsamford/balsamford/coord/setup"
+)
+
+// nameChars are the characters of host and zone names. They become parts of
+// request ids, which use other characters between them.
+const nameChars = "abcdefghijklmnopqrstuvwxyz0123456789-"
+
+// Settings is the TOML file of the entry program.
+type Settings struct {
+	Host     string   `toml:"host"`     // name of this host
+	Zone     string   `toml:"zone"`     // its availability zone
+	Zones    []string `toml:"zones"`    // all zones of the cell
+	Door     string   `toml:"door"`     // address for callers
+	Page     string   `toml:"page"`     // address of metrics, health and readiness
+	Link     string   `toml:"link"`     // UDP address for the system's own processes
+	Platform string   `toml:"platform"` // address of the platform's service
+	Level    string   `toml:"level"`    // of the log
+	Fault    bool     `toml:"fault"`    // serves fault switches on the page address
+	Certs    Certs    `toml:"certs"`
+	Peers    []Peer   `toml:"peers"`   // the other entry processes
+	Placers  []Peer   `toml:"placers"` // all placer processes
+	Limits   Limits   `toml:"limits"`
+}
+
+// Certs are the paths of PEM files for the links.
+type Certs struct {
+	Cert      string `toml:"cert"`
+	Key       string `toml:"key"`
+	Authority string `toml:"authority"`
+}
+
+// Peer is another process of the system.
+type Peer struct {
+	Name string `toml:"name"`
+	Zone string `toml:"zone"`
+	Link string `toml:"link"`
+}
+
+// Limits bounds what callers can occupy. Zero values are replaced by
+// defaults.
+type Limits struct {
+	Conns    int            `toml:"conns"`    // connections of callers
+	Requests int            `toml:"requests"` // requests in progress
+	Running  int            `toml:"running"`  // requests at placers at a time
+	Waiting  int            `toml:"waiting"`  // requests of one team that wait for their turn
+	Header   int            `toml:"header"`   // bytes of a request's header
+	Body     int            `toml:"body"`     // bytes of a request's body
+	Records  int            `toml:"records"`  // requests remembered
+	Keep     setup.Duration `toml:"keep"`     // how long they are remembered
+	Idle     setup.Duration `toml:"idle"`     // between two requests on a connection
+	Read     setup.Duration `toml:"read"`     // for one request to come in
+	Write    setup.Duration `toml:"write"`    // without progress of an answer
+	Drain    setup.Duration `toml:"drain"`    // for a graceful stop
+}
+
+// Default returns settings with every limit set.
+func Default() *Settings {
+	return &Settings{
+		Level: "info",
+		Limits: Limits{
+			Conns: 4096, Requests: 4096, Running: 1024, Waiting: 256, Header: 8 << 10, Body: 1 << 20,
+			Records: 65536, Keep: setup.Duration(5 * time.Minute),
+			Idle: setup.Duration(time.Minute), Read: setup.Duration(10 * time.Second),
+			Write: setup.Duration(10 * time.Second), Drain: setup.Duration(20 * time.Second),
+		},
+	}
+}
+
+// Check implements setup.Checker.
+func (s *Settings) Check() []setup.Fault {
+	var faults []setup.Fault
+	faults = append(faults, name("host", s.Host)...)
+	faults = append(faults, name("zone", s.Zone)...)
+	faults = append(faults, s.checkZones()...)
+	faults = append(faults, s.checkAddresses()...)
+	faults = append(faults, setup.Required("certs.cert", s.Certs.Cert)...)
+	faults = append(faults, setup.Required("certs.key", s.Certs.Key)...)
+	faults = append(faults, setup.Required("certs.authority", s.Certs.Authority)...)
+	faults = append(faults, s.checkPeers("peers", s.Peers)...)
+	faults = append(faults, s.checkPeers("placers", s.Placers)...)
+	faults = append(faults, s.Limits.check()...)
+	if _, err := zapcore.ParseLevel(s.Level); err != nil {
+		faults = append(faults, setup.Fault{Key: "level", Text: "unknown log level; write debug, info, warn or error"})
+	}
+	if len(s.Placers) == 0 {
+		faults = append(faults, setup.Fault{Key: "placers", Text: "missing; name at least one placer"})
+	}
+	return faults
+}
+
+func (s *Settings) checkZones() []setup.Fault {
+	if !slices.Contains(s.Zones, s.Zone) {
+		return []setup.Fault{{Key: "zones", Text: "doesn't contain this host's zone; list all zones of the cell"}}
+	}
+	var faults []setup.Fault
+	for _, z := range s.Zones {
+		faults = append(faults, name("zones", z)...)
+	}
+	return faults
+}
+
+func (s *Settings) checkAddresses() []setup.Fault {
+	var faults []setup.Fault
+	faults = append(faults, setup.Address("door", s.Door)...)
+	faults = append(faults, setup.Address("page", s.Page)...)
+	faults = append(faults, setup.Address("link", s.Link)...)
+	faults = append(faults, setup.Address("platform", s.Platform)...)
+	if s.Door != "" && s.Door == s.Page {
+		faults = append(faults, setup.Fault{Key: "page", Text: "is the same address as door; give it another port"})
+	}
+	return faults
+}
+
+func (s *Settings) checkPeers(key string, peers []Peer) []setup.Fault {
+	var faults []setup.Fault
+	seen := make(map[string]bool)
+	for _, p := range peers {
+		faults = append(faults, name(key+".name", p.Name)...)
+		faults = append(faults, setup.Address(key+".link", p.Link)...)
+		if !slices.Contains(s.Zones, p.Zone) {
+			faults = append(faults, setup.Fault{Key: key + ".zone", Text: `"` + p.Zone + `" is not in zones`})
+		}
+		if seen[p.Name] || key == "peers" && p.Name == s.Host {
+			faults = append(faults, setup.Fault{Key: key + ".name", Text: `"` + p.Name + `" is named twice`})
+		}
+		if p.Link == s.Link {
+			faults = append(faults, setup.Fault{Key: key + ".link", Text: "is this process's own link address"})
+		}
+		seen[p.Name] = true
+	}
+	return faults
+}
+
+func (l *Limits) check() []setup.Fault {
+	var faults []setup.Fault
+	counts := map[string]int{
+		"conns": l.Conns, "requests": l.Requests, "running": l.Running, "waiting": l.Waiting,
+		"header": l.Header, "body": l.Body, "records": l.Records,
+	}
+	for key, n := range counts {
+		if n <= 0 {
+			faults = append(faults, setup.Fault{Key: "limits." + key, Text: "has to be above 0"})
+		}
+	}
+	times := map[string]setup.Duration{"keep": l.Keep, "idle": l.Idle, "read": l.Read, "write": l.Write, "drain": l.Drain}
+	for key, d := range times {
+		if d <= 0 {
+			faults = append(faults, setup.Fault{Key: "limits." + key, Text: "has to be above 0"})
+		}
+	}
+	slices.SortFunc(faults, func(a, b setup.Fault) int { return strings.Compare(a.Key, b.Key) })
+	return faults
+}
+
+func name(key, value string) []setup.Fault {
+	if value == "" {
+		return setup.Required(key, value)
+	}
+	if strings.Trim(value, nameChars) != "" || len(value) > maxName {
+		return []setup.Fault{{Key: key, Text: `"` + value + `" is no name; write at most 32 small letters, digits and "-"`}}
+	}
+	return nil
+}
+
+// maxName is the length of a name in bytes, at most.
+const maxName = 32
--- /dev/null
+++ b/entry/internal/relay/result.go
@@ -0,0 +1,26 @@
+package relay
+
+import "github.com/balsamford/balsamford/coord/wire"
+
+// Result is what became of a request.
+type Result struct {
+	Outcome  wire.Outcome
+	Reason   string // a wire.Reason code
+	Detail   string
+	Endpoint string
+	Code     int    // exit code of the task
+	Size     int64  // bytes of the answer
+	Sum      uint64 // xxhash64 of the answer
+	Body     []byte // the answer, unless it was passed on in chunks
+	Streamed bool   // the answer, or a part of it, was passed on in chunks
+}
+
+// NotRun returns the result of a request that has not run and will not.
+func NotRun(reason, detail string) Result {
+	return Result{Outcome: wire.NotRun, Reason: reason, Detail: detail}
+}
+
+// Unknown returns the result of a request that may have run.
+func Unknown(reason, detail string) Result {
+	return Result{Outcome: wire.Unknown, Reason: reason, Detail: detail}
+}
--- /dev/null
+++ b/entry/internal/serve/forward.go
@@ -0,0 +1,147 @@
+package serve
+
+import (
+	"context"
+	"errors"
+
+	"github.com/balsamford/balsamford/coord/link"
+	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/entry/internal/record"
+	"github.com/balsamford/balsamford/entry/internal/relay"
+)
+
+const (
+	// verbSubmit: submission in; Events out until one has an Outcome.
+	verbSubmit = "submit"
+	// maxHops is how many entry processes a request may pass.
+	maxHops = 2
+	// sendTries is how often a request is sent to its record's host; sending
+	// it again joins it to the running one.
+	sendTries = 2
+)
+
+// runHome answers a quick request: here if this host holds its record, else
+// through the host that does.
+func (s *Service) runHome(wanted context.Context, sub *submission, out sink) relay.Result {
+	if sub.private {
+		return s.runHere(wanted, sub, out)
+	}
+	first, second := s.Ring.Holders(sub.Request.ID)
+	if first.Name == s.Self.Name {
+		return s.runHere(wanted, sub, out)
+	}
+	res, sent := s.forward(wanted, sub, first, out)
+	if sent && (res.Reason != wire.ReasonLost || res.Streamed) {
+		return res
+	}
+	if second.Name == s.Self.Name {
+		return s.runHere(wanted, sub, out)
+	}
+	if second.Name != "" {
+		if again, ok := s.forward(wanted, sub, second, out); ok {
+			return again
+		}
+	}
+	switch {
+	case sent:
+		return res
+	case sub.Request.Idempotent:
+		return s.runHere(wanted, sub, out)
+	}
+	return relay.Unknown(wire.ReasonRecord, "no holder of the id's record can be reached")
+}
+
+// forward sends a request to the host that holds its record and relays what
+// comes back. It reports false if nothing was sent.
+func (s *Service) forward(wanted context.Context, sub *submission, to record.Host, out sink) (relay.Result, bool) {
+	if sub.Hops >= maxHops {
+		return relay.Unknown(wire.ReasonLost, "the request is at another host"), true
+	}
+	res, sent := relay.Result{}, false
+	for range sendTries {
+		next, ok, over := s.forwardOnce(wanted, sub, to, out)
+		if over {
+			return next, true
+		}
+		if ok {
+			res, sent = next, true
+		}
+		if res.Streamed || wanted.Err() != nil {
+			break
+		}
+	}
+	return res, sent
+}
+
+// forwardOnce makes one try. It reports whether anything was sent, and
+// whether the result is the other host's own word.
+func (s *Service) forwardOnce(wanted context.Context, sub *submission, to record.Host, out sink) (res relay.Result, sent, over bool) {
+	s.counts.forwards.Inc(1)
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	if sub.Cancel {
+		stop := context.AfterFunc(wanted, cancel)
+		defer stop()
+	}
+	alarm := s.Clock.After(sub.deadline.Sub(s.Clock.Now())+forwardGrace, cancel)
+	defer alarm.Stop()
+	stream, err := s.Net.Open(ctx, to.Link, verbSubmit)
+	if err != nil {
+		return relay.Result{}, false, false
+	}
+	defer stream.Cancel()
+	msg := *sub
+	msg.Hops++
+	msg.Request.Budget = max(sub.deadline.Sub(s.Clock.Now()), 1)
+	if err := stream.Send(msg); err != nil {
+		var size *link.SizeError
+		if errors.As(err, &size) {
+			return relay.NotRun(wire.ReasonSize, "the request is too large for a link"), true, true
+		}
+		return relay.Unknown(wire.ReasonLost, err.Error()), true, false
+	}
+	_ = stream.CloseSend()
+	res, over = s.Runner.Follow(ctx, stream, sub.Request.ID, out)
+	return res, true, over
+}
+
+// handleSubmit serves verbSubmit.
+func (s *Service) handleSubmit(ctx context.Context, stream *link.Stream) error {
+	var sub submission
+	if err := stream.Recv(&sub); err != nil {
+		return err
+	}
+	sub.deadline = s.deadline(sub.Request.Budget)
+	id := sub.Request.ID
+	if reason := s.allow(&sub)(); reason != "" {
+		return stream.Send(wire.Event{ID: id, Outcome: wire.Unknown, Reason: reason, Detail: "refused by the host that keeps the record"})
+	}
+	wanted := context.WithoutCancel(ctx)
+	if sub.Cancel {
+		wanted = stream.Context()
+	}
+	out := &streamSink{stream: stream, id: id}
+	res := s.runHere(wanted, &sub, out)
+	if len(res.Body) > 0 {
+		if err := out.Chunk(res.Body); err != nil {
+			return err
+		}
+	}
+	return stream.Send(wire.Event{
+		ID: id, Outcome: res.Outcome, Reason: res.Reason, Detail: res.Detail, Endpoint: res.Endpoint,
+		Code: res.Code, Size: res.Size, Sum: res.Sum,
+	})
+}
+
+// away asks the host that may be running a request.
+func (s *Service) away(wanted context.Context, sub *submission, n record.Note, out sink) relay.Result {
+	h, ok := s.Ring.Host(n.Host)
+	if !ok || h.Name == s.Self.Name {
+		return relay.Unknown(wire.ReasonLost, "the process that ran it has ended")
+	}
+	res, sent := s.forward(wanted, sub, h, out)
+	if !sent {
+		return relay.Unknown(wire.ReasonLost, "the host that ran it can't be reached")
+	}
+	return res
+}
--- /dev/null
+++ b/entry/internal/serve/job.go
@@ -0,0 +1,151 @@
+package serve
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/entry/internal/door"
+	"github.com/balsamford/balsamford/entry/internal/jobs"
+	"github.com/balsamford/balsamford/entry/internal/record"
+	"github.com/balsamford/balsamford/entry/internal/relay"
+)
+
+const (
+	// offerTries is how often a job is offered before the placers' own search
+	// for jobs without a driver is relied on.
+	offerTries = 5
+	// offerPause is the pause between two offers.
+	offerPause = 2 * time.Second
+)
+
+// acceptJob makes a job last, offers it to a placer, and answers its caller.
+func (s *Service) acceptJob(x *door.Exchange, sub *submission) {
+	id := sub.Request.ID
+	sub.Request.Version = s.Config.Version()
+	state, job := s.Jobs.Accept(s.ctx, sub.Request)
+	reply := Reply{ID: record.Shown(id), Phase: job.Phase, Outcome: job.Outcome, Reason: job.Reason, Keep: s.keepSeconds()}
+	switch state {
+	case jobs.Created, jobs.Held:
+		reply.Held = state == jobs.Held
+		s.offerLater(sub.Request)
+	case jobs.Taken:
+		if job.Request.Team != sub.Request.Team || digest(&job.Request) != digest(&sub.Request) {
+			fail(x, id, relay.NotRun(wire.ReasonDuplicate, "another request has this id"))
+			return
+		}
+	case jobs.Refused:
+		res := relay.NotRun(wire.ReasonRecord, "neither the platform nor a host in another zone could hold the job")
+		if !sub.private {
+			res.Outcome = wire.Unknown
+		}
+		fail(x, id, res)
+		return
+	case jobs.Lost:
+		fail(x, id, relay.Unknown(wire.ReasonRecord, "the platform's answer was lost; ask for the status with this id"))
+		return
+	}
+	send(x, fasthttp.StatusAccepted, reply)
+}
+
+// offerLater offers a job to placers without making its caller wait.
+func (s *Service) offerLater(req wire.Request) {
+	s.group.TryGo(func() error { s.offer(req); return nil })
+}
+
+// Offer offers a job that has been written after the platform came back.
+func (s *Service) Offer(job wire.Job) { s.offerLater(job.Request) }
+
+func (s *Service) offer(req wire.Request) {
+	order := &relay.Order{Request: req}
+	for range offerTries {
+		driver, res := s.Runner.Offer(s.ctx, order)
+		if driver != "" {
+			s.drivers.set(req.ID, driver)
+			return
+		}
+		if res.Outcome == wire.NotRun && res.Reason == wire.ReasonNever {
+			s.endJob(req.ID, res)
+			return
+		}
+		if s.leaving.Load() || s.Clock.Sleep(s.ctx, offerPause) != nil {
+			return
+		}
+	}
+}
+
+// endJob ends a job that no placer has taken and that fits nowhere.
+func (s *Service) endJob(id string, res relay.Result) {
+	err := s.Jobs.Change(s.ctx, id, func(job *wire.Job) bool {
+		if job.Driver != "" || job.Phase == wire.Ended {
+			return false
+		}
+		job.Phase, job.Outcome, job.Reason = wire.Ended, res.Outcome, res.Reason
+		return true
+	})
+	if err != nil {
+		s.Logger.Warn("job could not be ended", zap.String("request", id), zap.Error(err))
+	}
+}
+
+// findJob returns a job's state: from the placer that drives it, else from
+// the platform, else from any placer of its home zone.
+func (s *Service) findJob(ctx context.Context, id string) (jobs.View, error) {
+	if name := s.drivers.get(id); name != "" {
+		if job, ok := s.askPlacer(ctx, name, id); ok {
+			return jobs.View{Job: job}, nil
+		}
+	}
+	view, err := s.Jobs.Find(ctx, id)
+	if err == nil {
+		if view.Job.Driver != "" && view.Job.Phase != wire.Ended {
+			s.drivers.set(id, view.Job.Driver)
+		}
+		return view, nil
+	}
+	zone := s.Ring.Zone(id)
+	for _, p := range s.Table.Placers() {
+		if p.Zone != zone {
+			continue
+		}
+		if job, ok := s.askPlacer(ctx, p.Name, id); ok {
+			return jobs.View{Job: job}, nil
+		}
+	}
+	return view, err
+}
+
+// askPlacer asks one placer for a job's state.
+func (s *Service) askPlacer(ctx context.Context, name, id string) (wire.Job, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	alarm := s.Clock.After(statusTime, cancel)
+	defer alarm.Stop()
+	for _, p := range s.Table.Placers() {
+		if p.Name != name {
+			continue
+		}
+		var job wire.Job
+		err := s.Net.Call(ctx, p.Link, wire.VerbStatus, wire.Lookup{ID: id}, &job)
+		return job, err == nil && job.Request.ID == id
+	}
+	return wire.Job{}, false
+}
+
+// jobReply describes a job to its caller.
+func jobReply(id string, v *jobs.View, outputs bool) Reply {
+	r := Reply{
+		ID: record.Shown(id), Phase: v.Job.Phase, Outcome: v.Job.Outcome, Reason: v.Job.Reason, Held: v.Held, Cancel: v.Job.Cancel,
+	}
+	for _, t := range v.Job.Tasks {
+		tr := TaskReply{Phase: t.Phase, Attempt: t.Attempt, Endpoint: t.Endpoint, Outcome: t.Outcome, Code: t.Code}
+		if outputs {
+			tr.Output = t.Output
+		}
+		r.Tasks = append(r.Tasks, tr)
+	}
+	return r
+}
--- /dev/null
+++ b/entry/internal/serve/reply.go
@@ -0,0 +1,114 @@
+package serve
+
+import (
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/entry/internal/door"
+	"github.com/balsamford/balsamford/entry/internal/record"
+	"github.com/balsamford/balsamford/entry/internal/relay"
+)
+
+const (
+	jsonType  = "application/json"
+	bytesType = "application/octet-stream"
+
+	headerID      = "Request-Id"
+	headerOutcome = "Outcome"
+	headerReason  = "Reason"
+	headerSum     = "Sum" // xxhash64 of the answer, hexadecimal
+)
+
+// Reply is the JSON that callers get where they don't get a task's answer.
+type Reply struct {
+	ID      string       `json:"id,omitempty"`
+	Phase   wire.Phase   `json:"phase,omitempty"`
+	Outcome wire.Outcome `json:"outcome,omitempty"`
+	Reason  string       `json:"reason,omitempty"`
+	Detail  string       `json:"detail,omitempty"`
+	Code    int          `json:"code,omitempty"` // exit code of the task
+	Size    int64        `json:"size,omitempty"` // bytes of the answer
+	Kept    bool         `json:"kept,omitempty"` // the answer can be had again
+	Keep    int          `json:"keep,omitempty"` // seconds for which the id is remembered
+	Held    bool         `json:"held,omitempty"` // accepted, but not yet by the platform
+	Cancel  bool         `json:"cancel,omitempty"`
+	Tasks   []TaskReply  `json:"tasks,omitempty"`
+}
+
+// TaskReply is one task of a job.
+type TaskReply struct {
+	Phase    wire.Phase   `json:"phase"`
+	Attempt  uint32       `json:"attempt"`
+	Endpoint string       `json:"endpoint,omitempty"`
+	Outcome  wire.Outcome `json:"outcome,omitempty"`
+	Code     int          `json:"code,omitempty"`
+	Output   []byte       `json:"output,omitempty"`
+}
+
+// status returns the HTTP status of an outcome.
+func status(outcome wire.Outcome, reason string) int {
+	switch outcome {
+	case wire.Done:
+		return fasthttp.StatusOK
+	case wire.Failed:
+		return fasthttp.StatusFailedDependency
+	case wire.NotRun, wire.Unknown:
+	}
+	if code, ok := reasonStatus(reason); ok {
+		return code
+	}
+	if outcome == wire.NotRun {
+		return fasthttp.StatusServiceUnavailable
+	}
+	return fasthttp.StatusInternalServerError
+}
+
+// reasonStatus returns the status of reasons that have one of their own.
+func reasonStatus(reason string) (int, bool) {
+	switch reason {
+	case wire.ReasonKey:
+		return fasthttp.StatusUnauthorized, true
+	case wire.ReasonQueue:
+		return fasthttp.StatusForbidden, true
+	case wire.ReasonDuplicate:
+		return fasthttp.StatusConflict, true
+	case wire.ReasonGone:
+		return fasthttp.StatusGone, true
+	case wire.ReasonSize:
+		return fasthttp.StatusRequestEntityTooLarge, true
+	case wire.ReasonInvalid:
+		return fasthttp.StatusBadRequest, true
+	case wire.ReasonNever:
+		return fasthttp.StatusUnprocessableEntity, true
+	case wire.ReasonLimit:
+		return fasthttp.StatusTooManyRequests, true
+	}
+	return 0, false
+}
+
+// send answers with JSON.
+func send(x *door.Exchange, code int, r Reply) {
+	if r.ID != "" {
+		x.Header().Set(headerID, r.ID)
+	}
+	if r.Outcome != "" {
+		x.Header().Set(headerOutcome, string(r.Outcome))
+	}
+	if r.Reason != "" {
+		x.Header().Set(headerReason, r.Reason)
+	}
+	body, err := json.Marshal(r)
+	if err != nil {
+		return
+	}
+	x.Answer(code, jsonType, append(body, '\n'))
+}
+
+// fail answers with an outcome that is not a success.
+func fail(x *door.Exchange, id string, res relay.Result) {
+	send(x, status(res.Outcome, res.Reason), Reply{
+		ID: record.Shown(id), Outcome: res.Outcome, Reason: res.Reason, Detail: res.Detail, Code: res.Code,
+	})
+}
--- /dev/null
+++ b/entry/internal/serve/sink.go
@@ -0,0 +1,82 @@
+package serve
+
+import (
+	"github.com/valyala/fasthttp"
+
+	"github.com/balsamford/balsamford/coord/link"
+	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/entry/internal/door"
+	"github.com/balsamford/balsamford/entry/internal/record"
+)
+
+// pieceBytes is the largest piece of an answer in one message between entry
+// processes.
+const pieceBytes = 64 << 10
+
+// callerSink passes a large answer on to the caller's connection.
+type callerSink struct {
+	exchange *door.Exchange
+	id       string
+	begun    bool
+}
+
+// Phase implements relay.Sink.
+func (*callerSink) Phase(wire.Phase) {}
+
+// Chunk implements relay.Sink.
+func (s *callerSink) Chunk(p []byte) error {
+	if !s.begun {
+		s.begun = true
+		s.exchange.Header().Set(headerID, record.Shown(s.id))
+		if err := s.exchange.Begin(fasthttp.StatusOK, bytesType, -1, headerOutcome, headerSum); err != nil {
+			return err
+		}
+	}
+	_, err := s.exchange.Write(p)
+	return err
+}
+
+// streamSink passes events on to another entry process.
+type streamSink struct {
+	stream *link.Stream
+	id     string
+}
+
+// Phase implements relay.Sink.
+func (s *streamSink) Phase(p wire.Phase) { _ = s.stream.Send(wire.Event{ID: s.id, Phase: p}) }
+
+// Chunk implements relay.Sink.
+func (s *streamSink) Chunk(p []byte) error {
+	for len(p) > 0 {
+		n := min(len(p), pieceBytes)
+		if err := s.stream.Send(wire.Event{ID: s.id, Chunk: p[:n]}); err != nil {
+			return err
+		}
+		p = p[n:]
+	}
+	return nil
+}
+
+// phaseSink notes phases in a live request and passes all on.
+type phaseSink struct {
+	live *live
+	next sink
+}
+
+// Phase implements relay.Sink.
+func (s *phaseSink) Phase(p wire.Phase) {
+	s.live.set(p)
+	s.next.Phase(p)
+}
+
+// Chunk implements relay.Sink.
+func (s *phaseSink) Chunk(p []byte) error { return s.next.Chunk(p) }
+
+// nullSink takes the answer of a request that nobody waits for.
+type nullSink struct{}
+
+// Phase implements relay.Sink.
+func (nullSink) Phase(wire.Phase) {}
+
+// Chunk implements relay.Sink.
+func (nullSink) Chunk([]byte) error { return nil }
--- /dev/null
+++ b/entry/internal/serve/submit.go
@@ -0,0 +1,151 @@
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/entry/internal/door"
+	"github.com/balsamford/balsamford/entry/internal/record"
+	"github.com/balsamford/balsamford/entry/internal/relay"
+)
+
+const (
+	// maxIDs is how many ids one call issues, at most.
+	maxIDs = 1000
+	hex    = 16
+)
+
+func hexadecimal(n uint64) string { return strconv.FormatUint(n, hex) }
+
+// serveIDs issues ids.
+func (s *Service) serveIDs(x *door.Exchange) {
+	if _, reason := s.Config.Team(key(x)); reason != "" {
+		send(x, status(wire.NotRun, reason), Reply{Reason: reason})
+		return
+	}
+	ask := struct {
+		Count int `json:"count"`
+	}{Count: 1}
+	if body := x.Request().Body(); len(body) > 0 {
+		if err := json.Unmarshal(body, &ask); err != nil || ask.Count < 1 || ask.Count > maxIDs {
+			send(x, fasthttp.StatusBadRequest, Reply{Reason: wire.ReasonInvalid, Detail: "count has to be between 1 and " + strconv.Itoa(maxIDs)})
+			return
+		}
+	}
+	out := struct {
+		IDs  []string `json:"ids"`
+		Keep int      `json:"keep"`
+	}{Keep: s.keepSeconds()}
+	for range ask.Count {
+		out.IDs = append(out.IDs, s.Issuer.Issue())
+	}
+	body, err := json.Marshal(out)
+	if err != nil {
+		return
+	}
+	x.Answer(fasthttp.StatusOK, jsonType, append(body, '\n'))
+}
+
+func (s *Service) keepSeconds() int { return int(s.Keeper.Keep().Seconds()) }
+
+// serveSubmit takes a request in.
+func (s *Service) serveSubmit(x *door.Exchange) {
+	f, err := parseForm(x.Request().Body())
+	if err != nil {
+		send(x, fasthttp.StatusBadRequest, Reply{Outcome: wire.NotRun, Reason: wire.ReasonInvalid, Detail: err.Error()})
+		return
+	}
+	sub, refusal := s.submission(x, f)
+	if refusal != nil {
+		fail(x, f.ID, *refusal)
+		return
+	}
+	switch {
+	case f.Kind != wire.Quick:
+		s.acceptJob(x, sub)
+	case f.waits():
+		s.answerQuick(x, sub)
+	default:
+		s.acceptQuick(x, sub)
+	}
+}
+
+// submission builds the message of a request, or returns why it is refused.
+// Nothing is known of an id that the caller brought until its record has been
+// asked, so such a refusal doesn't say that the request has not run.
+func (s *Service) submission(x *door.Exchange, f *form) (*submission, *relay.Result) {
+	refuse := func(reason, detail string) (*submission, *relay.Result) {
+		if f.ID != "" {
+			res := relay.Unknown(reason, detail)
+			return nil, &res
+		}
+		res := relay.NotRun(reason, detail)
+		return nil, &res
+	}
+	if s.leaving.Load() {
+		x.CloseAfter()
+		return refuse(wire.ReasonLeaving, "this host is leaving; try another one")
+	}
+	req, err := f.request()
+	if err != nil {
+		return refuse(wire.ReasonInvalid, err.Error())
+	}
+	secret := key(x)
+	team, reason := s.Config.Check(secret, f.Queue, f.Kind)
+	if reason != "" {
+		return refuse(reason, reasonDetail(reason))
+	}
+	req.Team = team
+	sub := &submission{Key: secret, Request: req, Cancel: f.Cancel, Wait: f.waits(), deadline: s.deadline(req.Budget)}
+	if f.ID == "" {
+		sub.private = true
+		sub.Request.ID = s.Issuer.Issue()
+		return sub, nil
+	}
+	id, ok := requestID(team, f.ID)
+	if !ok {
+		return refuse(wire.ReasonInvalid, "id has to be an issued one, or at most 64 letters, digits, - and _")
+	}
+	sub.Request.ID = id
+	return sub, nil
+}
+
+func reasonDetail(reason string) string {
+	switch reason {
+	case wire.ReasonKey:
+		return "the key is missing, unknown or withdrawn"
+	case wire.ReasonQueue:
+		return "no such queue, or the key's team may not use it for this kind"
+	case wire.ReasonStale:
+		return "this host's configuration is not confirmed"
+	}
+	return ""
+}
+
+// answerQuick runs a quick request while its caller waits.
+func (s *Service) answerQuick(x *door.Exchange, sub *submission) {
+	wanted := context.Background()
+	if sub.Cancel {
+		wanted = x.Context()
+	}
+	out := &callerSink{exchange: x, id: sub.Request.ID}
+	s.finish(x, out, sub.Request.ID, s.runHome(wanted, sub, out))
+}
+
+// acceptQuick runs a quick request in the background.
+func (s *Service) acceptQuick(x *door.Exchange, sub *submission) {
+	id := sub.Request.ID
+	if !s.group.TryGo(func() error { s.runHome(context.Background(), sub, nullSink{}); return nil }) {
+		outcome := wire.Unknown
+		if sub.private {
+			outcome = wire.NotRun
+		}
+		fail(x, id, relay.Result{Outcome: outcome, Reason: wire.ReasonBusy, Detail: "too many requests run in the background"})
+		return
+	}
+	send(x, fasthttp.StatusAccepted, Reply{ID: record.Shown(id), Phase: wire.Queued, Keep: s.keepSeconds()})
+}
