--- /dev/null
+++ b/balsam/internal/remote/doc.go
@@ -0,0 +1,2 @@
+// Package remote speaks HTTP to the operators' and the callers' doors.
+package remote
--- a/balsam/main.go
+++ b/balsam/main.go
@@ -1,7 +1,22 @@
-// Command balsam is not built yet.
+// Command balsam is the operators' and callers' command line of balsamford.
+// Run "balsam --help" for the commands and their examples; docs/CONFIG.md has
+// the exit codes.
 package main
 
 import "C"
 
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/balsamford/balsamford/balsam/internal/shell"
+)
+
 func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := shell.Run(ctx, os.Args[1:], shell.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Terminal: shell.IsTerminal(os.Stdout)}, os.Getenv)
+	stop()
+	os.Exit(int(code))
 }
