--- a/trial/judge/judge_test.go
+++ b/trial/judge/judge_test.go
@@ -136,6 +136,17 @@
 			Events: (&log{}).up("a").start(1, "a", "r/0", 1).end(2, "a", "r/0", 1).events,
 			Calls:  []Call{{Tag: "r", Key: "k", Team: "shop", Sent: at(1), Outcome: "done", Own: true}},
 		}},
+		"answer no longer kept": {record: Record{
+			Events: (&log{}).up("a").start(1, "a", "r/0", 1).end(2, "a", "r/0", 1).events,
+			Calls:  []Call{{Tag: "r", Key: "k", Team: "shop", Sent: at(1), Outcome: "done", Gone: true}},
+		}},
+		"job without an outcome": {want: Answered, record: Record{
+			Calls: []Call{{Tag: "r", Key: "k", Team: "shop", Kind: "batch", Sent: at(1), Accepted: true}},
+		}},
+		"job of a withdrawn key": {record: Record{
+			Keys:  withdrawn,
+			Calls: []Call{{Tag: "r", Key: "k", Team: "shop", Kind: "batch", Sent: at(1), Accepted: true}},
+		}},
 		"foreign answer": {want: Answered, record: Record{
 			Events: (&log{}).up("a").start(1, "a", "r/0", 1).end(2, "a", "r/0", 1).events,
 			Calls:  []Call{{Tag: "r", Key: "k", Team: "shop", Sent: at(1), Outcome: "done", Whole: true}},
--- a/trial/judge/record.go
+++ b/trial/judge/record.go
@@ -20,17 +20,21 @@
 
 // Call is one request as its caller saw it.
 type Call struct {
-	Tag     string // the caller's own name of it, which the endpoints log
-	ID      string // as the system named it; empty if no answer named it
-	Key     string // the key's name; empty in an open queue
-	Team    string // of the key
-	Kind    string
-	Once    bool // not idempotent
-	Sent    time.Time
-	Outcome string // wire.Outcome; empty if no answer came
-	Reason  string
-	Whole   bool // with done: as many bytes as the caller asked for
-	Own     bool // with done: the very bytes of its own request
+	Tag  string // the caller's own name of it, which the endpoints log
+	ID   string // as the system named it; empty if no answer named it
+	Key  string // the key's name; empty in an open queue
+	Team string // of the key
+	Kind string
+	Once bool // not idempotent
+	Sent time.Time
+	// Accepted is true for a job that was accepted. It has to have an outcome
+	// in the end, unless its key was withdrawn, so that nobody could ask.
+	Accepted bool
+	Outcome  string // wire.Outcome; empty if no answer came
+	Reason   string
+	Whole    bool // with done: as many bytes as the caller asked for
+	Own      bool // with done: the very bytes of its own request
+	Gone     bool // with done: the answer itself is no longer kept
 }
 
 // Key is a key of the run.
