Measure what processes use at several sizes

Cause: the capacity page needs slopes from runs, with their command. Change: trial cost runs deployments of several sizes and prints processor time, memory and bytes of each role. Measured: nothing yet; the rows go to docs/CAPACITY.md with the run. Conclusion: none yet.

--- a/trial/cell/process.go
+++ b/trial/cell/process.go
@@ -37,6 +37,16 @@
 // Zone returns the process's availability zone; empty for the platform.
 func (p *Process) Zone() string { return p.zone }
 
+// PID returns the number of the running process, 0 before its first start.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // Output returns the file that holds what the process printed.
 func (p *Process) Output() string { return p.output }
 
--- a/trial/main.go
+++ b/trial/main.go
@@ -17,6 +17,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/balsamford/balsamford/trial/cell"
+	"github.com/balsamford/balsamford/trial/internal/cost"
 	"github.com/balsamford/balsamford/trial/internal/demo"
 	"github.com/balsamford/balsamford/trial/internal/faults"
 	"github.com/balsamford/balsamford/trial/judge"
@@ -39,10 +40,14 @@
 	rate     float64
 	long     time.Duration
 	today    bool
+	sizes    string
+	hosts    string
+	rates    string
 }
 
 func main() {
-	o := options{objects: filepath.Join("deploy", "trilha.toml"), binaries: ownDir(), seed: 1, count: 600, rate: 60, long: 30 * time.Second}
+	o := options{objects: filepath.Join("deploy", "trilha.toml"), binaries: ownDir(), seed: 1, count: 600, rate: 60, long: 30 * time.Second,
+		sizes: "12,48,96", hosts: "2", rates: "0"}
 	play := flaggy.NewSubcommand("demo")
 	play.Description = "a small deployment, real requests of all kinds, a table, a graceful end"
 	harm := flaggy.NewSubcommand("faults")
@@ -60,13 +65,24 @@
 	}
 	play.Int(&o.count, "n", "count", "requests")
 	harm.Duration(&o.long, "l", "time", "how long faults are made")
+	weigh := flaggy.NewSubcommand("cost")
+	weigh.Description = "what the processes use at several sizes"
+	weigh.String(&o.objects, "o", "objects", "file of configuration objects")
+	weigh.String(&o.binaries, "b", "binaries", "directory of the programs")
+	weigh.String(&o.sizes, "w", "workers", "workers of each zone, one number for each run")
+	weigh.String(&o.hosts, "n", "hosts", "entry hosts of each zone, one number for each run or one for all")
+	weigh.String(&o.rates, "r", "rates", "requests a second, one number for each run or one for all")
+	weigh.Duration(&o.long, "l", "time", "how long each run is measured")
+	flaggy.AttachSubcommand(weigh, 1)
 	flaggy.Parse()
 	run := o.demo
 	switch {
 	case harm.Used:
 		run = o.faults
+	case weigh.Used:
+		run = o.cost
 	case !play.Used:
-		flaggy.ShowHelpAndExit("name a command: demo or faults")
+		flaggy.ShowHelpAndExit("name a command: demo, faults or cost")
 	}
 	os.Exit(o.run(run))
 }
@@ -114,6 +130,10 @@
 	return faults.Run(ctx, faults.Settings{Site: s, Time: o.long, Rate: o.rate, Seed: o.seed}, os.Stdout)
 }
 
+func (o *options) cost(ctx context.Context, s site.Settings) ([]judge.Finding, error) {
+	return nil, cost.Run(ctx, cost.Settings{Site: s, Sizes: o.sizes, Hosts: o.hosts, Rates: o.rates, Span: o.long, Seed: o.seed}, os.Stdout)
+}
+
 // ownDir returns the directory of this program.
 func ownDir() string {
 	path, err := os.Executable()
