Add coord/parts: upper limits split into parts

Cause: a placer must start work inside a team's upper limit without a call to the platform, through kills, cuts and lost answers.

--- /dev/null
+++ b/coord/parts/account.go
@@ -0,0 +1,93 @@
+package parts
+
+// Account is the row of one team's limit.
+type Account struct {
+	Limit int64            `cbor:"limit"`
+	Zones map[string]*Zone `cbor:"zones"`
+}
+
+// Zone is what one zone has of a limit.
+type Zone struct {
+	Part     int64             `cbor:"part"`
+	Standing int64             `cbor:"standing"` // no other zone takes the part below it
+	Round    uint64            `cbor:"round"`
+	Holders  map[string]*Entry `cbor:"holders"`
+}
+
+// Entry is a holder's record of itself.
+type Entry struct {
+	Round uint64 `cbor:"round"` // in which it was recorded
+	Held  int64  `cbor:"held"`
+	Seq   uint64 `cbor:"seq"` // of the holder's last write
+}
+
+// Handed returns the sum of the zones' parts.
+func (a *Account) Handed() int64 {
+	var sum int64
+	for _, z := range a.Zones {
+		sum += z.Part
+	}
+	return sum
+}
+
+// Accepted reports whether the parts handed out fit the limit. A lowered
+// limit holds only once they do.
+func (a *Account) Accepted() bool { return a.Handed() <= a.Limit }
+
+// zone returns a zone, made if need be.
+func (a *Account) zone(name string) *Zone {
+	z := a.Zones[name]
+	if z == nil {
+		z = &Zone{Round: 1}
+		a.Zones[name] = z
+	}
+	if z.Holders == nil {
+		z.Holders = make(map[string]*Entry)
+	}
+	return z
+}
+
+// slack returns what the zone's holders don't hold, negative if more runs
+// than the zone's part; ok is false while a holder hasn't recorded itself in
+// this round.
+func (z *Zone) slack() (n int64, ok bool) {
+	n = z.Part
+	for _, e := range z.Holders {
+		if e.Round != z.Round {
+			return 0, false
+		}
+		n -= e.Held
+	}
+	return n, true
+}
+
+// pull raises a zone's part by up to n, out of what no zone has and out of
+// what other zones neither hold nor keep standing, and returns by how much.
+func (a *Account) pull(z *Zone, n int64) int64 {
+	got := max(min(n, a.Limit-a.Handed()), 0)
+	z.Part += got
+	for _, other := range a.Zones {
+		if other == z || got == n || !a.Accepted() {
+			continue
+		}
+		free, ok := other.slack()
+		if !ok {
+			continue
+		}
+		k := max(min(n-got, free, other.Part-other.Standing), 0)
+		other.Part -= k
+		z.Part += k
+		got += k
+	}
+	return got
+}
+
+// shrink lowers a zone's part by what is free in it, while the parts exceed
+// the limit.
+func (a *Account) shrink(z *Zone) {
+	free, ok := z.slack()
+	if !ok {
+		return
+	}
+	z.Part -= max(min(free, a.Handed()-a.Limit), 0)
+}
--- /dev/null
+++ b/coord/parts/move.go
@@ -0,0 +1,59 @@
+package parts
+
+// Ask returns what to send to another holder of the zone to be given n of a
+// team's part. While the answer to an earlier Ask is open, the same Ask is
+// returned again.
+func (h *Holder) Ask(giver, team string, n int64) Ask {
+	s := h.split(team)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.asks[giver] == 0 {
+		s.askSeq[giver]++
+		s.asks[giver] = s.askSeq[giver]
+	}
+	return Ask{Team: team, From: h.name, Round: s.round, Seq: s.asks[giver], Want: n, Debt: max(-s.free(), 0)}
+}
+
+// Serve answers another holder's Ask. The holder keeps half of what it has
+// free, but gives all that passed tasks took to who runs them.
+func (h *Holder) Serve(a Ask) Grant {
+	s := h.split(a.Team)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	answer := Grant{Team: a.Team, Giver: h.name, Round: s.round, Seq: a.Seq}
+	last := s.gifts[a.From]
+	if !s.joined || a.Round != s.round || a.Seq < last.seq || a.From == h.name {
+		answer.Seq = 0
+		return answer
+	}
+	if a.Seq == last.seq {
+		answer.N = last.n
+		return answer
+	}
+	parked := max(min(a.Want, a.Debt, s.parked), 0)
+	n := parked + max(min(a.Want-parked, (s.free()+1)/2), 0)
+	s.parked -= parked
+	s.part -= n
+	s.gifts[a.From] = gift{seq: a.Seq, n: n, at: h.timer.Now()}
+	answer.N = n
+	return answer
+}
+
+// Accept takes what a giver gave and returns how much it was. A Grant that
+// comes twice or too late gives nothing. If it gave something, an Ask for
+// nothing tells the giver that it arrived; without it, the giver's next
+// record counts it as lost until the round after.
+func (h *Holder) Accept(g Grant) int64 {
+	s := h.split(g.Team)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g.Seq == 0 || g.Round != s.round || s.asks[g.Giver] != g.Seq {
+		return 0
+	}
+	s.asks[g.Giver] = 0
+	s.part += g.N
+	if g.N > 0 {
+		s.demand, s.needed = 0, h.timer.Now()
+	}
+	return g.N
+}
