--- a/placer/internal/daemon/daemon_test.go
+++ b/placer/internal/daemon/daemon_test.go
@@ -29,7 +29,7 @@
 
 // patience bounds the waits for events in these tests; they end as soon as
 // the event is seen.
-const patience = 60 * time.Second
+const patience = 30 * time.Second
 
 // zone is one availability zone in this process: a platform, endpoints and
 // placers, which speak over loopback.
--- a/placer/internal/jobs/leave.go
+++ b/placer/internal/jobs/leave.go
@@ -82,7 +82,7 @@
 
 // passOn finds another placer whose endpoints can run a job that this one's
 // never can, and reports whether it took it or there is none in the zone.
-func (d *Driver) passOn(ctx context.Context, j *job) bool {
+func (d *Driver) passOn(ctx context.Context, j *job, reason string) bool {
 	row := j.snapshot()
 	ask := &note{Fit: &fit{Needs: row.Request.Needs, Tasks: 1}}
 	if row.Request.Kind == wire.Gang {
@@ -100,7 +100,9 @@
 		return false
 	}
 	j.mu.Lock()
-	j.nevers++
+	if reason == wire.ReasonNever {
+		j.nevers++
+	}
 	over := j.nevers >= nevers
 	j.mu.Unlock()
 	if over {
--- a/placer/internal/jobs/submit.go
+++ b/placer/internal/jobs/submit.go
@@ -65,12 +65,12 @@
 	switch e.Reason {
 	case wire.ReasonDeadline:
 		d.giveUp(j, e.Reason)
-	case wire.ReasonNever:
-		if d.passOn(ctx, j) {
-			return
-		}
-		fallthrough
 	default:
+		if e.Reason == wire.ReasonNever || !d.queue.Fits(j.row.Request.Needs, 1) {
+			if d.passOn(ctx, j, e.Reason) {
+				return
+			}
+		}
 		if d.timer.Sleep(ctx, 2*pause) == nil {
 			d.submit(j)
 		}
