Own endpoints that don't fence by terms in the platform's table

Cause: an endpoint with fence = clock takes calls of any owner. Change: placer/internal/fence: a term is a row that its owner renews; while the platform is away every other placer of the zone promises not to take it; a successor waits until it has seen the row unchanged for a whole term. Seats look at an endpoint before they open it, ask for a term where it is needed and check it again just before each start. Failed try: the test first expected a successor after two terms; it is three at worst, since the last promise and then an unchanged term run out. A promise given while a take is under way is not covered by the test, which is sequential.

--- a/placer/internal/daemon/daemon.go
+++ b/placer/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/balsamford/balsamford/placer/internal/conf"
 	"github.com/balsamford/balsamford/placer/internal/desk"
 	"github.com/balsamford/balsamford/placer/internal/exec"
+	"github.com/balsamford/balsamford/placer/internal/fence"
 	"github.com/balsamford/balsamford/placer/internal/hold"
 	"github.com/balsamford/balsamford/placer/internal/hosts"
 	"github.com/balsamford/balsamford/placer/internal/jobs"
@@ -42,6 +43,7 @@
 	client   *point.Client
 	sched    *sched.Scheduler
 	desk     *desk.Desk
+	guard    *fence.Guard
 	keeper   *hold.Keeper
 	driver   *jobs.Driver
 	server   *serve.Server
@@ -81,14 +83,14 @@
 	d.sched = sched.New(sched.WithTimer(d.timer))
 	d.desk = desk.New(d.sched)
 	tag := uint16(d.epoch ^ d.epoch>>16 ^ d.epoch>>32 ^ d.epoch>>48)
+	d.guard = fence.New(d.table, d.timer, others{d}, time.Duration(s.Term))
 	d.keeper = hold.New(s.Host, tag, d.members, d.client, d.timer, d.desk,
 		hold.WithTerm(time.Duration(s.Term)), hold.WithLease(time.Duration(s.Lease)),
-		hold.WithWitness(hold.WitnessFunc(func(ctx context.Context, endpoint string) bool {
-			return d.driver.Abandoned(ctx, endpoint)
-		})))
+		hold.WithFencer(d.guard),
+		hold.WithWitness(others{d}))
 	d.driver = jobs.New(s.Host, s.Zone, jobs.Parts{
 		Timer: d.timer, Table: d.table, Queue: d.desk, Owner: d.keeper, Client: d.client,
-		Members: d.members, Caller: d.node, Log: d.log, Metrics: d.registry,
+		Members: d.members, Caller: d.node, Log: d.log, Metrics: d.registry, Promise: d.guard.Promise,
 	})
 	d.desk.Attach(d.driver, d.keeper)
 	d.server = serve.New(exec.New(d.timer, d.desk, d.keeper, d.client, d.registry), d.driver, d.load, d.refusal)
--- a/placer/internal/daemon/daemon_test.go
+++ b/placer/internal/daemon/daemon_test.go
@@ -104,9 +104,10 @@
 	return c.LocalAddr().String()
 }
 
-func (z *zone) endpoint(name string, kind point.Kind, rack string, capacity wire.Needs) *engine.Endpoint {
-	e := engine.New(name, engine.WithKind(kind), engine.WithPlace("a", rack), engine.WithCapacity(capacity),
-		engine.WithTimer(z.timer), engine.WithLog(z.log), engine.WithStrict(false))
+func (z *zone) endpoint(name string, kind point.Kind, rack string, capacity wire.Needs, more ...engine.Option) *engine.Endpoint {
+	opts := []engine.Option{engine.WithKind(kind), engine.WithPlace("a", rack), engine.WithCapacity(capacity),
+		engine.WithTimer(z.timer), engine.WithLog(z.log), engine.WithStrict(false)}
+	e := engine.New(name, append(opts, more...)...)
 	address := z.listen(func(ln net.Listener) error { return serve.Run(z.ctx, ln, serve.NewEndpoint(e).Handle, 0) })
 	z.engines[name] = e
 	z.places = append(z.places, conf.Endpoint{Name: name, Kind: string(kind), Zone: "a", Rack: rack, Address: address})
--- a/placer/internal/daemon/fault_test.go
+++ b/placer/internal/daemon/fault_test.go
@@ -251,3 +251,38 @@
 		})
 	}
 }
+
+// An endpoint that doesn't refuse old owners is owned by terms in the
+// platform's table; while that is away the owner goes on by promises.
+func TestEndpointWithoutFence(t *testing.T) {
+	is := is.New(t)
+	z := newZone(t, 2)
+	e := z.endpoint("w0", point.Worker, "r0", cores(32), engine.WithFence(point.FenceClock))
+	z.start(0)
+	z.start(1)
+	z.eventually("it is owned", z.owned(1))
+	run := func(id string) wire.Outcome {
+		req := jobRequest(id, wire.Batch, 1, engine.Body{})
+		z.submit(z.placers[0], req)
+		z.eventually("the end is written", func() bool { return z.row(id).Outcome != "" })
+		return z.row(id).Outcome
+	}
+	is.Equal(run("a.first"), wire.Done)
+	z.memory.SetFaults(store.Faults{Down: true})
+	time.Sleep(4 * time.Second) // more than two terms
+	is.True(z.owned(1)())
+	z.memory.SetFaults(store.Faults{})
+	owner := 0
+	if _, n := z.placers[1].keeper.Count(); n == 1 {
+		owner = 1
+	}
+	view, err := e.View(z.ctx)
+	is.NoErr(err)
+	pass, err := z.placers[owner].keeper.Enter("w0", view.Owner.Epoch)
+	is.NoErr(err) // inside its term
+	pass.Done()
+	z.placers[owner].kill()
+	is.NoErr(<-z.placers[owner].done)
+	z.eventually("the other takes it", func() bool { _, n := z.placers[1-owner].keeper.Count(); return n == 1 })
+	z.judge()
+}
--- a/placer/internal/hold/renew.go
+++ b/placer/internal/hold/renew.go
@@ -21,8 +21,8 @@
 func (s *Seat) renew(ctx context.Context) time.Duration {
 	t, in := s.renewal()
 	sent := s.clock.Boot()
-	if !s.fence.Renew(ctx, t, in.Owner) {
-		s.pause()
+	if !s.renewTerm(ctx, t, in.Owner) {
+		return 0
 	}
 	s.watch.Sent()
 	ctx, cancel := context.WithTimeout(ctx, in.Wait+s.term/periods)
@@ -37,6 +37,32 @@
 	return s.rest(sent, in.Wait)
 }
 
+// renewTerm renews the term of an endpoint that doesn't fence. It reports
+// false if the endpoint is another's now.
+func (s *Seat) renewTerm(ctx context.Context, t Target, o point.Owner) bool {
+	if !s.guarded {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.term/periods)
+	defer cancel()
+	term, err := s.fence.Renew(ctx, t.Name, o)
+	var taken *TakenError
+	if errors.As(err, &taken) {
+		s.close()
+		return false
+	}
+	s.mu.Lock()
+	if err == nil {
+		s.current = term
+	}
+	valid := s.inTermLocked()
+	s.mu.Unlock()
+	if !valid {
+		s.pause()
+	}
+	return true
+}
+
 // rest spaces renewals that were answered without waiting, so that an endpoint
 // with many events isn't asked without pause.
 func (s *Seat) rest(sent, wait time.Duration) time.Duration {
@@ -63,7 +89,9 @@
 func (s *Seat) reported(sent time.Duration, report *point.Report) {
 	s.since = max(s.since, report.Seq)
 	s.mu.Lock()
-	s.current = lease.NewTerm(sent, s.term)
+	if !s.guarded {
+		s.current = lease.NewTerm(sent, s.term)
+	}
 	s.state = open
 	s.target.Leaving = s.target.Leaving || report.Leaving
 	for i := range report.Tasks {
@@ -167,7 +195,9 @@
 			return s.backoff()
 		}
 	}
-	s.fence.Release(ctx, t, o)
+	if s.guarded {
+		s.fence.Release(ctx, t.Name, o)
+	}
 	s.close()
 	return 0
 }
--- a/placer/internal/hold/seat.go
+++ b/placer/internal/hold/seat.go
@@ -47,6 +47,7 @@
 
 	// Step's own.
 	epoch   lease.Epoch
+	looked  bool   // guarded is known
 	asked   uint64 // epoch of an open that got no answer
 	since   uint64
 	watch   *lease.Watch
--- a/placer/internal/hold/witness.go
+++ b/placer/internal/hold/witness.go
@@ -17,9 +17,3 @@
 
 // Abandoned implements Witness.
 func (alone) Abandoned(context.Context, string) bool { return true }
-
-// WitnessFunc is a function that serves as a Witness.
-type WitnessFunc func(ctx context.Context, endpoint string) bool
-
-// Abandoned implements Witness.
-func (f WitnessFunc) Abandoned(ctx context.Context, endpoint string) bool { return f(ctx, endpoint) }
--- a/placer/internal/jobs/driver.go
+++ b/placer/internal/jobs/driver.go
@@ -36,6 +36,7 @@
 	members Members
 	caller  Caller
 	log     *zap.Logger
+	promise func(endpoint string, length time.Duration) bool
 	counts  counts
 	group   errgroup.Group
 	dirty   chan struct{}
@@ -64,13 +65,15 @@
 	Caller  Caller
 	Log     *zap.Logger
 	Metrics metrics.Registry
+	// Promise answers another placer that asks not to take an endpoint's term.
+	Promise func(endpoint string, length time.Duration) bool
 }
 
 // New returns a Driver for the placer called name in zone.
 func New(name, zone string, p Parts) *Driver {
 	return &Driver{
 		name: name, zone: zone, timer: p.Timer, table: p.Table, queue: p.Queue, owner: p.Owner,
-		client: p.Client, members: p.Members, caller: p.Caller, log: p.Log,
+		client: p.Client, members: p.Members, caller: p.Caller, log: p.Log, promise: p.Promise,
 		counts: counts{
 			starts:    metrics.GetOrRegisterCounter("placer.job.starts", p.Metrics),
 			restarts:  metrics.GetOrRegisterCounter("placer.job.restarts", p.Metrics),
--- a/placer/internal/jobs/note.go
+++ b/placer/internal/jobs/note.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/balsamford/balsamford/coord/link"
 	"github.com/balsamford/balsamford/coord/point"
@@ -11,20 +12,21 @@
 // note is what the owner of an endpoint tells the placers that may drive the
 // jobs of its tasks, or what a driver asks of them.
 type note struct {
-	Endpoint string       `cbor:"endpoint,omitempty"`
-	Epoch    uint64       `cbor:"epoch,omitempty"`  // with Opened and Lapsed
-	Opened   bool         `cbor:"opened,omitempty"` // Tasks is all that the endpoint has
-	Lapsed   bool         `cbor:"lapsed,omitempty"` // nothing started up to Epoch runs there any more
-	Tasks    []point.Task `cbor:"tasks,omitempty"`  // without Opened: ended ones
-	Halt     *halt        `cbor:"halt,omitempty"`
-	Fit      *fit         `cbor:"fit,omitempty"`
-	Held     bool         `cbor:"held,omitempty"` // asks whether the other may keep the endpoint's leases alive
+	Endpoint string        `cbor:"endpoint,omitempty"`
+	Epoch    uint64        `cbor:"epoch,omitempty"`  // with Opened and Lapsed
+	Opened   bool          `cbor:"opened,omitempty"` // Tasks is all that the endpoint has
+	Lapsed   bool          `cbor:"lapsed,omitempty"` // nothing started up to Epoch runs there any more
+	Tasks    []point.Task  `cbor:"tasks,omitempty"`  // without Opened: ended ones
+	Halt     *halt         `cbor:"halt,omitempty"`
+	Fit      *fit          `cbor:"fit,omitempty"`
+	Promise  time.Duration `cbor:"promise,omitempty"` // asks not to take the endpoint's term for that long
+	Held     bool          `cbor:"held,omitempty"`    // asks whether the other may keep the endpoint's leases alive
 }
 
 // noted answers a note.
 type noted struct {
 	Known []bool `cbor:"known,omitempty"` // of Tasks: driven here, and the end is written
-	Done  bool   `cbor:"done,omitempty"`  // Halt was carried out, or Fit or Held holds
+	Done  bool   `cbor:"done,omitempty"`  // Halt was carried out, Promise given, or Fit or Held holds
 }
 
 // halt asks for the end of one attempt of a task.
@@ -58,6 +60,8 @@
 		return noted{Done: d.haltHere(ctx, *in.Halt)}
 	case in.Fit != nil:
 		return noted{Done: d.queue.Fits(in.Fit.Needs, in.Fit.Tasks)}
+	case in.Promise > 0:
+		return noted{Done: d.promise(in.Endpoint, in.Promise)}
 	case in.Held:
 		return noted{Done: d.owner.Held(in.Endpoint)}
 	case in.Lapsed:
--- a/placer/internal/jobs/witness.go
+++ b/placer/internal/jobs/witness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/balsamford/balsamford/coord/roster"
 )
@@ -18,6 +19,20 @@
 	return true
 }
 
+// Promise implements fence.Others: every other placer that is known, alive or
+// not, could take the term and has to promise.
+func (d *Driver) Promise(ctx context.Context, endpoint string, length time.Duration) bool {
+	for _, m := range d.members.Peers() {
+		if m.Zone != d.zone {
+			continue
+		}
+		if out, err := d.tell(ctx, m, &note{Endpoint: endpoint, Promise: length}); err != nil || !out.Done {
+			return false
+		}
+	}
+	return true
+}
+
 func (d *Driver) unheld(ctx context.Context, m roster.Member, endpoint string) bool {
 	if d.members.Silent(m.Name) >= d.owner.Span() {
 		return true
