Follow the configuration in entry, and bound what a dead peer costs

entry's rights come from coord/config now: keys, queues, and refusal of all but open queues while the version isn't confirmed.

Cause of the change in coord/link: connect held a peer's lock while it dialled, so all callers of a dead peer dialled one after another.

The fault matrix and the retry table drive four entries and two fake placers over real links. Under the race detector errgroup's Wait beside TryGo was reported as a race; counters replace Wait there.

--- a/coord/link/node.go
+++ b/coord/link/node.go
@@ -150,7 +150,7 @@
 	defer n.mu.Unlock()
 	p := n.peers[address]
 	if p == nil {
-		p = &peer{address: address}
+		p = newPeer(address)
 		n.peers[address] = p
 	}
 	return p
--- a/entry/app.go
+++ b/entry/app.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/balsamford/balsamford/coord/config"
 	"github.com/balsamford/balsamford/coord/link"
 	"github.com/balsamford/balsamford/coord/logs"
 	"github.com/balsamford/balsamford/coord/meter"
@@ -33,6 +34,7 @@
 	platform *store.Client
 	node     *link.Node
 	faults   *faults
+	follower *config.Follower
 	rights   *rights
 	table    *route.Table
 	keeper   *record.Keeper
@@ -56,11 +58,29 @@
 	a := &app{settings: s, logger: logger, clock: timer.New(), registry: metrics.NewRegistry(), faults: newFaults()}
 	a.platform = store.NewClient(s.Platform)
 	a.node = link.New(s.Host, certs, link.WithGate(a.faults))
-	a.rights = newRights(a)
+	a.follower = config.NewFollower(followerName(s.Host), s.Zone, a.platform, a.clock,
+		config.WithPeers(config.RosterFunc(a.peers), a.node, s.Link), config.WithLog(logger), config.WithMetrics(a.registry))
+	a.follower.Register(a.node)
+	a.rights = &rights{follower: a.follower}
 	a.build()
 	return a, nil
 }
 
+// followerName tells this process from a placer of the same host.
+func followerName(host string) string { return "entry/" + host }
+
+// peers returns the other processes that follow the configuration.
+func (a *app) peers() []config.Peer {
+	out := make([]config.Peer, 0, len(a.settings.Peers)+len(a.settings.Placers))
+	for _, p := range a.settings.Peers {
+		out = append(out, config.Peer{Name: followerName(p.Name), Zone: p.Zone, Address: p.Link})
+	}
+	for _, p := range a.settings.Placers {
+		out = append(out, config.Peer{Name: p.Name, Zone: p.Zone, Address: p.Link})
+	}
+	return out
+}
+
 // build makes the parts that serve callers.
 func (a *app) build() {
 	s := a.settings
@@ -123,7 +143,7 @@
 	st := newStages(ctx)
 	st.back(a.clock.Run)
 	st.back(a.node.Run)
-	st.back(a.rights.run)
+	st.back(a.follower.Run)
 	st.back(a.table.Run)
 	st.back(a.keeper.Run)
 	st.back(func(ctx context.Context) error { return a.jobs.Run(ctx, a.service.Offer) })
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -51,6 +51,9 @@
 		_ = a.clock.Sleep(ctx, drainLook)
 	}
 	a.service.Wait()
+	if err := a.follower.Leave(ctx); err != nil {
+		a.logger.Warn("not taken off the list of hosts; publishes wait until its entry lapses", zap.Error(err))
+	}
 	a.logger.Info("entry has drained", zap.Int("givenup", given), zap.Int("unanswered", a.busy()))
 }
 
--- a/entry/internal/record/enter.go
+++ b/entry/internal/record/enter.go
@@ -89,7 +89,7 @@
 	if !k.endLocal(&n, &row) || !n.Once {
 		return
 	}
-	k.group.TryGo(func() error { k.tell(n, row); return nil })
+	k.later(func() { k.tell(n, row) })
 }
 
 func (k *Keeper) endLocal(n *Note, row *bool) bool {
--- a/entry/internal/record/keeper.go
+++ b/entry/internal/record/keeper.go
@@ -21,6 +21,9 @@
 	callTime = time.Second
 	// tellers is how many outcomes are told to other holders at a time.
 	tellers = 64
+	// waitLook is how often Wait looks for the end of what runs in the
+	// background.
+	waitLook = 10 * time.Millisecond
 	// clockSkew is how far the clocks of two hosts may differ.
 	clockSkew = 10 * time.Second
 )
@@ -53,7 +56,8 @@
 	counts   *counts
 	size     atomic.Int64
 	kept     atomic.Int64
-	group    errgroup.Group
+	group    errgroup.Group // its end is awaited by telling, so that Wait and later may overlap
+	telling  atomic.Int64
 	shards   [shards]shard
 
 	mu      sync.Mutex // guards the fields below
@@ -142,7 +146,25 @@
 
 // Wait waits until outcomes that are on their way to other holders have been
 // told.
-func (k *Keeper) Wait() { _ = k.group.Wait() }
+func (k *Keeper) Wait() {
+	for k.telling.Load() > 0 {
+		_ = k.clock.Sleep(context.Background(), waitLook)
+	}
+}
+
+// later does something in the background, unless too much is done there
+// already.
+func (k *Keeper) later(f func()) {
+	k.telling.Add(1)
+	started := k.group.TryGo(func() error {
+		defer k.telling.Add(-1)
+		f()
+		return nil
+	})
+	if !started {
+		k.telling.Add(-1)
+	}
+}
 
 // trimmed returns the note as it is kept: without an answer that is too
 // large.
--- a/entry/internal/record/sync.go
+++ b/entry/internal/record/sync.go
@@ -179,7 +179,7 @@
 	}
 	sh.mu.Unlock()
 	for _, id := range rows {
-		k.group.TryGo(func() error { k.deleteRow(id); return nil })
+		k.later(func() { k.deleteRow(id) })
 	}
 }
 
--- a/entry/internal/relay/attempt.go
+++ b/entry/internal/relay/attempt.go
@@ -59,7 +59,7 @@
 
 // open opens a stream within the time that the request has.
 func (j *journey) open(ctx context.Context, p route.Placer) (*link.Stream, error) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := j.runner.within(ctx, openTime)
 	defer cancel()
 	stop := context.AfterFunc(j.wanted, cancel)
 	defer stop()
--- a/entry/internal/relay/journey.go
+++ b/entry/internal/relay/journey.go
@@ -21,6 +21,7 @@
 	wanted  context.Context // ends with the deadline or the caller's wish
 	stop    context.CancelCauseFunc
 	alarm   *timer.Timer
+	broken  []string // placers whose streams broke off
 	offers  int
 	sends   int    // sends after which a start may have left
 	left    bool   // a start may have left
@@ -36,7 +37,9 @@
 func newJourney(r *Runner, o *Order, sink Sink) *journey {
 	j := &journey{
 		runner: r, order: o, req: o.Request, answer: newAnswer(sink),
-		query:   route.Query{Kind: o.Request.Kind, Queue: o.Request.Queue, Needs: o.Request.Needs, Tried: make(map[string]bool)},
+		query: route.Query{
+			Kind: o.Request.Kind, Queue: o.Request.Queue, Needs: o.Request.Needs, Zone: o.Zone, Tried: make(map[string]bool),
+		},
 		refused: NotRun(wire.ReasonRoute, "no placer can be reached"),
 	}
 	j.req.Attempt = o.Base
@@ -82,7 +85,7 @@
 	if reason := j.order.Allow(); reason != "" {
 		return NotRun(reason, ""), true
 	}
-	p, ok := j.runner.routes.Pick(j.query)
+	p, ok := j.pick()
 	if !ok {
 		return j.refused, true
 	}
@@ -101,6 +104,20 @@
 	return j.uncertain(ctx, p, t)
 }
 
+// pick chooses the next placer. One that broke off is asked again only if
+// there is no other.
+func (j *journey) pick() (route.Placer, bool) {
+	p, ok := j.runner.routes.Pick(j.query)
+	if ok || len(j.broken) == 0 {
+		return p, ok
+	}
+	for _, name := range j.broken {
+		delete(j.query.Tried, name)
+	}
+	j.broken = nil
+	return j.runner.routes.Pick(j.query)
+}
+
 // refusal decides whether a refused request is offered to another placer.
 func (j *journey) refusal(p route.Placer, res Result) (Result, bool) {
 	j.refused = res
@@ -133,8 +150,10 @@
 	if t.res.Endpoint != "" {
 		j.req.Avoid = append(j.req.Avoid, t.res.Endpoint)
 	}
-	if !t.broken {
-		delete(j.query.Tried, p.Name)
+	delete(j.query.Tried, p.Name)
+	if t.broken {
+		j.query.Tried[p.Name] = true
+		j.broken = append(j.broken, p.Name)
 	}
 	j.answer.reset()
 	j.runner.counts.retries.Inc(1)
--- a/entry/internal/relay/offer.go
+++ b/entry/internal/relay/offer.go
@@ -62,7 +62,8 @@
 			continue
 		}
 		if ev.Outcome != "" {
-			return j.ended(&ev, ""), false
+			t := j.ended(&ev, "")
+			return t, t.res.Outcome != wire.NotRun && ev.Phase == wire.Ended
 		}
 		if ev.Phase != "" {
 			return try{}, true
--- a/entry/internal/relay/order.go
+++ b/entry/internal/relay/order.go
@@ -13,6 +13,7 @@
 	Deadline time.Time       // zero for none
 	Wanted   context.Context // ends when the caller no longer wants the request run
 	Allow    func() string   // asked before each send; a reason forbids it
+	Zone     string          // only placers of this zone take it; any if empty
 	Base     uint32          // attempts are numbered from Base + 1
 }
 
--- a/entry/internal/relay/runner.go
+++ b/entry/internal/relay/runner.go
@@ -26,6 +26,8 @@
 	// graceTime is how long a placer's own word is awaited after a deadline
 	// or a cancellation.
 	graceTime = time.Second
+	// openTime bounds the opening of a stream to a placer.
+	openTime = time.Second
 )
 
 // Network reaches other processes.
--- a/entry/internal/route/tier.go
+++ b/entry/internal/route/tier.go
@@ -17,6 +17,9 @@
 // just not reached, is leaving or has been tried isn't chosen at all.
 func (t *Table) tierLocked(v *view, q Query) int {
 	now := t.clock.Now()
+	if q.Zone != "" && q.Zone != v.Zone {
+		return worstTier
+	}
 	if q.Tried[v.Name] || v.load.Leaving || !v.failed.IsZero() && now.Sub(v.failed) < failedTime {
 		return worstTier
 	}
--- a/entry/internal/serve/cell_test.go
+++ b/entry/internal/serve/cell_test.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -215,19 +217,26 @@
 	_ = e.done.Wait()
 }
 
+// loopback returns an address of a loopback network that hardly another test
+// uses, so that a port found free there stays so.
+func loopback() string {
+	part := func() string { return strconv.Itoa(1 + rand.IntN(250)) }
+	return "127." + part() + "." + part() + "." + part() + ":0"
+}
+
 func freeUDP(t testing.TB) string {
 	t.Helper()
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	conn, err := net.ListenPacket("udp", loopback())
 	is.New(t).NoErr(err)
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	return conn.LocalAddr().String()
 }
 
 func freeTCP(t testing.TB) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", loopback())
 	is.New(t).NoErr(err)
-	defer ln.Close()
+	defer func() { _ = ln.Close() }()
 	return ln.Addr().String()
 }
 
@@ -255,7 +264,7 @@
 	if err != nil {
 		return got{reason: err.Error()}
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	g := got{code: resp.StatusCode, id: resp.Header.Get("Request-Id"), outcome: wire.Outcome(resp.Header.Get("Outcome")), reason: resp.Header.Get("Reason")}
 	g.body, err = io.ReadAll(resp.Body)
 	g.whole = err == nil
@@ -289,3 +298,25 @@
 		p.set(s...)
 	}
 }
+
+func (c *cell) host(name string) record.Host {
+	for _, h := range c.hosts {
+		if h.Name == name {
+			return h
+		}
+	}
+	return record.Host{}
+}
+
+// idAt returns an own id of team red whose first holder is the given host,
+// with both holders in its zone.
+func (c *cell) idAt(host string) string {
+	ring := record.NewRing([]string{"a", "b"}, c.hosts)
+	for i := 0; ; i++ {
+		text := "order-" + strconv.Itoa(i)
+		id, _ := record.Own("red", text)
+		if first, _ := ring.Holders(id); first.Name == host {
+			return text
+		}
+	}
+}
--- a/entry/internal/serve/forward.go
+++ b/entry/internal/serve/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/balsamford/balsamford/coord/link"
 	"github.com/balsamford/balsamford/coord/wire"
@@ -18,6 +19,8 @@
 	// sendTries is how often a request is sent to its record's host; sending
 	// it again joins it to the running one.
 	sendTries = 2
+	// openTime bounds the opening of a stream to another entry process.
+	openTime = time.Second
 )
 
 // runHome answers a quick request: here if this host holds its record, else
@@ -63,9 +66,10 @@
 		if over {
 			return next, true
 		}
-		if ok {
-			res, sent = next, true
+		if !ok {
+			break
 		}
+		res, sent = next, true
 		if res.Streamed || wanted.Err() != nil {
 			break
 		}
@@ -85,7 +89,7 @@
 	}
 	alarm := s.Clock.After(sub.deadline.Sub(s.Clock.Now())+forwardGrace, cancel)
 	defer alarm.Stop()
-	stream, err := s.Net.Open(ctx, to.Link, verbSubmit)
+	stream, err := s.open(ctx, to)
 	if err != nil {
 		return relay.Result{}, false, false
 	}
@@ -105,6 +109,15 @@
 	return res, true, over
 }
 
+// open opens a stream to another entry process.
+func (s *Service) open(ctx context.Context, to record.Host) (*link.Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	alarm := s.Clock.After(openTime, cancel)
+	defer alarm.Stop()
+	return s.Net.Open(ctx, to.Link, verbSubmit)
+}
+
 // handleSubmit serves verbSubmit.
 func (s *Service) handleSubmit(ctx context.Context, stream *link.Stream) error {
 	var sub submission
--- a/entry/internal/serve/job.go
+++ b/entry/internal/serve/job.go
@@ -53,14 +53,14 @@
 
 // offerLater offers a job to placers without making its caller wait.
 func (s *Service) offerLater(req wire.Request) {
-	s.group.TryGo(func() error { s.offer(req); return nil })
+	s.later(func() { s.offer(req) })
 }
 
 // Offer offers a job that has been written after the platform came back.
 func (s *Service) Offer(job wire.Job) { s.offerLater(job.Request) }
 
 func (s *Service) offer(req wire.Request) {
-	order := &relay.Order{Request: req}
+	order := &relay.Order{Request: req, Zone: s.Ring.Zone(req.ID)}
 	for range offerTries {
 		driver, res := s.Runner.Offer(s.ctx, order)
 		if driver != "" {
--- a/entry/internal/serve/placer_test.go
+++ b/entry/internal/serve/placer_test.go
@@ -272,3 +272,10 @@
 	}
 	return nil
 }
+
+// seen returns the requests that have come.
+func (p *fakePlacer) seen() []wire.Request {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.requests
+}
--- a/entry/internal/serve/service.go
+++ b/entry/internal/serve/service.go
@@ -24,6 +24,9 @@
 	defaultDeadline = 30 * time.Second
 	// backgroundLimit bounds requests that run without a waiting caller.
 	backgroundLimit = 4096
+	// waitLook is how often Wait looks for the end of what runs in the
+	// background.
+	waitLook = 10 * time.Millisecond
 	// forwardGrace is how long after the deadline the word of the record's
 	// host is awaited.
 	forwardGrace = 2 * time.Second
@@ -57,8 +60,9 @@
 	lives   lives
 	drivers drivers
 	leaving atomic.Bool
-	working atomic.Int64 // requests that run here
-	group   errgroup.Group
+	working atomic.Int64   // requests that run here
+	group   errgroup.Group // its end is awaited by pending, so that Wait and later may overlap
+	pending atomic.Int64
 	ctx     context.Context // ends when requests have to be given up
 	stop    context.CancelFunc
 }
@@ -92,10 +96,27 @@
 // Wait waits until no request runs in the background and all outcomes have
 // been told to the records' other holders.
 func (s *Service) Wait() {
-	_ = s.group.Wait()
+	for s.pending.Load() > 0 {
+		_ = s.Clock.Sleep(context.Background(), waitLook)
+	}
 	s.Keeper.Wait()
 }
 
+// later does something in the background; it reports false if too much is
+// done there already.
+func (s *Service) later(f func()) bool {
+	s.pending.Add(1)
+	started := s.group.TryGo(func() error {
+		defer s.pending.Add(-1)
+		f()
+		return nil
+	})
+	if !started {
+		s.pending.Add(-1)
+	}
+	return started
+}
+
 // deadline returns the time by which a quick request has to be answered.
 func (s *Service) deadline(budget time.Duration) time.Time {
 	longest := s.Keeper.Keep() / 2
--- a/entry/internal/serve/submit.go
+++ b/entry/internal/serve/submit.go
@@ -139,7 +139,7 @@
 // acceptQuick runs a quick request in the background.
 func (s *Service) acceptQuick(x *door.Exchange, sub *submission) {
 	id := sub.Request.ID
-	if !s.group.TryGo(func() error { s.runHome(context.Background(), sub, nullSink{}); return nil }) {
+	if !s.later(func() { s.runHome(context.Background(), sub, nullSink{}) }) {
 		outcome := wire.Unknown
 		if sub.private {
 			outcome = wire.NotRun
