--- a/entry/app.go
+++ b/entry/app.go
@@ -18,6 +18,7 @@
 	"github.com/balsamford/balsamford/entry/internal/admit"
 	"github.com/balsamford/balsamford/entry/internal/door"
 	"github.com/balsamford/balsamford/entry/internal/jobs"
+	"github.com/balsamford/balsamford/entry/internal/oper"
 	"github.com/balsamford/balsamford/entry/internal/params"
 	"github.com/balsamford/balsamford/entry/internal/record"
 	"github.com/balsamford/balsamford/entry/internal/relay"
@@ -42,6 +43,7 @@
 	service  *serve.Service
 	door     *door.Server
 	page     *meter.Server
+	oper     *oper.Door // nil if the settings have none
 	leaving  atomic.Bool
 }
 
@@ -111,6 +113,11 @@
 	if s.Fault {
 		options = append(options, meter.WithPage(faultPath, a.faults.page))
 	}
+	if s.Oper != nil {
+		settings := *s.Oper
+		settings.Host = s.Host
+		a.oper = oper.New(settings, a.platform, a.follower, a.clock, oper.WithLog(a.logger), oper.WithMetrics(a.registry))
+	}
 	a.page = meter.New(a.registry, a.ready, options...)
 }
 
@@ -148,6 +155,9 @@
 	st.back(a.keeper.Run)
 	st.back(func(ctx context.Context) error { return a.jobs.Run(ctx, a.service.Offer) })
 	st.back(func(ctx context.Context) error { return a.page.Run(ctx, a.settings.Page) })
+	if a.oper != nil {
+		st.front(a.oper.Run)
+	}
 	st.front(func(ctx context.Context) error { return a.door.Run(ctx, a.settings.Door) })
 	a.logger.Info("entry has started", zap.String("door", a.settings.Door), zap.String("link", a.settings.Link))
 	select {
--- a/entry/internal/params/settings.go
+++ b/entry/internal/params/settings.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/balsamford/balsamford/coord/setup"
+	"github.com/balsamford/balsamford/entry/internal/oper"
 )
 
 // nameChars are the characters of host and zone names. They become parts of
@@ -26,11 +27,15 @@
 	Level    string   `toml:"level"`    // of the log
 	Fault    bool     `toml:"fault"`    // serves fault switches on the page address
 	Certs    Certs    `toml:"certs"`
+	Oper     *Oper    `toml:"oper"`    // the operators' door; none if the table is missing
 	Peers    []Peer   `toml:"peers"`   // the other entry processes
 	Placers  []Peer   `toml:"placers"` // all placer processes
 	Limits   Limits   `toml:"limits"`
 }
 
+// Oper is the settings of the operators' door.
+type Oper = oper.Settings
+
 // Certs are the paths of PEM files for the links.
 type Certs struct {
 	Cert      string `toml:"cert"`
@@ -88,6 +93,7 @@
 	faults = append(faults, s.checkPeers("peers", s.Peers)...)
 	faults = append(faults, s.checkPeers("placers", s.Placers)...)
 	faults = append(faults, s.Limits.check()...)
+	faults = append(faults, s.checkOper()...)
 	if _, err := zapcore.ParseLevel(s.Level); err != nil {
 		faults = append(faults, setup.Fault{Key: "level", Text: "unknown log level; write debug, info, warn or error"})
 	}
@@ -120,6 +126,20 @@
 	return faults
 }
 
+func (s *Settings) checkOper() []setup.Fault {
+	if s.Oper == nil {
+		return nil
+	}
+	faults := s.Oper.Check()
+	for i := range faults {
+		faults[i].Key = "oper." + faults[i].Key
+	}
+	if s.Oper.Address != "" && (s.Oper.Address == s.Door || s.Oper.Address == s.Page) {
+		faults = append(faults, setup.Fault{Key: "oper.address", Text: "is the same address as door or page; give it another port"})
+	}
+	return faults
+}
+
 func (s *Settings) checkPeers(key string, peers []Peer) []setup.Fault {
 	var faults []setup.Fault
 	seen := make(map[string]bool)
