Test the built programs together, as processes

TestProgramsLinkTheCLibrary reads each binary's imports. TestFaults is the seeded fault run; not run yet in this form.

--- a/trial/internal/demo/demo.go
+++ b/trial/internal/demo/demo.go
@@ -23,9 +23,9 @@
 	Seed  uint64
 }
 
-// Run runs the demo, writes what it sees to w and returns the broken
-// promises.
-func Run(ctx context.Context, s Settings, w io.Writer) ([]judge.Finding, error) {
+// Run runs the demo, writes what it sees to w and returns the broken promises
+// and the sums.
+func Run(ctx context.Context, s Settings, w io.Writer) ([]judge.Finding, *report.Table, error) {
 	spec := s.Site.Spec
 	_, _ = fmt.Fprintf(w, "starting %d zones with %d entry hosts, %d executors and %d workers each\n",
 		len(spec.Zones), spec.Hosts, spec.Executors, spec.Workers)
@@ -34,18 +34,19 @@
 		defer st.Close()
 	}
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	_, _ = fmt.Fprintf(w, "all processes are ready; sending %d requests\n", s.Count)
 	r := load.New(s.Seed, s.Rate, jobTime, st.Book().Set(), st.Cell().Doors())
 	r.Run(ctx, s.Count)
 	record := &judge.Record{Calls: r.Calls(), Keys: load.Keys(st.Book().Set()), Limits: load.Limits(st.Book().Set()), End: time.Now()}
 	if record.Events, err = st.Events(); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	report.NewTable(record).Print(w)
+	table := report.NewTable(record)
+	table.Print(w)
 	if err := report.Save(s.Site.Dir, record); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	st.Stop()
 	record.Exits = st.Exits()
@@ -58,5 +59,5 @@
 	if len(findings) == 0 {
 		_, _ = fmt.Fprintf(w, "all %d processes have ended gracefully; no promise was broken\n", len(record.Exits))
 	}
-	return findings, nil
+	return findings, table, nil
 }
--- /dev/null
+++ b/trial/internal/whole/doc.go
@@ -0,0 +1,2 @@
+// Package whole tests the built programs together, as processes.
+package whole
--- /dev/null
+++ b/trial/internal/whole/whole_test.go
@@ -0,0 +1,95 @@
+package whole
+
+import (
+	"bytes"
+	"context"
+	"debug/elf"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/balsamford/balsamford/trial/cell"
+	"github.com/balsamford/balsamford/trial/internal/demo"
+	"github.com/balsamford/balsamford/trial/internal/faults"
+	"github.com/balsamford/balsamford/trial/site"
+)
+
+// objects are the sample configuration of Trilha Viva.
+const objects = "../../../deploy/trilha.toml"
+
+// patience bounds one trial.
+const patience = 8 * time.Minute
+
+// programs are all that are built.
+func programs() []string { return []string{"entry", "placer", "balsam", "standin", "trial"} }
+
+// build builds all programs and returns their directory.
+func build(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	is.New(t).NoErr(cell.Build(context.Background(), dir, programs()...))
+	return dir
+}
+
+func settings(t *testing.T, binaries string) site.Settings {
+	t.Helper()
+	return site.Settings{Dir: t.TempDir(), Binaries: binaries, Objects: objects, Spec: cell.Small()}
+}
+
+// Each program is linked to the C library.
+func TestProgramsLinkTheCLibrary(t *testing.T) {
+	is := is.New(t)
+	dir := build(t)
+	for _, name := range programs() {
+		f, err := elf.Open(filepath.Join(dir, name))
+		is.NoErr(err)
+		libraries, err := f.ImportedLibraries()
+		is.NoErr(err)
+		is.NoErr(f.Close())
+		found := false
+		for _, l := range libraries {
+			found = found || strings.HasPrefix(l, "libc.")
+		}
+		is.True(found) // the program imports libc
+	}
+}
+
+// All processes, real requests of all kinds: each answer has the bytes that
+// its own request asked for, no promise is broken, and each process ends by
+// itself with success.
+func TestWholePath(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var out bytes.Buffer
+	findings, table, err := demo.Run(ctx, demo.Settings{Site: settings(t, build(t)), Count: 300, Rate: 60, Seed: 11}, &out)
+	t.Log(out.String())
+	is.NoErr(err)
+	is.Equal(len(findings), 0)
+	for _, kind := range []string{"quick", "service", "batch", "gang"} {
+		sent, done := table.Sent(kind, "done")
+		is.True(sent > 0)
+		is.Equal(done, sent)
+	}
+}
+
+// The same under seeded faults of every kind.
+func TestFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("the long fault run is not for -short")
+	}
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var out bytes.Buffer
+	findings, err := faults.Run(ctx, faults.Settings{Site: settings(t, build(t)), Time: 25 * time.Second, Rate: 40, Seed: 1}, &out)
+	t.Log(out.String())
+	is.NoErr(err)
+	for _, f := range findings {
+		t.Log("broken", f)
+	}
+	is.Equal(len(findings), 0)
+}
--- a/trial/judge/answers.go
+++ b/trial/judge/answers.go
@@ -28,9 +28,9 @@
 			findings = append(findings, Finding{Answered, c.Tag, "the " + c.Kind + " was accepted, but has no outcome"})
 		case c.Outcome != "done" || c.Gone:
 		case !c.Whole:
-			findings = append(findings, Finding{Answered, c.Tag, "the answer isn't whole"})
+			findings = append(findings, Finding{Answered, c.Tag, "the answer isn't whole: " + c.Detail})
 		case !c.Own:
-			findings = append(findings, Finding{Answered, c.Tag, "the answer isn't that of its request"})
+			findings = append(findings, Finding{Answered, c.Tag, "the answer isn't that of its request: " + c.Detail})
 		case !done[c.Tag] && c.Kind != service:
 			findings = append(findings, Finding{Answered, c.Tag, "told done, but no endpoint finished it"})
 		}
--- a/trial/judge/record.go
+++ b/trial/judge/record.go
@@ -32,9 +32,10 @@
 	Accepted bool
 	Outcome  string // wire.Outcome; empty if no answer came
 	Reason   string
-	Whole    bool // with done: as many bytes as the caller asked for
-	Own      bool // with done: the very bytes of its own request
-	Gone     bool // with done: the answer itself is no longer kept
+	Whole    bool   // with done: as many bytes as the caller asked for
+	Own      bool   // with done: the very bytes of its own request
+	Gone     bool   // with done: the answer itself is no longer kept
+	Detail   string // what is wrong with the answer
 }
 
 // Key is a key of the run.
--- a/trial/load/one.go
+++ b/trial/load/one.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -28,9 +27,8 @@
 		return c
 	}
 	if it.form.Kind == wire.Quick {
-		c.Whole = len(reply.Answer) == it.form.Body.Size
-		c.Own = it.form.Own("0", reply.Answer)
 		c.Gone = reply.Reason == wire.ReasonGone
+		checkBytes(it, 0, reply.Answer, &c)
 		return c
 	}
 	c.Accepted = true
@@ -91,7 +89,7 @@
 		}
 		if err == nil && reply.Outcome != "" {
 			c.Outcome, c.Reason = string(reply.Outcome), reply.Reason
-			c.Whole, c.Own = outputs(it, &reply)
+			checkOutputs(it, &reply, c)
 			return
 		}
 		if !sleep(ctx, pollTime) {
@@ -114,27 +112,6 @@
 	}
 }
 
-// outputs checks the outputs of the tasks that are done. Those of a service
-// have none, because they are stopped.
-func outputs(it *item, reply *calls.Reply) (whole, own bool) {
-	if it.form.Kind == wire.Service {
-		return true, true
-	}
-	for i := range reply.Tasks {
-		t := &reply.Tasks[i]
-		if t.Outcome != wire.Done {
-			continue
-		}
-		if len(t.Output) != it.form.Body.Size {
-			return false, false
-		}
-		if !it.form.Own(strconv.Itoa(i), t.Output) {
-			return true, false
-		}
-	}
-	return true, true
-}
-
 // sleep returns false if ctx ends first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/trial/main.go
+++ b/trial/main.go
@@ -123,7 +123,8 @@
 }
 
 func (o *options) demo(ctx context.Context, s site.Settings) ([]judge.Finding, error) {
-	return demo.Run(ctx, demo.Settings{Site: s, Count: o.count, Rate: o.rate, Seed: o.seed}, os.Stdout)
+	findings, _, err := demo.Run(ctx, demo.Settings{Site: s, Count: o.count, Rate: o.rate, Seed: o.seed}, os.Stdout)
+	return findings, err
 }
 
 func (o *options) faults(ctx context.Context, s site.Settings) ([]judge.Finding, error) {
