Keep the output of a task that ended before a hand-over

A new owner's list of what it found comes to the driver without outputs, and the driver recorded the end from it. Change: ends are taken from the owner's notice alone, which has the output.

--- a/placer/internal/jobs/note.go
+++ b/placer/internal/jobs/note.go
@@ -116,11 +116,13 @@
 }
 
 // opened compares what an endpoint has under a new epoch with what should be
-// there. Starts of earlier epochs can't arrive any more.
+// there. Starts of earlier epochs can't arrive any more. Tasks that have ended
+// are left to the owner's notice, which brings their outputs.
 func (d *Driver) opened(endpoint string, epoch uint64, tasks []point.Task) {
 	for _, j := range d.all() {
 		for _, e := range j.at(endpoint) {
-			if e.epoch < epoch {
+			t := findTask(tasks, j.id(), e.n, e.attempt)
+			if e.epoch < epoch && (t == nil || !t.State.Ended()) {
 				d.compare(j, e, tasks)
 			}
 		}
