Make the rounds of coord/parts hold against late adopters

Change: Bury wants all living holders of the zone in the account; Pass names the heir; who isn't in the account takes no gift; demand is forgotten once settled; gifts leave the records, as the receiver's record has them. The property's walk now floods, trades and starts joined; its driver buries in any order and heals before it looks for leaks. Measured: go test ./coord/parts -rapid.checks=5000 -rapid.steps=120 passes.

--- a/coord/parts/account.go
+++ b/coord/parts/account.go
@@ -1,5 +1,10 @@
 package parts
 
+import "slices"
+
+// maxGone is how many buried holders a zone remembers.
+const maxGone = 64
+
 // Account is the row of one team's limit.
 type Account struct {
 	Limit int64            `cbor:"limit"`
@@ -12,6 +17,7 @@
 	Standing int64             `cbor:"standing"` // no other zone takes the part below it
 	Round    uint64            `cbor:"round"`
 	Holders  map[string]*Entry `cbor:"holders"`
+	Gone     []string          `cbor:"gone,omitempty"` // holders buried last
 }
 
 // Entry is a holder's record of itself.
@@ -47,6 +53,19 @@
 	return z
 }
 
+// knows reports whether a holder has an entry, or had one.
+func (z *Zone) knows(holder string) bool {
+	return z.Holders[holder] != nil || slices.Contains(z.Gone, holder)
+}
+
+// bury takes a holder out and starts a round.
+func (z *Zone) bury(holder string) {
+	delete(z.Holders, holder)
+	z.Round++
+	z.Gone = append(z.Gone, holder)
+	z.Gone = z.Gone[max(len(z.Gone)-maxGone, 0):]
+}
+
 // slack returns what the zone's holders don't hold, negative if more runs
 // than the zone's part; ok is false while a holder hasn't recorded itself in
 // this round.
--- a/coord/parts/doc.go
+++ b/coord/parts/doc.go
@@ -11,11 +11,11 @@
 // The sum of the parts is never above the limit. Inside a zone this rests on
 // rounds: what a zone's holders have not recorded between them in one and
 // the same round is free to be claimed, once all of them have recorded. A
-// holder that enters a round records what it holds, what it has given away
-// without knowing that it arrived, and what runs above its part; from then on
-// it refuses what was given to it in an earlier round. So the records are a
-// consistent cut, and a lost answer or a dead holder costs room only until
-// the next round.
+// holder that enters a round records what it holds and what runs above its
+// part; from then on it refuses what was given to it in an earlier round. So a
+// gift that was under way is either in the receiver's record or never
+// arrives, the records are a consistent cut, and a lost answer or a dead
+// holder costs room only until the next round.
 //
 // A holder that died is buried (Bury) once other holders have adopted all its
 // running tasks. Its name must not come back: a restarted process takes a new
--- a/coord/parts/errors.go
+++ b/coord/parts/errors.go
@@ -11,3 +11,12 @@
 
 // Unwrap returns the cause.
 func (e *RowError) Unwrap() error { return e.Err }
+
+// AbsentError reports that a holder which may have adopted tasks of a dead one
+// has no entry in the account yet. It has to Settle first.
+type AbsentError struct{ Team, Holder string }
+
+// Error implements error.
+func (e *AbsentError) Error() string {
+	return "holder " + e.Holder + " has no entry in the account of team " + e.Team
+}
--- a/coord/parts/holder.go
+++ b/coord/parts/holder.go
@@ -100,9 +100,13 @@
 // takes nothing more until its part covers them.
 func (h *Holder) Adopt(team string, n int64) { h.split(team).adopt(n) }
 
-// Pass counts n tasks less that run on under another holder, which adopts
-// them. What they took can only be asked for, or is counted again later.
-func (h *Holder) Pass(team string, n int64) { h.split(team).pass(n, h.timer.Now()) }
+// Pass counts n tasks less that run on under another holder, the heir, which
+// adopts them. What they took can only be asked for by who runs such tasks,
+// until the heir is known to the account and the linger time has passed; then
+// a new round counts again.
+func (h *Holder) Pass(team string, n int64, heir string) {
+	h.split(team).pass(n, heir, h.timer.Now())
+}
 
 // Part returns a team's part and what of it is taken.
 func (h *Holder) Part(team string) (part, used int64) {
--- a/coord/parts/move.go
+++ b/coord/parts/move.go
@@ -41,13 +41,13 @@
 
 // Accept takes what a giver gave and returns how much it was. A Grant that
 // comes twice or too late gives nothing. If it gave something, an Ask for
-// nothing tells the giver that it arrived; without it, the giver's next
-// record counts it as lost until the round after.
+// nothing tells the giver that it arrived; without it, the giver starts a
+// round after the linger time.
 func (h *Holder) Accept(g Grant) int64 {
 	s := h.split(g.Team)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if g.Seq == 0 || g.Round != s.round || s.asks[g.Giver] != g.Seq {
+	if !s.joined || g.Seq == 0 || g.Round != s.round || s.asks[g.Giver] != g.Seq {
 		return 0
 	}
 	s.asks[g.Giver] = 0
--- a/coord/parts/parts_test.go
+++ b/coord/parts/parts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"testing"
 	"time"
@@ -41,21 +42,23 @@
 
 // model is a set of zones with holders, and what really runs.
 type model struct {
-	t     *rapid.T
-	table *flaky
-	clock *timer.Service
-	made  int
-	alive []*member
-	dead  []*member
-	zones []string
-	asks  []sent
-	gives []sent
-	bound int64 // what may run: the limit, or the one before until accepted
+	t      *rapid.T
+	table  *flaky
+	clock  *timer.Service
+	made   int
+	alive  []*member
+	dead   []*member
+	zones  []string
+	asks   []sent
+	gives  []sent
+	healed bool
+	bound  int64 // what may run: the limit, or the one before until accepted
 }
 
 type member struct {
 	*Holder
-	runs int64
+	runs  int64
+	heirs []string // adopted its tasks after its death
 }
 
 type sent struct {
@@ -75,6 +78,7 @@
 	}
 	for i := range 5 {
 		m.add(m.zones[i%2])
+		_ = m.alive[i].Settle(context.Background(), m.table, team, int64(i%3))
 	}
 	return m
 }
@@ -107,6 +111,15 @@
 	}
 }
 
+// flood lets everybody start what it can.
+func (m *model) flood() {
+	for _, h := range m.alive {
+		for h.Take(team, 1) {
+			h.runs++
+		}
+	}
+}
+
 func (m *model) end() {
 	h := m.pick()
 	n := rapid.Int64Range(0, h.runs).Draw(m.t, "n")
@@ -118,7 +131,7 @@
 	h := m.pick()
 	if p := m.peer(h); p != nil && h.runs > 0 {
 		n := rapid.Int64Range(1, h.runs).Draw(m.t, "n")
-		h.Pass(team, n)
+		h.Pass(team, n, p.name)
 		h.runs -= n
 		p.Adopt(team, n)
 		p.runs += n
@@ -153,6 +166,9 @@
 }
 
 func (m *model) fault() {
+	if m.healed {
+		return
+	}
 	switch rapid.IntRange(0, 5).Draw(m.t, "fault") {
 	case 0:
 		m.table.before = true
@@ -196,12 +212,20 @@
 		p.Adopt(team, n)
 		p.runs += n
 		d.runs -= n
+		d.heirs = append(d.heirs, p.name)
 	}
 	m.fault()
-	err := Bury(context.Background(), m.table, team, d.zone, d.name)
+	living := d.heirs
+	for _, h := range m.alive {
+		if h.zone == d.zone {
+			living = append(living, h.name)
+		}
+	}
+	err := Bury(context.Background(), m.table, team, d.zone, d.name, living)
 	m.heal()
-	if err == nil {
-		m.dead = m.dead[1:]
+	m.dead = m.dead[1:]
+	if err != nil { // an adopter may have to be buried first
+		m.dead = append(m.dead, d)
 	}
 }
 
@@ -229,7 +253,8 @@
 		runs += h.runs
 	}
 	if runs > m.bound {
-		t.Fatalf("%d tasks run, the limit is %d", runs, m.bound)
+		a, _, _ := read(context.Background(), m.table, team)
+		t.Fatalf("%d tasks run, the limit is %d: %s", runs, m.bound, m.show(a))
 	}
 	if sum > m.bound {
 		t.Fatalf("parts are %d, the limit is %d", sum, m.bound)
@@ -238,10 +263,11 @@
 
 // drain ends everything, heals and settles until nothing changes.
 func (m *model) drain() {
-	for len(m.dead) > 0 {
-		m.bury()
-	}
-	for range 8 {
+	m.healed = true
+	for range 12 {
+		for range m.dead {
+			m.bury()
+		}
 		for _, h := range m.alive {
 			h.Give(team, h.runs)
 			h.runs = 0
@@ -260,6 +286,10 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"":        m.check,
 			"take":    func(*rapid.T) { m.take() },
+			"flood":   func(*rapid.T) { m.flood() },
+			"trade":   func(*rapid.T) { m.ask(); m.deliver(); m.deliver() },
+			"serve":   func(*rapid.T) { m.deliver() },
+			"recover": func(*rapid.T) { m.settle(); m.bury() },
 			"end":     func(*rapid.T) { m.end() },
 			"move":    func(*rapid.T) { m.move() },
 			"ask":     func(*rapid.T) { m.ask() },
@@ -275,8 +305,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		if len(m.dead) > 0 {
+			t.Fatalf("%d holders are not buried: %s %v: %s", len(m.dead), m.dead[0].name, m.dead[0].heirs, m.show(a))
+		}
 		if !a.Accepted() {
-			t.Fatalf("limit %d isn't accepted, parts are %d", a.Limit, a.Handed())
+			t.Fatalf("limit %d isn't accepted, parts are %d: %s", a.Limit, a.Handed(), m.show(a))
 		}
 		for name, z := range a.Zones {
 			free, ok := z.slack()
@@ -321,3 +354,58 @@
 	part, _ := far.Part(team)
 	is.Equal(part, int64(10)) // zone a has 10 of 20 in use or standing
 }
+
+// show returns all accounts for a failure's text.
+func (m *model) show(a *Account) string {
+	text := ""
+	for name, z := range a.Zones {
+		text += fmt.Sprintf("zone %s: %+v;", name, *z)
+		for holder, e := range z.Holders {
+			text += fmt.Sprintf(" %s: %+v;", holder, *e)
+		}
+	}
+	for _, h := range m.alive {
+		s := h.split(team)
+		text += fmt.Sprintf("\n%s: part %d used %d parked %d back %d owed %d record %d round %d written %v joined %v doubts %d", h.name, s.part, s.used, s.parked, s.back, s.owed, s.record, s.round, s.written, s.joined, len(s.doubts))
+	}
+	return text
+}
+
+// A part that passed tasks took must not be given for new work, because the
+// heir's tasks run above the heir's part.
+func TestPassedPartCoversOnlyWhatRuns(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	table := store.New()
+	clock := timer.New(timer.WithManual(time.Unix(0, 0)))
+	_, err := SetLimit(ctx, table, team, 10, []string{"a"})
+	is.NoErr(err)
+	giver, heir, other := New("g", "a", WithTimer(clock)), New("h", "a", WithTimer(clock)), New("o", "a", WithTimer(clock))
+	is.True(!giver.Take(team, 10))
+	for _, h := range []*Holder{giver, heir, other} {
+		is.NoErr(h.Settle(ctx, table, team, 0))
+	}
+	is.True(giver.Take(team, 10))
+	giver.Pass(team, 6, "h")
+	heir.Adopt(team, 6)
+	is.Equal(other.Accept(giver.Serve(other.Ask("g", team, 6))), int64(0))
+	is.Equal(heir.Wants()[team], int64(6))
+	is.Equal(heir.Accept(giver.Serve(heir.Ask("g", team, 6))), int64(6))
+	is.True(!heir.Take(team, 1))
+}
+
+// A holder that isn't in the row yet is in no record, so it takes no gift.
+func TestNoGiftBeforeJoining(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	table := store.New()
+	_, err := SetLimit(ctx, table, team, 10, []string{"a"})
+	is.NoErr(err)
+	giver, late := New("g", "a"), New("l", "a")
+	is.True(!giver.Take(team, 10))
+	is.NoErr(giver.Settle(ctx, table, team, 0))
+	ask := late.Ask("g", team, 5)
+	ask.Round = 1
+	late.split(team).round = 1
+	is.Equal(late.Accept(giver.Serve(ask)), int64(0))
+}
--- a/coord/parts/settle.go
+++ b/coord/parts/settle.go
@@ -63,6 +63,7 @@
 	case err == nil:
 		delete(s.doubts, seq)
 		s.apply(p, h.timer.Now())
+		s.demand = 0
 	case errors.As(err, &conflict):
 		delete(s.doubts, seq)
 	}
@@ -97,7 +98,7 @@
 		h.join(s, z, p)
 		e = z.Holders[h.name]
 	case s.round < z.Round:
-		s.enter(z.Round, h.timer.Now())
+		s.enter(z.Round)
 	}
 	if !s.written && !p.joins {
 		e.Round, e.Held, p.record = s.round, s.record, true
@@ -106,6 +107,7 @@
 	h.claim(s, a, z, e, p, spare)
 	h.recount(s, z, p)
 	if *p == (proposal{}) && a.Accepted() {
+		s.demand = 0 // what is refused still will be noted again
 		return 0, nil
 	}
 	handed := a.Handed()
@@ -125,7 +127,7 @@
 	s.part, s.parked, s.back = 0, 0, 0
 	s.joined = false
 	clear(s.gifts)
-	s.enter(z.Round, h.timer.Now())
+	s.enter(z.Round)
 	z.Holders[h.name] = &Entry{Round: s.round, Held: s.record}
 	p.joins = true
 }
@@ -134,7 +136,7 @@
 func (h *Holder) trim(s *split, a *Account, z *Zone, e *Entry, p *proposal, spare int64) {
 	keep, idle := spare, h.timer.Now().Sub(s.needed) >= keepTime
 	if !a.Accepted() {
-		keep, idle = 0, true
+		keep, idle, s.demand = 0, true, 0
 	}
 	if n := s.free() - keep - s.demand; idle && n > keep && n > 0 {
 		s.part -= n
@@ -175,11 +177,14 @@
 	}
 }
 
-// recount starts a round if a recount would free room: gifts that were
-// counted as lost, or what passed tasks took.
+// recount starts a round if a recount would free room: gifts that may not
+// have arrived, or what passed tasks took.
 func (h *Holder) recount(s *split, z *Zone, p *proposal) {
 	now := h.timer.Now()
 	stale := s.parked > 0 && now.Sub(s.since) >= h.linger
+	for heir := range s.heirs {
+		stale = stale && (heir == "" || z.knows(heir))
+	}
 	missing := s.unconfirmed(now.Add(-h.linger))
 	if _, ok := z.slack(); !ok || (!stale && !missing) || !s.written {
 		return
--- a/coord/parts/split.go
+++ b/coord/parts/split.go
@@ -9,14 +9,15 @@
 type split struct {
 	team string
 
-	mu     sync.Mutex // guards the fields below; not held over a call
-	part   int64      // what may run
-	used   int64      // what runs; above part after an adoption
-	parked int64      // of part: taken by tasks that run on under another holder
-	since  time.Time  // when parked last grew
-	passed time.Time  // since, when it was decided to forget what is parked
-	needed time.Time  // when more was last claimed or given
-	demand int64      // what was refused since the last Settle
+	mu     sync.Mutex      // guards the fields below; not held over a call
+	part   int64           // what may run
+	used   int64           // what runs; above part after an adoption
+	parked int64           // of part: taken by tasks that run on under another holder
+	heirs  map[string]bool // holders to which tasks were passed
+	since  time.Time       // when parked last grew
+	passed time.Time       // since, when it was decided to forget what is parked
+	needed time.Time       // when more was last claimed or given
+	demand int64           // what was refused since the last Settle
 
 	joined  bool
 	round   uint64
@@ -30,8 +31,6 @@
 	gifts   map[string]gift      // last gift by receiver
 	asks    map[string]uint64    // open ask by giver; 0 if there is none
 	askSeq  map[string]uint64
-	lost    int64     // of the record: gifts that may have arrived
-	entered time.Time // when the round was entered
 }
 
 // gift is what was given to one receiver last.
@@ -56,7 +55,7 @@
 
 func newSplit(team string) *split {
 	return &split{
-		team: team, doubts: make(map[uint64]*proposal), forget: make(map[uint64]int64),
+		team: team, heirs: make(map[string]bool), doubts: make(map[uint64]*proposal), forget: make(map[uint64]int64),
 		gifts: make(map[string]gift), asks: make(map[string]uint64), askSeq: make(map[string]uint64),
 	}
 }
@@ -86,20 +85,18 @@
 	s.used -= n
 }
 
-func (s *split) pass(n int64, now time.Time) {
+func (s *split) pass(n int64, heir string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.used -= n
 	s.parked += n
 	s.since = now
+	s.heirs[heir] = true
 }
 
 // unconfirmed reports whether a gift of before the given time may not have
 // arrived.
 func (s *split) unconfirmed(before time.Time) bool {
-	if s.lost > 0 && !s.entered.After(before) {
-		return true
-	}
 	for _, g := range s.gifts {
 		if g.n > 0 && !g.at.After(before) {
 			return true
@@ -109,20 +106,17 @@
 }
 
 // enter starts a round: it fixes what the holder records in it.
-func (s *split) enter(round uint64, now time.Time) {
+func (s *split) enter(round uint64) {
 	drop := min(s.forget[round], s.parked)
 	if s.since.After(s.passed) { // tasks passed since then are not adopted yet
 		drop = 0
 	}
-	s.parked -= drop
+	if s.parked -= drop; s.parked == 0 {
+		clear(s.heirs)
+	}
 	s.part -= drop
-	s.round, s.written, s.entered = round, false, now
+	s.round, s.written = round, false
 	s.record = s.part + s.back
-	s.lost = 0
-	for _, g := range s.gifts {
-		s.record += g.n
-		s.lost += g.n
-	}
 	s.owed = max(s.used+s.parked-s.part, 0)
 	s.record += s.owed
 	clear(s.gifts)
--- a/coord/parts/table.go
+++ b/coord/parts/table.go
@@ -97,17 +97,28 @@
 }
 
 // Bury takes a dead holder out of a team's account. It may be called only
-// once other holders have adopted all tasks that run on its endpoints, and it
-// can start no other. Its part is free when each other holder of the zone has
-// recorded itself in the new round.
-func Bury(ctx context.Context, t Table, team, zone, holder string) error {
+// once living holders have adopted all tasks that run on its endpoints, and it
+// can start no other. The names are those of all living holders of the zone:
+// any of them may run tasks that the dead one passed on, so each must be in
+// the account first, or an *AbsentError is returned. The dead holder's part
+// is free when each holder has recorded itself in the new round.
+func Bury(ctx context.Context, t Table, team, zone, holder string, living []string) error {
+	var absent error
 	_, err := change(ctx, t, team, func(a *Account) {
 		z := a.zone(zone)
-		if z.Holders[holder] == nil {
-			return
+		absent = nil
+		for _, name := range living {
+			if !z.knows(name) {
+				absent = &AbsentError{Team: team, Holder: name}
+				return
+			}
+		}
+		if z.Holders[holder] != nil || !z.knows(holder) {
+			z.bury(holder)
 		}
-		delete(z.Holders, holder)
-		z.Round++
 	})
+	if absent != nil {
+		return absent
+	}
 	return err
 }
