Put upper limits in parts behind the scheduler's limit

Cause: sched counts against an interface; the placer needs the thing behind it. Change: placer/internal/limit.Keeper with notes for its wiring; sched.DropTo names the new owner of an endpoint, so that its tasks' part can follow.

--- /dev/null
+++ b/placer/internal/limit/keeper.go
@@ -0,0 +1,135 @@
+package limit
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/balsamford/balsamford/coord/parts"
+	"github.com/balsamford/balsamford/coord/timer"
+)
+
+// spareParts is how much more than what runs a placer claims of a limit: one
+// part in so many.
+const spareParts = 64
+
+// Keeper implements sched.Limit. All methods may be called concurrently; only
+// Settle, Bury and Publish call the platform.
+type Keeper struct {
+	zone   string
+	holder *parts.Holder
+
+	mu     sync.Mutex // guards the fields below
+	limits map[string]int64
+	turn   int // of the peer that is asked next
+}
+
+// New returns a keeper without any part. The name must never come back.
+func New(name, zone string, t *timer.Service) *Keeper {
+	k := &Keeper{zone: zone, holder: parts.New(name, zone, parts.WithTimer(t))}
+	k.holder.Limit(nil)
+	return k
+}
+
+// Configure says which teams have which limit. All others have none.
+func (k *Keeper) Configure(limits map[string]int64) {
+	teams := make([]string, 0, len(limits))
+	for team := range limits {
+		teams = append(teams, team)
+	}
+	k.mu.Lock()
+	k.limits = limits
+	k.mu.Unlock()
+	k.holder.Limit(teams)
+}
+
+// Take implements sched.Limit.
+func (k *Keeper) Take(team string, tasks int64) bool { return k.holder.Take(team, tasks) }
+
+// Give implements sched.Limit.
+func (k *Keeper) Give(team string, tasks int64) { k.holder.Give(team, tasks) }
+
+// Adopt implements sched.Limit.
+func (k *Keeper) Adopt(team string, tasks int64) { k.holder.Adopt(team, tasks) }
+
+// Pass implements sched.Limit.
+func (k *Keeper) Pass(team string, tasks int64, heir string) { k.holder.Pass(team, tasks, heir) }
+
+// Request is a message to one peer.
+type Request struct {
+	Peer string
+	Ask  parts.Ask
+}
+
+// Asks returns what to send now: for each team that lacks room, an Ask to the
+// next of the peers in turn.
+func (k *Keeper) Asks(peers []string) []Request {
+	if len(peers) == 0 {
+		return nil
+	}
+	k.mu.Lock()
+	k.turn++
+	peer := peers[k.turn%len(peers)]
+	k.mu.Unlock()
+	var out []Request
+	for team, n := range k.holder.Wants() {
+		out = append(out, Request{Peer: peer, Ask: k.holder.Ask(peer, team, n)})
+	}
+	return out
+}
+
+// Serve answers a peer's Ask.
+func (k *Keeper) Serve(a parts.Ask) parts.Grant { return k.holder.Serve(a) }
+
+// Accept takes an answer. If it gave something, confirm is to be sent to the
+// giver.
+func (k *Keeper) Accept(g parts.Grant) (confirm *Request) {
+	if k.holder.Accept(g) == 0 {
+		return nil
+	}
+	return &Request{Peer: g.Giver, Ask: k.holder.Ask(g.Giver, g.Team, 0)}
+}
+
+// Wants returns by how much tasks of each team lack room.
+func (k *Keeper) Wants() map[string]int64 { return k.holder.Wants() }
+
+// Settle brings the parts of all limited teams into line with the platform.
+func (k *Keeper) Settle(ctx context.Context, t parts.Table) error {
+	k.mu.Lock()
+	limits := k.limits
+	k.mu.Unlock()
+	var failed error
+	for team, limit := range limits {
+		failed = errors.Join(failed, k.holder.Settle(ctx, t, team, limit/spareParts))
+	}
+	return failed
+}
+
+// Publish writes the limits in force to the platform and reports whether all
+// are accepted, that is whether the parts handed out fit under them.
+func (k *Keeper) Publish(ctx context.Context, t parts.Table, zones []string) (accepted bool, err error) {
+	k.mu.Lock()
+	limits := k.limits
+	k.mu.Unlock()
+	accepted = true
+	for team, limit := range limits {
+		ok, err := parts.SetLimit(ctx, t, team, limit, zones)
+		if err != nil {
+			return false, err
+		}
+		accepted = accepted && ok
+	}
+	return accepted, nil
+}
+
+// Bury gives the parts of a dead placer free; see parts.Bury.
+func (k *Keeper) Bury(ctx context.Context, t parts.Table, dead string, living []string) error {
+	k.mu.Lock()
+	limits := k.limits
+	k.mu.Unlock()
+	var failed error
+	for team := range limits {
+		failed = errors.Join(failed, parts.Bury(ctx, t, team, k.zone, dead, living))
+	}
+	return failed
+}
--- a/placer/internal/sched/limit.go
+++ b/placer/internal/sched/limit.go
@@ -12,8 +12,9 @@
 	// Adopt counts tasks that already run, even above the limit.
 	Adopt(team string, tasks int64)
 	// Pass counts tasks no longer because their endpoint went to another
-	// owner, where they run on. What they took is not free here.
-	Pass(team string, tasks int64)
+	// owner, the heir, where they run on. What they took is not free here.
+	// The heir is empty if it isn't known.
+	Pass(team string, tasks int64, heir string)
 }
 
 // unlimited is the Limit of a scheduler without one.
@@ -29,4 +30,4 @@
 func (unlimited) Adopt(string, int64) {}
 
 // Pass implements Limit.
-func (unlimited) Pass(string, int64) {}
+func (unlimited) Pass(string, int64, string) {}
--- a/placer/internal/sched/pool.go
+++ b/placer/internal/sched/pool.go
@@ -76,7 +76,7 @@
 }
 
 // drop forgets an endpoint and the tasks on it.
-func (p *pool) drop(name string) {
+func (p *pool) drop(name, heir string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	row := p.table.Drop(name)
@@ -86,7 +86,7 @@
 	for len(p.hosted[row]) > 0 {
 		r := p.hosted[row][0]
 		p.release(r)
-		p.limit.Pass(r.entry.item.Team, 1)
+		p.limit.Pass(r.entry.item.Team, 1, heir)
 		p.close(r.entry)
 	}
 	delete(p.hosted, row)
--- a/placer/internal/sched/scheduler.go
+++ b/placer/internal/sched/scheduler.go
@@ -64,9 +64,12 @@
 
 // Drop forgets an endpoint that another placer owns now, and the tasks on it.
 // Tasks that are known to have ended have to be told by Ended before.
-func (s *Scheduler) Drop(name string) {
-	s.executors.drop(name)
-	s.workers.drop(name)
+func (s *Scheduler) Drop(name string) { s.DropTo(name, "") }
+
+// DropTo does what Drop does, and names the new owner to the Limit.
+func (s *Scheduler) DropTo(name, heir string) {
+	s.executors.drop(name, heir)
+	s.workers.drop(name, heir)
 }
 
 // Report notes what an endpoint measured as used.
