Pack batch work, spread services, keep headroom for urgent work

Cause: first fit left accelerators to tasks without need of them and spread the room thin. Change: best fit by room left over, hosts with accelerators last for others; services by distance from their replicas; quick work on the loosest executor; 3% headroom for urgent work.

--- a/placer/internal/cell/row.go
+++ b/placer/internal/cell/row.go
@@ -15,6 +15,7 @@
 	leaving          bool
 	barred           bool
 	index            int
+	spare            wire.Needs // what the row adds to the table's spare room
 }
 
 // Name returns the endpoint's name.
@@ -55,5 +56,3 @@
 
 // Barred reports whether the endpoint is in quarantine.
 func (r *Row) Barred() bool { return r.barred }
-
-func (r *Row) settle() { r.free = r.capacity.Sub(r.Committed()) }
--- a/placer/internal/cell/table.go
+++ b/placer/internal/cell/table.go
@@ -9,6 +9,7 @@
 	names    map[string]*Row
 	rows     []*Row
 	capacity wire.Needs
+	spare    wire.Needs
 }
 
 // New returns an empty table.
@@ -25,7 +26,7 @@
 	}
 	t.capacity = t.capacity.Sub(r.capacity).Add(capacity)
 	r.zone, r.rack, r.capacity, r.leaving = zone, rack, capacity, leaving
-	r.settle()
+	t.settle(r)
 	return r
 }
 
@@ -36,6 +37,7 @@
 		return false
 	}
 	r.leaving = true
+	t.settle(r)
 	return true
 }
 
@@ -53,6 +55,8 @@
 	t.rows[last] = nil
 	t.rows = t.rows[:last]
 	t.capacity = t.capacity.Sub(r.capacity)
+	t.spare = t.spare.Sub(r.spare)
+	r.spare = wire.Needs{}
 	return r
 }
 
@@ -65,12 +69,15 @@
 	}
 	r.reported = used
 	r.reports++
-	r.settle()
+	t.settle(r)
 	return true
 }
 
 // Bar puts an endpoint into quarantine or ends it.
-func (t *Table) Bar(r *Row, barred bool) { r.barred = barred }
+func (t *Table) Bar(r *Row, barred bool) {
+	r.barred = barred
+	t.settle(r)
+}
 
 // Grant takes room for one task and reports whether there was as much.
 func (t *Table) Grant(r *Row, needs wire.Needs) bool {
@@ -85,7 +92,7 @@
 func (t *Table) Adopt(r *Row, needs wire.Needs) {
 	r.granted = r.granted.Add(needs)
 	r.tasks++
-	r.settle()
+	t.settle(r)
 }
 
 // Free gives back the room of one task that was granted after so many
@@ -97,7 +104,7 @@
 	if reports < r.reports {
 		r.reported = r.reported.Sub(needs).Max(wire.Needs{})
 	}
-	r.settle()
+	t.settle(r)
 }
 
 // Row returns the endpoint of that name, or nil.
@@ -109,3 +116,20 @@
 
 // Capacity returns the sum of what all endpoints declare.
 func (t *Table) Capacity() wire.Needs { return t.capacity }
+
+// Spare returns the room of all open endpoints.
+func (t *Table) Spare() wire.Needs { return t.spare }
+
+// settle works out anew what is free on an endpoint.
+func (t *Table) settle(r *Row) {
+	r.free = r.capacity.Sub(r.Committed())
+	if t.names[r.name] != r {
+		return
+	}
+	t.spare = t.spare.Sub(r.spare)
+	r.spare = wire.Needs{}
+	if r.Open() {
+		r.spare = r.free.Max(wire.Needs{})
+	}
+	t.spare = t.spare.Add(r.spare)
+}
--- a/placer/internal/sched/decide.go
+++ b/placer/internal/sched/decide.go
@@ -97,13 +97,13 @@
 		return p.tryGang(e, out)
 	}
 	needs := e.granted
-	if p.pass.missed(needs) {
+	if p.pass.missed(needs, e.item.Urgent) {
 		return out
 	}
-	row := p.table.FirstFit(needs, e.item.Avoid)
+	row := p.choose(e)
 	if row == nil {
 		if len(e.item.Avoid) == 0 {
-			p.pass.miss(needs)
+			p.pass.miss(needs, e.item.Urgent)
 		}
 		return out
 	}
@@ -122,7 +122,7 @@
 		return out
 	}
 	for len(e.pending) > 0 {
-		row := p.table.FirstFit(e.granted, e.item.Avoid)
+		row := p.choose(e)
 		if row == nil {
 			p.undo(e, out[before:])
 			p.limit.Give(e.item.Team, n)
--- a/placer/internal/sched/pass.go
+++ b/placer/internal/sched/pass.go
@@ -7,23 +7,30 @@
 
 // pass is what one Decide learns as it goes.
 type pass struct {
-	misses []wire.Needs // needs for which there was no room
+	misses []miss
+}
+
+// miss is a shape for which there was no room.
+type miss struct {
+	needs  wire.Needs
+	urgent bool
 }
 
 func (s *pass) reset() { s.misses = s.misses[:0] }
 
-// missed reports whether something no larger than needs found no room.
-func (s *pass) missed(needs wire.Needs) bool {
-	for _, m := range s.misses {
-		if m.Fits(needs) {
+// missed reports whether something no larger than needs found no room. What
+// urgent work couldn't get, other work can't either.
+func (s *pass) missed(needs wire.Needs, urgent bool) bool {
+	for i := range s.misses {
+		if m := &s.misses[i]; (m.urgent || !urgent) && m.needs.Fits(needs) {
 			return true
 		}
 	}
 	return false
 }
 
-func (s *pass) miss(needs wire.Needs) {
+func (s *pass) miss(needs wire.Needs, urgent bool) {
 	if len(s.misses) < maxMisses {
-		s.misses = append(s.misses, needs)
+		s.misses = append(s.misses, miss{needs, urgent})
 	}
 }
