--- a/coord/config/cell_test.go
+++ b/coord/config/cell_test.go
@@ -24,6 +24,7 @@
 	cut        map[string]bool // hosts that no call reaches or leaves
 	noPlatform map[string]bool // hosts that can't reach the platform
 	delay      time.Duration   // that every answer of a peer takes
+	paused     string          // host that does nothing
 }
 
 func newTestCell() *testCell {
