--- a/coord/config/matrix_test.go
+++ b/coord/config/matrix_test.go
@@ -66,6 +66,7 @@
 			p.killed = true
 		case faultRace:
 			p.race()
+		default:
 		}
 	}
 	if p.killed || p.cell.timers.Boot() < p.downTo {
@@ -85,8 +86,9 @@
 	case faultAfter:
 		p.killed = true
 		return &store.UnavailableError{Op: op}
+	default:
+		return err
 	}
-	return err
 }
 
 func (p *stepPlatform) Get(ctx context.Context, table, key string) (store.Row, error) {
