Send followers what changed instead of the whole set

Ruled out: losses; every follower took the whole set, because the publisher's host had not applied the version yet when it told the others, and readers of the head went to the object store. Change: the publisher's host adopts what it has published before it tells others; a fetch by someone who has the content sends none; a publish writes the change beside the whole; sets keep their objects encoded.

--- /dev/null
+++ b/coord/config/bench_test.go
@@ -0,0 +1,199 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/balsamford/balsamford/coord/audit"
+	"github.com/balsamford/balsamford/coord/link"
+	"github.com/balsamford/balsamford/coord/store"
+	"github.com/balsamford/balsamford/coord/timer"
+)
+
+// largeSet returns 47 teams with keys, shares and limits and as many queues as
+// bring the set to 5,000 objects.
+func largeSet() *Set {
+	const teams, objects = 47, 5000
+	s := NewSet()
+	for i := range teams {
+		name := fmt.Sprintf("team-%d", i)
+		s.Put(&Team{Name: name})
+		s.Put(&Share{Name: name, Team: name, Weight: float64(i%5 + 1)})
+		s.Put(&Limit{Name: name, Team: name, Tasks: 1000})
+	}
+	s.Put(&Policy{Name: "fast", Aim: AimWait})
+	for i := 0; s.Len() < objects; i++ {
+		team := fmt.Sprintf("team-%d", i%teams)
+		if i%2 == 0 {
+			name := fmt.Sprintf("key-%d", i)
+			_, digest := NewSecret(name)
+			s.Put(&Key{Name: name, Team: team, Digest: digest})
+			continue
+		}
+		s.Put(&Queue{Name: fmt.Sprintf("queue-%d", i), Teams: []string{team}, Policy: "fast"})
+	}
+	return s
+}
+
+// BenchmarkCheck parses and checks 5,000 objects of 47 teams.
+func BenchmarkCheck(b *testing.B) {
+	data := largeSet().Encode()
+	b.SetBytes(int64(len(data)))
+	for b.Loop() {
+		s, faults := Parse(File{Data: data})
+		if len(faults)+len(s.Check()) > 0 {
+			b.Fatal(faults)
+		}
+	}
+}
+
+// BenchmarkApply makes a version of 5,000 objects out of the one before and a
+// change of one object, as a follower does.
+func BenchmarkApply(b *testing.B) {
+	old := largeSet()
+	next := old.Clone()
+	next.Put(&Limit{Name: "team-1", Team: "team-1", Tasks: 1001})
+	change := changeBetween(NewSnapshot(1, old), NewSnapshot(2, next))
+	for b.Loop() {
+		set, err := change.apply(old)
+		if err != nil {
+			b.Fatal(err)
+		}
+		NewSnapshot(2, set)
+	}
+}
+
+// BenchmarkKeyTeam looks up a key among 5,000 objects.
+func BenchmarkKeyTeam(b *testing.B) {
+	s := largeSet()
+	secret, digest := NewSecret("shop")
+	s.Put(&Key{Name: "shop", Team: "team-1", Digest: digest})
+	snap := NewSnapshot(1, s)
+	for b.Loop() {
+		if _, _, ok := snap.KeyTeam(secret); !ok {
+			b.Fatal("not found")
+		}
+	}
+}
+
+// liveCell is followers on link nodes over loopback, on the machine's clock.
+type liveCell struct {
+	timers    *timer.Service
+	platform  *store.Memory
+	counts    metrics.Registry
+	followers []*Follower
+	waiter    *Waiter
+	publisher *Publisher
+}
+
+func startLive(tb testing.TB, hosts, zones int) *liveCell {
+	tb.Helper()
+	is := is.New(tb)
+	c := &liveCell{timers: timer.New(), counts: metrics.NewRegistry()}
+	c.platform = store.New(store.WithTimer(c.timers), store.WithRegistry(c.counts))
+	certs, err := link.IssueFiles(tb.TempDir())
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	g.Go(func() error { return c.timers.Run(ctx) })
+	peers := make([]Peer, hosts)
+	roster := RosterFunc(func() []Peer { return peers })
+	for i := range hosts {
+		name, zone := fmt.Sprintf("h%d", i), fmt.Sprintf("z%d", i%zones)
+		node := link.New(name, certs)
+		follower := NewFollower(name, zone, c.platform, c.timers, WithPeers(roster, node, ""))
+		follower.Register(node)
+		is.NoErr(node.Listen("127.0.0.1:0"))
+		follower.address = node.Address()
+		peers[i] = follower.self()
+		c.followers = append(c.followers, follower)
+		g.Go(func() error { return node.Run(ctx) })
+	}
+	for _, f := range c.followers {
+		g.Go(func() error { return f.Run(ctx) })
+	}
+	tb.Cleanup(func() {
+		cancel()
+		is.NoErr(g.Wait())
+	})
+	c.publisher = NewPublisher(c.platform, c.timers, zap.NewNop())
+	c.waiter = NewWaiter(c.platform, c.timers, c.followers[0], nil, zap.NewNop())
+	return c
+}
+
+// publish publishes one change and waits until it is in force everywhere.
+func (c *liveCell) publish(tb testing.TB, e *Edit) Progress {
+	tb.Helper()
+	is := is.New(tb)
+	res, err := c.publisher.Publish(context.Background(), e)
+	is.NoErr(err)
+	p, err := c.waiter.Wait(context.Background(), res, func(Progress) {})
+	is.NoErr(err)
+	return p
+}
+
+func (c *liveCell) count(name string) int64 {
+	return metrics.GetOrRegisterCounter(name, c.counts).Count()
+}
+
+func (c *liveCell) bytes() int64 {
+	var sum int64
+	for _, f := range c.followers {
+		sum += f.counts.bytes.Count()
+	}
+	return sum
+}
+
+// edit returns a change of one limit of a large set.
+func (c *liveCell) edit(i int) *Edit {
+	return &Edit{
+		ID: audit.NewID(time.Now()), Author: "ana", Base: AnyVersion, Action: audit.Set,
+		Put: []Object{&Limit{Name: "team-1", Team: "team-1", Tasks: int64(1000 + i)}},
+	}
+}
+
+// BenchmarkPublish publishes changes of one object in 5,000, one after another,
+// and waits for each until nine hosts in four zones have it in force.
+func BenchmarkPublish(b *testing.B) {
+	c := startLive(b, 9, 4)
+	c.publish(b, &Edit{ID: audit.NewID(time.Now()), Author: "ana", Action: audit.Publish, Whole: largeSet()})
+	times := hdrhistogram.New(1, time.Minute.Microseconds(), 3)
+	reads, writes, bytes, start := c.count("store.reads"), c.count("store.writes"), c.bytes(), time.Now()
+	n := 0
+	for b.Loop() {
+		n++
+		began := time.Now()
+		c.publish(b, c.edit(n))
+		_ = times.RecordValue(time.Since(began).Microseconds())
+	}
+	idle := time.Since(start).Seconds() * float64(len(c.followers)) * float64(time.Second/DefaultInterval)
+	b.ReportMetric(float64(times.ValueAtQuantile(50))/1000, "p50-ms")
+	b.ReportMetric(float64(times.ValueAtQuantile(99))/1000, "p99-ms")
+	b.ReportMetric((float64(c.count("store.reads")-reads)-idle)/float64(n), "reads/op")
+	b.ReportMetric(float64(c.count("store.writes")-writes)/float64(n), "writes/op")
+	b.ReportMetric(float64(c.bytes()-bytes)/float64(n), "followbytes/op")
+}
+
+// TestLivePublish runs publishes over real nodes once, for their wiring.
+func TestLivePublish(t *testing.T) {
+	is := is.New(t)
+	c := startLive(t, 9, 4)
+	c.publish(t, &Edit{ID: audit.NewID(time.Now()), Author: "ana", Action: audit.Publish, Whole: largeSet()})
+	for i := range 3 {
+		p := c.publish(t, c.edit(i+1))
+		is.True(p.Accepted)
+		is.Equal(len(p.Confirmed)+len(p.Missing), 9)
+	}
+	for _, f := range c.followers {
+		is.Equal(f.Head().Version, uint64(4))
+		is.True(f.Fresh())
+	}
+}
--- a/coord/config/change.go
+++ b/coord/config/change.go
@@ -1,9 +1,6 @@
 package config
 
-import (
-	"bytes"
-	"slices"
-)
+import "slices"
 
 // Change is what has to be done to one set to get another.
 type Change struct {
@@ -12,10 +9,10 @@
 	Deleted []Ref  `json:"deleted,omitempty" cbor:"deleted,omitempty"` // objects removed
 }
 
-// changeBetween returns what leads from one set to another.
-func changeBetween(from, to *Set) *Change {
-	c := &Change{Base: from.Sum()}
-	for _, d := range Compare(from, to) {
+// changeBetween returns what leads from one snapshot to another.
+func changeBetween(from, to *Snapshot) *Change {
+	c := &Change{Base: from.Digest()}
+	for _, d := range Compare(from.Set(), to.Set()) {
 		if d.New == "" {
 			c.Deleted = append(c.Deleted, d.Ref)
 			continue
@@ -54,28 +51,16 @@
 // Compare returns the objects that differ between two sets, by type and name.
 func Compare(from, to *Set) []Difference {
 	var out []Difference
-	refs := from.Refs()
-	for _, ref := range to.Refs() {
-		if from.objects[ref] == nil {
-			refs = append(refs, ref)
+	for ref, before := range from.texts {
+		if after := to.texts[ref]; before != after {
+			out = append(out, Difference{Ref: ref, Old: before, New: after})
 		}
 	}
-	slices.SortFunc(refs, compareRefs)
-	for _, ref := range refs {
-		a, b := from.objects[ref], to.objects[ref]
-		if a == b {
-			continue
-		}
-		var before, after []byte
-		if a != nil {
-			before = EncodeObject(a)
-		}
-		if b != nil {
-			after = EncodeObject(b)
-		}
-		if !bytes.Equal(before, after) {
-			out = append(out, Difference{Ref: ref, Old: string(before), New: string(after)})
+	for ref, after := range to.texts {
+		if from.objects[ref] == nil {
+			out = append(out, Difference{Ref: ref, New: after})
 		}
 	}
+	slices.SortFunc(out, func(a, b Difference) int { return compareRefs(a.Ref, b.Ref) })
 	return out
 }
--- a/coord/config/head.go
+++ b/coord/config/head.go
@@ -39,6 +39,10 @@
 	Version uint64 `json:"version"`
 }
 
+// ChangeName returns the name of the object that holds the Change, in JSON,
+// from one digest to another.
+func ChangeName(base, digest string) string { return objectPrefix + base + "-" + digest }
+
 // ObjectName returns the name of the object that holds the snapshot of that
 // digest.
 func ObjectName(digest string) string { return objectPrefix + digest }
--- a/coord/config/load.go
+++ b/coord/config/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"github.com/balsamford/balsamford/coord/wire"
 )
@@ -41,6 +42,11 @@
 func (f *Follower) loadObject(ctx context.Context, head Head) (*Snapshot, error) {
 	ctx, cancel := f.timeout(ctx, f.period)
 	defer cancel()
+	if have := f.Current(); have != nil && have.Digest() == head.Base {
+		if snap, err := f.loadChange(ctx, have, head); err == nil {
+			return snap, nil
+		}
+	}
 	f.counts.reads.Inc(1)
 	data, err := f.platform.Object(ctx, ObjectName(head.Digest))
 	if err != nil {
@@ -49,6 +55,36 @@
 	return f.decode(head, data)
 }
 
+// loadChange gets a version from the object that says how it differs from the
+// one before.
+func (f *Follower) loadChange(ctx context.Context, have *Snapshot, head Head) (*Snapshot, error) {
+	f.counts.reads.Inc(1)
+	data, err := f.platform.Object(ctx, ChangeName(head.Base, head.Digest))
+	if err != nil {
+		return nil, err
+	}
+	var c Change
+	if err := json.Unmarshal(data, &c); err != nil {
+		return nil, &FormError{Key: ChangeName(head.Base, head.Digest), Err: err}
+	}
+	return f.change(have, head, &c)
+}
+
+// change makes a version out of an older one and checks its digest.
+func (f *Follower) change(have *Snapshot, head Head, c *Change) (*Snapshot, error) {
+	f.counts.bytes.Inc(int64(len(c.Put)))
+	set, err := c.apply(have.Set())
+	if err != nil {
+		return nil, err
+	}
+	snap := NewSnapshot(head.Version, set)
+	if snap.Digest() != head.Digest {
+		f.counts.corrupt.Inc(1)
+		return nil, &CorruptError{Version: head.Version, Want: head.Digest, Got: snap.Digest()}
+	}
+	return snap, nil
+}
+
 func (f *Follower) loadPeer(ctx context.Context, address string) (Head, *Snapshot, error) {
 	ctx, cancel := f.timeout(ctx, f.period)
 	defer cancel()
@@ -66,17 +102,8 @@
 		snap, err := f.decode(out.Head, out.Data)
 		return out.Head, snap, err
 	}
-	set, err := out.Change.apply(have.Set())
-	if err != nil {
-		return Head{}, nil, err
-	}
-	f.counts.bytes.Inc(int64(len(out.Change.Put)))
-	snap := NewSnapshot(out.Head.Version, set)
-	if snap.Digest() != out.Head.Digest {
-		f.counts.corrupt.Inc(1)
-		return Head{}, nil, &CorruptError{Version: out.Head.Version, Want: out.Head.Digest, Got: snap.Digest()}
-	}
-	return out.Head, snap, nil
+	snap, err := f.change(have, out.Head, out.Change)
+	return out.Head, snap, err
 }
 
 func (f *Follower) decode(head Head, data []byte) (*Snapshot, error) {
--- a/coord/config/matrix_test.go
+++ b/coord/config/matrix_test.go
@@ -32,9 +32,9 @@
 )
 
 // publishSteps is how many calls of the platform a publish makes: head,
-// accepted, base, trail, object, commit; the seventh is there only after a
-// conflict.
-const publishSteps = 7
+// accepted, base, trail, change, object, commit; the eighth is there only after
+// a conflict.
+const publishSteps = 8
 
 // stepPlatform applies a fault to the call of one number.
 type stepPlatform struct {
--- a/coord/config/offer.go
+++ b/coord/config/offer.go
@@ -118,6 +118,9 @@
 	f.spread(head)
 }
 
+// adopt applies a version whose content this process has published itself.
+func (f *Follower) adopt(head Head, snap *Snapshot) { f.apply(head, snap, offer{head: head}) }
+
 // spread lets Run tell peers of head, or of a newer one that comes up before.
 func (f *Follower) spread(head Head) {
 	for {
--- a/coord/config/parse.go
+++ b/coord/config/parse.go
@@ -50,7 +50,7 @@
 	}
 	o := newObject(ref)
 	faults = append(faults, decode(o, at, sec)...)
-	s.objects[ref] = o
+	s.Put(o)
 	s.places[ref] = at
 	return faults
 }
--- a/coord/config/publisher.go
+++ b/coord/config/publisher.go
@@ -115,7 +115,7 @@
 		return res, nil
 	}
 	snap := NewSnapshot(b.head.Version+1, next)
-	if err := p.platform.PutObject(ctx, ObjectName(snap.Digest()), snap.Data()); err != nil {
+	if err := p.putObjects(ctx, b, snap); err != nil {
 		return Result{}, &UnpublishedError{ID: e.ID, Step: "object", Err: err}
 	}
 	res.Head, res.Unchanged = b.newHead(e, snap), false
@@ -127,11 +127,26 @@
 	if err != nil {
 		return Result{}, err
 	}
-	res.Published = p.timers.Boot()
+	res.Published, res.snap = p.timers.Boot(), snap
 	p.remember(snap)
 	return res, nil
 }
 
+// putObjects writes the content of a version, and the change that leads to it
+// from its base, which spares followers the whole.
+func (p *Publisher) putObjects(ctx context.Context, b base, snap *Snapshot) error {
+	if b.snap != nil {
+		change, err := json.Marshal(changeBetween(b.snap, snap))
+		if err != nil {
+			return err
+		}
+		if err := p.platform.PutObject(ctx, ChangeName(b.head.Digest, snap.Digest()), change); err != nil {
+			return err
+		}
+	}
+	return p.platform.PutObject(ctx, ObjectName(snap.Digest()), snap.Data())
+}
+
 // before looks for an earlier publish under the edit's id.
 func (p *Publisher) before(ctx context.Context, e *Edit) (done bool, res Result, err error) {
 	r, err := p.trail.Record(ctx, e.ID)
--- a/coord/config/ref.go
+++ b/coord/config/ref.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"strings"
 )
 
@@ -26,7 +25,7 @@
 // compareRefs orders references by type, in the order of Types, then by name.
 func compareRefs(a, b Ref) int {
 	if a.Type != b.Type {
-		return cmp.Compare(slices.Index(Types(), a.Type), slices.Index(Types(), b.Type))
+		return cmp.Compare(a.Type.rank(), b.Type.rank())
 	}
 	return cmp.Compare(a.Name, b.Name)
 }
--- a/coord/config/result.go
+++ b/coord/config/result.go
@@ -10,4 +10,5 @@
 	Warnings  []Fault
 	Unchanged bool // the set was in force already, so there is no new version
 	Again     bool // the same id had been published before
+	snap      *Snapshot
 }
--- a/coord/config/serve.go
+++ b/coord/config/serve.go
@@ -90,9 +90,12 @@
 	if cur == nil {
 		return Content{}
 	}
+	if in.Have == cur.snap.Digest() {
+		return Content{Head: cur.head, Change: &Change{Base: in.Have}}
+	}
 	for _, old := range history {
 		if old.Digest() == in.Have {
-			return Content{Head: cur.head, Change: changeBetween(old.Set(), cur.snap.Set())}
+			return Content{Head: cur.head, Change: changeBetween(old, cur.snap)}
 		}
 	}
 	return Content{Head: cur.head, Data: cur.snap.Data()}
--- a/coord/config/set.go
+++ b/coord/config/set.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 	"slices"
 )
 
@@ -11,6 +12,7 @@
 // is changed.
 type Set struct {
 	objects map[Ref]Object
+	texts   map[Ref]string // encoded objects
 	places  map[Ref]place
 }
 
@@ -23,7 +25,7 @@
 
 // NewSet returns a set without objects.
 func NewSet() *Set {
-	return &Set{objects: make(map[Ref]Object), places: make(map[Ref]place)}
+	return &Set{objects: make(map[Ref]Object), texts: make(map[Ref]string), places: make(map[Ref]place)}
 }
 
 // Len returns how many objects there are.
@@ -35,6 +37,7 @@
 // Put adds o, or replaces the object of its name.
 func (s *Set) Put(o Object) {
 	s.objects[o.Ref()] = o
+	s.texts[o.Ref()] = string(EncodeObject(o))
 	delete(s.places, o.Ref())
 }
 
@@ -42,20 +45,14 @@
 func (s *Set) Delete(ref Ref) bool {
 	_, ok := s.objects[ref]
 	delete(s.objects, ref)
+	delete(s.texts, ref)
 	delete(s.places, ref)
 	return ok
 }
 
 // Clone returns a set with the same objects that can be changed on its own.
 func (s *Set) Clone() *Set {
-	c := NewSet()
-	for ref, o := range s.objects {
-		c.objects[ref] = o
-	}
-	for ref, p := range s.places {
-		c.places[ref] = p
-	}
-	return c
+	return &Set{objects: maps.Clone(s.objects), texts: maps.Clone(s.texts), places: maps.Clone(s.places)}
 }
 
 // Refs returns the names of all objects, by type and name.
@@ -70,9 +67,13 @@
 
 // Encode returns the set as TOML. Equal sets give equal bytes.
 func (s *Set) Encode() []byte {
-	var out []byte
+	size := 0
+	for _, text := range s.texts {
+		size += len(text) + 1
+	}
+	out := make([]byte, 0, size)
 	for _, ref := range s.Refs() {
-		out = append(out, EncodeObject(s.objects[ref])...)
+		out = append(out, s.texts[ref]...)
 		out = append(out, '\n')
 	}
 	return out
--- a/coord/config/snapshot.go
+++ b/coord/config/snapshot.go
@@ -65,6 +65,7 @@
 	if len(faults) > 0 {
 		return nil, &InvalidError{Faults: faults}
 	}
+	clear(set.places)
 	return newSnapshot(version, set, data), nil
 }
 
--- a/coord/config/type.go
+++ b/coord/config/type.go
@@ -21,5 +21,25 @@
 	return []Type{TypeTeam, TypeKey, TypePolicy, TypeQueue, TypeShare, TypeLimit, TypeEndpoint}
 }
 
+// rank returns the place of t in the order in which types are written.
+func (t Type) rank() int {
+	switch t {
+	case TypeTeam:
+		return 0
+	case TypeKey:
+		return 1
+	case TypePolicy:
+		return 2
+	case TypeQueue:
+		return 3
+	case TypeShare:
+		return 4
+	case TypeLimit:
+		return 5
+	default:
+		return 6
+	}
+}
+
 // Valid reports whether t is one of the types.
 func (t Type) Valid() bool { return slices.Contains(Types(), t) }
--- a/coord/config/waiter.go
+++ b/coord/config/waiter.go
@@ -70,6 +70,9 @@
 // another.
 func (w *Waiter) Wait(ctx context.Context, res Result, report func(Progress)) (Progress, error) {
 	r := &round{waiter: w, head: res.Head, end: res.Published + w.lapse(res.Head), confirmed: make(map[string]bool)}
+	if res.snap != nil {
+		w.follower.adopt(res.Head, res.snap)
+	}
 	var last Progress
 	for {
 		p, err := r.ask(ctx)
