Bring the limits of the configuration to the accounts of parts

Cause: nothing wrote the accounts, and a lowered limit counted as accepted while parts above it were still handed out. Change: coord/quota, a config.Settler that writes the limits of the newest version under a condition on the head row, and names the teams whose parts don't fit yet. Seen failing: without the condition a process that lags raised a lowered limit again; without forgetting after a gap of versions a limit was taken to fit. Measured: tests only. Conclusion: entry can pass it to oper.WithSettler.

--- /dev/null
+++ b/coord/quota/keeper_test.go
@@ -0,0 +1,110 @@
+package quota
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/balsamford/balsamford/coord/audit"
+	"github.com/balsamford/balsamford/coord/config"
+	"github.com/balsamford/balsamford/coord/parts"
+	"github.com/balsamford/balsamford/coord/store"
+	"github.com/balsamford/balsamford/coord/timer"
+)
+
+type cell struct {
+	t         *testing.T
+	timers    *timer.Service
+	platform  *store.Memory
+	publisher *config.Publisher
+	keeper    *Keeper
+}
+
+func newCell(t *testing.T) *cell {
+	timers := timer.New(timer.WithManual(time.Unix(0, 0)))
+	platform := store.New(store.WithTimer(timers))
+	f := config.NewFollower("a", "z1", platform, timers)
+	return &cell{
+		t: t, timers: timers, platform: platform,
+		publisher: config.NewPublisher(platform, timers, zap.NewNop()),
+		keeper:    New(platform, f, timers, []string{"z1", "z2"}, zap.NewNop()),
+	}
+}
+
+// limit publishes a limit of the team "shop" and returns the version.
+func (c *cell) limit(tasks int64) *config.Snapshot {
+	c.t.Helper()
+	is := is.New(c.t)
+	_, err := c.publisher.Publish(context.Background(), &config.Edit{
+		ID: audit.NewID(c.timers.Now()), Base: config.AnyVersion, Action: audit.Set,
+		Put: []config.Object{&config.Team{Name: "shop"}, &config.Limit{Name: "shop", Team: "shop", Tasks: tasks}},
+	})
+	is.NoErr(err)
+	_, snap, err := c.publisher.Newest(context.Background())
+	is.NoErr(err)
+	return snap
+}
+
+func (c *cell) unsettled(s *config.Snapshot) int {
+	c.t.Helper()
+	waits, err := c.keeper.Unsettled(context.Background(), s)
+	is.New(c.t).NoErr(err)
+	return len(waits)
+}
+
+func TestLoweredLimitWaitsForParts(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	is.Equal(c.unsettled(c.limit(100)), 0)
+	h := parts.New("p1", "z1", parts.WithTimer(c.timers))
+	h.Limit([]string{"shop"})
+	is.NoErr(h.Settle(t.Context(), c.platform, "shop", 80))
+	lowered := c.limit(10)
+	is.Equal(c.unsettled(lowered), 1)
+	far := parts.New("p2", "z2", parts.WithTimer(c.timers))
+	far.Limit([]string{"shop"})
+	for range 20 {
+		c.timers.Advance(time.Minute)
+		is.NoErr(h.Settle(t.Context(), c.platform, "shop", 0))
+		is.NoErr(far.Settle(t.Context(), c.platform, "shop", 0))
+	}
+	is.Equal(c.unsettled(lowered), 0)
+	again := c.limit(100)
+	is.Equal(c.unsettled(again), 0)
+}
+
+// TestOldVersionWritesNoLimit: a process that lags must not raise a limit that
+// was lowered since.
+func TestOldVersionWritesNoLimit(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	old := c.limit(100)
+	is.Equal(c.unsettled(c.limit(10)), 0)
+	lagging := New(c.platform, c.keeper.follower, c.timers, []string{"z1", "z2"}, zap.NewNop())
+	_, err := lagging.Unsettled(t.Context(), old)
+	var moved *MovedError
+	is.True(errors.As(err, &moved))
+	a, err := lagging.account(t.Context(), "shop")
+	is.NoErr(err)
+	is.Equal(a.Limit, int64(10))
+}
+
+// TestLimitRaisedAndLoweredUnseen: what was seen to fit two versions ago says
+// nothing of the same limit now.
+func TestLimitRaisedAndLoweredUnseen(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	is.Equal(c.unsettled(c.limit(10)), 0)
+	other := New(c.platform, c.keeper.follower, c.timers, []string{"z1", "z2"}, zap.NewNop())
+	waits, err := other.Unsettled(t.Context(), c.limit(100))
+	is.NoErr(err)
+	is.Equal(len(waits), 0)
+	h := parts.New("p1", "z1", parts.WithTimer(c.timers))
+	h.Limit([]string{"shop"})
+	is.NoErr(h.Settle(t.Context(), c.platform, "shop", 80))
+	is.Equal(c.unsettled(c.limit(10)), 1)
+}
