--- a/coord/config/cell_test.go
+++ b/coord/config/cell_test.go
@@ -71,6 +71,13 @@
 	return r.cell.platform.Commit(ctx, ops)
 }
 
+func (r *testReader) Scan(ctx context.Context, table, prefix string) ([]store.Row, error) {
+	if r.cell.cut[r.name] || r.cell.noPlatform[r.name] {
+		return nil, &store.UnavailableError{Op: "scan"}
+	}
+	return r.cell.platform.Scan(ctx, table, prefix)
+}
+
 func (r *testReader) Object(ctx context.Context, name string) ([]byte, error) {
 	if r.cell.cut[r.name] || r.cell.noPlatform[r.name] {
 		return nil, &store.UnavailableError{Op: "object"}
--- a/coord/config/follower.go
+++ b/coord/config/follower.go
@@ -23,7 +23,7 @@
 type Follower struct {
 	name, zone string
 	address    string
-	platform   Joiner
+	platform   Home
 	timers     *timer.Service
 	roster     Roster
 	caller     Caller
@@ -41,6 +41,7 @@
 	sent     time.Duration
 	counted  bool // sent holds a read that showed no version newer than the current one
 	member   membership
+	drains   drainList
 	left     bool // Leave was called
 	wanted   offer
 	loading  bool
@@ -56,7 +57,7 @@
 
 // NewFollower returns a Follower for the process of that name and zone. It
 // has no version until Run or Handle gets one.
-func NewFollower(name, zone string, platform Joiner, timers *timer.Service, opts ...Option) *Follower {
+func NewFollower(name, zone string, platform Home, timers *timer.Service, opts ...Option) *Follower {
 	f := &Follower{
 		name: name, zone: zone, platform: platform, timers: timers,
 		roster: RosterFunc(func() []Peer { return nil }),
--- a/coord/config/message.go
+++ b/coord/config/message.go
@@ -11,6 +11,10 @@
 	// Age is how long before the answer the confirming read was sent;
 	// negative if none was.
 	Age time.Duration `cbor:"age"`
+	// Drains are the hosts and endpoints under a drain, read Read before the
+	// answer; they say nothing if Read is negative.
+	Drains []string      `cbor:"drains,omitempty"`
+	Read   time.Duration `cbor:"read"`
 	// Joined says that the process wrote the asker's row.
 	Joined bool `cbor:"joined,omitempty"`
 }
--- a/coord/config/platform.go
+++ b/coord/config/platform.go
@@ -12,7 +12,14 @@
 	Object(ctx context.Context, name string) ([]byte, error)
 }
 
-// Joiner is what a Follower needs of the platform; a *store.Client and a
+// Home is what a Follower needs of the platform; a *store.Client and a
+// *store.Memory are one.
+type Home interface {
+	Joiner
+	Scan(ctx context.Context, table, prefix string) ([]store.Row, error)
+}
+
+// Joiner reads the platform and writes its table; a *store.Client and a
 // *store.Memory are one.
 type Joiner interface {
 	Reader
--- a/coord/config/refresh.go
+++ b/coord/config/refresh.go
@@ -51,6 +51,7 @@
 		return err
 	}
 	f.take(ctx, offer{head: head, sent: sent, counted: true})
+	f.readDrains(ctx)
 	return nil
 }
 
@@ -66,6 +67,9 @@
 	if err := f.caller.Call(ctx, p.Address, wire.VerbHead, Ask{}, &out); err != nil {
 		return err
 	}
+	if out.Read >= 0 {
+		f.learnDrains(sent-out.Read, out.Drains)
+	}
 	f.take(ctx, offer{head: out.Head, sent: sent - out.Age, counted: out.Age >= 0, source: p.Address})
 	return nil
 }
--- a/coord/config/serve.go
+++ b/coord/config/serve.go
@@ -71,13 +71,16 @@
 
 // Status returns what this process says of itself.
 func (f *Follower) Status() Status {
-	s := Status{Name: f.name, Zone: f.zone, Age: -1}
+	s := Status{Name: f.name, Zone: f.zone, Age: -1, Read: -1}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s.Head = f.Head()
 	if f.counted && f.listedLocked() {
 		s.Age = f.timers.Boot() - f.sent
 	}
+	if f.drains.known {
+		s.Drains, s.Read = f.drains.names, f.timers.Boot()-f.drains.sent
+	}
 	return s
 }
 
--- a/coord/config/waiter.go
+++ b/coord/config/waiter.go
@@ -25,13 +25,6 @@
 	drift = 100
 )
 
-// Scanner is what a Waiter needs of the platform; a *store.Client and a
-// *store.Memory are one.
-type Scanner interface {
-	Joiner
-	Scan(ctx context.Context, table, prefix string) ([]store.Row, error)
-}
-
 // Settler says what else has to happen before a version is in force, such as
 // parts of a lowered limit that have to be given back.
 type Settler interface {
@@ -44,7 +37,7 @@
 // older version confirmed for so long that it honours no keys by itself. It
 // may be used concurrently.
 type Waiter struct {
-	platform Scanner
+	platform Home
 	timers   *timer.Service
 	follower *Follower
 	settler  Settler
@@ -61,7 +54,7 @@
 }
 
 // NewWaiter returns a Waiter that calls the peers of f. settler may be nil.
-func NewWaiter(p Scanner, timers *timer.Service, f *Follower, settler Settler, log *zap.Logger) *Waiter {
+func NewWaiter(p Home, timers *timer.Service, f *Follower, settler Settler, log *zap.Logger) *Waiter {
 	return &Waiter{platform: p, timers: timers, follower: f, settler: settler, log: log, rows: make(map[string]seenRow)}
 }
 
--- a/entry/internal/oper/doc.go
+++ b/entry/internal/oper/doc.go
@@ -11,5 +11,12 @@
 //		oper.WithLog(log), oper.WithMetrics(registry))
 //	group.Go(func() error { return door.Run(ctx) })
 //
+// A lowered limit counts as accepted only when the parts handed out fit under
+// it, if the door gets a quota.Keeper, which the program runs as well:
+//
+//	limits := quota.New(platform, follower, timers, zones, log)
+//	group.Go(func() error { return limits.Run(ctx) })
+//	door := oper.New(…, oper.WithSettler(limits))
+//
 // Run returns when ctx ends, after the requests under way were answered.
 package oper
