--- a/entry/internal/record/row.go
+++ b/entry/internal/record/row.go
@@ -107,9 +107,23 @@
 	if !row {
 		return
 	}
-	value, err := cbor.Marshal(n)
+	k.changeRow(ctx, &n, func(version uint64) (store.Op, bool) {
+		value, err := cbor.Marshal(n)
+		return store.Op{Table: claimTable, Key: k.rowKey(n.ID), Expect: version, Action: store.Put, Value: value}, err == nil
+	})
+}
+
+// changeRow changes the row of a claim, unless a later claim stands there.
+func (k *Keeper) changeRow(ctx context.Context, n *Note, change func(version uint64) (store.Op, bool)) {
+	row, err := k.table.Get(ctx, claimTable, k.rowKey(n.ID))
 	if err != nil {
 		return
 	}
-	_ = k.platform.commit(ctx, store.Op{Table: claimTable, Key: k.rowKey(n.ID), Expect: store.Any, Action: store.Put, Value: value})
+	var found Note
+	if cbor.Unmarshal(row.Value, &found) != nil || !found.sameClaim(n) || found.Run != n.Run {
+		return
+	}
+	if op, ok := change(row.Version); ok {
+		_ = k.platform.commit(ctx, op)
+	}
 }
--- a/entry/internal/record/server.go
+++ b/entry/internal/record/server.go
@@ -16,16 +16,23 @@
 	if err := s.Recv(&ask); err != nil {
 		return err
 	}
+	switch ask.Op {
+	case opHold, opEnd, opPull:
+		return s.Send(k.answer(ask))
+	}
+	return &AskError{Op: ask.Op}
+}
+
+// answer answers a call of one of the known kinds.
+func (k *Keeper) answer(ask Ask) Told {
 	switch ask.Op {
 	case opHold:
-		return s.Send(k.holdFor(ask.Note))
-	case opEnd:
-		k.endFor(ask.Note)
-		return s.Send(Told{Held: true})
+		return k.holdFor(ask.Note)
 	case opPull:
-		return s.Send(k.pullFor(ask.From, ask.Next))
+		return k.pullFor(ask.From, ask.Next)
 	}
-	return &AskError{Op: ask.Op}
+	k.endFor(ask.Note)
+	return Told{Held: true}
 }
 
 // holdFor holds another process's claim, or returns the one that bars it.
--- a/entry/internal/record/sync.go
+++ b/entry/internal/record/sync.go
@@ -164,27 +164,30 @@
 // sweep removes the records of one shard that have been kept long enough.
 func (k *Keeper) sweep(sh *shard) {
 	now := k.clock.Now()
-	var rows []string
+	var rows []Note
 	sh.mu.Lock()
 	for id, e := range sh.entries {
 		if e.here || now.Sub(e.since) <= k.keep {
 			continue
 		}
 		if e.row {
-			rows = append(rows, id)
+			rows = append(rows, e.note)
 		}
 		k.kept.Add(int64(-len(e.note.Body)))
 		delete(sh.entries, id)
 		k.size.Add(-1)
 	}
 	sh.mu.Unlock()
-	for _, id := range rows {
-		k.later(func() { k.deleteRow(id) })
+	for _, n := range rows {
+		k.later(func() { k.deleteRow(n) })
 	}
 }
 
-func (k *Keeper) deleteRow(id string) {
+// deleteRow removes the row of a claim that is no longer kept.
+func (k *Keeper) deleteRow(n Note) {
 	ctx, cancel := k.within(context.Background())
 	defer cancel()
-	_ = k.platform.commit(ctx, store.Op{Table: claimTable, Key: k.rowKey(id), Expect: store.Any, Action: store.Delete})
+	k.changeRow(ctx, &n, func(version uint64) (store.Op, bool) {
+		return store.Op{Table: claimTable, Key: k.rowKey(n.ID), Expect: version, Action: store.Delete}, true
+	})
 }
