Let each list of trial cost set the number of its runs

Cause: only the list of workers did, so a run over numbers of hosts stopped after the first. Change: the longest list counts, the last element of the others repeats.

--- a/trial/internal/cost/run.go
+++ b/trial/internal/cost/run.go
@@ -23,9 +23,9 @@
 // Settings say what to measure.
 type Settings struct {
 	Site  site.Settings
-	Sizes string // workers of each zone, like "12,24,48"
-	Hosts string // entry hosts of each zone, as many as sizes or one
-	Rates string // requests a second, as many as sizes or one; 0 is none
+	Sizes string // workers of each zone, like "12,24,48"; the last one counts for further runs
+	Hosts string // entry hosts of each zone, likewise
+	Rates string // requests a second, likewise; 0 is none
 	Span  time.Duration
 	Seed  uint64
 }
@@ -34,9 +34,9 @@
 func Run(ctx context.Context, s Settings, w io.Writer) error {
 	sizes, hosts, rates := list(s.Sizes), list(s.Hosts), list(s.Rates)
 	_, _ = fmt.Fprintln(w, "zones hosts workers rate | entry cpu% MB | placer cpu% MB | platform cpu% | loopback KB/s all, per host")
-	for i, size := range sizes {
+	for i := range max(len(sizes), len(hosts), len(rates)) {
 		spec := s.Site.Spec
-		spec.Workers, spec.Hosts = int(size), int(at(hosts, i))
+		spec.Workers, spec.Hosts = int(at(sizes, i)), int(at(hosts, i))
 		settings := s.Site
 		settings.Spec = spec
 		settings.Dir = filepath.Join(s.Site.Dir, strconv.Itoa(i))
