--- a/trial/internal/faults/maker.go
+++ b/trial/internal/faults/maker.go
@@ -28,6 +28,7 @@
 	kinds []Kind
 	out   io.Writer
 	begin time.Time
+	spent bool // a key has been withdrawn
 
 	mu        sync.Mutex // guards the fields below
 	busy      map[string]bool
--- a/trial/judge/answers.go
+++ b/trial/judge/answers.go
@@ -25,7 +25,7 @@
 		c := &r.Calls[i]
 		switch {
 		case c.Accepted && c.Outcome == "" && !withdrawn[c.Key]:
-			findings = append(findings, Finding{Answered, c.Tag, "the " + c.Kind + " was accepted, but has no outcome"})
+			findings = append(findings, Finding{Answered, c.Tag, "the " + c.Kind + " was accepted, but has no outcome; " + c.Detail})
 		case c.Outcome != "done" || c.Gone:
 		case !c.Whole:
 			findings = append(findings, Finding{Answered, c.Tag, "the answer isn't whole: " + c.Detail})
