Keep endpoints for the gang that has waited longest

Cause: gangs waited 69 s (p99) under 'today' while small work took each hole. Change: after 2 s the oldest gang gets endpoints kept; others start there only if expected to end before it could start.

--- a/placer/internal/sched/choose.go
+++ b/placer/internal/sched/choose.go
@@ -8,16 +8,17 @@
 // choose returns the endpoint for an entry's next task, or nil.
 func (p *pool) choose(e *entry) *cell.Row {
 	needs := e.granted
-	if !e.item.Urgent && !p.spared(needs) {
+	skip := p.skip(e)
+	if !e.gang() && !e.item.Urgent && !p.spared(needs) {
 		return nil
 	}
 	switch e.item.Kind {
 	case wire.Quick:
 		return p.table.Loosest(needs, e.item.Avoid, nil)
 	case wire.Service:
-		return p.spread(e)
+		return p.spread(e, skip)
 	default:
-		return p.table.Pack(needs, e.item.Avoid, nil)
+		return p.table.Pack(needs, e.item.Avoid, skip)
 	}
 }
 
@@ -41,8 +42,8 @@
 
 // spread returns the endpoint that is farthest from the service's other
 // replicas.
-func (p *pool) spread(e *entry) *cell.Row {
-	return p.table.Best(e.granted, e.item.Avoid, nil, func(r *cell.Row) float64 {
+func (p *pool) spread(e *entry, skip cell.Skip) *cell.Row {
+	return p.table.Best(e.granted, e.item.Avoid, skip, func(r *cell.Row) float64 {
 		cost := r.Leftover(e.granted)
 		for _, other := range e.runs {
 			if other.row == r {
@@ -58,3 +59,12 @@
 		return cost
 	})
 }
+
+// skip returns what keeps an entry from endpoints that are reserved, or nil.
+func (p *pool) skip(e *entry) cell.Skip {
+	if p.reserved.entry == nil || p.reserved.entry == e || e.item.Urgent {
+		return nil
+	}
+	now := p.timer.Now()
+	return func(r *cell.Row) bool { return p.reserved.forbids(r, e, now) }
+}
--- a/placer/internal/sched/decide.go
+++ b/placer/internal/sched/decide.go
@@ -15,6 +15,10 @@
 	defer p.mu.Unlock()
 	p.pass.reset()
 	p.rate()
+	if e := p.reserved.entry; e != nil && e.lane != nil {
+		out = p.try(e, out)
+	}
+	defer p.reserve()
 	for {
 		t := p.next()
 		if t == nil {
@@ -126,6 +130,7 @@
 		if row == nil {
 			p.undo(e, out[before:])
 			p.limit.Give(e.item.Team, n)
+			p.want(e)
 			return out[:before]
 		}
 		out = p.place(e, row, out)
--- a/placer/internal/sched/pool.go
+++ b/placer/internal/sched/pool.go
@@ -28,6 +28,8 @@
 	deadlines deadlines
 	seq       uint64
 	pass      pass
+	reserved  reservation
+	oldest    *entry // gang that found no room in this pass and waited longest
 }
 
 func newPool(s *timer.Service, l Limit, p Policy) *pool {
