--- a/placer/internal/sched/choose.go
+++ b/placer/internal/sched/choose.go
@@ -62,9 +62,9 @@
 
 // skip returns what keeps an entry from endpoints that are reserved, or nil.
 func (p *pool) skip(e *entry) cell.Skip {
-	if p.reserved.entry == nil || p.reserved.entry == e || e.item.Urgent {
+	if e.item.Urgent || p.reserved.entry == nil && len(p.claims) == 0 {
 		return nil
 	}
 	now := p.timer.Now()
-	return func(r *cell.Row) bool { return p.reserved.forbids(r, e, now) }
+	return func(r *cell.Row) bool { return p.claims[r] > 0 || p.reserved.forbids(r, e, now) }
 }
--- a/placer/internal/sched/decide.go
+++ b/placer/internal/sched/decide.go
@@ -18,7 +18,7 @@
 	if e := p.reserved.entry; e != nil && e.lane != nil {
 		out = p.try(e, out)
 	}
-	defer p.reserve()
+	defer p.finish()
 	for {
 		t := p.next()
 		if t == nil {
@@ -33,26 +33,10 @@
 	}
 }
 
-// rate prepares the teams for a pass.
-func (p *pool) rate() {
-	for _, t := range p.order {
-		t.done = t.live == 0
-		t.share = p.dominant(t)
-	}
-}
-
-// next returns the team that is to be served, or nil.
-func (p *pool) next() *team {
-	var best *team
-	for _, t := range p.order {
-		if t.done || t.live == 0 {
-			continue
-		}
-		if best == nil || t.share/t.weight < best.share/best.weight {
-			best = t
-		}
-	}
-	return best
+// finish draws the conclusions of a pass.
+func (p *pool) finish() {
+	p.full = len(p.pass.misses) > 0
+	p.reserve()
 }
 
 // dominant returns a team's largest part of any resource.
@@ -101,16 +85,20 @@
 		return p.tryGang(e, out)
 	}
 	needs := e.granted
-	if p.pass.missed(needs, e.item.Urgent) {
+	if p.pass.missed(needs, e.item.Urgent) && !p.mayPreempt(e) {
 		return out
 	}
 	row := p.choose(e)
 	if row == nil {
+		if p.mayPreempt(e) {
+			return p.preempt(e, out)
+		}
 		if len(e.item.Avoid) == 0 {
 			p.pass.miss(needs, e.item.Urgent)
 		}
 		return out
 	}
+	p.unclaim(e)
 	if !p.limit.Take(e.item.Team, 1) {
 		return out
 	}
--- a/placer/internal/sched/entry.go
+++ b/placer/internal/sched/entry.go
@@ -19,6 +19,7 @@
 	heapIndex int       // in the deadlines; -1 if it isn't there
 	cancelled bool
 	broken    bool       // a member of the gang was not sent
+	claim     *claim     // room that is being made for it
 	granted   wire.Needs // what each task is given
 }
 
@@ -37,6 +38,7 @@
 	needs   wire.Needs // granted
 	start   time.Time  // of the decision, or of the start once it is known
 	started bool
+	saving  bool   // was told to checkpoint
 	reports uint64 // of its endpoint when it was granted
 	slot    int    // in the runs of its endpoint
 }
--- a/placer/internal/sched/pool.go
+++ b/placer/internal/sched/pool.go
@@ -27,6 +27,9 @@
 	queued    map[string]int
 	deadlines deadlines
 	seq       uint64
+	claims    map[*cell.Row]int // urgent entries for which room is being made
+	rated     time.Time         // when teams were last rated
+	full      bool              // the last pass found no room for something
 	pass      pass
 	reserved  reservation
 	oldest    *entry // gang that found no room in this pass and waited longest
@@ -42,6 +45,7 @@
 		runs:    make(map[taskKey]*run),
 		hosted:  make(map[*cell.Row][]*run),
 		teams:   make(map[string]*team),
+		claims:  make(map[*cell.Row]int),
 		queued:  make(map[string]int),
 	}
 }
@@ -160,6 +164,7 @@
 	if e.lane == nil {
 		return
 	}
+	p.unclaim(e)
 	e.lane.remove(e)
 	p.team(e.item.Team).live--
 	if p.queued[e.item.Queue]--; p.queued[e.item.Queue] == 0 {
--- a/placer/internal/sched/reserve.go
+++ b/placer/internal/sched/reserve.go
@@ -13,6 +13,9 @@
 	gangPatience = 2 * time.Second
 	// reservePeriod is how long a choice of endpoints stands.
 	reservePeriod = 30 * time.Second
+	// gangStrict is how long a gang waits before nothing else may start on the
+	// endpoints kept for it, and their choice stands for good.
+	gangStrict = 2 * time.Minute
 	// defaultRuntime stands for a run time that isn't declared.
 	defaultRuntime = time.Minute
 )
@@ -38,9 +41,26 @@
 	if v.entry == nil || v.entry == e || !v.rows[r] {
 		return false
 	}
+	if now.Sub(v.entry.since) > gangStrict {
+		return true
+	}
 	return e.item.Kind == wire.Service || now.Add(runtime(e)).After(v.at)
 }
 
+// stands reports whether the choice of endpoints is for good: the gang has
+// waited long, and all of them are still open.
+func (v *reservation) stands(now time.Time) bool {
+	if now.Sub(v.entry.since) <= gangStrict {
+		return false
+	}
+	for r := range v.rows {
+		if !r.Open() {
+			return false
+		}
+	}
+	return true
+}
+
 func runtime(e *entry) time.Duration {
 	if e.item.Runtime <= 0 {
 		return defaultRuntime
@@ -59,7 +79,7 @@
 func (p *pool) reserve() {
 	now := p.timer.Now()
 	v := &p.reserved
-	if v.entry != nil && (v.entry.lane == nil || now.After(v.until)) {
+	if v.entry != nil && (v.entry.lane == nil || now.After(v.until) && !v.stands(now)) {
 		v.release()
 	}
 	e := p.oldest
--- a/placer/internal/sched/team.go
+++ b/placer/internal/sched/team.go
@@ -14,6 +14,9 @@
 	running int
 	lanes   []*lane // urgent first, then by rank, then by name
 	live    int     // entries that wait
+	credit  float64 // share that it was short of, decayed
+	fair    float64 // share that its weight gives it of what is used
+	lag     float64 // share that its waiting counts for
 	share   float64 // dominant share, fleet-wide as far as known
 	done    bool    // nothing more can start in this pass
 }
