--- a/placer/internal/sched/pool.go
+++ b/placer/internal/sched/pool.go
@@ -27,7 +27,12 @@
 	queued    map[string]int
 	deadlines deadlines
 	seq       uint64
+	claims    map[*cell.Row]int // urgent entries for which room is being made
+	rated     time.Time         // when teams were last rated
+	full      bool              // the last pass found no room for something
 	pass      pass
+	reserved  reservation
+	oldest    *entry // gang that found no room in this pass and waited longest
 }
 
 func newPool(s *timer.Service, l Limit, p Policy) *pool {
@@ -40,6 +45,7 @@
 		runs:    make(map[taskKey]*run),
 		hosted:  make(map[*cell.Row][]*run),
 		teams:   make(map[string]*team),
+		claims:  make(map[*cell.Row]int),
 		queued:  make(map[string]int),
 	}
 }
@@ -76,7 +82,7 @@
 }
 
 // drop forgets an endpoint and the tasks on it.
-func (p *pool) drop(name string) {
+func (p *pool) drop(name, heir string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	row := p.table.Drop(name)
@@ -86,7 +92,7 @@
 	for len(p.hosted[row]) > 0 {
 		r := p.hosted[row][0]
 		p.release(r)
-		p.limit.Pass(r.entry.item.Team, 1)
+		p.limit.Pass(r.entry.item.Team, 1, heir)
 		p.close(r.entry)
 	}
 	delete(p.hosted, row)
@@ -158,6 +164,7 @@
 	if e.lane == nil {
 		return
 	}
+	p.unclaim(e)
 	e.lane.remove(e)
 	p.team(e.item.Team).live--
 	if p.queued[e.item.Queue]--; p.queued[e.item.Queue] == 0 {
