Count running tasks against the teams' upper limits

Cause: nothing kept a team under its upper limit. Change: placer/internal/borrow drives limit.Keeper: asks between placers over VerbPart, looks at the accounts, and burying of dead holders once every endpoint of the zone is owned by a live placer; coord/quota runs in the placer, since no other process ran it. An endpoint that is opened again counts its tasks once.

--- a/placer/internal/conf/settings.go
+++ b/placer/internal/conf/settings.go
@@ -1,6 +1,7 @@
 package conf
 
 import (
+	"slices"
 	"time"
 
 	"github.com/balsamford/balsamford/coord/setup"
@@ -51,6 +52,19 @@
 	Address string `toml:"address"`
 }
 
+// Zones returns the zones of this and all named processes, sorted.
+func (s *Settings) Zones() []string {
+	zones := []string{s.Zone}
+	for _, p := range s.Peers {
+		zones = append(zones, p.Zone)
+	}
+	for _, p := range s.Entries {
+		zones = append(zones, p.Zone)
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
+
 // Default returns the settings that a file starts from.
 func Default() Settings {
 	return Settings{
--- a/placer/internal/daemon/daemon.go
+++ b/placer/internal/daemon/daemon.go
@@ -13,10 +13,12 @@
 	"github.com/balsamford/balsamford/coord/logs"
 	"github.com/balsamford/balsamford/coord/meter"
 	"github.com/balsamford/balsamford/coord/point"
+	"github.com/balsamford/balsamford/coord/quota"
 	"github.com/balsamford/balsamford/coord/roster"
 	"github.com/balsamford/balsamford/coord/store"
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/placer/internal/borrow"
 	"github.com/balsamford/balsamford/placer/internal/conf"
 	"github.com/balsamford/balsamford/placer/internal/desk"
 	"github.com/balsamford/balsamford/placer/internal/exec"
@@ -24,6 +26,7 @@
 	"github.com/balsamford/balsamford/placer/internal/hold"
 	"github.com/balsamford/balsamford/placer/internal/hosts"
 	"github.com/balsamford/balsamford/placer/internal/jobs"
+	"github.com/balsamford/balsamford/placer/internal/limit"
 	"github.com/balsamford/balsamford/placer/internal/sched"
 	"github.com/balsamford/balsamford/placer/internal/serve"
 )
@@ -46,6 +49,9 @@
 	guard    *fence.Guard
 	keeper   *hold.Keeper
 	driver   *jobs.Driver
+	limits   *limit.Keeper
+	mover    *borrow.Mover
+	quota    *quota.Keeper
 	server   *serve.Server
 	finder   *hosts.Finder
 	follower *config.Follower
@@ -80,8 +86,11 @@
 // build makes the parts that depend on one another.
 func (d *Daemon) build() {
 	s := d.settings
-	d.sched = sched.New(sched.WithTimer(d.timer))
+	self := borrow.Name(d.members.Self())
+	d.limits = limit.New(self, s.Zone, d.timer)
+	d.sched = sched.New(sched.WithTimer(d.timer), sched.WithLimit(borrow.NewCount(d.limits, self)))
 	d.desk = desk.New(d.sched)
+	d.desk.Name(self, d.heir)
 	tag := uint16(d.epoch ^ d.epoch>>16 ^ d.epoch>>32 ^ d.epoch>>48)
 	d.guard = fence.New(d.table, d.timer, others{d}, time.Duration(s.Term))
 	d.keeper = hold.New(s.Host, tag, d.members, d.client, d.timer, d.desk,
@@ -92,13 +101,16 @@
 		Timer: d.timer, Table: d.table, Queue: d.desk, Owner: d.keeper, Client: d.client,
 		Members: d.members, Caller: d.node, Log: d.log, Metrics: d.registry, Promise: d.guard.Promise,
 	})
+	d.mover = borrow.New(d.limits, s.Zone, d.table, d.members, d.node, d.timer, d.driver, d.log)
+	d.node.Handle(wire.VerbPart, link.HandlerFunc(d.mover.Handle))
 	d.desk.Attach(d.driver, d.keeper)
 	d.server = serve.New(exec.New(d.timer, d.desk, d.keeper, d.client, d.registry), d.driver, d.load, d.refusal)
 	d.finder = hosts.New(s, d.table, d.keeper, d.members)
 	d.follower = config.NewFollower(rolePrefix+s.Host, s.Zone, d.table, d.timer,
 		config.WithPeers(config.RosterFunc(d.peers), d.node, s.Link), config.WithLog(d.log), config.WithMetrics(d.registry))
-	d.follower.Subscribe(func(c *config.Snapshot) { d.sched.Configure(policyOf(c)) })
+	d.follower.Subscribe(d.configure)
 	d.follower.Register(d.node)
+	d.quota = quota.New(d.table, d.follower, d.timer, s.Zones(), d.log)
 	d.server.Register(d.node)
 	d.node.Handle(wire.VerbBeat, link.HandlerFunc(d.members.Handle))
 	d.node.Handle(wire.VerbNote, link.HandlerFunc(d.driver.Note))
@@ -117,6 +129,8 @@
 	g.Go(func() error { return d.desk.Run(ctx, d.timer) })
 	g.Go(func() error { return d.driver.Run(ctx) })
 	g.Go(func() error { return d.follower.Run(ctx) })
+	g.Go(func() error { return d.quota.Run(ctx) })
+	g.Go(func() error { return d.mover.Run(ctx) })
 	g.Go(func() error { return d.own(ctx) })
 	g.Go(func() error {
 		select {
--- /dev/null
+++ b/placer/internal/daemon/limits.go
@@ -0,0 +1,30 @@
+package daemon
+
+import (
+	"github.com/balsamford/balsamford/coord/config"
+	"github.com/balsamford/balsamford/coord/owner"
+	"github.com/balsamford/balsamford/placer/internal/borrow"
+	"github.com/balsamford/balsamford/placer/internal/hold"
+)
+
+// configure puts a version of the configuration in force.
+func (d *Daemon) configure(c *config.Snapshot) {
+	limits := make(map[string]int64)
+	for _, team := range c.Teams() {
+		if l, ok := c.Limit(team); ok {
+			limits[team] = l.Tasks
+		}
+	}
+	d.limits.Configure(limits)
+	d.sched.Configure(policyOf(c))
+}
+
+// heir returns under which name the next owner of an endpoint counts against
+// limits, or an empty text if it isn't known.
+func (d *Daemon) heir(t hold.Target) string {
+	name := owner.Of(t.Group(), d.members.Names())
+	if m, alive := d.members.Alive(name); alive && name != d.settings.Host {
+		return borrow.Name(m)
+	}
+	return ""
+}
--- a/placer/internal/desk/desk.go
+++ b/placer/internal/desk/desk.go
@@ -8,6 +8,7 @@
 	"github.com/balsamford/balsamford/coord/point"
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/placer/internal/hold"
 	"github.com/balsamford/balsamford/placer/internal/sched"
 )
 
@@ -21,6 +22,8 @@
 	sched Scheduler
 	jobs  Jobs
 	acks  Acker
+	self  string
+	heir  func(t hold.Target) string
 	kick  chan struct{}
 
 	mu      sync.Mutex // guards the fields below; held while deciding
@@ -35,7 +38,7 @@
 // anything else.
 func New(s Scheduler) *Desk {
 	return &Desk{
-		sched: s, kick: make(chan struct{}, 1), epochs: make(map[string]uint64),
+		sched: s, heir: func(hold.Target) string { return "" }, kick: make(chan struct{}, 1), epochs: make(map[string]uint64),
 		tickets: make(map[string]*Ticket), placed: make(map[key]spot), known: make(map[string]sched.Endpoint),
 		fates: make(map[spotKey]point.State),
 	}
@@ -44,6 +47,10 @@
 // Attach sets who drives jobs and who acknowledges ended tasks.
 func (d *Desk) Attach(j Jobs, a Acker) { d.jobs, d.acks = j, a }
 
+// Name sets under which name the placer counts against limits, and what names
+// the one that an endpoint goes to, if that is known.
+func (d *Desk) Name(self string, heir func(t hold.Target) string) { d.self, d.heir = self, heir }
+
 // Run decides whenever something has changed, until ctx ends. It always
 // returns nil.
 func (d *Desk) Run(ctx context.Context, s *timer.Service) error {
--- a/placer/internal/desk/scheduler.go
+++ b/placer/internal/desk/scheduler.go
@@ -9,7 +9,7 @@
 type Scheduler interface {
 	Join(e sched.Endpoint)
 	Leave(name string)
-	Drop(name string)
+	DropTo(name, heir string)
 	Report(name string, used wire.Needs)
 	Adopt(endpoint string, t sched.Task)
 	Submit(item sched.Item) error
--- a/placer/internal/desk/sink.go
+++ b/placer/internal/desk/sink.go
@@ -22,7 +22,7 @@
 func (d *Desk) adopt(t hold.Target, view *point.View) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.forgetLocked(t.Name)
+	d.forgetLocked(t.Name, d.self)
 	e := sched.Endpoint{
 		Name: t.Name, Kind: view.Kind, Zone: view.Zone, Rack: view.Rack, Capacity: view.Capacity, Leaving: t.Leaving,
 	}
@@ -47,8 +47,8 @@
 	})
 }
 
-func (d *Desk) forgetLocked(endpoint string) {
-	d.sched.Drop(endpoint)
+func (d *Desk) forgetLocked(endpoint, heir string) {
+	d.sched.DropTo(endpoint, heir)
 	delete(d.epochs, endpoint)
 	delete(d.known, endpoint)
 	for k, at := range d.placed {
@@ -142,7 +142,8 @@
 
 // Closed implements hold.Sink.
 func (d *Desk) Closed(t hold.Target) {
+	heir := d.heir(t)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.forgetLocked(t.Name)
+	d.forgetLocked(t.Name, heir)
 }
--- a/placer/internal/hold/keeper.go
+++ b/placer/internal/hold/keeper.go
@@ -239,6 +239,30 @@
 	}
 }
 
+// Known returns the names of all known endpoints.
+func (k *Keeper) Known() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := make([]string, 0, len(k.seats))
+	for name := range k.seats {
+		out = append(out, name)
+	}
+	return out
+}
+
+// Owned returns the names of the endpoints that are owned.
+func (k *Keeper) Owned() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out []string
+	for name, c := range k.seats {
+		if _, ok := c.seat.Owned(); ok {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // Count returns how many endpoints are known and how many are owned.
 func (k *Keeper) Count() (known, owned int) {
 	k.mu.Lock()
--- a/placer/internal/jobs/note.go
+++ b/placer/internal/jobs/note.go
@@ -21,12 +21,14 @@
 	Fit      *fit          `cbor:"fit,omitempty"`
 	Promise  time.Duration `cbor:"promise,omitempty"` // asks not to take the endpoint's term for that long
 	Held     bool          `cbor:"held,omitempty"`    // asks whether the other may keep the endpoint's leases alive
+	Owned    bool          `cbor:"owned,omitempty"`   // asks which endpoints the other owns
 }
 
 // noted answers a note.
 type noted struct {
-	Known []bool `cbor:"known,omitempty"` // of Tasks: driven here, and the end is written
-	Done  bool   `cbor:"done,omitempty"`  // Halt was carried out, Promise given, or Fit or Held holds
+	Known []bool   `cbor:"known,omitempty"` // of Tasks: driven here, and the end is written
+	Done  bool     `cbor:"done,omitempty"`  // Halt was carried out, Promise given, or Fit or Held holds
+	Names []string `cbor:"names,omitempty"` // answers Owned
 }
 
 // halt asks for the end of one attempt of a task.
@@ -60,6 +62,8 @@
 		return noted{Done: d.haltHere(ctx, *in.Halt)}
 	case in.Fit != nil:
 		return noted{Done: d.queue.Fits(in.Fit.Needs, in.Fit.Tasks)}
+	case in.Owned:
+		return noted{Names: d.owner.Owned()}
 	case in.Promise > 0:
 		return noted{Done: d.promise(in.Endpoint, in.Promise)}
 	case in.Held:
--- a/placer/internal/jobs/parts.go
+++ b/placer/internal/jobs/parts.go
@@ -46,6 +46,8 @@
 	Ack(endpoint string, seq uint64)
 	Seat(endpoint string) *hold.Seat
 	Held(endpoint string) bool
+	Owned() []string
+	Known() []string
 	Span() time.Duration
 	Superseded(endpoint string, epoch uint64)
 }
--- a/placer/internal/jobs/witness.go
+++ b/placer/internal/jobs/witness.go
@@ -19,6 +19,33 @@
 	return true
 }
 
+// Span returns how long leases may hold at most after their last renewal.
+func (d *Driver) Span() time.Duration { return d.owner.Span() }
+
+// Adopted reports whether each known endpoint is owned by a live placer of the
+// zone, which has counted what runs there.
+func (d *Driver) Adopted(ctx context.Context) bool {
+	owned := make(map[string]bool)
+	for _, name := range d.owner.Owned() {
+		owned[name] = true
+	}
+	for _, m := range d.peers() {
+		out, err := d.tell(ctx, m, &note{Owned: true})
+		if err != nil {
+			return false
+		}
+		for _, name := range out.Names {
+			owned[name] = true
+		}
+	}
+	for _, name := range d.owner.Known() {
+		if !owned[name] {
+			return false
+		}
+	}
+	return true
+}
+
 // Promise implements fence.Others: every other placer that is known, alive or
 // not, could take the term and has to promise.
 func (d *Driver) Promise(ctx context.Context, endpoint string, length time.Duration) bool {
