Let lag count in full for quick work only

Change: aim wait counts a wait of 4 s for twice the whole share on executors, and 30 s for 0.02 on workers.

--- a/placer/internal/sched/pool.go
+++ b/placer/internal/sched/pool.go
@@ -13,8 +13,9 @@
 // pool is the state of all endpoints of one kind and of the requests for
 // them.
 type pool struct {
-	timer *timer.Service
-	limit Limit
+	timer   *timer.Service
+	limit   Limit
+	lagging lagging
 
 	mu        sync.Mutex // guards the fields below
 	policy    Policy
@@ -35,10 +36,11 @@
 	oldest    *entry // gang that found no room in this pass and waited longest
 }
 
-func newPool(s *timer.Service, l Limit, p Policy) *pool {
+func newPool(s *timer.Service, l Limit, p Policy, g lagging) *pool {
 	return &pool{
 		timer:   s,
 		limit:   l,
+		lagging: g,
 		policy:  p,
 		table:   cell.New(),
 		entries: make(map[string]*entry),
--- a/placer/internal/sched/rate.go
+++ b/placer/internal/sched/rate.go
@@ -35,7 +35,7 @@
 		}
 		t.lag = 0
 		if p.policy.Aim == AimWait {
-			t.rateLag(now)
+			t.rateLag(now, p.lagging)
 		}
 	}
 }
@@ -73,19 +73,28 @@
 // unable to start in this pass.
 func (t *team) urgent() bool { return len(t.lanes) > 0 && t.lanes[0].urgent && t.lanes[0].live > 0 }
 
+// lagging says how much waiting counts with AimWait: a wait of target or more
+// counts for share.
+type lagging struct {
+	target time.Duration
+	share  float64
+}
+
+// Executors turn over within seconds, so that a team served late there loses
+// little of its share; workers keep near to it.
 const (
-	// lagTarget is the wait from which on a request's lag counts in full.
-	lagTarget = 30 * time.Second
-	// lagShare is the share that a full lag counts for.
-	lagShare = 0.5
+	quickTarget = 4 * time.Second
+	quickShare  = 2
+	taskTarget  = 30 * time.Second
+	taskShare   = 0.02
 )
 
 // rateLag works out how long the team's oldest request has waited.
-func (t *team) rateLag(now time.Time) {
+func (t *team) rateLag(now time.Time, g lagging) {
 	for _, l := range t.lanes {
 		if line := l.line(); len(line) > 0 {
-			lag := now.Sub(line[0].since).Seconds() / lagTarget.Seconds()
-			t.lag = max(t.lag, min(lag, 1)*lagShare)
+			lag := now.Sub(line[0].since).Seconds() / g.target.Seconds()
+			t.lag = max(t.lag, min(lag, 1)*g.share)
 		}
 	}
 }
--- a/placer/internal/sched/scheduler.go
+++ b/placer/internal/sched/scheduler.go
@@ -28,8 +28,8 @@
 	if s.timer == nil {
 		s.timer = timer.New()
 	}
-	s.executors = newPool(s.timer, s.limit, s.first)
-	s.workers = newPool(s.timer, s.limit, s.first)
+	s.executors = newPool(s.timer, s.limit, s.first, lagging{quickTarget, quickShare})
+	s.workers = newPool(s.timer, s.limit, s.first, lagging{taskTarget, taskShare})
 	return s
 }
 
