Let bursts of changes from many doors all take effect

Cause: TestBurst, 90 changes of different objects from nine doors at the same moment: some ended as conflicts after 8 tries. Change: the edits of one publisher go one after another; an edit without a base is made again up to 100 times, each lost race being another's success. Conclusion: bursts are taken whole.

--- a/coord/config/publisher.go
+++ b/coord/config/publisher.go
@@ -20,7 +20,7 @@
 	retryDelay = 100 * time.Millisecond
 	// rebases is how often an edit without a base is made again on a newer
 	// version.
-	rebases = 8
+	rebases = 100
 )
 
 // Publisher writes new versions to the platform. All methods may be called
@@ -30,6 +30,7 @@
 	timers   *timer.Service
 	log      *zap.Logger
 	trail    *audit.Log
+	turn     chan struct{} // full while an edit is being published
 
 	mu   sync.Mutex // guards last
 	last *Snapshot  // spares the reading of a base
@@ -44,7 +45,7 @@
 
 // NewPublisher returns a Publisher on a platform.
 func NewPublisher(p AuditPlatform, timers *timer.Service, log *zap.Logger) *Publisher {
-	return &Publisher{platform: p, timers: timers, log: log, trail: audit.New(p)}
+	return &Publisher{platform: p, timers: timers, log: log, trail: audit.New(p), turn: make(chan struct{}, 1)}
 }
 
 // base is the version that a publish starts from.
@@ -61,7 +62,15 @@
 // nothing took effect; *UnknownError, the platform's answer was lost and ctx
 // ended before it could be asked what it was. After an *UnknownError the same
 // edit may be published again under its id.
+//
+// Edits go one after another, so that those of one process don't conflict.
 func (p *Publisher) Publish(ctx context.Context, e *Edit) (Result, error) {
+	select {
+	case p.turn <- struct{}{}:
+	case <-ctx.Done():
+		return Result{}, &UnpublishedError{ID: e.ID, Step: "turn", Err: ctx.Err()}
+	}
+	defer func() { <-p.turn }()
 	for try := 0; ; try++ {
 		res, err := p.once(ctx, e)
 		var conflict *ConflictError
