--- /dev/null
+++ b/entry/internal/door/rig_test.go
@@ -0,0 +1,88 @@
+package door
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/balsamford/balsamford/coord/timer"
+)
+
+type handlerFunc func(x *Exchange)
+
+func (f handlerFunc) Serve(x *Exchange) { f(x) }
+
+type rig struct {
+	t        testing.TB
+	server   *Server
+	address  string
+	registry metrics.Registry
+}
+
+func newRig(t testing.TB, limits Limits, h handlerFunc) *rig {
+	t.Helper()
+	clock := timer.New()
+	r := &rig{t: t, registry: metrics.NewRegistry(), address: freeAddress(t)}
+	r.server = New(clock, h, WithLimits(limits), WithRegistry(r.registry), WithLoops(1))
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	g.Go(func() error { return clock.Run(ctx) })
+	g.Go(func() error { return r.server.Run(ctx, r.address) })
+	<-r.server.Booted()
+	t.Cleanup(func() {
+		cancel()
+		is.New(t).NoErr(g.Wait())
+	})
+	return r
+}
+
+func freeAddress(t testing.TB) string {
+	t.Helper()
+	part := func() string { return strconv.Itoa(1 + rand.IntN(250)) }
+	ln, err := net.Listen("tcp", "127."+part()+"."+part()+"."+part()+":0")
+	is.New(t).NoErr(err)
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+func (r *rig) dial() net.Conn {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.address)
+	is.New(r.t).NoErr(err)
+	r.t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	return c
+}
+
+func (r *rig) count(name string) int64 {
+	return metrics.GetOrRegisterCounter("entry.door."+name, r.registry).Count()
+}
+
+func echo(x *Exchange) {
+	body := append([]byte(string(x.Request().URI().Path())+" "), x.Request().Body()...)
+	x.Answer(200, "text/plain", body)
+}
+
+func post(path, body string) string {
+	return "POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func readAnswer(t testing.TB, r *bufio.Reader) (int, string) {
+	t.Helper()
+	resp, err := http.ReadResponse(r, nil)
+	is.New(t).NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	is.New(t).NoErr(err)
+	return resp.StatusCode, string(body)
+}
--- a/entry/internal/params/settings.go
+++ b/entry/internal/params/settings.go
@@ -72,7 +72,7 @@
 	return &Settings{
 		Level: "info",
 		Limits: Limits{
-			Conns: 4096, Requests: 4096, Running: 1024, Waiting: 256, Header: 8 << 10, Body: 1 << 20,
+			Conns: 4096, Requests: 4096, Running: 512, Waiting: 256, Header: 8 << 10, Body: 1 << 20,
 			Records: 65536, Keep: setup.Duration(5 * time.Minute),
 			Idle: setup.Duration(time.Minute), Read: setup.Duration(10 * time.Second),
 			Write: setup.Duration(10 * time.Second), Drain: setup.Duration(20 * time.Second),
--- a/entry/internal/record/keeper.go
+++ b/entry/internal/record/keeper.go
@@ -59,6 +59,7 @@
 	group    errgroup.Group // its end is awaited by telling, so that Wait and later may overlap
 	telling  atomic.Int64
 	shards   [shards]shard
+	tells    map[string]*tells // by host; the map never changes
 
 	mu      sync.Mutex // guards the fields below
 	first   bool       // this host has never run before
@@ -70,7 +71,8 @@
 func New(clock *timer.Service, caller Caller, platform Platform, ring *Ring, self Host, issuer *Issuer, opts ...Option) *Keeper {
 	k := &Keeper{
 		clock: clock, caller: caller, ring: ring, self: self, issuer: issuer, table: platform,
-		keep: defaultKeep, limit: defaultLimit, bodies: defaultBodies, started: clock.Now(), synced: make(map[string]bool),
+		tells: make(map[string]*tells),
+		keep:  defaultKeep, limit: defaultLimit, bodies: defaultBodies, started: clock.Now(), synced: make(map[string]bool),
 	}
 	registry := metrics.NewRegistry()
 	for _, opt := range opts {
@@ -79,6 +81,11 @@
 	k.counts = newCounts(registry)
 	k.platform = newBatch(platform)
 	k.group.SetLimit(tellers)
+	for _, h := range ring.hosts {
+		if h.Name != self.Name {
+			k.tells[h.Name] = &tells{}
+		}
+	}
 	for i := range k.shards {
 		k.shards[i].entries = make(map[string]*entry)
 	}
--- a/entry/internal/record/note.go
+++ b/entry/internal/record/note.go
@@ -34,10 +34,11 @@
 
 // Ask is a call of Verb.
 type Ask struct {
-	Op   string `cbor:"op"`
-	Note Note   `cbor:"note"`
-	From string `cbor:"from,omitempty"` // with opPull: who asks
-	Next string `cbor:"next,omitempty"` // with opPull: continue after this id
+	Op    string `cbor:"op"`
+	Note  Note   `cbor:"note"`            // with opHold
+	Notes []Note `cbor:"notes,omitempty"` // with opEnd
+	From  string `cbor:"from,omitempty"`  // with opPull: who asks
+	Next  string `cbor:"next,omitempty"`  // with opPull: the part that is wanted
 }
 
 // Told answers an Ask.
@@ -45,12 +46,12 @@
 	Held     bool   `cbor:"held,omitempty"`     // the claim is held now
 	Complete bool   `cbor:"complete,omitempty"` // the holder has forgotten nothing that matters
 	Notes    []Note `cbor:"notes,omitempty"`    // what was there before, or the next part of a pull
-	Next     string `cbor:"next,omitempty"`     // more follows after this id
+	Next     string `cbor:"next,omitempty"`     // the next part, empty at the end
 }
 
 // The calls.
 const (
 	opHold = "hold" // hold this claim
-	opEnd  = "end"  // note the outcome
+	opEnd  = "end"  // note the outcomes
 	opPull = "pull" // return the records that both hosts hold
 )
--- a/entry/internal/record/row.go
+++ b/entry/internal/record/row.go
@@ -98,15 +98,12 @@
 
 // tell passes an outcome on to the other holder and to the row, if any.
 func (k *Keeper) tell(n Note, row bool) {
-	ctx, cancel := k.within(context.Background())
-	defer cancel()
-	if other := k.Other(n.ID); other.Name != "" {
-		var told Told
-		_ = k.call(ctx, other, Ask{Op: opEnd, Note: n}, &told)
-	}
+	k.tellOther(n)
 	if !row {
 		return
 	}
+	ctx, cancel := k.within(context.Background())
+	defer cancel()
 	k.changeRow(ctx, &n, func(version uint64) (store.Op, bool) {
 		value, err := cbor.Marshal(n)
 		return store.Op{Table: claimTable, Key: k.rowKey(n.ID), Expect: version, Action: store.Put, Value: value}, err == nil
--- a/entry/internal/record/server.go
+++ b/entry/internal/record/server.go
@@ -31,7 +31,9 @@
 	case opPull:
 		return k.pullFor(ask.From, ask.Next)
 	}
-	k.endFor(ask.Note)
+	for _, n := range ask.Notes {
+		k.endFor(n)
+	}
 	return Told{Held: true}
 }
 
--- a/entry/internal/relay/attempt.go
+++ b/entry/internal/relay/attempt.go
@@ -51,6 +51,9 @@
 	}
 	_ = s.CloseSend()
 	t := j.receive(s)
+	if reason := j.unwanted(); reason != "" && t.res.Reason == wire.ReasonCancel {
+		t.res.Reason = reason // The placer was asked to cancel for this reason.
+	}
 	if t.broken && never.Load() {
 		return try{res: NotRun(j.unwanted(), "")}
 	}
--- a/entry/internal/serve/cell_test.go
+++ b/entry/internal/serve/cell_test.go
@@ -1,17 +1,7 @@
 package serve
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
-	"io"
-	"math/rand/v2"
-	"net"
-	"net/http"
-	"strconv"
-	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -23,7 +13,6 @@
 	"github.com/balsamford/balsamford/coord/link"
 	"github.com/balsamford/balsamford/coord/store"
 	"github.com/balsamford/balsamford/coord/timer"
-	"github.com/balsamford/balsamford/coord/wire"
 	"github.com/balsamford/balsamford/entry/internal/admit"
 	"github.com/balsamford/balsamford/entry/internal/door"
 	"github.com/balsamford/balsamford/entry/internal/jobs"
@@ -33,77 +22,13 @@
 )
 
 // fakeConfig has two teams with keys, a queue of theirs and an open one.
-type fakeConfig struct {
-	mu    sync.Mutex // guards the fields below
-	keys  map[string]string
-	stale bool
-}
-
-func newFakeConfig() *fakeConfig {
-	return &fakeConfig{keys: map[string]string{"k1": "red", "k2": "blue"}}
-}
-
-func (c *fakeConfig) change(f func()) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	f()
-}
-
-func (c *fakeConfig) Team(key string) (string, string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if key == "" {
-		return "", ""
-	}
-	if c.stale {
-		return "", wire.ReasonStale
-	}
-	team, ok := c.keys[key]
-	if !ok {
-		return "", wire.ReasonKey
-	}
-	return team, ""
-}
-
-func (c *fakeConfig) Check(key, queue string, _ wire.Kind) (string, string) {
-	if queue == "open" {
-		return "", ""
-	}
-	if queue != "shop" {
-		return "", wire.ReasonQueue
-	}
-	team, reason := c.Team(key)
-	if reason == "" && team == "" {
-		reason = wire.ReasonKey
-	}
-	return team, reason
-}
-
-func (c *fakeConfig) Version() uint64 { return 1 }
 
 // gate is a link's fault switch.
-type gate struct {
-	mu  sync.Mutex // guards cut
-	cut map[string]bool
-}
-
-func (g *gate) Open(peer string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return !g.cut[peer]
-}
-
-func (g *gate) set(peers ...string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.cut = make(map[string]bool)
-	for _, p := range peers {
-		g.cut[p] = true
-	}
-}
 
 // cell is a small deployment: entry hosts and fake placers in two zones over
+
 // real links, and a platform in memory.
+
 type cell struct {
 	t        testing.TB
 	certs    link.TLS
@@ -118,6 +43,7 @@
 }
 
 // fakeEntry is one entry process without its main package.
+
 type fakeEntry struct {
 	self    record.Host
 	address string
@@ -136,7 +62,9 @@
 type cellOption func(*cell)
 
 // newCell starts entries a1, a2 in zone a and b1, b2 in zone b, with one
+
 // placer in each zone.
+
 func newCell(t testing.TB, opts ...cellOption) *cell {
 	t.Helper()
 	is := is.New(t)
@@ -169,6 +97,7 @@
 }
 
 // start starts an entry process, or starts it again after a kill.
+
 func (c *cell) start(name string) *fakeEntry {
 	c.t.Helper()
 	is := is.New(c.t)
@@ -211,6 +140,7 @@
 }
 
 // kill ends the process; nothing is handed over.
+
 func (e *fakeEntry) kill() {
 	e.service.GiveUp()
 	e.stop()
@@ -218,105 +148,17 @@
 }
 
 // loopback returns an address of a loopback network that hardly another test
-// uses, so that a port found free there stays so.
-func loopback() string {
-	part := func() string { return strconv.Itoa(1 + rand.IntN(250)) }
-	return "127." + part() + "." + part() + "." + part() + ":0"
-}
-
-func freeUDP(t testing.TB) string {
-	t.Helper()
-	conn, err := net.ListenPacket("udp", loopback())
-	is.New(t).NoErr(err)
-	defer func() { _ = conn.Close() }()
-	return conn.LocalAddr().String()
-}
 
-func freeTCP(t testing.TB) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", loopback())
-	is.New(t).NoErr(err)
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
-}
+// uses, so that a port found free there stays so.
 
 // got is an answer as a caller sees it.
-type got struct {
-	code    int
-	outcome wire.Outcome
-	reason  string
-	id      string
-	body    []byte
-	whole   bool
-	reply   Reply
-}
 
 // ask sends one HTTP request to an entry.
-func (c *cell) ask(entry, method, path, key, body string) got {
-	c.t.Helper()
-	is := is.New(c.t)
-	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+c.entries[entry].address+path, strings.NewReader(body))
-	is.NoErr(err)
-	if key != "" {
-		req.Header.Set("Authorization", "Bearer "+key)
-	}
-	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
-	if err != nil {
-		return got{reason: err.Error()}
-	}
-	defer func() { _ = resp.Body.Close() }()
-	g := got{code: resp.StatusCode, id: resp.Header.Get("Request-Id"), outcome: wire.Outcome(resp.Header.Get("Outcome")), reason: resp.Header.Get("Reason")}
-	g.body, err = io.ReadAll(resp.Body)
-	g.whole = err == nil
-	if !g.whole && !errors.Is(err, io.ErrUnexpectedEOF) {
-		g.reason = err.Error()
-	}
-	if t := resp.Trailer.Get("Outcome"); t != "" {
-		g.outcome = wire.Outcome(t)
-	}
-	_ = json.Unmarshal(bytes.TrimSpace(g.body), &g.reply)
-	return g
-}
 
 // submit sends a request of team red.
-func (c *cell) submit(entry, fields string) got {
-	c.t.Helper()
-	return c.ask(entry, http.MethodPost, "/v1/requests", "k1", `{"queue":"shop","kind":"quick"`+fields+`}`)
-}
 
 // starts returns how often a request was started at all placers.
-func (c *cell) starts(id string) int {
-	n := 0
-	for _, p := range c.placers {
-		n += p.started(id)
-	}
-	return n
-}
-
-func (c *cell) script(s ...script) {
-	for _, p := range c.placers {
-		p.set(s...)
-	}
-}
-
-func (c *cell) host(name string) record.Host {
-	for _, h := range c.hosts {
-		if h.Name == name {
-			return h
-		}
-	}
-	return record.Host{}
-}
 
 // idAt returns an own id of team red whose first holder is the given host,
+
 // with both holders in its zone.
-func (c *cell) idAt(host string) string {
-	ring := record.NewRing([]string{"a", "b"}, c.hosts)
-	for i := 0; ; i++ {
-		text := "order-" + strconv.Itoa(i)
-		id, _ := record.Own("red", text)
-		if first, _ := ring.Holders(id); first.Name == host {
-			return text
-		}
-	}
-}
--- /dev/null
+++ b/entry/internal/serve/job_test.go
@@ -0,0 +1,76 @@
+package serve
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/balsamford/balsamford/coord/store"
+	"github.com/balsamford/balsamford/coord/wire"
+)
+
+func TestJobs(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	const job = `{"queue":"shop","kind":"batch","tasks":3,"id":"plan"}`
+	g := c.ask("a1", http.MethodPost, "/v1/requests", "k1", job)
+	is.Equal(g.code, 202)
+	is.Equal(g.reply.ID, "plan")
+	again := c.ask("b2", http.MethodPost, "/v1/requests", "k1", job)
+	is.Equal(again.code, 202)
+	other := c.ask("b2", http.MethodPost, "/v1/requests", "k1", `{"queue":"shop","kind":"batch","tasks":4,"id":"plan"}`)
+	is.Equal(other.code, 409)
+	for _, entry := range []string{"a1", "a2", "b1", "b2"} {
+		is.Equal(c.ask(entry, http.MethodGet, "/v1/requests/plan", "k1", "").reply.Phase, wire.Queued)
+		is.Equal(c.ask(entry, http.MethodGet, "/v1/requests/plan", "k2", "").code, 404)
+	}
+	is.Equal(c.ask("a2", http.MethodDelete, "/v1/requests/plan", "k1", "").code, 202)
+	rows, err := c.platform.Scan(context.Background(), "job", "")
+	is.NoErr(err)
+	is.Equal(len(rows), 1)
+}
+
+func TestJobWhilePlatformIsAway(t *testing.T) {
+	const job = `{"queue":"shop","kind":"batch","id":"plan"}`
+	tests := map[string]struct {
+		prepare func(c *cell)
+		after   func(c *cell)
+		code    int
+		outcome wire.Outcome
+		rows    int
+	}{
+		"held in two zones":         {prepare: platformDown, code: 202, rows: 1},
+		"first holder dies":         {prepare: platformDown, after: killed("a1"), code: 202, rows: 1},
+		"other zone cut off":        {prepare: both(platformDown, cutOff("a1", "b1", "b2")), code: 500, outcome: wire.Unknown},
+		"answer lost after writing": {prepare: platformLoses, code: 202, rows: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := newCell(t)
+			tt.prepare(c)
+			g := c.ask("a1", http.MethodPost, "/v1/requests", "k1", job)
+			is.Equal(g.code, tt.code)
+			is.Equal(g.outcome, tt.outcome)
+			if tt.after != nil {
+				tt.after(c)
+			}
+			c.platform.SetFaults(store.Faults{})
+			rows := func() int {
+				rows, err := c.platform.Scan(context.Background(), "job", "")
+				is.NoErr(err)
+				return len(rows)
+			}
+			if tt.rows == 0 {
+				time.Sleep(1500 * time.Millisecond)
+			}
+			until(t, func() bool { return rows() == tt.rows })
+			time.Sleep(1200 * time.Millisecond) // The other holder must not write it again.
+			is.Equal(rows(), tt.rows)
+		})
+	}
+}
--- a/entry/internal/serve/retry_test.go
+++ b/entry/internal/serve/retry_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -10,13 +9,15 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/balsamford/balsamford/coord/store"
 	"github.com/balsamford/balsamford/coord/wire"
 )
 
 // TestRetry sends a request a second time through another entry and states
+
 // what the second caller gets. No row starts a request that is not idempotent
+
 // twice.
+
 func TestRetry(t *testing.T) {
 	large := bytes.Repeat([]byte("0123456789abcdef"), 8<<10)
 	tests := map[string]struct {
@@ -81,6 +82,7 @@
 }
 
 // settle waits until the entry has told the outcomes to the other holders.
+
 func (c *cell) settle(entry string) { c.entries[entry].service.Wait() }
 
 func killed(entry string) func(*cell) { return func(c *cell) { c.entries[entry].kill() } }
@@ -148,200 +150,6 @@
 	is.Equal(c.starts("red~same"), 1)
 }
 
-func TestWithdrawnKeyStopsWhatWaits(t *testing.T) {
-	is := is.New(t)
-	c := newCell(t, func(c *cell) { c.running = 1 })
-	c.script(script{hang: true})
-	var blocker, waiter got
-	var g errgroup.Group
-	g.Go(func() error { blocker = c.submit("a1", `,"deadline":"5s"`); return nil })
-	until(t, func() bool { return c.placers[0].total()+c.placers[1].total() == 1 })
-	g.Go(func() error { waiter = c.submit("a1", `,"deadline":"20s"`); return nil })
-	until(t, func() bool { return c.entries["a1"].service.Working() == 2 })
-	c.config.change(func() { delete(c.config.keys, "k1") })
-	is.NoErr(g.Wait())
-	is.Equal(blocker.outcome, wire.Failed)
-	is.Equal(waiter.outcome, wire.NotRun)
-	is.Equal(waiter.reason, wire.ReasonKey)
-	is.Equal(waiter.code, 401)
-}
-
-func TestStaleConfiguration(t *testing.T) {
-	is := is.New(t)
-	c := newCell(t)
-	c.config.change(func() { c.config.stale = true })
-	g := c.submit("a1", "")
-	is.Equal(g.code, 503)
-	is.Equal(g.reason, wire.ReasonStale)
-	is.Equal(g.outcome, wire.NotRun)
-	is.Equal(c.ask("a1", http.MethodPost, "/v1/requests", "", `{"queue":"open","kind":"quick"}`).code, 200)
-}
-
-func TestHangUpCancels(t *testing.T) {
-	tests := map[string]struct {
-		fields string
-		ends   bool
-	}{
-		"asked for": {fields: `,"cancel":true`, ends: true},
-		"not asked": {},
-	}
-	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			c := newCell(t)
-			c.script(script{hang: true})
-			ctx, cancel := context.WithCancel(context.Background())
-			var g errgroup.Group
-			g.Go(func() error { return c.abandoned(ctx, "a1", tt.fields) })
-			until(t, func() bool { return c.placers[0].total()+c.placers[1].total() == 1 })
-			cancel()
-			_ = g.Wait()
-			if tt.ends {
-				until(t, func() bool { return c.entries["a1"].service.Working() == 0 })
-				return
-			}
-			time.Sleep(300 * time.Millisecond)
-			is.Equal(c.entries["a1"].service.Working(), 1)
-		})
-	}
-}
-
 // abandoned sends a request whose caller hangs up when ctx ends.
-func (c *cell) abandoned(ctx context.Context, entry, fields string) error {
-	body := bytes.NewReader([]byte(`{"queue":"shop","kind":"quick"` + fields + `}`))
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.entries[entry].address+"/v1/requests", body)
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Authorization", "Bearer k1")
-	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
-	if err != nil {
-		return err
-	}
-	return resp.Body.Close()
-}
 
 // until waits for a condition, generously.
-func until(t *testing.T, cond func() bool) {
-	t.Helper()
-	for range 1000 {
-		if cond() {
-			return
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	t.Fatal("it never came about")
-}
-
-func TestJobs(t *testing.T) {
-	is := is.New(t)
-	c := newCell(t)
-	const job = `{"queue":"shop","kind":"batch","tasks":3,"id":"plan"}`
-	g := c.ask("a1", http.MethodPost, "/v1/requests", "k1", job)
-	is.Equal(g.code, 202)
-	is.Equal(g.reply.ID, "plan")
-	again := c.ask("b2", http.MethodPost, "/v1/requests", "k1", job)
-	is.Equal(again.code, 202)
-	other := c.ask("b2", http.MethodPost, "/v1/requests", "k1", `{"queue":"shop","kind":"batch","tasks":4,"id":"plan"}`)
-	is.Equal(other.code, 409)
-	for _, entry := range []string{"a1", "a2", "b1", "b2"} {
-		is.Equal(c.ask(entry, http.MethodGet, "/v1/requests/plan", "k1", "").reply.Phase, wire.Queued)
-		is.Equal(c.ask(entry, http.MethodGet, "/v1/requests/plan", "k2", "").code, 404)
-	}
-	is.Equal(c.ask("a2", http.MethodDelete, "/v1/requests/plan", "k1", "").code, 202)
-	rows, err := c.platform.Scan(context.Background(), "job", "")
-	is.NoErr(err)
-	is.Equal(len(rows), 1)
-}
-
-func TestJobWhilePlatformIsAway(t *testing.T) {
-	const job = `{"queue":"shop","kind":"batch","id":"plan"}`
-	tests := map[string]struct {
-		prepare func(c *cell)
-		after   func(c *cell)
-		code    int
-		outcome wire.Outcome
-		rows    int
-	}{
-		"held in two zones":         {prepare: platformDown, code: 202, rows: 1},
-		"first holder dies":         {prepare: platformDown, after: killed("a1"), code: 202, rows: 1},
-		"other zone cut off":        {prepare: both(platformDown, cutOff("a1", "b1", "b2")), code: 500, outcome: wire.Unknown},
-		"answer lost after writing": {prepare: platformLoses, code: 202, rows: 1},
-	}
-	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			c := newCell(t)
-			tt.prepare(c)
-			g := c.ask("a1", http.MethodPost, "/v1/requests", "k1", job)
-			is.Equal(g.code, tt.code)
-			is.Equal(g.outcome, tt.outcome)
-			if tt.after != nil {
-				tt.after(c)
-			}
-			c.platform.SetFaults(store.Faults{})
-			rows := func() int {
-				rows, err := c.platform.Scan(context.Background(), "job", "")
-				is.NoErr(err)
-				return len(rows)
-			}
-			if tt.rows == 0 {
-				time.Sleep(1500 * time.Millisecond)
-			}
-			until(t, func() bool { return rows() == tt.rows })
-			time.Sleep(1200 * time.Millisecond) // The other holder must not write it again.
-			is.Equal(rows(), tt.rows)
-		})
-	}
-}
-
-func TestStatusResultAndIDs(t *testing.T) {
-	is := is.New(t)
-	c := newCell(t)
-	ids := c.ask("a1", http.MethodPost, "/v1/ids", "k1", `{"count":2}`)
-	is.Equal(ids.code, 200)
-	is.Equal(c.ask("a1", http.MethodPost, "/v1/ids", "k9", `{"count":2}`).code, 401)
-	g := c.submit("b1", `,"wait":false`)
-	is.Equal(g.code, 202)
-	for _, entry := range []string{"a1", "b1", "b2"} {
-		until(t, func() bool {
-			return c.ask(entry, http.MethodGet, "/v1/requests/"+g.id, "k1", "").reply.Outcome == wire.Done
-		})
-		is.Equal(string(c.ask(entry, http.MethodGet, "/v1/requests/"+g.id+"/result", "k1", "").body), "fine")
-		is.Equal(c.ask(entry, http.MethodGet, "/v1/requests/"+g.id, "k2", "").code, 404)
-		w := c.ask(entry, http.MethodGet, "/v1/requests/"+g.id+"/watch", "k1", "")
-		is.True(w.whole)
-		is.Equal(w.reply.Outcome, wire.Done)
-	}
-	is.Equal(c.ask("a1", http.MethodGet, "/v1/requests/none", "k1", "").code, 404)
-	is.Equal(c.ask("a1", http.MethodGet, "/other", "k1", "").code, 404)
-	is.Equal(c.ask("a1", http.MethodPut, "/v1/requests", "k1", "").code, 405)
-}
-
-func TestCancel(t *testing.T) {
-	tests := map[string]struct {
-		script  script
-		outcome wire.Outcome
-	}{
-		"while it waits":   {script: script{queued: true}, outcome: wire.NotRun},
-		"while it runs":    {script: script{hang: true}, outcome: wire.Failed},
-		"after it has run": {script: script{answer: []byte("x")}, outcome: wire.Done},
-	}
-	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			c := newCell(t)
-			c.script(tt.script)
-			id := c.idAt("a1")
-			is.Equal(c.submit("b1", `,"wait":false,"id":"`+id+`"`).code, 202)
-			until(t, func() bool {
-				p := c.ask("a1", http.MethodGet, "/v1/requests/"+id, "k1", "").reply.Phase
-				return p == wire.Running || p == wire.Ended || tt.script.queued && p == wire.Queued && c.entries["a1"].service.Working() == 1 && len(c.placers[0].seen()) == 1
-			})
-			is.Equal(c.ask("b2", http.MethodDelete, "/v1/requests/"+id, "k1", "").reply.Outcome, tt.outcome)
-		})
-	}
-}
