--- /dev/null
+++ b/coord/parts/parts_test.go
@@ -0,0 +1,411 @@
+package parts
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/balsamford/balsamford/coord/store"
+	"github.com/balsamford/balsamford/coord/timer"
+)
+
+const team = "team"
+
+// flaky loses calls before or after they take effect.
+type flaky struct {
+	Table
+	before, after bool
+}
+
+func (f *flaky) Get(ctx context.Context, table, key string) (store.Row, error) {
+	if f.before {
+		return store.Row{}, &store.UnavailableError{Op: "get"}
+	}
+	return f.Table.Get(ctx, table, key)
+}
+
+func (f *flaky) Commit(ctx context.Context, ops []store.Op) error {
+	if f.before {
+		return &store.UnavailableError{Op: "commit"}
+	}
+	err := f.Table.Commit(ctx, ops)
+	if f.after {
+		return &store.UnavailableError{Op: "commit"}
+	}
+	return err
+}
+
+// model is a set of zones with holders, and what really runs.
+type model struct {
+	t      *rapid.T
+	table  *flaky
+	clock  *timer.Service
+	made   int
+	alive  []*member
+	dead   []*member
+	zones  []string
+	asks   []sent
+	gives  []sent
+	healed bool
+	bound  int64 // what may run: the limit, or the one before until accepted
+}
+
+type member struct {
+	*Holder
+	runs  int64
+	heirs []string // adopted its tasks after its death
+}
+
+type sent struct {
+	to    *member
+	from  *member
+	ask   Ask
+	grant Grant
+}
+
+func newModel(t *rapid.T, limit int64) *model {
+	m := &model{
+		t: t, table: &flaky{Table: store.New()}, clock: timer.New(timer.WithManual(time.Unix(0, 0))),
+		zones: []string{"a", "b"}, bound: limit,
+	}
+	if _, err := SetLimit(context.Background(), m.table, team, limit, m.zones); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 5 {
+		m.add(m.zones[i%2])
+		_ = m.alive[i].Settle(context.Background(), m.table, team, int64(i%3))
+	}
+	return m
+}
+
+func (m *model) add(zone string) {
+	m.made++
+	m.alive = append(m.alive, &member{Holder: New("h"+strconv.Itoa(m.made), zone, WithTimer(m.clock), WithLinger(time.Minute))})
+}
+
+func (m *model) pick() *member { return rapid.SampledFrom(m.alive).Draw(m.t, "holder") }
+
+// peer returns another living holder of the zone, or nil.
+func (m *model) peer(h *member) *member {
+	var peers []*member
+	for _, p := range m.alive {
+		if p != h && p.zone == h.zone {
+			peers = append(peers, p)
+		}
+	}
+	if len(peers) == 0 {
+		return nil
+	}
+	return rapid.SampledFrom(peers).Draw(m.t, "peer")
+}
+
+func (m *model) take() {
+	h, n := m.pick(), rapid.Int64Range(1, 6).Draw(m.t, "n")
+	if h.Take(team, n) {
+		h.runs += n
+	}
+}
+
+// flood lets everybody start what it can.
+func (m *model) flood() {
+	for _, h := range m.alive {
+		for h.Take(team, 1) {
+			h.runs++
+		}
+	}
+}
+
+func (m *model) end() {
+	h := m.pick()
+	n := rapid.Int64Range(0, h.runs).Draw(m.t, "n")
+	h.Give(team, n)
+	h.runs -= n
+}
+
+func (m *model) move() {
+	h := m.pick()
+	if p := m.peer(h); p != nil && h.runs > 0 {
+		n := rapid.Int64Range(1, h.runs).Draw(m.t, "n")
+		h.Pass(team, n, p.name)
+		h.runs -= n
+		p.Adopt(team, n)
+		p.runs += n
+	}
+}
+
+func (m *model) ask() {
+	h := m.pick()
+	if p := m.peer(h); p != nil {
+		m.asks = append(m.asks, sent{to: p, from: h, ask: h.Ask(p.name, team, rapid.Int64Range(0, 8).Draw(m.t, "n"))})
+	}
+}
+
+// deliver takes any message, which may come again later.
+func (m *model) deliver() {
+	if len(m.asks) > 0 && rapid.Bool().Draw(m.t, "ask") {
+		s := rapid.SampledFrom(m.asks).Draw(m.t, "which")
+		m.gives = append(m.gives, sent{to: s.from, grant: s.to.Serve(s.ask)})
+		return
+	}
+	if len(m.gives) > 0 {
+		s := rapid.SampledFrom(m.gives).Draw(m.t, "which")
+		s.to.Accept(s.grant)
+	}
+}
+
+func (m *model) settle() {
+	h := m.pick()
+	m.fault()
+	_ = h.Settle(context.Background(), m.table, team, 2)
+	m.heal()
+}
+
+func (m *model) fault() {
+	if m.healed {
+		return
+	}
+	switch rapid.IntRange(0, 5).Draw(m.t, "fault") {
+	case 0:
+		m.table.before = true
+	case 1:
+		m.table.after = true
+	}
+}
+
+func (m *model) heal() {
+	m.table.before, m.table.after = false, false
+	if ok, err := Accepted(context.Background(), m.table, team); err == nil && ok {
+		a, _, _ := read(context.Background(), m.table, team)
+		m.bound = a.Limit
+	}
+}
+
+// crash stops a holder that has a peer in its zone.
+func (m *model) crash() {
+	h := m.pick()
+	if m.peer(h) == nil {
+		return
+	}
+	for i, other := range m.alive {
+		if other == h {
+			m.alive = append(m.alive[:i], m.alive[i+1:]...)
+		}
+	}
+	m.dead = append(m.dead, h)
+	m.add(h.zone)
+}
+
+// bury hands a dead holder's tasks to living ones and buries it.
+func (m *model) bury() {
+	if len(m.dead) == 0 {
+		return
+	}
+	d := m.dead[0]
+	for d.runs > 0 {
+		n := rapid.Int64Range(1, d.runs).Draw(m.t, "n")
+		p := m.peer(d)
+		p.Adopt(team, n)
+		p.runs += n
+		d.runs -= n
+		d.heirs = append(d.heirs, p.name)
+	}
+	m.fault()
+	living := d.heirs
+	for _, h := range m.alive {
+		if h.zone == d.zone {
+			living = append(living, h.name)
+		}
+	}
+	err := Bury(context.Background(), m.table, team, d.zone, d.name, living)
+	m.heal()
+	m.dead = m.dead[1:]
+	if err != nil { // an adopter may have to be buried first
+		m.dead = append(m.dead, d)
+	}
+}
+
+func (m *model) limit() {
+	n := rapid.Int64Range(5, 40).Draw(m.t, "limit")
+	m.bound = max(m.bound, n)
+	m.fault()
+	_, _ = SetLimit(context.Background(), m.table, team, n, m.zones)
+	m.heal()
+}
+
+func (m *model) wait() {
+	m.clock.Advance(time.Duration(rapid.IntRange(1, 90).Draw(m.t, "seconds")) * time.Second)
+}
+
+// check is the promise.
+func (m *model) check(t *rapid.T) {
+	var runs, sum int64
+	for _, h := range m.alive {
+		part, _ := h.Part(team)
+		sum += part
+		runs += h.runs
+	}
+	for _, h := range m.dead {
+		runs += h.runs
+	}
+	if runs > m.bound {
+		a, _, _ := read(context.Background(), m.table, team)
+		t.Fatalf("%d tasks run, the limit is %d: %s", runs, m.bound, m.show(a))
+	}
+	if sum > m.bound {
+		t.Fatalf("parts are %d, the limit is %d", sum, m.bound)
+	}
+}
+
+// drain ends everything, heals and settles until nothing changes.
+func (m *model) drain() {
+	m.healed = true
+	for range 12 {
+		for range m.dead {
+			m.bury()
+		}
+		for _, h := range m.alive {
+			h.Give(team, h.runs)
+			h.runs = 0
+			if err := h.Settle(context.Background(), m.table, team, 0); err != nil {
+				m.t.Fatal(err)
+			}
+		}
+		m.clock.Advance(time.Minute)
+	}
+	m.heal()
+}
+
+func TestSumStaysUnderLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t, 20)
+		t.Repeat(map[string]func(*rapid.T){
+			"":        m.check,
+			"take":    func(*rapid.T) { m.take() },
+			"flood":   func(*rapid.T) { m.flood() },
+			"trade":   func(*rapid.T) { m.ask(); m.deliver(); m.deliver() },
+			"serve":   func(*rapid.T) { m.deliver() },
+			"recover": func(*rapid.T) { m.settle(); m.bury() },
+			"end":     func(*rapid.T) { m.end() },
+			"move":    func(*rapid.T) { m.move() },
+			"ask":     func(*rapid.T) { m.ask() },
+			"deliver": func(*rapid.T) { m.deliver() },
+			"settle":  func(*rapid.T) { m.settle() },
+			"crash":   func(*rapid.T) { m.crash() },
+			"bury":    func(*rapid.T) { m.bury() },
+			"limit":   func(*rapid.T) { m.limit() },
+			"wait":    func(*rapid.T) { m.wait() },
+		})
+		m.drain()
+		a, _, err := read(context.Background(), m.table, team)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(m.dead) > 0 {
+			t.Fatalf("%d holders are not buried: %s %v: %s", len(m.dead), m.dead[0].name, m.dead[0].heirs, m.show(a))
+		}
+		if !a.Accepted() {
+			t.Fatalf("limit %d isn't accepted, parts are %d: %s", a.Limit, a.Handed(), m.show(a))
+		}
+		for name, z := range a.Zones {
+			free, ok := z.slack()
+			var held int64
+			for _, h := range m.alive {
+				if h.zone == name {
+					part, _ := h.Part(team)
+					held += part
+				}
+			}
+			if !ok || free+held != z.Part {
+				t.Fatalf("zone %s leaks: part %d, held %d, free %d (%v)", name, z.Part, held, free, ok)
+			}
+		}
+	})
+}
+
+func TestMoves(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	table := store.New()
+	clock := timer.New(timer.WithManual(time.Unix(0, 0)))
+	_, err := SetLimit(ctx, table, team, 20, []string{"a", "b"})
+	is.NoErr(err)
+	h1, h2 := New("h1", "a", WithTimer(clock)), New("h2", "a", WithTimer(clock))
+	far := New("h3", "b", WithTimer(clock))
+	is.True(!h1.Take(team, 1)) // nothing before the row was read
+	is.NoErr(h1.Settle(ctx, table, team, 9))
+	is.NoErr(h2.Settle(ctx, table, team, 0))
+	is.True(h1.Take(team, 1))
+	// Inside the zone, without the platform.
+	is.True(!h2.Take(team, 4))
+	ask := h2.Ask("h1", team, h2.Wants()[team])
+	grant := h1.Serve(ask)
+	is.Equal(h1.Serve(ask), grant) // the answer was lost
+	is.Equal(h2.Accept(grant), int64(4))
+	is.Equal(h2.Accept(grant), int64(0))
+	is.True(h2.Take(team, 4))
+	// Between zones, but not the standing part.
+	is.True(!far.Take(team, 20))
+	is.NoErr(far.Settle(ctx, table, team, 0))
+	part, _ := far.Part(team)
+	is.Equal(part, int64(10)) // zone a has 10 of 20 in use or standing
+}
+
+// show returns all accounts for a failure's text.
+func (m *model) show(a *Account) string {
+	text := ""
+	for name, z := range a.Zones {
+		text += fmt.Sprintf("zone %s: %+v;", name, *z)
+		for holder, e := range z.Holders {
+			text += fmt.Sprintf(" %s: %+v;", holder, *e)
+		}
+	}
+	for _, h := range m.alive {
+		s := h.split(team)
+		text += fmt.Sprintf("\n%s: part %d used %d parked %d back %d owed %d record %d round %d written %v joined %v doubts %d", h.name, s.part, s.used, s.parked, s.back, s.owed, s.record, s.round, s.written, s.joined, len(s.doubts))
+	}
+	return text
+}
+
+// A part that passed tasks took must not be given for new work, because the
+// heir's tasks run above the heir's part.
+func TestPassedPartCoversOnlyWhatRuns(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	table := store.New()
+	clock := timer.New(timer.WithManual(time.Unix(0, 0)))
+	_, err := SetLimit(ctx, table, team, 10, []string{"a"})
+	is.NoErr(err)
+	giver, heir, other := New("g", "a", WithTimer(clock)), New("h", "a", WithTimer(clock)), New("o", "a", WithTimer(clock))
+	is.True(!giver.Take(team, 10))
+	for _, h := range []*Holder{giver, heir, other} {
+		is.NoErr(h.Settle(ctx, table, team, 0))
+	}
+	is.True(giver.Take(team, 10))
+	giver.Pass(team, 6, "h")
+	heir.Adopt(team, 6)
+	is.Equal(other.Accept(giver.Serve(other.Ask("g", team, 6))), int64(0))
+	is.Equal(heir.Wants()[team], int64(6))
+	is.Equal(heir.Accept(giver.Serve(heir.Ask("g", team, 6))), int64(6))
+	is.True(!heir.Take(team, 1))
+}
+
+// A holder that isn't in the row yet is in no record, so it takes no gift.
+func TestNoGiftBeforeJoining(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	table := store.New()
+	_, err := SetLimit(ctx, table, team, 10, []string{"a"})
+	is.NoErr(err)
+	giver, late := New("g", "a"), New("l", "a")
+	is.True(!giver.Take(team, 10))
+	is.NoErr(giver.Settle(ctx, table, team, 0))
+	ask := late.Ask("g", team, 5)
+	ask.Round = 1
+	late.split(team).round = 1
+	is.Equal(late.Accept(giver.Serve(ask)), int64(0))
+}
--- a/placer/internal/daemon/daemon_test.go
+++ b/placer/internal/daemon/daemon_test.go
@@ -29,7 +29,7 @@
 
 // patience bounds the waits for events in these tests; they end as soon as
 // the event is seen.
-const patience = 60 * time.Second
+const patience = 30 * time.Second
 
 // zone is one availability zone in this process: a platform, endpoints and
 // placers, which speak over loopback.
@@ -104,9 +104,10 @@
 	return c.LocalAddr().String()
 }
 
-func (z *zone) endpoint(name string, kind point.Kind, rack string, capacity wire.Needs) *engine.Endpoint {
-	e := engine.New(name, engine.WithKind(kind), engine.WithPlace("a", rack), engine.WithCapacity(capacity),
-		engine.WithTimer(z.timer), engine.WithLog(z.log), engine.WithStrict(false))
+func (z *zone) endpoint(name string, kind point.Kind, rack string, capacity wire.Needs, more ...engine.Option) *engine.Endpoint {
+	opts := []engine.Option{engine.WithKind(kind), engine.WithPlace("a", rack), engine.WithCapacity(capacity),
+		engine.WithTimer(z.timer), engine.WithLog(z.log), engine.WithStrict(false)}
+	e := engine.New(name, append(opts, more...)...)
 	address := z.listen(func(ln net.Listener) error { return serve.Run(z.ctx, ln, serve.NewEndpoint(e).Handle, 0) })
 	z.engines[name] = e
 	z.places = append(z.places, conf.Endpoint{Name: name, Kind: string(kind), Zone: "a", Rack: rack, Address: address})
