Bound a pipeline also when it comes in one read

Cause: the bound was looked at only while a request was being served, so one read of the event loop (16 KB) could bring more behind the first request.

--- a/entry/internal/door/conn.go
+++ b/entry/internal/door/conn.go
@@ -56,9 +56,7 @@
 	if cn.closing || len(data) == 0 {
 		return
 	}
-	if cn.busy && len(cn.buf)+len(data) > cn.server.limits.Header+cn.server.limits.Body {
-		// The pipeline is over its bound: what came whole is answered, then
-		// the connection is closed.
+	if cn.busy && len(cn.buf)+len(data) > cn.pipeline() {
 		cn.closing = true
 		return
 	}
@@ -68,6 +66,11 @@
 	}
 }
 
+// pipeline returns how many bytes may wait behind a request that is being
+// served. What came whole within them is answered; what goes beyond is thrown
+// away, and the connection is closed after the answers.
+func (cn *conn) pipeline() int { return cn.server.limits.Header + cn.server.limits.Body }
+
 // advance reads the next request from buf if it is there whole.
 func (cn *conn) advance() {
 	if cn.idle.Load() && len(cn.buf) > 0 {
@@ -156,6 +159,9 @@
 	req := cn.request
 	req.SetBodyRaw(cn.buf[cn.head:cn.need:cn.need])
 	rest := cn.buf[cn.need:]
+	if len(rest) > cn.pipeline() {
+		rest, cn.closing = rest[:cn.pipeline()], true
+	}
 	cn.buf = nil
 	if len(rest) > 0 {
 		cn.buf = bytes.Clone(rest)
