--- /dev/null
+++ b/entry/internal/record/restart_test.go
@@ -0,0 +1,144 @@
+package record
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/balsamford/balsamford/coord/link"
+	"github.com/balsamford/balsamford/coord/store"
+	"github.com/balsamford/balsamford/coord/timer"
+	"github.com/balsamford/balsamford/coord/wire"
+)
+
+// pair is two hosts whose link can be cut.
+type pair struct {
+	clock    *timer.Service
+	platform *store.Memory
+	ring     *Ring
+	keepers  map[string]*Keeper
+	cut      bool
+}
+
+func newPair() *pair {
+	p := &pair{
+		clock: timer.New(timer.WithManual(time.Unix(1_700_000_000, 0))), platform: store.New(), keepers: make(map[string]*Keeper),
+	}
+	p.ring = NewRing([]string{"a"}, []Host{{Name: "a1", Zone: "a", Link: "a1"}, {Name: "a2", Zone: "a", Link: "a2"}})
+	p.start("a1")
+	p.start("a2")
+	return p
+}
+
+// start starts a host's process with nothing in its memory.
+func (p *pair) start(name string) {
+	p.clock.Advance(time.Millisecond)
+	self, _ := p.ring.Host(name)
+	p.keepers[name] = New(p.clock, p, p.platform, p.ring, self, NewIssuer(p.clock, "a", name), WithKeep(time.Minute))
+	p.keepers[name].group.SetLimit(0) // Nothing happens in the background.
+	p.keepers[name].Sync(context.Background())
+}
+
+// Call implements Caller.
+func (p *pair) Call(_ context.Context, address, _ string, in, out any) error {
+	if p.cut {
+		return &link.DialError{Address: address, Err: &link.CutError{Address: address}}
+	}
+	*out.(*Told) = p.keepers[address].answer(in.(Ask))
+	return nil
+}
+
+// ask asks a host whether it may start the request.
+func (p *pair) ask(host, id string) Answer {
+	q := Question{ID: id, Team: "red", Digest: 1, Once: true}
+	ans := p.keepers[host].Enter(q)
+	if ans.Verdict != Run {
+		return ans
+	}
+	return p.keepers[host].Secure(context.Background(), q, ans.Note)
+}
+
+// forgetBoth restarts both hosts before either has read the other.
+func forgetBoth(p *pair) {
+	p.cut = true
+	p.start("a1")
+	p.start("a2")
+	p.cut = false
+}
+
+// TestForgottenClaims claims an id, lets hosts forget, and states what the
+// next claim gets.
+func TestForgottenClaims(t *testing.T) {
+	const id = "red~x"
+	tests := map[string]struct {
+		before  func(p *pair)
+		between func(p *pair)
+		verdict Verdict
+	}{
+		"nobody forgot": {between: func(*pair) {}, verdict: Wait},
+		"first forgot, second knows": {
+			between: func(p *pair) { p.start("a1") }, verdict: Refuse,
+		},
+		"claim held by the platform only besides": {
+			before:  func(p *pair) { p.cut = true },
+			between: func(p *pair) { p.cut = false; p.start("a1") }, verdict: Refuse,
+		},
+		"platform away while the first reads": {
+			before: func(p *pair) { p.cut = true },
+			between: func(p *pair) {
+				p.cut = false
+				p.platform.SetFaults(store.Faults{Down: true})
+				p.start("a1")
+			}, verdict: Refuse,
+		},
+		"both forgot": {
+			between: forgetBoth, verdict: Refuse,
+		},
+		"one after the other forgot": {
+			between: func(p *pair) { p.start("a1"); p.start("a2") }, verdict: Refuse,
+		},
+		"both forgot, and long ago": {
+			between: func(p *pair) {
+				forgetBoth(p)
+				p.clock.Advance(2 * time.Minute)
+			}, verdict: Run,
+		},
+		"second forgot while cut off": {
+			between: func(p *pair) { p.cut = true; p.start("a2") }, verdict: Wait,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPair()
+			if tt.before != nil {
+				tt.before(p)
+			}
+			is.Equal(p.ask("a1", id).Verdict, Run)
+			tt.between(p)
+			ans := p.ask("a1", id)
+			is.Equal(ans.Verdict, tt.verdict)
+			if tt.verdict == Refuse {
+				is.Equal(ans.Note.Outcome, wire.Unknown)
+			}
+		})
+	}
+}
+
+func TestBatchGathers(t *testing.T) {
+	is := is.New(t)
+	memory := store.New()
+	b := newBatch(memory)
+	is.NoErr(b.commit(context.Background(), store.Op{Table: "t", Key: "taken", Action: store.Put}))
+	group := make([]*write, 0, 3)
+	for _, key := range []string{"new", "taken", "other"} {
+		w := &write{op: store.Op{Table: "t", Key: key, Action: store.Put}, done: make(chan error, 1), lead: make(chan struct{})}
+		group = append(group, w)
+	}
+	b.write(context.Background(), group)
+	is.NoErr(<-group[0].done)
+	is.True(<-group[1].done != nil) // A conflict of one write is not that of the others.
+	is.NoErr(<-group[2].done)
+}
--- a/entry/main.go
+++ b/entry/main.go
@@ -9,6 +9,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/gravitational/trace"
@@ -24,7 +25,12 @@
 	exitFailure  = 1
 )
 
+// gcPercent is how much the heap grows between two collections, in percent of
+// what is in use. It is low because entry hosts are small.
+const gcPercent = 50
+
 func main() {
+	debug.SetGCPercent(gcPercent)
 	path := ""
 	p := flaggy.NewParser("entry")
 	p.Description = "Takes callers' requests over HTTP and sends them to placers."
