--- a/entry/internal/route/table.go
+++ b/entry/internal/route/table.go
@@ -208,20 +208,3 @@
 func (v *view) wait(queue string) int64 {
 	return v.load.Wait[queue] + int64(v.inflight)*inflightCost
 }
-
-// Wait returns the shortest wait in a queue that any fresh placer reports.
-func (t *Table) Wait(queue string) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.clock.Now()
-	least := int64(-1)
-	for _, v := range t.views {
-		if !v.known || v.load.Leaving || now.Sub(v.at) > freshTime {
-			continue
-		}
-		if w := v.load.Wait[queue]; least < 0 || w < least {
-			least = w
-		}
-	}
-	return time.Duration(max(least, 0)) * time.Millisecond
-}
--- a/entry/internal/serve/placer_test.go
+++ b/entry/internal/serve/placer_test.go
@@ -49,6 +49,7 @@
 	jobs     map[string]wire.Job
 	leaving  bool
 	full     bool
+	slots    chan struct{} // if not nil, requests that find no room here are refused
 }
 
 // newPlacer runs a fake placer until the test ends.
@@ -174,6 +175,14 @@
 	}
 	sc, cancelled := p.take(r)
 	ev := wire.Event{ID: r.ID, Attempt: r.Attempt}
+	if p.slots != nil {
+		select {
+		case p.slots <- struct{}{}:
+			defer func() { <-p.slots }()
+		default:
+			sc.refuse = wire.ReasonBusy
+		}
+	}
 	if sc.refuse != "" {
 		ev.Outcome, ev.Reason = wire.NotRun, sc.refuse
 		return s.Send(ev)
