Keep one fault on a process at a time in trials

Seen: a killed host and a killed placer of it overlapped, the placer was started twice and the first one was lost sight of. Start now refuses a process that runs, a host's fault takes both of its processes, and the wait for readiness has one bound for all.

--- a/trial/cell/process.go
+++ b/trial/cell/process.go
@@ -52,6 +52,9 @@
 
 // start runs the program; g waits for its end.
 func (p *Process) start(g *errgroup.Group) error {
+	if p.Running() {
+		return &ProcessError{Name: p.name, Err: os.ErrExist}
+	}
 	out, err := os.OpenFile(p.output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return &ProcessError{Name: p.name, Err: err}
--- a/trial/internal/faults/maker.go
+++ b/trial/internal/faults/maker.go
@@ -68,7 +68,7 @@
 // fault is one fault: what begins it, how long it lasts, what ends it.
 type fault struct {
 	text   string
-	target string // there is one fault of a target at a time
+	target []string // there is one fault of each target at a time
 	begin  func(ctx context.Context) error
 	last   time.Duration
 	end    func(ctx context.Context) error
@@ -88,21 +88,27 @@
 	m.say("end of: "+f.text, f.end(ctx))
 }
 
-func (m *maker) take(target string) bool {
+func (m *maker) take(targets []string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.busy[target] {
-		return false
+	for _, t := range targets {
+		if m.busy[t] {
+			return false
+		}
+	}
+	for _, t := range targets {
+		m.busy[t] = true
 	}
-	m.busy[target] = true
 	m.made++
 	return true
 }
 
-func (m *maker) free(target string) {
+func (m *maker) free(targets []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delete(m.busy, target)
+	for _, t := range targets {
+		delete(m.busy, t)
+	}
 }
 
 func (m *maker) say(text string, err error) {
--- a/trial/internal/faults/operate.go
+++ b/trial/internal/faults/operate.go
@@ -24,14 +24,14 @@
 	key := keys[m.rand.IntN(len(keys))]
 	note := strconv.Itoa(m.rand.IntN(1 << 20))
 	if m.rand.IntN(4) > 0 || m.spent {
-		return &fault{text: "publish a note", target: "operator", begin: func(ctx context.Context) error {
+		return &fault{text: "publish a note", target: []string{"operator"}, begin: func(ctx context.Context) error {
 			return m.publish(ctx, func(ctx context.Context) (uint64, error) {
 				return m.site.Book().Put(ctx, &config.Team{Name: "spare", Note: note})
 			})
 		}}
 	}
 	m.spent = true
-	return &fault{text: "withdraw key " + key, target: "operator", begin: func(ctx context.Context) error {
+	return &fault{text: "withdraw key " + key, target: []string{"operator"}, begin: func(ctx context.Context) error {
 		err := m.publish(ctx, func(ctx context.Context) (uint64, error) { return m.site.Book().Withdraw(ctx, key) })
 		if err == nil {
 			m.mu.Lock()
--- a/trial/internal/faults/processes.go
+++ b/trial/internal/faults/processes.go
@@ -19,7 +19,7 @@
 func (m *maker) kill() *fault {
 	p := m.process()
 	return &fault{
-		text: "kill " + p.Name(), target: p.Name(), last: m.between(500*time.Millisecond, 4*time.Second),
+		text: "kill " + p.Name(), target: []string{p.Name()}, last: m.between(500*time.Millisecond, 4*time.Second),
 		begin: func(context.Context) error { m.site.Cell().Kill(p); return nil },
 		end:   func(context.Context) error { return m.site.Cell().Start(p) },
 	}
@@ -32,7 +32,7 @@
 		last = m.between(200*time.Millisecond, 5*time.Second)
 	}
 	return &fault{
-		text: "pause " + p.Name() + " for " + last.String(), target: p.Name(), last: last,
+		text: "pause " + p.Name() + " for " + last.String(), target: []string{p.Name()}, last: last,
 		begin: func(context.Context) error { return p.Signal(syscall.SIGSTOP) },
 		end:   func(context.Context) error { return p.Signal(syscall.SIGCONT) },
 	}
@@ -41,7 +41,7 @@
 func (m *maker) replace() *fault {
 	p := m.process()
 	return &fault{
-		text: "replace " + p.Name(), target: p.Name(), last: m.between(0, time.Second),
+		text: "replace " + p.Name(), target: []string{p.Name()}, last: m.between(0, time.Second),
 		begin: func(context.Context) error {
 			m.site.Cell().Stop(p)
 			code, planned := p.Exit()
@@ -59,7 +59,7 @@
 	name := doors[m.rand.IntN(len(doors))].Host
 	list := m.site.Host(name)
 	return &fault{
-		text: "kill host " + name, target: name, last: m.between(time.Second, 6*time.Second),
+		text: "kill host " + name, target: []string{list[0].Name(), list[1].Name()}, last: m.between(time.Second, 6*time.Second),
 		begin: func(context.Context) error {
 			for _, p := range list {
 				m.site.Cell().Kill(p)
@@ -82,7 +82,7 @@
 	list := m.site.Cell().Role(cell.RoleEndpoints)
 	p := list[m.rand.IntN(len(list))]
 	return &fault{
-		text: "pause " + p.Name(), target: p.Name(), last: longPause,
+		text: "pause " + p.Name(), target: []string{p.Name()}, last: longPause,
 		begin: func(context.Context) error { return p.Signal(syscall.SIGSTOP) },
 		end:   func(context.Context) error { return p.Signal(syscall.SIGCONT) },
 	}
--- a/trial/internal/faults/switches.go
+++ b/trial/internal/faults/switches.go
@@ -26,7 +26,7 @@
 	}
 	f := all[m.rand.IntN(len(all))]
 	return &fault{
-		text: "platform is " + f.name, target: "platform", last: m.between(time.Second, 8*time.Second),
+		text: "platform is " + f.name, target: []string{"platform"}, last: m.between(time.Second, 8*time.Second),
 		begin: func(context.Context) error { return m.site.SetPlatform(f.faults) },
 		end:   func(context.Context) error { return m.site.SetPlatform(store.Faults{}) },
 	}
@@ -62,7 +62,7 @@
 	list := m.site.Cell().Endpoints()
 	e := list[m.rand.IntN(len(list))]
 	return &fault{
-		text: e.Kind + " " + e.Address + " in " + e.Zone + " is " + name, target: e.Address, last: last,
+		text: e.Kind + " " + e.Address + " in " + e.Zone + " is " + name, target: []string{e.Address}, last: last,
 		begin: func(context.Context) error { return m.site.SetEndpoint(e.Address, f) },
 		end:   func(context.Context) error { return m.site.SetEndpoint(e.Address, engine.Faults{}) },
 	}
@@ -72,7 +72,7 @@
 	zones := m.site.Cell().Zones()
 	zone := zones[m.rand.IntN(len(zones))]
 	return &fault{
-		text: "cut off zone " + zone, target: "cut", last: m.between(3*time.Second, 15*time.Second),
+		text: "cut off zone " + zone, target: []string{"cut"}, last: m.between(3*time.Second, 15*time.Second),
 		begin: func(context.Context) error { return m.site.Cut(zone, true) },
 		end:   func(context.Context) error { return m.site.Cut(zone, false) },
 	}
--- a/trial/site/site.go
+++ b/trial/site/site.go
@@ -94,6 +94,8 @@
 
 // Ready waits until all entries and placers are ready, for at most d.
 func (s *Site) Ready(ctx context.Context, d time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
 	for _, door := range s.cell.Doors() {
 		for _, page := range []string{door.Placer, door.Page} {
 			if reason := cell.Wait(ctx, d, func() string { return s.pages.ready(page) }); reason != "" {
