Let placers weigh teams by what they use in the whole fleet

Cause: each placer decides alone and saw its own teams only. Change: package share (Summary, View), Scheduler.Summary/Merge/Forget; between summaries the peers are taken to change as the placer does.

--- a/placer/internal/bench/bench_test.go
+++ b/placer/internal/bench/bench_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/placer/internal/sched"
+	"github.com/balsamford/balsamford/placer/internal/share"
 )
 
 // weights gives the first team twice and every third team half the weight.
@@ -60,6 +61,9 @@
 			return sched.New(sched.WithTimer(c), sched.WithPolicy(policy(aim, teams)))
 		})
 	}
+	for name, beat := range map[string]time.Duration{"share x8": share.Period, "share x8 1s": time.Second, "share x8 alone": 0} {
+		run(name, func(c *timer.Service) Engine { return NewFleet(8, beat, c, policy(sched.AimShare, teams)) })
+	}
 	is.NoErr(Print(os.Stdout, results))
 	for _, r := range results {
 		is.Equal(r.over, 0)
--- a/placer/internal/sched/decide.go
+++ b/placer/internal/sched/decide.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"github.com/balsamford/balsamford/coord/wire"
 	"github.com/balsamford/balsamford/placer/internal/cell"
 )
 
@@ -15,6 +14,7 @@
 	defer p.mu.Unlock()
 	p.pass.reset()
 	p.readmit()
+	p.refresh()
 	p.rate()
 	if e := p.reserved.entry; e != nil && e.lane != nil {
 		out = p.try(e, out)
@@ -40,26 +40,6 @@
 	p.reserve()
 }
 
-// dominant returns a team's largest part of any resource.
-func (p *pool) dominant(t *team) float64 {
-	return dominant(t.used, p.table.Capacity())
-}
-
-func dominant(used, capacity wire.Needs) float64 {
-	s := part(used.CPU, capacity.CPU)
-	s = max(s, part(used.Mem, capacity.Mem))
-	s = max(s, part(used.Accel, capacity.Accel))
-	s = max(s, part(used.Slots, capacity.Slots))
-	return max(s, part(used.Conns, capacity.Conns))
-}
-
-func part(used, capacity int64) float64 {
-	if capacity <= 0 {
-		return 0
-	}
-	return float64(used) / float64(capacity)
-}
-
 // serve starts one task or gang of a team, if any can.
 func (p *pool) serve(t *team, out []Decision) []Decision {
 	for _, l := range t.lanes {
--- a/placer/internal/sched/pool.go
+++ b/placer/internal/sched/pool.go
@@ -8,6 +8,7 @@
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/coord/wire"
 	"github.com/balsamford/balsamford/placer/internal/cell"
+	"github.com/balsamford/balsamford/placer/internal/share"
 )
 
 // pool is the state of all endpoints of one kind and of the requests for
@@ -15,6 +16,7 @@
 type pool struct {
 	timer   *timer.Service
 	limit   Limit
+	view    *share.View
 	lagging lagging
 
 	mu        sync.Mutex // guards the fields below
@@ -33,16 +35,19 @@
 	full      bool              // the last pass found no room for something
 	health    map[*cell.Row]*health
 	records   map[jobName]*record
-	barred    int // endpoints in quarantine
+	barred    int        // endpoints in quarantine
+	seen      uint64     // version of the view
+	remote    wire.Needs // capacity of the peers
 	pass      pass
 	reserved  reservation
 	oldest    *entry // gang that found no room in this pass and waited longest
 }
 
-func newPool(s *timer.Service, l Limit, p Policy, g lagging) *pool {
+func newPool(s *timer.Service, l Limit, v *share.View, p Policy, g lagging) *pool {
 	return &pool{
 		timer:   s,
 		limit:   l,
+		view:    v,
 		lagging: g,
 		policy:  p,
 		table:   cell.New(),
--- a/placer/internal/sched/scheduler.go
+++ b/placer/internal/sched/scheduler.go
@@ -6,6 +6,7 @@
 	"github.com/balsamford/balsamford/coord/point"
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/placer/internal/share"
 )
 
 // Scheduler decides for the endpoints of one placer. All methods may be
@@ -14,6 +15,7 @@
 	timer     *timer.Service
 	limit     Limit
 	first     Policy
+	view      *share.View
 	executors *pool
 	workers   *pool
 }
@@ -28,8 +30,9 @@
 	if s.timer == nil {
 		s.timer = timer.New()
 	}
-	s.executors = newPool(s.timer, s.limit, s.first, lagging{quickTarget, quickShare})
-	s.workers = newPool(s.timer, s.limit, s.first, lagging{taskTarget, taskShare})
+	s.view = share.New(s.timer)
+	s.executors = newPool(s.timer, s.limit, s.view, s.first, lagging{quickTarget, quickShare})
+	s.workers = newPool(s.timer, s.limit, s.view, s.first, lagging{taskTarget, taskShare})
 	return s
 }
 
--- a/placer/internal/sched/team.go
+++ b/placer/internal/sched/team.go
@@ -11,6 +11,8 @@
 	name    string
 	weight  float64
 	used    wire.Needs // granted here
+	remote  wire.Needs // used at other placers when they last said so
+	merged  wire.Needs // used here at that time
 	running int
 	lanes   []*lane // urgent first, then by rank, then by name
 	live    int     // entries that wait
--- /dev/null
+++ b/placer/internal/share/view_test.go
@@ -0,0 +1,48 @@
+package share
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"github.com/balsamford/balsamford/coord/timer"
+	"github.com/balsamford/balsamford/coord/wire"
+)
+
+func TestView(t *testing.T) {
+	is := is.New(t)
+	clock := timer.New(timer.WithManual(time.Unix(0, 0)))
+	v := New(clock)
+	summary := func(placer string, epoch, seq uint64, cpu int64) Summary {
+		return Summary{Placer: placer, Epoch: epoch, Seq: seq, Capacity: wire.Needs{CPU: 10}, Teams: []Use{NewUse("t", wire.Needs{CPU: cpu})}}
+	}
+	v.Merge(summary("p1", 1, 2, 5))
+	v.Merge(summary("p1", 1, 1, 9)) // older
+	v.Merge(summary("p2", 1, 1, 1))
+	is.Equal(v.Used("t").CPU, int64(6))
+	v.Merge(summary("p1", 2, 1, 2)) // restarted
+	is.Equal(v.Used("t").CPU, int64(3))
+	is.Equal(v.Capacity().CPU, int64(20))
+	clock.Advance(Keep + time.Second)
+	v.Merge(summary("p2", 1, 2, 1))
+	is.Equal(v.Used("t").CPU, int64(1)) // p1 is silent
+}
+
+// The budget for control is 27 KB a second for each host. 22 hosts of a zone
+// that send one another a summary each Period may use half of it.
+func TestSummaryIsSmall(t *testing.T) {
+	is := is.New(t)
+	s := Summary{Placer: "placer-123", Epoch: 1 << 40, Seq: 1 << 20, Capacity: wire.Needs{CPU: 1 << 20, Mem: 1 << 45, Accel: 100}}
+	for i := range 100 {
+		s.Teams = append(s.Teams, NewUse(fmt.Sprintf("team-%02d", i), wire.Needs{CPU: 1 << 20, Mem: 1 << 45, Accel: 100, Slots: 10, Conns: 100}))
+	}
+	s.Teams = s.Teams[:47]
+	s.Bound()
+	b, err := cbor.Marshal(s)
+	is.NoErr(err)
+	t.Logf("%d bytes for 47 teams", len(b))
+	is.True(float64(len(b)*21*2)/Period.Seconds() <= 27*1024/2) // sent and received
+}
