--- a/balsam/internal/shell/objects.go
+++ b/balsam/internal/shell/objects.go
@@ -169,6 +169,9 @@
 
 // key makes a secret and prints it with the object to publish.
 func (a *app) key(name string) error {
+	if !config.ValidName(name) {
+		return &UsageError{Text: name + " can't name a key; write one word of lower-case letters, digits and hyphens that begins with a letter"}
+	}
 	secret, digest := config.NewSecret(name)
 	if a.json() {
 		a.printJSON(newKey{Secret: secret, Digest: digest})
--- a/balsam/internal/shell/run_test.go
+++ b/balsam/internal/shell/run_test.go
@@ -65,6 +65,7 @@
 		"status, none":      {args: []string{"status", "x"}, status: 404, answer: []any{reply{}}, want: Missing},
 		"cancel":            {args: []string{"cancel", "x"}, status: 200, answer: []any{reply{Phase: wire.Ended}}, want: OK, sent: "DELETE /v1/requests/x"},
 		"settings file":     {args: []string{"show", "--config", "settings.toml"}, want: Usage, out: "settings.toml: line 1"},
+		"bad key name":      {args: []string{"key", "shop.1"}, want: Usage, out: "one word"},
 		"secret and digest": {args: []string{"key", "shop-1"}, want: OK, out: "[key.shop-1]"},
 	}
 	dir := t.TempDir()
--- a/coord/config/bounds.go
+++ b/coord/config/bounds.go
@@ -9,9 +9,9 @@
 	maxNote = 200 // bytes
 )
 
-// validName reports whether s can name an object: one word of lower-case
+// ValidName reports whether s can name an object: one word of lower-case
 // letters, digits and hyphens that begins with a letter.
-func validName(s string) bool {
+func ValidName(s string) bool {
 	if s == "" || len(s) > maxName {
 		return false
 	}
--- a/coord/config/parse.go
+++ b/coord/config/parse.go
@@ -42,7 +42,7 @@
 		return []Fault{{File: file, Line: sec.line, Object: sec.header, Text: `no such type of object; write a header like "[team.shop]" with one of team, key, policy, queue, share, limit, endpoint`}}
 	}
 	var faults []Fault
-	if !validName(name) {
+	if !ValidName(name) {
 		faults = append(faults, at.fault(ref, "", "not a name; write one word of at most 40 lower-case letters, digits and hyphens that begins with a letter"))
 	}
 	if first, ok := s.places[ref]; ok {
