--- a/balsam/internal/remote/client.go
+++ b/balsam/internal/remote/client.go
@@ -18,7 +18,10 @@
 )
 
 const (
-	dialTime  = 5 * time.Second
+	dialTime = 5 * time.Second
+	// Patience is how long the operators' door may be silent: it writes a line
+	// more often than that while it has nothing to say.
+	Patience  = time.Minute
 	maxAnswer = 64 << 20 // bytes of an answer that is not a stream
 	bearer    = "Bearer "
 )
@@ -34,10 +37,11 @@
 // New returns a Client of the door at address, an IP number with a port. If
 // authority is not empty the door has to show a certificate that the authority
 // in that PEM file signed.
-func New(address, secret, authority string) (*Client, error) {
+// patience is how long the door may be silent; any time if it is 0.
+func New(address, secret, authority string, patience time.Duration) (*Client, error) {
 	c := &Client{base: "http://" + address, secret: secret}
 	c.http = &fasthttp.Client{
-		NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxAnswer, StreamResponseBody: true,
+		NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxAnswer, StreamResponseBody: true, ReadTimeout: patience,
 		Dial: func(addr string) (net.Conn, error) { return fasthttp.DialTimeout(addr, dialTime) },
 	}
 	if authority == "" {
--- a/balsam/internal/shell/settings.go
+++ b/balsam/internal/shell/settings.go
@@ -96,7 +96,7 @@
 	if s.Key == "" {
 		return nil, &UsageError{Text: "no key; set BALSAM_KEY to an operator's secret, or to @FILE"}
 	}
-	return remote.New(s.Door, s.Key, s.Authority)
+	return remote.New(s.Door, s.Key, s.Authority, remote.Patience)
 }
 
 // callers returns a client of the callers' door. Open queues need no key.
@@ -104,5 +104,5 @@
 	if s.Entry == "" {
 		return nil, &UsageError{Text: "no callers' door; give --entry ADDRESS or set BALSAM_ENTRY"}
 	}
-	return remote.New(s.Entry, s.Key, s.Authority)
+	return remote.New(s.Entry, s.Key, s.Authority, 0)
 }
--- a/coord/config/waiter.go
+++ b/coord/config/waiter.go
@@ -18,6 +18,8 @@
 	// askInterval is the time between two questions to a process that has
 	// not confirmed.
 	askInterval = 100 * time.Millisecond
+	// reportInterval is the longest time between two reports of a wait.
+	reportInterval = 5 * time.Second
 	// questions bounds the questions to peers at a time.
 	questions = 64
 	// drift is the share by which clocks of two hosts may run apart, as a
@@ -63,17 +65,19 @@
 }
 
 // Wait tells all processes of res until the version is in force everywhere or
-// ctx ends. report is called with each change of the progress, one call after
-// another.
+// ctx ends. report is called with each change of the progress and now and then
+// without one, one call after another.
 func (w *Waiter) Wait(ctx context.Context, res Result, report func(Progress)) (Progress, error) {
 	r := w.round(res)
 	if res.snap != nil {
 		w.follower.adopt(res.Head, res.snap)
 	}
 	var last Progress
+	reported := w.timers.Boot()
 	for {
 		p, err := r.ask(ctx)
-		if p.Accepted || !samePeers(p, last) {
+		if p.Accepted || !samePeers(p, last) || w.timers.Boot()-reported >= reportInterval {
+			reported = w.timers.Boot()
 			report(p)
 		}
 		last = p
