--- a/entry/internal/route/rounds.go
+++ b/entry/internal/route/rounds.go
@@ -32,7 +32,7 @@
 func newRounds(zone string, placers []Placer) *rounds {
 	r := &rounds{}
 	zones := make(map[string]int)
-	for _, i := range rand.Perm(len(placers)) {
+	for _, i := range rand.Perm(len(placers)) { //nolint:gosec // Spreading load needs no secrecy.
 		p := placers[i]
 		if p.Zone == zone {
 			r.near = append(r.near, p)
