Don't say not run after another holder lost the request

The first holder of its record had started it and answered unknown (lost); this host, the second holder, then tried it itself, was past the deadline and passed its own not run on. Ruled out: the placer's refusals; its log shows one start. Change: after the first holder got the request and lost its trace, a second holder's not run becomes unknown. Seen failing: the new row of TestFaultMatrix, 3 of 3 before, passes after. Conclusion: the outcome speaks of the request, not of the last try.

--- a/entry/internal/serve/forward.go
+++ b/entry/internal/serve/forward.go
@@ -38,11 +38,11 @@
 		return res
 	}
 	if second.Name == s.Self.Name {
-		return s.runHere(wanted, sub, out)
+		return afterLoss(sent, s.runHere(wanted, sub, out))
 	}
 	if second.Name != "" {
 		if again, ok := s.forward(wanted, sub, second, out); ok {
-			return again
+			return afterLoss(sent, again)
 		}
 	}
 	switch {
@@ -54,6 +54,15 @@
 	return relay.Unknown(wire.ReasonRecord, "no holder of the id's record can be reached")
 }
 
+// afterLoss returns the outcome of a second holder's try. If the first holder
+// got the request and lost its trace, "not run" is only true of the second.
+func afterLoss(lost bool, res relay.Result) relay.Result {
+	if !lost || res.Outcome != wire.NotRun {
+		return res
+	}
+	return relay.Unknown(wire.ReasonLost, "another host may have run it; this one refused: "+res.Reason)
+}
+
 // forward sends a request to the host that holds its record and relays what
 // comes back. It reports false if nothing was sent.
 func (s *Service) forward(wanted context.Context, sub *submission, to record.Host, out sink) (relay.Result, bool) {
--- a/entry/internal/serve/matrix_test.go
+++ b/entry/internal/serve/matrix_test.go
@@ -60,6 +60,11 @@
 		"relayed, broken in a large one":    {scripts: []script{{answer: large, half: true}, good}, starts: 1, torn: true},
 		"relayed, large and idempotent":     {fields: twice, scripts: []script{{answer: large, half: true}, good}, starts: 1, torn: true},
 		"relayed, large one a byte short":   {scripts: []script{{answer: large, short: true}}, starts: 1, torn: true},
+		"forwarded, home lost it, refused here": {
+			fields:  `,"id":"IDa2","idempotent":true`,
+			scripts: []script{{sent: true}, {refuse: wire.ReasonBusy}},
+			outcome: wire.Unknown, reason: wire.ReasonLost, starts: 1,
+		},
 		"admitted, own id, first home dead": {fields: `,"id":"IDa2","idempotent":true`, prepare: peerDown, outcome: wire.Done, starts: 1},
 	}
 	for name, tt := range tests {
