--- a/placer/internal/sched/pool.go
+++ b/placer/internal/sched/pool.go
@@ -8,13 +8,16 @@
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/coord/wire"
 	"github.com/balsamford/balsamford/placer/internal/cell"
+	"github.com/balsamford/balsamford/placer/internal/share"
 )
 
 // pool is the state of all endpoints of one kind and of the requests for
 // them.
 type pool struct {
-	timer *timer.Service
-	limit Limit
+	timer   *timer.Service
+	limit   Limit
+	view    *share.View
+	lagging lagging
 
 	mu        sync.Mutex // guards the fields below
 	policy    Policy
@@ -27,19 +30,34 @@
 	queued    map[string]int
 	deadlines deadlines
 	seq       uint64
+	claims    map[*cell.Row]int // urgent entries for which room is being made
+	rated     time.Time         // when teams were last rated
+	full      bool              // the last pass found no room for something
+	health    map[*cell.Row]*health
+	records   map[jobName]*record
+	barred    int        // endpoints in quarantine
+	seen      uint64     // version of the view
+	remote    wire.Needs // capacity of the peers
 	pass      pass
+	reserved  reservation
+	oldest    *entry // gang that found no room in this pass and waited longest
 }
 
-func newPool(s *timer.Service, l Limit, p Policy) *pool {
+func newPool(s *timer.Service, l Limit, v *share.View, p Policy, g lagging) *pool {
 	return &pool{
 		timer:   s,
 		limit:   l,
+		view:    v,
+		lagging: g,
 		policy:  p,
 		table:   cell.New(),
 		entries: make(map[string]*entry),
 		runs:    make(map[taskKey]*run),
 		hosted:  make(map[*cell.Row][]*run),
 		teams:   make(map[string]*team),
+		claims:  make(map[*cell.Row]int),
+		health:  make(map[*cell.Row]*health),
+		records: make(map[jobName]*record),
 		queued:  make(map[string]int),
 	}
 }
@@ -87,9 +105,19 @@
 		r := p.hosted[row][0]
 		p.release(r)
 		p.limit.Pass(r.entry.item.Team, 1, heir)
+		if r.entry.gang() {
+			r.entry.pending = nil // no longer known as a whole
+		}
 		p.close(r.entry)
 	}
 	delete(p.hosted, row)
+	delete(p.health, row)
+	if p.reserved.rows[row] {
+		p.reserved.release()
+	}
+	if row.Barred() {
+		p.barred--
+	}
 }
 
 // team returns the standing of a team, made if need be.
@@ -158,6 +186,7 @@
 	if e.lane == nil {
 		return
 	}
+	p.unclaim(e)
 	e.lane.remove(e)
 	p.team(e.item.Team).live--
 	if p.queued[e.item.Queue]--; p.queued[e.item.Queue] == 0 {
--- a/placer/internal/sched/scheduler.go
+++ b/placer/internal/sched/scheduler.go
@@ -6,6 +6,7 @@
 	"github.com/balsamford/balsamford/coord/point"
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/placer/internal/share"
 )
 
 // Scheduler decides for the endpoints of one placer. All methods may be
@@ -14,6 +15,7 @@
 	timer     *timer.Service
 	limit     Limit
 	first     Policy
+	view      *share.View
 	executors *pool
 	workers   *pool
 }
@@ -28,8 +30,9 @@
 	if s.timer == nil {
 		s.timer = timer.New()
 	}
-	s.executors = newPool(s.timer, s.limit, s.first)
-	s.workers = newPool(s.timer, s.limit, s.first)
+	s.view = share.New(s.timer)
+	s.executors = newPool(s.timer, s.limit, s.view, s.first, lagging{quickTarget, quickShare})
+	s.workers = newPool(s.timer, s.limit, s.view, s.first, lagging{taskTarget, taskShare})
 	return s
 }
 
@@ -121,7 +124,8 @@
 // room is free and it is queued again, unless the request was cancelled. If
 // the task is a member of a gang, the gang waits until each other member has
 // been told by Unsent or Ended, and is then queued again as a whole; the
-// caller stops those that started.
+// caller stops those that started. A gang of which a member was dropped or
+// adopted isn't known as a whole, so its caller submits it again.
 func (s *Scheduler) Unsent(id string, task int) {
 	if !s.executors.unsent(id, task) {
 		s.workers.unsent(id, task)
--- a/placer/internal/sched/team.go
+++ b/placer/internal/sched/team.go
@@ -11,9 +11,14 @@
 	name    string
 	weight  float64
 	used    wire.Needs // granted here
+	remote  wire.Needs // used at other placers when they last said so
+	merged  wire.Needs // used here at that time
 	running int
 	lanes   []*lane // urgent first, then by rank, then by name
 	live    int     // entries that wait
+	credit  float64 // share that it was short of, decayed
+	fair    float64 // share that its weight gives it of what is used
+	lag     float64 // share that its waiting counts for
 	share   float64 // dominant share, fleet-wide as far as known
 	done    bool    // nothing more can start in this pass
 }
