Leave a start in doubt after a lost answer; find own jobs after a restart

A frozen worker began the first send of a start, was opened under a new epoch, and refused the second send by that epoch; the driver took the refusal for proof that nothing began. A placer that was killed and started again under its name looked for its own jobs once and took up none, because an orphan has to be seen twice. Change: after a lost answer only success tells anything; all else is settled by asking the endpoint. Jobs whose row names the placer itself are taken up at once, and it looks again until each job has a driver. A team that lacks room for the first time is looked after at once.

--- a/placer/internal/borrow/count.go
+++ b/placer/internal/borrow/count.go
@@ -8,10 +8,28 @@
 type Count struct {
 	*limit.Keeper
 	self string
+	lack chan struct{} // a task found no room
 }
 
 // NewCount returns a Count for the placer that holds parts as self.
-func NewCount(k *limit.Keeper, self string) *Count { return &Count{Keeper: k, self: self} }
+func NewCount(k *limit.Keeper, self string) *Count {
+	return &Count{Keeper: k, self: self, lack: make(chan struct{}, 1)}
+}
+
+// Take implements sched.Limit.
+func (c *Count) Take(team string, tasks int64) bool {
+	if c.Keeper.Take(team, tasks) {
+		return true
+	}
+	select {
+	case c.lack <- struct{}{}:
+	default:
+	}
+	return false
+}
+
+// Lack receives when a task found no room in its team's part.
+func (c *Count) Lack() <-chan struct{} { return c.lack }
 
 // Pass implements sched.Limit.
 func (c *Count) Pass(team string, tasks int64, heir string) {
--- a/placer/internal/borrow/mover.go
+++ b/placer/internal/borrow/mover.go
@@ -11,6 +11,7 @@
 	"github.com/balsamford/balsamford/coord/parts"
 	"github.com/balsamford/balsamford/coord/roster"
 	"github.com/balsamford/balsamford/coord/store"
+	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/coord/wire"
 	"github.com/balsamford/balsamford/placer/internal/limit"
 )
@@ -54,10 +55,10 @@
 	Call(ctx context.Context, address, verb string, in, out any) error
 }
 
-// Pacer waits; a *timer.Service is one.
+// Pacer tells the time; a *timer.Service is one.
 type Pacer interface {
 	Boot() time.Duration
-	Sleep(ctx context.Context, d time.Duration) error
+	After(d time.Duration, f func()) *timer.Timer
 }
 
 // Owners says which endpoints of the zone nobody who lives has opened.
@@ -70,7 +71,7 @@
 
 // Mover does the periodic work of a limit.Keeper.
 type Mover struct {
-	keeper  *limit.Keeper
+	keeper  *Count
 	zone    string
 	table   Table
 	members Members
@@ -82,7 +83,7 @@
 }
 
 // New returns a Mover.
-func New(k *limit.Keeper, zone string, t Table, m Members, c Caller, p Pacer, o Owners, log *zap.Logger) *Mover {
+func New(k *Count, zone string, t Table, m Members, c Caller, p Pacer, o Owners, log *zap.Logger) *Mover {
 	return &Mover{keeper: k, zone: zone, table: t, members: m, caller: c, pacer: p, owners: o, log: log, dead: make(map[string]time.Duration)}
 }
 
@@ -98,9 +99,11 @@
 // Run works until ctx ends. It always returns nil.
 func (m *Mover) Run(ctx context.Context) error {
 	gap, due := wantRounds, wantRounds
-	for round := 1; m.pacer.Sleep(ctx, askPeriod) == nil; round++ {
+	lacked := false
+	for round := 1; m.wait(ctx, !lacked); round++ {
 		m.ask(ctx)
-		if len(m.keeper.Wants()) == 0 {
+		lacked = len(m.keeper.Wants()) > 0
+		if !lacked {
 			gap = wantRounds
 		}
 		if round >= due {
@@ -111,7 +114,7 @@
 		if round < firstRounds {
 			due = min(due, round+startRounds)
 		}
-		if len(m.keeper.Wants()) > 0 {
+		if lacked {
 			due = min(due, round+gap)
 		}
 		if round%buryRounds == 0 {
@@ -121,6 +124,25 @@
 	return nil
 }
 
+// wait waits for the next round, which comes at once when a team lacks room
+// for the first time. It reports false when ctx has ended.
+func (m *Mover) wait(ctx context.Context, early bool) bool {
+	over := make(chan struct{})
+	t := m.pacer.After(askPeriod, func() { close(over) })
+	defer t.Stop()
+	lack := m.keeper.Lack()
+	if !early {
+		lack = nil
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-over:
+	case <-lack:
+	}
+	return true
+}
+
 func (m *Mover) settle(ctx context.Context) {
 	if err := m.keeper.Settle(ctx, m.table); err != nil {
 		m.log.Debug("limits not settled", zap.Error(err))
--- a/placer/internal/daemon/daemon.go
+++ b/placer/internal/daemon/daemon.go
@@ -49,7 +49,7 @@
 	guard    *fence.Guard
 	keeper   *hold.Keeper
 	driver   *jobs.Driver
-	limits   *limit.Keeper
+	limits   *borrow.Count
 	mover    *borrow.Mover
 	quota    *quota.Keeper
 	server   *serve.Server
@@ -87,8 +87,8 @@
 func (d *Daemon) build() {
 	s := d.settings
 	self := borrow.Name(d.members.Self())
-	d.limits = limit.New(self, s.Zone, d.timer)
-	d.sched = sched.New(sched.WithTimer(d.timer), sched.WithLimit(borrow.NewCount(d.limits, self)))
+	d.limits = borrow.NewCount(limit.New(self, s.Zone, d.timer), self)
+	d.sched = sched.New(sched.WithTimer(d.timer), sched.WithLimit(d.limits))
 	d.desk = desk.New(d.sched)
 	d.desk.Name(self, d.heir)
 	tag := uint16(d.epoch ^ d.epoch>>16 ^ d.epoch>>32 ^ d.epoch>>48)
--- a/placer/internal/daemon/fault_test.go
+++ b/placer/internal/daemon/fault_test.go
@@ -286,3 +286,26 @@
 	z.eventually("the other takes it", func() bool { _, n := z.placers[1-owner].keeper.Count(); return n == 1 })
 	z.judge()
 }
+
+// A placer that is killed and started again under its name drives its jobs on,
+// which no other placer can tell from driven ones.
+func TestRestartedDriverGoesOn(t *testing.T) {
+	is := is.New(t)
+	z := newZone(t, 2)
+	z.workers(4)
+	z.start(0)
+	z.start(1)
+	z.eventually("all endpoints are owned", z.owned(4))
+	z.eventually("both live", func() bool { return len(z.placers[0].members.Names()) == 2 })
+	z.submit(z.placers[0], jobRequest("a.job", wire.Batch, 4, engine.Body{Work: setup.Duration(2 * time.Second)}))
+	z.eventually("it runs", func() bool { return z.runningAll() == 4 && z.row("a.job").Phase == wire.Running })
+	i := z.driver("a.job")
+	z.placers[i].kill()
+	is.NoErr(<-z.placers[i].done)
+	again := z.start(i)
+	z.placers[i], z.placers[2] = again, z.placers[i]
+	z.placers = z.placers[:2]
+	z.eventually("the end is written", func() bool { return z.row("a.job").Outcome == wire.Done })
+	is.Equal(z.count(engine.Began, "a.job"), 4)
+	z.judge()
+}
--- a/placer/internal/jobs/scan.go
+++ b/placer/internal/jobs/scan.go
@@ -53,7 +53,8 @@
 }
 
 // scan offers each orphan to the placer that should drive it, and reports
-// whether the platform answered.
+// whether every job has a driver. One whose row names this placer is known to
+// no other, which sees that it lives.
 func (d *Driver) scan(ctx context.Context, names []string, orphans map[string]int) bool {
 	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
 	defer cancel()
@@ -62,6 +63,7 @@
 		return false
 	}
 	seen := make(map[string]bool)
+	all := true
 	for i := range rows {
 		row := new(wire.Job)
 		if err := cbor.Unmarshal(rows[i].Value, row); err != nil {
@@ -73,16 +75,18 @@
 		}
 		id := row.Request.ID
 		seen[id] = true
-		if orphans[id]++; orphans[id] >= orphanScans {
-			d.offer(ctx, &row.Request, owner.Of(id, names))
+		if orphans[id]++; row.Driver == d.name {
+			all = d.offer(ctx, &row.Request, d.name) && all
+			continue
 		}
+		all = orphans[id] >= orphanScans && d.offer(ctx, &row.Request, owner.Of(id, names)) && all
 	}
 	for id := range orphans {
 		if !seen[id] {
 			delete(orphans, id)
 		}
 	}
-	return true
+	return all
 }
 
 // orphan reports whether no live placer drives the job.
--- a/placer/internal/jobs/start.go
+++ b/placer/internal/jobs/start.go
@@ -26,6 +26,9 @@
 	defer pass.Done()
 	d.counts.starts.Inc(1)
 	in := j.message(o, pass)
+	// Once an answer was lost only success tells anything: a later send can be
+	// refused although the earlier one began, or still will.
+	lost := false
 	for range maxSends {
 		if !pass.Valid() {
 			break
@@ -35,13 +38,18 @@
 			d.running(j, o)
 			return
 		}
-		if reason, surely := unstartedBy(err); surely {
+		reason, surely := unstartedBy(err)
+		if surely && lost {
+			break
+		}
+		if surely {
 			if reason == wire.ReasonLeaving {
 				d.owner.Leaving(o.Endpoint)
 			}
 			d.unstarted(ctx, j, []desk.Order{o}, o.Endpoint)
 			return
 		}
+		lost = true
 		if d.timer.Sleep(ctx, pause/2) != nil {
 			return
 		}
