--- a/placer/internal/bench/arrival.go
+++ b/placer/internal/bench/arrival.go
@@ -25,6 +25,9 @@
 	// Wrong sizes and run times lie between these factors.
 	leastWrong = 0.3
 	mostWrong  = 5.0
+	// Their logarithms are spread so far for a job and for its tasks.
+	spreadBias  = 0.4
+	spreadWrong = 0.3
 )
 
 // source makes the arrivals of a load.
@@ -32,11 +35,13 @@
 	load Load
 	rng  *rand.Rand
 	list []arrival
+
+	biases map[string]float64 // by job
 }
 
 // Arrivals returns what arrives under a load, in order of time.
 func (l Load) arrivals() []arrival {
-	s := &source{load: l, rng: rand.New(rand.NewPCG(l.Seed, 1))} // #nosec G404 -- the list has to be repeatable
+	s := &source{load: l, biases: make(map[string]float64), rng: rand.New(rand.NewPCG(l.Seed, 1))} // #nosec G404 -- the list has to be repeatable
 	s.services()
 	s.poisson(l.Quick, s.quick)
 	s.poisson(l.Batch/batchMean, s.batch)
@@ -70,15 +75,32 @@
 	if !s.load.Wrong {
 		return 1
 	}
-	return min(max(math.Exp(s.rng.NormFloat64()*0.5), leastWrong), mostWrong)
+	return math.Exp(s.rng.NormFloat64() * spreadWrong)
+}
+
+// bias returns how far all declarations of a job are off together.
+func (s *source) bias(item *sched.Item, what string) float64 {
+	if !s.load.Wrong {
+		return 1
+	}
+	k := item.Team + "/" + item.Name + "/" + what
+	b, ok := s.biases[k]
+	if !ok {
+		b = math.Exp(s.rng.NormFloat64() * spreadBias)
+		s.biases[k] = b
+	}
+	return b
 }
 
+func bound(f float64) float64 { return min(max(f, leastWrong), mostWrong) }
+
 func (s *source) add(at time.Duration, item sched.Item, run time.Duration) {
 	item.ID = string(item.Kind) + strconv.Itoa(len(s.list))
 	item.Runtime = run
-	a := arrival{at: at, item: item, used: s.factor()}
+	size, length := s.bias(&item, "size"), s.bias(&item, "time")
+	a := arrival{at: at, item: item, used: bound(size * s.factor())}
 	for range max(item.Tasks, 1) {
-		a.runs = append(a.runs, time.Duration(float64(run)*s.factor()))
+		a.runs = append(a.runs, time.Duration(float64(run)*bound(length*s.factor())))
 	}
 	s.list = append(s.list, a)
 }
--- a/placer/internal/bench/books.go
+++ b/placer/internal/bench/books.go
@@ -70,8 +70,10 @@
 	b.window, b.full = window{}, 0
 }
 
-// sampleHosts notes how many workers use more than they have.
+// sampleHosts notes how much of the workers is taken, and how many of them are
+// asked for more than they have.
 func (d *driver) sampleHosts() {
+	var taken, all int64
 	for _, h := range d.hosts {
 		if h.capacity.CPU == 0 {
 			continue
@@ -81,7 +83,10 @@
 			hot = 1
 		}
 		d.result.hot.add(hot)
+		taken += min(max(h.given.CPU, h.used.CPU), h.capacity.CPU)
+		all += h.capacity.CPU
 	}
+	d.result.taken.add(ratio(taken, all))
 }
 
 func dominant(used, capacity wire.Needs) float64 {
--- a/placer/internal/bench/driver.go
+++ b/placer/internal/bench/driver.go
@@ -45,6 +45,7 @@
 	since   time.Time
 	end     *timer.Timer
 	started bool
+	metered bool
 }
 
 // host is an endpoint's own books.
@@ -202,7 +203,20 @@
 	}
 }
 
+// meter is an Engine that learns what tasks use.
+type meter interface {
+	Used(id string, task int, used wire.Needs)
+}
+
 func (d *driver) report() {
+	if m, ok := d.engine.(meter); ok {
+		for k, l := range d.lives {
+			if l.started && l.job.item.Kind != wire.Quick && !l.metered {
+				l.metered = true
+				m.Used(k.id, k.number, real(l.job, l.needs))
+			}
+		}
+	}
 	for _, h := range d.hosts {
 		d.engine.Report(h.name, h.used)
 	}
--- a/placer/internal/bench/life.go
+++ b/placer/internal/bench/life.go
@@ -46,13 +46,22 @@
 	d.result.wait(label(&j.item), l.since.Sub(j.began[l.number]))
 	d.engine.Started(j.item.ID, l.number)
 	l.host.used = l.host.used.Add(real(j, l.needs))
-	run := j.left[l.number]
+	run := l.host.stretch(j.left[l.number])
 	if l.host.broken && j.item.Kind != wire.Service {
 		run = failAfter
 	}
 	l.end = d.clock.After(run, func() { d.ended(l) })
 }
 
+// stretch returns how long a run takes on a host whose tasks want more
+// processors than it has, as it stands when the run starts.
+func (h *host) stretch(run time.Duration) time.Duration {
+	if h.capacity.CPU == 0 || h.used.CPU <= h.capacity.CPU {
+		return run
+	}
+	return time.Duration(float64(run) * float64(h.used.CPU) / float64(h.capacity.CPU))
+}
+
 // real returns what a task uses: what it declares, taken wrong, but never
 // more memory than it was given.
 func real(j *job, granted wire.Needs) wire.Needs {
--- a/placer/internal/bench/result.go
+++ b/placer/internal/bench/result.go
@@ -20,6 +20,7 @@
 	failed       int           // tasks that a broken worker failed
 	wave         time.Duration // processor time of the wave of cancellations
 	busy         mean          // part of the workers' processors that is given, while work waits
+	taken        mean          // part of the workers' processors that is given or used
 	hot          mean          // part of the workers whose tasks want more processors than there are
 	off          []float64     // of each full window: largest distance of a team from its share
 	last         int           // tasks still waiting at the end
--- a/placer/internal/bench/table.go
+++ b/placer/internal/bench/table.go
@@ -10,7 +10,7 @@
 // Print writes a table of results, one line for each.
 func Print(w io.Writer, results []*Result) error {
 	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
-	_, _ = fmt.Fprintln(t, "load\tengine\tquick\turgent\tbatch\tgang\tservice\tbusy\thot\twork\toff mean\toff p95\tdecide p50\tp99\tmax\tstarts\tleft\tpreempts\tfailed\twave\tover\ttwice\tsplit")
+	_, _ = fmt.Fprintln(t, "load\tengine\tquick\turgent\tbatch\tgang\tservice\tbusy\ttaken\thot\twork\toff mean\toff p95\tdecide p50\tp99\tmax\tstarts\tleft\tpreempts\tfailed\twave\tover\ttwice\tsplit")
 	for _, r := range results {
 		_, _ = fmt.Fprintf(t, "%s\t%s", r.Load, r.Engine)
 		for _, kind := range []string{"quick", "urgent", "batch", "gang", "service"} {
@@ -20,7 +20,7 @@
 		for _, x := range r.off {
 			off.add(x)
 		}
-		_, _ = fmt.Fprintf(t, "\t%.3f\t%.3f\t%.0f\t%.4f\t%.4f", r.busy.value(), r.hot.value(), r.work, off.value(), quantile(r.off, worstWindows))
+		_, _ = fmt.Fprintf(t, "\t%.3f\t%.3f\t%.3f\t%.0f\t%.4f\t%.4f", r.busy.value(), r.taken.value(), r.hot.value(), r.work, off.value(), quantile(r.off, worstWindows))
 		_, _ = fmt.Fprintf(t, "\t%s\t%s\t%s", brief(r.Decide(50)), brief(r.Decide(99)), brief(r.Decide(100)))
 		_, _ = fmt.Fprintf(t, "\t%d\t%d\t%d\t%d\t%s\t%d\t%d\t%d\n", r.starts, r.last, r.preempts, r.failed, brief(r.wave), r.over, r.twice, r.gangsSplit)
 	}
--- a/placer/internal/sched/entry.go
+++ b/placer/internal/sched/entry.go
@@ -18,11 +18,12 @@
 	lane      *lane     // where it waits; nil if it doesn't
 	heapIndex int       // in the deadlines; -1 if it isn't there
 	cancelled bool
-	broken    bool       // a member of the gang was not sent
-	adopted   bool       // some tasks were found running; the others aren't known
-	ended     []pending  // members of a gang that ended, as they would run again
-	claim     *claim     // room that is being made for it
-	granted   wire.Needs // what each task is given
+	broken    bool          // a member of the gang was not sent
+	adopted   bool          // some tasks were found running; the others aren't known
+	ended     []pending     // members of a gang that ended, as they would run again
+	claim     *claim        // room that is being made for it
+	expected  time.Duration // that each task runs
+	granted   wire.Needs    // what each task is given
 }
 
 // pending is a task that waits.
--- a/placer/internal/sched/policy.go
+++ b/placer/internal/sched/policy.go
@@ -7,6 +7,7 @@
 	Teams    map[string]Team  // a team that isn't named has weight 1
 	Queues   map[string]Queue // a queue that isn't named has rank 0 and no bound
 	Headroom float64          // part of the workers' capacity that only urgent work may use
+	Learn    bool             // whether sizes and run times are corrected by what jobs really took
 	Preempt  bool             // whether urgent work may checkpoint batch tasks
 }
 
--- a/placer/internal/sched/pool.go
+++ b/placer/internal/sched/pool.go
@@ -8,6 +8,7 @@
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/coord/wire"
 	"github.com/balsamford/balsamford/placer/internal/cell"
+	"github.com/balsamford/balsamford/placer/internal/learn"
 	"github.com/balsamford/balsamford/placer/internal/share"
 )
 
@@ -17,6 +18,7 @@
 	timer   *timer.Service
 	limit   Limit
 	view    *share.View
+	learner *learn.Learner
 	lagging lagging
 
 	mu        sync.Mutex // guards the fields below
@@ -43,11 +45,12 @@
 	oldest    *entry // gang that found no room in this pass and waited longest
 }
 
-func newPool(s *timer.Service, l Limit, v *share.View, p Policy, g lagging) *pool {
+func newPool(s *timer.Service, l Limit, v *share.View, n *learn.Learner, p Policy, g lagging) *pool {
 	return &pool{
 		timer:   s,
 		limit:   l,
 		view:    v,
+		learner: n,
 		lagging: g,
 		policy:  p,
 		table:   cell.New(),
--- a/placer/internal/sched/reserve.go
+++ b/placer/internal/sched/reserve.go
@@ -62,10 +62,10 @@
 }
 
 func runtime(e *entry) time.Duration {
-	if e.item.Runtime <= 0 {
+	if e.expected <= 0 {
 		return defaultRuntime
 	}
-	return e.item.Runtime
+	return e.expected
 }
 
 // want notes a gang that found no room.
--- a/placer/internal/sched/scheduler.go
+++ b/placer/internal/sched/scheduler.go
@@ -6,6 +6,7 @@
 	"github.com/balsamford/balsamford/coord/point"
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/placer/internal/learn"
 	"github.com/balsamford/balsamford/placer/internal/share"
 )
 
@@ -16,6 +17,7 @@
 	limit     Limit
 	first     Policy
 	view      *share.View
+	learner   *learn.Learner
 	executors *pool
 	workers   *pool
 }
@@ -30,9 +32,9 @@
 	if s.timer == nil {
 		s.timer = timer.New()
 	}
-	s.view = share.New(s.timer)
-	s.executors = newPool(s.timer, s.limit, s.view, s.first, lagging{quickTarget, quickShare})
-	s.workers = newPool(s.timer, s.limit, s.view, s.first, lagging{taskTarget, taskShare})
+	s.view, s.learner = share.New(s.timer), learn.New()
+	s.executors = newPool(s.timer, s.limit, s.view, s.learner, s.first, lagging{quickTarget, quickShare})
+	s.workers = newPool(s.timer, s.limit, s.view, s.learner, s.first, lagging{taskTarget, taskShare})
 	return s
 }
 
@@ -82,6 +84,13 @@
 	}
 }
 
+// Used notes what a running task was measured to use.
+func (s *Scheduler) Used(id string, task int, used wire.Needs) {
+	if !s.executors.measured(id, task, used) {
+		s.workers.measured(id, task, used)
+	}
+}
+
 // Adopt counts a task that was found running on an endpoint that joined.
 func (s *Scheduler) Adopt(endpoint string, t Task) {
 	if !s.executors.adopt(endpoint, &t) {
--- a/placer/internal/sched/settle.go
+++ b/placer/internal/sched/settle.go
@@ -104,6 +104,19 @@
 	}
 }
 
+func (p *pool) measured(id string, number int, used wire.Needs) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.runs[taskKey{id, number}]
+	if r == nil {
+		return false
+	}
+	if !r.entry.adopted {
+		p.learner.Used(r.entry.item.Team, r.entry.item.Name, r.entry.item.Needs, used)
+	}
+	return true
+}
+
 func (p *pool) ended(id string, number int, ok bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -115,6 +128,9 @@
 	if !r.saving {
 		p.judge(r, ok)
 	}
+	if ok && r.started && !r.saving && !e.adopted {
+		p.learner.Ran(e.item.Team, e.item.Name, e.item.Runtime, p.timer.Now().Sub(r.start))
+	}
 	p.release(r)
 	p.limit.Give(e.item.Team, 1)
 	again := pending{number, r.attempt + 1}
--- a/placer/internal/sched/submit.go
+++ b/placer/internal/sched/submit.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"strconv"
+	"time"
 
 	"github.com/balsamford/balsamford/coord/wire"
 )
@@ -24,7 +25,7 @@
 		heap.Remove(&p.deadlines, e.heapIndex)
 	}
 	e.item.Deadline, e.item.Avoid = item.Deadline, item.Avoid
-	e.granted = item.Needs
+	e.granted, e.expected = p.expect(&item)
 	for _, n := range item.numbers() {
 		e.pending = append(e.pending, pending{n, item.Attempt})
 	}
@@ -66,3 +67,24 @@
 	}
 	return nil
 }
+
+// expect returns what to grant each task of an item and how long it is
+// expected to run. A size that fits no endpoint is left as declared.
+func (p *pool) expect(item *Item) (wire.Needs, time.Duration) {
+	run := item.Runtime
+	if run <= 0 {
+		run = defaultRuntime
+	}
+	if !p.policy.Learn || item.Name == "" {
+		return item.Needs, run
+	}
+	needs := p.learner.Size(item.Team, item.Name, item.Needs)
+	most := item.count()
+	if item.Kind != wire.Gang {
+		most = 1
+	}
+	if p.table.Slots(needs, most) < most {
+		needs = item.Needs
+	}
+	return needs, p.learner.Runtime(item.Team, item.Name, run)
+}
