--- /dev/null
+++ b/coord/config/matrix_test.go
@@ -0,0 +1,180 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/balsamford/balsamford/coord/audit"
+)
+
+// fault is what happens to one call of the platform.
+type fault string
+
+const (
+	faultDown   fault = "platform down for a second"
+	faultLong   fault = "platform down beyond the deadline"
+	faultSlow   fault = "slow"
+	faultLost   fault = "answer lost after the effect"
+	faultLate   fault = "answer lost, effect a second later"
+	faultKilled fault = "publisher killed before the effect"
+	faultAfter  fault = "publisher killed after the effect"
+	faultRace   fault = "another operator first"
+	faultPaused fault = "host paused"
+	faultCut    fault = "host cut off"
+)
+
+// publishSteps is how many calls of the platform a publish makes: head,
+// accepted, base, trail, change, object, commit; the eighth is there only after
+// a conflict.
+const publishSteps = 8
+
+// drive publishes within ten seconds of manual time, or until the publisher is
+// killed.
+func (c *testCell) drive(p AuditPlatform, e *Edit) (Result, error) {
+	pub := NewPublisher(p, c.timers, zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	deadline := c.timers.After(10*time.Second, cancel)
+	defer deadline.Stop()
+	var res Result
+	var err error
+	done := make(chan struct{})
+	var g errgroup.Group
+	g.Go(func() error {
+		defer close(done)
+		res, err = pub.Publish(ctx, e)
+		return nil
+	})
+	for {
+		select {
+		case <-done:
+			return res, err
+		case <-time.After(100 * time.Microsecond):
+			c.timers.Advance(20 * time.Millisecond)
+		}
+	}
+}
+
+// stands returns how many versions and how many records of an accepted change
+// carry the id.
+func (c *testCell) stands(t *testing.T, id string) (versions, records int) {
+	t.Helper()
+	is := is.New(t)
+	rows, err := c.platform.Scan(t.Context(), Table, versionPrefix)
+	is.NoErr(err)
+	for i := range rows {
+		h, err := readVersion(t.Context(), c.platform, uint64(i+1))
+		is.NoErr(err)
+		if h.Publish == id {
+			versions++
+		}
+	}
+	for _, r := range c.records(t) {
+		if r.ID == id && r.Verdict == audit.Accepted {
+			records++
+		}
+	}
+	return versions, records
+}
+
+// TestPublishFaults puts every fault at every step of a publish. The verdict
+// has to be true, a version and its record stand together or not at all, and
+// the same publish again, by another publisher, has no second effect.
+func TestPublishFaults(t *testing.T) {
+	faults := []fault{faultDown, faultLong, faultSlow, faultLost, faultLate, faultKilled, faultAfter, faultRace}
+	for _, f := range faults {
+		for step := 1; step <= publishSteps; step++ {
+			t.Run(string(f)+" at call "+strconv.Itoa(step), func(t *testing.T) { publishFault(t, f, step) })
+		}
+	}
+}
+
+func publishFault(t *testing.T, f fault, step int) {
+	is := is.New(t)
+	c := newTestCell()
+	for name, zone := range map[string]string{"a": "z1", "b": "z2"} {
+		c.start(name, zone)
+	}
+	_, err := c.drive(c.platform, edit(c, 0, &Team{Name: "first"}))
+	is.NoErr(err)
+	c.round()
+	p := &stepPlatform{Memory: c.platform, cell: c, step: step, fault: f}
+	p.race = func() {
+		other := NewPublisher(c.platform, c.timers, zap.NewNop())
+		_, err := other.Publish(t.Context(), edit(c, 1, &Team{Name: "theirs"}))
+		is.NoErr(err)
+	}
+	e := edit(c, 1, &Team{Name: "mine"})
+	_, err = c.drive(p, e)
+	versions, records := c.stands(t, e.ID)
+	is.Equal(versions, records)
+	c.verdict(t, err, versions)
+
+	c.timers.Advance(2 * time.Second) // late effects come by now
+	versions, records = c.stands(t, e.ID)
+	is.Equal(versions, records)
+	_, again := c.drive(c.platform, e)
+	after, records := c.stands(t, e.ID)
+	is.Equal(after, records)
+	is.True(after <= 1 && after >= versions)
+	c.verdict(t, again, after)
+	is.True(f == faultRace || after == 1)
+	c.everyRecordStands(t)
+
+	c.round()
+	head, _, err := readHead(t.Context(), c.platform)
+	is.NoErr(err)
+	for _, h := range c.followers {
+		is.Equal(h.Head().Version, head.Version)
+		is.True(h.Fresh())
+	}
+}
+
+// everyRecordStands checks that each accepted change has its version, and each
+// version its record.
+func (c *testCell) everyRecordStands(t *testing.T) {
+	t.Helper()
+	is := is.New(t)
+	accepted := make(map[string]bool)
+	for _, r := range c.records(t) {
+		if r.Verdict == audit.Accepted {
+			accepted[r.ID] = true
+		}
+	}
+	head, _, err := readHead(t.Context(), c.platform)
+	is.NoErr(err)
+	is.Equal(len(accepted), int(head.Version))
+	for v := uint64(1); v <= head.Version; v++ {
+		h, err := readVersion(t.Context(), c.platform, v)
+		is.NoErr(err)
+		is.True(accepted[h.Publish])
+	}
+}
+
+// verdict checks that what a publish returned agrees with what stands.
+func (c *testCell) verdict(t *testing.T, err error, versions int) {
+	t.Helper()
+	is := is.New(t)
+	var conflict *ConflictError
+	var unpublished *UnpublishedError
+	var unknown *UnknownError
+	switch {
+	case err == nil:
+		is.Equal(versions, 1)
+	case errors.As(err, &conflict):
+		is.Equal(versions, 0)
+		is.Equal(conflict.Theirs[0].Ref.Name, "theirs")
+	case errors.As(err, &unpublished):
+		is.Equal(versions, 0)
+	case errors.As(err, &unknown):
+	default:
+		is.NoErr(err)
+	}
+}
--- a/coord/config/serve.go
+++ b/coord/config/serve.go
@@ -71,13 +71,16 @@
 
 // Status returns what this process says of itself.
 func (f *Follower) Status() Status {
-	s := Status{Name: f.name, Zone: f.zone, Age: -1}
+	s := Status{Name: f.name, Zone: f.zone, Age: -1, Read: -1}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s.Head = f.Head()
 	if f.counted && f.listedLocked() {
 		s.Age = f.timers.Boot() - f.sent
 	}
+	if f.drains.known {
+		s.Drains, s.Read = f.drains.names, f.timers.Boot()-f.drains.sent
+	}
 	return s
 }
 
@@ -90,9 +93,12 @@
 	if cur == nil {
 		return Content{}
 	}
+	if in.Have == cur.snap.Digest() {
+		return Content{Head: cur.head, Change: &Change{Base: in.Have}}
+	}
 	for _, old := range history {
 		if old.Digest() == in.Have {
-			return Content{Head: cur.head, Change: changeBetween(old.Set(), cur.snap.Set())}
+			return Content{Head: cur.head, Change: changeBetween(old, cur.snap)}
 		}
 	}
 	return Content{Head: cur.head, Data: cur.snap.Data()}
@@ -105,7 +111,7 @@
 	g.SetLimit(tellers)
 	for _, p := range f.children() {
 		g.Go(func() error {
-			ctx, cancel := f.timeout(ctx, f.period)
+			ctx, cancel := f.timeout(ctx, f.patience())
 			defer cancel()
 			f.counts.tells.Inc(1)
 			var out Status
--- a/placer/internal/jobs/note.go
+++ b/placer/internal/jobs/note.go
@@ -21,12 +21,14 @@
 	Fit      *fit          `cbor:"fit,omitempty"`
 	Promise  time.Duration `cbor:"promise,omitempty"` // asks not to take the endpoint's term for that long
 	Held     bool          `cbor:"held,omitempty"`    // asks whether the other may keep the endpoint's leases alive
+	Owned    bool          `cbor:"owned,omitempty"`   // asks which endpoints the other owns
 }
 
 // noted answers a note.
 type noted struct {
-	Known []bool `cbor:"known,omitempty"` // of Tasks: driven here, and the end is written
-	Done  bool   `cbor:"done,omitempty"`  // Halt was carried out, Promise given, or Fit or Held holds
+	Known []bool   `cbor:"known,omitempty"` // of Tasks: driven here, and the end is written
+	Done  bool     `cbor:"done,omitempty"`  // Halt was carried out, Promise given, or Fit or Held holds
+	Names []string `cbor:"names,omitempty"` // answers Owned
 }
 
 // halt asks for the end of one attempt of a task.
@@ -60,6 +62,8 @@
 		return noted{Done: d.haltHere(ctx, *in.Halt)}
 	case in.Fit != nil:
 		return noted{Done: d.queue.Fits(in.Fit.Needs, in.Fit.Tasks)}
+	case in.Owned:
+		return noted{Names: d.owner.Owned()}
 	case in.Promise > 0:
 		return noted{Done: d.promise(in.Endpoint, in.Promise)}
 	case in.Held:
@@ -116,11 +120,13 @@
 }
 
 // opened compares what an endpoint has under a new epoch with what should be
-// there. Starts of earlier epochs can't arrive any more.
+// there. Starts of earlier epochs can't arrive any more. Tasks that have ended
+// are left to the owner's notice, which brings their outputs.
 func (d *Driver) opened(endpoint string, epoch uint64, tasks []point.Task) {
 	for _, j := range d.all() {
 		for _, e := range j.at(endpoint) {
-			if e.epoch < epoch {
+			t := findTask(tasks, j.id(), e.n, e.attempt)
+			if e.epoch < epoch && (t == nil || !t.State.Ended()) {
 				d.compare(j, e, tasks)
 			}
 		}
