Count a pulled read as a little older, for the peer's clock

Ruled out: the scan and the floor at the listing; with clocks that move, the read is older than the floor. But an age that another host's clock has counted can be too short by what that clock lags, and then the same happens on real clocks.

--- a/coord/config/follower_test.go
+++ b/coord/config/follower_test.go
@@ -109,6 +109,23 @@
 	is.True(f.Fresh())
 }
 
+// TestPulledReadFromBeforeListing: a read that a peer sent before this process
+// was listed confirms nothing, also if all clocks show the same moment. A
+// publisher that scanned the list in between knows nothing of this process.
+func TestPulledReadFromBeforeListing(t *testing.T) {
+	is := is.New(t)
+	c := newTestCell()
+	c.start("a", "z1")
+	b := c.start("b", "z2")
+	c.noPlatform["b"] = true
+	c.write(t, 1, setWith(t, ""))
+	c.followers["a"].refresh(t.Context())
+	c.write(t, 2, setWith(t, "[team.x]\n"))
+	b.refresh(t.Context())
+	is.Equal(b.Head().Version, uint64(1))
+	is.True(!b.Fresh())
+}
+
 func TestJoinThroughPeer(t *testing.T) {
 	is := is.New(t)
 	c := newTestCell()
--- a/coord/config/refresh.go
+++ b/coord/config/refresh.go
@@ -17,6 +17,8 @@
 	// spareSourcesOfHead is how many peers are asked if neither the platform
 	// nor the process's source answers.
 	spareSourcesOfHead = 3
+	// clockStep is the finest step of a clock.
+	clockStep = time.Nanosecond
 )
 
 // refresh learns the head once: from the process of its zone that it asks by
@@ -57,7 +59,7 @@
 
 // pull asks a peer for its head. The peer's age is counted from before the
 // question was sent, so that time spent on the way makes the result older,
-// never younger.
+// never younger; and it is taken for longer by what the peer's clock may lag.
 func (f *Follower) pull(ctx context.Context, p Peer) error {
 	ctx, cancel := f.timeout(ctx, f.patience())
 	defer cancel()
@@ -70,10 +72,13 @@
 	if out.Read >= 0 {
 		f.learnDrains(sent-out.Read, out.Drains)
 	}
-	f.take(ctx, offer{head: out.Head, sent: sent - out.Age, counted: out.Age >= 0, source: p.Address})
+	f.take(ctx, offer{head: out.Head, sent: sent - aged(out.Age), counted: out.Age >= 0, source: p.Address})
 	return nil
 }
 
+// aged returns an age that another host's clock has counted, at its longest.
+func aged(d time.Duration) time.Duration { return d + d/drift + clockStep }
+
 // parent returns the process that this one asks for the head. The processes
 // of a zone stand in an order that all of them work out alike: the first ones
 // read the platform, the others ask those before them.
