Ask a zone's placers before an idempotent request runs again

Ruled out: the placers; each decided once, and each epoch was its own. Change: VerbSettle. Before a request is sent again after a start may have left, all live placers of the zone have to say that nothing of it waits or runs there (runs are stopped), and every executor of the zone has to be owned by one of them, so that a late start of the lost one is refused. If that can't be had in time the outcome is unknown. An outcome that the record's first holder gave as its own word is no longer tried again by the second. Weighed: waiting two leases before each retry; too long for a price check.

--- a/coord/wire/verbs.go
+++ b/coord/wire/verbs.go
@@ -10,6 +10,9 @@
 	VerbStatus = "status"
 	// VerbCancel: Lookup in, Cancelled out.
 	VerbCancel = "cancel"
+	// VerbSettle: Lookup of a quick request in, Settled out. Runs of it are
+	// stopped.
+	VerbSettle = "settle"
 	// VerbLoad: Empty in, Load out.
 	VerbLoad = "load"
 	// VerbBeat: placers of a zone tell one another that they live.
@@ -43,6 +46,16 @@
 	NotRun bool `cbor:"notrun"`
 }
 
+// Settled answers a VerbSettle. No run of the request goes on in a zone, and
+// none will begin, if all placers that any of them counts as alive say Clear
+// and each executor is owned by one of them.
+type Settled struct {
+	Clear bool     `cbor:"clear"` // nothing of it runs at the endpoints owned here, or waits here
+	Owned []string `cbor:"owned"` // executors that this placer owns
+	Known []string `cbor:"known"` // executors of the zone
+	Live  []string `cbor:"live"`  // placers of the zone that live, this one included
+}
+
 // Load is what a placer says of itself, for routing.
 type Load struct {
 	Name    string           `cbor:"name"`
--- a/entry/internal/record/enter.go
+++ b/entry/internal/record/enter.go
@@ -20,8 +20,9 @@
 	case e.here:
 		return Answer{Verdict: Wait, Note: e.note, Done: e.done}
 	case e.note.Ended() && again(&e.note):
+		doubt := e.note.Outcome == wire.Unknown
 		k.claimLocked(e, q, e.note.Run+1)
-		return Answer{Verdict: Run, Note: e.note}
+		return Answer{Verdict: Run, Note: e.note, Doubt: doubt}
 	case e.note.Ended():
 		return Answer{Verdict: Known, Note: e.note}
 	case e.note.Host == k.self.Name:
--- a/entry/internal/relay/attempt.go
+++ b/entry/internal/relay/attempt.go
@@ -18,6 +18,7 @@
 	res    Result
 	unsent bool // nothing was sent
 	broken bool // the placer itself was lost, not only an endpoint
+	open   bool // a run may still go on, or begin
 }
 
 // attempt sends the request to one placer and reads its events.
@@ -121,6 +122,7 @@
 			res.Outcome = wire.Unknown
 		}
 	case wire.Unknown:
+		return try{res: res, open: true}
 	default:
 		res.Outcome, res.Reason = wire.Unknown, wire.ReasonInvalid
 	}
@@ -139,5 +141,5 @@
 	if reason := j.unwanted(); reason != "" {
 		res.Reason = reason
 	}
-	return try{res: res, broken: true}
+	return try{res: res, broken: true, open: true}
 }
--- a/entry/internal/relay/journey.go
+++ b/entry/internal/relay/journey.go
@@ -25,6 +25,7 @@
 	offers  int
 	sends   int    // sends after which a start may have left
 	left    bool   // a start may have left
+	doubt   bool   // an earlier run may still go on
 	refused Result // the latest refusal
 }
 
@@ -43,6 +44,7 @@
 		refused: NotRun(wire.ReasonRoute, "no placer can be reached"),
 	}
 	j.req.Attempt = o.Base
+	j.doubt = o.Doubt
 	wanted := o.Wanted
 	if wanted == nil {
 		wanted = context.Background()
@@ -85,6 +87,12 @@
 	if reason := j.order.Allow(); reason != "" {
 		return NotRun(reason, ""), true
 	}
+	if j.doubt {
+		if !j.settleAll(ctx) {
+			return Unknown(wire.ReasonLost, "an earlier run may still go on"), true
+		}
+		j.doubt = false
+	}
 	p, ok := j.pick()
 	if !ok {
 		return j.refused, true
@@ -155,6 +163,9 @@
 		j.query.Tried[p.Name] = true
 		j.broken = append(j.broken, p.Name)
 	}
+	if t.open && !j.settle(ctx, p.Zone) {
+		return t.res, true // It may still run there, so it isn't run elsewhere.
+	}
 	j.answer.reset()
 	j.runner.counts.retries.Inc(1)
 	_ = j.runner.clock.Sleep(j.wanted, pause(j.sends))
--- a/entry/internal/relay/order.go
+++ b/entry/internal/relay/order.go
@@ -15,6 +15,7 @@
 	Allow    func() string   // asked before each send; a reason forbids it
 	Zone     string          // only placers of this zone take it; any if empty
 	Base     uint32          // attempts are numbered from Base + 1
+	Doubt    bool            // an earlier run may still go on somewhere
 }
 
 // Sink takes what comes back while a request runs.
--- a/entry/internal/relay/runner.go
+++ b/entry/internal/relay/runner.go
@@ -42,6 +42,7 @@
 	Failed(name string)
 	Leaving(name string)
 	Enter(name string) func()
+	Placers() []route.Placer
 }
 
 // Runner runs requests. It may be used concurrently.
--- a/entry/internal/serve/forward.go
+++ b/entry/internal/serve/forward.go
@@ -33,15 +33,16 @@
 	if first.Name == s.Self.Name {
 		return s.runHere(wanted, sub, out)
 	}
-	res, sent := s.forward(wanted, sub, first, out)
-	if sent && (res.Reason != wire.ReasonLost || res.Streamed) {
+	res, sent, over := s.forward(wanted, sub, first, out)
+	if over || sent && (res.Reason != wire.ReasonLost || res.Streamed) {
 		return res
 	}
+	sub.Doubt = sub.Doubt || sent
 	if second.Name == s.Self.Name {
 		return afterLoss(sent, s.runHere(wanted, sub, out))
 	}
 	if second.Name != "" {
-		if again, ok := s.forward(wanted, sub, second, out); ok {
+		if again, ok, _ := s.forward(wanted, sub, second, out); ok {
 			return afterLoss(sent, again)
 		}
 	}
@@ -64,17 +65,18 @@
 }
 
 // forward sends a request to the host that holds its record and relays what
-// comes back. It reports false if nothing was sent.
-func (s *Service) forward(wanted context.Context, sub *submission, to record.Host, out sink) (relay.Result, bool) {
+// comes back. It reports whether anything was sent, and whether the result is
+// that host's own word.
+func (s *Service) forward(wanted context.Context, sub *submission, to record.Host, out sink) (res relay.Result, sent, over bool) {
 	if sub.Hops >= maxHops {
-		return relay.Unknown(wire.ReasonLost, "the request is at another host"), true
+		return relay.Unknown(wire.ReasonLost, "the request is at another host"), true, false
 	}
-	res, sent := relay.Result{}, false
 	for range sendTries {
 		next, ok, over := s.forwardOnce(wanted, sub, to, out)
 		if over {
 			// A host that is leaving has not taken the request in.
-			return next, next.Outcome != wire.NotRun || next.Reason != wire.ReasonLeaving
+			taken := next.Outcome != wire.NotRun || next.Reason != wire.ReasonLeaving
+			return next, taken, taken
 		}
 		if !ok {
 			break
@@ -84,7 +86,7 @@
 			break
 		}
 	}
-	return res, sent
+	return res, sent, false
 }
 
 // forwardOnce makes one try. It reports whether anything was sent, and
@@ -169,7 +171,7 @@
 	if !ok || h.Name == s.Self.Name {
 		return relay.Unknown(wire.ReasonLost, "the process that ran it has ended")
 	}
-	res, sent := s.forward(wanted, sub, h, out)
+	res, sent, _ := s.forward(wanted, sub, h, out)
 	if !sent {
 		return relay.Unknown(wire.ReasonLost, "the host that ran it can't be reached")
 	}
--- a/entry/internal/serve/placer_test.go
+++ b/entry/internal/serve/placer_test.go
@@ -49,6 +49,8 @@
 	jobs     map[string]wire.Job
 	leaving  bool
 	full     bool
+	unclear  bool          // runs go on here
+	peers    []string      // other placers that it counts as alive
 	slots    chan struct{} // if not nil, requests that find no room here are refused
 }
 
@@ -64,6 +66,7 @@
 	p.node.Handle(wire.VerbLoad, link.HandlerFunc(p.load))
 	p.node.Handle(wire.VerbCancel, link.HandlerFunc(p.cancel))
 	p.node.Handle(wire.VerbStatus, link.HandlerFunc(p.status))
+	p.node.Handle(wire.VerbSettle, link.HandlerFunc(p.settle))
 	is.New(t).NoErr(p.node.Listen("127.0.0.1:0"))
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop, p.done = cancel, &errgroup.Group{}
@@ -107,6 +110,17 @@
 	return n
 }
 
+// settle says that nothing runs here, unless the placer is to say otherwise.
+func (p *fakePlacer) settle(_ context.Context, s *link.Stream) error {
+	var in wire.Lookup
+	if err := s.Recv(&in); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return s.Send(&wire.Settled{Clear: !p.unclear, Live: append([]string{p.name}, p.peers...)})
+}
+
 func (p *fakePlacer) load(_ context.Context, s *link.Stream) error {
 	var in wire.Empty
 	if err := s.Recv(&in); err != nil {
--- a/entry/internal/serve/quick.go
+++ b/entry/internal/serve/quick.go
@@ -30,9 +30,11 @@
 func (s *Service) runCounted(wanted context.Context, sub *submission, out sink) relay.Result {
 	q := sub.question()
 	ans := s.Keeper.Enter(q)
+	doubt := sub.Doubt || ans.Doubt
 	if ans.Verdict == record.Run && !q.Private {
 		ans = s.Keeper.Secure(s.ctx, q, ans.Note)
 	}
+	sub.Doubt = doubt && sub.Request.Idempotent
 	switch ans.Verdict {
 	case record.Wait:
 		return s.join(wanted, sub, ans.Done)
@@ -86,6 +88,7 @@
 	req.Version = s.Config.Version()
 	order := &relay.Order{
 		Request: req, Deadline: sub.deadline, Wanted: l.wanted, Allow: s.allow(sub), Base: (claim.Run - 1) * attemptsPerRun,
+		Doubt: sub.Doubt,
 	}
 	return s.Runner.Run(s.ctx, order, &phaseSink{live: l, next: out})
 }
--- a/entry/internal/serve/submission.go
+++ b/entry/internal/serve/submission.go
@@ -43,7 +43,8 @@
 	Request wire.Request `cbor:"request"` // Budget is what is left of the deadline
 	Cancel  bool         `cbor:"cancel,omitempty"`
 	Wait    bool         `cbor:"wait,omitempty"`
-	Hops    int          `cbor:"hops,omitempty"` // entry processes passed
+	Hops    int          `cbor:"hops,omitempty"`  // entry processes passed
+	Doubt   bool         `cbor:"doubt,omitempty"` // an earlier run may still go on
 
 	private  bool // the id was issued for this very call
 	deadline time.Time
--- a/placer/internal/daemon/daemon.go
+++ b/placer/internal/daemon/daemon.go
@@ -104,7 +104,8 @@
 	d.mover = borrow.New(d.limits, s.Zone, d.table, d.members, d.node, d.timer, d.driver, d.log)
 	d.node.Handle(wire.VerbPart, link.HandlerFunc(d.mover.Handle))
 	d.desk.Attach(d.driver, d.keeper)
-	d.server = serve.New(exec.New(d.timer, d.desk, d.keeper, d.client, d.registry), d.driver, d.load, d.refusal)
+	d.server = serve.New(exec.New(d.timer, d.desk, d.keeper, d.client, d.registry), d.driver,
+		exec.NewSettler(d.keeper, d.client, d.live), d.load, d.refusal)
 	d.finder = hosts.New(s, d.table, d.keeper, d.members)
 	d.follower = config.NewFollower(rolePrefix+s.Host, s.Zone, d.table, d.timer,
 		config.WithPeers(config.RosterFunc(d.peers), d.node, s.Link), config.WithLog(d.log), config.WithMetrics(d.registry))
--- a/placer/internal/daemon/others.go
+++ b/placer/internal/daemon/others.go
@@ -18,3 +18,14 @@
 func (o others) Promise(ctx context.Context, endpoint string, length time.Duration) bool {
 	return o.daemon.driver.Promise(ctx, endpoint, length)
 }
+
+// live returns the names of the zone's placers that live, this one included.
+func (d *Daemon) live() []string {
+	out := []string{d.settings.Host}
+	for _, m := range d.members.Live() {
+		if m.Zone == d.settings.Zone && m.Name != d.settings.Host {
+			out = append(out, m.Name)
+		}
+	}
+	return out
+}
--- a/placer/internal/serve/server.go
+++ b/placer/internal/serve/server.go
@@ -25,6 +25,11 @@
 	Cancel(ctx context.Context, id string) (wire.Cancelled, error)
 }
 
+// Settler looks for what is left of a quick request; an *exec.Settler is one.
+type Settler interface {
+	Settle(ctx context.Context, id string) wire.Settled
+}
+
 // Mux is where verbs are served; a *link.Node is one.
 type Mux interface {
 	Handle(verb string, h link.Handler)
@@ -35,6 +40,7 @@
 type Server struct {
 	runner Runner
 	jobs   Jobs
+	settle Settler
 	load   func() wire.Load
 	refuse func(*wire.Request) string
 
@@ -47,9 +53,9 @@
 
 // New returns a Server; load says what the placer has room for, refuse why a
 // request may not run, or an empty reason.
-func New(r Runner, j Jobs, load func() wire.Load, refuse func(*wire.Request) string) *Server {
+func New(r Runner, j Jobs, settle Settler, load func() wire.Load, refuse func(*wire.Request) string) *Server {
 	return &Server{
-		runner: r, jobs: j, load: load, refuse: refuse,
+		runner: r, jobs: j, settle: settle, load: load, refuse: refuse,
 		calls: make(map[uint64]context.CancelCauseFunc), byID: make(map[string]uint64),
 	}
 }
@@ -60,6 +66,7 @@
 	m.Handle(wire.VerbLoad, link.HandlerFunc(s.sendLoad))
 	m.Handle(wire.VerbStatus, link.HandlerFunc(s.status))
 	m.Handle(wire.VerbCancel, link.HandlerFunc(s.cancel))
+	m.Handle(wire.VerbSettle, link.HandlerFunc(s.settled))
 }
 
 // Leave refuses new requests from now on, and ends those that wait as not
@@ -156,6 +163,24 @@
 	return stream.Send(&l)
 }
 
+// settled answers what is left of a quick request. One that is still served
+// here is dropped from the queue; it counts until its call has ended.
+func (s *Server) settled(ctx context.Context, stream *link.Stream) error {
+	var in wire.Lookup
+	if err := stream.Recv(&in); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	stop := s.calls[s.byID[in.ID]]
+	s.mu.Unlock()
+	if stop != nil {
+		stop(&exec.StopError{Reason: wire.ReasonCancel})
+	}
+	out := s.settle.Settle(ctx, in.ID)
+	out.Clear = out.Clear && stop == nil
+	return stream.Send(&out)
+}
+
 func (s *Server) status(ctx context.Context, stream *link.Stream) error {
 	var in wire.Lookup
 	if err := stream.Recv(&in); err != nil {
