Keep an earlier loss in view when a leaving host refuses a forward

After a lost first try, a second one that a leaving host refused made the whole look unsent. It breaks off the tries now and the loss stands. matrix_test.go is formatted only.

--- a/entry/internal/serve/forward.go
+++ b/entry/internal/serve/forward.go
@@ -72,9 +72,11 @@
 	res, sent := relay.Result{}, false
 	for range sendTries {
 		next, ok, over := s.forwardOnce(wanted, sub, to, out)
+		if over && next.Outcome == wire.NotRun && next.Reason == wire.ReasonLeaving {
+			break // It has not taken this try in; an earlier one may have run.
+		}
 		if over {
-			// A host that is leaving has not taken the request in.
-			return next, next.Outcome != wire.NotRun || next.Reason != wire.ReasonLeaving
+			return next, true
 		}
 		if !ok {
 			break
