--- a/entry/internal/serve/forward.go
+++ b/entry/internal/serve/forward.go
@@ -55,13 +55,13 @@
 	return relay.Unknown(wire.ReasonRecord, "no holder of the id's record can be reached")
 }
 
-// afterLoss returns the outcome of a second holder's try. If the first holder
-// got the request and lost its trace, "not run" is only true of the second.
+// afterLoss returns the outcome of a request whose earlier run was lost: "not
+// run" is only true of the last one then.
 func afterLoss(lost bool, res relay.Result) relay.Result {
 	if !lost || res.Outcome != wire.NotRun {
 		return res
 	}
-	return relay.Unknown(wire.ReasonLost, "another host may have run it; this one refused: "+res.Reason)
+	return relay.Unknown(wire.ReasonLost, "an earlier run was lost; the last one was refused: "+res.Reason)
 }
 
 // forward sends a request to the host that holds its record and relays what
@@ -73,10 +73,11 @@
 	}
 	for range sendTries {
 		next, ok, over := s.forwardOnce(wanted, sub, to, out)
+		if over && next.Outcome == wire.NotRun && next.Reason == wire.ReasonLeaving {
+			break // It has not taken this try in; an earlier one may have run.
+		}
 		if over {
-			// A host that is leaving has not taken the request in.
-			taken := next.Outcome != wire.NotRun || next.Reason != wire.ReasonLeaving
-			return next, taken, taken
+			return next, true, true
 		}
 		if !ok {
 			break
--- a/entry/internal/serve/quick.go
+++ b/entry/internal/serve/quick.go
@@ -47,7 +47,7 @@
 		return relay.Result{Outcome: ans.Note.Outcome, Reason: ans.Note.Reason, Detail: ans.Note.Detail}
 	case record.Run:
 	}
-	res := s.run(wanted, sub, q, ans.Note, out)
+	res := afterLoss(doubt, s.run(wanted, sub, q, ans.Note, out))
 	s.end(sub, ans.Note, &res)
 	return res
 }
--- a/entry/internal/serve/settle_test.go
+++ b/entry/internal/serve/settle_test.go
@@ -36,3 +36,20 @@
 		})
 	}
 }
+
+// TestNotRunSpeaksOfAllRuns retries an idempotent request under its own id
+// after its first run was lost: a refusal of the second run doesn't make the
+// request one that has not run.
+func TestNotRunSpeaksOfAllRuns(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.placers[0].set(script{sent: true})
+	c.placers[1].set(script{refuse: wire.ReasonNever})
+	c.placers[0].unclear = true // so that the first run isn't repeated at once
+	fields := ownID(c, `,"id":"ID","idempotent":true,"deadline":"1s"`)
+	is.Equal(c.submit("a1", fields).outcome, wire.Unknown)
+	c.placers[0].set(script{refuse: wire.ReasonNever})
+	c.placers[0].unclear = false
+	is.Equal(c.submit("a1", fields).outcome, wire.Unknown)
+	is.Equal(c.placers[0].total(), 1)
+}
