Walk longer in the property of coord/parts

Cause: with the default number of steps the property passed even when a giver didn't lower itself; only more checks and steps by flag found it. Nothing of what is checked changed.

--- a/coord/parts/parts_test.go
+++ b/coord/parts/parts_test.go
@@ -280,9 +280,22 @@
 	m.heal()
 }
 
+// rounds and stretches make the walks of the property many and long enough to
+// find what a lack of any one mechanism would do.
+const (
+	rounds    = 5
+	stretches = 4
+)
+
 func TestSumStaysUnderLimit(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		m := newModel(t, 20)
+	for range rounds {
+		rapid.Check(t, walk)
+	}
+}
+
+func walk(t *rapid.T) {
+	m := newModel(t, 20)
+	for range stretches {
 		t.Repeat(map[string]func(*rapid.T){
 			"":        m.check,
 			"take":    func(*rapid.T) { m.take() },
@@ -300,31 +313,31 @@
 			"limit":   func(*rapid.T) { m.limit() },
 			"wait":    func(*rapid.T) { m.wait() },
 		})
-		m.drain()
-		a, _, err := read(context.Background(), m.table, team)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if len(m.dead) > 0 {
-			t.Fatalf("%d holders are not buried: %s %v: %s", len(m.dead), m.dead[0].name, m.dead[0].heirs, m.show(a))
-		}
-		if !a.Accepted() {
-			t.Fatalf("limit %d isn't accepted, parts are %d: %s", a.Limit, a.Handed(), m.show(a))
-		}
-		for name, z := range a.Zones {
-			free, ok := z.slack()
-			var held int64
-			for _, h := range m.alive {
-				if h.zone == name {
-					part, _ := h.Part(team)
-					held += part
-				}
-			}
-			if !ok || free+held != z.Part {
-				t.Fatalf("zone %s leaks: part %d, held %d, free %d (%v)", name, z.Part, held, free, ok)
+	}
+	m.drain()
+	a, _, err := read(context.Background(), m.table, team)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(m.dead) > 0 {
+		t.Fatalf("%d holders are not buried: %s %v: %s", len(m.dead), m.dead[0].name, m.dead[0].heirs, m.show(a))
+	}
+	if !a.Accepted() {
+		t.Fatalf("limit %d isn't accepted, parts are %d: %s", a.Limit, a.Handed(), m.show(a))
+	}
+	for name, z := range a.Zones {
+		free, ok := z.slack()
+		var held int64
+		for _, h := range m.alive {
+			if h.zone == name {
+				part, _ := h.Part(team)
+				held += part
 			}
 		}
-	})
+		if !ok || free+held != z.Part {
+			t.Fatalf("zone %s leaks: part %d, held %d, free %d (%v)", name, z.Part, held, free, ok)
+		}
+	}
 }
 
 func TestMoves(t *testing.T) {
