--- a/trial/internal/whole/whole_test.go
+++ b/trial/internal/whole/whole_test.go
@@ -78,14 +78,27 @@
 
 // The same under seeded faults of every kind.
 func TestSeededFaults(t *testing.T) {
+	underFaults(t, faults.Settings{Time: 25 * time.Second, Rate: 40, Seed: 1})
+}
+
+// The same while the hosts of the endpoints stand still longer than every
+// lease and find all that was sent to them when they wake.
+func TestPausedEndpoints(t *testing.T) {
+	underFaults(t, faults.Settings{Time: 14 * time.Second, Rate: 60, Seed: 7, Only: []faults.Kind{faults.Rack}})
+}
+
+// underFaults runs a deployment under faults, in which no promise may break.
+func underFaults(t *testing.T, s faults.Settings) {
+	t.Helper()
 	if testing.Short() {
-		t.Skip("the long fault run is not for -short")
+		t.Skip("a fault run is too long for -short")
 	}
 	is := is.New(t)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
+	s.Site = settings(t, build(t))
 	var out bytes.Buffer
-	findings, err := faults.Run(ctx, faults.Settings{Site: settings(t, build(t)), Time: 25 * time.Second, Rate: 40, Seed: 1}, &out)
+	findings, err := faults.Run(ctx, s, &out)
 	t.Log(out.String())
 	is.NoErr(err)
 	for _, f := range findings {
