--- a/placer/internal/daemon/fault_test.go
+++ b/placer/internal/daemon/fault_test.go
@@ -309,3 +309,36 @@
 	is.Equal(z.count(engine.Began, "a.job"), 4)
 	z.judge()
 }
+
+// Jobs that come while every worker is suspended run once the workers are
+// back.
+func TestJobsOutlastSuspendedWorkers(t *testing.T) {
+	is := is.New(t)
+	z := newZone(t, 2)
+	z.workers(4)
+	z.start(0)
+	z.start(1)
+	z.eventually("all endpoints are owned", z.owned(4))
+	z.eventually("both live", func() bool { return len(z.placers[0].members.Names()) == 2 })
+	for _, e := range z.engines {
+		e.SetFaults(engine.Faults{Freeze: true})
+	}
+	for i := range 20 {
+		req := jobRequest(fmt.Sprintf("a.%d", i), wire.Batch, 3, engine.Body{})
+		if i%4 == 0 {
+			req.Kind = wire.Gang
+		}
+		z.submit(z.placers[i%2], req)
+		time.Sleep(200 * time.Millisecond)
+	}
+	time.Sleep(4 * time.Second) // leases run out meanwhile
+	for _, e := range z.engines {
+		e.SetFaults(engine.Faults{})
+	}
+	for i := range 20 {
+		id := fmt.Sprintf("a.%d", i)
+		z.eventually(id+" is done", func() bool { return z.row(id).Outcome == wire.Done })
+	}
+	is.True(z.count(engine.Began, "a.0") >= 3)
+	z.judge()
+}
