Find jobs whose rows name a placer that doesn't know it

While the platform loses answers or writes late, the writes by which a placer becomes the driver take effect and it gives up; the row then names a live placer, so no other one takes the job, and it looks at rows only when members change. Change: after such a write the placer looks at the zone's rows until each job has a driver.

--- a/placer/internal/daemon/fault_test.go
+++ b/placer/internal/daemon/fault_test.go
@@ -342,3 +342,30 @@
 	is.True(z.count(engine.Began, "a.0") >= 3)
 	z.judge()
 }
+
+// The platform takes the writes by which a placer becomes the driver, but
+// their answers are lost: the row names a placer that doesn't know it.
+func TestDriverWhoseWritesWereLost(t *testing.T) {
+	is := is.New(t)
+	z := newZone(t, 2)
+	z.workers(4)
+	z.start(0)
+	z.start(1)
+	z.eventually("all endpoints are owned", z.owned(4))
+	z.eventually("both live", func() bool { return len(z.placers[0].members.Names()) == 2 })
+	time.Sleep(4 * time.Second) // the scans that follow a change of members are over
+	for i := range 2 {
+		z.accept(jobRequest(fmt.Sprintf("a.%d", i), wire.Batch, 1, engine.Body{}))
+	}
+	z.memory.SetFaults(store.Faults{Lose: true})
+	for i := range 2 {
+		r := z.place(z.placers[i], jobRequest(fmt.Sprintf("a.%d", i), wire.Batch, 1, engine.Body{}))
+		is.True(r.err != nil) // not driven, as far as is known
+	}
+	z.memory.SetFaults(store.Faults{})
+	for i := range 2 {
+		id := fmt.Sprintf("a.%d", i)
+		z.eventually(id+" is done", func() bool { return z.row(id).Outcome == wire.Done })
+	}
+	z.judge()
+}
--- a/placer/internal/jobs/driver.go
+++ b/placer/internal/jobs/driver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -40,6 +41,7 @@
 	counts  counts
 	group   errgroup.Group
 	dirty   chan struct{}
+	unsure  atomic.Bool // rows may name this placer that it doesn't drive
 
 	mu      sync.Mutex // guards the fields below
 	ctx     context.Context
--- a/placer/internal/jobs/place.go
+++ b/placer/internal/jobs/place.go
@@ -107,10 +107,13 @@
 		}
 		// The write may have taken effect; only what this process has read
 		// back or written counts, so it takes the next epoch.
+		d.unsure.Store(true)
 		if err := d.timer.Sleep(ctx, pause); err != nil {
 			return nil, nil, err
 		}
 	}
+	// One of the writes may have named this placer, which only it can notice.
+	d.unsure.Store(true)
 	return nil, nil, failed
 }
 
--- a/placer/internal/jobs/scan.go
+++ b/placer/internal/jobs/scan.go
@@ -33,11 +33,14 @@
 	for d.timer.Sleep(ctx, scanPeriod) == nil {
 		names := d.liveNames()
 		now := strings.Join(names, " ")
-		if now == last && owner.Of(scanKey, names) != d.name {
+		unsure := d.unsure.Swap(false)
+		if now == last && !unsure && owner.Of(scanKey, names) != d.name {
 			continue
 		}
 		if d.scan(ctx, names, orphans) {
 			last = now
+		} else if unsure {
+			d.unsure.Store(true)
 		}
 	}
 }
