--- a/entry/internal/serve/placer_test.go
+++ b/entry/internal/serve/placer_test.go
@@ -110,6 +110,13 @@
 	return n
 }
 
+// still sets whether runs go on here, and whom else it counts as alive.
+func (p *fakePlacer) still(unclear bool, peers ...string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unclear, p.peers = unclear, peers
+}
+
 // settle says that nothing runs here, unless the placer is to say otherwise.
 func (p *fakePlacer) settle(_ context.Context, s *link.Stream) error {
 	var in wire.Lookup
--- a/entry/internal/serve/settle_test.go
+++ b/entry/internal/serve/settle_test.go
@@ -18,8 +18,8 @@
 		starts  int
 	}{
 		"nothing runs":               {prepare: func(*fakePlacer) {}, outcome: wire.Done, starts: 2},
-		"it still runs":              {prepare: func(p *fakePlacer) { p.unclear = true }, outcome: wire.Unknown, starts: 1},
-		"a live placer says nothing": {prepare: func(p *fakePlacer) { p.peers = []string{"silent"} }, outcome: wire.Unknown, starts: 1},
+		"it still runs":              {prepare: func(p *fakePlacer) { p.still(true) }, outcome: wire.Unknown, starts: 1},
+		"a live placer says nothing": {prepare: func(p *fakePlacer) { p.still(false, "silent") }, outcome: wire.Unknown, starts: 1},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -45,11 +45,11 @@
 	c := newCell(t)
 	c.placers[0].set(script{sent: true})
 	c.placers[1].set(script{refuse: wire.ReasonNever})
-	c.placers[0].unclear = true // so that the first run isn't repeated at once
+	c.placers[0].still(true) // so that the first run isn't repeated at once
 	fields := ownID(c, `,"id":"ID","idempotent":true,"deadline":"1s"`)
 	is.Equal(c.submit("a1", fields).outcome, wire.Unknown)
 	c.placers[0].set(script{refuse: wire.ReasonNever})
-	c.placers[0].unclear = false
+	c.placers[0].still(false)
 	is.Equal(c.submit("a1", fields).outcome, wire.Unknown)
 	is.Equal(c.placers[0].total(), 1)
 }
