Pass jobs on whose endpoints have gone to another placer

They waited in the queue of a placer that still lived; when the endpoints answered again they belonged to the other one. A job was only passed on when its submit was refused.

--- a/placer/internal/jobs/driver.go
+++ b/placer/internal/jobs/driver.go
@@ -99,6 +99,7 @@
 	g.Go(func() error { d.scanLoop(ctx); return nil })
 	g.Go(func() error { d.doubtLoop(ctx); return nil })
 	g.Go(func() error { d.noticeLoop(ctx); return nil })
+	g.Go(func() error { d.strandLoop(ctx); return nil })
 	_ = g.Wait()
 	return d.group.Wait()
 }
