Queue a job again that couldn't be passed on

Change: a job that couldn't be passed on is submitted again where it is. Seen failing: TestJobFollowsItsEndpoints, 'platform loses answers' and 'platform is down' (36 s, never done) without the change; pass in 6.6 s with it.

--- a/placer/internal/daemon/strand_test.go
+++ b/placer/internal/daemon/strand_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/balsamford/balsamford/coord/owner"
 	"github.com/balsamford/balsamford/coord/point"
+	"github.com/balsamford/balsamford/coord/store"
 	"github.com/balsamford/balsamford/coord/wire"
 	"github.com/balsamford/balsamford/placer/internal/hold"
 	"github.com/balsamford/balsamford/standin/engine"
@@ -30,24 +32,41 @@
 // TestJobFollowsItsEndpoints is the case that a job waits for room at a placer
 // whose endpoints then go to another one.
 func TestJobFollowsItsEndpoints(t *testing.T) {
-	is := is.New(t)
-	z := newZone(t, 2)
-	e := z.endpoint("w0", point.Worker, rackOf(t), cores(8))
-	first := z.start(0)
-	z.eventually("the endpoint is owned", z.owned(1))
-	full := jobRequest("a.full", wire.Service, 1, engine.Body{})
-	full.Needs.CPU = 8000
-	z.submit(first, full)
-	z.eventually("the endpoint is full", func() bool { return e.Running() == 1 })
-	waits := jobRequest("a.waits", wire.Batch, 2, engine.Body{})
-	z.submit(first, waits)
-	z.eventually("the job waits", func() bool { return z.driver("a.waits") == 0 })
-	z.start(1)
-	z.eventually("the endpoint has moved", func() bool {
-		_, n := z.placers[1].keeper.Count()
-		return n == 1
-	})
-	var c wire.Cancelled
-	is.NoErr(z.caller.Call(z.ctx, first.settings.Link, wire.VerbCancel, wire.Lookup{ID: "a.full"}, &c))
-	z.eventually("the job is done", func() bool { return z.row("a.waits").Outcome == wire.Done })
+	const outage = 5 * time.Second // longer than two looks for such jobs
+	tests := map[string]struct{ faults store.Faults }{
+		"platform answers":       {},
+		"platform loses answers": {faults: store.Faults{Lose: true}},
+		"platform is down":       {faults: store.Faults{Down: true}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			z := newZone(t, 2)
+			e := z.endpoint("w0", point.Worker, rackOf(t), cores(8))
+			first := z.start(0)
+			z.eventually("the endpoint is owned", z.owned(1))
+			full := jobRequest("a.full", wire.Service, 1, engine.Body{})
+			full.Needs.CPU = 8000
+			z.submit(first, full)
+			z.eventually("the endpoint is full", func() bool { return e.Running() == 1 })
+			waits := jobRequest("a.waits", wire.Batch, 2, engine.Body{})
+			z.submit(first, waits)
+			z.eventually("the job waits", func() bool { return z.driver("a.waits") == 0 })
+			z.start(1)
+			z.eventually("the endpoint has moved", func() bool {
+				_, n := z.placers[1].keeper.Count()
+				return n == 1
+			})
+			if tt.faults != (store.Faults{}) {
+				z.memory.SetFaults(tt.faults)
+				is.NoErr(z.timer.Sleep(z.ctx, outage))
+				z.memory.SetFaults(store.Faults{})
+			}
+			var c wire.Cancelled
+			z.eventually("the service is cancelled", func() bool {
+				return z.caller.Call(z.ctx, first.settings.Link, wire.VerbCancel, wire.Lookup{ID: "a.full"}, &c) == nil
+			})
+			z.eventually("the job is done", func() bool { return z.row("a.waits").Outcome == wire.Done })
+		})
+	}
 }
--- a/placer/internal/jobs/strand.go
+++ b/placer/internal/jobs/strand.go
@@ -16,8 +16,10 @@
 func (d *Driver) strandLoop(ctx context.Context) {
 	for d.timer.Sleep(ctx, strandPeriod) == nil {
 		for _, j := range d.all() {
-			if d.stranded(j) {
-				d.passOn(ctx, j, wire.ReasonBusy)
+			if d.stranded(j) && !d.passOn(ctx, j, wire.ReasonBusy) {
+				// A job that couldn't be given up has left the queue; it is
+				// tried again from there.
+				d.submit(j)
 			}
 		}
 	}
