Take ports for placer tests below the kernel's range for clients

The port had been found free by binding port 0 and was taken by a client socket before the placer bound it. Change: ports from 10000 to 29999.

--- a/placer/internal/daemon/daemon_test.go
+++ b/placer/internal/daemon/daemon_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"path/filepath"
 	"testing"
@@ -96,12 +97,22 @@
 	return ln.Addr().String()
 }
 
+// freeUDP returns an address that nobody listens on. Its port is below those
+// that the kernel gives to clients, which would take a free one in between.
 func freeUDP(t *testing.T) string {
 	t.Helper()
-	c, err := net.ListenPacket("udp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	defer func() { _ = c.Close() }()
-	return c.LocalAddr().String()
+	const lowest, ports, tries = 10000, 20000, 100
+	for range tries {
+		address := fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(ports))
+		c, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
+		_ = c.Close()
+		return address
+	}
+	t.Fatal("no free port was found")
+	return ""
 }
 
 func (z *zone) endpoint(name string, kind point.Kind, rack string, capacity wire.Needs, more ...engine.Option) *engine.Endpoint {
