Carry out cancellations that were only written into a job's row

Its entry could only write the wish into the row, and the zone's scan passed over rows whose driver lives. Change: the scan reminds the driver until the job has ended.

--- /dev/null
+++ b/placer/internal/daemon/wish_test.go
@@ -0,0 +1,36 @@
+package daemon
+
+import (
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"github.com/balsamford/balsamford/coord/store"
+	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/standin/engine"
+)
+
+// TestWrittenCancellationIsCarriedOut is the case that an entry can't reach a
+// job's driver, which is cut off, and only writes into the row that the job is
+// to end.
+func TestWrittenCancellationIsCarriedOut(t *testing.T) {
+	is := is.New(t)
+	z := newZone(t, 2)
+	z.workers(2)
+	for i := range 2 {
+		z.start(i)
+	}
+	z.eventually("the endpoints are owned", z.owned(2))
+	z.submit(z.placers[0], jobRequest("a.svc", wire.Service, 2, engine.Body{}))
+	z.eventually("the service runs", func() bool { return z.runningAll() == 2 && z.row("a.svc").Phase == wire.Running })
+	row, err := z.memory.Get(z.ctx, "job", "a/a.svc")
+	is.NoErr(err)
+	var job wire.Job
+	is.NoErr(cbor.Unmarshal(row.Value, &job))
+	job.Cancel = true
+	value, err := cbor.Marshal(&job)
+	is.NoErr(err)
+	is.NoErr(z.memory.Commit(z.ctx, []store.Op{{Table: "job", Key: "a/a.svc", Expect: row.Version, Value: value, Action: store.Put}}))
+	z.eventually("the service is stopped", func() bool { return z.runningAll() == 0 && z.row("a.svc").Outcome == wire.Done })
+}
--- a/placer/internal/jobs/scan.go
+++ b/placer/internal/jobs/scan.go
@@ -74,6 +74,7 @@
 			continue
 		}
 		if !d.orphan(row) {
+			d.remind(ctx, row)
 			continue
 		}
 		id := row.Request.ID
@@ -104,6 +105,23 @@
 	return !alive || m.Leaving
 }
 
+// remind tells a job's driver of a cancellation that was only written into the
+// row, because the driver couldn't be reached then. It is repeated until the
+// job has ended, so that a stop which got lost is sent again.
+func (d *Driver) remind(ctx context.Context, row *wire.Job) {
+	if !row.Cancel || row.Outcome != "" {
+		return
+	}
+	if j := d.find(row.Request.ID); j != nil {
+		d.cancel(j)
+		return
+	}
+	if m, alive := d.members.Alive(row.Driver); alive {
+		var out wire.Cancelled
+		_ = d.caller.Call(ctx, m.Link, wire.VerbCancel, wire.Lookup{ID: row.Request.ID}, &out)
+	}
+}
+
 // offer gives a job to a placer of the zone, which may be this one, and
 // reports whether it drives it now.
 func (d *Driver) offer(ctx context.Context, req *wire.Request, name string) bool {
