Restart the tasks of a service only if it is idempotent

A service's tasks were always started again. Noticed: a task avoids an endpoint that failed it, so on a cell of one worker a service that fails once is not started again.

--- a/placer/internal/jobs/carry.go
+++ b/placer/internal/jobs/carry.go
@@ -135,5 +135,5 @@
 
 // repeatable reports whether a task may be started again after it has run.
 func (j *job) repeatable() bool {
-	return j.row.Request.Idempotent || j.row.Request.Kind == wire.Service
+	return j.row.Request.Idempotent
 }
--- a/placer/internal/jobs/end.go
+++ b/placer/internal/jobs/end.go
@@ -108,10 +108,10 @@
 	switch {
 	case j.row.Cancel || j.replaced || j.row.Outcome != "":
 		return false
-	case j.row.Request.Kind == wire.Service:
-		return true
 	case !j.row.Request.Idempotent:
 		return false
+	case j.row.Request.Kind == wire.Service:
+		return true
 	}
 	return s != point.Failed || t.fails < maxFails
 }
