--- a/trial/calls/client.go
+++ b/trial/calls/client.go
@@ -23,14 +23,26 @@
 	timeout time.Duration
 }
 
+// Option changes how New makes a Client.
+type Option func(*Client)
+
+// WithIdle closes connections that were idle for d. The client doesn't notice
+// that an entry has closed an idle connection until it sends on it.
+func WithIdle(d time.Duration) Option {
+	return func(c *Client) { c.http.MaxIdleConnDuration = d }
+}
+
 // New returns a Client whose calls end after timeout.
-func New(timeout time.Duration) *Client {
+func New(timeout time.Duration, opts ...Option) *Client {
 	c := &Client{timeout: timeout, http: &fasthttp.Client{
 		NoDefaultUserAgentHeader:  true,
 		MaxIdemponentCallAttempts: 1,
 		MaxConnsPerHost:           connections,
 	}}
 	c.http.DialTimeout = c.pool.Dial
+	for _, opt := range opts {
+		opt(c)
+	}
 	return c
 }
 
--- /dev/null
+++ b/trial/internal/pace/latency.go
@@ -0,0 +1,102 @@
+package pace
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/balsamford/balsamford/coord/point"
+	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/trial/cell"
+)
+
+const (
+	// gentle is the rate of requests that measures latency, a second.
+	gentle = 50
+	// directTerm is the term of the endpoint that is called directly.
+	directTerm = time.Minute
+	// holder is the name under which an endpoint is called directly.
+	holder = "pace"
+	// openTime bounds the wait for an endpoint that its owner released.
+	openTime = 30 * time.Second
+)
+
+// through measures requests on their whole way.
+func through(ctx context.Context, c *caller, s Settings, w io.Writer) error {
+	t := newTally()
+	ctx, cancel := context.WithTimeout(ctx, s.Span)
+	defer cancel()
+	c.stream(ctx, gentle, kind{deadline: deadline}, t)
+	line(w, "latency through the system", t)
+	return nil
+}
+
+// direct stops the system, takes one executor over and calls it without the
+// system in between, at the same rate.
+func direct(ctx context.Context, c *caller, s Settings, w io.Writer) error {
+	for _, role := range []string{cell.RoleEntry, cell.RolePlacer} {
+		for _, p := range c.site.Cell().Role(role) {
+			c.site.Cell().Stop(p)
+		}
+	}
+	client := point.NewClient()
+	defer client.Close()
+	address := executor(c.site.Cell())
+	owner := point.Owner{Holder: holder, Epoch: uint64(time.Now().UnixNano())}
+	reason := cell.Wait(ctx, openTime, func() string {
+		if _, err := client.Open(ctx, address, point.Open{Owner: owner, Term: directTerm}); err != nil {
+			return err.Error()
+		}
+		return ""
+	})
+	if reason != "" {
+		return &OpenError{Endpoint: address, Reason: reason}
+	}
+	t := newTally()
+	tick := time.NewTicker(time.Second / gentle)
+	defer tick.Stop()
+	for n, end := 0, time.Now().Add(s.Span); time.Now().Before(end); n++ {
+		<-tick.C
+		t.add(call(ctx, client, address, owner, n))
+	}
+	line(w, "latency direct", t)
+	return nil
+}
+
+func call(ctx context.Context, client *point.Client, address string, owner point.Owner, n int) served {
+	s := served{sent: time.Now()}
+	start := point.Start{Owner: owner, ID: "direct-" + strconv.Itoa(n), Attempt: 1, Kind: wire.Quick, Needs: needs(), Lease: directTerm,
+		Body: []byte(fmt.Sprintf(`{"size":%d,"seed":%d}`, answerSize, n))}
+	answer, err := client.Run(ctx, address, start)
+	if err == nil {
+		var sum int64
+		sum, err = io.Copy(io.Discard, answer)
+		s.done = err == nil && sum == answerSize
+		_ = answer.Close()
+	}
+	s.took = time.Since(s.sent)
+	if err != nil {
+		s.reason = err.Error()
+	}
+	return s
+}
+
+func executor(c *cell.Cell) string {
+	for _, e := range c.Endpoints() {
+		if e.Kind == "executor" {
+			return e.Address
+		}
+	}
+	return ""
+}
+
+// OpenError reports an endpoint that can't be called directly.
+type OpenError struct {
+	Endpoint string
+	Reason   string
+}
+
+// Error implements error.
+func (e *OpenError) Error() string { return "executor " + e.Endpoint + ": " + e.Reason }
--- /dev/null
+++ b/trial/internal/pace/losses.go
@@ -0,0 +1,103 @@
+package pace
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/balsamford/balsamford/trial/cell"
+)
+
+const (
+	// calm is the time under load before and after what is done to hosts.
+	calm = 2 * time.Second
+	// backTime bounds the return of a replaced host.
+	backTime = 60 * time.Second
+)
+
+// during keeps requests coming while act runs.
+func (c *caller) during(ctx context.Context, rate float64, act func(context.Context) error) (*tally, error) {
+	t := newTally()
+	loadCtx, cancel := context.WithCancel(ctx)
+	var g errgroup.Group
+	g.Go(func() error {
+		c.stream(loadCtx, rate, kind{work: 20 * time.Millisecond, deadline: deadline}, t)
+		return nil
+	})
+	rest(ctx, calm)
+	err := act(ctx)
+	rest(ctx, calm)
+	cancel()
+	_ = g.Wait()
+	return t, err
+}
+
+// killed kills the owner of a part of the endpoints under load.
+func killed(ctx context.Context, c *caller, s Settings, w io.Writer) error {
+	var (
+		at    time.Time
+		owned time.Duration
+	)
+	t, err := c.during(ctx, s.Rate, func(ctx context.Context) error {
+		p := c.site.Cell().Role(cell.RolePlacer)[0]
+		at = time.Now()
+		c.site.Cell().Kill(p)
+		owned = c.site.Taken(ctx, p.Name(), backTime).Sub(at)
+		rest(ctx, 4*calm)
+		if err := c.site.Cell().Start(p); err != nil {
+			return err
+		}
+		return c.site.Ready(ctx, backTime)
+	})
+	line(w, fmt.Sprintf("owner killed: its endpoints have another after %v, at most %v without an answer",
+		owned.Round(time.Millisecond), t.gap(at).Round(time.Millisecond)), t)
+	return err
+}
+
+// replaced stops and starts all hosts one after another under load.
+func replaced(ctx context.Context, c *caller, s Settings, w io.Writer) error {
+	t, err := c.during(ctx, s.Rate, func(ctx context.Context) error {
+		for _, d := range c.site.Cell().Doors() {
+			if err := c.replace(ctx, d.Host); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	line(w, "all hosts replaced", t)
+	return err
+}
+
+func (c *caller) replace(ctx context.Context, host string) error {
+	list := c.site.Host(host)
+	for _, p := range list {
+		if !c.site.Cell().Stop(p) {
+			return &StopError{Process: p.Name()}
+		}
+	}
+	for _, p := range list {
+		if err := c.site.Cell().Start(p); err != nil {
+			return err
+		}
+	}
+	return c.site.Ready(ctx, backTime)
+}
+
+// rest waits for d or the end of ctx.
+func rest(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// StopError reports a process that was killed since it didn't stop.
+type StopError struct{ Process string }
+
+// Error implements error.
+func (e *StopError) Error() string { return e.Process + " didn't stop by itself" }
--- /dev/null
+++ b/trial/internal/pace/served.go
@@ -0,0 +1,11 @@
+package pace
+
+import "time"
+
+// served is what became of one request.
+type served struct {
+	sent   time.Time
+	took   time.Duration
+	done   bool
+	reason string
+}
--- a/trial/load/facts.go
+++ b/trial/load/facts.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/balsamford/balsamford/coord/config"
+	"github.com/balsamford/balsamford/coord/wire"
 	"github.com/balsamford/balsamford/trial/judge"
 )
 
@@ -26,3 +27,9 @@
 	}
 	return limits
 }
+
+// Queue returns a queue of a set that takes requests of a kind.
+func Queue(set *config.Set, kind wire.Kind) string {
+	queues, _ := queuesOf(set)
+	return queues[kind]
+}
--- a/trial/main.go
+++ b/trial/main.go
@@ -20,6 +20,7 @@
 	"github.com/balsamford/balsamford/trial/internal/cost"
 	"github.com/balsamford/balsamford/trial/internal/demo"
 	"github.com/balsamford/balsamford/trial/internal/faults"
+	"github.com/balsamford/balsamford/trial/internal/pace"
 	"github.com/balsamford/balsamford/trial/judge"
 	"github.com/balsamford/balsamford/trial/site"
 )
@@ -75,6 +76,15 @@
 	weigh.String(&o.rates, "r", "rates", "requests a second, one number for each run or one for all")
 	weigh.Duration(&o.long, "l", "time", "how long each run is measured")
 	flaggy.AttachSubcommand(weigh, 1)
+	speed := flaggy.NewSubcommand("pace")
+	speed.Description = "latency, goodput, and what callers lose while hosts are killed or replaced"
+	speed.String(&o.objects, "o", "objects", "file of configuration objects")
+	speed.String(&o.binaries, "b", "binaries", "directory of the programs")
+	speed.String(&o.dir, "d", "dir", "directory for settings and output; a temporary one if empty")
+	speed.Float64(&o.rate, "r", "rate", "requests a second while hosts are killed or replaced")
+	speed.StringSlice(&o.only, "k", "kind", "measure: latency, goodput, kill, replace or direct, may be given several times; all if there is none")
+	speed.Duration(&o.long, "l", "time", "how long each rate is offered")
+	flaggy.AttachSubcommand(speed, 1)
 	harm.StringSlice(&o.only, "k", "kind", "kind of fault, may be given several times; all if there is none")
 	flaggy.Parse()
 	run := o.demo
@@ -83,8 +93,10 @@
 		run = o.faults
 	case weigh.Used:
 		run = o.cost
+	case speed.Used:
+		run = o.pace
 	case !play.Used:
-		flaggy.ShowHelpAndExit("name a command: demo, faults or cost")
+		flaggy.ShowHelpAndExit("name a command: demo, faults, cost or pace")
 	}
 	os.Exit(o.run(run))
 }
@@ -141,6 +153,10 @@
 	return nil, cost.Run(ctx, cost.Settings{Site: s, Sizes: o.sizes, Hosts: o.hosts, Rates: o.rates, Span: o.long, Seed: o.seed}, os.Stdout)
 }
 
+func (o *options) pace(ctx context.Context, s site.Settings) ([]judge.Finding, error) {
+	return nil, pace.Run(ctx, pace.Settings{Site: s, Span: o.long, Rate: o.rate, Only: o.only}, os.Stdout)
+}
+
 // ownDir returns the directory of this program.
 func ownDir() string {
 	path, err := os.Executable()
--- /dev/null
+++ b/trial/site/takes.go
@@ -0,0 +1,6 @@
+package site
+
+import "github.com/balsamford/balsamford/trial/cell"
+
+// Takes reports whether an entry says that it takes requests.
+func (s *Site) Takes(d cell.Door) bool { return s.pages.ready(d.Page) == "" }
