Pass over a placer that says nothing to what was sent to it

Cause: 'trial pace -k kill' lost 39 of 1,749 requests after kill -9 of a placer: the two entries of its zone went on choosing it for 1.5 s (75 requests each, counted by entry.relay.broken), since its last load looked good until a poll failed; 32 of them then met an empty budget for retries and ended unknown, the others waited for the takeover (4.5 s terms). Ruled out: takeover itself (endpoints have another owner after 4.96 s) and the search for old runs (60 searches, 60 retries).

Change: a table counts since when a placer owes a word to what was sent. After 100 ms it is asked for its load out of turn; if that stays unanswered for another 100 ms it gets new requests only if there is no other. Any word or load clears it, so placers whose requests run long aren't passed over.

--- a/entry/internal/relay/attempt.go
+++ b/entry/internal/relay/attempt.go
@@ -25,7 +25,8 @@
 func (j *journey) attempt(ctx context.Context, p route.Placer) try {
 	j.req.Attempt++
 	j.req.Budget = j.remaining()
-	defer j.runner.routes.Enter(p.Name)()
+	visit := j.runner.routes.Enter(p.Name)
+	defer visit.Leave()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s, err := j.open(ctx, p)
@@ -51,7 +52,7 @@
 		return j.lost(err, "")
 	}
 	_ = s.CloseSend()
-	t := j.receive(s)
+	t := j.receive(s, visit.Heard)
 	if reason := j.unwanted(); reason != "" && t.res.Reason == wire.ReasonCancel {
 		t.res.Reason = reason // The placer was asked to cancel for this reason.
 	}
@@ -70,14 +71,15 @@
 	return j.runner.net.Open(ctx, p.Link, wire.VerbPlace)
 }
 
-// receive reads events until the outcome.
-func (j *journey) receive(s *link.Stream) try {
+// receive reads events until the outcome and calls heard for each.
+func (j *journey) receive(s *link.Stream, heard func()) try {
 	endpoint := ""
 	for {
 		var ev wire.Event
 		if err := s.Recv(&ev); err != nil {
 			return j.lost(err, endpoint)
 		}
+		heard()
 		if ev.ID != j.req.ID || ev.Attempt != j.req.Attempt {
 			j.runner.counts.foreign.Inc(1)
 			continue
--- a/entry/internal/relay/follow.go
+++ b/entry/internal/relay/follow.go
@@ -14,7 +14,7 @@
 	stop := context.AfterFunc(ctx, s.Cancel)
 	defer stop()
 	j := &journey{runner: r, req: wire.Request{ID: id}, answer: newAnswer(sink), wanted: ctx}
-	t := j.receive(s)
+	t := j.receive(s, func() {})
 	if j.answer.begun {
 		t.res.Streamed = true
 	}
--- a/entry/internal/relay/runner.go
+++ b/entry/internal/relay/runner.go
@@ -41,7 +41,7 @@
 	Pick(q route.Query) (route.Placer, bool)
 	Failed(name string)
 	Leaving(name string)
-	Enter(name string) func()
+	Enter(name string) *route.Visit
 	Placers() []route.Placer
 }
 
--- a/entry/internal/route/placer.go
+++ b/entry/internal/route/placer.go
@@ -21,4 +21,6 @@
 	known    bool      // load has come at all
 	failed   time.Time // last failure to reach it
 	inflight int       // requests of this process that are there
+	asked    time.Time // first request sent since the last word, zero if none
+	probed   time.Time // since when the answer to a probe is awaited
 }
--- a/entry/internal/route/table.go
+++ b/entry/internal/route/table.go
@@ -45,6 +45,7 @@
 	hops   metrics.Counter // requests offered to another zone
 	stale  metrics.Counter // loads of an older process
 	rounds *rounds
+	probes chan Placer // to be asked out of turn
 
 	mu    sync.Mutex // guards views
 	views map[string]*view
@@ -54,8 +55,9 @@
 func New(clock *timer.Service, caller Caller, zone string, placers []Placer, r metrics.Registry) *Table {
 	t := &Table{
 		clock: clock, caller: caller, zone: zone, rounds: newRounds(zone, placers), views: make(map[string]*view),
-		hops:  metrics.GetOrRegisterCounter("entry.route.zones", r),
-		stale: metrics.GetOrRegisterCounter("entry.route.stale", r),
+		probes: make(chan Placer, len(placers)),
+		hops:   metrics.GetOrRegisterCounter("entry.route.zones", r),
+		stale:  metrics.GetOrRegisterCounter("entry.route.stale", r),
 	}
 	for _, p := range placers {
 		t.views[p.Name] = &view{Placer: p}
@@ -65,6 +67,30 @@
 
 // Run asks the placers for their loads until ctx ends.
 func (t *Table) Run(ctx context.Context) error {
+	var g errgroup.Group
+	g.Go(func() error { t.probe(ctx, &g); return nil })
+	g.Go(func() error { t.poll(ctx); return nil })
+	return g.Wait()
+}
+
+// probe asks those that may be silent.
+func (t *Table) probe(ctx context.Context, g *errgroup.Group) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case p := <-t.probes:
+			g.Go(func() error {
+				ctx, cancel := context.WithTimeout(ctx, pollTime)
+				defer cancel()
+				t.ask(ctx, p)
+				return nil
+			})
+		}
+	}
+}
+
+func (t *Table) poll(ctx context.Context) {
 	tick := make(chan struct{}, 1)
 	sub := t.clock.Every(pollPeriod, func() {
 		select {
@@ -77,7 +103,7 @@
 		t.Poll(ctx)
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-tick:
 		}
 	}
@@ -149,6 +175,7 @@
 		return
 	}
 	v.load, v.at, v.known, v.failed = load, at, true, time.Time{}
+	v.heard()
 }
 
 // Failed notes that a placer couldn't be reached.
@@ -169,21 +196,6 @@
 	}
 }
 
-// Enter counts a request on its way to a placer; the returned function ends
-// the count.
-func (t *Table) Enter(name string) func() {
-	t.count(name, 1)
-	return func() { t.count(name, -1) }
-}
-
-func (t *Table) count(name string, n int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if v := t.views[name]; v != nil {
-		v.inflight += n
-	}
-}
-
 // Ready reports whether any placer can be offered work.
 func (t *Table) Ready() bool {
 	_, ok := t.Pick(Query{Kind: wire.Quick})
--- a/entry/internal/route/tier.go
+++ b/entry/internal/route/tier.go
@@ -14,7 +14,8 @@
 )
 
 // tierLocked returns the tier of a placer for a request. A placer that was
-// just not reached, is leaving or has been tried isn't chosen at all.
+// just not reached, is leaving or has been tried isn't chosen at all; one that
+// owes a word is chosen last.
 func (t *Table) tierLocked(v *view, q Query) int {
 	now := t.clock.Now()
 	if q.Zone != "" && q.Zone != v.Zone {
@@ -25,7 +26,7 @@
 	}
 	tier := ownFull
 	switch {
-	case !t.fresh(v, now):
+	case !t.fresh(v, now), t.silentLocked(v, now):
 		tier = ownSilent
 	case room(v.load, q):
 		tier = ownRoom
