Give up quick requests that wait where no executor is left

Ruled out: the kill itself (12 broken, 12 settled, 12 retried) and lost wake-ups (the queue of the placer holds them, nothing owned).

Change: the desk looks after each loss of an endpoint for quick requests that wait and that no executor left could run, and ends them as not run, busy, so that their entries offer them elsewhere. Jobs already had this (passOn).

--- a/placer/internal/desk/desk.go
+++ b/placer/internal/desk/desk.go
@@ -31,6 +31,7 @@
 	tickets map[string]*Ticket
 	placed  map[key]spot
 	known   map[string]sched.Endpoint
+	lost    bool                    // an endpoint has gone since the last look for requests that it strands
 	fates   map[spotKey]point.State // ends of quick tasks whose tickets are open
 }
 
@@ -83,6 +84,7 @@
 
 // Turn decides once and hands the decisions out.
 func (d *Desk) Turn() {
+	d.strand()
 	orders, late := d.decide()
 	for i := 0; i < len(orders); {
 		n := 1
@@ -151,7 +153,7 @@
 
 // Queue queues a quick request. The error is a *sched.RefusedError.
 func (d *Desk) Queue(item sched.Item) (*Ticket, error) {
-	t := &Ticket{id: item.ID, desk: d, next: make(chan Order, 1), over: make(chan struct{})}
+	t := &Ticket{id: item.ID, needs: item.Needs, desk: d, next: make(chan Order, 1), over: make(chan struct{}), moved: make(chan struct{})}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err := d.sched.Submit(item); err != nil {
--- a/placer/internal/desk/sink.go
+++ b/placer/internal/desk/sink.go
@@ -51,6 +51,7 @@
 	d.sched.DropTo(endpoint, heir)
 	delete(d.epochs, endpoint)
 	delete(d.known, endpoint)
+	d.lost = true
 	for k, at := range d.placed {
 		if at.endpoint == endpoint {
 			delete(d.placed, k)
@@ -115,6 +116,7 @@
 	if e, ok := d.known[t.Name]; ok {
 		e.Leaving = true
 		d.known[t.Name] = e
+		d.lost = true
 	}
 	d.sched.Leave(t.Name)
 }
--- a/placer/internal/desk/ticket.go
+++ b/placer/internal/desk/ticket.go
@@ -1,23 +1,31 @@
 package desk
 
-import "context"
+import (
+	"context"
+
+	"github.com/balsamford/balsamford/coord/wire"
+)
 
 // Ticket is the place of a quick request in the queue.
 type Ticket struct {
-	id   string
-	desk *Desk
-	next chan Order
-	over chan struct{} // closed when the deadline has passed in the queue
+	id    string
+	needs wire.Needs
+	desk  *Desk
+	next  chan Order
+	over  chan struct{} // closed when the deadline has passed in the queue
+	moved chan struct{} // closed when no executor is left that could run it
 }
 
 // Wait returns the next decision for the request. The error is an
-// *ExpiredError, or the context's; then nothing is queued any more.
+// *ExpiredError, a *MovedError, or the context's; then nothing is queued any more.
 func (t *Ticket) Wait(ctx context.Context) (Order, error) {
 	select {
 	case o := <-t.next:
 		return o, nil
 	case <-t.over:
 		return Order{}, &ExpiredError{ID: t.id}
+	case <-t.moved:
+		return Order{}, &MovedError{ID: t.id}
 	case <-ctx.Done():
 		t.Close()
 		return Order{}, context.Cause(ctx)
--- a/placer/internal/exec/runner.go
+++ b/placer/internal/exec/runner.go
@@ -128,6 +128,10 @@
 	if errors.As(err, &e) {
 		return &wire.Event{Outcome: wire.NotRun, Reason: wire.ReasonDeadline, Detail: err.Error()}
 	}
+	var moved *desk.MovedError
+	if errors.As(err, &moved) {
+		return &wire.Event{Outcome: wire.NotRun, Reason: wire.ReasonBusy, Detail: err.Error()}
+	}
 	var stop *StopError
 	if errors.As(err, &stop) {
 		return &wire.Event{Outcome: wire.NotRun, Reason: stop.Reason}
