Load certificates in one place and replace them while in use

Ruled out: reading files on a timer callback (a hung file system would stop the process's clock); configurations with the pool of the time of the dial, whose server side checked a chain only by Go's defaults and so couldn't be shared.

IssueFiles issues for 30 days, as fewer than 14 left are shown on /ready.

Tests: TestAuthorityIsReplaced (failed with the authority replaced in one step, and with a loader that doesn't replace), TestReload and TestCertificateIsReloaded (failed with a loader that doesn't replace), TestFaults, TestMetricNames.

--- a/coord/link/errors.go
+++ b/coord/link/errors.go
@@ -49,7 +49,7 @@
 // Error implements error.
 func (e *CutError) Error() string { return e.Address + " is cut off" }
 
-// TLSError reports certificates that can't be loaded.
+// TLSError reports certificates that can't be issued.
 type TLSError struct {
 	Path string
 	Err  error
--- a/coord/link/issue.go
+++ b/coord/link/issue.go
@@ -14,7 +14,7 @@
 )
 
 // certValidity is how long issued test certificates are good for.
-const certValidity = 24 * time.Hour
+const certValidity = 30 * 24 * time.Hour
 
 // IssueFiles writes cert.pem, key.pem and authority.pem into dir: a fresh
 // authority and one certificate for all processes of a test or a demo. It
--- a/coord/meter/server.go
+++ b/coord/meter/server.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"sort"
+	"strings"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
@@ -16,6 +17,7 @@
 type Server struct {
 	registry metrics.Registry
 	ready    func() string
+	detail   func() []string // nil without
 	extra    map[string]fasthttp.RequestHandler
 }
 
@@ -27,6 +29,10 @@
 	return func(s *Server) { s.extra[path] = page }
 }
 
+// WithDetail adds lines to the page of readiness: what operators should know
+// although the process does its work. f may be called concurrently.
+func WithDetail(f func() []string) Option { return func(s *Server) { s.detail = f } }
+
 // New returns a Server over registry. ready returns why the process isn't
 // ready, or an empty string; it may be called concurrently.
 func New(registry metrics.Registry, ready func() string, opts ...Option) *Server {
@@ -66,15 +72,27 @@
 	case "/ready":
 		if reason := s.ready(); reason != "" {
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-			ctx.SetBodyString(reason + "\n")
+			ctx.SetBodyString(reason + "\n" + s.lines())
 			return
 		}
-		ctx.SetBodyString("ready\n")
+		ctx.SetBodyString("ready\n" + s.lines())
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
 }
 
+// lines returns the details of readiness, one a line.
+func (s *Server) lines() string {
+	if s.detail == nil {
+		return ""
+	}
+	var out strings.Builder
+	for _, d := range s.detail() {
+		out.WriteString(d + "\n")
+	}
+	return out.String()
+}
+
 func (s *Server) list(ctx *fasthttp.RequestCtx) {
 	names := make([]string, 0)
 	s.registry.Each(func(name string, _ any) { names = append(names, name) })
--- a/coord/setup/load.go
+++ b/coord/setup/load.go
@@ -14,25 +14,38 @@
 	Check() []Fault
 }
 
+// FileChecker is a Checker that also looks at the files that its settings
+// name. CheckFiles returns faults as Check does.
+type FileChecker interface {
+	CheckFiles() []Fault
+}
+
 // Load reads the file at path into dst, which has to be a pointer, and checks
-// it. Unknown keys are faults. The error is a *FileError if the file can't be
-// read and a *InvalidError if its content is wrong.
+// it, with the files that it names if dst is a FileChecker. Unknown keys are
+// faults. The error is a *FileError if the file can't be read and a
+// *InvalidError if its content is wrong.
 func Load(path string, dst Checker) error {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return &FileError{Path: path, Err: err}
 	}
-	return Parse(path, data, dst)
+	files, ok := dst.(FileChecker)
+	if !ok {
+		return parse(path, data, dst, dst.Check)
+	}
+	return parse(path, data, dst, func() []Fault { return append(dst.Check(), files.CheckFiles()...) })
 }
 
-// Parse does what Load does for content already read; path is only named in
-// errors.
-func Parse(path string, data []byte, dst Checker) error {
+// Parse does what Load does for content already read, without the files that
+// it names; path is only named in errors.
+func Parse(path string, data []byte, dst Checker) error { return parse(path, data, dst, dst.Check) }
+
+func parse(path string, data []byte, dst Checker, check func() []Fault) error {
 	dec := toml.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	faults := decodeFaults(dec.Decode(dst))
 	if len(faults) == 0 {
-		faults = dst.Check()
+		faults = check()
 	}
 	if len(faults) == 0 {
 		return nil
--- a/entry/internal/oper/door.go
+++ b/entry/internal/oper/door.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/balsamford/balsamford/coord/audit"
+	"github.com/balsamford/balsamford/coord/certs"
 	"github.com/balsamford/balsamford/coord/config"
 	"github.com/balsamford/balsamford/coord/timer"
 )
@@ -54,7 +55,7 @@
 	registry  metrics.Registry
 	counts    counts
 	denied    *rate.Limiter
-	certs     *certs
+	certs     atomic.Pointer[certs.Loader] // nil for plain HTTP
 	listener  atomic.Pointer[net.Listener]
 	ctx       context.Context // of Run
 	group     errgroup.Group  // spreads versions after their requests were answered
@@ -85,12 +86,13 @@
 		return &ListenError{Address: d.settings.Address, Err: err}
 	}
 	if d.settings.Cert != "" {
-		d.certs, err = loadCerts(d.settings.Cert, d.settings.Key)
+		loader, err := certs.New("oper", d.settings.Files(), d.timers, certs.WithLog(d.log), certs.WithMetrics(d.registry))
 		if err != nil {
 			_ = ln.Close()
 			return &ListenError{Address: d.settings.Address, Err: err}
 		}
-		ln = tls.NewListener(ln, &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: d.certs.get})
+		d.certs.Store(loader)
+		ln = tls.NewListener(ln, loader.Door())
 	}
 	d.listener.Store(&ln)
 	return nil
@@ -107,9 +109,10 @@
 		}
 	}
 	d.ctx = ctx
-	if d.certs != nil {
-		t := d.timers.Every(reloadInterval, func() { d.reload() })
-		defer t.Stop()
+	reload, cancel := context.WithCancel(ctx)
+	var g errgroup.Group
+	if l := d.certs.Load(); l != nil {
+		g.Go(func() error { return l.Run(reload) })
 	}
 	srv := &fasthttp.Server{
 		Handler: d.handle, NoDefaultServerHeader: true, MaxRequestBodySize: maxBody, Concurrency: maxConns,
@@ -118,22 +121,18 @@
 	stop := context.AfterFunc(ctx, func() { _ = srv.Shutdown() })
 	defer stop()
 	err := srv.Serve(*d.listener.Load())
+	cancel()
+	_ = g.Wait()
 	_ = d.group.Wait()
 	d.waiter.Close()
 	return err
 }
 
-// Reload reads the certificate again. If it isn't in order the old one stays
-// in use.
-func (d *Door) Reload() error {
-	if d.certs == nil {
-		return nil
-	}
-	return d.certs.reload()
-}
-
-func (d *Door) reload() {
-	if err := d.Reload(); err != nil {
-		d.log.Warn("certificate not reloaded", zap.Error(err))
+// Detail returns what an operator has to know of the door's certificate, or an
+// empty text.
+func (d *Door) Detail() string {
+	if l := d.certs.Load(); l != nil {
+		return l.Detail()
 	}
+	return ""
 }
--- a/entry/internal/oper/settings.go
+++ b/entry/internal/oper/settings.go
@@ -1,6 +1,9 @@
 package oper
 
 import (
+	"time"
+
+	"github.com/balsamford/balsamford/coord/certs"
 	"github.com/balsamford/balsamford/coord/config"
 	"github.com/balsamford/balsamford/coord/setup"
 )
@@ -30,3 +33,15 @@
 	}
 	return faults
 }
+
+// Files returns the files of the door's certificate.
+func (s Settings) Files() certs.Files { return certs.Files{Cert: s.Cert, Key: s.Key} }
+
+// CheckFiles returns the faults of the files that the settings name; their
+// keys begin with table.
+func (s Settings) CheckFiles(table string, now time.Time) []setup.Fault {
+	if s.Cert == "" || s.Key == "" {
+		return nil
+	}
+	return s.Files().Faults(table, now)
+}
--- a/entry/internal/oper/tls_test.go
+++ b/entry/internal/oper/tls_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"crypto/tls"
+	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -37,12 +39,13 @@
 	_, err = link.IssueFiles(dir)
 	is.NoErr(err)
 	is.Equal(serial(t, d.Address()), first) // not before it is read again
-	is.NoErr(d.Reload())
+	is.NoErr(d.certs.Load().Reload())
 	second := serial(t, d.Address())
 	is.True(second != first)
-	d.certs.key = filepath.Join(dir, "none.pem")
-	is.True(d.Reload() != nil)
+	is.NoErr(os.Remove(settings.Key))
+	is.True(d.certs.Load().Reload() != nil)
 	is.Equal(serial(t, d.Address()), second)
+	is.True(strings.Contains(d.Detail(), "key: "+settings.Key))
 }
 
 // serial returns the serial number of the certificate that a door shows.
--- a/placer/internal/conf/check.go
+++ b/placer/internal/conf/check.go
@@ -38,6 +38,9 @@
 	return append(faults, s.checkEndpoints()...)
 }
 
+// CheckFiles implements setup.FileChecker.
+func (s *Settings) CheckFiles() []setup.Fault { return s.Certs.Files().Faults("certs", time.Now()) }
+
 func (s *Settings) checkTimes() []setup.Fault {
 	var faults []setup.Fault
 	if time.Duration(s.Term) < minTerm {
--- a/placer/internal/conf/settings.go
+++ b/placer/internal/conf/settings.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/balsamford/balsamford/coord/certs"
 	"github.com/balsamford/balsamford/coord/setup"
 )
 
@@ -35,6 +36,11 @@
 	Authority string `toml:"authority"`
 }
 
+// Files returns the files for a loader.
+func (c Certs) Files() certs.Files {
+	return certs.Files{Cert: c.Cert, Key: c.Key, Authority: c.Authority}
+}
+
 // Peer is another placer or an entry. Placers of the platform's host list are
 // added.
 type Peer struct {
--- a/placer/internal/daemon/daemon.go
+++ b/placer/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/balsamford/balsamford/coord/certs"
 	"github.com/balsamford/balsamford/coord/config"
 	"github.com/balsamford/balsamford/coord/link"
 	"github.com/balsamford/balsamford/coord/logs"
@@ -39,7 +40,7 @@
 	timer    *timer.Service
 	epoch    uint64 // of the process
 	gate     *gate
-	certs    *link.Certs
+	certs    *certs.Loader
 	node     *link.Node
 	members  *roster.Roster
 	table    *store.Client
@@ -64,13 +65,13 @@
 	if err != nil {
 		return nil, err
 	}
-	certs, err := link.LoadCerts(s.Certs.Cert, s.Certs.Key, s.Certs.Authority)
+	d := &Daemon{settings: s, log: log, registry: metrics.NewRegistry(), timer: timer.New(), gate: newGate()}
+	d.certs, err = certs.New("link", s.Certs.Files(), d.timer, certs.WithLog(log), certs.WithMetrics(d.registry))
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{settings: s, log: log, certs: certs, registry: metrics.NewRegistry(), timer: timer.New(), gate: newGate()}
 	d.epoch = uint64(d.timer.Now().UnixNano())
-	d.node = link.New(s.Host, certs, link.WithGate(d.gate))
+	d.node = link.New(s.Host, link.NewCerts(d.certs), link.WithGate(d.gate))
 	d.table = store.NewClient(s.Platform, store.WithClientRegistry(d.registry))
 	d.client = point.NewClient()
 	d.members = roster.New(
@@ -125,6 +126,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return d.timer.Run(ctx) })
 	g.Go(func() error { return d.node.Run(ctx) })
+	g.Go(func() error { return d.certs.Run(ctx) })
 	g.Go(func() error { return d.page().Run(ctx, d.settings.Page) })
 	g.Go(func() error { return d.members.Run(ctx, d.node, d.timer, time.Duration(d.settings.Beat)) })
 	g.Go(func() error { return d.desk.Run(ctx, d.timer) })
@@ -180,7 +182,7 @@
 
 // page returns the server of metrics, health and readiness.
 func (d *Daemon) page() *meter.Server {
-	var opts []meter.Option
+	opts := []meter.Option{meter.WithDetail(d.detail)}
 	if d.settings.Fault {
 		opts = append(opts, meter.WithPage("/fault", d.gate.serve))
 	}
@@ -197,3 +199,11 @@
 	}
 	return ""
 }
+
+// detail returns what operators should know besides.
+func (d *Daemon) detail() []string {
+	if text := d.certs.Detail(); text != "" {
+		return []string{text}
+	}
+	return nil
+}
