Speak HTTPS at the callers' door

Ruled out: a goroutine for each connection over a pipe (memory of 4,096 stacks), and crypto/tls without a goroutine for the handshake (an error of the handshake is final, also a temporary one; and its signature would hold up the event loop).

Change: the handshake runs on a bounded group over a net.Conn that the event loop feeds; afterwards input is decrypted on the event loop, where crypto/tls goes on after a temporary error, and answers are encrypted by who writes them. Records leave in the order of their encryption. Parser and exchange are the same. Limits: shakes (handshakes at a time), shake (time for one); what waits behind a handshake counts as bodies. A plain request to an HTTPS door is refused as not run.

Found on the way: a connection that ended with its answer was closed while up to 64 KiB of the answer waited, which gnet drops when the network takes no more.

--- a/entry/app.go
+++ b/entry/app.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/balsamford/balsamford/coord/certs"
 	"github.com/balsamford/balsamford/coord/config"
 	"github.com/balsamford/balsamford/coord/link"
 	"github.com/balsamford/balsamford/coord/logs"
@@ -33,6 +35,8 @@
 	clock    *timer.Service
 	registry metrics.Registry
 	platform *store.Client
+	certs    *certs.Loader // of the links
+	secure   *certs.Loader // of the callers' door; nil for plain HTTP
 	node     *link.Node
 	faults   *faults
 	follower *config.Follower
@@ -53,13 +57,12 @@
 	if err != nil {
 		return nil, err
 	}
-	certs, err := link.LoadCerts(s.Certs.Cert, s.Certs.Key, s.Certs.Authority)
-	if err != nil {
+	a := &app{settings: s, logger: logger, clock: timer.New(), registry: metrics.NewRegistry(), faults: newFaults()}
+	if err := a.loadCerts(); err != nil {
 		return nil, err
 	}
-	a := &app{settings: s, logger: logger, clock: timer.New(), registry: metrics.NewRegistry(), faults: newFaults()}
 	a.platform = store.NewClient(s.Platform)
-	a.node = link.New(s.Host, certs, link.WithGate(a.faults))
+	a.node = link.New(s.Host, link.NewCerts(a.certs), link.WithGate(a.faults))
 	a.follower = config.NewFollower(followerName(s.Host), s.Zone, a.platform, a.clock,
 		config.WithPeers(config.RosterFunc(a.peers), a.node, s.Link), config.WithLog(logger), config.WithMetrics(a.registry))
 	a.follower.Register(a.node)
@@ -68,6 +71,18 @@
 	return a, nil
 }
 
+// loadCerts reads the certificates of the links and of the callers' door.
+func (a *app) loadCerts() error {
+	options := []certs.Option{certs.WithLog(a.logger), certs.WithMetrics(a.registry)}
+	var err error
+	a.certs, err = certs.New("link", a.settings.Certs.Files(), a.clock, options...)
+	if err != nil || a.settings.TLS == nil {
+		return err
+	}
+	a.secure, err = certs.New("door", a.settings.TLS.Files(), a.clock, options...)
+	return err
+}
+
 // followerName tells this process from a placer of the same host.
 func followerName(host string) string { return "entry/" + host }
 
@@ -108,8 +123,12 @@
 		Logger: a.logger, Registry: a.registry,
 	})
 	a.service.Mount(a.node)
-	a.door = door.New(a.clock, a.service, door.WithLimits(a.limits()), door.WithLogger(a.logger), door.WithRegistry(a.registry))
-	var options []meter.Option
+	doorOptions := []door.Option{door.WithLimits(a.limits()), door.WithLogger(a.logger), door.WithRegistry(a.registry)}
+	if a.secure != nil {
+		doorOptions = append(doorOptions, door.WithTLS(a.secure.Door(door.Protocol)))
+	}
+	a.door = door.New(a.clock, a.service, doorOptions...)
+	options := []meter.Option{meter.WithDetail(a.detail)}
 	if s.Fault {
 		options = append(options, meter.WithPage(faultPath, a.faults.page))
 	}
@@ -125,6 +144,7 @@
 	l := door.DefaultLimits()
 	s := a.settings.Limits
 	l.Conns, l.Requests, l.Header, l.Body = s.Conns, s.Requests, s.Header, s.Body
+	l.Shakes, l.Shake = s.Shakes, time.Duration(s.Shake)
 	l.Idle, l.Read, l.Write = time.Duration(s.Idle), time.Duration(s.Read), time.Duration(s.Write)
 	return l
 }
@@ -142,6 +162,18 @@
 	return ""
 }
 
+// detail returns what operators should know besides.
+func (a *app) detail() []string {
+	texts := []string{a.certs.Detail()}
+	if a.secure != nil {
+		texts = append(texts, a.secure.Detail())
+	}
+	if a.oper != nil {
+		texts = append(texts, a.oper.Detail())
+	}
+	return slices.DeleteFunc(texts, func(t string) bool { return t == "" })
+}
+
 // run serves until a signal comes, then stops gracefully.
 func (a *app) run(ctx context.Context, signals <-chan os.Signal) error {
 	if err := a.node.Listen(a.settings.Link); err != nil {
@@ -150,6 +182,10 @@
 	st := newStages(ctx)
 	st.back(a.clock.Run)
 	st.back(a.node.Run)
+	st.back(a.certs.Run)
+	if a.secure != nil {
+		st.back(a.secure.Run)
+	}
 	st.back(a.follower.Run)
 	st.back(a.table.Run)
 	st.back(a.keeper.Run)
--- a/entry/internal/door/conn.go
+++ b/entry/internal/door/conn.go
@@ -20,6 +20,7 @@
 type conn struct {
 	server *Server
 	raw    gnet.Conn
+	secure *secure      // nil on a plain connection
 	shard  int          // guarded by connSet
 	due    atomic.Int64 // time limit in Unix nanoseconds, 0 for none
 	idle   atomic.Bool  // no byte of a next request has come
@@ -39,6 +40,10 @@
 	cn := &conn{server: s, raw: raw}
 	cn.idle.Store(true)
 	cn.limit(s.limits.Idle)
+	if s.tls != nil {
+		cn.secure = newSecure(raw, s.tls)
+		cn.limit(s.limits.Shake)
+	}
 	return cn
 }
 
@@ -138,7 +143,7 @@
 	}
 	cn.request, cn.head, cn.need = req, size, size+length
 	if len(cn.buf) < cn.need && bytes.EqualFold(req.Header.Peek(fasthttp.HeaderExpect), []byte("100-continue")) {
-		_, _ = cn.raw.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		_ = cn.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"), nil)
 	}
 	return true
 }
@@ -200,7 +205,7 @@
 	cn.idle.Store(true)
 	cn.limit(cn.server.limits.Idle)
 	if last || cn.closing && len(cn.buf) == 0 {
-		_ = cn.raw.Close()
+		cn.end()
 		return
 	}
 	if len(cn.buf) == 0 {
@@ -208,10 +213,16 @@
 	}
 	cn.advance()
 	if cn.closing && !cn.busy {
-		_ = cn.raw.Close()
+		cn.end()
 	}
 }
 
+// end closes the connection after an answer.
+func (cn *conn) end() {
+	cn.closeNotify()
+	_ = cn.raw.Close()
+}
+
 // refuse answers a request that isn't let in and ends the connection.
 func (cn *conn) refuse(code int, reason, text string) {
 	if code == statusUnavailable {
@@ -222,7 +233,7 @@
 	cn.closing = true
 	cn.buf = nil
 	cn.limit(lingerTime)
-	_, _ = cn.raw.Write(refusal(code, reason, text))
+	_ = cn.write(refusal(code, reason, text), nil)
 }
 
 // release gives back what the connection holds.
@@ -237,6 +248,9 @@
 		fasthttp.ReleaseRequest(cn.request)
 		cn.request = nil
 	}
+	if cn.secure != nil {
+		cn.secure.release(cn.server)
+	}
 	cn.buf = nil
 	cn.closing = true
 }
--- a/entry/internal/door/counts.go
+++ b/entry/internal/door/counts.go
@@ -10,6 +10,8 @@
 	invalid  metrics.Counter // requests that can't be understood
 	late     metrics.Counter // connections closed for a time limit
 	stalled  metrics.Counter // answers given up because the caller didn't read
+	shakes   metrics.Counter // TLS handshakes that ended well
+	aborted  metrics.Counter // TLS handshakes that began and failed or were cut
 }
 
 func newCounts(r metrics.Registry) *counts {
@@ -20,5 +22,7 @@
 		invalid:  metrics.GetOrRegisterCounter("entry.door.invalid", r),
 		late:     metrics.GetOrRegisterCounter("entry.door.late", r),
 		stalled:  metrics.GetOrRegisterCounter("entry.door.stalled", r),
+		shakes:   metrics.GetOrRegisterCounter("entry.door.shakes", r),
+		aborted:  metrics.GetOrRegisterCounter("entry.door.aborted", r),
 	}
 }
--- a/entry/internal/door/drain.go
+++ b/entry/internal/door/drain.go
@@ -11,16 +11,16 @@
 // no event for it.
 const drainPoll = 5 * time.Millisecond
 
-// whenDrained calls f on the event loop once the output that waits for the
-// caller is within the window. A caller that reads nothing for the write
-// limit loses its connection. It must be called on the event loop.
-func (cn *conn) whenDrained(raw gnet.Conn, f func()) {
+// whenDrained calls f on the event loop once at most room bytes of output
+// wait for the caller. A caller that reads nothing for the write limit loses
+// its connection. It must be called on the event loop.
+func (cn *conn) whenDrained(raw gnet.Conn, room int, f func()) {
 	waiting := raw.OutboundBuffered()
-	if waiting <= cn.server.limits.Window {
+	if waiting <= room {
 		f()
 		return
 	}
-	d := &drain{conn: cn, then: f, waiting: waiting, since: cn.server.clock.Now()}
+	d := &drain{conn: cn, then: f, room: room, waiting: waiting, since: cn.server.clock.Now()}
 	d.again()
 }
 
@@ -28,6 +28,7 @@
 type drain struct {
 	conn    *conn
 	then    func()
+	room    int // bytes of output that may wait
 	waiting int // bytes at the last progress
 	since   time.Time
 }
@@ -45,7 +46,7 @@
 		return nil
 	}
 	waiting := d.conn.raw.OutboundBuffered()
-	if waiting <= s.limits.Window {
+	if waiting <= d.room {
 		d.then()
 		return nil
 	}
--- a/entry/internal/door/exchange.go
+++ b/entry/internal/door/exchange.go
@@ -67,11 +67,15 @@
 	fasthttp.ReleaseRequest(x.request)
 	s.active.Add(-1)
 	cn := x.conn
-	_ = cn.raw.AsyncWrite(out, func(raw gnet.Conn, err error) error {
+	_ = cn.write(out, func(raw gnet.Conn, err error) error {
 		if err != nil || cn.raw.Context() == nil {
 			return nil
 		}
-		cn.whenDrained(raw, func() { cn.next(last) })
+		room := s.limits.Window
+		if last || cn.closing {
+			room = 0 // gnet drops what waits when it closes a connection.
+		}
+		cn.whenDrained(raw, room, func() { cn.next(last) })
 		return nil
 	})
 }
--- a/entry/internal/door/option.go
+++ b/entry/internal/door/option.go
@@ -1,6 +1,8 @@
 package door
 
 import (
+	"crypto/tls"
+
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 )
@@ -8,6 +10,10 @@
 // Option changes how New makes a Server.
 type Option func(*Server)
 
+// WithTLS makes the server speak HTTPS only. The configuration is asked for a
+// certificate at each handshake.
+func WithTLS(c *tls.Config) Option { return func(s *Server) { s.tls = c } }
+
 // WithLimits replaces the default limits.
 func WithLimits(l Limits) Option { return func(s *Server) { s.limits = l } }
 
--- a/entry/internal/door/rig_test.go
+++ b/entry/internal/door/rig_test.go
@@ -29,11 +29,11 @@
 	registry metrics.Registry
 }
 
-func newRig(t testing.TB, limits Limits, h handlerFunc) *rig {
+func newRig(t testing.TB, limits Limits, h handlerFunc, opts ...Option) *rig {
 	t.Helper()
 	clock := timer.New()
 	r := &rig{t: t, registry: metrics.NewRegistry(), address: freeAddress(t)}
-	r.server = New(clock, h, WithLimits(limits), WithRegistry(r.registry), WithLoops(1))
+	r.server = New(clock, h, append([]Option{WithLimits(limits), WithRegistry(r.registry), WithLoops(1)}, opts...)...)
 	ctx, cancel := context.WithCancel(context.Background())
 	var g errgroup.Group
 	g.Go(func() error { return clock.Run(ctx) })
--- a/entry/internal/door/server.go
+++ b/entry/internal/door/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,7 +43,10 @@
 	logger   *zap.Logger
 	registry metrics.Registry
 	counts   *counts
+	tls      *tls.Config // nil for plain HTTP
 	group    errgroup.Group
+	shakes   errgroup.Group // TLS handshakes
+	plain    sync.Pool      // of *[plainSize]byte, for decrypted input
 	engine   gnet.Engine
 	booted   chan struct{}
 	conns    connSet
@@ -63,6 +67,7 @@
 	}
 	s.counts = newCounts(s.registry)
 	s.group.SetLimit(s.limits.Requests)
+	s.shakes.SetLimit(s.limits.Shakes)
 	return s
 }
 
@@ -83,6 +88,7 @@
 		gnet.WithLogger(s.logger.Sugar()),
 	)
 	_ = s.group.Wait()
+	_ = s.shakes.Wait()
 	if err != nil {
 		return &ListenError{Address: address, Err: err}
 	}
@@ -112,6 +118,9 @@
 	raw.SetContext(cn)
 	if s.conns.add(cn) > s.limits.Conns {
 		s.counts.refused.Inc(1)
+		if s.tls != nil {
+			return nil, gnet.Close
+		}
 		return refusal(statusUnavailable, "busy", "too many connections"), gnet.Close
 	}
 	return nil, gnet.None
@@ -127,6 +136,9 @@
 	if err != nil {
 		return gnet.Close
 	}
+	if cn.secure != nil {
+		return cn.receive(data)
+	}
 	cn.feed(data)
 	return gnet.None
 }
--- a/entry/internal/door/stream.go
+++ b/entry/internal/door/stream.go
@@ -81,12 +81,12 @@
 		return &GoneError{}
 	}
 	cn, done := x.conn, make(chan error, 1)
-	err := cn.raw.AsyncWrite(p, func(raw gnet.Conn, err error) error {
+	err := cn.write(p, func(raw gnet.Conn, err error) error {
 		if err != nil {
 			done <- err
 			return nil
 		}
-		cn.whenDrained(raw, func() { done <- nil })
+		cn.whenDrained(raw, cn.server.limits.Window, func() { done <- nil })
 		return nil
 	})
 	if err == nil {
--- a/entry/internal/params/settings.go
+++ b/entry/internal/params/settings.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap/zapcore"
 
+	"github.com/balsamford/balsamford/coord/certs"
 	"github.com/balsamford/balsamford/coord/setup"
 	"github.com/balsamford/balsamford/entry/internal/oper"
 )
@@ -26,10 +27,11 @@
 	Platform string   `toml:"platform"` // address of the platform's service
 	Level    string   `toml:"level"`    // of the log
 	Fault    bool     `toml:"fault"`    // serves fault switches on the page address
-	Certs    Certs    `toml:"certs"`
-	Oper     *Oper    `toml:"oper"`    // the operators' door; none if the table is missing
-	Peers    []Peer   `toml:"peers"`   // the other entry processes
-	Placers  []Peer   `toml:"placers"` // all placer processes
+	Certs    Certs    `toml:"certs"`    // of the links
+	TLS      *TLS     `toml:"tls"`      // of the callers' door; plain HTTP if the table is missing
+	Oper     *Oper    `toml:"oper"`     // the operators' door; none if the table is missing
+	Peers    []Peer   `toml:"peers"`    // the other entry processes
+	Placers  []Peer   `toml:"placers"`  // all placer processes
 	Limits   Limits   `toml:"limits"`
 }
 
@@ -43,6 +45,20 @@
 	Authority string `toml:"authority"`
 }
 
+// Files returns the files for a loader.
+func (c Certs) Files() certs.Files {
+	return certs.Files{Cert: c.Cert, Key: c.Key, Authority: c.Authority}
+}
+
+// TLS are the paths of PEM files for the callers' door.
+type TLS struct {
+	Cert string `toml:"cert"`
+	Key  string `toml:"key"`
+}
+
+// Files returns the files for a loader.
+func (t *TLS) Files() certs.Files { return certs.Files{Cert: t.Cert, Key: t.Key} }
+
 // Peer is another process of the system.
 type Peer struct {
 	Name string `toml:"name"`
@@ -54,6 +70,7 @@
 // defaults.
 type Limits struct {
 	Conns    int            `toml:"conns"`    // connections of callers
+	Shakes   int            `toml:"shakes"`   // TLS handshakes in progress
 	Requests int            `toml:"requests"` // requests in progress
 	Running  int            `toml:"running"`  // requests at placers at a time
 	Waiting  int            `toml:"waiting"`  // requests of one team that wait for their turn
@@ -61,6 +78,7 @@
 	Body     int            `toml:"body"`     // bytes of a request's body
 	Records  int            `toml:"records"`  // requests remembered
 	Keep     setup.Duration `toml:"keep"`     // how long they are remembered
+	Shake    setup.Duration `toml:"shake"`    // for a TLS handshake
 	Idle     setup.Duration `toml:"idle"`     // between two requests on a connection
 	Read     setup.Duration `toml:"read"`     // for one request to come in
 	Write    setup.Duration `toml:"write"`    // without progress of an answer
@@ -72,9 +90,10 @@
 	return &Settings{
 		Level: "info",
 		Limits: Limits{
-			Conns: 4096, Requests: 4096, Running: 512, Waiting: 256, Header: 8 << 10, Body: 1 << 20,
+			Conns: 4096, Shakes: 1024, Requests: 4096, Running: 512, Waiting: 256, Header: 8 << 10, Body: 1 << 20,
 			Records: 65536, Keep: setup.Duration(5 * time.Minute),
-			Idle: setup.Duration(time.Minute), Read: setup.Duration(10 * time.Second),
+			Shake: setup.Duration(5 * time.Second),
+			Idle:  setup.Duration(time.Minute), Read: setup.Duration(10 * time.Second),
 			Write: setup.Duration(10 * time.Second), Drain: setup.Duration(20 * time.Second),
 		},
 	}
@@ -90,6 +109,10 @@
 	faults = append(faults, setup.Required("certs.cert", s.Certs.Cert)...)
 	faults = append(faults, setup.Required("certs.key", s.Certs.Key)...)
 	faults = append(faults, setup.Required("certs.authority", s.Certs.Authority)...)
+	if s.TLS != nil {
+		faults = append(faults, setup.Required("tls.cert", s.TLS.Cert)...)
+		faults = append(faults, setup.Required("tls.key", s.TLS.Key)...)
+	}
 	faults = append(faults, s.checkPeers("peers", s.Peers)...)
 	faults = append(faults, s.checkPeers("placers", s.Placers)...)
 	faults = append(faults, s.Limits.check()...)
@@ -103,6 +126,19 @@
 	return faults
 }
 
+// CheckFiles implements setup.FileChecker.
+func (s *Settings) CheckFiles() []setup.Fault {
+	now := time.Now()
+	faults := s.Certs.Files().Faults("certs", now)
+	if s.TLS != nil {
+		faults = append(faults, s.TLS.Files().Faults("tls", now)...)
+	}
+	if s.Oper != nil {
+		faults = append(faults, s.Oper.CheckFiles("oper", now)...)
+	}
+	return faults
+}
+
 func (s *Settings) checkZones() []setup.Fault {
 	if !slices.Contains(s.Zones, s.Zone) {
 		return []setup.Fault{{Key: "zones", Text: "doesn't contain this host's zone; list all zones of the cell"}}
@@ -163,7 +199,7 @@
 func (l *Limits) check() []setup.Fault {
 	var faults []setup.Fault
 	counts := map[string]int{
-		"conns": l.Conns, "requests": l.Requests, "running": l.Running, "waiting": l.Waiting,
+		"conns": l.Conns, "shakes": l.Shakes, "requests": l.Requests, "running": l.Running, "waiting": l.Waiting,
 		"header": l.Header, "body": l.Body, "records": l.Records,
 	}
 	for key, n := range counts {
@@ -171,7 +207,7 @@
 			faults = append(faults, setup.Fault{Key: "limits." + key, Text: "has to be above 0"})
 		}
 	}
-	times := map[string]setup.Duration{"keep": l.Keep, "idle": l.Idle, "read": l.Read, "write": l.Write, "drain": l.Drain}
+	times := map[string]setup.Duration{"keep": l.Keep, "shake": l.Shake, "idle": l.Idle, "read": l.Read, "write": l.Write, "drain": l.Drain}
 	for key, d := range times {
 		if d <= 0 {
 			faults = append(faults, setup.Fault{Key: "limits." + key, Text: "has to be above 0"})
--- a/entry/internal/params/settings_test.go
+++ b/entry/internal/params/settings_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -35,25 +37,44 @@
 keep = "1m"
 `
 
+// TestFilesAreChecked loads settings whose files don't exist: each is a fault
+// with its key and line.
+func TestFilesAreChecked(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "entry.toml")
+	text := strings.Replace(good, "[oper]", "[tls]\ncert = \"a.pem\"\nkey = \"b.pem\"\n[oper]\ncert = \"c.pem\"\nkey = \"d.pem\"", 1)
+	is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+	var invalid *setup.InvalidError
+	is.True(errors.As(setup.Load(path, Default()), &invalid))
+	var keys []string
+	for _, f := range invalid.Faults {
+		keys = append(keys, f.Key)
+		is.True(f.Line > 0)
+	}
+	is.Equal(keys, []string{"certs.cert", "certs.key", "certs.authority", "tls.cert", "tls.key", "oper.cert", "oper.key"})
+}
+
 func TestSettings(t *testing.T) {
 	tests := map[string]struct {
 		old, new string
 		fault    string // key of the fault, empty if there is none
 	}{
-		"good":            {},
-		"unknown key":     {old: "keep =", new: "kept =", fault: "limits.kept"},
-		"host name":       {old: `host = "a1"`, new: `host = "A.1"`, fault: "host"},
-		"foreign zone":    {old: `zone = "a"` + "\nzones", new: `zone = "c"` + "\nzones", fault: "zones"},
-		"no number":       {old: `"127.0.0.1:7000"`, new: `"localhost:7000"`, fault: "door"},
-		"same address":    {old: `page = "127.0.0.1:7001"`, new: `page = "127.0.0.1:7000"`, fault: "page"},
-		"oper and door":   {old: "127.0.0.1:7004", new: "127.0.0.1:7000", fault: "oper.address"},
-		"named twice":     {old: `name = "a2"`, new: `name = "a1"`, fault: "peers.name"},
-		"own link":        {old: "127.0.0.2:7002", new: "127.0.0.1:7002", fault: "peers.link"},
-		"peer's zone":     {old: `zone = "a"` + "\nlink = \"127.0.0.2", new: `zone = "z"` + "\nlink = \"127.0.0.2", fault: "peers.zone"},
-		"no certificate":  {old: `cert = "cert.pem"`, new: "", fault: "certs.cert"},
-		"no time":         {old: `"1m"`, new: `"0s"`, fault: "limits.keep"},
-		"unknown level":   {old: `host = "a1"`, new: "host = \"a1\"\nlevel = \"loud\"", fault: "level"},
-		"without placers": {old: good[strings.Index(good, "[[placers]]"):strings.Index(good, "[limits]")], new: "", fault: "placers"},
+		"good":             {},
+		"unknown key":      {old: "keep =", new: "kept =", fault: "limits.kept"},
+		"host name":        {old: `host = "a1"`, new: `host = "A.1"`, fault: "host"},
+		"foreign zone":     {old: `zone = "a"` + "\nzones", new: `zone = "c"` + "\nzones", fault: "zones"},
+		"no number":        {old: `"127.0.0.1:7000"`, new: `"localhost:7000"`, fault: "door"},
+		"same address":     {old: `page = "127.0.0.1:7001"`, new: `page = "127.0.0.1:7000"`, fault: "page"},
+		"oper and door":    {old: "127.0.0.1:7004", new: "127.0.0.1:7000", fault: "oper.address"},
+		"named twice":      {old: `name = "a2"`, new: `name = "a1"`, fault: "peers.name"},
+		"own link":         {old: "127.0.0.2:7002", new: "127.0.0.1:7002", fault: "peers.link"},
+		"peer's zone":      {old: `zone = "a"` + "\nlink = \"127.0.0.2", new: `zone = "z"` + "\nlink = \"127.0.0.2", fault: "peers.zone"},
+		"no certificate":   {old: `cert = "cert.pem"`, new: "", fault: "certs.cert"},
+		"door without key": {old: "[oper]", new: "[tls]\ncert = \"a.pem\"\n[oper]", fault: "tls.key"},
+		"no handshakes":    {old: "[limits]", new: "[limits]\nshakes = 0", fault: "limits.shakes"},
+		"no time":          {old: `"1m"`, new: `"0s"`, fault: "limits.keep"},
+		"unknown level":    {old: `host = "a1"`, new: "host = \"a1\"\nlevel = \"loud\"", fault: "level"},
+		"without placers":  {old: good[strings.Index(good, "[[placers]]"):strings.Index(good, "[limits]")], new: "", fault: "placers"},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
