Record each use of an operator's key

A check, an unknown page, a wrong method for a drain and a publish that can't be read left none.

Ruled out: counting only (oper.requests), which doesn't say who.

Change: they leave a record with action read. TestKeyUsesAreRecorded failed before in the rows check, no such page, no such method, not a change, not an id.

go test -race of entry/internal/oper: ok.

--- a/entry/internal/oper/door_test.go
+++ b/entry/internal/oper/door_test.go
@@ -182,3 +182,41 @@
 		})
 	}
 }
+
+// TestKeyUsesAreRecorded sends requests with an operator's key: each leaves a
+// record with the key's name, also one that fails.
+func TestKeyUsesAreRecorded(t *testing.T) {
+	tests := map[string]struct {
+		method, path string
+		body         any
+		status       int
+	}{
+		"read":            {method: http.MethodGet, path: admin.PathConfig, status: http.StatusOK},
+		"check":           {method: http.MethodPost, path: admin.PathCheck, body: admin.Change{Action: audit.Set}, status: http.StatusOK},
+		"no such page":    {method: http.MethodGet, path: "/none", status: http.StatusNotFound},
+		"no such method":  {method: http.MethodPost, path: admin.PathHost + "h1", status: http.StatusNotFound},
+		"not a change":    {method: http.MethodPost, path: admin.PathPublish, body: "x", status: http.StatusBadRequest},
+		"not an id":       {method: http.MethodPost, path: admin.PathPublish, body: admin.Change{ID: "x", Action: audit.Set}, status: http.StatusBadRequest},
+		"faulty":          {method: http.MethodPost, path: admin.PathPublish, body: admin.Change{Action: audit.Delete, Delete: []config.Ref{config.ParseRef("team.x")}}, status: http.StatusBadRequest},
+		"drain":           {method: http.MethodPut, path: admin.PathHost + "h1", status: http.StatusOK},
+		"end of the same": {method: http.MethodDelete, path: admin.PathHost + "h1", status: http.StatusOK},
+	}
+	d := startDoor(t)
+	d.bootstrap("[team.shop]\n")
+	trail := audit.New(d.platform)
+	records := func() []audit.Record {
+		now := time.Now()
+		out, err := trail.Query(t.Context(), audit.Query{Since: now.Add(-time.Hour), Until: now.Add(time.Hour), Who: "ops"})
+		is.New(t).NoErr(err)
+		return out
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			before := len(records())
+			status, _ := d.do(tt.method, tt.path, tt.body)
+			is.Equal(status, tt.status)
+			is.Equal(len(records()), before+1)
+		})
+	}
+}
--- a/entry/internal/oper/drain.go
+++ b/entry/internal/oper/drain.go
@@ -22,6 +22,7 @@
 	case ctx.IsDelete():
 		err = config.EndDrain(c, d.platform, id, dr)
 	default:
+		d.note(ctx, who, audit.Read, string(ctx.Method()))
 		d.fail(ctx, &admin.Failure{Code: admin.CodeMissing, Text: "use PUT to drain a host and DELETE to end it"})
 		return
 	}
--- a/entry/internal/oper/publish.go
+++ b/entry/internal/oper/publish.go
@@ -70,6 +70,9 @@
 // publish publishes a change and, if asked to, reports until it is in force.
 func (d *Door) publish(ctx *fasthttp.RequestCtx, who string) {
 	e, in, failure := d.edit(ctx, who)
+	if failure != nil && failure.Code == admin.CodeRequest {
+		d.note(ctx, who, audit.Read, failure.Text) // What it asked for can't be told.
+	}
 	if failure != nil {
 		d.fail(ctx, failure)
 		return
--- a/entry/internal/oper/serve.go
+++ b/entry/internal/oper/serve.go
@@ -25,11 +25,12 @@
 		d.drainHost(ctx, who, host)
 		return
 	}
-	switch method + " " + path {
-	case "POST " + admin.PathPublish:
+	if method+" "+path == "POST "+admin.PathPublish {
 		d.publish(ctx, who)
 		return
-	case "POST " + admin.PathCheck:
+	}
+	d.note(ctx, who, audit.Read, string(ctx.QueryArgs().QueryString()))
+	if method+" "+path == "POST "+admin.PathCheck {
 		d.check(ctx, who)
 		return
 	}
@@ -38,7 +39,6 @@
 		d.fail(ctx, &admin.Failure{Code: admin.CodeMissing, Text: "no such page: " + method + " " + path + "; docs/CONFIG.md lists them"})
 		return
 	}
-	d.note(ctx, who, audit.Read, string(ctx.QueryArgs().QueryString()))
 	page(ctx)
 }
 
