--- a/balsam/cell_test.go
+++ b/balsam/cell_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -24,7 +25,7 @@
 
 const (
 	testZones   = 3
-	testPerZone = 3
+	testPerZone = 3 // entries of each
 	// operatorSecret is that of the sample key in deploy/trilha.toml.
 	operatorSecret = "operator-1.sample"
 	callerSecret   = "caxias-1.sample"
@@ -39,7 +40,9 @@
 	t         *testing.T
 	dir       string
 	platform  string
+	placer    string
 	bootstrap string
+	digest    config.Digest   // of bootstrap
 	used      map[string]bool // addresses
 	hosts     []*entryProcess
 }
@@ -48,6 +51,7 @@
 type entryProcess struct {
 	name, zone             string
 	door, page, link, oper string
+	https                  bool // at both doors
 	cmd                    *exec.Cmd
 }
 
@@ -84,12 +88,24 @@
 	return err == nil
 }
 
-func startProcesses(t *testing.T) *processCell {
+// startProcesses starts a cell of entries, perZone in each zone.
+func startProcesses(t *testing.T, perZone int) *processCell {
+	t.Helper()
+	c := newProcesses(t, perZone, "entry", "standin", "balsam")
+	for _, h := range c.hosts {
+		c.entry(h)
+	}
+	return c
+}
+
+// newProcesses builds programs and starts a platform. The entries of the cell
+// are still to be started.
+func newProcesses(t *testing.T, perZone int, programs ...string) *processCell {
 	t.Helper()
 	is := is.New(t)
 	c := &processCell{t: t, dir: t.TempDir(), used: make(map[string]bool)}
 	c.platform = c.freeAddress("tcp")
-	for _, program := range []string{"entry", "standin", "balsam"} {
+	for _, program := range programs {
 		out, err := exec.CommandContext(t.Context(), "go", "build", "-o", filepath.Join(c.dir, program), "../"+program).CombinedOutput()
 		t.Log(string(out))
 		is.NoErr(err)
@@ -98,43 +114,56 @@
 	is.NoErr(err)
 	c.write("platform.toml", fmt.Sprintf("role = \"platform\"\nname = \"platform\"\nlisten = %q\n", c.platform))
 	c.start("standin", "platform")
-	var digest config.Digest
-	c.bootstrap, digest = config.NewSecret("bootstrap")
-	for i := range testZones * testPerZone {
+	c.bootstrap, c.digest = config.NewSecret("bootstrap")
+	for i := range testZones * perZone {
 		c.hosts = append(c.hosts, &entryProcess{
 			name: fmt.Sprintf("h%d", i), zone: fmt.Sprintf("z%d", i%testZones),
 			door: c.freeAddress("tcp"), page: c.freeAddress("tcp"), oper: c.freeAddress("tcp"), link: c.freeAddress("udp"),
 		})
 	}
-	placer := c.freeAddress("udp")
-	for _, h := range c.hosts {
-		c.write(h.name+".toml", c.settings(h, placer, digest))
-		h.cmd = c.start("entry", h.name)
-	}
+	c.placer = c.freeAddress("udp")
 	return c
 }
 
+// entry starts the entry of a host.
+func (c *processCell) entry(h *entryProcess) {
+	c.write(h.name+".toml", c.settings(h))
+	h.cmd = c.start("entry", h.name)
+}
+
 func (c *processCell) write(name, text string) {
 	is.New(c.t).NoErr(os.WriteFile(filepath.Join(c.dir, name), []byte(text), 0o600))
 }
 
 // settings returns the settings file of an entry.
-func (c *processCell) settings(h *entryProcess, placer string, bootstrap config.Digest) string {
+func (c *processCell) settings(h *entryProcess) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "host = %q\nzone = %q\nzones = [\"z0\", \"z1\", \"z2\"]\ndoor = %q\npage = %q\nlink = %q\nplatform = %q\n",
 		h.name, h.zone, h.door, h.page, h.link, c.platform)
-	fmt.Fprintf(&b, "[certs]\ncert = %q\nkey = %q\nauthority = %q\n",
-		filepath.Join(c.dir, "cert.pem"), filepath.Join(c.dir, "key.pem"), filepath.Join(c.dir, "authority.pem"))
-	fmt.Fprintf(&b, "[oper]\naddress = %q\nbootstrap = %q\n", h.oper, bootstrap)
+	b.WriteString(c.certs())
+	own := fmt.Sprintf("cert = %q\nkey = %q\n", filepath.Join(c.dir, "cert.pem"), filepath.Join(c.dir, "key.pem"))
+	if h.https {
+		b.WriteString("[tls]\n" + own)
+	}
+	fmt.Fprintf(&b, "[oper]\naddress = %q\nbootstrap = %q\n", h.oper, c.digest)
+	if h.https {
+		b.WriteString(own)
+	}
 	for _, p := range c.hosts {
 		if p != h {
 			fmt.Fprintf(&b, "[[peers]]\nname = %q\nzone = %q\nlink = %q\n", p.name, p.zone, p.link)
 		}
 	}
-	fmt.Fprintf(&b, "[[placers]]\nname = \"p0\"\nzone = \"z0\"\nlink = %q\n", placer)
+	fmt.Fprintf(&b, "[[placers]]\nname = \"p0\"\nzone = \"z0\"\nlink = %q\n", c.placer)
 	return b.String()
 }
 
+// certs returns the settings of a link's certificate.
+func (c *processCell) certs() string {
+	return fmt.Sprintf("[certs]\ncert = %q\nkey = %q\nauthority = %q\n",
+		filepath.Join(c.dir, "cert.pem"), filepath.Join(c.dir, "key.pem"), filepath.Join(c.dir, "authority.pem"))
+}
+
 // start runs a program on its settings file until the test ends.
 func (c *processCell) start(program, name string) *exec.Cmd {
 	is := is.New(c.t)
@@ -159,12 +188,21 @@
 
 // balsam runs the command line against the door of a host.
 func (c *processCell) balsam(h *entryProcess, secret string, args ...string) (code int, out string) {
+	code, stdout, stderr := c.run(h, secret, args...)
+	return code, stdout + stderr
+}
+
+// run does the same and keeps the outputs apart.
+func (c *processCell) run(h *entryProcess, secret string, args ...string) (code int, stdout, stderr string) {
 	cmd := exec.Command(filepath.Join(c.dir, "balsam"), args...)
 	cmd.Env = append(os.Environ(), "BALSAM_DOOR="+h.oper, "BALSAM_ENTRY="+h.door, "BALSAM_KEY="+secret)
-	var buf bytes.Buffer
-	cmd.Stdout, cmd.Stderr = &buf, &buf
+	if h.https {
+		cmd.Env = append(cmd.Env, "BALSAM_AUTHORITY="+filepath.Join(c.dir, "authority.pem"))
+	}
+	var out, log bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &log
 	_ = cmd.Run()
-	return cmd.ProcessState.ExitCode(), buf.String()
+	return cmd.ProcessState.ExitCode(), out.String(), log.String()
 }
 
 // until runs the command line until it exits with 0, for at most half a minute.
@@ -222,3 +260,18 @@
 	_, out := c.balsam(h, secret, "status", "none")
 	return strings.Contains(out, `"reason":"stale"`)
 }
+
+// page returns the metrics of an entry.
+func (c *processCell) page(h *entryProcess) string {
+	req, err := http.NewRequestWithContext(c.t.Context(), http.MethodGet, "http://"+h.page+"/metrics", nil)
+	if err != nil {
+		return ""
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = res.Body.Close() }()
+	data, _ := io.ReadAll(res.Body)
+	return string(data)
+}
--- a/balsam/internal/shell/requests.go
+++ b/balsam/internal/shell/requests.go
@@ -80,11 +80,15 @@
 
 	var id string
 	sub = a.add(p, "status", "prints where a request stands", "  balsam status ID",
-		func(ctx context.Context) error { return a.one(ctx, http.MethodGet, id) })
+		func(ctx context.Context) error { return a.one(ctx, http.MethodGet, id, "") })
 	sub.AddPositionalValue(&id, "ID", 1, true, "id of a request")
+	var ended string
+	sub = a.add(p, "result", "prints the recorded answer of a request, or the outputs of a job", "  balsam result ID",
+		func(ctx context.Context) error { return a.one(ctx, http.MethodGet, ended, "/result") })
+	sub.AddPositionalValue(&ended, "ID", 1, true, "id of a request")
 	var cancelled string
 	sub = a.add(p, "cancel", "cancels a request", "  balsam cancel ID",
-		func(ctx context.Context) error { return a.one(ctx, http.MethodDelete, cancelled) })
+		func(ctx context.Context) error { return a.one(ctx, http.MethodDelete, cancelled, "") })
 	sub.AddPositionalValue(&cancelled, "ID", 1, true, "id of a request")
 }
 
@@ -121,12 +125,13 @@
 	return data, nil
 }
 
-func (a *app) one(ctx context.Context, method, id string) error {
+// one asks for one request; page is what is asked of it, empty for its state.
+func (a *app) one(ctx context.Context, method, id, page string) error {
 	client, err := a.settings.callers()
 	if err != nil {
 		return err
 	}
-	answer, err := client.Call(ctx, method, pathRequests+"/"+url.PathEscape(id), nil, nil)
+	answer, err := client.Call(ctx, method, pathRequests+"/"+url.PathEscape(id)+page, nil, nil)
 	return a.answered(answer, err)
 }
 
--- a/balsam/internal/shell/run_test.go
+++ b/balsam/internal/shell/run_test.go
@@ -63,6 +63,7 @@
 		"submit no queue":   {args: []string{"submit"}, want: Usage, out: "--queue"},
 		"status":            {args: []string{"status", "x"}, status: 200, answer: []any{reply{Phase: wire.Running}}, want: OK, sent: "GET /v1/requests/x"},
 		"status, none":      {args: []string{"status", "x"}, status: 404, answer: []any{reply{}}, want: Missing},
+		"result":            {args: []string{"result", "x"}, status: 200, answer: []any{reply{Phase: wire.Ended}}, want: OK, sent: "GET /v1/requests/x/result"},
 		"cancel":            {args: []string{"cancel", "x"}, status: 200, answer: []any{reply{Phase: wire.Ended}}, want: OK, sent: "DELETE /v1/requests/x"},
 		"settings file":     {args: []string{"show", "--config", "settings.toml"}, want: Usage, out: "settings.toml: line 1"},
 		"bad key name":      {args: []string{"key", "shop.1"}, want: Usage, out: "one word"},
--- a/balsam/process_test.go
+++ b/balsam/process_test.go
@@ -26,7 +26,7 @@
 		t.Skip("starts processes")
 	}
 	is := is.New(t)
-	c := startProcesses(t)
+	c := startProcesses(t, testPerZone)
 	first := c.hosts[0]
 	c.until(first, c.bootstrap, "publish", "../deploy/trilha.toml", "--wait")
 	for _, h := range c.hosts {
--- a/coord/link/issue.go
+++ b/coord/link/issue.go
@@ -8,6 +8,7 @@
 	"crypto/x509/pkix"
 	"encoding/pem"
 	"math/big"
+	"net"
 	"os"
 	"path/filepath"
 	"time"
@@ -17,8 +18,8 @@
 const certValidity = 30 * 24 * time.Hour
 
 // IssueFiles writes cert.pem, key.pem and authority.pem into dir: a fresh
-// authority and one certificate for all processes of a test or a demo. It
-// returns the Certs that read them.
+// authority and one certificate for all processes of a test or a demo, whose
+// doors callers reach as 127.0.0.1. It returns the Certs that read them.
 func IssueFiles(dir string) (*Certs, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
@@ -33,6 +34,7 @@
 		IsCA:                  true,
 		BasicConstraintsValid: true,
 		KeyUsage:              x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		IPAddresses:           []net.IP{net.IPv4(127, 0, 0, 1)},
 		ExtKeyUsage:           []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 	}
 	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
