Bound what waits behind a handshake, shown by tests; p99 of a publish

Cause: the bound of a connection's input during its handshake, the lines on /ready and the doors' own loaders were wired and not shown.

Change: TestInputDuringHandshakeIsBounded (without the bound it hung until its time limit); TestCommands writes half a key and finds all three certificates named on /ready of a host that goes on serving, and counts the doors' own replacements (failed without the loader's run: "doesn't tell of"). TestProcesses publishes 100 times in place of 30 and logs the p99.

--- a/balsam/cell_test.go
+++ b/balsam/cell_test.go
@@ -261,17 +261,18 @@
 	return strings.Contains(out, `"reason":"stale"`)
 }
 
-// page returns the metrics of an entry.
-func (c *processCell) page(h *entryProcess) string {
-	req, err := http.NewRequestWithContext(c.t.Context(), http.MethodGet, "http://"+h.page+"/metrics", nil)
+// page returns the status and the text of a page of an entry, 0 if it doesn't
+// answer.
+func (c *processCell) page(h *entryProcess, path string) (int, string) {
+	req, err := http.NewRequestWithContext(c.t.Context(), http.MethodGet, "http://"+h.page+path, nil)
 	if err != nil {
-		return ""
+		return 0, ""
 	}
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return ""
+		return 0, ""
 	}
 	defer func() { _ = res.Body.Close() }()
 	data, _ := io.ReadAll(res.Body)
-	return string(data)
+	return res.StatusCode, string(data)
 }
--- a/balsam/command_test.go
+++ b/balsam/command_test.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -317,6 +319,10 @@
 	var done atomic.Bool
 	var ran atomic.Int64
 	var g errgroup.Group
+	defer func() {
+		done.Store(true)
+		_ = g.Wait()
+	}()
 	for _, h := range c.hosts[:2] {
 		g.Go(func() error {
 			for !done.Load() {
@@ -330,13 +336,20 @@
 			return nil
 		})
 	}
+	key := load(filepath.Join(c.dir, "key.pem"))
+	c.write("key.pem", key[:len(key)/2])
+	c.told(t, c.hosts[0], "certificate of link", "certificate of door", "certificate of oper")
+	c.write("key.pem", key)
+
 	c.write("authority.pem", first+second)
-	c.loaded(t, 1)
+	c.loaded(t, "certs.link.loaded", 1, c.hosts...)
 	c.write("key.pem", load(filepath.Join(next, "key.pem")))
 	c.write("cert.pem", load(filepath.Join(next, "cert.pem")))
-	c.loaded(t, 2)
+	c.loaded(t, "certs.link.loaded", 2, c.hosts...)
+	c.loaded(t, "certs.door.loaded", 1, c.hosts[0])
+	c.loaded(t, "certs.oper.loaded", 1, c.hosts[0])
 	c.write("authority.pem", second)
-	c.loaded(t, 3)
+	c.loaded(t, "certs.link.loaded", 3, c.hosts...)
 	last := c.hosts[2]
 	is.NoErr(last.cmd.Process.Kill())
 	c.entry(last)
@@ -346,18 +359,34 @@
 	t.Logf("%d requests during three replacements", ran.Load())
 }
 
-// loaded waits until the links of all entries have taken n replacements into
-// use. A half replaced pair isn't one.
-func (c *processCell) loaded(t *testing.T, n int) {
+// told waits until the page of readiness of an entry, which goes on serving,
+// has these words.
+func (c *processCell) told(t *testing.T, h *entryProcess, words ...string) {
 	t.Helper()
-	for _, h := range c.hosts {
+	for end := time.Now().Add(30 * time.Second); ; time.Sleep(100 * time.Millisecond) {
+		code, text := c.page(h, "/ready")
+		missing := slices.DeleteFunc(slices.Clone(words), func(w string) bool { return strings.Contains(text, w) })
+		if code == http.StatusOK && len(missing) == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%s doesn't tell of %v: %d %s", h.name, missing, code, text)
+		}
+	}
+}
+
+// loaded waits until a counter of replacements taken into use is n. A half
+// replaced pair isn't one.
+func (c *processCell) loaded(t *testing.T, name string, n int, hosts ...*entryProcess) {
+	t.Helper()
+	for _, h := range hosts {
 		for end := time.Now().Add(30 * time.Second); ; time.Sleep(100 * time.Millisecond) {
-			got := c.metric(h, "certs.link.loaded")
+			got := c.metric(h, name)
 			if got == n {
 				break
 			}
 			if time.Now().After(end) {
-				t.Fatalf("%s has loaded %d, not %d", h.name, got, n)
+				t.Fatalf("%s of %s is %d, not %d", name, h.name, got, n)
 			}
 		}
 	}
@@ -368,6 +397,7 @@
 	var all map[string]struct {
 		Count int `json:"count"`
 	}
-	_ = json.Unmarshal([]byte(c.page(h)), &all)
+	_, text := c.page(h, "/metrics")
+	_ = json.Unmarshal([]byte(text), &all)
 	return all[name].Count
 }
--- a/balsam/process_test.go
+++ b/balsam/process_test.go
@@ -32,7 +32,7 @@
 	for _, h := range c.hosts {
 		c.until(h, operatorSecret, "show", "team.caxias")
 	}
-	c.measure(30)
+	c.measure(100)
 	c.race()
 	c.withdraw()
 	c.interrupt()
@@ -60,7 +60,7 @@
 		}
 	}
 	slices.Sort(times)
-	c.t.Logf("publish to in force at %d processes, %d times: p50 %v, longest %v", len(c.hosts), n, times[n/2], times[n-1])
+	c.t.Logf("publish to in force at %d processes, %d times: p50 %v, p99 %v, longest %v", len(c.hosts), n, times[n/2], times[n*99/100-1], times[n-1])
 	if times[n-1] > inForce {
 		c.t.Errorf("the longest took %v", times[n-1])
 	}
--- a/entry/internal/door/tls_test.go
+++ b/entry/internal/door/tls_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -327,3 +329,52 @@
 		})
 	}
 }
+
+// recorder is a connection that keeps what is written to it.
+type recorder struct {
+	net.Conn
+	out []byte
+}
+
+func (c *recorder) Write(p []byte) (int, error) {
+	c.out = append(c.out, p...)
+	return len(p), nil
+}
+
+func (c *recorder) Read([]byte) (int, error) { return 0, io.EOF }
+
+// TestInputDuringHandshakeIsBounded sends far more than a greeting while the
+// server is busy with the handshake. It may hold no more than its buffer.
+func TestInputDuringHandshakeIsBounded(t *testing.T) {
+	is := is.New(t)
+	limits := DefaultLimits()
+	limits.Buffer = 64 << 10
+	hold := make(chan struct{})
+	r := newRig(t, limits, echo, WithTLS(&tls.Config{
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			<-hold
+			return nil, &GoneError{}
+		},
+	}))
+	hello := &recorder{}
+	_ = tls.Client(hello, &tls.Config{InsecureSkipVerify: true}).Handshake()
+	c := r.dial()
+	_, err := c.Write(hello.out)
+	is.NoErr(err)
+	for range 64 {
+		if _, err = c.Write(make([]byte, 16<<10)); err != nil {
+			break
+		}
+		is.True(r.server.buffered.Load() <= limits.Buffer)
+		time.Sleep(time.Millisecond)
+	}
+	_, err = io.ReadAll(c)
+	is.True(err == nil || errors.Is(err, syscall.ECONNRESET))
+	for r.count("aborted") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(r.count("refused"), int64(1))
+	is.Equal(r.server.buffered.Load(), int64(0))
+	close(hold)
+	is.NoErr(r.server.shakes.Wait())
+}
