Withdraw a key while a zone is cut off, as processes

Change: the cell of balsam's process tests has an address of the platform for each zone and cuts zones off.

--- a/balsam/cell_test.go
+++ b/balsam/cell_test.go
@@ -40,6 +40,7 @@
 	t         *testing.T
 	dir       string
 	platform  string
+	platforms map[string]string // by zone, each address can be cut off alone
 	placer    string
 	bootstrap string
 	digest    config.Digest   // of bootstrap
@@ -104,7 +105,12 @@
 	t.Helper()
 	is := is.New(t)
 	c := &processCell{t: t, dir: t.TempDir(), used: make(map[string]bool)}
-	c.platform = c.freeAddress("tcp")
+	c.platform, c.platforms = c.freeAddress("tcp"), make(map[string]string)
+	var doors []string
+	for i := range testZones {
+		doors = append(doors, c.freeAddress("tcp"))
+		c.platforms[fmt.Sprintf("z%d", i)] = doors[i]
+	}
 	for _, program := range programs {
 		out, err := exec.CommandContext(t.Context(), "go", "build", "-o", filepath.Join(c.dir, program), "../"+program).CombinedOutput()
 		t.Log(string(out))
@@ -112,7 +118,7 @@
 	}
 	_, err := link.IssueFiles(c.dir)
 	is.NoErr(err)
-	c.write("platform.toml", fmt.Sprintf("role = \"platform\"\nname = \"platform\"\nlisten = %q\n", c.platform))
+	c.write("platform.toml", fmt.Sprintf("role = \"platform\"\nname = \"platform\"\nlisten = %q\ndoors = [\"%s\"]\n", c.platform, strings.Join(doors, "\", \"")))
 	c.start("standin", "platform")
 	c.bootstrap, c.digest = config.NewSecret("bootstrap")
 	for i := range testZones * perZone {
@@ -138,8 +144,8 @@
 // settings returns the settings file of an entry.
 func (c *processCell) settings(h *entryProcess) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "host = %q\nzone = %q\nzones = [\"z0\", \"z1\", \"z2\"]\ndoor = %q\npage = %q\nlink = %q\nplatform = %q\n",
-		h.name, h.zone, h.door, h.page, h.link, c.platform)
+	fmt.Fprintf(&b, "host = %q\nzone = %q\nzones = [\"z0\", \"z1\", \"z2\"]\ndoor = %q\npage = %q\nlink = %q\nplatform = %q\nfault = true\n",
+		h.name, h.zone, h.door, h.page, h.link, c.platforms[h.zone])
 	b.WriteString(c.certs())
 	own := fmt.Sprintf("cert = %q\nkey = %q\n", filepath.Join(c.dir, "cert.pem"), filepath.Join(c.dir, "key.pem"))
 	if h.https {
@@ -232,9 +238,33 @@
 
 // fault sets the fault switches of the platform.
 func (c *processCell) fault(body string) {
+	c.t.Helper()
+	c.post("http://"+c.platform+store.PathFault, body)
+}
+
+// cut cuts a zone off from the platform and from the other zones, or joins it
+// again.
+func (c *processCell) cut(zone string, on bool) {
+	c.t.Helper()
+	c.post(fmt.Sprintf("http://%s/cut?on=%v", c.platforms[zone], on), "{}")
+	for _, h := range c.hosts {
+		links := []string{}
+		for _, p := range c.hosts {
+			if on && (p.zone == zone) != (h.zone == zone) {
+				links = append(links, p.link)
+			}
+		}
+		data, err := json.Marshal(map[string][]string{"cut": links})
+		is.New(c.t).NoErr(err)
+		c.post("http://"+h.page+"/fault", string(data))
+	}
+}
+
+// post sends a fault switch.
+func (c *processCell) post(url, body string) {
 	c.t.Helper()
 	is := is.New(c.t)
-	req, err := http.NewRequestWithContext(c.t.Context(), http.MethodPost, "http://"+c.platform+store.PathFault, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(c.t.Context(), http.MethodPost, url, strings.NewReader(body))
 	is.NoErr(err)
 	res, err := http.DefaultClient.Do(req)
 	is.NoErr(err)
