Try a broken TLS record at the callers' door

Cause: what a caller sends after its handshake and can't be decrypted had no test. Change: TestBrokenRecord; it passed at once. go test -race -count 2 of the door's TLS tests: ok.

--- a/entry/internal/door/tls_test.go
+++ b/entry/internal/door/tls_test.go
@@ -378,3 +378,25 @@
 	close(hold)
 	is.NoErr(r.server.shakes.Wait())
 }
+
+// TestBrokenRecord sends a record that can't be decrypted: the connection ends
+// and the request before it isn't served twice or in part.
+func TestBrokenRecord(t *testing.T) {
+	is := is.New(t)
+	var served atomic.Int64
+	r := newTLSRig(t, DefaultLimits(), func(x *Exchange) { served.Add(1); echo(x) })
+	raw := r.dial()
+	c := r.secure(raw, tls.VersionTLS13)
+	_, err := c.Write([]byte(post("/a", "b") + "POST /half HTTP/1.1\r\n"))
+	is.NoErr(err)
+	_, body := readAnswer(t, bufio.NewReader(c))
+	is.Equal(body, "/a b")
+	_, err = raw.Write([]byte("\x17\x03\x03\x00\x20" + strings.Repeat("x", 32)))
+	is.NoErr(err)
+	_, err = io.ReadAll(raw)
+	is.NoErr(err)
+	is.Equal(served.Load(), int64(1))
+	for r.server.conns.count() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
