Serve on for a notice before an entry refuses anything

Change: on SIGTERM an entry is first not ready ('about to leave') and serves on for limits.notice, 1 s by default, answering with Connection: close; then it refuses and drains as before. A second signal ends the notice.

TestNotice can't hold without the change: a request after the signal was refused.

--- a/entry/app.go
+++ b/entry/app.go
@@ -47,8 +47,9 @@
 	service  *serve.Service
 	door     *door.Server
 	page     *meter.Server
-	oper     *oper.Door // nil if the settings have none
-	leaving  atomic.Bool
+	oper     *oper.Door  // nil if the settings have none
+	parting  atomic.Bool // not ready, requests are still served
+	leaving  atomic.Bool // requests are refused
 }
 
 // newApp builds the parts; none of them runs yet.
@@ -154,6 +155,8 @@
 	switch {
 	case a.leaving.Load():
 		return "leaving"
+	case a.parting.Load():
+		return "about to leave"
 	case !a.rights.fresh():
 		return "the configuration is not confirmed"
 	case !a.table.Ready():
@@ -199,6 +202,7 @@
 	select {
 	case <-st.failed():
 	case <-signals:
+		a.part(st.ctx, signals)
 		a.drain(st.ctx, signals)
 	}
 	err := st.end()
--- a/entry/app_test.go
+++ b/entry/app_test.go
@@ -55,7 +55,7 @@
 	return ln.Addr().String()
 }
 
-func newRig(t *testing.T, delay, drain time.Duration) *rig {
+func newRig(t *testing.T, delay, drain time.Duration, opts ...func(*params.Limits)) *rig {
 	t.Helper()
 	is := is.New(t)
 	r := &rig{t: t, signals: make(chan os.Signal, 2), delay: delay, result: make(chan error, 1)}
@@ -66,7 +66,10 @@
 	s.Host, s.Zone, s.Zones = "a1", "a", []string{"a"}
 	s.Door, s.Page, s.Link, s.Platform = address(t), address(t), address(t), address(t)
 	s.Certs = params.Certs{Cert: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), Authority: filepath.Join(dir, "authority.pem")}
-	s.Limits.Drain = setup.Duration(drain)
+	s.Limits.Drain, s.Limits.Notice = setup.Duration(drain), setup.Duration(time.Millisecond)
+	for _, opt := range opts {
+		opt(&s.Limits)
+	}
 	s.Level = "error"
 	s.Placers = []params.Peer{{Name: "pa", Zone: "a", Link: r.placer(certs)}}
 	r.settings = s
@@ -171,6 +174,22 @@
 
 func (r *rig) ready() bool { code, _ := r.get("/ready"); return code == http.StatusOK }
 
+// TestNotice shows that a process which is to stop says so before it refuses
+// anything, so that the balancer loses no request.
+func TestNotice(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 0, 20*time.Second, func(l *params.Limits) { l.Notice = setup.Duration(time.Minute) })
+	r.until("ready", r.ready)
+	r.signals <- syscall.SIGTERM
+	r.until("not ready", func() bool { _, why := r.get("/ready"); return why == "about to leave" })
+	code, header, _ := r.submit()
+	is.Equal(code, http.StatusOK)
+	is.Equal(header.Get("Outcome"), string(wire.Done))
+	r.signals <- syscall.SIGTERM // ends the notice
+	is.NoErr(<-r.result)
+	is.Equal(r.starts.Load(), int64(1))
+}
+
 func TestStop(t *testing.T) {
 	tests := map[string]struct {
 		delay, drain time.Duration
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -16,6 +16,22 @@
 	settleTime = 3 * time.Second
 )
 
+// part lets the balancer see that this process isn't ready before it refuses
+// anything: requests that still come are served. A second signal ends it.
+func (a *app) part(ctx context.Context, signals <-chan os.Signal) {
+	a.logger.Info("entry is about to leave", zap.Int("requests", a.busy()))
+	a.parting.Store(true)
+	a.door.Part()
+	noticed := make(chan struct{})
+	limit := a.clock.After(time.Duration(a.settings.Limits.Notice), func() { close(noticed) })
+	defer limit.Stop()
+	select {
+	case <-noticed:
+	case <-signals:
+	case <-ctx.Done():
+	}
+}
+
 // drain refuses new requests and waits for the running ones, until the drain
 // time has passed or a second signal comes. What then still runs is given up,
 // and its callers are told the truth about it.
--- a/entry/internal/door/exchange.go
+++ b/entry/internal/door/exchange.go
@@ -59,7 +59,7 @@
 // and lets the connection go on.
 func (x *Exchange) end() {
 	s := x.conn.server
-	last := x.last || s.leaving.Load() || x.begun && !x.finished
+	last := x.last || s.parting.Load() || x.begun && !x.finished
 	var out []byte
 	if !x.begun {
 		out = x.whole(last)
--- a/entry/internal/door/server.go
+++ b/entry/internal/door/server.go
@@ -52,7 +52,8 @@
 	conns    connSet
 	buffered atomic.Int64 // bytes of bodies that have been let in
 	active   atomic.Int64 // exchanges not yet ended
-	leaving  atomic.Bool
+	parting  atomic.Bool  // answers close their connections
+	leaving  atomic.Bool  // idle connections are closed too
 	stop     sync.Once
 }
 
@@ -98,9 +99,15 @@
 // Booted is closed once the server accepts connections.
 func (s *Server) Booted() <-chan struct{} { return s.booted }
 
+// Part asks callers to go with the answer to their next request.
+func (s *Server) Part() { s.parting.Store(true) }
+
 // Leave asks callers to go: every later answer closes its connection, and
 // idle connections are closed.
-func (s *Server) Leave() { s.leaving.Store(true) }
+func (s *Server) Leave() {
+	s.Part()
+	s.leaving.Store(true)
+}
 
 // Active returns the number of requests in handlers.
 func (s *Server) Active() int { return int(s.active.Load()) }
--- a/entry/internal/door/stream.go
+++ b/entry/internal/door/stream.go
@@ -16,7 +16,7 @@
 	h := &x.response.Header
 	h.SetStatusCode(code)
 	h.SetContentType(contentType)
-	if x.last || x.conn.server.leaving.Load() {
+	if x.last || x.conn.server.parting.Load() {
 		x.last = true
 		h.SetConnectionClose()
 	}
--- a/entry/internal/params/settings.go
+++ b/entry/internal/params/settings.go
@@ -82,7 +82,8 @@
 	Idle     setup.Duration `toml:"idle"`     // between two requests on a connection
 	Read     setup.Duration `toml:"read"`     // for one request to come in
 	Write    setup.Duration `toml:"write"`    // without progress of an answer
-	Drain    setup.Duration `toml:"drain"`    // for a graceful stop
+	Notice   setup.Duration `toml:"notice"`   // not ready before a stop, for the balancer to see; requests are still served
+	Drain    setup.Duration `toml:"drain"`    // for a graceful stop after that
 }
 
 // Default returns settings with every limit set.
@@ -95,6 +96,7 @@
 			Shake: setup.Duration(5 * time.Second),
 			Idle:  setup.Duration(time.Minute), Read: setup.Duration(10 * time.Second),
 			Write: setup.Duration(10 * time.Second), Drain: setup.Duration(20 * time.Second),
+			Notice: setup.Duration(time.Second),
 		},
 	}
 }
@@ -207,7 +209,7 @@
 			faults = append(faults, setup.Fault{Key: "limits." + key, Text: "has to be above 0"})
 		}
 	}
-	times := map[string]setup.Duration{"keep": l.Keep, "shake": l.Shake, "idle": l.Idle, "read": l.Read, "write": l.Write, "drain": l.Drain}
+	times := map[string]setup.Duration{"keep": l.Keep, "shake": l.Shake, "idle": l.Idle, "read": l.Read, "write": l.Write, "notice": l.Notice, "drain": l.Drain}
 	for key, d := range times {
 		if d <= 0 {
 			faults = append(faults, setup.Fault{Key: "limits." + key, Text: "has to be above 0"})
