Keep the cancellation of a job that hosts hold for the platform

It was sent and cancelled while the platform wrote late, so two entry hosts held it; its tasks began 22 s after the caller had been told 202 for its cancellation, under attempt 1, so no driver knew of it. A held job's cancellation was only noted at the host that was asked. It was lost when the other host wrote the row and told this one to drop the job, when this host died, and when it came while this host wrote the row.

Ruled out: the driver's memory (the platform was well again 7 s before the first kill of a driver), the judge's rule (the service ran on until the end).

Change: a cancellation is held by both hosts before it is confirmed; a job that was cancelled meanwhile is held until its row says so.

--- a/entry/internal/jobs/hold.go
+++ b/entry/internal/jobs/hold.go
@@ -35,34 +35,47 @@
 
 // hold holds a job here and on a host in another zone.
 func (b *Book) hold(ctx context.Context, job wire.Job) bool {
+	return b.holdThere(ctx, job) && b.keep(job)
+}
+
+// holdThere asks a host in another zone to hold a job.
+func (b *Book) holdThere(ctx context.Context, job wire.Job) bool {
 	for _, h := range b.ring.Elsewhere(job.Request.ID, b.self.Zone) {
 		var told Told
 		callCtx, cancel := b.within(ctx)
 		err := b.caller.Call(callCtx, h.Link, Verb, Ask{Job: job}, &told)
 		cancel()
 		if err == nil && told.Held {
-			return b.keep(job)
+			return true
 		}
 	}
 	return false
 }
 
-// keep adds a job to those that wait for the platform.
+// keep adds a job to those that wait for the platform. A cancellation that is
+// known already stays.
 func (b *Book) keep(job wire.Job) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if _, ok := b.pending[job.Request.ID]; !ok && len(b.pending) >= heldLimit {
+	old, ok := b.pending[job.Request.ID]
+	if !ok && len(b.pending) >= heldLimit {
 		return false
 	}
+	job.Cancel = job.Cancel || old.Cancel
 	b.pending[job.Request.ID] = job
 	b.held.Update(int64(len(b.pending)))
 	return true
 }
 
-func (b *Book) drop(id string) {
+// drop holds a job no longer whose row is as job says. One that was cancelled
+// here in the meantime is held until its row says so.
+func (b *Book) drop(job wire.Job) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.pending, id)
+	if b.pending[job.Request.ID].Cancel && !job.Cancel {
+		return
+	}
+	delete(b.pending, job.Request.ID)
 	b.held.Update(int64(len(b.pending)))
 }
 
@@ -72,15 +85,26 @@
 	if err := s.Recv(&ask); err != nil {
 		return err
 	}
+	return s.Send(b.answer(ask))
+}
+
+func (b *Book) answer(ask Ask) Told {
 	if ask.Drop {
-		b.drop(ask.Job.Request.ID)
-		return s.Send(Told{})
+		b.drop(ask.Job)
+		return Told{}
 	}
-	return s.Send(Told{Held: b.keep(ask.Job)})
+	return Told{Held: b.keep(ask.Job)}
+}
+
+// Cancel marks a held job as cancelled, here and on a host in another zone. It
+// reports whether both hold it so. Otherwise the row has to be changed.
+func (b *Book) Cancel(ctx context.Context, id string) bool {
+	job, ok := b.mark(id)
+	return ok && b.holdThere(ctx, job)
 }
 
-// Cancel marks a held job as cancelled; it reports whether it is held here.
-func (b *Book) Cancel(id string) bool {
+// mark marks a job as cancelled if it is held here.
+func (b *Book) mark(id string) (wire.Job, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	job, ok := b.pending[id]
@@ -88,7 +112,7 @@
 		job.Cancel = true
 		b.pending[id] = job
 	}
-	return ok
+	return job, ok
 }
 
 // Run writes held jobs as soon as the platform takes them, until ctx ends.
@@ -126,13 +150,12 @@
 		if err != nil {
 			return
 		}
-		id := job.Request.ID
-		if found != nil && job.Cancel {
-			if err := b.Change(ctx, id, markCancel); err != nil {
+		if found != nil && found.Phase != wire.Ended && job.Cancel {
+			if err := b.Change(ctx, job.Request.ID, markCancel); err != nil {
 				return
 			}
 		}
-		b.drop(id)
+		b.drop(job)
 		b.release(ctx, job)
 		if found == nil {
 			written(job)
--- a/entry/internal/serve/state.go
+++ b/entry/internal/serve/state.go
@@ -90,7 +90,7 @@
 // cancelJob asks a job's driver to end it, or marks its row, whose next
 // driver will.
 func (s *Service) cancelJob(ctx context.Context, id string, v *jobs.View) error {
-	if v.Held && s.Jobs.Cancel(id) || v.Job.Phase == wire.Ended {
+	if v.Held && s.Jobs.Cancel(ctx, id) || v.Job.Phase == wire.Ended {
 		return nil
 	}
 	err := s.Jobs.Change(ctx, id, func(job *wire.Job) bool {
