--- a/placer/internal/jobs/job.go
+++ b/placer/internal/jobs/job.go
@@ -29,12 +29,13 @@
 
 // task is what is known of one task besides its row.
 type task struct {
-	order  desk.Order // of the present attempt, if this process started it
-	live   bool       // may run somewhere: sent or running and not known to have ended
-	doubt  bool       // nobody knows yet whether it runs
-	fails  int        // attempts in a row that failed
-	avoid  []string   // endpoints that failed it
-	queued bool       // with the scheduler
+	order  desk.Order    // of the present attempt, if this process started it
+	live   bool          // may run somewhere: sent or running and not known to have ended
+	doubt  bool          // nobody knows yet whether it runs
+	fails  int           // attempts in a row that failed
+	avoid  []string      // endpoints that failed it
+	queued bool          // with the scheduler
+	since  time.Duration // when it was queued, on the clock that goes on during a suspension
 }
 
 // ack is an ended task that its endpoint may forget.
--- a/placer/internal/jobs/submit.go
+++ b/placer/internal/jobs/submit.go
@@ -28,7 +28,7 @@
 	}
 	err := d.queue.Submit(item)
 	for _, n := range item.Numbers {
-		j.tasks[n].queued = err == nil
+		j.tasks[n].queued, j.tasks[n].since = err == nil, d.timer.Boot()
 	}
 	if err == nil {
 		j.regroup, j.nevers = false, 0
