Tell drivers which rows name them; tell a cancellation once it is written

Change: the placer that scans tells the others, each third scan, which rows name them; who doesn't drive one of those looks for it. Cancel returns an error if it couldn't be written.

--- a/placer/internal/jobs/cancel.go
+++ b/placer/internal/jobs/cancel.go
@@ -19,7 +19,9 @@
 	return row, err
 }
 
-// Cancel ends a job. What runs is stopped; what waits is never started.
+// Cancel ends a job. What runs is stopped; what waits is never started. It
+// returns an error if that couldn't be written, since the next driver wouldn't
+// know of it.
 func (d *Driver) Cancel(ctx context.Context, id string) (wire.Cancelled, error) {
 	j := d.find(id)
 	if j == nil {
@@ -32,7 +34,7 @@
 		if errors.As(err, &replaced) {
 			return wire.Cancelled{}, nil
 		}
-		return out, nil
+		return out, err
 	}
 	out.NotRun = j.snapshot().Outcome == wire.NotRun
 	return out, nil
@@ -49,7 +51,9 @@
 	if err != nil || row.Outcome != "" {
 		return wire.Cancelled{Found: err == nil}, err
 	}
-	if m, alive := d.members.Alive(row.Driver); alive && row.Driver != d.name {
+	if row.Driver == d.name {
+		d.unsure.Store(true)
+	} else if m, alive := d.members.Alive(row.Driver); alive {
 		ctx, cancel := context.WithTimeout(ctx, noteTimeout)
 		defer cancel()
 		var out wire.Cancelled
--- a/placer/internal/jobs/note.go
+++ b/placer/internal/jobs/note.go
@@ -22,6 +22,7 @@
 	Promise  time.Duration `cbor:"promise,omitempty"` // asks not to take the endpoint's term for that long
 	Held     bool          `cbor:"held,omitempty"`    // asks whether the other may keep the endpoint's leases alive
 	Owned    bool          `cbor:"owned,omitempty"`   // asks which endpoints the other owns
+	Drives   []string      `cbor:"drives,omitempty"`  // ids of jobs whose rows name the other
 }
 
 // noted answers a note.
@@ -64,6 +65,8 @@
 		return noted{Done: d.queue.Fits(in.Fit.Needs, in.Fit.Tasks)}
 	case in.Owned:
 		return noted{Names: d.owner.Owned()}
+	case len(in.Drives) > 0:
+		d.named(in.Drives)
 	case in.Promise > 0:
 		return noted{Done: d.promise(in.Endpoint, in.Promise)}
 	case in.Held:
@@ -79,6 +82,18 @@
 	return noted{}
 }
 
+// named looks for jobs whose rows name this placer unless it drives them all.
+// A row can name it unknown to it: the write that took the job had no answer
+// and took effect late, or it was that of an earlier process of the same name.
+func (d *Driver) named(ids []string) {
+	for _, id := range ids {
+		if d.find(id) == nil {
+			d.unsure.Store(true)
+			return
+		}
+	}
+}
+
 // known records ended tasks of jobs that are driven here.
 func (d *Driver) known(ctx context.Context, in *note) []bool {
 	out := make([]bool, len(in.Tasks))
--- a/placer/internal/jobs/scan.go
+++ b/placer/internal/jobs/scan.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/balsamford/balsamford/coord/owner"
 	"github.com/balsamford/balsamford/coord/roster"
@@ -20,16 +21,27 @@
 	// orphanScans is how many looks in a row have to find a job without a
 	// driver, so that the entry that wrote it can offer it first.
 	orphanScans = 2
+	// nameScans is after how many looks drivers are told which jobs' rows
+	// name them.
+	nameScans = 3
+	// maxNames bounds the jobs in one such note.
+	maxNames = 512
 	// scanKey is what the placers of a zone hash to agree on who scans.
 	scanKey = "scan"
 )
 
+// scanner is what scanLoop knows from one look to the next.
+type scanner struct {
+	round   int
+	orphans map[string]int // looks in a row that found the job without a driver
+}
+
 // scanLoop looks for jobs of the zone that no live placer drives. One placer
 // does it for all; each does it by itself when the set of live ones has
 // changed, also when it has just started.
 func (d *Driver) scanLoop(ctx context.Context) {
 	last := ""
-	orphans := make(map[string]int)
+	s := &scanner{orphans: make(map[string]int)}
 	for d.timer.Sleep(ctx, scanPeriod) == nil {
 		names := d.liveNames()
 		now := strings.Join(names, " ")
@@ -37,7 +49,7 @@
 		if now == last && !unsure && owner.Of(scanKey, names) != d.name {
 			continue
 		}
-		if d.scan(ctx, names, orphans) {
+		if d.scan(ctx, names, s) {
 			last = now
 		} else if unsure {
 			d.unsure.Store(true)
@@ -56,48 +68,71 @@
 }
 
 // scan offers each orphan to the placer that should drive it, and reports
-// whether every job has a driver. One whose row names this placer is known to
-// no other, which sees that it lives.
-func (d *Driver) scan(ctx context.Context, names []string, orphans map[string]int) bool {
+// whether every job has a driver.
+func (d *Driver) scan(ctx context.Context, names []string, s *scanner) bool {
+	rows, err := d.list(ctx)
+	if err != nil {
+		return false
+	}
+	s.round++
+	orphans := make(map[string]int)
+	named := make(map[string][]string)
+	complete := true
+	var g errgroup.Group
+	g.SetLimit(parallelOffers)
+	offered := make([]bool, len(rows))
+	for i, row := range rows {
+		id := row.Request.ID
+		if !d.orphan(row) {
+			named[row.Driver] = append(named[row.Driver], id)
+			offered[i] = true
+			g.Go(func() error { d.remind(ctx, row); return nil })
+			continue
+		}
+		orphans[id] = s.orphans[id] + 1
+		to := owner.Of(id, names)
+		if row.Driver == d.name {
+			to = d.name // no other one sees that it doesn't drive the job
+		} else if orphans[id] < orphanScans {
+			continue
+		}
+		g.Go(func() error { offered[i] = d.offer(ctx, &row.Request, to); return nil })
+	}
+	_ = g.Wait()
+	for _, ok := range offered {
+		complete = complete && ok
+	}
+	s.orphans = orphans
+	if s.round%nameScans == 0 {
+		d.tellNamed(ctx, named)
+	}
+	return complete
+}
+
+// list reads the jobs of the zone.
+func (d *Driver) list(ctx context.Context) ([]*wire.Job, error) {
 	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
 	defer cancel()
 	rows, err := d.table.Scan(ctx, tableName, d.key(""))
 	if err != nil {
-		return false
+		return nil, err
 	}
-	seen := make(map[string]bool)
-	all := true
+	jobs := make([]*wire.Job, 0, len(rows))
 	for i := range rows {
 		row := new(wire.Job)
 		if err := cbor.Unmarshal(rows[i].Value, row); err != nil {
 			d.log.Error("job can't be read", zap.String("key", rows[i].Key), zap.Error(err))
 			continue
 		}
-		if !d.orphan(row) {
-			d.remind(ctx, row)
-			continue
-		}
-		id := row.Request.ID
-		seen[id] = true
-		if orphans[id]++; row.Driver == d.name {
-			all = d.offer(ctx, &row.Request, d.name) && all
-			continue
-		}
-		all = orphans[id] >= orphanScans && d.offer(ctx, &row.Request, owner.Of(id, names)) && all
-	}
-	for id := range orphans {
-		if !seen[id] {
-			delete(orphans, id)
+		if row.Outcome == "" {
+			jobs = append(jobs, row)
 		}
 	}
-	return all
+	return jobs, nil
 }
 
-// orphan reports whether no live placer drives the job.
+// orphan reports whether no live placer drives an open job.
 func (d *Driver) orphan(row *wire.Job) bool {
-	if row.Outcome != "" {
-		return false
-	}
 	if row.Driver == d.name {
 		return d.find(row.Request.ID) == nil
 	}
@@ -105,21 +140,50 @@
 	return !alive || m.Leaving
 }
 
+// tellNamed tells the other placers which jobs' rows name them, since only
+// the placer itself can see that it doesn't drive one of them.
+func (d *Driver) tellNamed(ctx context.Context, named map[string][]string) {
+	var g errgroup.Group
+	g.SetLimit(parallelOffers)
+	for name, ids := range named {
+		m, alive := d.members.Alive(name)
+		if !alive || name == d.name {
+			continue
+		}
+		g.Go(func() error { d.tellNames(ctx, m, ids); return nil })
+	}
+	_ = g.Wait()
+}
+
+func (d *Driver) tellNames(ctx context.Context, m roster.Member, ids []string) {
+	for len(ids) > 0 {
+		n := min(len(ids), maxNames)
+		if _, err := d.tell(ctx, m, &note{Drives: ids[:n]}); err != nil {
+			return
+		}
+		ids = ids[n:]
+	}
+}
+
 // remind tells a job's driver of a cancellation that was only written into the
 // row, because the driver couldn't be reached then. It is repeated until the
 // job has ended, so that a stop which got lost is sent again.
 func (d *Driver) remind(ctx context.Context, row *wire.Job) {
-	if !row.Cancel || row.Outcome != "" {
+	if !row.Cancel {
 		return
 	}
 	if j := d.find(row.Request.ID); j != nil {
 		d.cancel(j)
 		return
 	}
-	if m, alive := d.members.Alive(row.Driver); alive {
-		var out wire.Cancelled
-		_ = d.caller.Call(ctx, m.Link, wire.VerbCancel, wire.Lookup{ID: row.Request.ID}, &out)
+	m, alive := d.members.Alive(row.Driver)
+	if !alive || row.Driver == d.name {
+		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
+	defer cancel()
+	var out wire.Cancelled
+	_ = d.caller.Call(ctx, m.Link, wire.VerbCancel, wire.Lookup{ID: row.Request.ID}, &out)
 }
 
 // offer gives a job to a placer of the zone, which may be this one, and
--- a/placer/internal/serve/server.go
+++ b/placer/internal/serve/server.go
@@ -100,15 +100,18 @@
 
 // enter notes a request; leave has to be called at its end. It reports false
 // if the placer is leaving.
-func (s *Server) enter(id string, stop context.CancelCauseFunc) (leave func(), ok bool) {
+func (s *Server) enter(req *wire.Request, stop context.CancelCauseFunc) (leave func(), ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leaving {
 		return nil, false
 	}
 	s.next++
-	n := s.next
-	s.calls[n], s.byID[id] = stop, n
+	n, id := s.next, req.ID
+	s.calls[n] = stop
+	if req.Kind == wire.Quick { // a job is cancelled in its row
+		s.byID[id] = n
+	}
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -131,7 +134,7 @@
 	defer stop(nil)
 	gone := context.AfterFunc(stream.Context(), func() { stop(&exec.StopError{Reason: wire.ReasonCancel}) })
 	defer gone()
-	leave, ok := s.enter(req.ID, stop)
+	leave, ok := s.enter(&req, stop)
 	if !ok {
 		return stream.Send(&wire.Event{ID: req.ID, Attempt: req.Attempt, Outcome: wire.NotRun, Reason: wire.ReasonLeaving})
 	}
