Index open jobs, delete ended ones after their history

Cause: the look for jobs without a driver, each 3 s in each zone, read every job's row, ended ones with their outputs included, and no row was ever deleted (docs/CAPACITY.md, what breaks first, no. 2).

Change: coord/ledger makes all writes of jobs. A job's row, its mark, its place in the index of open jobs and its end are written in one transaction that is conditional on the row's version. Looks read the index alone. Ended jobs and their marks are deleted after history (10m to 720h, 24h), in batches of 16 a second, by one placer of the zone, each conditional on the versions that were read. Issued ids older than half the history are not accepted anew (gone, unknown); a host that held a job that runs once for as long doesn't write it.

Weighed: an index of keys alone (a read for each open job in each look), and a table of its own for ended jobs (a lost answer at the end would have to be looked up in two tables).

Seen failing: TestScanReadsOpenJobsOnly before the change; TestIndexAgreesWithJobs and TestSweepFaults with the index row kept at the end, with the history ignored, with the versions ignored, with the mark kept, and with claims that write the job's row alone.

--- a/entry/app.go
+++ b/entry/app.go
@@ -100,7 +100,7 @@
 	a.table = route.New(a.clock, a.node, s.Zone, placers, a.registry)
 	a.keeper = record.New(a.clock, a.node, a.platform, ring, self, issuer,
 		record.WithKeep(time.Duration(s.Limits.Keep)), record.WithLimit(s.Limits.Records), record.WithRegistry(a.registry))
-	a.jobs = jobs.New(a.clock, a.node, a.platform, ring, self, a.registry)
+	a.jobs = jobs.New(a.clock, a.node, a.platform, ring, self, a.registry, jobs.WithHistory(time.Duration(a.settings.Limits.History)))
 	a.service = serve.New(serve.Parts{
 		Clock: a.clock, Config: a.rights, Net: a.node, Ring: ring, Self: self, Issuer: issuer, Keeper: a.keeper,
 		Gate:  admit.New(a.clock, s.Limits.Running, s.Limits.Waiting, a.registry),
--- a/entry/internal/jobs/book.go
+++ b/entry/internal/jobs/book.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/balsamford/balsamford/coord/ledger"
 	"github.com/balsamford/balsamford/coord/store"
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/coord/wire"
@@ -16,11 +17,6 @@
 )
 
 const (
-	// Table has the rows of jobs, by home zone and id.
-	Table = "job"
-	// markTable has a row for each job that was ever accepted, so that a
-	// late holder doesn't write it a second time after it has ended.
-	markTable = "mark"
 	// callTime bounds one call to the platform or another host.
 	callTime = 2 * time.Second
 	// heldLimit is how many jobs one host holds for the platform.
@@ -48,28 +44,47 @@
 	platform Platform
 	ring     *record.Ring
 	self     record.Host
+	history  time.Duration
 	held     metrics.Gauge
 	written  metrics.Counter
+	dropped  metrics.Counter
 
 	mu      sync.Mutex // guards pending
-	pending map[string]wire.Job
+	pending map[string]waiting
+}
+
+// waiting is a job that waits for the platform.
+type waiting struct {
+	job   wire.Job
+	since time.Duration // on the clock that goes on during a suspension
 }
 
 // New returns a Book for the host self.
-func New(clock *timer.Service, caller Caller, platform Platform, ring *record.Ring, self record.Host, r metrics.Registry) *Book {
-	return &Book{
-		clock: clock, caller: caller, platform: platform, ring: ring, self: self, pending: make(map[string]wire.Job),
+func New(clock *timer.Service, caller Caller, platform Platform, ring *record.Ring, self record.Host, r metrics.Registry, opts ...Option) *Book {
+	b := &Book{
+		clock: clock, caller: caller, platform: platform, ring: ring, self: self, pending: make(map[string]waiting), history: History,
 		held:    metrics.GetOrRegisterGauge("entry.jobs.held", r),
 		written: metrics.GetOrRegisterCounter("entry.jobs.written", r),
+		dropped: metrics.GetOrRegisterCounter("entry.jobs.dropped", r),
 	}
+	for _, opt := range opts {
+		opt(b)
+	}
+	return b
 }
 
+// History returns how long ended jobs are kept.
+func (b *Book) History() time.Duration { return b.history }
+
 // Accept makes a job last. With Taken the earlier job is returned.
 func (b *Book) Accept(ctx context.Context, req wire.Request) (Status, wire.Job) {
 	job := wire.Job{Request: req, Zone: b.ring.Zone(req.ID), Phase: wire.Queued}
 	if old, ok := b.find(req.ID); ok {
 		return Taken, old
 	}
+	if b.old(req.ID) {
+		return b.again(ctx, job)
+	}
 	found, err := b.create(ctx, job)
 	if err == nil && found == nil {
 		return Created, job
@@ -87,22 +102,40 @@
 	return Lost, job
 }
 
+// old reports whether an issued id is so old that what was known of it may have
+// been deleted. Half of the history is left for clocks that differ and for
+// writes under way.
+func (b *Book) old(id string) bool {
+	issued, ok := record.ParseIssued(id)
+	return ok && b.clock.Now().Sub(issued.At) >= b.history/2
+}
+
+// again returns the job of an old id, which is never accepted anew.
+func (b *Book) again(ctx context.Context, job wire.Job) (Status, wire.Job) {
+	ctx, cancel := b.within(ctx)
+	defer cancel()
+	found, err := b.read(ctx, job.Request.ID)
+	var missing *store.MissingError
+	switch {
+	case err == nil:
+		return Taken, found
+	case errors.As(err, &missing):
+		return Gone, job
+	}
+	return Lost, job
+}
+
 // create writes a job's row. It returns the row that is there already, if
 // any; a row that this very call wrote before its answer was lost is told
 // from another by the marks being written together with it.
 func (b *Book) create(ctx context.Context, job wire.Job) (*wire.Job, error) {
 	ctx, cancel := b.within(ctx)
 	defer cancel()
-	value, err := cbor.Marshal(job)
+	ops, err := ledger.Create(b.key(job.Request.ID), &job, b.self.Name)
 	if err != nil {
 		return nil, &RowError{Key: job.Request.ID, Err: err}
 	}
-	key := b.key(job.Request.ID)
-	err = b.platform.Commit(ctx, []store.Op{
-		{Table: Table, Key: key, Action: store.Put, Value: value},
-		{Table: markTable, Key: key, Action: store.Put, Value: []byte(b.self.Name)},
-	})
-	if err == nil {
+	if err = b.platform.Commit(ctx, ops); err == nil {
 		b.written.Inc(1)
 		return nil, nil
 	}
@@ -132,7 +165,7 @@
 }
 
 func (b *Book) row(ctx context.Context, id string) (wire.Job, uint64, error) {
-	row, err := b.platform.Get(ctx, Table, b.key(id))
+	row, err := b.platform.Get(ctx, ledger.Jobs, b.key(id))
 	if err != nil {
 		return wire.Job{}, 0, err
 	}
@@ -172,11 +205,11 @@
 		if !change(&job) {
 			return nil
 		}
-		value, encErr := cbor.Marshal(job)
+		ops, encErr := ledger.Update(b.key(id), &job, version, b.clock.Now())
 		if encErr != nil {
 			return &RowError{Key: id, Err: encErr}
 		}
-		err = b.platform.Commit(ctx, []store.Op{{Table: Table, Key: b.key(id), Expect: version, Action: store.Put, Value: value}})
+		err = b.platform.Commit(ctx, ops)
 		var conflict *store.ConflictError
 		if !errors.As(err, &conflict) {
 			return err
@@ -185,7 +218,7 @@
 	return err
 }
 
-func (b *Book) key(id string) string { return b.ring.Zone(id) + "/" + id }
+func (b *Book) key(id string) string { return ledger.Key(b.ring.Zone(id), id) }
 
 func (b *Book) within(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/entry/internal/jobs/cancel_test.go
+++ b/entry/internal/jobs/cancel_test.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/balsamford/balsamford/coord/ledger"
 	"github.com/balsamford/balsamford/coord/store"
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/coord/wire"
@@ -99,7 +100,7 @@
 				amid = func() { amid = func() {}; tt.amid(p) }
 			}
 			write(p, tt.order...)
-			rows, err := p.platform.Scan(ctx, Table, "")
+			rows, err := p.platform.Scan(ctx, ledger.Jobs, "")
 			is.NoErr(err)
 			is.Equal(len(rows), 1)
 			var job wire.Job
--- a/entry/internal/jobs/hold.go
+++ b/entry/internal/jobs/hold.go
@@ -29,8 +29,8 @@
 func (b *Book) find(id string) (wire.Job, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	job, ok := b.pending[id]
-	return job, ok
+	w, ok := b.pending[id]
+	return w.job, ok
 }
 
 // hold holds a job here and on a host in another zone.
@@ -61,8 +61,11 @@
 	if !ok && len(b.pending) >= heldLimit {
 		return false
 	}
-	job.Cancel = job.Cancel || old.Cancel
-	b.pending[job.Request.ID] = job
+	if !ok {
+		old.since = b.clock.Boot()
+	}
+	job.Cancel = job.Cancel || old.job.Cancel
+	b.pending[job.Request.ID] = waiting{job, old.since}
 	b.held.Update(int64(len(b.pending)))
 	return true
 }
@@ -72,7 +75,7 @@
 func (b *Book) drop(job wire.Job) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.pending[job.Request.ID].Cancel && !job.Cancel {
+	if b.pending[job.Request.ID].job.Cancel && !job.Cancel {
 		return
 	}
 	delete(b.pending, job.Request.ID)
@@ -107,12 +110,12 @@
 func (b *Book) mark(id string) (wire.Job, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	job, ok := b.pending[id]
+	w, ok := b.pending[id]
 	if ok {
-		job.Cancel = true
-		b.pending[id] = job
+		w.job.Cancel = true
+		b.pending[id] = w
 	}
-	return job, ok
+	return w.job, ok
 }
 
 // Run writes held jobs as soon as the platform takes them, until ctx ends.
@@ -145,7 +148,13 @@
 
 // Write tries to write all held jobs and stops at the first failure.
 func (b *Book) Write(ctx context.Context, written func(wire.Job)) {
-	for _, job := range b.snapshot() {
+	for _, w := range b.snapshot() {
+		job := w.job
+		if b.outdated(&w) {
+			b.dropped.Inc(1)
+			b.drop(job)
+			continue
+		}
 		found, err := b.create(ctx, job)
 		if err != nil {
 			return
@@ -163,6 +172,12 @@
 	}
 }
 
+// outdated reports whether a job that must not run twice was held for so long
+// that the other host may have written it and its rows been deleted since.
+func (b *Book) outdated(w *waiting) bool {
+	return !w.job.Request.Idempotent && b.clock.Boot()-w.since >= b.history/2
+}
+
 // markCancel sets a job's wish to end.
 func markCancel(job *wire.Job) bool {
 	if job.Cancel || job.Phase == wire.Ended {
@@ -185,12 +200,12 @@
 	}
 }
 
-func (b *Book) snapshot() []wire.Job {
+func (b *Book) snapshot() []waiting {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := make([]wire.Job, 0, len(b.pending))
-	for _, job := range b.pending {
-		out = append(out, job)
+	out := make([]waiting, 0, len(b.pending))
+	for _, w := range b.pending {
+		out = append(out, w)
 	}
 	return out
 }
--- a/entry/internal/params/settings.go
+++ b/entry/internal/params/settings.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/balsamford/balsamford/coord/setup"
+	"github.com/balsamford/balsamford/entry/internal/jobs"
 	"github.com/balsamford/balsamford/entry/internal/oper"
 )
 
@@ -61,6 +62,7 @@
 	Body     int            `toml:"body"`     // bytes of a request's body
 	Records  int            `toml:"records"`  // requests remembered
 	Keep     setup.Duration `toml:"keep"`     // how long they are remembered
+	History  setup.Duration `toml:"history"`  // how long ended jobs are kept, as the placers' settings say it
 	Idle     setup.Duration `toml:"idle"`     // between two requests on a connection
 	Read     setup.Duration `toml:"read"`     // for one request to come in
 	Write    setup.Duration `toml:"write"`    // without progress of an answer
@@ -73,7 +75,7 @@
 		Level: "info",
 		Limits: Limits{
 			Conns: 4096, Requests: 4096, Running: 512, Waiting: 256, Header: 8 << 10, Body: 1 << 20,
-			Records: 65536, Keep: setup.Duration(5 * time.Minute),
+			Records: 65536, Keep: setup.Duration(5 * time.Minute), History: setup.Duration(jobs.History),
 			Idle: setup.Duration(time.Minute), Read: setup.Duration(10 * time.Second),
 			Write: setup.Duration(10 * time.Second), Drain: setup.Duration(20 * time.Second),
 		},
@@ -177,6 +179,9 @@
 			faults = append(faults, setup.Fault{Key: "limits." + key, Text: "has to be above 0"})
 		}
 	}
+	if l.History < minHistory || l.History > maxHistory {
+		faults = append(faults, setup.Fault{Key: "limits.history", Text: `has to be from "10m" to "720h"`})
+	}
 	slices.SortFunc(faults, func(a, b setup.Fault) int { return strings.Compare(a.Key, b.Key) })
 	return faults
 }
@@ -191,5 +196,11 @@
 	return nil
 }
 
+// Bounds of how long ended jobs are kept, the same as in the placers' settings.
+const (
+	minHistory = setup.Duration(10 * time.Minute)
+	maxHistory = setup.Duration(720 * time.Hour)
+)
+
 // maxName is the length of a name in bytes, at most.
 const maxName = 32
--- a/entry/internal/params/settings_test.go
+++ b/entry/internal/params/settings_test.go
@@ -52,6 +52,9 @@
 		"peer's zone":     {old: `zone = "a"` + "\nlink = \"127.0.0.2", new: `zone = "z"` + "\nlink = \"127.0.0.2", fault: "peers.zone"},
 		"no certificate":  {old: `cert = "cert.pem"`, new: "", fault: "certs.cert"},
 		"no time":         {old: `"1m"`, new: `"0s"`, fault: "limits.keep"},
+		"history short":   {old: `keep = "1m"`, new: `history = "9m"`, fault: "limits.history"},
+		"history long":    {old: `keep = "1m"`, new: `history = "721h"`, fault: "limits.history"},
+		"history":         {old: `keep = "1m"`, new: `history = "720h"`},
 		"unknown level":   {old: `host = "a1"`, new: "host = \"a1\"\nlevel = \"loud\"", fault: "level"},
 		"without placers": {old: good[strings.Index(good, "[[placers]]"):strings.Index(good, "[limits]")], new: "", fault: "placers"},
 	}
--- a/entry/internal/serve/job.go
+++ b/entry/internal/serve/job.go
@@ -27,7 +27,7 @@
 	id := sub.Request.ID
 	sub.Request.Version = s.Config.Version()
 	state, job := s.Jobs.Accept(s.ctx, sub.Request)
-	reply := Reply{ID: record.Shown(id), Phase: job.Phase, Outcome: job.Outcome, Reason: job.Reason, Keep: s.keepSeconds()}
+	reply := Reply{ID: record.Shown(id), Phase: job.Phase, Outcome: job.Outcome, Reason: job.Reason, Keep: int(s.Jobs.History().Seconds())}
 	switch state {
 	case jobs.Created, jobs.Held:
 		reply.Held = state == jobs.Held
@@ -37,6 +37,9 @@
 			fail(x, id, relay.NotRun(wire.ReasonDuplicate, "another request has this id"))
 			return
 		}
+	case jobs.Gone:
+		fail(x, id, relay.Unknown(wire.ReasonGone, "the id is so old that an earlier job under it may have been forgotten; take a new one"))
+		return
 	case jobs.Refused:
 		res := relay.NotRun(wire.ReasonRecord, "neither the platform nor a host in another zone could hold the job")
 		if !sub.private {
--- a/placer/internal/conf/check.go
+++ b/placer/internal/conf/check.go
@@ -16,6 +16,11 @@
 	leaseTerms = 2
 	// lapseBeats is how many heartbeats fit into the lapse at least.
 	lapseBeats = 2
+	// minHistory leaves room for the writes and retries of a job that has just
+	// ended.
+	minHistory = setup.Duration(10 * time.Minute)
+	// maxHistory bounds the rows of ended jobs.
+	maxHistory = setup.Duration(720 * time.Hour)
 )
 
 // Check implements setup.Checker.
@@ -55,6 +60,9 @@
 	if s.Drain <= 0 {
 		faults = append(faults, setup.Fault{Key: "drain", Text: `not above zero; write a duration, like "30s"`})
 	}
+	if s.History < minHistory || s.History > maxHistory {
+		faults = append(faults, setup.Fault{Key: "history", Text: `has to be from "10m" to "720h"`})
+	}
 	return faults
 }
 
--- a/placer/internal/conf/settings.go
+++ b/placer/internal/conf/settings.go
@@ -22,6 +22,7 @@
 	Lapse     setup.Duration `toml:"lapse"`    // silence after which a placer counts as dead
 	List      setup.Duration `toml:"list"`     // time between reads of the platform's host list
 	Drain     setup.Duration `toml:"drain"`    // longest graceful stop
+	History   setup.Duration `toml:"history"`  // how long ended jobs are kept
 	Certs     Certs          `toml:"certs"`
 	Peers     []Peer         `toml:"peers"`
 	Entries   []Peer         `toml:"entries"` // entry processes, which tell of configurations
@@ -68,12 +69,13 @@
 // Default returns the settings that a file starts from.
 func Default() Settings {
 	return Settings{
-		Level: "info",
-		Term:  setup.Duration(4500 * time.Millisecond),
-		Lease: setup.Duration(9 * time.Second),
-		Beat:  setup.Duration(500 * time.Millisecond),
-		Lapse: setup.Duration(2 * time.Second),
-		List:  setup.Duration(time.Second),
-		Drain: setup.Duration(30 * time.Second),
+		Level:   "info",
+		Term:    setup.Duration(4500 * time.Millisecond),
+		Lease:   setup.Duration(9 * time.Second),
+		Beat:    setup.Duration(500 * time.Millisecond),
+		Lapse:   setup.Duration(2 * time.Second),
+		List:    setup.Duration(time.Second),
+		Drain:   setup.Duration(30 * time.Second),
+		History: setup.Duration(24 * time.Hour),
 	}
 }
--- a/placer/internal/daemon/daemon.go
+++ b/placer/internal/daemon/daemon.go
@@ -100,6 +100,7 @@
 	d.driver = jobs.New(s.Host, s.Zone, jobs.Parts{
 		Timer: d.timer, Table: d.table, Queue: d.desk, Owner: d.keeper, Client: d.client,
 		Members: d.members, Caller: d.node, Log: d.log, Metrics: d.registry, Promise: d.guard.Promise,
+		History: time.Duration(s.History),
 	})
 	d.mover = borrow.New(d.limits, s.Zone, d.table, d.members, d.node, d.timer, d.driver, d.log)
 	d.node.Handle(wire.VerbPart, link.HandlerFunc(d.mover.Handle))
--- a/placer/internal/daemon/daemon_test.go
+++ b/placer/internal/daemon/daemon_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/balsamford/balsamford/coord/ledger"
 	"github.com/balsamford/balsamford/coord/link"
 	"github.com/balsamford/balsamford/coord/point"
 	"github.com/balsamford/balsamford/coord/setup"
@@ -48,6 +49,7 @@
 	links    []string
 	placers  []*running
 	caller   *link.Node
+	history  time.Duration // how long ended jobs are kept; 0 is the default
 }
 
 // running is a placer of a zone.
@@ -133,6 +135,9 @@
 	s.Beat, s.Lapse = setup.Duration(100*time.Millisecond), setup.Duration(time.Second)
 	s.Certs = conf.Certs{Cert: filepath.Join(z.certs, "cert.pem"), Key: filepath.Join(z.certs, "key.pem"), Authority: filepath.Join(z.certs, "authority.pem")}
 	s.Endpoints = z.places
+	if z.history > 0 {
+		s.History = setup.Duration(z.history)
+	}
 	for k, l := range z.links {
 		if k != i {
 			s.Peers = append(s.Peers, conf.Peer{Name: fmt.Sprintf("placer-%d", k), Zone: "a", Link: l})
@@ -221,15 +226,15 @@
 func (z *zone) accept(req *wire.Request) {
 	z.t.Helper()
 	is := is.New(z.t)
-	value, err := cbor.Marshal(&wire.Job{Request: *req, Zone: "a", Phase: wire.Queued})
+	ops, err := ledger.Create(ledger.Key("a", req.ID), &wire.Job{Request: *req, Zone: "a", Phase: wire.Queued}, "entry")
 	is.NoErr(err)
-	is.NoErr(z.memory.Commit(z.ctx, []store.Op{{Table: "job", Key: "a/" + req.ID, Value: value, Action: store.Put}}))
+	is.NoErr(z.memory.Commit(z.ctx, ops))
 }
 
 func (z *zone) row(id string) wire.Job {
 	z.t.Helper()
 	is := is.New(z.t)
-	row, err := z.memory.Get(z.ctx, "job", "a/"+id)
+	row, err := z.memory.Get(z.ctx, ledger.Jobs, ledger.Key("a", id))
 	is.NoErr(err)
 	var j wire.Job
 	is.NoErr(cbor.Unmarshal(row.Value, &j))
--- a/placer/internal/daemon/driver_test.go
+++ b/placer/internal/daemon/driver_test.go
@@ -1,13 +1,12 @@
 package daemon
 
 import (
-	"context"
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
+	"github.com/balsamford/balsamford/coord/ledger"
 	"github.com/balsamford/balsamford/coord/owner"
 	"github.com/balsamford/balsamford/coord/store"
 	"github.com/balsamford/balsamford/coord/wire"
@@ -72,20 +71,13 @@
 	}
 }
 
-// jobRow encodes a job's row.
-func jobRow(t *testing.T, job *wire.Job) []byte {
-	t.Helper()
-	value, err := cbor.Marshal(job)
-	is.New(t).NoErr(err)
-	return value
-}
-
-// acceptAs writes a job's row as it is.
+// acceptAs writes a job's row that names a driver.
 func (z *zone) acceptAs(job *wire.Job) {
 	z.t.Helper()
-	is.New(z.t).NoErr(z.memory.Commit(context.Background(), []store.Op{
-		{Table: "job", Key: "a/" + job.Request.ID, Value: jobRow(z.t, job), Action: store.Put},
-	}))
+	is := is.New(z.t)
+	ops, err := ledger.Create(ledger.Key("a", job.Request.ID), job, "entry")
+	is.NoErr(err)
+	is.NoErr(z.memory.Commit(z.ctx, ops))
 }
 
 // jobLook is longer than two looks for jobs of the zone are apart.
--- a/placer/internal/daemon/wish_test.go
+++ b/placer/internal/daemon/wish_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
-	"github.com/balsamford/balsamford/coord/store"
+	"github.com/balsamford/balsamford/coord/ledger"
 	"github.com/balsamford/balsamford/coord/wire"
 	"github.com/balsamford/balsamford/standin/engine"
 )
@@ -24,13 +25,14 @@
 	z.eventually("the endpoints are owned", z.owned(2))
 	z.submit(z.placers[0], jobRequest("a.svc", wire.Service, 2, engine.Body{}))
 	z.eventually("the service runs", func() bool { return z.runningAll() == 2 && z.row("a.svc").Phase == wire.Running })
-	row, err := z.memory.Get(z.ctx, "job", "a/a.svc")
+	key := ledger.Key("a", "a.svc")
+	row, err := z.memory.Get(z.ctx, ledger.Jobs, key)
 	is.NoErr(err)
 	var job wire.Job
 	is.NoErr(cbor.Unmarshal(row.Value, &job))
 	job.Cancel = true
-	value, err := cbor.Marshal(&job)
+	ops, err := ledger.Update(key, &job, row.Version, time.Now())
 	is.NoErr(err)
-	is.NoErr(z.memory.Commit(z.ctx, []store.Op{{Table: "job", Key: "a/a.svc", Expect: row.Version, Value: value, Action: store.Put}}))
+	is.NoErr(z.memory.Commit(z.ctx, ops))
 	z.eventually("the service is stopped", func() bool { return z.runningAll() == 0 && z.row("a.svc").Outcome == wire.Done })
 }
--- a/placer/internal/jobs/driver.go
+++ b/placer/internal/jobs/driver.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	// tableName is the platform's table of jobs.
-	tableName = "job"
 	// callTimeout bounds one call to the platform, a worker or a placer.
 	callTimeout = 2 * time.Second
 	// pause is the wait before something that failed is tried again.
@@ -38,6 +36,7 @@
 	caller  Caller
 	log     *zap.Logger
 	promise func(endpoint string, length time.Duration) bool
+	history time.Duration // how long ended jobs are kept
 	counts  counts
 	group   errgroup.Group
 	dirty   chan struct{}
@@ -52,8 +51,8 @@
 
 // counts are the driver's metrics.
 type counts struct {
-	starts, restarts, takeovers, writes, conflicts metrics.Counter
-	driven                                         metrics.Gauge
+	starts, restarts, takeovers, writes, conflicts, deleted metrics.Counter
+	driven                                                  metrics.Gauge
 }
 
 // Parts are what a Driver works with.
@@ -67,6 +66,7 @@
 	Caller  Caller
 	Log     *zap.Logger
 	Metrics metrics.Registry
+	History time.Duration // how long ended jobs are kept; 0 stands for ever
 	// Promise answers another placer that asks not to take an endpoint's term.
 	Promise func(endpoint string, length time.Duration) bool
 }
@@ -75,13 +75,14 @@
 func New(name, zone string, p Parts) *Driver {
 	return &Driver{
 		name: name, zone: zone, timer: p.Timer, table: p.Table, queue: p.Queue, owner: p.Owner,
-		client: p.Client, members: p.Members, caller: p.Caller, log: p.Log, promise: p.Promise,
+		client: p.Client, members: p.Members, caller: p.Caller, log: p.Log, promise: p.Promise, history: p.History,
 		counts: counts{
 			starts:    metrics.GetOrRegisterCounter("placer.job.starts", p.Metrics),
 			restarts:  metrics.GetOrRegisterCounter("placer.job.restarts", p.Metrics),
 			takeovers: metrics.GetOrRegisterCounter("placer.job.takeovers", p.Metrics),
 			writes:    metrics.GetOrRegisterCounter("placer.job.writes", p.Metrics),
 			conflicts: metrics.GetOrRegisterCounter("placer.job.conflicts", p.Metrics),
+			deleted:   metrics.GetOrRegisterCounter("placer.job.deleted", p.Metrics),
 			driven:    metrics.GetOrRegisterGauge("placer.job.driven", p.Metrics),
 		},
 		dirty: make(chan struct{}, 1), jobs: make(map[string]*job), unsaved: make(map[*job]bool), lonely: make(map[string]*notice),
@@ -100,6 +101,7 @@
 	g.Go(func() error { d.doubtLoop(ctx); return nil })
 	g.Go(func() error { d.noticeLoop(ctx); return nil })
 	g.Go(func() error { d.strandLoop(ctx); return nil })
+	g.Go(func() error { d.sweepLoop(ctx); return nil })
 	_ = g.Wait()
 	return d.group.Wait()
 }
--- a/placer/internal/jobs/place.go
+++ b/placer/internal/jobs/place.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/balsamford/balsamford/coord/ledger"
 	"github.com/balsamford/balsamford/coord/link"
 	"github.com/balsamford/balsamford/coord/store"
 	"github.com/balsamford/balsamford/coord/wire"
@@ -117,12 +118,12 @@
 	return nil, nil, failed
 }
 
-func (d *Driver) key(id string) string { return d.zone + "/" + id }
+func (d *Driver) key(id string) string { return ledger.Key(d.zone, id) }
 
 func (d *Driver) read(ctx context.Context, id string) (*wire.Job, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	row, err := d.table.Get(ctx, tableName, d.key(id))
+	row, err := d.table.Get(ctx, ledger.Jobs, d.key(id))
 	if err != nil {
 		return nil, 0, err
 	}
@@ -134,12 +135,11 @@
 }
 
 func (d *Driver) claim(ctx context.Context, row *wire.Job, version uint64) error {
-	value, err := cbor.Marshal(row)
+	ops, err := ledger.Update(d.key(row.Request.ID), row, version, d.timer.Now())
 	if err != nil {
 		return &RowError{Key: d.key(row.Request.ID), Err: err}
 	}
-	op := store.Op{Table: tableName, Key: d.key(row.Request.ID), Expect: version, Value: value, Action: store.Put}
-	return d.commit(ctx, []store.Op{op})
+	return d.commit(ctx, ops)
 }
 
 // adopt begins to drive a job whose row names this placer.
--- a/placer/internal/jobs/scan.go
+++ b/placer/internal/jobs/scan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -9,6 +10,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/balsamford/balsamford/coord/ledger"
 	"github.com/balsamford/balsamford/coord/owner"
 	"github.com/balsamford/balsamford/coord/roster"
 	"github.com/balsamford/balsamford/coord/wire"
@@ -67,76 +69,75 @@
 	return names
 }
 
+// openJob is an open job as the index has it.
+type openJob struct {
+	id string
+	ledger.Open
+}
+
 // scan offers each orphan to the placer that should drive it, and reports
 // whether every job has a driver.
 func (d *Driver) scan(ctx context.Context, names []string, s *scanner) bool {
-	rows, err := d.list(ctx)
+	list, err := d.list(ctx)
 	if err != nil {
 		return false
 	}
 	s.round++
 	orphans := make(map[string]int)
 	named := make(map[string][]string)
-	complete := true
+	driven := make([]bool, len(list))
 	var g errgroup.Group
 	g.SetLimit(parallelOffers)
-	offered := make([]bool, len(rows))
-	for i, row := range rows {
-		id := row.Request.ID
-		if !d.orphan(row) {
-			named[row.Driver] = append(named[row.Driver], id)
-			offered[i] = true
-			g.Go(func() error { d.remind(ctx, row); return nil })
+	for i, o := range list {
+		if !d.orphan(&o) {
+			named[o.Driver] = append(named[o.Driver], o.id)
+			driven[i] = true
+			g.Go(func() error { d.remind(ctx, &o); return nil })
 			continue
 		}
-		orphans[id] = s.orphans[id] + 1
-		to := owner.Of(id, names)
-		if row.Driver == d.name {
+		orphans[o.id] = s.orphans[o.id] + 1
+		to := owner.Of(o.id, names)
+		if o.Driver == d.name {
 			to = d.name // no other one sees that it doesn't drive the job
-		} else if orphans[id] < orphanScans {
+		} else if orphans[o.id] < orphanScans {
 			continue
 		}
-		g.Go(func() error { offered[i] = d.offer(ctx, &row.Request, to); return nil })
+		g.Go(func() error { driven[i] = d.offer(ctx, o.id, to); return nil })
 	}
 	_ = g.Wait()
-	for _, ok := range offered {
-		complete = complete && ok
-	}
 	s.orphans = orphans
 	if s.round%nameScans == 0 {
 		d.tellNamed(ctx, named)
 	}
-	return complete
+	return !slices.Contains(driven, false)
 }
 
-// list reads the jobs of the zone.
-func (d *Driver) list(ctx context.Context) ([]*wire.Job, error) {
+// list reads the index of the zone's open jobs.
+func (d *Driver) list(ctx context.Context) ([]openJob, error) {
 	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
 	defer cancel()
-	rows, err := d.table.Scan(ctx, tableName, d.key(""))
+	rows, err := d.table.Scan(ctx, ledger.Opens, ledger.Prefix(d.zone))
 	if err != nil {
 		return nil, err
 	}
-	jobs := make([]*wire.Job, 0, len(rows))
+	list := make([]openJob, 0, len(rows))
 	for i := range rows {
-		row := new(wire.Job)
-		if err := cbor.Unmarshal(rows[i].Value, row); err != nil {
-			d.log.Error("job can't be read", zap.String("key", rows[i].Key), zap.Error(err))
+		o := openJob{id: strings.TrimPrefix(rows[i].Key, ledger.Prefix(d.zone))}
+		if err := cbor.Unmarshal(rows[i].Value, &o.Open); err != nil {
+			d.log.Error("open job can't be read", zap.String("key", rows[i].Key), zap.Error(err))
 			continue
 		}
-		if row.Outcome == "" {
-			jobs = append(jobs, row)
-		}
+		list = append(list, o)
 	}
-	return jobs, nil
+	return list, nil
 }
 
 // orphan reports whether no live placer drives an open job.
-func (d *Driver) orphan(row *wire.Job) bool {
-	if row.Driver == d.name {
-		return d.find(row.Request.ID) == nil
+func (d *Driver) orphan(o *openJob) bool {
+	if o.Driver == d.name {
+		return d.find(o.id) == nil
 	}
-	m, alive := d.members.Alive(row.Driver)
+	m, alive := d.members.Alive(o.Driver)
 	return !alive || m.Leaving
 }
 
@@ -168,33 +169,40 @@
 // remind tells a job's driver of a cancellation that was only written into the
 // row, because the driver couldn't be reached then. It is repeated until the
 // job has ended, so that a stop which got lost is sent again.
-func (d *Driver) remind(ctx context.Context, row *wire.Job) {
-	if !row.Cancel {
+func (d *Driver) remind(ctx context.Context, o *openJob) {
+	if !o.Cancel {
 		return
 	}
-	if j := d.find(row.Request.ID); j != nil {
+	if j := d.find(o.id); j != nil {
 		d.cancel(j)
 		return
 	}
-	m, alive := d.members.Alive(row.Driver)
-	if !alive || row.Driver == d.name {
+	m, alive := d.members.Alive(o.Driver)
+	if !alive || o.Driver == d.name {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
 	defer cancel()
 	var out wire.Cancelled
-	_ = d.caller.Call(ctx, m.Link, wire.VerbCancel, wire.Lookup{ID: row.Request.ID}, &out)
+	_ = d.caller.Call(ctx, m.Link, wire.VerbCancel, wire.Lookup{ID: o.id}, &out)
 }
 
 // offer gives a job to a placer of the zone, which may be this one, and
-// reports whether it drives it now.
-func (d *Driver) offer(ctx context.Context, req *wire.Request, name string) bool {
+// reports whether it drives it now or the job has ended.
+func (d *Driver) offer(ctx context.Context, id, name string) bool {
 	if name == d.name {
-		_, _, err := d.take(ctx, req.ID)
+		_, _, err := d.take(ctx, id)
 		return err == nil
 	}
 	m, alive := d.members.Alive(name)
-	return alive && d.offerTo(ctx, req, m)
+	if !alive {
+		return false
+	}
+	row, _, err := d.read(ctx, id)
+	if err != nil {
+		return false
+	}
+	return row.Outcome != "" || d.offerTo(ctx, &row.Request, m)
 }
 
 func (d *Driver) offerTo(ctx context.Context, req *wire.Request, m roster.Member) bool {
--- /dev/null
+++ b/placer/internal/jobs/sweep.go
@@ -0,0 +1,153 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/balsamford/balsamford/coord/ledger"
+	"github.com/balsamford/balsamford/coord/owner"
+	"github.com/balsamford/balsamford/coord/store"
+)
+
+const (
+	// sweepKey is what the placers of a zone hash to agree on who deletes.
+	sweepKey = "sweep"
+	// sweepParts is how many sweeps there are within the time for which ended
+	// jobs are kept.
+	sweepParts = 24
+	// sweepBatch is how many jobs one transaction deletes at most.
+	sweepBatch = 16
+	// sweepPause is the time between two batches.
+	sweepPause = time.Second
+	// sweepBatches bounds one sweep.
+	sweepBatches = 256
+)
+
+// expired is an ended job that isn't kept any longer.
+type expired struct {
+	key     string
+	version uint64 // of its ledger.End
+}
+
+// sweepLoop deletes jobs that ended long ago. One placer does it for the zone.
+func (d *Driver) sweepLoop(ctx context.Context) {
+	if d.history <= 0 {
+		return
+	}
+	for d.timer.Sleep(ctx, jittered(d.history/sweepParts)) == nil {
+		if owner.Of(sweepKey, d.liveNames()) == d.name {
+			d.sweep(ctx)
+		}
+	}
+}
+
+// jittered returns from three to five quarters of a duration.
+func jittered(t time.Duration) time.Duration {
+	return t*3/4 + rand.N(t/2+1) //nolint:gosec // The spread needs no secrecy.
+}
+
+// sweep deletes what isn't kept any longer, a batch at a time. What fails is
+// left to the next sweep.
+func (d *Driver) sweep(ctx context.Context) {
+	list, err := d.expired(ctx)
+	for n := 0; err == nil && len(list) > 0 && n < sweepBatches; n++ {
+		batch := list[:min(len(list), sweepBatch)]
+		list = list[len(batch):]
+		if err = d.remove(ctx, batch); err == nil && len(list) > 0 {
+			err = d.timer.Sleep(ctx, jittered(sweepPause))
+		}
+	}
+	if err != nil && ctx.Err() == nil {
+		d.log.Warn("ended jobs couldn't be deleted", zap.Error(err))
+	}
+}
+
+// expired reads which ended jobs aren't kept any longer.
+func (d *Driver) expired(ctx context.Context) ([]expired, error) {
+	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
+	defer cancel()
+	rows, err := d.table.Scan(ctx, ledger.Ends, ledger.Prefix(d.zone))
+	if err != nil {
+		return nil, err
+	}
+	now := d.timer.Now()
+	var list []expired
+	for i := range rows {
+		var end ledger.End
+		if err := cbor.Unmarshal(rows[i].Value, &end); err != nil {
+			d.log.Error("end of a job can't be read", zap.String("key", rows[i].Key), zap.Error(err))
+			continue
+		}
+		if end.Since(now) >= d.history {
+			list = append(list, expired{key: rows[i].Key, version: rows[i].Version})
+		}
+	}
+	return list, nil
+}
+
+// remove deletes a batch, or what of it nobody else has changed.
+func (d *Driver) remove(ctx context.Context, batch []expired) error {
+	var all []store.Op
+	var each [][]store.Op
+	for _, e := range batch {
+		ops, err := d.removal(ctx, e)
+		if err != nil {
+			return err
+		}
+		if ops != nil {
+			all, each = append(all, ops...), append(each, ops)
+		}
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	err := d.commit(ctx, all)
+	var conflict *store.ConflictError
+	if !errors.As(err, &conflict) {
+		return d.removed(err, len(each))
+	}
+	for _, ops := range each {
+		err := d.commit(ctx, ops)
+		if errors.As(err, &conflict) {
+			continue
+		}
+		if err := d.removed(err, 1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// removed counts n deleted jobs if err is nil.
+func (d *Driver) removed(err error, n int) error {
+	if err == nil {
+		d.counts.deleted.Inc(int64(n))
+	}
+	return err
+}
+
+// removal returns the transaction that deletes a job, or nil if it is open.
+func (d *Driver) removal(ctx context.Context, e expired) ([]store.Op, error) {
+	row, version, err := d.read(ctx, strings.TrimPrefix(e.key, ledger.Prefix(d.zone)))
+	var missing *store.MissingError
+	var bad *RowError
+	switch {
+	case errors.As(err, &missing):
+		return ledger.Remove(e.key, 0, e.version), nil
+	case errors.As(err, &bad):
+		d.log.Error("ended job can't be read", zap.String("key", e.key), zap.Error(err))
+		return nil, nil
+	case err != nil:
+		return nil, err
+	case row.Outcome == "":
+		d.log.Error("open job has an end", zap.String("key", e.key))
+		return nil, nil
+	}
+	return ledger.Remove(e.key, version, e.version), nil
+}
--- a/placer/internal/jobs/write.go
+++ b/placer/internal/jobs/write.go
@@ -4,23 +4,29 @@
 	"bytes"
 	"context"
 	"errors"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/balsamford/balsamford/coord/ledger"
 	"github.com/balsamford/balsamford/coord/store"
 	"github.com/balsamford/balsamford/coord/wire"
 )
 
-// maxOps is how many rows are written in one transaction at most.
-const maxOps = 64
+// maxDrafts is how many jobs are written in one transaction at most.
+const maxDrafts = 32
 
-// draft is a job's row on its way to the platform.
+// draft is a job on its way to the platform. The first part of the
+// transaction is the job's own row.
 type draft struct {
 	job   *job
 	edits uint64
-	op    store.Op
+	ops   []store.Op
 }
 
+// version returns the version of the job's row once the draft is written.
+func (c *draft) version() uint64 { return c.ops[0].Expect + 1 }
+
 // writeLoop writes changed rows, many in one transaction while some wait.
 func (d *Driver) writeLoop(ctx context.Context) {
 	for {
@@ -43,16 +49,16 @@
 	if len(drafts) == 0 {
 		return false
 	}
-	ops := make([]store.Op, len(drafts))
+	var ops []store.Op
 	for i := range drafts {
-		ops[i] = drafts[i].op
+		ops = append(ops, drafts[i].ops...)
 	}
 	err := d.commit(ctx, ops)
 	var conflict *store.ConflictError
 	switch {
 	case err == nil:
 		for i := range drafts {
-			d.wrote(&drafts[i], drafts[i].op.Expect+1)
+			d.wrote(&drafts[i], drafts[i].version())
 		}
 	case !errors.As(err, &conflict):
 		d.again(drafts)
@@ -75,9 +81,9 @@
 // drafts takes changed jobs and encodes their rows.
 func (d *Driver) drafts() []draft {
 	d.mu.Lock()
-	jobs := make([]*job, 0, maxOps)
+	jobs := make([]*job, 0, maxDrafts)
 	for j := range d.unsaved {
-		if len(jobs) == maxOps {
+		if len(jobs) == maxDrafts {
 			break
 		}
 		delete(d.unsaved, j)
@@ -86,25 +92,24 @@
 	d.mu.Unlock()
 	drafts := make([]draft, 0, len(jobs))
 	for _, j := range jobs {
-		if c, ok := j.draft(); ok {
+		if c, ok := j.draft(d.timer.Now()); ok {
 			drafts = append(drafts, c)
 		}
 	}
 	return drafts
 }
 
-func (j *job) draft() (draft, bool) {
+func (j *job) draft(now time.Time) (draft, bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.replaced || j.written == j.edits {
 		return draft{}, false
 	}
-	value, err := cbor.Marshal(&j.row)
+	ops, err := ledger.Update(j.key, &j.row, j.version, now)
 	if err != nil {
 		return draft{}, false
 	}
-	op := store.Op{Table: tableName, Key: j.key, Expect: j.version, Value: value, Action: store.Put}
-	return draft{job: j, edits: j.edits, op: op}, true
+	return draft{job: j, edits: j.edits, ops: ops}, true
 }
 
 func (d *Driver) again(drafts []draft) {
@@ -115,11 +120,11 @@
 
 // writeOne writes one row alone and settles a conflict.
 func (d *Driver) writeOne(ctx context.Context, c *draft) {
-	err := d.commit(ctx, []store.Op{c.op})
+	err := d.commit(ctx, c.ops)
 	var conflict *store.ConflictError
 	switch {
 	case err == nil:
-		d.wrote(c, c.op.Expect+1)
+		d.wrote(c, c.version())
 	case errors.As(err, &conflict):
 		d.settle(c, &conflict.Row)
 	default:
@@ -131,7 +136,7 @@
 // write took effect although its answer was lost, or the caller's wish to
 // cancel was written by someone else, or the job has another driver.
 func (d *Driver) settle(c *draft, row *store.Row) {
-	if bytes.Equal(row.Value, c.op.Value) {
+	if bytes.Equal(row.Value, c.ops[0].Value) {
 		d.wrote(c, row.Version)
 		return
 	}
