--- a/placer/internal/serve/server.go
+++ b/placer/internal/serve/server.go
@@ -206,11 +206,11 @@
 	s.mu.Unlock()
 	if stop != nil {
 		stop(&exec.StopError{Reason: wire.ReasonCancel})
+		return stream.Send(&wire.Cancelled{Found: true})
 	}
 	out, err := s.jobs.Cancel(ctx, in.ID)
 	if err != nil {
 		return &link.RemoteError{Code: wire.ReasonRoute, Text: err.Error()}
 	}
-	out.Found = out.Found || stop != nil
 	return stream.Send(&out)
 }
