--- a/entry/internal/serve/job_test.go
+++ b/entry/internal/serve/job_test.go
@@ -9,7 +9,10 @@
 	"github.com/matryer/is"
 
 	"github.com/balsamford/balsamford/coord/store"
+	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/entry/internal/jobs"
+	"github.com/balsamford/balsamford/entry/internal/record"
 )
 
 func TestJobs(t *testing.T) {
@@ -19,6 +22,7 @@
 	g := c.ask("a1", http.MethodPost, "/v1/requests", "k1", job)
 	is.Equal(g.code, 202)
 	is.Equal(g.reply.ID, "plan")
+	is.Equal(g.reply.Keep, int(jobs.History.Seconds()))
 	again := c.ask("b2", http.MethodPost, "/v1/requests", "k1", job)
 	is.Equal(again.code, 202)
 	other := c.ask("b2", http.MethodPost, "/v1/requests", "k1", `{"queue":"shop","kind":"batch","tasks":4,"id":"plan"}`)
@@ -33,6 +37,20 @@
 	is.Equal(len(rows), 1)
 }
 
+// A job under an id that is older than what is known of jobs isn't accepted, and
+// isn't said not to have run.
+func TestJobWithAForgottenID(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	id := record.NewIssuer(timer.New(timer.WithManual(time.Now().Add(-jobs.History))), "a", "a1").Issue()
+	g := c.ask("b1", http.MethodPost, "/v1/requests", "k1", `{"queue":"shop","kind":"batch","id":"`+id+`"}`)
+	is.Equal(g.code, 410)
+	is.Equal(g.outcome, wire.Unknown)
+	g = c.ask("b1", http.MethodGet, "/v1/requests/"+id, "k1", "")
+	is.Equal(g.code, 410)
+	is.Equal(g.outcome, wire.Unknown)
+}
+
 func TestJobWhilePlatformIsAway(t *testing.T) {
 	const job = `{"queue":"shop","kind":"batch","id":"plan"}`
 	tests := map[string]struct {
