--- a/entry/internal/jobs/hold.go
+++ b/entry/internal/jobs/hold.go
@@ -29,40 +29,56 @@
 func (b *Book) find(id string) (wire.Job, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	job, ok := b.pending[id]
-	return job, ok
+	w, ok := b.pending[id]
+	return w.job, ok
 }
 
 // hold holds a job here and on a host in another zone.
 func (b *Book) hold(ctx context.Context, job wire.Job) bool {
+	return b.holdThere(ctx, job) && b.keep(job)
+}
+
+// holdThere asks a host in another zone to hold a job.
+func (b *Book) holdThere(ctx context.Context, job wire.Job) bool {
 	for _, h := range b.ring.Elsewhere(job.Request.ID, b.self.Zone) {
 		var told Told
 		callCtx, cancel := b.within(ctx)
 		err := b.caller.Call(callCtx, h.Link, Verb, Ask{Job: job}, &told)
 		cancel()
 		if err == nil && told.Held {
-			return b.keep(job)
+			return true
 		}
 	}
 	return false
 }
 
-// keep adds a job to those that wait for the platform.
+// keep adds a job to those that wait for the platform. A cancellation that is
+// known already stays.
 func (b *Book) keep(job wire.Job) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if _, ok := b.pending[job.Request.ID]; !ok && len(b.pending) >= heldLimit {
+	old, ok := b.pending[job.Request.ID]
+	if !ok && len(b.pending) >= heldLimit {
 		return false
 	}
-	b.pending[job.Request.ID] = job
+	if !ok {
+		old.since = b.clock.Boot()
+	}
+	job.Cancel = job.Cancel || old.job.Cancel
+	b.pending[job.Request.ID] = waiting{job, old.since}
 	b.held.Update(int64(len(b.pending)))
 	return true
 }
 
-func (b *Book) drop(id string) {
+// drop holds a job no longer whose row is as job says. One that was cancelled
+// here in the meantime is held until its row says so.
+func (b *Book) drop(job wire.Job) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.pending, id)
+	if b.pending[job.Request.ID].job.Cancel && !job.Cancel {
+		return
+	}
+	delete(b.pending, job.Request.ID)
 	b.held.Update(int64(len(b.pending)))
 }
 
@@ -72,23 +88,34 @@
 	if err := s.Recv(&ask); err != nil {
 		return err
 	}
+	return s.Send(b.answer(ask))
+}
+
+func (b *Book) answer(ask Ask) Told {
 	if ask.Drop {
-		b.drop(ask.Job.Request.ID)
-		return s.Send(Told{})
+		b.drop(ask.Job)
+		return Told{}
 	}
-	return s.Send(Told{Held: b.keep(ask.Job)})
+	return Told{Held: b.keep(ask.Job)}
 }
 
-// Cancel marks a held job as cancelled; it reports whether it is held here.
-func (b *Book) Cancel(id string) bool {
+// Cancel marks a held job as cancelled, here and on a host in another zone. It
+// reports whether both hold it so. Otherwise the row has to be changed.
+func (b *Book) Cancel(ctx context.Context, id string) bool {
+	job, ok := b.mark(id)
+	return ok && b.holdThere(ctx, job)
+}
+
+// mark marks a job as cancelled if it is held here.
+func (b *Book) mark(id string) (wire.Job, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	job, ok := b.pending[id]
+	w, ok := b.pending[id]
 	if ok {
-		job.Cancel = true
-		b.pending[id] = job
+		w.job.Cancel = true
+		b.pending[id] = w
 	}
-	return ok
+	return w.job, ok
 }
 
 // Run writes held jobs as soon as the platform takes them, until ctx ends.
@@ -121,18 +148,23 @@
 
 // Write tries to write all held jobs and stops at the first failure.
 func (b *Book) Write(ctx context.Context, written func(wire.Job)) {
-	for _, job := range b.snapshot() {
+	for _, w := range b.snapshot() {
+		job := w.job
+		if b.outdated(&w) {
+			b.dropped.Inc(1)
+			b.drop(job)
+			continue
+		}
 		found, err := b.create(ctx, job)
 		if err != nil {
 			return
 		}
-		id := job.Request.ID
-		if found != nil && job.Cancel {
-			if err := b.Change(ctx, id, markCancel); err != nil {
+		if found != nil && found.Phase != wire.Ended && job.Cancel {
+			if err := b.Change(ctx, job.Request.ID, markCancel); err != nil {
 				return
 			}
 		}
-		b.drop(id)
+		b.drop(job)
 		b.release(ctx, job)
 		if found == nil {
 			written(job)
@@ -140,6 +172,12 @@
 	}
 }
 
+// outdated reports whether a job that must not run twice was held for so long
+// that the other host may have written it and its rows been deleted since.
+func (b *Book) outdated(w *waiting) bool {
+	return !w.job.Request.Idempotent && b.clock.Boot()-w.since >= b.history/2
+}
+
 // markCancel sets a job's wish to end.
 func markCancel(job *wire.Job) bool {
 	if job.Cancel || job.Phase == wire.Ended {
@@ -162,12 +200,12 @@
 	}
 }
 
-func (b *Book) snapshot() []wire.Job {
+func (b *Book) snapshot() []waiting {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := make([]wire.Job, 0, len(b.pending))
-	for _, job := range b.pending {
-		out = append(out, job)
+	out := make([]waiting, 0, len(b.pending))
+	for _, w := range b.pending {
+		out = append(out, w)
 	}
 	return out
 }
--- a/entry/internal/params/settings_test.go
+++ b/entry/internal/params/settings_test.go
@@ -75,6 +75,9 @@
 		"no time":          {old: `"1m"`, new: `"0s"`, fault: "limits.keep"},
 		"unknown level":    {old: `host = "a1"`, new: "host = \"a1\"\nlevel = \"loud\"", fault: "level"},
 		"without placers":  {old: good[strings.Index(good, "[[placers]]"):strings.Index(good, "[limits]")], new: "", fault: "placers"},
+		"history short":    {old: `keep = "1m"`, new: `history = "9m"`, fault: "limits.history"},
+		"history long":     {old: `keep = "1m"`, new: `history = "721h"`, fault: "limits.history"},
+		"history":          {old: `keep = "1m"`, new: `history = "720h"`},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/placer/internal/daemon/wish_test.go
+++ b/placer/internal/daemon/wish_test.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
+	"github.com/balsamford/balsamford/coord/ledger"
 	"github.com/balsamford/balsamford/coord/store"
 	"github.com/balsamford/balsamford/coord/wire"
 	"github.com/balsamford/balsamford/standin/engine"
@@ -25,16 +27,17 @@
 	z.eventually("the endpoints are owned", z.owned(2))
 	z.submit(z.placers[0], jobRequest("a.svc", wire.Service, 2, engine.Body{}))
 	z.eventually("the service runs", func() bool { return z.runningAll() == 2 && z.row("a.svc").Phase == wire.Running })
+	key := ledger.Key("a", "a.svc")
 	// The driver writes the row too: as an entry does, read again after a conflict.
 	z.eventually("the cancellation is written", func() bool {
-		row, err := z.memory.Get(z.ctx, "job", "a/a.svc")
+		row, err := z.memory.Get(z.ctx, ledger.Jobs, key)
 		is.NoErr(err)
 		var job wire.Job
 		is.NoErr(cbor.Unmarshal(row.Value, &job))
 		job.Cancel = true
-		value, err := cbor.Marshal(&job)
+		ops, err := ledger.Update(key, &job, row.Version, time.Now())
 		is.NoErr(err)
-		err = z.memory.Commit(z.ctx, []store.Op{{Table: "job", Key: "a/a.svc", Expect: row.Version, Value: value, Action: store.Put}})
+		err = z.memory.Commit(z.ctx, ops)
 		var conflict *store.ConflictError
 		if errors.As(err, &conflict) {
 			return false
--- a/placer/internal/jobs/scan.go
+++ b/placer/internal/jobs/scan.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
+	"github.com/balsamford/balsamford/coord/ledger"
 	"github.com/balsamford/balsamford/coord/owner"
 	"github.com/balsamford/balsamford/coord/roster"
 	"github.com/balsamford/balsamford/coord/wire"
@@ -20,16 +23,27 @@
 	// orphanScans is how many looks in a row have to find a job without a
 	// driver, so that the entry that wrote it can offer it first.
 	orphanScans = 2
+	// nameScans is after how many looks drivers are told which jobs' rows
+	// name them.
+	nameScans = 3
+	// maxNames bounds the jobs in one such note.
+	maxNames = 512
 	// scanKey is what the placers of a zone hash to agree on who scans.
 	scanKey = "scan"
 )
 
+// scanner is what scanLoop knows from one look to the next.
+type scanner struct {
+	round   int
+	orphans map[string]int // looks in a row that found the job without a driver
+}
+
 // scanLoop looks for jobs of the zone that no live placer drives. One placer
 // does it for all; each does it by itself when the set of live ones has
 // changed, also when it has just started.
 func (d *Driver) scanLoop(ctx context.Context) {
 	last := ""
-	orphans := make(map[string]int)
+	s := &scanner{orphans: make(map[string]int)}
 	for d.timer.Sleep(ctx, scanPeriod) == nil {
 		names := d.liveNames()
 		now := strings.Join(names, " ")
@@ -37,7 +51,7 @@
 		if now == last && !unsure && owner.Of(scanKey, names) != d.name {
 			continue
 		}
-		if d.scan(ctx, names, orphans) {
+		if d.scan(ctx, names, s) {
 			last = now
 		} else if unsure {
 			d.unsure.Store(true)
@@ -55,82 +69,140 @@
 	return names
 }
 
+// openJob is an open job as the index has it.
+type openJob struct {
+	id string
+	ledger.Open
+}
+
 // scan offers each orphan to the placer that should drive it, and reports
-// whether every job has a driver. One whose row names this placer is known to
-// no other, which sees that it lives.
-func (d *Driver) scan(ctx context.Context, names []string, orphans map[string]int) bool {
-	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
-	defer cancel()
-	rows, err := d.table.Scan(ctx, tableName, d.key(""))
+// whether every job has a driver.
+func (d *Driver) scan(ctx context.Context, names []string, s *scanner) bool {
+	list, err := d.list(ctx)
 	if err != nil {
 		return false
 	}
-	seen := make(map[string]bool)
-	all := true
-	for i := range rows {
-		row := new(wire.Job)
-		if err := cbor.Unmarshal(rows[i].Value, row); err != nil {
-			d.log.Error("job can't be read", zap.String("key", rows[i].Key), zap.Error(err))
+	s.round++
+	orphans := make(map[string]int)
+	named := make(map[string][]string)
+	driven := make([]bool, len(list))
+	var g errgroup.Group
+	g.SetLimit(parallelOffers)
+	for i, o := range list {
+		if !d.orphan(&o) {
+			named[o.Driver] = append(named[o.Driver], o.id)
+			driven[i] = true
+			g.Go(func() error { d.remind(ctx, &o); return nil })
 			continue
 		}
-		if !d.orphan(row) {
-			d.remind(ctx, row)
+		orphans[o.id] = s.orphans[o.id] + 1
+		to := owner.Of(o.id, names)
+		if o.Driver == d.name {
+			to = d.name // no other one sees that it doesn't drive the job
+		} else if orphans[o.id] < orphanScans {
 			continue
 		}
-		id := row.Request.ID
-		seen[id] = true
-		if orphans[id]++; row.Driver == d.name {
-			all = d.offer(ctx, &row.Request, d.name) && all
+		g.Go(func() error { driven[i] = d.offer(ctx, o.id, to); return nil })
+	}
+	_ = g.Wait()
+	s.orphans = orphans
+	if s.round%nameScans == 0 {
+		d.tellNamed(ctx, named)
+	}
+	return !slices.Contains(driven, false)
+}
+
+// list reads the index of the zone's open jobs.
+func (d *Driver) list(ctx context.Context) ([]openJob, error) {
+	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
+	defer cancel()
+	rows, err := d.table.Scan(ctx, ledger.Opens, ledger.Prefix(d.zone))
+	if err != nil {
+		return nil, err
+	}
+	list := make([]openJob, 0, len(rows))
+	for i := range rows {
+		o := openJob{id: strings.TrimPrefix(rows[i].Key, ledger.Prefix(d.zone))}
+		if err := cbor.Unmarshal(rows[i].Value, &o.Open); err != nil {
+			d.log.Error("open job can't be read", zap.String("key", rows[i].Key), zap.Error(err))
 			continue
 		}
-		all = orphans[id] >= orphanScans && d.offer(ctx, &row.Request, owner.Of(id, names)) && all
+		list = append(list, o)
 	}
-	for id := range orphans {
-		if !seen[id] {
-			delete(orphans, id)
-		}
+	return list, nil
+}
+
+// orphan reports whether no live placer drives an open job.
+func (d *Driver) orphan(o *openJob) bool {
+	if o.Driver == d.name {
+		return d.find(o.id) == nil
 	}
-	return all
+	m, alive := d.members.Alive(o.Driver)
+	return !alive || m.Leaving
 }
 
-// orphan reports whether no live placer drives the job.
-func (d *Driver) orphan(row *wire.Job) bool {
-	if row.Outcome != "" {
-		return false
+// tellNamed tells the other placers which jobs' rows name them, since only
+// the placer itself can see that it doesn't drive one of them.
+func (d *Driver) tellNamed(ctx context.Context, named map[string][]string) {
+	var g errgroup.Group
+	g.SetLimit(parallelOffers)
+	for name, ids := range named {
+		m, alive := d.members.Alive(name)
+		if !alive || name == d.name {
+			continue
+		}
+		g.Go(func() error { d.tellNames(ctx, m, ids); return nil })
 	}
-	if row.Driver == d.name {
-		return d.find(row.Request.ID) == nil
+	_ = g.Wait()
+}
+
+func (d *Driver) tellNames(ctx context.Context, m roster.Member, ids []string) {
+	for len(ids) > 0 {
+		n := min(len(ids), maxNames)
+		if _, err := d.tell(ctx, m, &note{Drives: ids[:n]}); err != nil {
+			return
+		}
+		ids = ids[n:]
 	}
-	m, alive := d.members.Alive(row.Driver)
-	return !alive || m.Leaving
 }
 
 // remind tells a job's driver of a cancellation that was only written into the
 // row, because the driver couldn't be reached then. It is repeated until the
 // job has ended, so that a stop which got lost is sent again.
-func (d *Driver) remind(ctx context.Context, row *wire.Job) {
-	if !row.Cancel || row.Outcome != "" {
+func (d *Driver) remind(ctx context.Context, o *openJob) {
+	if !o.Cancel {
 		return
 	}
-	if j := d.find(row.Request.ID); j != nil {
+	if j := d.find(o.id); j != nil {
 		d.cancel(j)
 		return
 	}
-	if m, alive := d.members.Alive(row.Driver); alive {
-		var out wire.Cancelled
-		_ = d.caller.Call(ctx, m.Link, wire.VerbCancel, wire.Lookup{ID: row.Request.ID}, &out)
+	m, alive := d.members.Alive(o.Driver)
+	if !alive || o.Driver == d.name {
+		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
+	defer cancel()
+	var out wire.Cancelled
+	_ = d.caller.Call(ctx, m.Link, wire.VerbCancel, wire.Lookup{ID: o.id}, &out)
 }
 
 // offer gives a job to a placer of the zone, which may be this one, and
-// reports whether it drives it now.
-func (d *Driver) offer(ctx context.Context, req *wire.Request, name string) bool {
+// reports whether it drives it now or the job has ended.
+func (d *Driver) offer(ctx context.Context, id, name string) bool {
 	if name == d.name {
-		_, _, err := d.take(ctx, req.ID)
+		_, _, err := d.take(ctx, id)
 		return err == nil
 	}
 	m, alive := d.members.Alive(name)
-	return alive && d.offerTo(ctx, req, m)
+	if !alive {
+		return false
+	}
+	row, _, err := d.read(ctx, id)
+	if err != nil {
+		return false
+	}
+	return row.Outcome != "" || d.offerTo(ctx, &row.Request, m)
 }
 
 func (d *Driver) offerTo(ctx context.Context, req *wire.Request, m roster.Member) bool {
