Forbid a start at its endpoint before its request may run elsewhere

Cause: a start that waits in the socket of a suspended endpoint stays valid under the present owner. The placer's run of it gave up after 5 s without a word from the endpoint; VerbSettle then asked the endpoint for its tasks, found none and said clear, and the entry sent the idempotent quick request elsewhere, while the start was still to come out of the socket. Seen failing: TestLateStart, a socket before the executor that holds the start back, began 1 task after VerbSettle had said clear. Ruled out: an expiry in the start, which would ask of endpoints what their interface doesn't have, and closing the connection, after which a server may still read what it has received. Change: a placer remembers the starts of idempotent requests whose fate it doesn't know. Starts that nobody asks for are forbidden in the background, which also frees the room that was kept for them until the endpoint was opened again. An answered stop and an endpoint without the task now end a placer's search for its run at once, not after 5 s. VerbSettle and VerbCancel now reach all calls of a request at a placer; the call of an earlier attempt was forgotten once a later one came.

--- a/placer/internal/daemon/daemon.go
+++ b/placer/internal/daemon/daemon.go
@@ -52,6 +52,7 @@
 	limits   *borrow.Count
 	mover    *borrow.Mover
 	quota    *quota.Keeper
+	runner   *exec.Runner
 	server   *serve.Server
 	finder   *hosts.Finder
 	follower *config.Follower
@@ -104,8 +105,8 @@
 	d.mover = borrow.New(d.limits, s.Zone, d.table, d.members, d.node, d.timer, d.driver, d.log)
 	d.node.Handle(wire.VerbPart, link.HandlerFunc(d.mover.Handle))
 	d.desk.Attach(d.driver, d.keeper)
-	d.server = serve.New(exec.New(d.timer, d.desk, d.keeper, d.client, d.registry), d.driver,
-		exec.NewSettler(d.keeper, d.client, d.live), d.load, d.refusal)
+	d.runner = exec.New(d.timer, d.desk, d.keeper, d.client, d.registry)
+	d.server = serve.New(d.runner, d.driver, exec.NewSettler(d.runner, d.keeper, d.live), d.load, d.refusal)
 	d.finder = hosts.New(s, d.table, d.keeper, d.members)
 	d.follower = config.NewFollower(rolePrefix+s.Host, s.Zone, d.table, d.timer,
 		config.WithPeers(config.RosterFunc(d.peers), d.node, s.Link), config.WithLog(d.log), config.WithMetrics(d.registry))
@@ -129,6 +130,9 @@
 	g.Go(func() error { return d.members.Run(ctx, d.node, d.timer, time.Duration(d.settings.Beat)) })
 	g.Go(func() error { return d.desk.Run(ctx, d.timer) })
 	g.Go(func() error { return d.driver.Run(ctx) })
+	g.Go(func() error {
+		return d.runner.Watch(ctx, func(endpoint string) bool { return d.keeper.Seat(endpoint) != nil })
+	})
 	g.Go(func() error { return d.follower.Run(ctx) })
 	g.Go(func() error { return d.quota.Run(ctx) })
 	g.Go(func() error { return d.mover.Run(ctx) })
--- a/placer/internal/exec/settler.go
+++ b/placer/internal/exec/settler.go
@@ -27,22 +27,25 @@
 // lost. An entry asks all placers of the zone before it sends the request
 // again, so that it doesn't run in two places at once.
 type Settler struct {
+	runner *Runner
 	seats  Seats
 	client Client
 	live   func() []string // names of the zone's placers that live
 }
 
-// NewSettler returns a Settler.
-func NewSettler(s Seats, c Client, live func() []string) *Settler {
-	return &Settler{seats: s, client: c, live: live}
+// NewSettler returns a Settler for the requests that r has run.
+func NewSettler(r *Runner, s Seats, live func() []string) *Settler {
+	return &Settler{runner: r, seats: s, client: r.client, live: live}
 }
 
 // Settle stops the runs of a request at the executors that are owned here. An
-// owner's executor refuses starts of earlier owners, so what isn't there now
-// will not begin there.
+// owner's executor refuses starts of earlier owners. Those that this process
+// sent itself may still wait in the endpoint's socket, so they are forbidden
+// there first. What isn't there then will not begin there.
 func (s *Settler) Settle(ctx context.Context, id string) wire.Settled {
 	out := wire.Settled{Live: s.live(), Known: s.executors(s.seats.Known()), Owned: s.executors(s.seats.Owned())}
 	var left atomic.Bool
+	left.Store(!s.runner.forbidAll(ctx, id))
 	var g errgroup.Group
 	g.SetLimit(settleCalls)
 	for _, name := range out.Owned {
--- a/placer/internal/exec/try.go
+++ b/placer/internal/exec/try.go
@@ -33,17 +33,19 @@
 	}
 	// The run goes on when the caller leaves, because its room is taken until
 	// it has ended anyway.
-	answer, err := r.client.Run(context.WithoutCancel(ctx), pass.Address(), j.start(o, pass))
+	start := j.start(o, pass)
+	left := j.note(pass.Address(), &start, o)
+	answer, err := r.client.Run(context.WithoutCancel(ctx), pass.Address(), start)
 	pass.Done()
 	if err != nil {
-		return j.unanswered(o, pass, err)
+		return j.unanswered(o, pass, left, err)
 	}
 	defer func() { _ = answer.Close() }()
 	pass.Answered()
 	r.queue.Started(o)
 	r.running.Inc(1)
 	defer r.running.Dec(1)
-	return j.relay(o, pass, answer), false
+	return j.relay(o, pass, left, answer), false
 }
 
 func (j *run) start(o desk.Order, pass *hold.Pass) point.Start {
@@ -53,6 +55,20 @@
 	}
 }
 
+// note enters a start that is about to leave in the ledger, if the request may
+// be repeated; it returns nil otherwise.
+func (j *run) note(address string, in *point.Start, o desk.Order) *pending {
+	if !j.req.Idempotent {
+		return nil
+	}
+	p := &pending{
+		request: j.req.ID, address: address, order: o,
+		stop: point.Stop{Owner: in.Owner, ID: in.ID, Attempt: in.Attempt, Mode: point.ModeStop},
+	}
+	j.runner.ledger.add(p)
+	return p
+}
+
 // again lets the request be decided again, or ends it as not run once enough
 // endpoints have been tried.
 func (j *run) again(o desk.Order, reason string, avoid bool) (*wire.Event, bool) {
@@ -67,7 +83,7 @@
 }
 
 // unanswered handles a start that brought no answer.
-func (j *run) unanswered(o desk.Order, pass *hold.Pass, err error) (*wire.Event, bool) {
+func (j *run) unanswered(o desk.Order, pass *hold.Pass, left *pending, err error) (*wire.Event, bool) {
 	r := j.runner
 	var refused *point.RefusedError
 	var fenced *point.FencedError
@@ -75,27 +91,31 @@
 	var lost *point.LostError
 	switch {
 	case errors.As(err, &refused):
+		r.ledger.drop(left)
 		r.queue.Unsent(o)
 		if refused.Reason == wire.ReasonLeaving {
 			r.owner.Leaving(o.Endpoint)
 		}
 		return j.again(o, refused.Reason, true)
 	case errors.As(err, &fenced):
+		r.ledger.drop(left)
 		r.queue.Unsent(o)
 		return j.again(o, wire.ReasonFenced, true)
 	case errors.As(err, &lost) && lost.Unsent:
+		r.ledger.drop(left)
 		r.queue.Unsent(o)
 		return j.again(o, wire.ReasonRoute, true)
 	case errors.As(err, &failed):
+		r.ledger.drop(left)
 		r.queue.Ended(o, false)
 		return &wire.Event{Outcome: wire.Failed, Reason: wire.ReasonError, Code: failed.Code, Endpoint: o.Endpoint, Epoch: o.Epoch}, false
 	}
-	return j.verdict(o, pass, err), false
+	return j.verdict(o, pass, left, err), false
 }
 
 // relay passes the answer on in chunks. The caller's window bounds how much
 // of it is held here; once the caller has gone the rest is only counted.
-func (j *run) relay(o desk.Order, pass *hold.Pass, answer *point.Answer) *wire.Event {
+func (j *run) relay(o desk.Order, pass *hold.Pass, left *pending, answer *point.Answer) *wire.Event {
 	buf := make([]byte, min(chunkSize, max(answer.Size(), 1)))
 	gone := false
 	for {
@@ -108,9 +128,10 @@
 			continue
 		}
 		if errors.Is(err, io.EOF) {
+			j.runner.ledger.drop(left)
 			j.runner.queue.Ended(o, true)
 			return &wire.Event{Outcome: wire.Done, Endpoint: o.Endpoint, Epoch: o.Epoch, Size: answer.Size(), Sum: answer.Sum()}
 		}
-		return j.verdict(o, pass, err)
+		return j.verdict(o, pass, left, err)
 	}
 }
--- a/placer/internal/exec/verdict.go
+++ b/placer/internal/exec/verdict.go
@@ -16,17 +16,21 @@
 // itself. The outcome is Failed once the run is known to have ended, also if
 // it was done, since its answer can't be had any more; otherwise it is
 // Unknown. The room stays taken until the endpoint says that the task has
-// ended.
-func (j *run) verdict(o desk.Order, pass *hold.Pass, cause error) *wire.Event {
+// ended or can't begin any more.
+func (j *run) verdict(o desk.Order, pass *hold.Pass, left *pending, cause error) *wire.Event {
 	event := &wire.Event{
 		Outcome: wire.Unknown, Reason: reason(cause), Detail: cause.Error(), Endpoint: o.Endpoint, Epoch: o.Epoch,
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), j.fateTime())
 	defer cancel()
 	for {
-		state, code, known := j.fate(ctx, o, pass)
+		state, code, known := j.fate(ctx, o, pass, left)
 		if known {
+			j.runner.ledger.drop(left)
 			j.runner.queue.Ended(o, state == point.Done)
+			if state == "" {
+				return event
+			}
 			event.Outcome, event.Code = wire.Failed, code
 			if state == point.Failed {
 				event.Reason = wire.ReasonError
@@ -34,6 +38,7 @@
 			return event
 		}
 		if j.runner.timer.Sleep(ctx, fatePeriod) != nil {
+			j.runner.ledger.giveUp(left)
 			return event
 		}
 	}
@@ -47,23 +52,26 @@
 }
 
 // fate looks for the end of a run: in what the endpoint reported, and in what
-// it says now.
-func (j *run) fate(ctx context.Context, o desk.Order, pass *hold.Pass) (state point.State, code int, known bool) {
+// it says now. The state is empty if the run may have ended unseen or not
+// begun, and will not begin.
+func (j *run) fate(ctx context.Context, o desk.Order, pass *hold.Pass, left *pending) (state point.State, code int, known bool) {
 	if state, known := j.runner.queue.Fate(o); known {
 		return state, 0, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
 	id := desk.TaskID(j.req.ID, o.Task)
-	if j.req.Idempotent {
-		stop := point.Stop{Owner: pass.Owner(), ID: id, Attempt: o.Attempt, Mode: point.ModeStop}
-		_ = j.runner.client.Stop(ctx, pass.Address(), stop)
-	}
+	stopped := left != nil && j.runner.stopped(ctx, left)
 	view, err := j.runner.client.View(ctx, pass.Address())
 	if err != nil {
 		return "", 0, false
 	}
 	task := find(&view, id, o.Attempt)
+	if task == nil && stopped {
+		// An end that was reported meanwhile has been forgotten there.
+		state, _ := j.runner.queue.Fate(o)
+		return state, 0, true
+	}
 	if task == nil || !task.State.Ended() {
 		return "", 0, false
 	}
--- a/placer/internal/serve/server.go
+++ b/placer/internal/serve/server.go
@@ -48,7 +48,7 @@
 	leaving bool
 	next    uint64
 	calls   map[uint64]context.CancelCauseFunc
-	byID    map[string]uint64
+	byID    map[string]map[uint64]struct{}
 }
 
 // New returns a Server; load says what the placer has room for, refuse why a
@@ -56,7 +56,7 @@
 func New(r Runner, j Jobs, settle Settler, load func() wire.Load, refuse func(*wire.Request) string) *Server {
 	return &Server{
 		runner: r, jobs: j, settle: settle, load: load, refuse: refuse,
-		calls: make(map[uint64]context.CancelCauseFunc), byID: make(map[string]uint64),
+		calls: make(map[uint64]context.CancelCauseFunc), byID: make(map[string]map[uint64]struct{}),
 	}
 }
 
@@ -108,12 +108,17 @@
 	}
 	s.next++
 	n := s.next
-	s.calls[n], s.byID[id] = stop, n
+	s.calls[n] = stop
+	if s.byID[id] == nil {
+		s.byID[id] = make(map[uint64]struct{})
+	}
+	s.byID[id][n] = struct{}{}
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.calls, n)
-		if s.byID[id] == n {
+		delete(s.byID[id], n)
+		if len(s.byID[id]) == 0 {
 			delete(s.byID, id)
 		}
 	}, true
@@ -170,15 +175,25 @@
 	if err := stream.Recv(&in); err != nil {
 		return err
 	}
+	served := s.halt(in.ID)
+	out := s.settle.Settle(ctx, in.ID)
+	out.Clear = out.Clear && !served
+	return stream.Send(&out)
+}
+
+// halt cancels all calls of a request, of which an earlier attempt may still
+// have one, and reports whether there were any.
+func (s *Server) halt(id string) bool {
 	s.mu.Lock()
-	stop := s.calls[s.byID[in.ID]]
+	stops := make([]context.CancelCauseFunc, 0, len(s.byID[id]))
+	for n := range s.byID[id] {
+		stops = append(stops, s.calls[n])
+	}
 	s.mu.Unlock()
-	if stop != nil {
+	for _, stop := range stops {
 		stop(&exec.StopError{Reason: wire.ReasonCancel})
 	}
-	out := s.settle.Settle(ctx, in.ID)
-	out.Clear = out.Clear && stop == nil
-	return stream.Send(&out)
+	return len(stops) > 0
 }
 
 func (s *Server) status(ctx context.Context, stream *link.Stream) error {
@@ -198,16 +213,11 @@
 	if err := stream.Recv(&in); err != nil {
 		return err
 	}
-	s.mu.Lock()
-	stop := s.calls[s.byID[in.ID]]
-	s.mu.Unlock()
-	if stop != nil {
-		stop(&exec.StopError{Reason: wire.ReasonCancel})
-	}
+	served := s.halt(in.ID)
 	out, err := s.jobs.Cancel(ctx, in.ID)
 	if err != nil {
 		return &link.RemoteError{Code: wire.ReasonRoute, Text: err.Error()}
 	}
-	out.Found = out.Found || stop != nil
+	out.Found = out.Found || served
 	return stream.Send(&out)
 }
