Tell the second record holder of idempotent runs under known ids

Cause: the record of an idempotent request stood with one holder only. When that died, or was restarted, its run went on at the placer; its caller sent the request again, the second holder (or the new process) knew nothing of it and started it beside the old run. Change: the first holder tells the second one of its claim before the start leaves, one call, and of the outcome (without the answer, which may be run for again). A retry at the second holder, or at a restarted first one, finds the claim: if its process can't be reached the request is taken over under the next run, and all placers have to say that nothing of the earlier one is left before it starts. Both holders asked at once are told apart as for requests that run once. Records so shared are pulled after a restart too. Ruled out: searching all zones for every request whose first holder is away; that asks each executor for each such request, and refuses nearly all of them in a zone that is cut off. Refusing until the longest run has ended: 60 s and more. Left: both holders out of reach, see docs/PROOFS.md. Cost: one call for each idempotent quick request under an id that was known before, none for others.

--- a/entry/internal/record/enter.go
+++ b/entry/internal/record/enter.go
@@ -25,6 +25,9 @@
 		return Answer{Verdict: Run, Note: e.note, Doubt: doubt}
 	case e.note.Ended():
 		return Answer{Verdict: Known, Note: e.note}
+	case e.note.Host == k.self.Name && !e.note.Once:
+		k.claimLocked(e, q, e.note.Run+1)
+		return Answer{Verdict: Run, Note: e.note, Doubt: true}
 	case e.note.Host == k.self.Name:
 		return refuse(wire.Unknown, wire.ReasonLost, "the process that ran it has ended")
 	}
@@ -70,7 +73,7 @@
 		ID: q.ID, Team: q.Team, Digest: q.Digest, Host: k.self.Name, Epoch: k.issuer.Epoch(),
 		Run: run, Once: q.Once, At: now.Unix(),
 	})
-	e.here, e.pending, e.done = true, q.Once, make(chan struct{})
+	e.here, e.pending, e.done = true, q.Once || !q.Private, make(chan struct{})
 }
 
 // setLocked replaces the note of e and keeps the count of answer bytes.
@@ -87,24 +90,28 @@
 	n.ID, n.Team, n.Digest, n.Host, n.Epoch = claim.ID, claim.Team, claim.Digest, claim.Host, claim.Epoch
 	n.Run, n.Once, n.At = claim.Run, claim.Once, claim.At
 	row := false
-	if !k.endLocal(&n, &row) || !n.Once {
+	ended, shared := k.endLocal(&n, &row)
+	if !ended || !n.Once && !shared {
 		return
 	}
+	if !n.Once {
+		n.Body, n.Kept = nil, false // It may run again instead.
+	}
 	k.later(func() { k.tell(n, row) })
 }
 
-func (k *Keeper) endLocal(n *Note, row *bool) bool {
+func (k *Keeper) endLocal(n *Note, row *bool) (ended, shared bool) {
 	sh := k.shard(n.ID)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	e := sh.entries[n.ID]
 	if e == nil || !e.here || !e.note.sameClaim(n) || e.note.Run != n.Run {
-		return false
+		return false, false
 	}
 	k.setLocked(e, *n)
 	*n, *row = e.note, e.row
 	e.here, e.pending = false, false
 	close(e.done)
 	e.done = nil
-	return true
+	return true, e.shared
 }
--- a/entry/internal/record/note.go
+++ b/entry/internal/record/note.go
@@ -29,6 +29,9 @@
 // Ended reports whether the outcome is known.
 func (n *Note) Ended() bool { return n.Outcome != "" }
 
+// doubtful reports whether a run of the claim may still go on.
+func (n *Note) doubtful() bool { return !n.Ended() || n.Outcome == wire.Unknown }
+
 // sameClaim reports whether both notes are of one process's claim.
 func (n *Note) sameClaim(o *Note) bool { return n.Host == o.Host && n.Epoch == o.Epoch }
 
--- a/entry/internal/record/row.go
+++ b/entry/internal/record/row.go
@@ -83,6 +83,9 @@
 	if found.sameClaim(claim) && !found.Ended() {
 		return claim.Run >= found.Run
 	}
+	if !claim.Once && !found.Ended() {
+		return claim.Run > found.Run // taken over from a process that was lost
+	}
 	return found.Ended() && again(found) && claim.Run > found.Run
 }
 
--- a/entry/internal/record/secure.go
+++ b/entry/internal/record/secure.go
@@ -14,7 +14,7 @@
 // this process; with Refuse the claim has ended too.
 func (k *Keeper) Secure(ctx context.Context, q Question, claim Note) Answer {
 	if !q.Once {
-		return Answer{Verdict: Run, Note: claim}
+		return k.share(ctx, q, claim)
 	}
 	for range places {
 		ans, again := k.place(ctx, q, claim)
@@ -97,6 +97,9 @@
 	if found.Ended() {
 		return Answer{Verdict: Known, Note: found}, false
 	}
+	if found.Host == k.self.Name && !q.Once {
+		return k.reclaim(claim, found.Run+1)
+	}
 	if found.Host == k.self.Name {
 		return refuse(wire.Unknown, wire.ReasonLost, "the process that ran it has ended"), false
 	}
--- a/entry/internal/record/server.go
+++ b/entry/internal/record/server.go
@@ -52,7 +52,7 @@
 		sh.entries[n.ID] = e
 		k.size.Add(1)
 		k.setLocked(e, n)
-		told.Held = true
+		e.shared, told.Held = !n.Once, true
 		return told
 	}
 	first, _ := k.ring.Holders(n.ID)
@@ -62,7 +62,7 @@
 		close(e.done)
 		e.done = nil
 		k.setLocked(e, n)
-		told.Held = true
+		e.shared, told.Held = !n.Once, true
 		return told
 	}
 	if e.here || !supersedes(&n, &e.note) {
@@ -70,7 +70,7 @@
 		return told
 	}
 	k.setLocked(e, n)
-	told.Held = true
+	e.shared, told.Held = !n.Once, true
 	return told
 }
 
@@ -100,11 +100,11 @@
 	room := pullBytes
 	for id, e := range sh.entries {
 		first, second := k.ring.Holders(id)
-		if !e.note.Once || first.Name != peer && second.Name != peer {
+		if !e.note.Once && !e.shared || first.Name != peer && second.Name != peer {
 			continue
 		}
 		n := e.note
-		if len(n.Body) > room {
+		if !n.Once || len(n.Body) > room {
 			n.Body, n.Kept = nil, false
 		}
 		room -= len(n.Body)
--- /dev/null
+++ b/entry/internal/record/share.go
@@ -0,0 +1,89 @@
+package record
+
+import (
+	"context"
+
+	"github.com/balsamford/balsamford/coord/wire"
+)
+
+// share tells the other holder that an idempotent request runs here, so that
+// whichever of them is left doesn't run it beside that run. If the other
+// holder can't be reached the request runs all the same, unless this host may
+// have forgotten an earlier run: then the answer says so.
+func (k *Keeper) share(ctx context.Context, q Question, claim Note) Answer {
+	run := Answer{Verdict: Run, Note: claim}
+	if _, _, kept := k.Find(q.ID); q.Private || !kept {
+		return run
+	}
+	if !k.holds(q.ID) {
+		return k.settle(q, claim, run)
+	}
+	doubt := false
+	for range places {
+		told, err := k.hold(ctx, claim)
+		if err != nil || len(told.Notes) == 0 {
+			held := err == nil && told.Held
+			k.noteShared(&claim, held)
+			ans := k.settle(q, claim, Answer{Verdict: Run, Note: claim})
+			remembered := k.complete(q.ID) || held && told.Complete
+			ans.Doubt = doubt || !remembered
+			return ans
+		}
+		found := told.Notes[0]
+		ans, again := k.adopt(q, claim, found)
+		if !again {
+			return k.settle(q, claim, ans)
+		}
+		doubt = doubt || found.doubtful()
+		claim = ans.Note
+	}
+	return k.settle(q, claim, refuse(q.unproved(), wire.ReasonDuplicate, "the id is claimed elsewhere"))
+}
+
+// holds reports whether this host is a holder of the id.
+func (k *Keeper) holds(id string) bool {
+	first, second := k.ring.Holders(id)
+	return first.Name == k.self.Name || second.Name == k.self.Name
+}
+
+// noteShared notes whether the other holder knows of a claim.
+func (k *Keeper) noteShared(claim *Note, held bool) {
+	sh := k.shard(claim.ID)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if e := sh.entries[claim.ID]; e != nil && e.here && e.note.sameClaim(claim) {
+		e.shared = held
+	}
+}
+
+// TakeOver claims an idempotent request whose run was another host's, which
+// can't be reached. The answer is Run with Doubt, or what has become of the
+// request meanwhile.
+func (k *Keeper) TakeOver(q Question, lost Note) Answer {
+	sh := k.shard(q.ID)
+	sh.mu.Lock()
+	e := sh.entries[q.ID]
+	if e == nil || e.here || !e.note.sameClaim(&lost) || e.note.Run != lost.Run || e.note.Ended() {
+		sh.mu.Unlock()
+		return k.Enter(q)
+	}
+	defer sh.mu.Unlock()
+	k.claimLocked(e, q, lost.Run+1)
+	return Answer{Verdict: Run, Note: e.note, Doubt: true}
+}
+
+// Stands reports whether a claim on an idempotent request that runs here is
+// still the only one. It asks the other holder if that was told of the claim.
+func (k *Keeper) Stands(ctx context.Context, claim Note) bool {
+	sh := k.shard(claim.ID)
+	sh.mu.Lock()
+	e := sh.entries[claim.ID]
+	here := e != nil && e.here && e.note.sameClaim(&claim) && e.note.Run == claim.Run
+	shared := here && e.shared
+	sh.mu.Unlock()
+	if !shared {
+		return here || e == nil // Without a record it was never shared.
+	}
+	told, err := k.hold(ctx, claim)
+	return err == nil && told.Held
+}
--- /dev/null
+++ b/entry/internal/record/share_test.go
@@ -0,0 +1,91 @@
+package record
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestOneRunOfIdempotent lets both holders of an id want to run an idempotent
+// request and states which of them may, and which one's claim still stands
+// when it is about to send the request again.
+func TestOneRunOfIdempotent(t *testing.T) {
+	q := Question{ID: "red~x", Team: "red", Digest: 1}
+	ctx := context.Background()
+	tests := map[string]struct {
+		act    func(p *pair, first, second *Keeper) (a, b Answer)
+		first  Verdict
+		second Verdict
+		doubt  bool // of the second one
+		stands []bool
+	}{
+		"one after the other": {
+			act: func(_ *pair, first, second *Keeper) (a, b Answer) {
+				a = first.Secure(ctx, q, first.Enter(q).Note)
+				return a, second.Enter(q)
+			},
+			first: Run, second: Away, stands: []bool{true, false},
+		},
+		"at once, first asks first": {
+			act: func(_ *pair, first, second *Keeper) (a, b Answer) {
+				a, b = first.Enter(q), second.Enter(q)
+				a = first.Secure(ctx, q, a.Note)
+				return a, second.Secure(ctx, q, b.Note)
+			},
+			first: Run, second: Away, stands: []bool{true, false},
+		},
+		"at once, second asks first": {
+			act: func(_ *pair, first, second *Keeper) (a, b Answer) {
+				a, b = first.Enter(q), second.Enter(q)
+				b = second.Secure(ctx, q, b.Note)
+				return first.Secure(ctx, q, a.Note), b
+			},
+			first: Run, second: Away, stands: []bool{true, false},
+		},
+		"taken over from one that is back": {
+			act: func(p *pair, first, second *Keeper) (a, b Answer) {
+				a = first.Secure(ctx, q, first.Enter(q).Note)
+				p.cut = true
+				taken := second.TakeOver(q, second.Enter(q).Note)
+				b = second.Secure(ctx, q, taken.Note)
+				b.Doubt = taken.Doubt
+				p.cut = false
+				return a, b
+			},
+			first: Run, second: Run, doubt: true, stands: []bool{false, true},
+		},
+		"second ran it while the first was away": {
+			act: func(p *pair, first, second *Keeper) (a, b Answer) {
+				p.cut = true
+				b = second.Secure(ctx, q, second.Enter(q).Note)
+				p.cut = false
+				return first.Secure(ctx, q, first.Enter(q).Note), b
+			},
+			first: Away, second: Run, stands: []bool{false, true},
+		},
+		"other holder can't be asked": {
+			act: func(p *pair, first, second *Keeper) (a, b Answer) {
+				a, b = first.Secure(ctx, q, first.Enter(q).Note), second.Enter(q)
+				p.cut = true
+				return a, b
+			},
+			first: Run, second: Away, stands: []bool{false, false},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPair()
+			one, two := p.ring.Holders(q.ID)
+			first, second := p.keepers[one.Name], p.keepers[two.Name]
+			a, b := tt.act(p, first, second)
+			is.Equal(a.Verdict, tt.first)
+			is.Equal(b.Verdict, tt.second)
+			is.Equal(b.Doubt, tt.doubt)
+			is.True(!a.Doubt)
+			mine := func(k *Keeper) bool { n, _, _ := k.Find(q.ID); return n.Host == k.self.Name && k.Stands(ctx, n) }
+			is.Equal([]bool{mine(first), mine(second)}, tt.stands)
+		})
+	}
+}
--- a/entry/internal/record/sync.go
+++ b/entry/internal/record/sync.go
@@ -154,6 +154,7 @@
 		sh.entries[n.ID] = e
 		k.size.Add(1)
 		k.setLocked(e, n)
+		e.shared = !n.Once
 		return
 	}
 	if !e.here && (n.Run > e.note.Run || n.sameClaim(&e.note) && n.Ended() && !e.note.Ended()) {
--- a/entry/internal/relay/journey.go
+++ b/entry/internal/relay/journey.go
@@ -92,6 +92,9 @@
 			return Unknown(wire.ReasonLost, "an earlier run may still go on"), true
 		}
 		j.doubt = false
+		if reason := j.order.Allow(); reason != "" {
+			return NotRun(reason, ""), true
+		}
 	}
 	p, ok := j.pick()
 	if !ok {
--- a/entry/internal/serve/forward.go
+++ b/entry/internal/serve/forward.go
@@ -166,15 +166,16 @@
 	})
 }
 
-// away asks the host that may be running a request.
-func (s *Service) away(wanted context.Context, sub *submission, n record.Note, out sink) relay.Result {
+// away asks the host that may be running a request, and reports whether it was
+// reached.
+func (s *Service) away(wanted context.Context, sub *submission, n record.Note, out sink) (relay.Result, bool) {
 	h, ok := s.Ring.Host(n.Host)
 	if !ok || h.Name == s.Self.Name {
-		return relay.Unknown(wire.ReasonLost, "the process that ran it has ended")
+		return relay.Unknown(wire.ReasonLost, "the process that ran it has ended"), false
 	}
 	res, sent, _ := s.forward(wanted, sub, h, out)
 	if !sent {
-		return relay.Unknown(wire.ReasonLost, "the host that ran it can't be reached")
+		return relay.Unknown(wire.ReasonLost, "the host that ran it can't be reached"), false
 	}
-	return res
+	return res, true
 }
--- a/entry/internal/serve/quick.go
+++ b/entry/internal/serve/quick.go
@@ -29,27 +29,41 @@
 // runCounted is runHere for a request that is counted already.
 func (s *Service) runCounted(wanted context.Context, sub *submission, out sink) relay.Result {
 	q := sub.question()
-	ans := s.Keeper.Enter(q)
+	res, lost := s.act(wanted, sub, q, s.Keeper.Enter(q), out)
+	if lost != nil && sub.Request.Idempotent {
+		res, _ = s.act(wanted, sub, q, s.Keeper.TakeOver(q, *lost), out)
+	}
+	return res
+}
+
+// act does what the record says of a request. It returns the claim of the host
+// that has to answer instead, if that can't be reached.
+func (s *Service) act(wanted context.Context, sub *submission, q record.Question, ans record.Answer, out sink) (relay.Result, *record.Note) {
 	doubt := sub.Doubt || ans.Doubt
 	if ans.Verdict == record.Run && !q.Private {
 		ans = s.Keeper.Secure(s.ctx, q, ans.Note)
+		doubt = doubt || ans.Doubt
 	}
 	sub.Doubt = doubt && sub.Request.Idempotent
 	switch ans.Verdict {
 	case record.Wait:
-		return s.join(wanted, sub, ans.Done)
+		return s.join(wanted, sub, ans.Done), nil
 	case record.Known:
 		s.counts.replayed.Inc(1)
-		return replay(&ans.Note)
+		return replay(&ans.Note), nil
 	case record.Away:
-		return s.away(wanted, sub, ans.Note, out)
+		res, sent := s.away(wanted, sub, ans.Note, out)
+		if !sent {
+			return res, &ans.Note
+		}
+		return res, nil
 	case record.Refuse:
-		return relay.Result{Outcome: ans.Note.Outcome, Reason: ans.Note.Reason, Detail: ans.Note.Detail}
+		return relay.Result{Outcome: ans.Note.Outcome, Reason: ans.Note.Reason, Detail: ans.Note.Detail}, nil
 	case record.Run:
 	}
 	res := afterLoss(doubt, s.run(wanted, sub, q, ans.Note, out))
 	s.end(sub, ans.Note, &res)
-	return res
+	return res, nil
 }
 
 // end notes how a request ended.
@@ -73,6 +87,7 @@
 	s.lives.add(l)
 	defer s.lives.remove(l)
 	begin := s.Clock.Now()
+	allow := s.standing(sub, q, claim)
 	leave, reason := s.Gate.Enter(l.wanted, sub.Request.Team, sub.deadline)
 	if reason != "" {
 		return relay.NotRun(reason, "no place before the deadline")
@@ -87,10 +102,10 @@
 	req := sub.Request
 	req.Version = s.Config.Version()
 	order := &relay.Order{
-		Request: req, Deadline: sub.deadline, Wanted: l.wanted, Allow: s.allow(sub), Base: (claim.Run - 1) * attemptsPerRun,
+		Request: req, Deadline: sub.deadline, Wanted: l.wanted, Allow: allow.ask, Base: (claim.Run - 1) * attemptsPerRun,
 		Doubt: sub.Doubt,
 	}
-	return s.Runner.Run(s.ctx, order, &phaseSink{live: l, next: out})
+	return allow.truthful(s.Runner.Run(s.ctx, order, &phaseSink{live: l, next: out}))
 }
 
 // attemptsPerRun keeps the attempt numbers of a request's runs apart.
