Remove claims whose writers have forgotten them from the platform

Cause: only the process that wrote a claim's row removed it, from memory and with one try. The rows of processes that died, or whose removal failed, stayed for good. Seen failing: TestOldClaimsAreRemoved with rounds that do nothing, 6 of 7 rows. An issued id stays refused by its age; a caller's own one was new again before.

--- a/entry/internal/record/counts.go
+++ b/entry/internal/record/counts.go
@@ -9,6 +9,7 @@
 	rows    metrics.Counter // claims held with the platform
 	refused metrics.Counter // claims that found no second place
 	known   metrics.Counter // requests whose id had a record
+	pruned  metrics.Counter // old claims removed from the platform
 	forgot  metrics.Counter // ids that this host can't vouch for
 }
 
@@ -19,6 +20,7 @@
 		rows:    metrics.GetOrRegisterCounter("entry.record.rows", r),
 		refused: metrics.GetOrRegisterCounter("entry.record.refused", r),
 		known:   metrics.GetOrRegisterCounter("entry.record.known", r),
+		pruned:  metrics.GetOrRegisterCounter("entry.record.pruned", r),
 		forgot:  metrics.GetOrRegisterCounter("entry.record.forgot", r),
 	}
 }
--- a/entry/internal/record/sync.go
+++ b/entry/internal/record/sync.go
@@ -26,8 +26,13 @@
 		}
 	})
 	defer sub.Stop()
+	next := k.clock.Now().Add(k.pruneWait())
 	for i := 0; ; i++ {
 		k.Sync(ctx)
+		if k.clock.Now().After(next) {
+			next = k.clock.Now().Add(k.pruneWait())
+			k.later(func() { k.Prune(ctx) })
+		}
 		k.sweep(&k.shards[i%shards])
 		k.counts.size.Update(k.size.Load())
 		select {
