Don't let requests wait for a record holder that is silent

Cause: since the first holder tells the second one of idempotent runs, each such request whose second holder is dead or paused waited for the whole bound of a call, 1 s. Seen failing: TestSilentHolderIsLeftAlone, 20 calls in place of 1. Change: the call is bounded by 250 ms, and a holder that didn't answer isn't asked for 2 s; then one request at a time tries. What runs meanwhile is known to one holder only, as before the sharing. Checked: go test ./entry/internal/record (also -race) and ./entry/internal/serve.

--- a/entry/internal/record/errors.go
+++ b/entry/internal/record/errors.go
@@ -6,6 +6,13 @@
 // Error implements error.
 func (*AloneError) Error() string { return "there is no other entry host" }
 
+// SilentError reports a host that isn't asked because it didn't answer a
+// moment ago.
+type SilentError struct{ Host string }
+
+// Error implements error.
+func (e *SilentError) Error() string { return e.Host + " didn't answer a moment ago" }
+
 // AskError reports a call that can't be understood.
 type AskError struct{ Op string }
 
--- a/entry/internal/record/keeper.go
+++ b/entry/internal/record/keeper.go
@@ -59,6 +59,7 @@
 	group    errgroup.Group // its end is awaited by telling, so that Wait and later may overlap
 	telling  atomic.Int64
 	shards   [shards]shard
+	silent   silent            // holders that are not told of idempotent requests for a while
 	tells    map[string]*tells // by host; the map never changes
 
 	mu      sync.Mutex // guards the fields below
--- a/entry/internal/record/restart_test.go
+++ b/entry/internal/record/restart_test.go
@@ -20,6 +20,7 @@
 	ring     *Ring
 	keepers  map[string]*Keeper
 	cut      bool
+	calls    int
 }
 
 func newPair() *pair {
@@ -43,6 +44,7 @@
 
 // Call implements Caller.
 func (p *pair) Call(_ context.Context, address, _ string, in, out any) error {
+	p.calls++
 	if p.cut {
 		return &link.DialError{Address: address, Err: &link.CutError{Address: address}}
 	}
--- a/entry/internal/record/share.go
+++ b/entry/internal/record/share.go
@@ -2,10 +2,19 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/balsamford/balsamford/coord/wire"
 )
 
+const (
+	// shareTime bounds the call that tells the other holder of an idempotent
+	// request, whose caller waits for it.
+	shareTime = 250 * time.Millisecond
+	// shareRest is how long a holder that didn't answer isn't asked again.
+	shareRest = 2 * time.Second
+)
+
 // share tells the other holder that an idempotent request runs here, so that
 // whichever of them is left doesn't run it beside that run. If the other
 // holder can't be reached the request runs all the same, unless this host may
@@ -20,7 +29,7 @@
 	}
 	doubt := false
 	for range places {
-		told, err := k.hold(ctx, claim)
+		told, err := k.holdSoon(ctx, claim)
 		if err != nil || len(told.Notes) == 0 {
 			held := err == nil && told.Held
 			k.noteShared(&claim, held)
@@ -40,6 +49,21 @@
 	return k.settle(q, claim, refuse(q.unproved(), wire.ReasonDuplicate, "the id is claimed elsewhere"))
 }
 
+// holdSoon asks the other holder to hold a claim, unless it was silent just
+// now.
+func (k *Keeper) holdSoon(ctx context.Context, claim Note) (Told, error) {
+	other := k.Other(claim.ID).Name
+	if !k.silent.ask(other, k.clock.Now()) {
+		return Told{}, &SilentError{Host: other}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	alarm := k.clock.After(shareTime, cancel)
+	defer func() { alarm.Stop(); cancel() }()
+	told, err := k.hold(ctx, claim)
+	k.silent.note(other, err == nil, k.clock.Now())
+	return told, err
+}
+
 // holds reports whether this host is a holder of the id.
 func (k *Keeper) holds(id string) bool {
 	first, second := k.ring.Holders(id)
--- a/entry/internal/record/share_test.go
+++ b/entry/internal/record/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 
 	"github.com/matryer/is"
@@ -89,3 +90,34 @@
 		})
 	}
 }
+
+// TestSilentHolderIsLeftAlone cuts the holders off from one another: requests
+// don't wait for the other one each time, and it is told again once it answers.
+func TestSilentHolderIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	p := newPair()
+	k := p.keepers["a1"]
+	ids := 0
+	run := func() (id string) {
+		ids++
+		q := Question{ID: "red~" + strconv.Itoa(ids), Team: "red", Digest: 1}
+		is.Equal(k.Secure(context.Background(), q, k.Enter(q).Note).Verdict, Run)
+		return q.ID
+	}
+	p.calls, p.cut = 0, true
+	for range 20 {
+		run()
+	}
+	is.Equal(p.calls, 1)
+	p.clock.Advance(shareRest)
+	for range 20 {
+		run()
+	}
+	is.Equal(p.calls, 2)
+	p.cut = false
+	p.clock.Advance(shareRest)
+	_, _, known := p.keepers["a2"].Find(run())
+	is.True(known)
+	_, _, known = p.keepers["a2"].Find(run())
+	is.True(known)
+}
