Refuse lost attempts that reach a placer after the search for them

Cause: an entry that lost a placer's stream asks all placers for what is left of the request. One that had been paused, or is slow, may read the lost attempt's message only after it has answered, and start it then, beside the next attempt. Seen failing: TestLateRequest, both rows of earlier attempts were done. Change: the question names the latest attempt that may have been sent; a placer that has answered it refuses attempts up to that one for a minute, as unknown. It says clear only if it can remember that (4,096 requests).

--- a/coord/wire/verbs.go
+++ b/coord/wire/verbs.go
@@ -11,7 +11,7 @@
 	// VerbCancel: Lookup in, Cancelled out.
 	VerbCancel = "cancel"
 	// VerbSettle: Lookup of a quick request in, Settled out. Runs of it are
-	// stopped.
+	// stopped, and attempts up to the given one are refused from then on.
 	VerbSettle = "settle"
 	// VerbLoad: Empty in, Load out.
 	VerbLoad = "load"
@@ -36,7 +36,8 @@
 
 // Lookup names a request.
 type Lookup struct {
-	ID string `cbor:"id"`
+	ID      string `cbor:"id"`
+	Attempt uint32 `cbor:"attempt,omitempty"` // with VerbSettle, the latest that may have been sent
 }
 
 // Cancelled answers a VerbCancel. NotRun is true only if the request was
--- a/entry/internal/relay/settle.go
+++ b/entry/internal/relay/settle.go
@@ -28,7 +28,7 @@
 	ctx, cancel := j.runner.within(ctx, settleWait)
 	defer cancel()
 	for ctx.Err() == nil && j.unwanted() == "" {
-		if j.runner.settled(ctx, zone, j.req.ID) {
+		if j.runner.settled(ctx, zone, wire.Lookup{ID: j.req.ID, Attempt: j.req.Attempt}) {
 			return true
 		}
 		if j.runner.clock.Sleep(j.wanted, settlePeriod) != nil {
@@ -54,7 +54,7 @@
 }
 
 // settled asks all placers of a zone once.
-func (r *Runner) settled(ctx context.Context, zone, id string) bool {
+func (r *Runner) settled(ctx context.Context, zone string, in wire.Lookup) bool {
 	ctx, cancel := r.within(ctx, settleTime)
 	defer cancel()
 	words := newWords()
@@ -65,7 +65,7 @@
 		}
 		g.Go(func() error {
 			var out wire.Settled
-			if r.net.Call(ctx, p.Link, wire.VerbSettle, wire.Lookup{ID: id}, &out) == nil {
+			if r.net.Call(ctx, p.Link, wire.VerbSettle, in, &out) == nil {
 				words.add(p, &out)
 			}
 			return nil
--- a/placer/internal/daemon/daemon.go
+++ b/placer/internal/daemon/daemon.go
@@ -106,7 +106,7 @@
 	d.node.Handle(wire.VerbPart, link.HandlerFunc(d.mover.Handle))
 	d.desk.Attach(d.driver, d.keeper)
 	d.runner = exec.New(d.timer, d.desk, d.keeper, d.client, d.registry)
-	d.server = serve.New(d.runner, d.driver, exec.NewSettler(d.runner, d.keeper, d.live), d.load, d.refusal)
+	d.server = serve.New(d.timer, d.runner, d.driver, exec.NewSettler(d.runner, d.keeper, d.live), d.load, d.refusal)
 	d.finder = hosts.New(s, d.table, d.keeper, d.members)
 	d.follower = config.NewFollower(rolePrefix+s.Host, s.Zone, d.table, d.timer,
 		config.WithPeers(config.RosterFunc(d.peers), d.node, s.Link), config.WithLog(d.log), config.WithMetrics(d.registry))
--- a/placer/internal/daemon/late_test.go
+++ b/placer/internal/daemon/late_test.go
@@ -15,6 +15,7 @@
 	"github.com/balsamford/balsamford/coord/point"
 	"github.com/balsamford/balsamford/coord/wire"
 	"github.com/balsamford/balsamford/placer/internal/conf"
+	"github.com/balsamford/balsamford/placer/internal/desk"
 	"github.com/balsamford/balsamford/standin/engine"
 	"github.com/balsamford/balsamford/standin/serve"
 )
@@ -72,11 +73,11 @@
 	return e, s
 }
 
-func (z *zone) settle(p *running, id string) (wire.Settled, error) {
+func (z *zone) settle(p *running, id string, attempt uint32) (wire.Settled, error) {
 	ctx, cancel := context.WithTimeout(z.ctx, patience)
 	defer cancel()
 	var out wire.Settled
-	err := z.caller.Call(ctx, p.settings.Link, wire.VerbSettle, wire.Lookup{ID: id}, &out)
+	err := z.caller.Call(ctx, p.settings.Link, wire.VerbSettle, wire.Lookup{ID: id, Attempt: attempt}, &out)
 	return out, err
 }
 
@@ -95,12 +96,12 @@
 	r := z.place(p, req)
 	is.NoErr(r.err)
 	is.Equal(r.final.Outcome, wire.Unknown)
-	out, err := z.settle(p, req.ID)
+	out, err := z.settle(p, req.ID, 1)
 	is.NoErr(err)
 	is.True(!out.Clear) // the endpoint answers nothing
 	s.set(false)
 	z.eventually("no run is found", func() bool {
-		out, err := z.settle(p, req.ID)
+		out, err := z.settle(p, req.ID, 1)
 		return err == nil && out.Clear
 	})
 	starts := s.starts()
@@ -111,3 +112,39 @@
 	// The room that was kept for it is free again.
 	is.Equal(z.place(p, quickRequest("a.next", engine.Body{Size: 10})).final.Outcome, wire.Done)
 }
+
+// TestLateRequest sends a request to a placer that has said that none of it is
+// left: the attempts that were made before may not start, later ones may.
+func TestLateRequest(t *testing.T) {
+	tests := map[string]struct {
+		attempt uint32
+		id      string
+		outcome wire.Outcome
+	}{
+		"the lost attempt": {attempt: 65, id: "a.late", outcome: wire.Unknown},
+		"an earlier one":   {attempt: 2, id: "a.late", outcome: wire.Unknown},
+		"the next one":     {attempt: 66, id: "a.late", outcome: wire.Done},
+		"another request":  {attempt: 1, id: "a.other", outcome: wire.Done},
+	}
+	z := newZone(t, 1)
+	z.behind("e0")
+	p := z.start(0)
+	z.eventually("the endpoint is owned", z.owned(1))
+	out, err := z.settle(p, "a.late", 65)
+	if err != nil || !out.Clear {
+		t.Fatal(out, err)
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			req := quickRequest(tt.id, engine.Body{Size: 10})
+			req.Idempotent, req.Attempt = true, tt.attempt
+			is.Equal(z.place(p, req).final.Outcome, tt.outcome)
+			began := false
+			for _, e := range z.log.Events() {
+				began = began || e.Event == engine.Began && e.Task == desk.TaskID(tt.id, 0) && e.Attempt == desk.FirstAttempt(tt.attempt)
+			}
+			is.Equal(began, tt.outcome == wire.Done)
+		})
+	}
+}
--- a/placer/internal/serve/server.go
+++ b/placer/internal/serve/server.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/balsamford/balsamford/coord/link"
+	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/coord/wire"
 	"github.com/balsamford/balsamford/placer/internal/exec"
 	"github.com/balsamford/balsamford/placer/internal/jobs"
@@ -41,6 +42,7 @@
 	runner Runner
 	jobs   Jobs
 	settle Settler
+	floors *floors
 	load   func() wire.Load
 	refuse func(*wire.Request) string
 
@@ -53,9 +55,9 @@
 
 // New returns a Server; load says what the placer has room for, refuse why a
 // request may not run, or an empty reason.
-func New(r Runner, j Jobs, settle Settler, load func() wire.Load, refuse func(*wire.Request) string) *Server {
+func New(clock *timer.Service, r Runner, j Jobs, settle Settler, load func() wire.Load, refuse func(*wire.Request) string) *Server {
 	return &Server{
-		runner: r, jobs: j, settle: settle, load: load, refuse: refuse,
+		runner: r, jobs: j, settle: settle, floors: newFloors(clock), load: load, refuse: refuse,
 		calls: make(map[uint64]context.CancelCauseFunc), byID: make(map[string]map[uint64]struct{}),
 	}
 }
@@ -141,6 +143,10 @@
 		return stream.Send(&wire.Event{ID: req.ID, Attempt: req.Attempt, Outcome: wire.NotRun, Reason: wire.ReasonLeaving})
 	}
 	defer leave()
+	// It is among the calls already, so a search that begins now finds it.
+	if req.Kind == wire.Quick && s.floors.refuses(req.ID, req.Attempt) {
+		return stream.Send(&wire.Event{ID: req.ID, Attempt: req.Attempt, Outcome: wire.Unknown, Reason: wire.ReasonLost})
+	}
 	if req.Kind == wire.Quick {
 		s.runner.Run(ctx, &req, stream)
 		return nil
@@ -175,9 +181,10 @@
 	if err := stream.Recv(&in); err != nil {
 		return err
 	}
+	refused := s.floors.raise(in.ID, in.Attempt)
 	served := s.halt(in.ID)
 	out := s.settle.Settle(ctx, in.ID)
-	out.Clear = out.Clear && !served
+	out.Clear = out.Clear && refused && !served
 	return stream.Send(&out)
 }
 
