--- a/entry/internal/record/doc.go
+++ b/entry/internal/record/doc.go
@@ -9,4 +9,9 @@
 // restarted has forgotten, so it doesn't count as a place until it has read
 // the other holder and the table, or until every earlier claim is older than
 // records are kept.
+//
+// A claim on an idempotent request is told to the other holder too, if that
+// answers, but the request doesn't need it to run. A holder that is left takes
+// the request over from one that can't be reached, with the warning that the
+// earlier run may still go on.
 package record
