--- a/entry/internal/record/sync.go
+++ b/entry/internal/record/sync.go
@@ -26,8 +26,13 @@
 		}
 	})
 	defer sub.Stop()
+	next := k.clock.Now().Add(k.pruneWait())
 	for i := 0; ; i++ {
 		k.Sync(ctx)
+		if k.clock.Now().After(next) {
+			next = k.clock.Now().Add(k.pruneWait())
+			k.later(func() { k.Prune(ctx) })
+		}
 		k.sweep(&k.shards[i%shards])
 		k.counts.size.Update(k.size.Load())
 		select {
@@ -154,6 +159,7 @@
 		sh.entries[n.ID] = e
 		k.size.Add(1)
 		k.setLocked(e, n)
+		e.shared = !n.Once
 		return
 	}
 	if !e.here && (n.Run > e.note.Run || n.sameClaim(&e.note) && n.Ended() && !e.note.Ended()) {
--- a/placer/internal/serve/server.go
+++ b/placer/internal/serve/server.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/balsamford/balsamford/coord/link"
+	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/coord/wire"
 	"github.com/balsamford/balsamford/placer/internal/exec"
 	"github.com/balsamford/balsamford/placer/internal/jobs"
@@ -41,6 +42,7 @@
 	runner Runner
 	jobs   Jobs
 	settle Settler
+	floors *floors
 	load   func() wire.Load
 	refuse func(*wire.Request) string
 
@@ -48,15 +50,15 @@
 	leaving bool
 	next    uint64
 	calls   map[uint64]context.CancelCauseFunc
-	byID    map[string]uint64
+	byID    map[string]map[uint64]struct{}
 }
 
 // New returns a Server; load says what the placer has room for, refuse why a
 // request may not run, or an empty reason.
-func New(r Runner, j Jobs, settle Settler, load func() wire.Load, refuse func(*wire.Request) string) *Server {
+func New(clock *timer.Service, r Runner, j Jobs, settle Settler, load func() wire.Load, refuse func(*wire.Request) string) *Server {
 	return &Server{
-		runner: r, jobs: j, settle: settle, load: load, refuse: refuse,
-		calls: make(map[uint64]context.CancelCauseFunc), byID: make(map[string]uint64),
+		runner: r, jobs: j, settle: settle, floors: newFloors(clock), load: load, refuse: refuse,
+		calls: make(map[uint64]context.CancelCauseFunc), byID: make(map[string]map[uint64]struct{}),
 	}
 }
 
@@ -110,13 +112,17 @@
 	n, id := s.next, req.ID
 	s.calls[n] = stop
 	if req.Kind == wire.Quick { // a job is cancelled in its row
-		s.byID[id] = n
+		if s.byID[id] == nil {
+			s.byID[id] = make(map[uint64]struct{})
+		}
+		s.byID[id][n] = struct{}{}
 	}
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.calls, n)
-		if s.byID[id] == n {
+		delete(s.byID[id], n)
+		if len(s.byID[id]) == 0 {
 			delete(s.byID, id)
 		}
 	}, true
@@ -139,6 +145,10 @@
 		return stream.Send(&wire.Event{ID: req.ID, Attempt: req.Attempt, Outcome: wire.NotRun, Reason: wire.ReasonLeaving})
 	}
 	defer leave()
+	// It is among the calls already, so a search that begins now finds it.
+	if req.Kind == wire.Quick && s.floors.refuses(req.ID, req.Attempt) {
+		return stream.Send(&wire.Event{ID: req.ID, Attempt: req.Attempt, Outcome: wire.Unknown, Reason: wire.ReasonLost})
+	}
 	if req.Kind == wire.Quick {
 		s.runner.Run(ctx, &req, stream)
 		return nil
@@ -173,15 +183,26 @@
 	if err := stream.Recv(&in); err != nil {
 		return err
 	}
+	refused := s.floors.raise(in.ID, in.Attempt)
+	served := s.halt(in.ID)
+	out := s.settle.Settle(ctx, in.ID)
+	out.Clear = out.Clear && refused && !served
+	return stream.Send(&out)
+}
+
+// halt cancels all calls of a request, of which an earlier attempt may still
+// have one, and reports whether there were any.
+func (s *Server) halt(id string) bool {
 	s.mu.Lock()
-	stop := s.calls[s.byID[in.ID]]
+	stops := make([]context.CancelCauseFunc, 0, len(s.byID[id]))
+	for n := range s.byID[id] {
+		stops = append(stops, s.calls[n])
+	}
 	s.mu.Unlock()
-	if stop != nil {
+	for _, stop := range stops {
 		stop(&exec.StopError{Reason: wire.ReasonCancel})
 	}
-	out := s.settle.Settle(ctx, in.ID)
-	out.Clear = out.Clear && stop == nil
-	return stream.Send(&out)
+	return len(stops) > 0
 }
 
 func (s *Server) status(ctx context.Context, stream *link.Stream) error {
@@ -201,11 +222,7 @@
 	if err := stream.Recv(&in); err != nil {
 		return err
 	}
-	s.mu.Lock()
-	stop := s.calls[s.byID[in.ID]]
-	s.mu.Unlock()
-	if stop != nil {
-		stop(&exec.StopError{Reason: wire.ReasonCancel})
+	if s.halt(in.ID) {
 		return stream.Send(&wire.Cancelled{Found: true})
 	}
 	out, err := s.jobs.Cancel(ctx, in.ID)
