Guard that a refused second run isn't said not to have run

The cause was the lost record: the second holder took the request for a new one, so a refusal by all placers was passed on as not run. Seen failing: both new rows of TestRunOfLostHolder with the base's code.

--- a/entry/internal/serve/holder_test.go
+++ b/entry/internal/serve/holder_test.go
@@ -19,11 +19,14 @@
 		entry   string // of the second try
 		goesOn  bool   // the first run
 		other   bool   // another request is sent
+		refuse  bool   // the second run is refused
 		outcome wire.Outcome
 		starts  int // of the request that is sent second
 	}{
 		"dead, second holder":           {between: killed("a1"), entry: "a2", goesOn: true, outcome: wire.Unknown, starts: 1},
 		"dead, second holder, ended":    {between: killed("a1"), entry: "a2", outcome: wire.Done, starts: 2},
+		"dead, second holder, refused":  {between: killed("a1"), entry: "a2", refuse: true, outcome: wire.Unknown, starts: 1},
+		"restarted, refused":            {between: restarted("a1"), entry: "a1", refuse: true, outcome: wire.Unknown, starts: 1},
 		"dead, other zone":              {between: killed("a1"), entry: "b1", goesOn: true, outcome: wire.Unknown, starts: 1},
 		"dead, other zone, ended":       {between: killed("a1"), entry: "b1", outcome: wire.Done, starts: 2},
 		"dead, another request":         {between: killed("a1"), entry: "a2", goesOn: true, other: true, outcome: wire.Done, starts: 1},
@@ -52,6 +55,9 @@
 			c.placers[1].still(tt.goesOn)
 			tt.between(c)
 			c.script(script{answer: []byte("fine")})
+			if tt.refuse {
+				c.script(script{refuse: wire.ReasonBusy})
+			}
 			if tt.other {
 				id += "-other"
 				fields = `,"idempotent":true,"deadline":"4s","id":"` + id + `"`
