Leave room to large tasks of the team that is next

What placers did: teams far below their share waited with tasks of 8 processors at a placer whose spare room lay just at its headroom, and each processor that came free went to a task of one processor of a team far above its share. In one big cell so much comes free in a pass that large tasks find room.

When the team that is next finds no room for a task, tasks of teams that have more wait, until a tenth of the placer's cell (or as much as that task) is free beyond the headroom; not with aim wait, not urgent work, and a lack of accelerators holds back only tasks that need some.

TestSmallTasksYieldToLargeOnes failed before.

--- a/placer/internal/sched/decide.go
+++ b/placer/internal/sched/decide.go
@@ -51,6 +51,9 @@
 			if seen++; seen > depth {
 				break
 			}
+			if p.yields(e) {
+				continue
+			}
 			before := len(out)
 			if out = p.try(e, out); len(out) > before {
 				return out
@@ -67,6 +70,7 @@
 	}
 	needs := e.granted
 	if p.pass.missed(needs, e.item.Urgent) && !p.mayPreempt(e) {
+		p.lack(e)
 		return out
 	}
 	row := p.choose(e)
@@ -77,6 +81,7 @@
 		if len(e.item.Avoid) == 0 {
 			p.pass.miss(needs, e.item.Urgent)
 		}
+		p.lack(e)
 		return out
 	}
 	p.unclaim(e)
@@ -100,6 +105,7 @@
 			p.undo(e, out[before:])
 			p.limit.Give(e.item.Team, n)
 			p.want(e)
+			p.lack(e)
 			return out[:before]
 		}
 		out = p.place(e, row, out)
--- a/placer/internal/sched/pass.go
+++ b/placer/internal/sched/pass.go
@@ -7,7 +7,8 @@
 
 // pass is what one Decide learns as it goes.
 type pass struct {
-	misses []miss
+	misses    []miss
+	shortages []shortage // the first task that needs accelerators, and the first other one
 }
 
 // miss is a shape for which there was no room.
@@ -16,7 +17,7 @@
 	urgent bool
 }
 
-func (s *pass) reset() { s.misses = s.misses[:0] }
+func (s *pass) reset() { s.misses, s.shortages = s.misses[:0], s.shortages[:0] }
 
 // missed reports whether something no larger than needs found no room. What
 // urgent work couldn't get, other work can't either.
--- /dev/null
+++ b/placer/internal/sched/shortage_test.go
@@ -0,0 +1,131 @@
+package sched
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/balsamford/balsamford/coord/point"
+	"github.com/balsamford/balsamford/coord/wire"
+)
+
+// crowd is a placer of four workers that team "many" fills with small tasks
+// while more of them wait.
+func crowd(t *testing.T, p Policy) *Scheduler {
+	t.Helper()
+	is := is.New(t)
+	s := New(WithTimer(manual()), WithPolicy(p))
+	for i := range 4 {
+		s.Join(Endpoint{Name: "w" + strconv.Itoa(i), Kind: point.Worker, Capacity: wire.Needs{CPU: 8000, Accel: int64(i / 3)}})
+	}
+	for i := range 200 {
+		is.NoErr(s.Submit(batch("small"+strconv.Itoa(i), "many", 1000, 1)))
+	}
+	for _, d := range s.Decide() {
+		s.Started(d.ID, d.Task)
+	}
+	return s
+}
+
+// endOldest ends n tasks one after another, each on the endpoint that comes
+// next, with a pass after each, and returns how many tasks each request
+// started.
+func endOldest(s *Scheduler, n int) map[string]int {
+	started := make(map[string]int)
+	for i := range n {
+		row := s.workers.table.Row("w" + strconv.Itoa(i%4))
+		runs := s.workers.hosted[row]
+		r := runs[0]
+		if r.entry.adopted {
+			r = runs[1]
+		}
+		s.Ended(r.entry.item.ID, r.number, true)
+		for _, d := range s.Decide() {
+			s.Started(d.ID, d.Task)
+			started[d.ID]++
+		}
+	}
+	return started
+}
+
+func TestSmallTasksYieldToLargeOnes(t *testing.T) {
+	accel := batch("large", "few", 4000, 1)
+	accel.Needs.Accel = 1
+	tests := map[string]struct {
+		policy Policy
+		item   Item
+		starts bool // of the large one
+	}{
+		"large task":                 {Policy{}, batch("large", "few", 8000, 1), true},
+		"gang":                       {Policy{}, gang("large", "few", 1500, 2), true},
+		"fills gaps for short waits": {Policy{Aim: AimWait}, batch("large", "few", 8000, 1), false},
+		"other resource":             {Policy{}, accel, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := crowd(t, tt.policy)
+			if tt.item.Needs.Accel > 0 {
+				s.Adopt("w3", Task{ID: "holder", Team: "other", Kind: wire.Batch, Needs: wire.Needs{Accel: 1}})
+			}
+			is.NoErr(s.Submit(tt.item))
+			got := endOldest(s, 60)
+			is.Equal(got["large"] > 0, tt.starts)
+			if tt.starts {
+				is.Equal(got["large"], tt.item.Tasks)
+				return
+			}
+			is.Equal(len(got), 60) // small tasks go on
+		})
+	}
+}
+
+// TestYieldingIsBounded checks that whatever waits, no more is kept free than
+// the bound says while a task waits that would fit.
+func TestYieldingIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New(WithTimer(manual()), WithPolicy(Policy{Headroom: 0.05}))
+		workers := rapid.IntRange(1, 8).Draw(t, "workers")
+		for i := range workers {
+			s.Join(worker(strconv.Itoa(i), 8000))
+		}
+		for i := range rapid.IntRange(1, depth).Draw(t, "requests") {
+			team := "t" + strconv.Itoa(rapid.IntRange(0, 3).Draw(t, "team"))
+			cpu := rapid.SampledFrom([]int64{500, 1000, 4000, 7000}).Draw(t, "cpu")
+			if err := s.Submit(batch(strconv.Itoa(i), team, cpu, rapid.IntRange(1, 6).Draw(t, "tasks"))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var running []Decision
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			for _, d := range s.Decide() {
+				s.Started(d.ID, d.Task)
+				running = append(running, d)
+			}
+			idle := s.workers.table.Spare().CPU
+			if bound := int64(workers)*8000/20 + max(int64(workers)*8000/10, 7000); idle > bound && s.Waiting() > 0 {
+				checkNothingFits(t, s)
+			}
+			if len(running) == 0 {
+				return
+			}
+			i := rapid.IntRange(0, len(running)-1).Draw(t, "ended")
+			s.Ended(running[i].ID, running[i].Task, true)
+			running = append(running[:i], running[i+1:]...)
+		}
+	})
+}
+
+// checkNothingFits fails if a waiting task could start on some endpoint.
+func checkNothingFits(t *rapid.T, s *Scheduler) {
+	for id, e := range s.workers.entries {
+		if e.lane == nil {
+			continue
+		}
+		if row := s.workers.choose(e); row != nil {
+			t.Fatalf("%s waits although it fits %s and more is free than may be kept", id, row.Name())
+		}
+	}
+}
