Checkpoint for urgent work of teams above their share after 0.5 s

The target is 1.1 s for all.

Change: after 0.5 s in the queue it may as well.

TestUrgentPreemptsAboveShare failed before.

--- a/placer/internal/sched/preempt.go
+++ b/placer/internal/sched/preempt.go
@@ -12,6 +12,11 @@
 // kept for the urgent task that needs the room.
 const claimTime = 5 * time.Second
 
+// urgentPatience is how long urgent work of a team above its share waits for
+// room before tasks are checkpointed for it too. It is to start within 1.1 s,
+// of which a checkpoint takes a part.
+const urgentPatience = 500 * time.Millisecond
+
 // claim is room that is being made for an urgent entry.
 type claim struct {
 	row   *cell.Row
@@ -19,7 +24,7 @@
 }
 
 // mayPreempt reports whether an entry may have batch tasks checkpointed. With
-// AimShare its team must be under its share.
+// AimShare its team must be under its share, or the entry must have waited.
 func (p *pool) mayPreempt(e *entry) bool {
 	if !p.policy.Preempt || !e.item.Urgent || e.item.Kind == wire.Quick {
 		return false
@@ -28,7 +33,7 @@
 		return false
 	}
 	t := p.team(e.item.Team)
-	return p.policy.Aim == AimWait || t.share <= t.fair
+	return p.policy.Aim == AimWait || t.share <= t.fair || p.timer.Now().Sub(e.since) > urgentPatience
 }
 
 // preempt tells batch tasks on one endpoint to checkpoint, so few and so young
