Let what silent placers said of usage lapse without others' words

Cause: a peer's summary was dropped only when another peer's came in, so a placer that is cut off from all others went by their last words for ever.

Change: the view looks at the age of the oldest summary when it is read. TestSilentPeersLapse failed before.

--- a/placer/internal/share/summary.go
+++ b/placer/internal/share/summary.go
@@ -13,7 +13,8 @@
 // MaxTeams is how many teams a Summary names at most: those that use most.
 const MaxTeams = 64
 
-// Summary is what one placer's teams use. It travels in wire.VerbBeat.
+// Summary is what one placer's teams use. Package usage tells it
+// to the peers.
 type Summary struct {
 	_        struct{} `cbor:",toarray"`
 	Placer   string
--- a/placer/internal/share/view.go
+++ b/placer/internal/share/view.go
@@ -25,6 +25,7 @@
 	used     map[string]wire.Needs
 	capacity wire.Needs
 	version  uint64
+	oldest   time.Time // of the peers' summaries
 }
 
 type peer struct {
@@ -59,12 +60,15 @@
 
 func (v *View) add(now time.Time) {
 	clear(v.used)
-	v.capacity = wire.Needs{}
+	v.capacity, v.oldest = wire.Needs{}, now
 	for name, p := range v.peers {
 		if now.Sub(p.at) > Keep {
 			delete(v.peers, name)
 			continue
 		}
+		if p.at.Before(v.oldest) {
+			v.oldest = p.at
+		}
 		v.capacity = v.capacity.Add(p.summary.Capacity)
 		for i := range p.summary.Teams {
 			u := &p.summary.Teams[i]
@@ -74,10 +78,14 @@
 	v.version++
 }
 
-// Version returns a number that goes up when the view changes.
+// Version returns a number that goes up when the view changes, also because a
+// peer has been silent for Keep.
 func (v *View) Version() uint64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if now := v.timer.Now(); len(v.peers) > 0 && now.Sub(v.oldest) > Keep {
+		v.add(now)
+	}
 	return v.version
 }
 
--- a/placer/internal/share/view_test.go
+++ b/placer/internal/share/view_test.go
@@ -31,6 +31,22 @@
 	is.Equal(v.Used("t").CPU, int64(1)) // p1 is silent
 }
 
+// TestSilentPeersLapse is the case that a placer is cut off from all others:
+// what they said last must not count for ever.
+func TestSilentPeersLapse(t *testing.T) {
+	is := is.New(t)
+	clock := timer.New(timer.WithManual(time.Unix(0, 0)))
+	v := New(clock)
+	v.Merge(Summary{Placer: "p1", Seq: 1, Capacity: wire.Needs{CPU: 10}, Teams: []Use{NewUse("t", wire.Needs{CPU: 5})}})
+	before := v.Version()
+	clock.Advance(Keep)
+	is.Equal(v.Version(), before)
+	clock.Advance(time.Second)
+	is.True(v.Version() > before)
+	is.Equal(v.Used("t").CPU, int64(0))
+	is.Equal(v.Capacity().CPU, int64(0))
+}
+
 // The budget for control is 27 KB a second for each host. 22 hosts of a zone
 // that send one another a summary each Period may use half of it.
 func TestSummaryIsSmall(t *testing.T) {
