--- a/placer/internal/daemon/daemon.go
+++ b/placer/internal/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/balsamford/balsamford/placer/internal/limit"
 	"github.com/balsamford/balsamford/placer/internal/sched"
 	"github.com/balsamford/balsamford/placer/internal/serve"
+	"github.com/balsamford/balsamford/placer/internal/usage"
 )
 
 // Daemon is a placer.
@@ -51,6 +52,7 @@
 	driver   *jobs.Driver
 	limits   *borrow.Count
 	mover    *borrow.Mover
+	usage    *usage.Exchange
 	quota    *quota.Keeper
 	server   *serve.Server
 	finder   *hosts.Finder
@@ -115,6 +117,7 @@
 	d.server.Register(d.node)
 	d.node.Handle(wire.VerbBeat, link.HandlerFunc(d.members.Handle))
 	d.node.Handle(wire.VerbNote, link.HandlerFunc(d.driver.Note))
+	d.usage = d.newUsage()
 	d.gauges()
 }
 
@@ -132,6 +135,7 @@
 	g.Go(func() error { return d.follower.Run(ctx) })
 	g.Go(func() error { return d.quota.Run(ctx) })
 	g.Go(func() error { return d.mover.Run(ctx) })
+	g.Go(func() error { return d.usage.Run(ctx) })
 	g.Go(func() error { return d.own(ctx) })
 	g.Go(func() error {
 		select {
--- a/placer/internal/sched/fleet.go
+++ b/placer/internal/sched/fleet.go
@@ -24,6 +24,9 @@
 // Forget drops what a peer sent that has left.
 func (s *Scheduler) Forget(placer string) { s.view.Forget(placer) }
 
+// Elsewhere returns what a team uses at the peers, as far as they told.
+func (s *Scheduler) Elsewhere(team string) wire.Needs { return s.view.Used(team) }
+
 func (p *pool) sumUsed(used map[string]wire.Needs) (capacity wire.Needs) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
