Never have a task checkpointed that may run only once

Cause: the scheduler chose any batch task for urgent work. The driver of jobs leaves one that runs once alone, so the urgent work waited for a checkpoint that never came; and a driver that doesn't know the job, because another placer drives it, stopped the task.

Change: Item.Once, and Task.Repeatable for tasks that were found running; one of which neither is known isn't chosen. Whoever makes items has to set Once.

--- a/placer/internal/sched/item.go
+++ b/placer/internal/sched/item.go
@@ -20,6 +20,7 @@
 	Runtime  time.Duration
 	Deadline time.Time // by which it has to start; the zero time is none
 	Urgent   bool
+	Once     bool     // no task may be started again after it has run, so none is checkpointed
 	Avoid    []string // endpoints that failed this request
 }
 
--- a/placer/internal/sched/preempt.go
+++ b/placer/internal/sched/preempt.go
@@ -65,12 +65,18 @@
 	return out
 }
 
+// mayStop reports whether a task may be checkpointed for urgent work.
+func (r *run) mayStop() bool {
+	item := &r.entry.item
+	return r.started && !r.saving && item.Kind == wire.Batch && !item.Urgent && !item.Once
+}
+
 // victims returns the youngest batch tasks whose end makes room for needs on
 // an endpoint, or nil.
 func (p *pool) victims(row *cell.Row, needs wire.Needs) []*run {
 	var list []*run
 	for _, r := range p.hosted[row] {
-		if r.started && !r.saving && r.entry.item.Kind == wire.Batch && !r.entry.item.Urgent {
+		if r.mayStop() {
 			list = append(list, r)
 		}
 	}
--- a/placer/internal/sched/settle.go
+++ b/placer/internal/sched/settle.go
@@ -36,7 +36,7 @@
 func (t *Task) item() Item {
 	return Item{
 		ID: t.ID, Attempt: t.Attempt, Team: t.Team, Queue: t.Queue, Kind: t.Kind,
-		Name: t.Name, Needs: t.Needs, Tasks: 1, Urgent: t.Urgent,
+		Name: t.Name, Needs: t.Needs, Tasks: 1, Urgent: t.Urgent, Once: !t.Repeatable,
 	}
 }
 
--- a/placer/internal/sched/submit.go
+++ b/placer/internal/sched/submit.go
@@ -24,7 +24,7 @@
 	if e.heapIndex >= 0 {
 		heap.Remove(&p.deadlines, e.heapIndex)
 	}
-	e.item.Deadline, e.item.Avoid = item.Deadline, item.Avoid
+	e.item.Deadline, e.item.Avoid, e.item.Once = item.Deadline, item.Avoid, item.Once
 	e.granted, e.expected = p.expect(&item)
 	for _, n := range item.numbers() {
 		e.pending = append(e.pending, pending{n, item.Attempt})
--- a/placer/internal/sched/task.go
+++ b/placer/internal/sched/task.go
@@ -18,4 +18,7 @@
 	Needs   wire.Needs // granted
 	Urgent  bool
 	Age     time.Duration
+	// Repeatable says that it may be started again after it has run. If that
+	// isn't known, it isn't checkpointed.
+	Repeatable bool
 }
