--- a/placer/internal/usage/exchange_test.go
+++ b/placer/internal/usage/exchange_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/balsamford/balsamford/coord/wire"
@@ -66,6 +67,11 @@
 			is.Equal(len(calls.told), tt.told)
 			if tt.told > 0 {
 				s := <-calls.told
+				b, err := cbor.Marshal(s)
+				is.NoErr(err)
+				rate := float64(len(b)*tt.told) / d.Seconds()
+				t.Logf("%d bytes each %v to %d: %.0f bytes a second", len(b), d, tt.told, rate)
+				is.True(rate <= byteRate)
 				is.Equal(s.Placer, "self")
 				is.Equal(s.Epoch, uint64(7))
 				is.Equal(s.Seq, uint64(1))
