--- a/placer/internal/usage/exchange.go
+++ b/placer/internal/usage/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -133,6 +134,6 @@
 	if err != nil {
 		return share.Period
 	}
-	d := time.Duration(float64(len(b)*peers) / byteRate * float64(time.Second))
+	d := time.Duration(math.Ceil(float64(len(b)*peers) / byteRate * float64(time.Second)))
 	return min(max(d, minPeriod), share.Period)
 }
