Watch a bounded number of neighbours in a zone

Cause: each placer called each other one of its zone twice a second, so a host's cost grew with its zone: 42 calls sent and served a second at 22.

Checked first: ownership doesn't rest on membership. An endpoint refuses an older epoch and an open within the owner's term; clock-fenced terms are promised by all known placers, alive or not. Beside ownership, whether tasks may start elsewhere uses Silent: it is now zero for whoever counts as alive and counted from the last heartbeat to the watchers for the dead. A placer found later no longer counts as silent since this process began, which could have let it count as a dead one without being asked.

Change: above four members each calls the next three in the ring of names. Silence is checked with the other watchers, news goes along in heartbeats, a member refutes word of its death with a higher turn, lists are compared now and then. The host list's word of a leaving member counts for a lapse; before, the next heartbeat took it back.

--- a/coord/roster/member.go
+++ b/coord/roster/member.go
@@ -1,11 +1,16 @@
 package roster
 
-// Member is one process of the roster; it is also the heartbeat that the
-// process sends.
+// Member is one process of the roster, as it describes itself.
 type Member struct {
 	Name    string `cbor:"name"`
 	Zone    string `cbor:"zone"`
 	Link    string `cbor:"link"`              // address of its link.Node
 	Epoch   uint64 `cbor:"epoch"`             // of the process; a later one replaces an earlier one
+	Turn    uint64 `cbor:"turn,omitempty"`    // raised by the process to refute word of its death
 	Leaving bool   `cbor:"leaving,omitempty"` // it is stopping and gives up what it owns
 }
+
+// before reports whether m describes an earlier state of its process than o.
+func (m Member) before(o Member) bool {
+	return m.Epoch < o.Epoch || (m.Epoch == o.Epoch && m.Turn < o.Turn)
+}
--- a/coord/roster/roster.go
+++ b/coord/roster/roster.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"context"
 	"sort"
 	"sync"
 	"time"
@@ -20,15 +21,13 @@
 	lapse time.Duration
 	began time.Duration
 
-	mu    sync.Mutex // guards the fields below
-	self  Member
-	known map[string]entry
-}
-
-type entry struct {
-	member Member
-	heard  time.Duration
-	alive  bool // heard at least once
+	mu     sync.Mutex // guards the fields below
+	self   Member
+	known  map[string]*entry
+	last   time.Duration      // when the latest round began
+	rounds uint64             // how many there were
+	fresh  bool               // news came since the latest round
+	wake   context.CancelFunc // ends the wait between two rounds; nil outside of it
 }
 
 // Option changes how New makes a Roster.
@@ -41,23 +40,29 @@
 
 // New returns a Roster that holds self alone.
 func New(self Member, clock Clock, opts ...Option) *Roster {
-	r := &Roster{clock: clock, lapse: defaultLapse, self: self, known: make(map[string]entry)}
+	r := &Roster{clock: clock, lapse: defaultLapse, self: self, known: make(map[string]*entry)}
 	for _, opt := range opts {
 		opt(r)
 	}
 	r.began = clock.Boot()
+	r.last = r.began
 	return r
 }
 
-// Silent returns how long nothing was heard from the member of that name; for
-// one that was never heard, how long this roster has existed.
+// Silent returns how long there has surely been no sign of the member of that
+// name: zero for one that counts as alive, and for one that was never met the
+// time since it was found.
 func (r *Roster) Silent(name string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if e := r.known[name]; e.alive {
-		return r.clock.Boot() - e.heard
+	e, ok := r.known[name]
+	switch {
+	case !ok:
+		return r.clock.Boot() - r.began
+	case e.alive:
+		return 0
 	}
-	return r.clock.Boot() - r.began
+	return r.clock.Boot() - e.sign
 }
 
 // Self returns the member that this process is.
@@ -75,47 +80,45 @@
 }
 
 // Found adds a member that settings or the host list name. It counts as alive
-// only once it has been heard. What a member says of itself goes before what
-// was found, but for Leaving, where either is enough.
+// only once it has been heard or another member told of it. What a member
+// says of itself goes before what was found, but for Leaving, where either is
+// enough; what was found of that counts for one lapse.
 func (r *Roster) Found(m Member) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if m.Name == r.self.Name {
 		return
 	}
+	now := r.clock.Boot()
 	e, ok := r.known[m.Name]
 	if !ok {
-		r.known[m.Name] = entry{member: m}
-		return
+		e = &entry{member: m, sign: now}
+		r.known[m.Name] = e
 	}
-	if !e.alive || r.dead(e) {
+	if !e.alive {
 		e.member.Link, e.member.Zone = m.Link, m.Zone
 	}
-	e.member.Leaving = e.member.Leaving || m.Leaving
-	r.known[m.Name] = e
+	if m.Leaving {
+		e.listed = now + r.lapse
+	}
 }
 
 // Heard notes a heartbeat and reports whether it was taken; one of an earlier
-// process of that name is not.
+// process of that name is not, nor one that others have called dead since.
 func (r *Roster) Heard(m Member) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := r.known[m.Name]
-	if m.Name == r.self.Name || (e.alive && m.Epoch < e.member.Epoch) {
-		return false
-	}
-	r.known[m.Name] = entry{member: m, heard: r.clock.Boot(), alive: true}
-	return true
+	return r.heardLocked(m)
 }
 
 // Peers returns all members other than this process, alive or not, by name.
-// Heartbeats are sent to each of them.
 func (r *Roster) Peers() []Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.clock.Boot()
 	out := make([]Member, 0, len(r.known))
 	for _, e := range r.known {
-		out = append(out, e.member)
+		out = append(out, e.described(now))
 	}
 	return sorted(out)
 }
@@ -125,12 +128,13 @@
 func (r *Roster) Live() []Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.clock.Boot()
 	out := make([]Member, 0, len(r.known)+1)
 	if !r.self.Leaving {
 		out = append(out, r.self)
 	}
 	for _, e := range r.known {
-		if e.alive && !r.dead(e) && !e.member.Leaving {
+		if e.alive && !e.leaving(now) {
 			out = append(out, e.member)
 		}
 	}
@@ -156,11 +160,12 @@
 		return r.self, true
 	}
 	e, ok := r.known[name]
-	return e.member, ok && e.alive && !r.dead(e)
+	if !ok {
+		return Member{}, false
+	}
+	return e.described(r.clock.Boot()), e.alive
 }
 
-func (r *Roster) dead(e entry) bool { return r.clock.Boot()-e.heard > r.lapse }
-
 func sorted(m []Member) []Member {
 	sort.Slice(m, func(i, j int) bool { return m[i].Name < m[j].Name })
 	return m
