Settings for cores and collection; fewer keepalives

Cause: a trace of a resting placer (3 s, 48 workers a zone) showed about 130 wakeups a second in QUIC's loops, 39 socket reads and 34 timer wakeups; threads of ten cores woke for them by turns, and each link sent a keepalive a second.

Change: the table "process" of both settings files has cores (2), growth (50, before: entry 50, placer 100) and memory (no bound). Keepalives go out twice instead of three times in the idle time; a lost one is sent again by QUIC itself, and a connection still counts as lost after the same time.

Ruled out: rounding timers to a common grid; renewals of 1.5 s would come late enough that the third one misses the term.

--- a/coord/link/node.go
+++ b/coord/link/node.go
@@ -17,7 +17,7 @@
 	defaultStreamWindow = 256 << 10
 	defaultConnWindow   = 4 << 20
 	maxStreams          = 1 << 16
-	keepalives          = 3
+	keepalives          = 2
 )
 
 // Node is one process's end of the network: it listens on one UDP address
--- a/coord/link/option.go
+++ b/coord/link/option.go
@@ -11,7 +11,7 @@
 }
 
 // WithIdle sets after how long without any packet a connection counts as
-// lost. Keepalives are sent three times as often.
+// lost. Keepalives are sent twice as often.
 func WithIdle(d time.Duration) Option {
 	return func(n *Node) { n.idle = d }
 }
--- a/entry/internal/params/settings.go
+++ b/entry/internal/params/settings.go
@@ -17,20 +17,21 @@
 
 // Settings is the TOML file of the entry program.
 type Settings struct {
-	Host     string   `toml:"host"`     // name of this host
-	Zone     string   `toml:"zone"`     // its availability zone
-	Zones    []string `toml:"zones"`    // all zones of the cell
-	Door     string   `toml:"door"`     // address for callers
-	Page     string   `toml:"page"`     // address of metrics, health and readiness
-	Link     string   `toml:"link"`     // UDP address for the system's own processes
-	Platform string   `toml:"platform"` // address of the platform's service
-	Level    string   `toml:"level"`    // of the log
-	Fault    bool     `toml:"fault"`    // serves fault switches on the page address
-	Certs    Certs    `toml:"certs"`
-	Oper     *Oper    `toml:"oper"`    // the operators' door; none if the table is missing
-	Peers    []Peer   `toml:"peers"`   // the other entry processes
-	Placers  []Peer   `toml:"placers"` // all placer processes
-	Limits   Limits   `toml:"limits"`
+	Host     string       `toml:"host"`     // name of this host
+	Zone     string       `toml:"zone"`     // its availability zone
+	Zones    []string     `toml:"zones"`    // all zones of the cell
+	Door     string       `toml:"door"`     // address for callers
+	Page     string       `toml:"page"`     // address of metrics, health and readiness
+	Link     string       `toml:"link"`     // UDP address for the system's own processes
+	Platform string       `toml:"platform"` // address of the platform's service
+	Level    string       `toml:"level"`    // of the log
+	Fault    bool         `toml:"fault"`    // serves fault switches on the page address
+	Process  setup.Limits `toml:"process"`  // processors and memory
+	Certs    Certs        `toml:"certs"`
+	Oper     *Oper        `toml:"oper"`    // the operators' door; none if the table is missing
+	Peers    []Peer       `toml:"peers"`   // the other entry processes
+	Placers  []Peer       `toml:"placers"` // all placer processes
+	Limits   Limits       `toml:"limits"`
 }
 
 // Oper is the settings of the operators' door.
@@ -70,7 +71,8 @@
 // Default returns settings with every limit set.
 func Default() *Settings {
 	return &Settings{
-		Level: "info",
+		Level:   "info",
+		Process: setup.DefaultLimits(),
 		Limits: Limits{
 			Conns: 4096, Requests: 4096, Running: 512, Waiting: 256, Header: 8 << 10, Body: 1 << 20,
 			Records: 65536, Keep: setup.Duration(5 * time.Minute),
@@ -93,6 +95,7 @@
 	faults = append(faults, s.checkPeers("peers", s.Peers)...)
 	faults = append(faults, s.checkPeers("placers", s.Placers)...)
 	faults = append(faults, s.Limits.check()...)
+	faults = append(faults, s.Process.Check()...)
 	faults = append(faults, s.checkOper()...)
 	if _, err := zapcore.ParseLevel(s.Level); err != nil {
 		faults = append(faults, setup.Fault{Key: "level", Text: "unknown log level; write debug, info, warn or error"})
--- a/entry/main.go
+++ b/entry/main.go
@@ -9,7 +9,6 @@
 	"context"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/gravitational/trace"
@@ -25,12 +24,7 @@
 	exitFailure  = 1
 )
 
-// gcPercent is how much the heap grows between two collections, in percent of
-// what is in use. It is low because entry hosts are small.
-const gcPercent = 50
-
 func main() {
-	debug.SetGCPercent(gcPercent)
 	path := ""
 	p := flaggy.NewParser("entry")
 	p.Description = "Takes callers' requests over HTTP and sends them to placers."
@@ -48,6 +42,7 @@
 		_, _ = os.Stderr.WriteString(err.Error() + "\n")
 		os.Exit(exitSettings)
 	}
+	settings.Process.Apply()
 	if err := run(settings); err != nil {
 		_, _ = os.Stderr.WriteString("entry: " + trace.UserMessage(err) + "\n")
 		os.Exit(exitFailure)
--- a/placer/internal/conf/check.go
+++ b/placer/internal/conf/check.go
@@ -29,6 +29,7 @@
 	faults = append(faults, setup.Required("certs.key", s.Certs.Key)...)
 	faults = append(faults, setup.Required("certs.authority", s.Certs.Authority)...)
 	faults = append(faults, s.checkTimes()...)
+	faults = append(faults, s.Process.Check()...)
 	for i, p := range s.Peers {
 		faults = append(faults, p.check("peers."+strconv.Itoa(i))...)
 	}
--- a/placer/internal/conf/settings.go
+++ b/placer/internal/conf/settings.go
@@ -22,6 +22,7 @@
 	Lapse     setup.Duration `toml:"lapse"`    // silence after which a placer counts as dead
 	List      setup.Duration `toml:"list"`     // time between reads of the platform's host list
 	Drain     setup.Duration `toml:"drain"`    // longest graceful stop
+	Process   setup.Limits   `toml:"process"`  // processors and memory
 	Certs     Certs          `toml:"certs"`
 	Peers     []Peer         `toml:"peers"`
 	Entries   []Peer         `toml:"entries"` // entry processes, which tell of configurations
@@ -75,5 +76,7 @@
 		Lapse: setup.Duration(2 * time.Second),
 		List:  setup.Duration(time.Second),
 		Drain: setup.Duration(30 * time.Second),
+
+		Process: setup.DefaultLimits(),
 	}
 }
--- a/placer/main.go
+++ b/placer/main.go
@@ -39,6 +39,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
+	settings.Process.Apply()
 	d, err := daemon.New(&settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
