Hold 8 KB instead of 16 KB for each connection to an endpoint

Cause: the heap of a resting placer with 24 workers was largest in the read buffers of its connections to endpoints. Answers are streamed, so a larger buffer only saves reads. Heads of answers above 8 KB stay refused as those above 16 KB were.

--- a/coord/point/client.go
+++ b/coord/point/client.go
@@ -14,7 +14,7 @@
 	defaultTimeout     = 2 * time.Second
 	defaultRunTimeout  = time.Minute
 	defaultConnections = 24
-	defaultWindow      = 16 << 10 // bytes
+	defaultWindow      = 8 << 10 // bytes
 	writeBuffer        = 4 << 10  // bytes
 )
 
