--- a/coord/point/client.go
+++ b/coord/point/client.go
@@ -14,8 +14,8 @@
 	defaultTimeout     = 2 * time.Second
 	defaultRunTimeout  = time.Minute
 	defaultConnections = 24
-	defaultWindow      = 16 << 10 // bytes
-	writeBuffer        = 4 << 10  // bytes
+	defaultWindow      = 8 << 10 // bytes
+	writeBuffer        = 4 << 10 // bytes
 )
 
 // Client calls endpoints over HTTP. An address is an IP number with a port.
--- a/placer/internal/conf/settings.go
+++ b/placer/internal/conf/settings.go
@@ -24,6 +24,7 @@
 	List      setup.Duration `toml:"list"`     // time between reads of the platform's host list
 	Drain     setup.Duration `toml:"drain"`    // longest graceful stop
 	History   setup.Duration `toml:"history"`  // how long ended jobs are kept
+	Process   setup.Limits   `toml:"process"`  // processors and memory
 	Certs     Certs          `toml:"certs"`
 	Peers     []Peer         `toml:"peers"`
 	Entries   []Peer         `toml:"entries"` // entry processes, which tell of configurations
@@ -83,5 +84,6 @@
 		List:    setup.Duration(time.Second),
 		Drain:   setup.Duration(30 * time.Second),
 		History: setup.Duration(24 * time.Hour),
+		Process: setup.DefaultLimits(),
 	}
 }
