--- a/coord/point/client.go
+++ b/coord/point/client.go
@@ -15,7 +15,7 @@
 	defaultRunTimeout  = time.Minute
 	defaultConnections = 24
 	defaultWindow      = 8 << 10 // bytes
-	writeBuffer        = 4 << 10  // bytes
+	writeBuffer        = 4 << 10 // bytes
 )
 
 // Client calls endpoints over HTTP. An address is an IP number with a port.
