Tell the scheduler which tasks of jobs may run only once

Cause: sched.Item.Once is heeded by preemption, but no driver set it, so a batch task that may run only once could be chosen for a checkpoint; the driver ignored the decision, and the urgent request waited for room that never came.

Change: the driver sets Once for requests that aren't idempotent. TestOnlyIdempotentTasksMayBePreempted failed for both rows that run once before and passes after. Ruled out: quick requests, which are never preempted.

--- a/placer/internal/jobs/submit.go
+++ b/placer/internal/jobs/submit.go
@@ -41,7 +41,8 @@
 	req := &j.row.Request
 	item := sched.Item{
 		ID: req.ID, Team: req.Team, Queue: req.Queue, Kind: req.Kind, Name: req.Name, Needs: req.Needs,
-		Runtime: req.Runtime, Deadline: j.deadline, Urgent: req.Urgent, Avoid: append([]string(nil), req.Avoid...),
+		Runtime: req.Runtime, Deadline: j.deadline, Urgent: req.Urgent, Once: !req.Idempotent,
+		Avoid: append([]string(nil), req.Avoid...),
 	}
 	if !j.activeLocked() || (req.Kind == wire.Gang && j.liveLocked() > 0) {
 		return item
