--- a/trial/internal/pace/goodput.go
+++ b/trial/internal/pace/goodput.go
@@ -18,7 +18,8 @@
 
 // goodput offers multiples of what the executors can run, from callers that
 // send again what was refused.
-func goodput(ctx context.Context, c *caller, s Settings, w io.Writer) error {
+func goodput(ctx context.Context, c *caller, s Settings, w io.Writer) (Count, error) {
+	var n Count
 	spec := s.Site.Spec
 	slots := float64(int(spec.Executor.Slots) * spec.Executors * len(spec.Zones))
 	capacity := slots / work.Seconds()
@@ -33,8 +34,8 @@
 		_, _ = fmt.Fprintf(w, "goodput at %.1f times: %.2f of %.0f a second; a done request took %v of entries, %v of placers\n",
 			times, float64(t.before(began.Add(s.Span)))/s.Span.Seconds()/capacity, capacity,
 			each(after[cell.RoleEntry]-before[cell.RoleEntry], t.done()), each(after[cell.RolePlacer]-before[cell.RolePlacer], t.done()))
-		line(w, "  callers", t)
+		n = line(w, "  callers", t)
 		rest(ctx, calm)
 	}
-	return nil
+	return n, nil
 }
--- a/trial/internal/pace/latency.go
+++ b/trial/internal/pace/latency.go
@@ -15,6 +15,8 @@
 const (
 	// gentle is the rate of requests that measures latency, a second.
 	gentle = 50
+	// warmTime is how long requests go through the system before they count.
+	warmTime = 3 * time.Second
 	// directTerm is the term of the endpoint that is called directly.
 	directTerm = time.Minute
 	// holder is the name under which an endpoint is called directly.
@@ -23,19 +25,25 @@
 	openTime = 30 * time.Second
 )
 
-// through measures requests on their whole way.
-func through(ctx context.Context, c *caller, s Settings, w io.Writer) error {
-	t := newTally()
-	ctx, cancel := context.WithTimeout(ctx, s.Span)
-	defer cancel()
-	c.stream(ctx, gentle, kind{deadline: deadline}, t)
-	line(w, "latency through the system", t)
-	return nil
+// through measures requests on their whole way, after some that let the
+// placers take parts of the teams' upper limits.
+func through(ctx context.Context, c *caller, s Settings, w io.Writer) (Count, error) {
+	first, t := newTally(), newTally()
+	for _, part := range []struct {
+		span time.Duration
+		into *tally
+	}{{warmTime, first}, {s.Span, t}} {
+		spanCtx, cancel := context.WithTimeout(ctx, part.span)
+		c.stream(spanCtx, gentle, kind{deadline: deadline}, part.into)
+		cancel()
+	}
+	line(w, "first requests through the system", first)
+	return line(w, "latency through the system", t), nil
 }
 
 // direct stops the system, takes one executor over and calls it without the
 // system in between, at the same rate.
-func direct(ctx context.Context, c *caller, s Settings, w io.Writer) error {
+func direct(ctx context.Context, c *caller, s Settings, w io.Writer) (Count, error) {
 	for _, role := range []string{cell.RoleEntry, cell.RolePlacer} {
 		for _, p := range c.site.Cell().Role(role) {
 			c.site.Cell().Stop(p)
@@ -52,7 +60,7 @@
 		return ""
 	})
 	if reason != "" {
-		return &OpenError{Endpoint: address, Reason: reason}
+		return Count{}, &OpenError{Endpoint: address, Reason: reason}
 	}
 	t := newTally()
 	tick := time.NewTicker(time.Second / gentle)
@@ -61,8 +69,7 @@
 		<-tick.C
 		t.add(call(ctx, client, address, owner, n))
 	}
-	line(w, "latency direct", t)
-	return nil
+	return line(w, "latency direct", t), nil
 }
 
 func call(ctx context.Context, client *point.Client, address string, owner point.Owner, n int) served {
--- a/trial/internal/pace/losses.go
+++ b/trial/internal/pace/losses.go
@@ -36,7 +36,7 @@
 }
 
 // killed kills the owner of a part of the endpoints under load.
-func killed(ctx context.Context, c *caller, s Settings, w io.Writer) error {
+func killed(ctx context.Context, c *caller, s Settings, w io.Writer) (Count, error) {
 	var (
 		at    time.Time
 		owned time.Duration
@@ -52,13 +52,13 @@
 		}
 		return c.site.Ready(ctx, backTime)
 	})
-	line(w, fmt.Sprintf("owner killed: its endpoints have another after %v, at most %v without an answer",
+	n := line(w, fmt.Sprintf("owner killed: its endpoints have another after %v, at most %v without an answer",
 		owned.Round(time.Millisecond), t.gap(at).Round(time.Millisecond)), t)
-	return err
+	return n, err
 }
 
 // replaced stops and starts all hosts one after another under load.
-func replaced(ctx context.Context, c *caller, s Settings, w io.Writer) error {
+func replaced(ctx context.Context, c *caller, s Settings, w io.Writer) (Count, error) {
 	t, err := c.during(ctx, s.Rate, func(ctx context.Context) error {
 		for _, d := range c.site.Cell().Doors() {
 			if err := c.replace(ctx, d.Host); err != nil {
@@ -67,8 +67,7 @@
 		}
 		return nil
 	})
-	line(w, "all hosts replaced", t)
-	return err
+	return line(w, "all hosts replaced", t), err
 }
 
 func (c *caller) replace(ctx context.Context, host string) error {
--- a/trial/internal/pace/run.go
+++ b/trial/internal/pace/run.go
@@ -19,21 +19,22 @@
 // The measures, in the order in which they are taken. The last one stops the
 // system.
 const (
-	latency  = "latency"
-	overload = "goodput"
-	loss     = "kill"
-	rolling  = "replace"
-	endpoint = "direct"
+	Latency = "latency"
+	Goodput = "goodput"
+	Kill    = "kill"
+	Replace = "replace"
+	Direct  = "direct"
 )
 
-// Run measures one deployment and writes a line for each measure.
-func Run(ctx context.Context, s Settings, w io.Writer) error {
+// Run measures one deployment, writes a line for each measure and returns the
+// counts of the requests of each, by its name.
+func Run(ctx context.Context, s Settings, w io.Writer) (map[string]Count, error) {
 	st, err := site.Open(ctx, s.Site)
 	if st != nil {
 		defer st.Close()
 	}
 	if err != nil {
-		return err
+		return nil, err
 	}
 	rest(ctx, settleTime)
 	c := newCaller(st)
@@ -41,27 +42,31 @@
 	var g errgroup.Group
 	pollCtx, stop := context.WithCancel(ctx)
 	g.Go(func() error { return c.balancer.run(pollCtx) })
-	err = measure(ctx, c, s, w)
+	counts, err := measure(ctx, c, s, w)
 	stop()
-	return errors.Join(err, g.Wait())
+	return counts, errors.Join(err, g.Wait())
 }
 
-func measure(ctx context.Context, c *caller, s Settings, w io.Writer) error {
+func measure(ctx context.Context, c *caller, s Settings, w io.Writer) (map[string]Count, error) {
+	counts := make(map[string]Count)
 	for _, m := range []struct {
 		name string
-		run  func(context.Context, *caller, Settings, io.Writer) error
-	}{{latency, through}, {overload, goodput}, {loss, killed}, {rolling, replaced}, {endpoint, direct}} {
+		run  func(context.Context, *caller, Settings, io.Writer) (Count, error)
+	}{{Latency, through}, {Goodput, goodput}, {Kill, killed}, {Replace, replaced}, {Direct, direct}} {
 		if len(s.Only) > 0 && !slices.Contains(s.Only, m.name) {
 			continue
 		}
-		if err := m.run(ctx, c, s, w); err != nil {
-			return err
+		n, err := m.run(ctx, c, s, w)
+		if err != nil {
+			return counts, err
 		}
+		counts[m.name] = n
 	}
-	return nil
+	return counts, nil
 }
 
 // line writes what a tally holds.
-func line(w io.Writer, what string, t *tally) {
+func line(w io.Writer, what string, t *tally) Count {
 	_, _ = fmt.Fprintf(w, "%s: %d of %d done, p50 %v, p99 %v%s\n", what, t.done(), t.sent, t.quantile(50), t.quantile(99), t.others())
+	return Count{Sent: t.sent, Done: t.done()}
 }
--- a/trial/internal/whole/whole_test.go
+++ b/trial/internal/whole/whole_test.go
@@ -14,6 +14,7 @@
 	"github.com/balsamford/balsamford/trial/cell"
 	"github.com/balsamford/balsamford/trial/internal/demo"
 	"github.com/balsamford/balsamford/trial/internal/faults"
+	"github.com/balsamford/balsamford/trial/internal/pace"
 	"github.com/balsamford/balsamford/trial/site"
 )
 
@@ -76,7 +77,24 @@
 	}
 }
 
-// The same under seeded faults of every kind.
+// All hosts are stopped and started again one after another under load, and no
+// request is lost: the target is none.
+func TestReplacedHostsLoseNothing(t *testing.T) {
+	if testing.Short() {
+		t.Skip("a replacement of all hosts is too long for -short")
+	}
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var out bytes.Buffer
+	counts, err := pace.Run(ctx, pace.Settings{Site: settings(t, build(t)), Rate: 40, Only: []string{pace.Replace}}, &out)
+	t.Log(out.String())
+	is.NoErr(err)
+	is.True(counts[pace.Replace].Sent > 0)
+	is.Equal(counts[pace.Replace].Done, counts[pace.Replace].Sent)
+}
+
+// The whole under seeded faults of every kind.
 func TestSeededFaults(t *testing.T) {
 	underFaults(t, faults.Settings{Time: 25 * time.Second, Rate: 40, Seed: 1})
 }
--- a/trial/main.go
+++ b/trial/main.go
@@ -41,6 +41,7 @@
 	rate     float64
 	long     time.Duration
 	today    bool
+	each     int // entry hosts of each zone
 	only     []string
 	sizes    string
 	hosts    string
@@ -62,10 +63,11 @@
 		c.String(&o.dir, "d", "dir", "directory for settings and output; a temporary one if empty")
 		c.UInt64(&o.seed, "s", "seed", "of the requests and the faults")
 		c.Float64(&o.rate, "r", "rate", "requests a second")
+		c.Int(&o.each, "n", "hosts", "entry hosts of each zone, if above 0")
 		c.Bool(&o.today, "t", "today", "run today's sizes: four zones, 52 executors, 48 workers")
 		flaggy.AttachSubcommand(c, 1)
 	}
-	play.Int(&o.count, "n", "count", "requests")
+	play.Int(&o.count, "c", "count", "requests")
 	harm.Duration(&o.long, "l", "time", "how long faults are made")
 	weigh := flaggy.NewSubcommand("cost")
 	weigh.Description = "what the processes use at several sizes"
@@ -109,6 +111,9 @@
 	if o.today {
 		s.Spec = cell.Today()
 	}
+	if o.each > 0 {
+		s.Spec.Hosts = o.each
+	}
 	if s.Dir == "" {
 		dir, err := os.MkdirTemp("", "trial-")
 		if err != nil {
@@ -154,7 +159,8 @@
 }
 
 func (o *options) pace(ctx context.Context, s site.Settings) ([]judge.Finding, error) {
-	return nil, pace.Run(ctx, pace.Settings{Site: s, Span: o.long, Rate: o.rate, Only: o.only}, os.Stdout)
+	_, err := pace.Run(ctx, pace.Settings{Site: s, Span: o.long, Rate: o.rate, Only: o.only}, os.Stdout)
+	return nil, err
 }
 
 // ownDir returns the directory of this program.
