--- a/coord/config/policy.go
+++ b/coord/config/policy.go
@@ -33,7 +33,7 @@
 	Base     string          `toml:"base,omitempty"`     // policy that gives the fields left out here
 	Aim      Aim             `toml:"aim,omitempty"`      // wait if left out everywhere
 	Grace    *setup.Duration `toml:"grace,omitempty"`    // how long unconfirmed keys are honoured beyond Period
-	Headroom *float64        `toml:"headroom,omitempty"` // part of the cell kept free for quick requests, 0 to 0.9
+	Headroom *float64        `toml:"headroom,omitempty"` // part of the workers that only urgent work and gangs may use, 0 to 0.9
 	Preempt  *bool           `toml:"preempt,omitempty"`  // quick requests may stop batch tasks
 	Retries  *int            `toml:"retries,omitempty"`  // of an idempotent request
 	Note     string          `toml:"note,omitempty"`
