One type a file in exec, usage and pace; starts in place of ledger

Cause: reading as a newcomer: placer/internal/exec had a type ledger, which coord/ledger, the package of job rows, gives another meaning; usage/exchange.go and pace/caller.go held five and two types. Change: names and files only. go test of exec, usage and of the daemon's tests of late starts, searches and usage passes.

--- a/placer/internal/exec/forbid.go
+++ b/placer/internal/exec/forbid.go
@@ -24,9 +24,9 @@
 	for r.timer.Sleep(ctx, forbidPeriod) == nil {
 		var g errgroup.Group
 		g.SetLimit(forbidCalls)
-		for _, p := range r.ledger.givenUp() {
+		for _, p := range r.starts.givenUp() {
 			if !known(p.order.Endpoint) {
-				r.ledger.drop(p)
+				r.starts.drop(p)
 				continue
 			}
 			g.Go(func() error { r.forbid(ctx, p); return nil })
@@ -40,7 +40,7 @@
 // can begin any more.
 func (r *Runner) forbidAll(ctx context.Context, request string) bool {
 	ok := true
-	for _, p := range r.ledger.of(request) {
+	for _, p := range r.starts.of(request) {
 		ok = r.forbid(ctx, p) && ok
 	}
 	return ok
@@ -64,7 +64,7 @@
 		return false
 	}
 	r.queue.Ended(p.order, false)
-	r.ledger.drop(p)
+	r.starts.drop(p)
 	return true
 }
 
--- a/placer/internal/exec/runner.go
+++ b/placer/internal/exec/runner.go
@@ -33,7 +33,7 @@
 	queue   Queue
 	owner   Owner
 	client  Client
-	ledger  *ledger
+	starts  *starts
 	waits   metrics.Timer
 	ended   func(o wire.Outcome) // counts outcomes
 	running metrics.Counter
@@ -42,7 +42,7 @@
 // New returns a Runner that counts in r.
 func New(s *timer.Service, q Queue, o Owner, c Client, r metrics.Registry) *Runner {
 	return &Runner{
-		timer: s, queue: q, owner: o, client: c, ledger: newLedger(),
+		timer: s, queue: q, owner: o, client: c, starts: newStarts(),
 		waits:   metrics.GetOrRegisterTimer("placer.quick.wait", r),
 		running: metrics.GetOrRegisterCounter("placer.quick.running", r),
 		ended: func(o wire.Outcome) {
--- a/placer/internal/exec/try.go
+++ b/placer/internal/exec/try.go
@@ -55,7 +55,7 @@
 	}
 }
 
-// note enters a start that is about to leave in the ledger, if the request may
+// note enters a start that is about to leave in starts, if the request may
 // be repeated; it returns nil otherwise.
 func (j *run) note(address string, in *point.Start, o desk.Order) *pending {
 	if !j.req.Idempotent {
@@ -65,7 +65,7 @@
 		request: j.req.ID, address: address, order: o,
 		stop: point.Stop{Owner: in.Owner, ID: in.ID, Attempt: in.Attempt, Mode: point.ModeStop},
 	}
-	j.runner.ledger.add(p)
+	j.runner.starts.add(p)
 	return p
 }
 
@@ -91,22 +91,22 @@
 	var lost *point.LostError
 	switch {
 	case errors.As(err, &refused):
-		r.ledger.drop(left)
+		r.starts.drop(left)
 		r.queue.Unsent(o)
 		if refused.Reason == wire.ReasonLeaving {
 			r.owner.Leaving(o.Endpoint)
 		}
 		return j.again(o, refused.Reason, true)
 	case errors.As(err, &fenced):
-		r.ledger.drop(left)
+		r.starts.drop(left)
 		r.queue.Unsent(o)
 		return j.again(o, wire.ReasonFenced, true)
 	case errors.As(err, &lost) && lost.Unsent:
-		r.ledger.drop(left)
+		r.starts.drop(left)
 		r.queue.Unsent(o)
 		return j.again(o, wire.ReasonRoute, true)
 	case errors.As(err, &failed):
-		r.ledger.drop(left)
+		r.starts.drop(left)
 		r.queue.Ended(o, false)
 		return &wire.Event{Outcome: wire.Failed, Reason: wire.ReasonError, Code: failed.Code, Endpoint: o.Endpoint, Epoch: o.Epoch}, false
 	}
@@ -128,7 +128,7 @@
 			continue
 		}
 		if errors.Is(err, io.EOF) {
-			j.runner.ledger.drop(left)
+			j.runner.starts.drop(left)
 			j.runner.queue.Ended(o, true)
 			return &wire.Event{Outcome: wire.Done, Endpoint: o.Endpoint, Epoch: o.Epoch, Size: answer.Size(), Sum: answer.Sum()}
 		}
--- a/placer/internal/exec/verdict.go
+++ b/placer/internal/exec/verdict.go
@@ -26,7 +26,7 @@
 	for {
 		state, code, known := j.fate(ctx, o, pass, left)
 		if known {
-			j.runner.ledger.drop(left)
+			j.runner.starts.drop(left)
 			j.runner.queue.Ended(o, state == point.Done)
 			if state == "" {
 				return event
@@ -38,7 +38,7 @@
 			return event
 		}
 		if j.runner.timer.Sleep(ctx, fatePeriod) != nil {
-			j.runner.ledger.giveUp(left)
+			j.runner.starts.giveUp(left)
 			return event
 		}
 	}
--- a/placer/internal/usage/exchange.go
+++ b/placer/internal/usage/exchange.go
@@ -32,29 +32,6 @@
 	byteRate = 6 * 1024
 )
 
-// Peer is another placer.
-type Peer struct {
-	Name string
-	Zone string
-	Link string
-}
-
-// Scheduler knows what teams use; a *sched.Scheduler is one.
-type Scheduler interface {
-	Summary() share.Summary
-	Merge(s share.Summary)
-}
-
-// Caller calls other placers; a *link.Node is one.
-type Caller interface {
-	Call(ctx context.Context, address, verb string, in, out any) error
-}
-
-// Pacer waits; a *timer.Service is one.
-type Pacer interface {
-	Sleep(ctx context.Context, d time.Duration) error
-}
-
 // Exchange tells summaries and takes them in.
 type Exchange struct {
 	self   Peer
--- /dev/null
+++ b/placer/internal/usage/peer.go
@@ -0,0 +1,8 @@
+package usage
+
+// Peer is another placer.
+type Peer struct {
+	Name string
+	Zone string
+	Link string
+}
--- a/trial/internal/pace/caller.go
+++ b/trial/internal/pace/caller.go
@@ -34,13 +34,6 @@
 	number   atomic.Int64
 }
 
-// kind is what a request asks for.
-type kind struct {
-	work     time.Duration // on the endpoint
-	deadline time.Duration
-	again    bool // a refused request is sent again at once until its deadline
-}
-
 func newCaller(st *site.Site) *caller {
 	set := st.Book().Set()
 	c := &caller{site: st, balancer: newBalancer(st), client: calls.New(callTime, calls.WithIdle(idleTime)), queue: load.Queue(set, wire.Quick)}
