--- a/placer/internal/daemon/moved_test.go
+++ b/placer/internal/daemon/moved_test.go
@@ -1,18 +1,15 @@
 package daemon
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/balsamford/balsamford/coord/owner"
 	"github.com/balsamford/balsamford/coord/point"
 	"github.com/balsamford/balsamford/coord/setup"
 	"github.com/balsamford/balsamford/coord/wire"
-	"github.com/balsamford/balsamford/placer/internal/hold"
 	"github.com/balsamford/balsamford/standin/engine"
 )
 
@@ -30,7 +27,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			z := newZone(t, 2)
-			e := z.endpoint("e0", point.Executor, executorRack(t), slots(1))
+			e := z.endpoint("e0", point.Executor, rackOf(t, point.Executor), slots(1))
 			first := z.start(0)
 			z.eventually("the executor is owned", z.owned(1))
 			var g errgroup.Group
@@ -52,18 +49,3 @@
 		})
 	}
 }
-
-// executorRack returns the name of a rack whose executors go to placer-1 when
-// both placers live.
-func executorRack(t *testing.T) string {
-	t.Helper()
-	for i := range 100 {
-		rack := fmt.Sprintf("r%d", i)
-		group := hold.Target{Kind: point.Executor, Name: "e0", Rack: rack}.Group()
-		if owner.Of(group, []string{"placer-0", "placer-1"}) == "placer-1" {
-			return rack
-		}
-	}
-	t.Fatal("no rack goes to placer-1")
-	return ""
-}
--- a/placer/internal/daemon/strand_test.go
+++ b/placer/internal/daemon/strand_test.go
@@ -15,12 +15,13 @@
 	"github.com/balsamford/balsamford/standin/engine"
 )
 
-// rackOf returns the name of a rack that goes to placer-1 when both live.
-func rackOf(t *testing.T) string {
+// rackOf returns the name of a rack whose endpoints of that kind go to placer-1
+// when both placers live.
+func rackOf(t *testing.T, kind point.Kind) string {
 	t.Helper()
 	for i := range 100 {
 		rack := fmt.Sprintf("r%d", i)
-		group := hold.Target{Kind: point.Worker, Rack: rack}.Group()
+		group := hold.Target{Kind: kind, Rack: rack}.Group()
 		if owner.Of(group, []string{"placer-0", "placer-1"}) == "placer-1" {
 			return rack
 		}
@@ -42,7 +43,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			z := newZone(t, 2)
-			e := z.endpoint("w0", point.Worker, rackOf(t), cores(8))
+			e := z.endpoint("w0", point.Worker, rackOf(t, point.Worker), cores(8))
 			first := z.start(0)
 			z.eventually("the endpoint is owned", z.owned(1))
 			full := jobRequest("a.full", wire.Service, 1, engine.Body{})
