Count a member as silent from when it was called dead

Silent counted from the last heartbeat that was heard, half a second before the member last ran. Whether leases at an endpoint that nobody reaches have run out rests on it (jobs.Driver.Abandoned), so tasks could start elsewhere up to about a second too early. A member that was called dead, ran again for 100 ms and died before its denial had spread gave the same.

Change: silence counts from when the member was called dead, and a heartbeat of one that counts as dead moves that on.

Ruled out: the test's model. It ran the member until its death, and the bound is one period beyond that.

Tests: TestMissedHeartbeatIsNoSilence, failing before. TestSilenceIsPassedOn asked for at least the time since the death, which nobody can know and only an overstated figure gives; it now asks for the same figure everywhere, at most the time since the death and at least one lapse less.

--- a/coord/roster/entry.go
+++ b/coord/roster/entry.go
@@ -13,7 +13,7 @@
 	watch  time.Duration // since when it is called in each round
 	call   bool          // it is called in each round
 	helped time.Duration // when another member last answered a question about it
-	sign   time.Duration // last sign of life of one that isn't alive, or when it was found
+	sign   time.Duration // when one that isn't alive was called dead, or when it was found
 	listed time.Duration // until when the host list's word counts that it is leaving
 	probed time.Duration // when one that isn't alive was last called
 	tries  int           // calls before it was met
--- a/coord/roster/merge.go
+++ b/coord/roster/merge.go
@@ -4,11 +4,18 @@
 
 // heardLocked takes what a member said of itself just now.
 func (r *Roster) heardLocked(m Member) bool {
+	now := r.clock.Boot()
 	e := r.takeLocked(word{Member: m})
-	if e == nil || !e.alive || m.before(e.member) {
+	switch {
+	case e == nil:
+		return false
+	case !e.alive:
+		e.sign = now // It runs, though others have yet to hear its denial.
+		return false
+	case m.before(e.member):
 		return false
 	}
-	e.heard, e.direct = r.clock.Boot(), true
+	e.heard, e.direct = now, true
 	return true
 }
 
--- a/coord/roster/plan.go
+++ b/coord/roster/plan.go
@@ -50,7 +50,7 @@
 		}
 		e.call = called
 		if called && e.alive && e.silence(now) >= r.dead(period) {
-			e.alive, e.sign = false, max(e.heard, e.watch)
+			e.alive, e.sign = false, now // It may have lived after it was last heard.
 			r.spreadLocked(e)
 		}
 	}
--- a/coord/roster/roster.go
+++ b/coord/roster/roster.go
@@ -49,9 +49,10 @@
 	return r
 }
 
-// Silent returns how long there has surely been no sign of the member of that
-// name: zero for one that counts as alive, and for one that was never met the
-// time since it was found.
+// Silent returns how long the member of that name has surely not run: zero for
+// one that counts as alive, for one that is dead the time since it was called
+// so, and for one that was never met the time since it was found. It is no
+// bound for a member that runs and can't be reached.
 func (r *Roster) Silent(name string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/coord/roster/roster_test.go
+++ b/coord/roster/roster_test.go
@@ -95,7 +95,8 @@
 	}
 }
 
-// Whoever hears of a death learns for how long the member has been silent.
+// Whoever hears of a death learns since when the member has surely not run:
+// the same time for all, no earlier than its death and at most one lapse later.
 func TestSilenceIsPassedOn(t *testing.T) {
 	is := is.New(t)
 	w := newNetwork(22)
@@ -103,9 +104,25 @@
 	died := w.now
 	w.nodes[1].dead = true
 	w.until(time.Minute, w.agree)
+	first := w.nodes[0].Silent("p01")
 	for i, n := range w.nodes {
-		is.True(i == 1 || n.Silent("p01") >= w.now-died)
+		is.True(i == 1 || n.Silent("p01") == first)
 	}
+	is.True(first <= w.now-died && first >= w.now-died-defaultLapse)
+}
+
+// A process that was itself suspended, too briefly to notice, has missed a
+// heartbeat. It doesn't count that as silence of one that ran on until later.
+func TestMissedHeartbeatIsNoSilence(t *testing.T) {
+	is := is.New(t)
+	w := newNetwork(2)
+	w.run(settle, nil)
+	w.nodes[0].pause(testPeriod)
+	w.run(testPeriod+testStep, nil)
+	died := w.now
+	w.nodes[1].dead = true
+	w.run(defaultLapse, func() { is.True(w.nodes[0].Silent("p01") <= w.now-died) })
+	is.True(w.nodes[0].Silent("p01") > 0)
 }
 
 // Two that can't reach one another are told by others that both live.
