Replace files of the commands' test by renaming

Entries read such a file as not in order and keep what they have; a program that starts has nothing to keep, and its error says so.

The half written key that the test makes on purpose stays.

--- a/balsam/cell_test.go
+++ b/balsam/cell_test.go
@@ -138,7 +138,9 @@
 }
 
 func (c *processCell) write(name, text string) {
-	is.New(c.t).NoErr(os.WriteFile(filepath.Join(c.dir, name), []byte(text), 0o600))
+	is, path := is.New(c.t), filepath.Join(c.dir, name)
+	is.NoErr(os.WriteFile(path+".new", []byte(text), 0o600))
+	is.NoErr(os.Rename(path+".new", path)) // Nobody reads half a file.
 }
 
 // settings returns the settings file of an entry.
