Take a stop as planned from the first moment of a process

The trial asked a placer to stop a few milliseconds after its start, when settings were still read and SIGTERM wasn't handled yet.

Change: entry and placer take signals before anything else; a stop that came early is carried out as any other.

--- a/entry/main.go
+++ b/entry/main.go
@@ -25,6 +25,8 @@
 )
 
 func main() {
+	signals := make(chan os.Signal, signalBuffer)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT) // A stop that is asked for from here on is a planned one.
 	path := ""
 	p := flaggy.NewParser("entry")
 	p.Description = "Takes callers' requests over HTTP and sends them to placers."
@@ -43,17 +45,14 @@
 		os.Exit(exitSettings)
 	}
 	settings.Process.Apply()
-	if err := run(settings); err != nil {
+	if err := run(settings, signals); err != nil {
 		_, _ = os.Stderr.WriteString("entry: " + trace.UserMessage(err) + "\n")
 		os.Exit(exitFailure)
 	}
 }
 
 // run serves until a signal ends it.
-func run(settings *params.Settings) error {
-	signals := make(chan os.Signal, signalBuffer)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
+func run(settings *params.Settings, signals <-chan os.Signal) error {
 	a, err := newApp(settings)
 	if err != nil {
 		return trace.Wrap(err)
--- a/placer/main.go
+++ b/placer/main.go
@@ -25,15 +25,18 @@
 )
 
 func main() {
+	stop, kill, release := signals() // A stop that is asked for from here on is a planned one.
 	path := "placer.toml"
 	flaggy.SetName("placer")
 	flaggy.SetDescription("owns endpoints, places requests and drives jobs")
 	flaggy.String(&path, "c", "config", "settings file")
 	flaggy.Parse()
-	os.Exit(run(path))
+	code := run(stop, kill, path)
+	release()
+	os.Exit(code)
 }
 
-func run(path string) int {
+func run(stop, kill context.Context, path string) int {
 	settings := conf.Default()
 	if err := setup.Load(path, &settings); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -45,8 +48,6 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	stop, kill, release := signals()
-	defer release()
 	if err := d.Run(stop, kill); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
