Wait for parts of a lowered limit at the entries' operators' door

The operators' door waits for parts only if it is given a quota.Keeper, and the entry program never gave it one: only the placers had one, and the tests of the waiting made their own door.

Change: the entry gives its door a quota.Keeper. It doesn't run one: the placers do, and the door's looks only while a publish waits.

Ruled out: a double release of a task's place (entry killed meanwhile: the excess was there before), and gifts between placers.

--- a/entry/app.go
+++ b/entry/app.go
@@ -15,6 +15,7 @@
 	"github.com/balsamford/balsamford/coord/link"
 	"github.com/balsamford/balsamford/coord/logs"
 	"github.com/balsamford/balsamford/coord/meter"
+	"github.com/balsamford/balsamford/coord/quota"
 	"github.com/balsamford/balsamford/coord/store"
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/entry/internal/admit"
@@ -136,7 +137,10 @@
 	if s.Oper != nil {
 		settings := *s.Oper
 		settings.Host = s.Host
-		a.oper = oper.New(settings, a.platform, a.follower, a.clock, oper.WithLog(a.logger), oper.WithMetrics(a.registry))
+		// Placers keep the accounts of limits; this one only looks and helps while a publish waits.
+		limits := quota.New(a.platform, a.follower, a.clock, s.Zones, a.logger)
+		a.oper = oper.New(settings, a.platform, a.follower, a.clock,
+			oper.WithSettler(limits), oper.WithLog(a.logger), oper.WithMetrics(a.registry))
 	}
 	a.page = meter.New(a.registry, a.ready, options...)
 }
--- a/entry/app_test.go
+++ b/entry/app_test.go
@@ -39,6 +39,8 @@
 	settings *params.Settings
 	signals  chan os.Signal
 	key      string
+	oper     string // an operator's key
+	memory   *store.Memory
 	starts   atomic.Int64
 	delay    time.Duration
 	result   chan error
@@ -71,6 +73,7 @@
 		opt(&s.Limits)
 	}
 	s.Level = "error"
+	s.Oper = &params.Oper{Address: address(t)}
 	s.Placers = []params.Peer{{Name: "pa", Zone: "a", Link: r.placer(certs)}}
 	r.settings = s
 	r.platform()
@@ -91,10 +94,13 @@
 func (r *rig) platform() {
 	is := is.New(r.t)
 	memory := store.New()
+	r.memory = memory
 	secret, digest := config.NewSecret("clerk")
-	r.key = secret
+	operator, own := config.NewSecret("ana")
+	r.key, r.oper = secret, operator
 	objects := []config.Object{
 		&config.Team{Name: "red"}, &config.Key{Name: "clerk", Team: "red", Digest: digest}, &config.Queue{Name: "shop"},
+		&config.Key{Name: "ana", Role: config.RoleOperator, Digest: own}, &config.Limit{Name: "red", Team: "red", Tasks: 100},
 	}
 	edit := &config.Edit{ID: audit.NewID(time.Now()), Author: "ana", Base: config.AnyVersion, Action: audit.Set, Put: objects}
 	_, err := config.NewPublisher(memory, timer.New(), zap.NewNop()).Publish(context.Background(), edit)
