Settle every second while a lowered limit waits for parts

Cause: a placer that gave nothing back at once, because its tasks still ran, looked at the account again only after 30 s.

Change: while the last settlement left more handed out than the limit, the next one is due a second later. Nothing changes at rest.

Test: TestLoweredLimitIsGivenBackSoon, 3 s of manual time; fails without it.

--- a/coord/parts/holder.go
+++ b/coord/parts/holder.go
@@ -148,6 +148,15 @@
 	return names
 }
 
+// Exceeds reports whether the last Settle left more of a team's limit handed
+// out, anywhere, than there is: the limit was lowered.
+func (h *Holder) Exceeds(team string) bool {
+	s := h.split(team)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.excess
+}
+
 // Lacks reports whether the last Settle left a team with more refused, or more
 // running, than its part has room for.
 func (h *Holder) Lacks(team string) bool {
--- a/coord/parts/settle.go
+++ b/coord/parts/settle.go
@@ -106,12 +106,14 @@
 	h.trim(s, a, z, e, p, spare)
 	h.claim(s, a, z, e, p, spare)
 	h.recount(s, z, p)
+	s.excess = false
 	if *p == (proposal{}) && a.Accepted() {
 		s.demand = 0 // what is refused still will be noted again
 		return 0, nil
 	}
 	handed := a.Handed()
 	a.shrink(z)
+	s.excess = !a.Accepted()
 	if *p == (proposal{}) && handed == a.Handed() {
 		return 0, nil
 	}
--- a/coord/parts/split.go
+++ b/coord/parts/split.go
@@ -18,6 +18,7 @@
 	passed time.Time       // since, when it was decided to forget what is parked
 	needed time.Time       // when more was last claimed or given
 	short  bool            // the last Settle didn't cover all that was lacking
+	excess bool            // the last Settle left more handed out than the limit
 	demand int64           // what was refused since the last Settle
 
 	joined  bool
--- a/placer/internal/limit/keeper.go
+++ b/placer/internal/limit/keeper.go
@@ -15,7 +15,8 @@
 // moves.
 const settlePeriod = 30 * time.Second
 
-// settlePause is the first pause after a settlement that gave too little.
+// settlePause is the first pause after a settlement that gave too little, and
+// each pause while a lowered limit waits for parts.
 const settlePause = time.Second
 
 // spareParts is how much more than what runs a placer claims of a limit: one
@@ -111,7 +112,8 @@
 func (k *Keeper) Wants() map[string]int64 { return k.holder.Wants() }
 
 // Settle brings parts into line with the platform: those of teams that lack
-// room, whose limit has changed, or that weren't settled for half a minute.
+// room, whose limit has changed or is exceeded, or that weren't settled for
+// half a minute.
 func (k *Keeper) Settle(ctx context.Context, t parts.Table) error {
 	var failed error
 	for team, limit := range k.due() {
@@ -147,7 +149,10 @@
 	for team, limit := range k.limits {
 		last, ok := k.last[team]
 		wait := settlePeriod
-		if wants[team] > 0 {
+		switch {
+		case k.holder.Exceeds(team):
+			wait = settlePause
+		case wants[team] > 0:
 			wait = k.pause[team]
 		}
 		if !ok || now.Sub(last) >= wait {
--- a/placer/internal/limit/keeper_test.go
+++ b/placer/internal/limit/keeper_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/balsamford/balsamford/coord/parts"
 	"github.com/balsamford/balsamford/coord/point"
 	"github.com/balsamford/balsamford/coord/store"
 	"github.com/balsamford/balsamford/coord/timer"
@@ -91,3 +92,34 @@
 	is.NoErr(k.Settle(ctx, table))
 	is.True(table.reads > 0)
 }
+
+// A lowered limit is accepted within seconds of the end of the tasks that stood
+// above it.
+func TestLoweredLimitIsGivenBackSoon(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	table := store.New()
+	clock := timer.New(timer.WithManual(time.Unix(0, 0)))
+	k := New("p", "a", clock)
+	set := func(limit int64) {
+		k.Configure(map[string]int64{"t": limit})
+		_, err := k.Publish(ctx, table, []string{"a"})
+		is.NoErr(err)
+		is.NoErr(k.Settle(ctx, table))
+	}
+	set(100)
+	is.True(!k.Take("t", 50))
+	is.NoErr(k.Settle(ctx, table))
+	is.True(k.Take("t", 50))
+	set(10)
+	k.Give("t", 45)
+	fits := false
+	for range 3 {
+		clock.Advance(time.Second)
+		is.NoErr(k.Settle(ctx, table))
+		var err error
+		fits, err = parts.Accepted(ctx, table, "t")
+		is.NoErr(err)
+	}
+	is.True(fits)
+}
