Look for dead holders of limits when a placer dies

Its part is free only once its leases have run out (20 s), but that time began with a look that came every 10 s, and ended with another.

Change: the placer that buries looks at once when one that lived doesn't, and every 2 s while a dead one is known.

Before: a part was seen held by the dead for 26 s and more.

--- a/placer/internal/borrow/bury.go
+++ b/placer/internal/borrow/bury.go
@@ -49,6 +49,18 @@
 	}
 }
 
+// buryDue reports whether to look for dead holders in this round: from time to
+// time, when a placer has died, and more often until its part is free.
+func (m *Mover) buryDue(round int) bool {
+	living := m.living()
+	died := false
+	for name := range m.lived {
+		died = died || !living[name]
+	}
+	m.lived = living
+	return died || round%buryRounds == 0 || len(m.dead) > 0 && round%deadRounds == 0
+}
+
 // living returns the names under which live placers hold parts, leaving ones
 // included.
 func (m *Mover) living() map[string]bool {
--- a/placer/internal/borrow/mover.go
+++ b/placer/internal/borrow/mover.go
@@ -30,8 +30,10 @@
 	// every startRounds, so that parts are there before the first demand.
 	firstRounds = 75
 	startRounds = 5
-	// buryRounds is how many lie between two looks for dead holders.
+	// buryRounds is how many lie between two looks for dead holders, and
+	// deadRounds the same while one is known.
 	buryRounds = 50
+	deadRounds = 10
 	// callTimeout bounds one call.
 	callTimeout = 2 * time.Second
 )
@@ -79,6 +81,7 @@
 	pacer   Pacer
 	owners  Owners
 	log     *zap.Logger
+	lived   map[string]bool          // placers that lived when that was last looked at
 	dead    map[string]time.Duration // holders that aren't alive, by when that was first seen
 }
 
@@ -117,7 +120,7 @@
 		if lacked {
 			due = min(due, round+gap)
 		}
-		if round%buryRounds == 0 {
+		if m.buryDue(round) {
 			m.bury(ctx)
 		}
 	}
