Lower limits, lose zones and regions, and fence by clock in the fault trial

Cause: limits never bound in the trials (120 to 600 tasks a team), a zone or a region was never lost whole, and endpoints that don't fence weren't run as processes.

--- a/trial/cell/address.go
+++ b/trial/cell/address.go
@@ -5,6 +5,7 @@
 	Host    string
 	Zone    string
 	Address string
+	Oper    string   // operators' address
 	Page    string   // metrics, health and readiness of the entry
 	Placer  string   // the same of the placer on the host
 	Links   []string // UDP addresses of the entry and the placer
@@ -15,7 +16,7 @@
 	list := make([]Door, 0)
 	for _, z := range c.plan.zones {
 		for _, h := range z.hosts {
-			list = append(list, Door{Host: h.name, Zone: z.name, Address: h.door, Page: h.entryPage, Placer: h.placerPage,
+			list = append(list, Door{Host: h.name, Zone: z.name, Address: h.door, Oper: h.oper, Page: h.entryPage, Placer: h.placerPage,
 				Links: []string{h.entryLink, h.placerLink}})
 		}
 	}
--- a/trial/cell/files.go
+++ b/trial/cell/files.go
@@ -64,6 +64,7 @@
 	return entrySettings{
 		Host: h.name, Zone: z.name, Zones: p.spec.Zones, Door: h.door, Page: h.entryPage, Link: h.entryLink,
 		Platform: z.platform, Level: p.spec.Level, Fault: true, Certs: own,
+		Oper:    oper{Address: h.oper},
 		Peers:   p.peers(func(h *host) string { return h.entryLink }, h.name),
 		Placers: p.peers(func(h *host) string { return h.placerLink }, ""),
 	}
--- a/trial/cell/host.go
+++ b/trial/cell/host.go
@@ -7,6 +7,7 @@
 	door       string // callers' address of its entry
 	entryLink  string
 	entryPage  string
+	oper       string // operators' address of its entry
 	placerLink string
 	placerPage string
 }
@@ -21,7 +22,7 @@
 
 // pick fills h with free addresses.
 func (h *host) pick(p *ports) error {
-	for _, field := range []*string{&h.door, &h.entryPage, &h.placerPage} {
+	for _, field := range []*string{&h.door, &h.oper, &h.entryPage, &h.placerPage} {
 		address, err := p.tcp()
 		if err != nil {
 			return err
--- a/trial/cell/settings.go
+++ b/trial/cell/settings.go
@@ -18,6 +18,7 @@
 	Platform string   `toml:"platform"`
 	Level    string   `toml:"level"`
 	Fault    bool     `toml:"fault"`
+	Oper     oper     `toml:"oper"`
 	Certs    certs    `toml:"certs"`
 	Peers    []peer   `toml:"peers,omitempty"`
 	Placers  []peer   `toml:"placers"`
@@ -48,6 +49,10 @@
 	Groups   []group  `toml:"group,omitempty"`
 }
 
+type oper struct {
+	Address string `toml:"address"`
+}
+
 type certs struct {
 	Cert      string `toml:"cert"`
 	Key       string `toml:"key"`
@@ -68,6 +73,7 @@
 type group struct {
 	Name      string         `toml:"name"`
 	Kind      string         `toml:"kind"`
+	Fence     string         `toml:"fence,omitempty"`
 	Zone      string         `toml:"zone"`
 	Rack      string         `toml:"rack"`
 	Per       int            `toml:"per"`
--- a/trial/cell/spec.go
+++ b/trial/cell/spec.go
@@ -15,6 +15,7 @@
 	Rack      int // workers of one rack, and executors of one group
 	Executor  wire.Needs
 	Worker    wire.Needs
+	Fence     string        // of all endpoints; "endpoint" if empty
 	HostLag   time.Duration // of the platform's list of hosts
 	ObjectLag time.Duration // of the platform's object store
 	UsageLag  time.Duration // of the endpoints' reports
--- a/trial/internal/faults/kind.go
+++ b/trial/internal/faults/kind.go
@@ -14,10 +14,13 @@
 	Rack     Kind = "rack"     // the endpoints of a zone stand still, longer than every lease
 	Leave    Kind = "leave"    // an endpoint is leaving for a while
 	Cut      Kind = "cut"      // a zone is cut off from the others and the platform
+	Zone     Kind = "zone"     // a zone dies, its endpoints answer nobody, and comes back
+	Region   Kind = "region"   // half of the zones are cut off from the others and the platform
 	Operate  Kind = "operate"  // operators publish changes, two of them at once
+	Limit    Kind = "limit"    // an operator lowers a team's limit while it is in use, and raises it again
 )
 
 // Kinds returns all kinds of fault.
 func Kinds() []Kind {
-	return []Kind{Kill, Pause, Replace, Host, Platform, Endpoint, Rack, Leave, Cut, Operate}
+	return []Kind{Kill, Pause, Replace, Host, Platform, Endpoint, Rack, Leave, Cut, Zone, Region, Operate, Limit}
 }
--- a/trial/internal/faults/maker.go
+++ b/trial/internal/faults/maker.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 	atOnce = 2
 	// longPause is longer than every lease of the system.
 	longPause = 12 * time.Second
+	// startTime is how long a program may need until it can be asked to stop.
+	startTime = 200 * time.Millisecond
 )
 
 // maker makes the same list of faults from the same seed.
@@ -30,21 +33,26 @@
 	begin time.Time
 	spent bool // a key has been withdrawn
 
+	dir    string // for files
+	balsam string // path of the program
+
 	mu        sync.Mutex // guards the fields below
 	busy      map[string]bool
 	made      int
 	published []judge.Published
 	withdrawn map[string]time.Time
+	limits    []judge.Limit
 	exits     []judge.Exit
 }
 
-func newMaker(st *site.Site, seed uint64, kinds []Kind, out io.Writer) *maker {
+func newMaker(st *site.Site, s Settings, out io.Writer) *maker {
+	kinds := s.Only
 	if len(kinds) == 0 {
 		kinds = Kinds()
 	}
 	return &maker{
-		site: st, kinds: kinds, out: out, begin: time.Now(), busy: make(map[string]bool), withdrawn: make(map[string]time.Time),
-		rand: rand.New(rand.NewPCG(seed, uint64(len(kinds)))), //nolint:gosec // Trials need the same numbers again.
+		site: st, dir: s.Site.Dir, balsam: filepath.Join(s.Site.Binaries, "balsam"), kinds: kinds, out: out, begin: time.Now(), busy: make(map[string]bool), withdrawn: make(map[string]time.Time),
+		rand: rand.New(rand.NewPCG(s.Seed, uint64(len(kinds)))), //nolint:gosec // Trials need the same numbers again.
 	}
 }
 
@@ -86,6 +94,7 @@
 		return
 	}
 	m.say("end of: "+f.text, f.end(ctx))
+	pause(ctx, startTime)
 }
 
 func (m *maker) take(targets []string) bool {
@@ -141,8 +150,14 @@
 		return m.leave()
 	case Cut:
 		return m.cut()
+	case Zone:
+		return m.zone()
+	case Region:
+		return m.region()
 	case Operate:
 		return m.operate()
+	case Limit:
+		return m.limit()
 	}
 	return nil
 }
--- a/trial/internal/faults/processes.go
+++ b/trial/internal/faults/processes.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"syscall"
 	"time"
 
+	"github.com/balsamford/balsamford/standin/engine"
 	"github.com/balsamford/balsamford/trial/cell"
 	"github.com/balsamford/balsamford/trial/judge"
 )
@@ -60,22 +62,54 @@
 	list := m.site.Host(name)
 	return &fault{
 		text: "kill host " + name, target: []string{list[0].Name(), list[1].Name()}, last: m.between(time.Second, 6*time.Second),
-		begin: func(context.Context) error {
-			for _, p := range list {
-				m.site.Cell().Kill(p)
-			}
-			return nil
-		},
-		end: func(context.Context) error {
-			var err error
-			for _, p := range list {
-				if !p.Running() {
-					err = errors.Join(err, m.site.Cell().Start(p))
-				}
-			}
-			return err
-		},
+		begin: func(context.Context) error { m.killAll(list); return nil },
+		end:   func(context.Context) error { return m.startAll(list) },
+	}
+}
+
+// zone lets a zone die: its processes are gone and its endpoints answer
+// nobody, so that the leases of what runs there end.
+func (m *maker) zone() *fault {
+	zones := m.site.Cell().Zones()
+	zone := zones[m.rand.IntN(len(zones))]
+	list, targets := m.site.Zone(zone), []string{"cut"}
+	for _, p := range list {
+		targets = append(targets, p.Name())
+	}
+	endpoints := m.site.Cell().Endpoints()
+	endpoints = slices.DeleteFunc(endpoints, func(e cell.Endpoint) bool { return e.Zone != zone })
+	for _, e := range endpoints {
+		targets = append(targets, e.Address)
+	}
+	set := func(f engine.Faults) error {
+		var err error
+		for _, e := range endpoints {
+			err = errors.Join(err, m.site.SetEndpoint(e.Address, f))
+		}
+		return err
+	}
+	return &fault{
+		text: "kill zone " + zone, target: targets, last: m.between(4*time.Second, longPause),
+		begin: func(context.Context) error { m.killAll(list); return set(engine.Faults{Down: true}) },
+		end:   func(context.Context) error { return errors.Join(set(engine.Faults{}), m.startAll(list)) },
+	}
+}
+
+func (m *maker) killAll(list []*cell.Process) {
+	for _, p := range list {
+		m.site.Cell().Kill(p)
+	}
+}
+
+// startAll starts those that don't run.
+func (m *maker) startAll(list []*cell.Process) error {
+	var err error
+	for _, p := range list {
+		if !p.Running() {
+			err = errors.Join(err, m.site.Cell().Start(p))
+		}
 	}
+	return err
 }
 
 func (m *maker) rack() *fault {
--- a/trial/internal/faults/run.go
+++ b/trial/internal/faults/run.go
@@ -55,7 +55,7 @@
 	g.Go(func() error { r.Run(loadCtx, 0); return nil })
 	watch.Go(func() error { record.Versions = st.Watch(watchCtx); return nil })
 	pause(ctx, quietTime)
-	m := newMaker(st, s.Seed, s.Only, w)
+	m := newMaker(st, s, w)
 	m.run(ctx, s.Time)
 	pause(ctx, quietTime)
 	healed := st.Ready(ctx, healTime)
@@ -64,6 +64,7 @@
 	stopWatch()
 	_ = watch.Wait()
 	record.Calls, record.Published, record.End = r.Calls(), m.published, time.Now()
+	record.Limits = append(record.Limits, m.limits...)
 	for i := range record.Keys {
 		record.Keys[i].Withdrawn = m.withdrawn[record.Keys[i].Name]
 	}
--- a/trial/internal/faults/switches.go
+++ b/trial/internal/faults/switches.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/balsamford/balsamford/coord/store"
@@ -73,7 +75,21 @@
 	zone := zones[m.rand.IntN(len(zones))]
 	return &fault{
 		text: "cut off zone " + zone, target: []string{"cut"}, last: m.between(3*time.Second, 15*time.Second),
-		begin: func(context.Context) error { return m.site.Cut(zone, true) },
-		end:   func(context.Context) error { return m.site.Cut(zone, false) },
+		begin: func(context.Context) error { return m.site.Cut([]string{zone}, true) },
+		end:   func(context.Context) error { return m.site.Cut([]string{zone}, false) },
+	}
+}
+
+func (m *maker) region() *fault {
+	zones := slices.Clone(m.site.Cell().Zones())
+	m.rand.Shuffle(len(zones), func(i, j int) { zones[i], zones[j] = zones[j], zones[i] })
+	zones = zones[:len(zones)/2]
+	if len(zones) == 0 {
+		return nil
+	}
+	return &fault{
+		text: "cut off zones " + strings.Join(zones, ", "), target: []string{"cut"}, last: m.between(5*time.Second, 20*time.Second),
+		begin: func(context.Context) error { return m.site.Cut(zones, true) },
+		end:   func(context.Context) error { return m.site.Cut(zones, false) },
 	}
 }
--- a/trial/internal/whole/whole_test.go
+++ b/trial/internal/whole/whole_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/balsamford/balsamford/coord/point"
 	"github.com/balsamford/balsamford/trial/cell"
 	"github.com/balsamford/balsamford/trial/internal/demo"
 	"github.com/balsamford/balsamford/trial/internal/faults"
@@ -105,6 +106,20 @@
 	underFaults(t, faults.Settings{Time: 14 * time.Second, Rate: 60, Seed: 7, Only: []faults.Kind{faults.Rack}})
 }
 
+// Limits are lowered to a few tasks under load and bind from when the operator
+// is told so, while placers die.
+func TestLoweredLimits(t *testing.T) {
+	underFaults(t, faults.Settings{Time: 14 * time.Second, Rate: 60, Seed: 3, Only: []faults.Kind{faults.Limit, faults.Kill}})
+}
+
+// Endpoints that can't keep old owners out: terms do it alone. Starts that
+// arrive late at a suspended endpoint are beyond them (docs/DESIGN.md).
+func TestClockFence(t *testing.T) {
+	s := faults.Settings{Time: 14 * time.Second, Rate: 40, Seed: 2, Only: []faults.Kind{faults.Kill, faults.Pause, faults.Replace, faults.Platform, faults.Cut}}
+	s.Site.Spec.Fence = string(point.FenceClock)
+	underFaults(t, s)
+}
+
 // underFaults runs a deployment under faults, in which no promise may break.
 func underFaults(t *testing.T, s faults.Settings) {
 	t.Helper()
@@ -114,7 +129,9 @@
 	is := is.New(t)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
+	fence := s.Site.Spec.Fence
 	s.Site = settings(t, build(t))
+	s.Site.Spec.Fence = fence
 	var out bytes.Buffer
 	findings, err := faults.Run(ctx, s, &out)
 	t.Log(out.String())
--- a/trial/main.go
+++ b/trial/main.go
@@ -41,6 +41,7 @@
 	if o.today {
 		s.Spec = cell.Today()
 	}
+	s.Spec.Fence = o.fence
 	if o.each > 0 {
 		s.Spec.Hosts = o.each
 	}
--- a/trial/options.go
+++ b/trial/options.go
@@ -24,6 +24,7 @@
 	rate     float64
 	long     time.Duration
 	today    bool
+	fence    string
 	each     int // entry hosts of each zone
 	only     []string
 	sizes    string
@@ -59,6 +60,7 @@
 		c.Duration(&o.long, "l", "time", "how long faults are made, or each run is measured")
 	}
 	play.Int(&o.count, "c", "count", "requests")
+	harm.String(&o.fence, "f", "fence", "how the endpoints keep old owners out: endpoint or clock")
 	harm.StringSlice(&o.only, "k", "kind", "kind of fault, may be given several times; all if there is none")
 	speed.StringSlice(&o.only, "k", "kind", "measure: latency, goodput, kill, replace or direct, may be given several times; all if there is none")
 	weigh.String(&o.sizes, "w", "workers", "workers of each zone, one number for each run")
--- a/trial/site/switches.go
+++ b/trial/site/switches.go
@@ -1,6 +1,9 @@
 package site
 
 import (
+	"errors"
+	"slices"
+
 	"github.com/balsamford/balsamford/coord/point"
 	"github.com/balsamford/balsamford/coord/store"
 	"github.com/balsamford/balsamford/standin/engine"
@@ -23,37 +26,38 @@
 	Cut []string `json:"cut"`
 }
 
-// Cut cuts a zone off from the other zones and from the platform, or joins it
-// again.
-func (s *Site) Cut(zone string, on bool) error {
+// Cut cuts zones, which go on reaching one another, off from the other zones
+// and from the platform, or joins them again.
+func (s *Site) Cut(zones []string, on bool) error {
 	path := serve.PathCut + "?on=false"
 	if on {
 		path = serve.PathCut + "?on=true"
 	}
-	err := s.pages.post(s.cell.PlatformDoor(zone), path, struct{}{})
-	inside, outside := s.sides(zone)
+	var err error
+	for _, zone := range zones {
+		err = errors.Join(err, s.pages.post(s.cell.PlatformDoor(zone), path, struct{}{}))
+	}
+	inside, outside := s.sides(zones)
 	for _, d := range s.cell.Doors() {
 		cut := cutList{Cut: inside}
-		if d.Zone == zone {
+		if slices.Contains(zones, d.Zone) {
 			cut.Cut = outside
 		}
 		if !on {
 			cut.Cut = []string{}
 		}
 		for _, page := range []string{d.Page, d.Placer} {
-			if postErr := s.pages.post(page, "/fault", cut); postErr != nil {
-				err = postErr
-			}
+			err = errors.Join(err, s.pages.post(page, "/fault", cut))
 		}
 	}
 	return err
 }
 
-// sides returns the links of the processes inside and outside a zone. Links
+// sides returns the links of the processes inside and outside of zones. Links
 // are cut by address, since entry and placer of a host share its name.
-func (s *Site) sides(zone string) (inside, outside []string) {
+func (s *Site) sides(zones []string) (inside, outside []string) {
 	for _, d := range s.cell.Doors() {
-		if d.Zone == zone {
+		if slices.Contains(zones, d.Zone) {
 			inside = append(inside, d.Links...)
 			continue
 		}
@@ -62,6 +66,12 @@
 	return inside, outside
 }
 
+// Zone returns the entries and placers of a zone.
+func (s *Site) Zone(name string) []*cell.Process {
+	list := slices.Concat(s.cell.Role(cell.RoleEntry), s.cell.Role(cell.RolePlacer))
+	return slices.DeleteFunc(list, func(p *cell.Process) bool { return p.Zone() != name })
+}
+
 // Host returns the processes of one entry host.
 func (s *Site) Host(name string) []*cell.Process {
 	list := make([]*cell.Process, 0)
