--- a/trial/load/one.go
+++ b/trial/load/one.go
@@ -88,7 +88,7 @@
 		if err == nil && reply.Outcome != "" {
 			reply, err = r.client.Result(r.door(it, try), it.team.secret, c.ID)
 		}
-		if err == nil && reply.Outcome != "" {
+		if err == nil && reply.Outcome != "" && !unread(&reply) {
 			c.Outcome, c.Reason = string(reply.Outcome), reply.Reason
 			checkOutputs(it, &reply, c)
 			return
@@ -100,6 +100,12 @@
 	}
 }
 
+// unread reports whether an entry could not look at a job's record, so that
+// the caller asks again: the job is accepted, and its outcome is kept.
+func unread(reply *calls.Reply) bool {
+	return reply.Outcome == wire.Unknown && (reply.Reason == wire.ReasonRecord || reply.Reason == wire.ReasonStale)
+}
+
 // cancel asks for the end of a job until an entry has heard it.
 func (r *Runner) cancel(ctx context.Context, it *item, c *judge.Call) {
 	for try := 0; ; try++ {
