Say unknown where a refusal can't rule out an earlier run

With its home zone cut off, one entry of the other zone ran it, as it may be repeated, and its start waited in a suspended endpoint (unknown); the caller tried again through the other entry, which was no holder either, knew nothing of the first run, found no owner of an executor and said "not run". The same between two holders that can't reach one another.

Change: a run under a known id for which a holder wasn't asked is marked, and its refusal is told as unknown. It is run as before.

TestRefusalBesideAnUnheardRun failed before the change. Left: an idempotent request may run beside an earlier run that no reachable host knows of.

--- a/entry/internal/record/share.go
+++ b/entry/internal/record/share.go
@@ -20,12 +20,12 @@
 // holder can't be reached the request runs all the same, unless this host may
 // have forgotten an earlier run: then the answer says so.
 func (k *Keeper) share(ctx context.Context, q Question, claim Note) Answer {
-	run := Answer{Verdict: Run, Note: claim}
+	run := Answer{Verdict: Run, Note: claim, Alone: !q.Private}
 	if _, _, kept := k.Find(q.ID); q.Private || !kept {
 		return run
 	}
 	if !k.holds(q.ID) {
-		return k.settle(q, claim, run)
+		return k.settle(q, claim, run) // Neither holder could be reached.
 	}
 	doubt := false
 	for range places {
@@ -35,7 +35,7 @@
 			k.noteShared(&claim, held)
 			ans := k.settle(q, claim, Answer{Verdict: Run, Note: claim})
 			remembered := k.complete(q.ID) || held && told.Complete
-			ans.Doubt = doubt || !remembered
+			ans.Doubt, ans.Alone = doubt || !remembered, !held
 			return ans
 		}
 		found := told.Notes[0]
--- a/entry/internal/serve/forward.go
+++ b/entry/internal/serve/forward.go
@@ -55,13 +55,13 @@
 	return relay.Unknown(wire.ReasonRecord, "no holder of the id's record can be reached")
 }
 
-// afterLoss returns the outcome of a request whose earlier run was lost: "not
-// run" is only true of the last one then.
+// afterLoss returns the outcome of a request that may have run before, without
+// a word of how it ended: "not run" is only true of the last run then.
 func afterLoss(lost bool, res relay.Result) relay.Result {
 	if !lost || res.Outcome != wire.NotRun {
 		return res
 	}
-	return relay.Unknown(wire.ReasonLost, "an earlier run was lost; the last one was refused: "+res.Reason)
+	return relay.Unknown(wire.ReasonLost, "an earlier run may have been lost; the last one was refused: "+res.Reason)
 }
 
 // forward sends a request to the host that holds its record and relays what
--- a/entry/internal/serve/quick.go
+++ b/entry/internal/serve/quick.go
@@ -39,10 +39,10 @@
 // act does what the record says of a request. It returns the claim of the host
 // that has to answer instead, if that can't be reached.
 func (s *Service) act(wanted context.Context, sub *submission, q record.Question, ans record.Answer, out sink) (relay.Result, *record.Note) {
-	doubt := sub.Doubt || ans.Doubt
+	doubt, alone := sub.Doubt || ans.Doubt, false
 	if ans.Verdict == record.Run && !q.Private {
 		ans = s.Keeper.Secure(s.ctx, q, ans.Note)
-		doubt = doubt || ans.Doubt
+		doubt, alone = doubt || ans.Doubt, ans.Alone
 	}
 	sub.Doubt = doubt && sub.Request.Idempotent
 	switch ans.Verdict {
@@ -61,7 +61,7 @@
 		return relay.Result{Outcome: ans.Note.Outcome, Reason: ans.Note.Reason, Detail: ans.Note.Detail}, nil
 	case record.Run:
 	}
-	res := afterLoss(doubt, s.run(wanted, sub, q, ans.Note, out))
+	res := afterLoss(doubt || alone, s.run(wanted, sub, q, ans.Note, out))
 	s.end(sub, ans.Note, &res)
 	return res, nil
 }
--- a/entry/internal/serve/retry_test.go
+++ b/entry/internal/serve/retry_test.go
@@ -113,6 +113,26 @@
 	}
 }
 
+// A holder of an idempotent request can't reach the other one, or a host that
+// is no holder reaches neither. It can't know of an earlier run, so its own
+// refusal isn't "not run".
+func TestRefusalBesideAnUnheardRun(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	fields := `,"idempotent":true,"id":"` + c.idAt("a1") + `"`
+	cutOff("a1", "a2")(c)
+	cutOff("a2", "a1")(c)
+	c.script(script{refuse: wire.ReasonBusy})
+	is.Equal(c.submit("a2", fields).outcome, wire.Unknown)
+	cutOff("b1", "a1", "a2")(c)
+	is.Equal(c.submit("b1", fields).outcome, wire.Unknown)
+	for _, name := range []string{"a1", "a2", "b1"} {
+		c.entries[name].gate.set()
+	}
+	fresh := c.submit("a2", `,"idempotent":true`) // nobody has used its id
+	is.Equal(fresh.outcome, wire.NotRun)
+}
+
 func TestOtherContentIsRefused(t *testing.T) {
 	is := is.New(t)
 	c := newCell(t)
