--- a/coord/config/bench_test.go
+++ b/coord/config/bench_test.go
@@ -28,7 +28,7 @@
 		name := fmt.Sprintf("team-%d", i)
 		s.Put(&Team{Name: name})
 		s.Put(&Share{Name: name, Team: name, Weight: float64(i%5 + 1)})
-		s.Put(&Limit{Name: name, Team: name, Tasks: 1000})
+		s.Put(&Limit{Name: name, Team: name, Tasks: new(int64(1000))})
 	}
 	s.Put(&Policy{Name: "fast", Aim: AimWait})
 	for i := 0; s.Len() < objects; i++ {
@@ -61,7 +61,7 @@
 func BenchmarkApply(b *testing.B) {
 	old := largeSet()
 	next := old.Clone()
-	next.Put(&Limit{Name: "team-1", Team: "team-1", Tasks: 1001})
+	next.Put(&Limit{Name: "team-1", Team: "team-1", Tasks: new(int64(1001))})
 	change := changeBetween(NewSnapshot(1, old), NewSnapshot(2, next))
 	for b.Loop() {
 		set, err := change.apply(old)
@@ -157,7 +157,7 @@
 func (c *liveCell) edit(i int) *Edit {
 	return &Edit{
 		ID: audit.NewID(time.Now()), Author: "ana", Base: AnyVersion, Action: audit.Set,
-		Put: []Object{&Limit{Name: "team-1", Team: "team-1", Tasks: int64(1000 + i)}},
+		Put: []Object{&Limit{Name: "team-1", Team: "team-1", Tasks: new(int64(1000 + i))}},
 	}
 }
 
@@ -216,7 +216,7 @@
 		}
 		loaded := heap()
 		set := snap.Set().Clone()
-		set.Put(&Limit{Name: "team-1", Team: "team-1", Tasks: 7})
+		set.Put(&Limit{Name: "team-1", Team: "team-1", Tasks: new(int64(7))})
 		changed := NewSnapshot(2, set)
 		whole, next = loaded-start, heap()-loaded
 		runtime.KeepAlive(snap)
--- a/coord/config/checkteam.go
+++ b/coord/config/checkteam.go
@@ -1,6 +1,10 @@
 package config
 
-import "strconv"
+import (
+	"strconv"
+
+	"github.com/balsamford/balsamford/coord/parts"
+)
 
 // single reports a second share or limit of one team, and two keys with one
 // digest.
@@ -45,18 +49,28 @@
 		if limit == nil || len(x.children[team.Name]) == 0 {
 			continue
 		}
-		sum := int64(0)
-		for _, child := range x.children[team.Name] {
-			l := x.limits[child]
-			if l == nil {
-				c.add(Ref{TypeTeam, child}, "parent", "team "+quote(team.Name)+" has a limit and this one has none; add a limit of at most "+strconv.FormatInt(limit.Tasks, 10)+" tasks")
-				continue
+		for _, m := range measures {
+			if most := *m.of(limit); most != nil {
+				c.within(x, team, limit, m, *most)
 			}
-			sum += l.Tasks
 		}
-		if sum > limit.Tasks {
-			c.add(limit.Ref(), "tasks", "the limits of the teams in "+quote(team.Name)+" add up to "+strconv.FormatInt(sum, 10)+"; raise this one to that, or lower theirs")
+	}
+}
+
+// within reports children whose limits of one resource don't fit under that of
+// their parent.
+func (c *checker) within(x teamIndex, team *Team, limit *Limit, m measure, most int64) {
+	sum := int64(0)
+	for _, child := range x.children[team.Name] {
+		l := x.limits[child]
+		if l == nil || *m.of(l) == nil {
+			c.add(Ref{TypeTeam, child}, "parent", "team "+quote(team.Name)+" has a limit and this one has none; add a limit of at most "+strconv.FormatInt(most, 10)+" "+m.unit)
+			continue
 		}
+		sum += **m.of(l)
+	}
+	if sum > most {
+		c.add(limit.Ref(), m.field, "the limits of the teams in "+quote(team.Name)+" add up to "+strconv.FormatInt(sum, 10)+"; raise this one to that, or lower theirs")
 	}
 }
 
@@ -68,7 +82,7 @@
 		if !ok {
 			continue
 		}
-		if l := x.limits[share.Team]; l != nil && l.Tasks == 0 {
+		if l := x.limits[share.Team]; l != nil && l.idle() {
 			c.add(ref, "team", "team "+quote(share.Team)+" has a share, and "+l.Ref().String()+" lets it run nothing; remove the share or raise the limit")
 		}
 	}
@@ -82,15 +96,21 @@
 	}
 	for _, ref := range c.set.Refs() {
 		l, ok := c.set.objects[ref].(*Limit)
-		if ok && l.Tasks > room {
-			c.warn(ref, "tasks", "above the "+strconv.FormatInt(room, 10)+" tasks that the cell's endpoints can run at once, so it never takes effect")
+		if !ok {
+			continue
+		}
+		for _, m := range measures {
+			if v := *m.of(l); v != nil && *v > room[m.place] {
+				c.warn(ref, m.field, "above the "+strconv.FormatInt(room[m.place], 10)+" "+m.unit+" that the cell's endpoints can run at once, so it never takes effect")
+			}
 		}
 	}
 }
 
-// room returns how many of the smallest tasks the cell can run: one to a slot
-// of an executor, one to a thousandth of a processor of a worker.
-func (s *Set) room() (tasks int64, known bool) {
+// room returns what the cell has, and how many of the smallest tasks it can
+// run: one to a slot of an executor, one to a thousandth of a processor of a
+// worker.
+func (s *Set) room() (room parts.Amount, known bool) {
 	for _, o := range s.objects {
 		e, ok := o.(*Endpoint)
 		if !ok {
@@ -101,7 +121,9 @@
 		if per == 0 {
 			per = e.Needs.CPU
 		}
-		tasks += per * e.Count
+		for i, n := range (parts.Amount{parts.Tasks: per, parts.CPU: e.Needs.CPU, parts.Mem: e.Needs.Mem, parts.Accel: e.Needs.Accel, parts.Slots: e.Needs.Slots}) {
+			room[i] += n * e.Count
+		}
 	}
-	return tasks, known
+	return room, known
 }
--- a/coord/config/limit.go
+++ b/coord/config/limit.go
@@ -1,20 +1,76 @@
 package config
 
-const maxTasks = 10_000_000
+import "github.com/balsamford/balsamford/coord/parts"
 
-// Limit is the most that a team may have running across the fleet.
+const (
+	maxTasks = 10_000_000
+	maxCPU   = 1000 * maxTasks // thousandths of a processor
+	maxMem   = 1 << 56         // bytes
+)
+
+// Limit is the most that a team may have running across the fleet. A resource
+// that is nil has no limit; 0 lets nothing run that needs it.
 type Limit struct {
 	Name  string `toml:"-"`
 	Team  string `toml:"team"`
-	Tasks int64  `toml:"tasks"` // running tasks; 0 lets nothing run
+	Tasks *int64 `toml:"tasks,omitempty"` // running tasks
+	CPU   *int64 `toml:"cpu,omitempty"`   // thousandths of a processor
+	Mem   *int64 `toml:"mem,omitempty"`   // bytes
+	Accel *int64 `toml:"accel,omitempty"` // accelerators
+	Slots *int64 `toml:"slots,omitempty"` // executor slots
 	Note  string `toml:"note,omitempty"`
 }
 
+// measure is one of the resources that a limit may name.
+type measure struct {
+	field string
+	unit  string // as messages have it
+	most  float64
+	place int // in a parts.Amount
+	of    func(*Limit) **int64
+}
+
+var measures = []measure{
+	{"tasks", "tasks", maxTasks, parts.Tasks, func(l *Limit) **int64 { return &l.Tasks }},
+	{"cpu", "thousandths of a processor", maxCPU, parts.CPU, func(l *Limit) **int64 { return &l.CPU }},
+	{"mem", "bytes of memory", maxMem, parts.Mem, func(l *Limit) **int64 { return &l.Mem }},
+	{"accel", "accelerators", maxTasks, parts.Accel, func(l *Limit) **int64 { return &l.Accel }},
+	{"slots", "slots", maxTasks, parts.Slots, func(l *Limit) **int64 { return &l.Slots }},
+}
+
 // Ref implements Object.
 func (l *Limit) Ref() Ref { return Ref{TypeLimit, l.Name} }
 
 func (l *Limit) links() []refers { return []refers{{"team", Ref{TypeTeam, l.Team}}} }
 
 func (l *Limit) check() []problem {
-	return append(checkNote(l.Note), checkRange("tasks", float64(l.Tasks), maxTasks)...)
+	ps, named := checkNote(l.Note), false
+	for _, m := range measures {
+		if v := *m.of(l); v != nil {
+			named = true
+			ps = append(ps, checkRange(m.field, float64(*v), m.most)...)
+		}
+	}
+	if !named {
+		ps = append(ps, problem{"tasks", `limits nothing; write one or more of tasks, cpu, mem, accel and slots, like "tasks = 100"`})
+	}
+	return ps
+}
+
+// Bound returns the limit as the accounts of package parts have it.
+func (l *Limit) Bound() parts.Bound {
+	var b parts.Bound
+	for _, m := range measures {
+		if v := *m.of(l); v != nil {
+			b.Set(m.place, *v)
+		}
+	}
+	return b
+}
+
+// idle reports whether a team under the limit can run nothing: no task, or
+// neither one of an executor nor one of a worker.
+func (l *Limit) idle() bool {
+	none := func(v *int64) bool { return v != nil && *v == 0 }
+	return none(l.Tasks) || none(l.Slots) && none(l.CPU)
 }
--- a/coord/config/parse_test.go
+++ b/coord/config/parse_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/balsamford/balsamford/coord/parts"
 )
 
 const sampleDigest = "sha256:0011223344556677:00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
@@ -66,7 +68,7 @@
 	is.Equal(again.Teams(), []string{"north", "shop"})
 	l, ok := again.Limit("shop")
 	is.True(ok)
-	is.Equal(l.Tasks, int64(60))
+	is.Equal(l, parts.AtMost(60))
 	is.Equal(again.Weight("shop"), 1.5)
 	is.Equal(again.Weight("north"), 1.5)
 	q, ok := again.Queue("checks")
@@ -113,6 +115,12 @@
 		"open with teams":     {"[team.a]\n[queue.q]\nopen = true\nteams = [\"a\"]\n", []string{"4 queue.q teams: an open queue"}},
 		"limit above the cell": {"[team.a]\n[limit.a]\nteam = \"a\"\ntasks = 500\n[endpoint.e]\nkind = \"executor\"\ncount = 50\nhas = { slots = 8 }\n",
 			[]string{"warning 4 limit.a tasks: above the 400 tasks"}},
+		"limit of nothing":         {"[team.a]\n[limit.a]\nteam = \"a\"\n", []string{"2 limit.a tasks: limits nothing"}},
+		"limit out of bounds":      {"[team.a]\n[limit.a]\nteam = \"a\"\naccel = -1\nmem = 999999999999999999\n", []string{"4 limit.a accel: out of bounds", "5 limit.a mem: out of bounds"}},
+		"share and no processors":  {"[team.a]\n[share.a]\nteam = \"a\"\nweight = 2.0\n[limit.a]\nteam = \"a\"\ncpu = 0\nslots = 0\n", []string{"3 share.a team: team \"a\" has a share, and limit.a lets it run nothing"}},
+		"children above resources": {"[team.a]\n[team.b]\nparent = \"a\"\n[limit.a]\nteam = \"a\"\naccel = 5\nmem = 9\n[limit.b]\nteam = \"b\"\naccel = 6\n", []string{"6 limit.a accel: the limits of the teams in \"a\" add up to 6", "3 team.b parent: team \"a\" has a limit and this one has none; add a limit of at most 9 bytes"}},
+		"resource above the cell": {"[team.a]\n[limit.a]\nteam = \"a\"\naccel = 9\ncpu = 8000\n[endpoint.e]\nkind = \"worker\"\ncount = 2\nhas = { cpu = 4000, accel = 4 }\n",
+			[]string{"warning 4 limit.a accel: above the 8 accelerators"}},
 		"values over several lines": {"[queue.q]\nkinds = [\n\"quick\",\n\"slow\",\n]\nfoo = 1\n", []string{"6 queue.q foo: unknown field", "2 queue.q kinds: \"slow\" is no kind"}},
 	}
 	for name, tt := range tests {
--- a/coord/config/snapshot.go
+++ b/coord/config/snapshot.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/balsamford/balsamford/coord/parts"
 )
 
 // Snapshot is one version of the configuration. It never changes and may be
@@ -14,7 +16,7 @@
 	data    []byte
 	teams   []string
 	weights map[string]float64
-	limits  map[string]int64
+	limits  map[string]parts.Bound
 	rules   map[string]Rule
 	grace   time.Duration
 }
@@ -28,7 +30,7 @@
 func newSnapshot(version uint64, set *Set, data []byte) *Snapshot {
 	s := &Snapshot{
 		version: version, digest: sumOf(data), set: set, data: data,
-		weights: make(map[string]float64), limits: make(map[string]int64), rules: make(map[string]Rule),
+		weights: make(map[string]float64), limits: make(map[string]parts.Bound), rules: make(map[string]Rule),
 	}
 	x := indexTeams(set)
 	s.rules[""] = defaultRule()
@@ -46,8 +48,8 @@
 
 func (s *Snapshot) addTeam(x teamIndex, t *Team) {
 	s.teams = append(s.teams, t.Name)
-	if tasks, ok := x.own(t.Name); ok {
-		s.limits[t.Name] = tasks
+	if own, ok := x.own(t.Name); ok {
+		s.limits[t.Name] = own.Bound()
 	}
 	if t.Parent == "" {
 		x.split(t.Name, x.raw(t.Name), s.weights)
@@ -128,11 +130,11 @@
 // empty one, which stands for callers without a key.
 func (s *Snapshot) Weight(team string) float64 { return s.weights[team] }
 
-// Limit returns the most tasks that a team may have running across the fleet,
-// its children's limits taken off. There is none if ok is false.
-func (s *Snapshot) Limit(team string) (limit Limit, ok bool) {
-	tasks, ok := s.limits[team]
-	return Limit{Team: team, Tasks: tasks}, ok
+// Limit returns the most that a team may have running across the fleet, its
+// children's limits taken off. There is none if ok is false.
+func (s *Snapshot) Limit(team string) (limit parts.Bound, ok bool) {
+	limit, ok = s.limits[team]
+	return limit, ok
 }
 
 // Policy returns the policy of that name with all fields filled in; the empty
--- a/coord/config/teams.go
+++ b/coord/config/teams.go
@@ -35,18 +35,29 @@
 
 // own returns what is left of a team's limit for its own tasks once its
 // children's limits are taken off.
-func (x teamIndex) own(team string) (tasks int64, ok bool) {
+func (x teamIndex) own(team string) (own Limit, ok bool) {
 	l := x.limits[team]
 	if l == nil {
-		return 0, false
+		return Limit{}, false
 	}
-	tasks = l.Tasks
+	own = Limit{Team: team}
+	for _, m := range measures {
+		if most := *m.of(l); most != nil {
+			*m.of(&own) = new(max(*most-x.below(team, m), 0))
+		}
+	}
+	return own, true
+}
+
+// below returns the sum of the limits of a team's children.
+func (x teamIndex) below(team string, m measure) int64 {
+	sum := int64(0)
 	for _, child := range x.children[team] {
-		if c := x.limits[child]; c != nil {
-			tasks -= c.Tasks
+		if c := x.limits[child]; c != nil && *m.of(c) != nil {
+			sum += **m.of(c)
 		}
 	}
-	return max(tasks, 0), true
+	return sum
 }
 
 // raw returns the weight of a team's own share.
--- a/coord/parts/account.go
+++ b/coord/parts/account.go
@@ -7,14 +7,15 @@
 
 // Account is the row of one team's limit.
 type Account struct {
-	Limit int64            `cbor:"limit"`
+	Limit Amount           `cbor:"limit"`
+	Dims  Dims             `cbor:"dims,omitempty"` // resources that are limited; 0 is tasks alone
 	Zones map[string]*Zone `cbor:"zones"`
 }
 
 // Zone is what one zone has of a limit.
 type Zone struct {
-	Part     int64             `cbor:"part"`
-	Standing int64             `cbor:"standing"` // no other zone takes the part below it
+	Part     Amount            `cbor:"part"`
+	Standing Amount            `cbor:"standing"` // no other zone takes the part below it
 	Round    uint64            `cbor:"round"`
 	Holders  map[string]*Entry `cbor:"holders"`
 	Gone     []string          `cbor:"gone,omitempty"` // holders buried last
@@ -23,22 +24,37 @@
 // Entry is a holder's record of itself.
 type Entry struct {
 	Round uint64 `cbor:"round"` // in which it was recorded
-	Held  int64  `cbor:"held"`
+	Held  Amount `cbor:"held"`
 	Seq   uint64 `cbor:"seq"` // of the holder's last write
 }
 
 // Handed returns the sum of the zones' parts.
-func (a *Account) Handed() int64 {
-	var sum int64
+func (a *Account) Handed() Amount {
+	var sum Amount
 	for _, z := range a.Zones {
-		sum += z.Part
+		sum = sum.Add(z.Part)
 	}
 	return sum
 }
 
 // Accepted reports whether the parts handed out fit the limit. A lowered
 // limit holds only once they do.
-func (a *Account) Accepted() bool { return a.Handed() <= a.Limit }
+func (a *Account) Accepted() bool { return !a.over().Any() }
+
+// Bound returns the limit.
+func (a *Account) Bound() Bound { return Bound{Most: a.Limit, Dims: a.dims()} }
+
+// dims returns the resources that are limited.
+func (a *Account) dims() Dims {
+	if a.Dims == 0 {
+		return DimsOf(Tasks)
+	}
+	return a.Dims
+}
+
+// over returns by how much the parts handed out exceed the limit of each
+// resource; it is negative where they are below it, and 0 without a limit.
+func (a *Account) over() Amount { return a.dims().only(a.Handed().Sub(a.Limit)) }
 
 // zone returns a zone, made if need be.
 func (a *Account) zone(name string) *Zone {
@@ -69,33 +85,35 @@
 // slack returns what the zone's holders don't hold, negative if more runs
 // than the zone's part; ok is false while a holder hasn't recorded itself in
 // this round.
-func (z *Zone) slack() (n int64, ok bool) {
+func (z *Zone) slack() (n Amount, ok bool) {
 	n = z.Part
 	for _, e := range z.Holders {
 		if e.Round != z.Round {
-			return 0, false
+			return Amount{}, false
 		}
-		n -= e.Held
+		n = n.Sub(e.Held)
 	}
 	return n, true
 }
 
-// pull raises a zone's part by up to n, out of what no zone has and out of
-// what other zones neither hold nor keep standing, and returns by how much.
-func (a *Account) pull(z *Zone, n int64) int64 {
-	got := max(min(n, a.Limit-a.Handed()), 0)
-	z.Part += got
+// pull raises a zone's part of resource i by up to n, out of what no zone has
+// and out of what other zones neither hold nor keep standing, and returns by
+// how much.
+func (a *Account) pull(z *Zone, i int, n int64) int64 {
+	left := -a.over()[i]
+	got := max(min(n, left), 0)
+	z.Part[i] += got
 	for _, other := range a.Zones {
-		if other == z || got == n || !a.Accepted() {
+		if other == z || got == n || left < 0 {
 			continue
 		}
 		free, ok := other.slack()
 		if !ok {
 			continue
 		}
-		k := max(min(n-got, free, other.Part-other.Standing), 0)
-		other.Part -= k
-		z.Part += k
+		k := max(min(n-got, free[i], other.Part[i]-other.Standing[i]), 0)
+		other.Part[i] -= k
+		z.Part[i] += k
 		got += k
 	}
 	return got
@@ -104,9 +122,7 @@
 // shrink lowers a zone's part by what is free in it, while the parts exceed
 // the limit.
 func (a *Account) shrink(z *Zone) {
-	free, ok := z.slack()
-	if !ok {
-		return
+	if free, ok := z.slack(); ok {
+		z.Part = z.Part.Sub(free.least(a.over()).most(Amount{}))
 	}
-	z.Part -= max(min(free, a.Handed()-a.Limit), 0)
 }
--- a/coord/parts/holder.go
+++ b/coord/parts/holder.go
@@ -1,6 +1,7 @@
 package parts
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -16,7 +17,7 @@
 
 	mu     sync.RWMutex // guards teams
 	teams  map[string]*split
-	limits map[string]bool // nil: every team has one
+	limits map[string]Dims // nil: every team has one of each resource
 }
 
 // Option changes how New makes a Holder.
@@ -46,88 +47,99 @@
 	return h
 }
 
-// Limit says which teams have a limit; all others take without counting.
-// Until it is called, every team has one.
-func (h *Holder) Limit(teams []string) {
-	m := make(map[string]bool, len(teams))
-	for _, t := range teams {
-		m[t] = true
-	}
+// Limit says which teams have a limit, and of which resources; all others
+// take without one. Until it is called, every team has one of each resource.
+func (h *Holder) Limit(teams map[string]Dims) {
+	m := make(map[string]Dims, len(teams))
+	maps.Copy(m, teams)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.limits = m
 }
 
-// Limited reports whether a team has a limit.
-func (h *Holder) Limited(team string) bool {
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	return h.limits == nil || h.limits[team]
+// limited returns the resources of which a team has a limit. The caller holds
+// the lock.
+func (h *Holder) limited(team string) Dims {
+	if h.limits == nil {
+		return allDims
+	}
+	return h.limits[team]
 }
 
 func (h *Holder) split(team string) *split {
+	s, _ := h.find(team)
+	return s
+}
+
+// find returns what the holder has of a team's limit, and of which resources
+// there is one.
+func (h *Holder) find(team string) (*split, Dims) {
 	h.mu.RLock()
-	s := h.teams[team]
+	s, limited := h.teams[team], h.limited(team)
 	h.mu.RUnlock()
 	if s != nil {
-		return s
+		return s, limited
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if s := h.teams[team]; s != nil {
-		return s
+		return s, limited
 	}
 	s = newSplit(team)
 	h.teams[team] = s
-	return s
+	return s, limited
 }
 
-// Take counts n tasks more and reports true, or changes nothing and reports
-// false if they don't fit the holder's part.
-func (h *Holder) Take(team string, n int64) bool {
-	s := h.split(team)
-	if !h.Limited(team) {
-		s.adopt(n)
-		return true
-	}
-	return s.take(n)
+// Take counts n more and reports true, or changes nothing and reports false
+// if it doesn't fit the holder's part of each resource.
+func (h *Holder) Take(team string, n Amount) bool {
+	s, limited := h.find(team)
+	return s.take(n, limited)
+}
+
+// Room reports what Take would, and counts nothing. A part that has room isn't
+// idle.
+func (h *Holder) Room(team string, n Amount) bool {
+	s, limited := h.find(team)
+	return s.room(n, limited, h.timer.Now())
 }
 
-// Give counts n tasks less, which are known to have ended or never to start.
-func (h *Holder) Give(team string, n int64) { h.split(team).give(n) }
+// Give counts n less, whose tasks are known to have ended or never to start.
+func (h *Holder) Give(team string, n Amount) { h.split(team).give(n) }
 
-// Adopt counts n tasks that run already, even above the part. The holder
-// takes nothing more until its part covers them.
-func (h *Holder) Adopt(team string, n int64) { h.split(team).adopt(n) }
+// Adopt counts what tasks that run already take, even above the part. The
+// holder takes no more of a resource until its part covers it.
+func (h *Holder) Adopt(team string, n Amount) { h.split(team).adopt(n) }
 
-// Pass counts n tasks less that run on under another holder, the heir, which
+// Pass counts n less, whose tasks run on under another holder, the heir, which
 // adopts them. What they took can only be asked for by who runs such tasks,
 // until the heir is known to the account and the linger time has passed; then
 // a new round counts again.
-func (h *Holder) Pass(team string, n int64, heir string) {
+func (h *Holder) Pass(team string, n Amount, heir string) {
 	h.split(team).pass(n, heir, h.timer.Now())
 }
 
 // Part returns a team's part and what of it is taken.
-func (h *Holder) Part(team string) (part, used int64) {
+func (h *Holder) Part(team string) (part, used Amount) {
 	s := h.split(team)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.part, s.used + s.parked
+	return s.part, s.used.Add(s.parked)
 }
 
 // Wants returns the teams whose tasks were refused, or run above the part,
 // with how much they lack. The caller asks its peers for it.
-func (h *Holder) Wants() map[string]int64 {
+func (h *Holder) Wants() map[string]Amount {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
-	wants := make(map[string]int64)
+	wants := make(map[string]Amount)
 	for team, s := range h.teams {
-		if h.limits != nil && !h.limits[team] {
+		limited := h.limited(team)
+		if limited == 0 {
 			continue
 		}
 		s.mu.Lock()
-		if n := s.demand - s.free(); n > 0 {
+		if n := limited.only(s.demand.Sub(s.free()).most(Amount{})); n.Any() {
 			wants[team] = n
 		}
 		s.mu.Unlock()
@@ -141,7 +153,7 @@
 	defer h.mu.RUnlock()
 	var names []string
 	for team := range h.teams {
-		if h.limits == nil || h.limits[team] {
+		if h.limited(team) != 0 {
 			names = append(names, team)
 		}
 	}
--- a/coord/parts/message.go
+++ b/coord/parts/message.go
@@ -7,8 +7,8 @@
 	From  string `cbor:"from"`
 	Round uint64 `cbor:"round"`
 	Seq   uint64 `cbor:"seq"` // counts the asks of From to one giver
-	Want  int64  `cbor:"want"`
-	Debt  int64  `cbor:"debt"` // of it: what runs above the asker's part
+	Want  Amount `cbor:"want"`
+	Debt  Amount `cbor:"debt"` // of it: what runs above the asker's part
 }
 
 // Grant answers an Ask. The giver has lowered its own part by N already.
@@ -17,5 +17,5 @@
 	Giver string `cbor:"giver"`
 	Round uint64 `cbor:"round"`
 	Seq   uint64 `cbor:"seq"`
-	N     int64  `cbor:"n"`
+	N     Amount `cbor:"n"`
 }
--- a/coord/parts/move.go
+++ b/coord/parts/move.go
@@ -1,9 +1,15 @@
 package parts
 
+// halves is into how many shares a giver divides what it has free; it keeps
+// one of them. ones is added to round up.
+const halves = 2
+
+var ones = Amount{1, 1, 1, 1, 1}
+
 // Ask returns what to send to another holder of the zone to be given n of a
 // team's part. While the answer to an earlier Ask is open, the same Ask is
 // returned again.
-func (h *Holder) Ask(giver, team string, n int64) Ask {
+func (h *Holder) Ask(giver, team string, n Amount) Ask {
 	s := h.split(team)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -11,7 +17,7 @@
 		s.askSeq[giver]++
 		s.asks[giver] = s.askSeq[giver]
 	}
-	return Ask{Team: team, From: h.name, Round: s.round, Seq: s.asks[giver], Want: n, Debt: max(-s.free(), 0)}
+	return Ask{Team: team, From: h.name, Round: s.round, Seq: s.asks[giver], Want: n, Debt: Amount{}.Sub(s.free()).most(Amount{})}
 }
 
 // Serve answers another holder's Ask. The holder keeps half of what it has
@@ -30,10 +36,11 @@
 		answer.N = last.n
 		return answer
 	}
-	parked := max(min(a.Want, a.Debt, s.parked), 0)
-	n := parked + max(min(a.Want-parked, (s.free()+1)/2), 0)
-	s.parked -= parked
-	s.part -= n
+	parked := a.Want.least(a.Debt).least(s.parked).most(Amount{})
+	half := s.free().Add(ones).Over(halves)
+	n := parked.Add(a.Want.Sub(parked).least(half).most(Amount{}))
+	s.parked = s.parked.Sub(parked)
+	s.part = s.part.Sub(n)
 	s.gifts[a.From] = gift{seq: a.Seq, n: n, at: h.timer.Now()}
 	answer.N = n
 	return answer
@@ -43,17 +50,17 @@
 // comes twice or too late gives nothing. If it gave something, an Ask for
 // nothing tells the giver that it arrived; without it, the giver starts a
 // round after the linger time.
-func (h *Holder) Accept(g Grant) int64 {
+func (h *Holder) Accept(g Grant) Amount {
 	s := h.split(g.Team)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.joined || g.Seq == 0 || g.Round != s.round || s.asks[g.Giver] != g.Seq {
-		return 0
+		return Amount{}
 	}
 	s.asks[g.Giver] = 0
-	s.part += g.N
-	if g.N > 0 {
-		s.demand, s.needed = 0, h.timer.Now()
+	s.part = s.part.Add(g.N)
+	if g.N.Any() {
+		s.demand, s.needed = Amount{}, h.timer.Now()
 	}
 	return g.N
 }
--- a/coord/parts/parts_test.go
+++ b/coord/parts/parts_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
@@ -16,6 +17,9 @@
 
 const team = "team"
 
+// modelDims are the resources of the model.
+var modelDims = DimsOf(Tasks, CPU, Accel)
+
 // flaky loses calls before or after they take effect.
 type flaky struct {
 	Table
@@ -52,12 +56,14 @@
 	asks   []sent
 	gives  []sent
 	healed bool
-	bound  int64 // what may run: the limit, or the one before until accepted
+	bound  Amount // what may run: the limit, or the one before until accepted
+	dims   Dims   // resources that are limited
+	loose  Dims   // resources that had no limit when what runs started
 }
 
 type member struct {
 	*Holder
-	runs  int64
+	runs  Amount
 	heirs []string // adopted its tasks after its death
 }
 
@@ -68,24 +74,26 @@
 	grant Grant
 }
 
-func newModel(t *rapid.T, limit int64) *model {
+func newModel(t *rapid.T, limit Amount) *model {
 	m := &model{
 		t: t, table: &flaky{Table: store.New()}, clock: timer.New(timer.WithManual(time.Unix(0, 0))),
-		zones: []string{"a", "b"}, bound: limit,
+		zones: []string{"a", "b"}, bound: limit, dims: modelDims, loose: allDims &^ modelDims,
 	}
-	if _, err := SetLimit(context.Background(), m.table, team, limit, m.zones); err != nil {
+	if _, err := SetLimit(context.Background(), m.table, team, Bound{limit, m.dims}, m.zones); err != nil {
 		t.Fatal(err)
 	}
 	for i := range 5 {
 		m.add(m.zones[i%2])
-		_ = m.alive[i].Settle(context.Background(), m.table, team, int64(i%3))
+		_ = m.alive[i].Settle(context.Background(), m.table, team, Amount{int64(i % 3), int64(i % 2)})
 	}
 	return m
 }
 
 func (m *model) add(zone string) {
 	m.made++
-	m.alive = append(m.alive, &member{Holder: New("h"+strconv.Itoa(m.made), zone, WithTimer(m.clock), WithLinger(time.Minute))})
+	h := New("h"+strconv.Itoa(m.made), zone, WithTimer(m.clock), WithLinger(time.Minute))
+	h.Limit(map[string]Dims{team: m.dims})
+	m.alive = append(m.alive, &member{Holder: h})
 }
 
 func (m *model) pick() *member { return rapid.SampledFrom(m.alive).Draw(m.t, "holder") }
@@ -105,43 +113,47 @@
 }
 
 func (m *model) take() {
-	h, n := m.pick(), rapid.Int64Range(1, 6).Draw(m.t, "n")
+	h, n := m.pick(), m.some(1, Amount{6, 6, 0, 6})
 	if h.Take(team, n) {
-		h.runs += n
+		h.runs = h.runs.Add(n)
 	}
 }
 
 // flood lets everybody start what it can.
 func (m *model) flood() {
 	for _, h := range m.alive {
-		for h.Take(team, 1) {
-			h.runs++
+		for i := range size {
+			n := Amount{}
+			n[i] = 1
+			for m.dims.Has(i) && h.Take(team, n) {
+				h.runs = h.runs.Add(n)
+			}
 		}
 	}
 }
 
 func (m *model) end() {
 	h := m.pick()
-	n := rapid.Int64Range(0, h.runs).Draw(m.t, "n")
+	n := m.some(0, h.runs)
 	h.Give(team, n)
-	h.runs -= n
+	h.runs = h.runs.Sub(n)
 }
 
 func (m *model) move() {
 	h := m.pick()
-	if p := m.peer(h); p != nil && h.runs > 0 {
-		n := rapid.Int64Range(1, h.runs).Draw(m.t, "n")
+	if p := m.peer(h); p != nil && h.runs.Any() {
+		n := m.some(1, h.runs)
 		h.Pass(team, n, p.name)
-		h.runs -= n
+		h.runs = h.runs.Sub(n)
 		p.Adopt(team, n)
-		p.runs += n
+		p.runs = p.runs.Add(n)
 	}
 }
 
 func (m *model) ask() {
 	h := m.pick()
 	if p := m.peer(h); p != nil {
-		m.asks = append(m.asks, sent{to: p, from: h, ask: h.Ask(p.name, team, rapid.Int64Range(0, 8).Draw(m.t, "n"))})
+		m.asks = append(m.asks, sent{to: p, from: h, ask: h.Ask(p.name, team, m.some(0, Amount{8, 8, 0, 8}))})
 	}
 }
 
@@ -161,7 +173,7 @@
 func (m *model) settle() {
 	h := m.pick()
 	m.fault()
-	_ = h.Settle(context.Background(), m.table, team, 2)
+	_ = h.Settle(context.Background(), m.table, team, Amount{2, 1})
 	m.heal()
 }
 
@@ -181,7 +193,15 @@
 	m.table.before, m.table.after = false, false
 	if ok, err := Accepted(context.Background(), m.table, team); err == nil && ok {
 		a, _, _ := read(context.Background(), m.table, team)
-		m.bound = a.Limit
+		for i := range size {
+			if !a.dims().Has(i) || !m.dims.Has(i) {
+				continue
+			}
+			m.bound[i] = a.Limit[i]
+			if m.covered(i) {
+				m.loose &^= DimsOf(i)
+			}
+		}
 	}
 }
 
@@ -206,12 +226,12 @@
 		return
 	}
 	d := m.dead[0]
-	for d.runs > 0 {
-		n := rapid.Int64Range(1, d.runs).Draw(m.t, "n")
+	for d.runs.Any() {
+		n := m.some(1, d.runs)
 		p := m.peer(d)
 		p.Adopt(team, n)
-		p.runs += n
-		d.runs -= n
+		p.runs = p.runs.Add(n)
+		d.runs = d.runs.Sub(n)
 		d.heirs = append(d.heirs, p.name)
 	}
 	m.fault()
@@ -230,10 +250,17 @@
 }
 
 func (m *model) limit() {
-	n := rapid.Int64Range(5, 40).Draw(m.t, "limit")
-	m.bound = max(m.bound, n)
+	n := m.some(5, Amount{40, 40, 0, 40})
+	m.bound = m.bound.most(n)
+	if rapid.IntRange(0, 3).Draw(m.t, "change") == 0 {
+		m.dims = rapid.SampledFrom([]Dims{modelDims, DimsOf(Tasks), DimsOf(Accel), DimsOf(Tasks, Accel)}).Draw(m.t, "dims")
+	}
+	m.loose |= allDims &^ m.dims
+	for _, h := range m.alive {
+		h.Limit(map[string]Dims{team: m.dims})
+	}
 	m.fault()
-	_, _ = SetLimit(context.Background(), m.table, team, n, m.zones)
+	_, _ = SetLimit(context.Background(), m.table, team, Bound{n, m.dims}, m.zones)
 	m.heal()
 }
 
@@ -241,22 +268,49 @@
 	m.clock.Advance(time.Duration(rapid.IntRange(1, 90).Draw(m.t, "seconds")) * time.Second)
 }
 
+// some draws an amount of at most most, and of at least least where that is
+// less.
+func (m *model) some(least int64, most Amount) Amount {
+	var n Amount
+	for i, high := range most {
+		n[i] = rapid.Int64Range(min(least, high), high).Draw(m.t, names[i])
+	}
+	return n
+}
+
+// covered reports whether nothing runs above the parts of a resource. What
+// started before there was a limit isn't stopped by one.
+func (m *model) covered(i int) bool {
+	for _, h := range m.dead {
+		if h.runs[i] > 0 {
+			return false
+		}
+	}
+	for _, h := range m.alive {
+		if part, used := h.Part(team); used[i] > max(part[i], 0) {
+			return false
+		}
+	}
+	return true
+}
+
 // check is the promise.
 func (m *model) check(t *rapid.T) {
-	var runs, sum int64
+	var runs, sum Amount
 	for _, h := range m.alive {
 		part, _ := h.Part(team)
-		sum += part
-		runs += h.runs
+		sum = sum.Add(part)
+		runs = runs.Add(h.runs)
 	}
 	for _, h := range m.dead {
-		runs += h.runs
+		runs = runs.Add(h.runs)
 	}
-	if runs > m.bound {
+	strict := allDims &^ m.loose
+	if strict.only(runs.Sub(m.bound)).Any() {
 		a, _, _ := read(context.Background(), m.table, team)
-		t.Fatalf("%d tasks run, the limit is %d: %s", runs, m.bound, m.show(a))
+		t.Fatalf("%d run, the limit is %d: %s", runs, m.bound, m.show(a))
 	}
-	if sum > m.bound {
+	if strict.only(sum.Sub(m.bound)).Any() {
 		t.Fatalf("parts are %d, the limit is %d", sum, m.bound)
 	}
 }
@@ -270,8 +324,8 @@
 		}
 		for _, h := range m.alive {
 			h.Give(team, h.runs)
-			h.runs = 0
-			if err := h.Settle(context.Background(), m.table, team, 0); err != nil {
+			h.runs = Amount{}
+			if err := h.Settle(context.Background(), m.table, team, Amount{}); err != nil {
 				m.t.Fatal(err)
 			}
 		}
@@ -294,7 +348,7 @@
 }
 
 func walk(t *rapid.T) {
-	m := newModel(t, 20)
+	m := newModel(t, Amount{Tasks: 20, CPU: 16, Accel: 12})
 	for range stretches {
 		t.Repeat(map[string]func(*rapid.T){
 			"":        m.check,
@@ -323,18 +377,18 @@
 		t.Fatalf("%d holders are not buried: %s %v: %s", len(m.dead), m.dead[0].name, m.dead[0].heirs, m.show(a))
 	}
 	if !a.Accepted() {
-		t.Fatalf("limit %d isn't accepted, parts are %d: %s", a.Limit, a.Handed(), m.show(a))
+		t.Fatalf("limit %v isn't accepted, parts are %d: %s", a.Limit, a.Handed(), m.show(a))
 	}
 	for name, z := range a.Zones {
 		free, ok := z.slack()
-		var held int64
+		var held Amount
 		for _, h := range m.alive {
 			if h.zone == name {
 				part, _ := h.Part(team)
-				held += part
+				held = held.Add(part)
 			}
 		}
-		if !ok || free+held != z.Part {
+		if !ok || free.Add(held) != z.Part {
 			t.Fatalf("zone %s leaks: part %d, held %d, free %d (%v)", name, z.Part, held, free, ok)
 		}
 	}
@@ -345,27 +399,27 @@
 	ctx := context.Background()
 	table := store.New()
 	clock := timer.New(timer.WithManual(time.Unix(0, 0)))
-	_, err := SetLimit(ctx, table, team, 20, []string{"a", "b"})
+	_, err := SetLimit(ctx, table, team, AtMost(20), []string{"a", "b"})
 	is.NoErr(err)
 	h1, h2 := New("h1", "a", WithTimer(clock)), New("h2", "a", WithTimer(clock))
 	far := New("h3", "b", WithTimer(clock))
-	is.True(!h1.Take(team, 1)) // nothing before the row was read
-	is.NoErr(h1.Settle(ctx, table, team, 9))
-	is.NoErr(h2.Settle(ctx, table, team, 0))
-	is.True(h1.Take(team, 1))
+	is.True(!h1.Take(team, Count(1))) // nothing before the row was read
+	is.NoErr(h1.Settle(ctx, table, team, Count(9)))
+	is.NoErr(h2.Settle(ctx, table, team, Amount{}))
+	is.True(h1.Take(team, Count(1)))
 	// Inside the zone, without the platform.
-	is.True(!h2.Take(team, 4))
+	is.True(!h2.Take(team, Count(4)))
 	ask := h2.Ask("h1", team, h2.Wants()[team])
 	grant := h1.Serve(ask)
 	is.Equal(h1.Serve(ask), grant) // the answer was lost
-	is.Equal(h2.Accept(grant), int64(4))
-	is.Equal(h2.Accept(grant), int64(0))
-	is.True(h2.Take(team, 4))
+	is.Equal(h2.Accept(grant), Count(4))
+	is.Equal(h2.Accept(grant), Amount{})
+	is.True(h2.Take(team, Count(4)))
 	// Between zones, but not the standing part.
-	is.True(!far.Take(team, 20))
-	is.NoErr(far.Settle(ctx, table, team, 0))
+	is.True(!far.Take(team, Count(20)))
+	is.NoErr(far.Settle(ctx, table, team, Amount{}))
 	part, _ := far.Part(team)
-	is.Equal(part, int64(10)) // zone a has 10 of 20 in use or standing
+	is.Equal(part, Count(10)) // zone a has 10 of 20 in use or standing
 }
 
 // show returns all accounts for a failure's text.
@@ -391,20 +445,20 @@
 	ctx := context.Background()
 	table := store.New()
 	clock := timer.New(timer.WithManual(time.Unix(0, 0)))
-	_, err := SetLimit(ctx, table, team, 10, []string{"a"})
+	_, err := SetLimit(ctx, table, team, AtMost(10), []string{"a"})
 	is.NoErr(err)
 	giver, heir, other := New("g", "a", WithTimer(clock)), New("h", "a", WithTimer(clock)), New("o", "a", WithTimer(clock))
-	is.True(!giver.Take(team, 10))
+	is.True(!giver.Take(team, Count(10)))
 	for _, h := range []*Holder{giver, heir, other} {
-		is.NoErr(h.Settle(ctx, table, team, 0))
-	}
-	is.True(giver.Take(team, 10))
-	giver.Pass(team, 6, "h")
-	heir.Adopt(team, 6)
-	is.Equal(other.Accept(giver.Serve(other.Ask("g", team, 6))), int64(0))
-	is.Equal(heir.Wants()[team], int64(6))
-	is.Equal(heir.Accept(giver.Serve(heir.Ask("g", team, 6))), int64(6))
-	is.True(!heir.Take(team, 1))
+		is.NoErr(h.Settle(ctx, table, team, Amount{}))
+	}
+	is.True(giver.Take(team, Count(10)))
+	giver.Pass(team, Count(6), "h")
+	heir.Adopt(team, Count(6))
+	is.Equal(other.Accept(giver.Serve(other.Ask("g", team, Count(6)))), Amount{})
+	is.Equal(heir.Wants()[team], Count(6))
+	is.Equal(heir.Accept(giver.Serve(heir.Ask("g", team, Count(6)))), Count(6))
+	is.True(!heir.Take(team, Count(1)))
 }
 
 // A holder that isn't in the row yet is in no record, so it takes no gift.
@@ -412,13 +466,76 @@
 	is := is.New(t)
 	ctx := context.Background()
 	table := store.New()
-	_, err := SetLimit(ctx, table, team, 10, []string{"a"})
+	_, err := SetLimit(ctx, table, team, AtMost(10), []string{"a"})
 	is.NoErr(err)
 	giver, late := New("g", "a"), New("l", "a")
-	is.True(!giver.Take(team, 10))
-	is.NoErr(giver.Settle(ctx, table, team, 0))
-	ask := late.Ask("g", team, 5)
+	is.True(!giver.Take(team, Count(10)))
+	is.NoErr(giver.Settle(ctx, table, team, Amount{}))
+	ask := late.Ask("g", team, Count(5))
 	ask.Round = 1
 	late.split(team).round = 1
-	is.Equal(late.Accept(giver.Serve(ask)), int64(0))
+	is.Equal(late.Accept(giver.Serve(ask)), Amount{})
+}
+
+// What ran and was passed on before a resource had a limit leaves no room above
+// the limit that comes later.
+func TestPassedBeforeLimit(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	table := store.New()
+	clock := timer.New(timer.WithManual(time.Unix(0, 0)))
+	giver, heir := New("g", "a", WithTimer(clock)), New("h", "a", WithTimer(clock))
+	limit := func(b Bound) {
+		_, err := SetLimit(ctx, table, team, b, []string{"a"})
+		is.NoErr(err)
+		giver.Limit(map[string]Dims{team: b.Dims})
+		heir.Limit(map[string]Dims{team: b.Dims})
+	}
+	settle := func(h *Holder) { is.NoErr(h.Settle(ctx, table, team, Amount{})) }
+	limit(AtMost(10))
+	task := Amount{Tasks: 1, Accel: 5}
+	is.True(!giver.Take(team, task))
+	settle(giver)
+	settle(heir)
+	is.True(giver.Take(team, task))
+	giver.Pass(team, task, "h")
+	heir.Adopt(team, task)
+	heir.Give(team, task)
+	for range 4 {
+		clock.Advance(2 * time.Minute)
+		settle(giver)
+		settle(heir)
+	}
+	both := AtMost(10)
+	both.Set(Accel, 6)
+	limit(both)
+	for range 4 {
+		is.True(!heir.Take(team, Amount{Tasks: 1, Accel: 7}))
+		settle(heir)
+	}
+	is.True(heir.Take(team, Amount{Tasks: 1, Accel: 6}))
+}
+
+func TestAmountOnTheWire(t *testing.T) {
+	tests := map[string]struct {
+		amount Amount
+		bytes  int
+	}{
+		"nothing":            {Amount{}, 1},
+		"tasks as before":    {Count(100), 2},
+		"tasks and memory":   {Amount{Tasks: 100, Mem: 1 << 40}, 13},
+		"returned, negative": {Amount{Accel: -3}, 5},
+		"all":                {Amount{1000, 1 << 20, 1 << 40, 8, 300}, 22},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			data, err := cbor.Marshal(tt.amount)
+			is.NoErr(err)
+			is.Equal(len(data), tt.bytes)
+			var again Amount
+			is.NoErr(cbor.Unmarshal(data, &again))
+			is.Equal(again, tt.amount)
+		})
+	}
 }
--- a/coord/parts/settle.go
+++ b/coord/parts/settle.go
@@ -19,7 +19,7 @@
 // more than what runs and was refused, and returns what exceeds that. It is
 // called from time to time for each of Teams, and when Wants stays after the
 // peers were asked. Its error is the platform's; the part stays valid then.
-func (h *Holder) Settle(ctx context.Context, t Table, team string, spare int64) error {
+func (h *Holder) Settle(ctx context.Context, t Table, team string, spare Amount) error {
 	s := h.split(team)
 	for range maxConflicts {
 		done, err := h.step(ctx, t, s, spare)
@@ -36,7 +36,7 @@
 
 // step reads the row and writes it once; done is true if nothing was left to
 // write.
-func (h *Holder) step(ctx context.Context, t Table, s *split, spare int64) (done bool, err error) {
+func (h *Holder) step(ctx context.Context, t Table, s *split, spare Amount) (done bool, err error) {
 	a, version, err := read(ctx, t, s.team)
 	if err != nil {
 		return false, err
@@ -63,7 +63,7 @@
 	case err == nil:
 		delete(s.doubts, seq)
 		s.apply(p, h.timer.Now())
-		s.demand = 0
+		s.demand = Amount{}
 	case errors.As(err, &conflict):
 		delete(s.doubts, seq)
 	}
@@ -84,7 +84,7 @@
 
 // propose changes the account as the holder wants it and returns what that
 // does to the holder, or nil if there is nothing to change.
-func (h *Holder) propose(s *split, a *Account, spare int64) (uint64, *proposal) {
+func (h *Holder) propose(s *split, a *Account, spare Amount) (uint64, *proposal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	z := a.zone(h.zone)
@@ -95,10 +95,10 @@
 	p := &proposal{}
 	switch {
 	case e == nil:
-		h.join(s, z, p)
+		h.join(s, a, z, p)
 		e = z.Holders[h.name]
 	case s.round < z.Round:
-		s.enter(z.Round)
+		s.enter(z.Round, a.dims())
 	}
 	if !s.written && !p.joins {
 		e.Round, e.Held, p.record = s.round, s.record, true
@@ -107,7 +107,7 @@
 	h.claim(s, a, z, e, p, spare)
 	h.recount(s, z, p)
 	if *p == (proposal{}) && a.Accepted() {
-		s.demand = 0 // what is refused still will be noted again
+		s.demand = Amount{} // what is refused still will be noted again
 		return 0, nil
 	}
 	handed := a.Handed()
@@ -123,67 +123,85 @@
 
 // join enters a holder that the row doesn't know: a new one, or one that was
 // buried although it lived, whose part has gone to others.
-func (h *Holder) join(s *split, z *Zone, p *proposal) {
-	s.part, s.parked, s.back = 0, 0, 0
+func (h *Holder) join(s *split, a *Account, z *Zone, p *proposal) {
+	s.part, s.parked, s.back = Amount{}, Amount{}, Amount{}
 	s.joined = false
 	clear(s.gifts)
-	s.enter(z.Round)
+	s.enter(z.Round, a.dims())
 	z.Holders[h.name] = &Entry{Round: s.round, Held: s.record}
 	p.joins = true
 }
 
 // trim returns what the holder doesn't need.
-func (h *Holder) trim(s *split, a *Account, z *Zone, e *Entry, p *proposal, spare int64) {
-	keep, idle := spare, h.timer.Now().Sub(s.needed) >= keepTime
-	if !a.Accepted() {
-		keep, idle, s.demand = 0, true, 0
-	}
-	if n := s.free() - keep - s.demand; idle && n > keep && n > 0 {
-		s.part -= n
-		s.back += n
+func (h *Holder) trim(s *split, a *Account, z *Zone, e *Entry, p *proposal, spare Amount) {
+	idle, over := h.timer.Now().Sub(s.needed) >= keepTime, a.over()
+	for i := range size {
+		if !a.dims().Has(i) {
+			continue
+		}
+		keep, now := spare[i], idle
+		if over[i] > 0 {
+			keep, now, s.demand[i] = 0, true, 0
+		}
+		if n := s.free()[i] - keep - s.demand[i]; now && n > keep && n > 0 {
+			s.part[i] -= n
+			s.back[i] += n
+		}
 	}
-	if s.back > 0 && e.Round == z.Round {
+	if s.back.Any() && e.Round == z.Round {
 		p.back = s.back
-		e.Held -= s.back
+		e.Held = e.Held.Sub(s.back)
 	}
 }
 
 // claim covers what runs above the part, then takes what the holder lacks.
-func (h *Holder) claim(s *split, a *Account, z *Zone, e *Entry, p *proposal, spare int64) {
+func (h *Holder) claim(s *split, a *Account, z *Zone, e *Entry, p *proposal, spare Amount) {
 	slack, ok := z.slack()
-	s.short = s.demand > s.free()
-	if !ok {
-		return
+	s.short = false
+	for i := range size {
+		if !a.dims().Has(i) {
+			continue
+		}
+		short := s.demand[i] > s.free()[i]
+		if ok {
+			short = s.claim(a, z, e, p, i, slack[i], spare[i])
+		}
+		s.short = s.short || short
 	}
+}
+
+// claim does for one resource what Holder.claim does for all. It reports
+// whether more is lacking still.
+func (s *split) claim(a *Account, z *Zone, e *Entry, p *proposal, i int, slack, spare int64) (short bool) {
 	if slack < 0 {
-		got := a.pull(z, -slack)
+		got := a.pull(z, i, -slack)
 		if slack += got; got > 0 {
 			p.pulled = true
 		}
 	}
-	if s.owed > 0 && s.owed+min(slack, 0) > 0 {
-		p.owed = s.owed + min(slack, 0)
+	if s.owed[i] > 0 && s.owed[i]+min(slack, 0) > 0 {
+		p.owed[i] = s.owed[i] + min(slack, 0)
 	}
-	lack := s.demand + s.used + s.parked - s.part - p.owed
-	if lack <= 0 || slack < 0 || !a.Accepted() {
-		return
+	lack := s.demand[i] - s.free()[i] - p.owed[i]
+	if lack <= 0 || slack < 0 || a.over()[i] > 0 {
+		return s.demand[i] > s.free()[i]
 	}
 	lack += spare
 	got := min(lack, slack)
-	got += a.pull(z, lack-got)
-	e.Held += got
-	p.gain = got
-	s.short = got < lack-spare
+	got += a.pull(z, i, lack-got)
+	e.Held[i] += got
+	p.gain[i] = got
 	if got > 0 {
-		s.demand = 0
+		s.demand[i] = 0
 	}
+	return got < lack-spare
 }
 
 // recount starts a round if a recount would free room: gifts that may not
 // have arrived, or what passed tasks took.
 func (h *Holder) recount(s *split, z *Zone, p *proposal) {
 	now := h.timer.Now()
-	stale := s.parked > 0 && now.Sub(s.since) >= h.linger
+	stale := s.parked.Any() && now.Sub(s.since) >= h.linger
 	for heir := range s.heirs {
 		stale = stale && (heir == "" || z.knows(heir))
 	}
--- a/coord/parts/split.go
+++ b/coord/parts/split.go
@@ -10,25 +10,25 @@
 	team string
 
 	mu     sync.Mutex      // guards the fields below; not held over a call
-	part   int64           // what may run
-	used   int64           // what runs; above part after an adoption
-	parked int64           // of part: taken by tasks that run on under another holder
+	part   Amount          // what may run
+	used   Amount          // what runs; above part after an adoption
+	parked Amount          // of part: taken by tasks that run on under another holder
 	heirs  map[string]bool // holders to which tasks were passed
 	since  time.Time       // when parked last grew
 	passed time.Time       // since, when it was decided to forget what is parked
 	needed time.Time       // when more was last claimed or given
 	short  bool            // the last Settle didn't cover all that was lacking
-	demand int64           // what was refused since the last Settle
+	demand Amount          // what was refused since the last Settle
 
 	joined  bool
 	round   uint64
-	record  int64 // held when the round was entered
-	owed    int64 // of the record: what ran above the part
-	written bool  // whether the record is in the row
+	record  Amount // held when the round was entered
+	owed    Amount // of the record: what ran above the part
+	written bool   // whether the record is in the row
 	seq     uint64
 	doubts  map[uint64]*proposal // writes whose effect isn't known, by Seq
-	back    int64                // lowered, to be returned to the row
-	forget  map[uint64]int64     // parked to be forgotten on entering a round
+	back    Amount               // lowered, to be returned to the row
+	forget  map[uint64]Amount    // parked to be forgotten on entering a round
 	gifts   map[string]gift      // last gift by receiver
 	asks    map[string]uint64    // open ask by giver; 0 if there is none
 	askSeq  map[string]uint64
@@ -37,60 +37,84 @@
 // gift is what was given to one receiver last.
 type gift struct {
 	seq uint64
-	n   int64
+	n   Amount
 	at  time.Time
 }
 
 // proposal is what a write of the row does to the holder, once it is known to
 // have taken effect.
 type proposal struct {
-	gain    int64
-	back    int64
-	owed    int64
+	gain    Amount
+	back    Amount
+	owed    Amount
 	pulled  bool // the zone got more
 	record  bool
 	joins   bool
 	next    uint64 // the round that the write started, or 0
-	forgets int64
+	forgets Amount
 }
 
 func newSplit(team string) *split {
 	return &split{
-		team: team, heirs: make(map[string]bool), doubts: make(map[uint64]*proposal), forget: make(map[uint64]int64),
+		team: team, heirs: make(map[string]bool), doubts: make(map[uint64]*proposal), forget: make(map[uint64]Amount),
 		gifts: make(map[string]gift), asks: make(map[string]uint64), askSeq: make(map[string]uint64),
 	}
 }
 
-func (s *split) free() int64 { return s.part - s.parked - s.used }
+func (s *split) free() Amount { return s.part.Sub(s.parked).Sub(s.used) }
 
-func (s *split) take(n int64) bool {
+// take counts n if it fits the part of each resource that is limited. What n
+// doesn't need can't keep it from starting.
+func (s *split) take(n Amount, limited Dims) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.free() < n {
-		s.demand = max(s.demand, n)
+	if !s.fits(n, limited) {
 		return false
 	}
-	s.used += n
+	s.used = s.used.Add(n)
 	return true
 }
 
-func (s *split) adopt(n int64) {
+// room reports what take would.
+func (s *split) room(n Amount, limited Dims, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.used += n
+	if !s.fits(n, limited) {
+		return false
+	}
+	s.needed = now
+	return true
+}
+
+// fits reports whether n fits; if it doesn't, it is noted as refused.
+func (s *split) fits(n Amount, limited Dims) bool {
+	free := s.free()
+	for i, k := range n {
+		if k > 0 && free[i] < k && limited.Has(i) {
+			s.demand = s.demand.most(limited.only(n))
+			return false
+		}
+	}
+	return true
 }
 
-func (s *split) give(n int64) {
+func (s *split) adopt(n Amount) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.used -= n
+	s.used = s.used.Add(n)
 }
 
-func (s *split) pass(n int64, heir string, now time.Time) {
+func (s *split) give(n Amount) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.used -= n
-	s.parked += n
+	s.used = s.used.Sub(n)
+}
+
+func (s *split) pass(n Amount, heir string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.used = s.used.Sub(n)
+	s.parked = s.parked.Add(n)
 	s.since = now
 	s.heirs[heir] = true
 }
@@ -99,27 +123,32 @@
 // arrived.
 func (s *split) unconfirmed(before time.Time) bool {
 	for _, g := range s.gifts {
-		if g.n > 0 && !g.at.After(before) {
+		if g.n.Any() && !g.at.After(before) {
 			return true
 		}
 	}
 	return false
 }
 
-// enter starts a round: it fixes what the holder records in it.
-func (s *split) enter(round uint64) {
-	drop := min(s.forget[round], s.parked)
+// enter starts a round: it fixes what the holder records in it. What runs
+// above the part counts where there is a limit.
+func (s *split) enter(round uint64, limited Dims) {
+	drop := s.forget[round].least(s.parked)
 	if s.since.After(s.passed) { // tasks passed since then are not adopted yet
-		drop = 0
+		drop = Amount{}
 	}
-	if s.parked -= drop; s.parked == 0 {
+	if s.parked = s.parked.Sub(drop); !s.parked.Any() {
 		clear(s.heirs)
 	}
-	s.part -= drop
+	for i := range drop { // what runs above the part doesn't count without a limit
+		if !limited.Has(i) {
+			drop[i] = min(drop[i], max(s.part[i], 0))
+		}
+	}
+	s.part = s.part.Sub(drop)
 	s.round, s.written = round, false
-	s.record = s.part + s.back
-	s.owed = max(s.used+s.parked-s.part, 0)
-	s.record += s.owed
+	s.owed = limited.only(Amount{}.Sub(s.free()).most(Amount{}))
+	s.record = s.part.Add(s.back).Add(s.owed)
 	clear(s.gifts)
 	clear(s.asks)
 	clear(s.forget)
@@ -127,12 +156,12 @@
 
 // apply carries out what a write did.
 func (s *split) apply(p *proposal, now time.Time) {
-	if p.gain > 0 {
+	if p.gain.Any() {
 		s.needed = now
 	}
-	s.part += p.gain + p.owed
-	s.owed -= p.owed
-	s.back -= p.back
+	s.part = s.part.Add(p.gain).Add(p.owed)
+	s.owed = s.owed.Sub(p.owed)
+	s.back = s.back.Sub(p.back)
 	if p.joins {
 		s.joined = true
 	}
--- a/coord/parts/table.go
+++ b/coord/parts/table.go
@@ -72,13 +72,17 @@
 // SetLimit sets a team's upper limit and the standing parts of its zones: half
 // of an even share each. It reports whether the limit is accepted, that is
 // whether the parts handed out fit under it; if not, ask again with Accepted.
-func SetLimit(ctx context.Context, t Table, team string, limit int64, zones []string) (accepted bool, err error) {
+func SetLimit(ctx context.Context, t Table, team string, limit Bound, zones []string) (accepted bool, err error) {
 	a, err := change(ctx, t, team, func(a *Account) {
-		a.Limit = limit
+		a.Limit, a.Dims = limit.Dims.only(limit.Most), limit.Dims
+		if a.Dims == DimsOf(Tasks) {
+			a.Dims = 0
+		}
 		for _, name := range zones {
 			z := a.zone(name)
-			z.Standing = limit / int64(len(zones)*standingParts)
-			z.Part += max(min(z.Standing-z.Part, limit-a.Handed()), 0)
+			z.Standing = a.Limit.Over(int64(len(zones) * standingParts))
+			left := Amount{}.Sub(a.over())
+			z.Part = z.Part.Add(z.Standing.Sub(z.Part).least(left).most(Amount{}))
 		}
 	})
 	if err != nil {
--- a/coord/quota/account.go
+++ b/coord/quota/account.go
@@ -14,25 +14,25 @@
 )
 
 // team brings one account to its limit and returns what it waits for.
-func (k *Keeper) team(ctx context.Context, version uint64, team string, tasks int64) (wait string, err error) {
+func (k *Keeper) team(ctx context.Context, version uint64, team string, limit parts.Bound) (wait string, err error) {
 	a, err := k.account(ctx, team)
 	if err != nil {
 		return "", err
 	}
-	if a == nil || a.Limit != tasks {
+	if a == nil || a.Bound() != limit {
 		guard, err := k.guard(ctx, version)
 		if err != nil {
 			return "", err
 		}
-		if _, err := parts.SetLimit(ctx, guard, team, tasks, k.zones); err != nil {
+		if _, err := parts.SetLimit(ctx, guard, team, limit, k.zones); err != nil {
 			return "", err
 		}
 		if a, err = k.account(ctx, team); err != nil {
 			return "", err
 		}
 	}
-	if a == nil || a.Limit != tasks || !a.Accepted() {
-		return "team " + team + " to give back parts above its limit of " + strconv.FormatInt(tasks, 10), nil
+	if a == nil || a.Bound() != limit || !a.Accepted() {
+		return "team " + team + " to give back parts above its limit of " + limit.String(), nil
 	}
 	return "", nil
 }
--- a/coord/quota/keeper.go
+++ b/coord/quota/keeper.go
@@ -32,13 +32,13 @@
 
 	mu   sync.Mutex // guards the fields below
 	last uint64     // version that fits is about
-	fits map[string]int64
+	fits map[string]parts.Bound
 }
 
 // New returns a Keeper that splits limits among zones. platform is a
 // *store.Client or a *store.Memory.
 func New(platform parts.Table, f *config.Follower, timers *timer.Service, zones []string, log *zap.Logger) *Keeper {
-	return &Keeper{platform: platform, follower: f, timers: timers, zones: zones, log: log, fits: make(map[string]int64)}
+	return &Keeper{platform: platform, follower: f, timers: timers, zones: zones, log: log, fits: make(map[string]parts.Bound)}
 }
 
 // Run writes the limits of each version that the follower applies, until ctx
@@ -85,15 +85,15 @@
 	var waits []string
 	for _, team := range s.Teams() {
 		limit, ok := s.Limit(team)
-		if !ok || k.fit(team, limit.Tasks) {
+		if !ok || k.fit(team, limit) {
 			continue
 		}
-		wait, err := k.team(ctx, s.Version(), team, limit.Tasks)
+		wait, err := k.team(ctx, s.Version(), team, limit)
 		if err != nil {
 			return waits, err
 		}
 		if wait == "" {
-			k.note(s.Version(), team, limit.Tasks)
+			k.note(s.Version(), team, limit)
 			continue
 		}
 		waits = append(waits, wait)
@@ -112,20 +112,20 @@
 	k.last = version
 }
 
-func (k *Keeper) fit(team string, tasks int64) bool {
+func (k *Keeper) fit(team string, limit parts.Bound) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	have, ok := k.fits[team]
-	if ok && have != tasks {
+	if ok && have != limit {
 		delete(k.fits, team)
 	}
-	return ok && have == tasks
+	return ok && have == limit
 }
 
-func (k *Keeper) note(version uint64, team string, tasks int64) {
+func (k *Keeper) note(version uint64, team string, limit parts.Bound) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.last == version {
-		k.fits[team] = tasks
+		k.fits[team] = limit
 	}
 }
--- a/coord/quota/keeper_test.go
+++ b/coord/quota/keeper_test.go
@@ -41,7 +41,7 @@
 	is := is.New(c.t)
 	_, err := c.publisher.Publish(context.Background(), &config.Edit{
 		ID: audit.NewID(c.timers.Now()), Base: config.AnyVersion, Action: audit.Set,
-		Put: []config.Object{&config.Team{Name: "shop"}, &config.Limit{Name: "shop", Team: "shop", Tasks: tasks}},
+		Put: []config.Object{&config.Team{Name: "shop"}, &config.Limit{Name: "shop", Team: "shop", Tasks: &tasks}},
 	})
 	is.NoErr(err)
 	_, snap, err := c.publisher.Newest(context.Background())
@@ -61,16 +61,16 @@
 	c := newCell(t)
 	is.Equal(c.unsettled(c.limit(100)), 0)
 	h := parts.New("p1", "z1", parts.WithTimer(c.timers))
-	h.Limit([]string{"shop"})
-	is.NoErr(h.Settle(t.Context(), c.platform, "shop", 80))
+	h.Limit(map[string]parts.Dims{"shop": parts.DimsOf(parts.Tasks)})
+	is.NoErr(h.Settle(t.Context(), c.platform, "shop", parts.Count(80)))
 	lowered := c.limit(10)
 	is.Equal(c.unsettled(lowered), 1)
 	far := parts.New("p2", "z2", parts.WithTimer(c.timers))
-	far.Limit([]string{"shop"})
+	far.Limit(map[string]parts.Dims{"shop": parts.DimsOf(parts.Tasks)})
 	for range 20 {
 		c.timers.Advance(time.Minute)
-		is.NoErr(h.Settle(t.Context(), c.platform, "shop", 0))
-		is.NoErr(far.Settle(t.Context(), c.platform, "shop", 0))
+		is.NoErr(h.Settle(t.Context(), c.platform, "shop", parts.Amount{}))
+		is.NoErr(far.Settle(t.Context(), c.platform, "shop", parts.Amount{}))
 	}
 	is.Equal(c.unsettled(lowered), 0)
 	again := c.limit(100)
@@ -90,7 +90,7 @@
 	is.True(errors.As(err, &moved))
 	a, err := lagging.account(t.Context(), "shop")
 	is.NoErr(err)
-	is.Equal(a.Limit, int64(10))
+	is.Equal(a.Limit, parts.Count(10))
 }
 
 // TestLimitRaisedAndLoweredUnseen: what was seen to fit two versions ago says
@@ -104,7 +104,7 @@
 	is.NoErr(err)
 	is.Equal(len(waits), 0)
 	h := parts.New("p1", "z1", parts.WithTimer(c.timers))
-	h.Limit([]string{"shop"})
-	is.NoErr(h.Settle(t.Context(), c.platform, "shop", 80))
+	h.Limit(map[string]parts.Dims{"shop": parts.DimsOf(parts.Tasks)})
+	is.NoErr(h.Settle(t.Context(), c.platform, "shop", parts.Count(80)))
 	is.Equal(c.unsettled(c.limit(10)), 1)
 }
--- a/coord/wire/reason.go
+++ b/coord/wire/reason.go
@@ -7,7 +7,7 @@
 	ReasonQueue     = "queue"     // no such queue, or not this team's
 	ReasonBusy      = "busy"      // no room before the deadline, or the queue is full
 	ReasonLimit     = "limit"     // the team's upper limit is reached
-	ReasonNever     = "never"     // fits no endpoint of the cell
+	ReasonNever     = "never"     // fits no endpoint of the cell, or not the limit of its team
 	ReasonDeadline  = "deadline"  // the deadline passed
 	ReasonLeaving   = "leaving"   // the process or the endpoint is leaving
 	ReasonRoute     = "route"     // no placer can be reached
--- a/placer/internal/borrow/count.go
+++ b/placer/internal/borrow/count.go
@@ -1,6 +1,9 @@
 package borrow
 
-import "github.com/balsamford/balsamford/placer/internal/limit"
+import (
+	"github.com/balsamford/balsamford/coord/parts"
+	"github.com/balsamford/balsamford/placer/internal/limit"
+)
 
 // Count is the sched.Limit of a placer. What passes to the placer itself, when
 // an endpoint is opened again under a new epoch, is counted again at once and
@@ -17,8 +20,18 @@
 }
 
 // Take implements sched.Limit.
-func (c *Count) Take(team string, tasks int64) bool {
-	if c.Keeper.Take(team, tasks) {
+func (c *Count) Take(team string, n parts.Amount) bool {
+	return c.told(c.Keeper.Take(team, n))
+}
+
+// Room implements sched.Limit.
+func (c *Count) Room(team string, n parts.Amount) bool {
+	return c.told(c.Keeper.Room(team, n))
+}
+
+// told returns ok, and signals if it is false.
+func (c *Count) told(ok bool) bool {
+	if ok {
 		return true
 	}
 	select {
@@ -32,10 +45,10 @@
 func (c *Count) Lack() <-chan struct{} { return c.lack }
 
 // Pass implements sched.Limit.
-func (c *Count) Pass(team string, tasks int64, heir string) {
+func (c *Count) Pass(team string, n parts.Amount, heir string) {
 	if heir == c.self {
-		c.Give(team, tasks)
+		c.Give(team, n)
 		return
 	}
-	c.Keeper.Pass(team, tasks, heir)
+	c.Keeper.Pass(team, n, heir)
 }
--- a/placer/internal/borrow/mover.go
+++ b/placer/internal/borrow/mover.go
@@ -164,7 +164,7 @@
 	defer cancel()
 	for next := &r; next != nil; {
 		var grant parts.Grant
-		if m.caller.Call(ctx, links[next.Peer], wire.VerbPart, next.Ask, &grant) != nil || next.Ask.Want == 0 {
+		if m.caller.Call(ctx, links[next.Peer], wire.VerbPart, next.Ask, &grant) != nil || !next.Ask.Want.Any() {
 			return
 		}
 		next = m.keeper.Accept(grant)
--- a/placer/internal/daemon/limits.go
+++ b/placer/internal/daemon/limits.go
@@ -3,16 +3,17 @@
 import (
 	"github.com/balsamford/balsamford/coord/config"
 	"github.com/balsamford/balsamford/coord/owner"
+	"github.com/balsamford/balsamford/coord/parts"
 	"github.com/balsamford/balsamford/placer/internal/borrow"
 	"github.com/balsamford/balsamford/placer/internal/hold"
 )
 
 // configure puts a version of the configuration in force.
 func (d *Daemon) configure(c *config.Snapshot) {
-	limits := make(map[string]int64)
+	limits := make(map[string]parts.Bound)
 	for _, team := range c.Teams() {
 		if l, ok := c.Limit(team); ok {
-			limits[team] = l.Tasks
+			limits[team] = l
 		}
 	}
 	d.limits.Configure(limits)
--- a/placer/internal/limit/keeper.go
+++ b/placer/internal/limit/keeper.go
@@ -30,7 +30,7 @@
 	holder *parts.Holder
 
 	mu     sync.Mutex // guards the fields below
-	limits map[string]int64
+	limits map[string]parts.Bound
 	last   map[string]time.Time     // when a team was settled
 	pause  map[string]time.Duration // after a settlement that gave a team too little
 	turn   int                      // of the peer that is asked next
@@ -44,10 +44,10 @@
 }
 
 // Configure says which teams have which limit. All others have none.
-func (k *Keeper) Configure(limits map[string]int64) {
-	teams := make([]string, 0, len(limits))
-	for team := range limits {
-		teams = append(teams, team)
+func (k *Keeper) Configure(limits map[string]parts.Bound) {
+	teams := make(map[string]parts.Dims, len(limits))
+	for team, limit := range limits {
+		teams[team] = limit.Dims
 	}
 	k.mu.Lock()
 	for team, limit := range limits {
@@ -60,17 +60,29 @@
 	k.holder.Limit(teams)
 }
 
+// Exceeded implements sched.Limit.
+func (k *Keeper) Exceeded(team string, n parts.Amount) (name string, limit int64, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.limits[team].Exceeded(n)
+}
+
+// Room implements sched.Limit.
+func (k *Keeper) Room(team string, n parts.Amount) bool { return k.holder.Room(team, n) }
+
 // Take implements sched.Limit.
-func (k *Keeper) Take(team string, tasks int64) bool { return k.holder.Take(team, tasks) }
+func (k *Keeper) Take(team string, n parts.Amount) bool { return k.holder.Take(team, n) }
 
 // Give implements sched.Limit.
-func (k *Keeper) Give(team string, tasks int64) { k.holder.Give(team, tasks) }
+func (k *Keeper) Give(team string, n parts.Amount) { k.holder.Give(team, n) }
 
 // Adopt implements sched.Limit.
-func (k *Keeper) Adopt(team string, tasks int64) { k.holder.Adopt(team, tasks) }
+func (k *Keeper) Adopt(team string, n parts.Amount) { k.holder.Adopt(team, n) }
 
 // Pass implements sched.Limit.
-func (k *Keeper) Pass(team string, tasks int64, heir string) { k.holder.Pass(team, tasks, heir) }
+func (k *Keeper) Pass(team string, n parts.Amount, heir string) {
+	k.holder.Pass(team, n, heir)
+}
 
 // Request is a message to one peer.
 type Request struct {
@@ -101,21 +113,21 @@
 // Accept takes an answer. If it gave something, confirm is to be sent to the
 // giver.
 func (k *Keeper) Accept(g parts.Grant) (confirm *Request) {
-	if k.holder.Accept(g) == 0 {
+	if !k.holder.Accept(g).Any() {
 		return nil
 	}
-	return &Request{Peer: g.Giver, Ask: k.holder.Ask(g.Giver, g.Team, 0)}
+	return &Request{Peer: g.Giver, Ask: k.holder.Ask(g.Giver, g.Team, parts.Amount{})}
 }
 
 // Wants returns by how much tasks of each team lack room.
-func (k *Keeper) Wants() map[string]int64 { return k.holder.Wants() }
+func (k *Keeper) Wants() map[string]parts.Amount { return k.holder.Wants() }
 
 // Settle brings parts into line with the platform: those of teams that lack
 // room, whose limit has changed, or that weren't settled for half a minute.
 func (k *Keeper) Settle(ctx context.Context, t parts.Table) error {
 	var failed error
 	for team, limit := range k.due() {
-		if err := k.holder.Settle(ctx, t, team, limit/spareParts); err != nil {
+		if err := k.holder.Settle(ctx, t, team, limit.Most.Over(spareParts)); err != nil {
 			failed = errors.Join(failed, err)
 			continue
 		}
@@ -139,15 +151,15 @@
 }
 
 // due returns the limits of the teams that are to be settled now.
-func (k *Keeper) due() map[string]int64 {
+func (k *Keeper) due() map[string]parts.Bound {
 	wants, now := k.holder.Wants(), k.timer.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	due := make(map[string]int64)
+	due := make(map[string]parts.Bound)
 	for team, limit := range k.limits {
 		last, ok := k.last[team]
 		wait := settlePeriod
-		if wants[team] > 0 {
+		if wants[team].Any() {
 			wait = k.pause[team]
 		}
 		if !ok || now.Sub(last) >= wait {
--- a/placer/internal/limit/keeper_test.go
+++ b/placer/internal/limit/keeper_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/balsamford/balsamford/coord/parts"
 	"github.com/balsamford/balsamford/coord/point"
 	"github.com/balsamford/balsamford/coord/store"
 	"github.com/balsamford/balsamford/coord/timer"
@@ -23,7 +24,7 @@
 	running := 0
 	var scheds []*sched.Scheduler
 	for i, k := range keepers {
-		k.Configure(map[string]int64{"t": 5})
+		k.Configure(map[string]parts.Bound{"t": parts.AtMost(5)})
 		_, err := k.Publish(ctx, table, []string{"a"})
 		is.NoErr(err)
 		s := sched.New(sched.WithTimer(clock), sched.WithLimit(k))
@@ -69,9 +70,9 @@
 	table := &counting{Memory: store.New()}
 	clock := timer.New(timer.WithManual(time.Unix(0, 0)))
 	k := New("p", "a", clock)
-	limits := map[string]int64{}
+	limits := map[string]parts.Bound{}
 	for i := range 47 {
-		limits["t"+string(rune('A'+i))] = 100
+		limits["t"+string(rune('A'+i))] = parts.AtMost(100)
 	}
 	k.Configure(limits)
 	_, err := k.Publish(ctx, table, []string{"a"})
@@ -79,14 +80,14 @@
 	is.NoErr(k.Settle(ctx, table))
 	table.reads = 0
 	const minute = 60
-	is.True(!k.Take("tA", 1000)) // at its limit all the time
+	is.True(!k.Take("tA", parts.Count(1000))) // at its limit all the time
 	for range minute {
 		clock.Advance(time.Second)
-		is.True(!k.Take("tA", 1000))
+		is.True(!k.Take("tA", parts.Count(1000)))
 		is.NoErr(k.Settle(ctx, table))
 	}
 	is.True(table.reads*200/minute <= 2000/4)
-	k.Configure(map[string]int64{"tA": 50}) // a changed limit is settled at once
+	k.Configure(map[string]parts.Bound{"tA": parts.AtMost(50)}) // a changed limit is settled at once
 	table.reads = 0
 	is.NoErr(k.Settle(ctx, table))
 	is.True(table.reads > 0)
--- a/placer/internal/sched/decide.go
+++ b/placer/internal/sched/decide.go
@@ -76,6 +76,9 @@
 	row := p.choose(e)
 	if row == nil {
 		if p.mayPreempt(e) {
+			if !p.limit.Room(e.item.Team, counted(1, needs)) {
+				return out
+			}
 			return p.preempt(e, out)
 		}
 		if len(e.item.Avoid) == 0 {
@@ -85,7 +88,7 @@
 		return out
 	}
 	p.unclaim(e)
-	if !p.limit.Take(e.item.Team, 1) {
+	if !p.limit.Take(e.item.Team, counted(1, needs)) {
 		return out
 	}
 	out = p.place(e, row, out)
@@ -95,8 +98,14 @@
 
 // tryGang starts all tasks of a gang or none.
 func (p *pool) tryGang(e *entry, out []Decision) []Decision {
-	before, n := len(out), int64(len(e.pending))
-	if e.broken || !p.limit.Take(e.item.Team, n) {
+	before, n := len(out), counted(len(e.pending), e.granted)
+	if e.broken {
+		return out
+	}
+	if !p.limit.Take(e.item.Team, n) {
+		if p.reserved.entry == e { // others may use what the gang can't
+			p.reserved.release()
+		}
 		return out
 	}
 	for len(e.pending) > 0 {
--- a/placer/internal/sched/item.go
+++ b/placer/internal/sched/item.go
@@ -31,6 +31,14 @@
 	return max(i.Tasks, 1)
 }
 
+// together returns how many of its tasks start at once or not at all.
+func (i *Item) together() int {
+	if i.Kind == wire.Gang {
+		return i.count()
+	}
+	return 1
+}
+
 func (i *Item) numbers() []int {
 	if i.Numbers != nil {
 		return append([]int(nil), i.Numbers...)
--- a/placer/internal/sched/pool.go
+++ b/placer/internal/sched/pool.go
@@ -107,7 +107,7 @@
 	for len(p.hosted[row]) > 0 {
 		r := p.hosted[row][0]
 		p.release(r)
-		p.limit.Pass(r.entry.item.Team, 1, heir)
+		p.limit.Pass(r.entry.item.Team, counted(1, r.needs), heir)
 		if r.entry.gang() {
 			r.entry.pending = nil // no longer known as a whole
 		}
--- a/placer/internal/sched/property_test.go
+++ b/placer/internal/sched/property_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/balsamford/balsamford/coord/parts"
 	"github.com/balsamford/balsamford/coord/point"
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/coord/wire"
@@ -15,19 +16,29 @@
 
 // cap is a limit that may be exceeded by adoption only.
 type capped struct {
-	most, used map[string]int64
+	most map[string]parts.Bound
+	used map[string]parts.Amount
 }
 
-func (c *capped) Take(team string, n int64) bool {
-	if c.used[team]+n > c.most[team] {
+func (c *capped) Exceeded(team string, n parts.Amount) (name string, limit int64, ok bool) {
+	return c.most[team].Exceeded(n)
+}
+
+func (c *capped) Room(team string, n parts.Amount) bool {
+	_, _, over := c.most[team].Exceeded(c.used[team].Add(n))
+	return !over
+}
+
+func (c *capped) Take(team string, n parts.Amount) bool {
+	if !c.Room(team, n) {
 		return false
 	}
-	c.used[team] += n
+	c.used[team] = c.used[team].Add(n)
 	return true
 }
-func (c *capped) Give(team string, n int64)           { c.used[team] -= n }
-func (c *capped) Adopt(team string, n int64)          { c.used[team] += n }
-func (c *capped) Pass(team string, n int64, _ string) { c.used[team] -= n }
+func (c *capped) Give(team string, n parts.Amount)           { c.used[team] = c.used[team].Sub(n) }
+func (c *capped) Adopt(team string, n parts.Amount)          { c.used[team] = c.used[team].Add(n) }
+func (c *capped) Pass(team string, n parts.Amount, _ string) { c.Give(team, n) }
 
 // world is what really runs.
 type world struct {
@@ -43,9 +54,12 @@
 }
 
 func newWorld(t *rapid.T) *world {
+	tight := parts.AtMost(9)
+	tight.Set(parts.CPU, 15)
+	tight.Set(parts.Mem, 10)
 	w := &world{
 		t: t, clock: manual(), items: map[string]Item{}, runs: map[taskKey]Decision{}, hosts: map[string]wire.Needs{},
-		limit: &capped{map[string]int64{"a": 9, "b": 1000}, map[string]int64{}},
+		limit: &capped{map[string]parts.Bound{"a": tight, "b": parts.AtMost(1000)}, map[string]parts.Amount{}},
 	}
 	aim := rapid.SampledFrom([]Aim{AimWait, AimShare}).Draw(t, "aim")
 	w.s = New(WithTimer(w.clock), WithLimit(w.limit), WithPolicy(Policy{Aim: aim, Headroom: 0.1, Preempt: true}))
@@ -173,10 +187,11 @@
 
 func (w *world) check(t *rapid.T) {
 	given := map[string]wire.Needs{}
-	running := map[string]int64{}
+	running := map[string]parts.Amount{}
 	for k, d := range w.runs {
 		given[d.Endpoint] = given[d.Endpoint].Add(d.Needs)
-		running[w.items[k.id].Team]++
+		team := w.items[k.id].Team
+		running[team] = running[team].Add(counted(1, d.Needs))
 	}
 	for name, n := range given {
 		if !n.Fits(w.hosts[name]) {
@@ -187,8 +202,8 @@
 		}
 	}
 	for team, n := range running {
-		if n != w.limit.used[team] || n > w.limit.most[team] {
-			t.Fatalf("team %s runs %d, the limit counts %d of %d", team, n, w.limit.used[team], w.limit.most[team])
+		if _, _, over := w.limit.Exceeded(team, n); over || n != w.limit.used[team] {
+			t.Fatalf("team %s runs %v, the limit counts %v of %v", team, n, w.limit.used[team], w.limit.most[team])
 		}
 	}
 }
--- a/placer/internal/sched/settle.go
+++ b/placer/internal/sched/settle.go
@@ -28,7 +28,7 @@
 	e.take(t.Number)
 	r := p.hold(e, t.Number, t.Attempt, row, t.Needs, p.timer.Now().Add(-t.Age))
 	r.started = true
-	p.limit.Adopt(t.Team, 1)
+	p.limit.Adopt(t.Team, counted(1, t.Needs))
 	p.close(e)
 	return true
 }
@@ -79,7 +79,7 @@
 	}
 	e := r.entry
 	p.release(r)
-	p.limit.Give(e.item.Team, 1)
+	p.limit.Give(e.item.Team, counted(1, r.needs))
 	if e.cancelled || e.gang() && e.adopted {
 		p.close(e)
 		return true
@@ -132,7 +132,7 @@
 		p.learner.Ran(e.item.Team, e.item.Name, e.item.Runtime, p.timer.Now().Sub(r.start))
 	}
 	p.release(r)
-	p.limit.Give(e.item.Team, 1)
+	p.limit.Give(e.item.Team, counted(1, r.needs))
 	again := pending{number, r.attempt + 1}
 	switch {
 	case e.cancelled || e.adopted:
--- a/placer/internal/sched/shortage.go
+++ b/placer/internal/sched/shortage.go
@@ -24,6 +24,9 @@
 			return
 		}
 	}
+	if e.item.Kind != wire.Gang && !p.limit.Room(e.item.Team, counted(1, e.granted)) {
+		return // its team's limit is used up, so nobody need yield to it
+	}
 	p.pass.shortages = append(p.pass.shortages, shortage{p.team(e.item.Team), e.granted})
 }
 
--- a/placer/internal/sched/shortage_test.go
+++ b/placer/internal/sched/shortage_test.go
@@ -7,16 +7,18 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/balsamford/balsamford/coord/parts"
 	"github.com/balsamford/balsamford/coord/point"
 	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/placer/internal/cell"
 )
 
 // crowd is a placer of four workers that team "many" fills with small tasks
 // while more of them wait.
-func crowd(t *testing.T, p Policy) *Scheduler {
+func crowd(t *testing.T, p Policy, opts ...Option) *Scheduler {
 	t.Helper()
 	is := is.New(t)
-	s := New(WithTimer(manual()), WithPolicy(p))
+	s := New(append(opts, WithTimer(manual()), WithPolicy(p))...)
 	for i := range 4 {
 		s.Join(Endpoint{Name: "w" + strconv.Itoa(i), Kind: point.Worker, Capacity: wire.Needs{CPU: 8000, Accel: int64(i / 3)}})
 	}
@@ -50,6 +52,70 @@
 	return started
 }
 
+// A team whose limit is used up holds nobody back: no team yields to it, no
+// task is checkpointed for it, and no endpoint is kept for its gang.
+func TestUsedLimitHoldsNobodyBack(t *testing.T) {
+	urgent := batch("held", "few", 8000, 1)
+	urgent.Urgent = true
+	tests := map[string]Item{
+		"large task": batch("held", "few", 8000, 1), "urgent task": urgent, "gang": gang("held", "few", 8000, 2),
+	}
+	for name, item := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := &capped{map[string]parts.Bound{"few": parts.AtMost(2)}, map[string]parts.Amount{}}
+			s := crowd(t, Policy{Aim: AimShare, Preempt: true}, WithLimit(c))
+			is.NoErr(s.Submit(item))
+			c.Adopt("few", parts.Count(2)) // what runs elsewhere
+			s.workers.reserved.entry = s.workers.entries["held"]
+			s.workers.reserved.rows = map[*cell.Row]bool{s.workers.table.Row("w0"): true}
+			s.workers.reserved.until = s.workers.timer.Now().Add(reservePeriod)
+			for _, d := range s.Decide() {
+				is.True(!d.Preempt)
+			}
+			if item.Kind != wire.Gang {
+				s.workers.reserved.release()
+			}
+			small := 0
+			for _, n := range endOldest(s, 16) {
+				small += n
+			}
+			is.Equal(small, 16) // each gap is filled at once
+		})
+	}
+}
+
+// What needs more than its team's whole limit never runs, so it is refused.
+func TestAboveWholeLimit(t *testing.T) {
+	accel := func(item Item, n int64) Item { item.Needs.Accel = n; return item }
+	tests := map[string]struct {
+		item Item
+		want string
+	}{
+		"fits":              {accel(batch("j", "t", 1, 100), 4), ""},
+		"task":              {accel(batch("j", "t", 1, 1), 5), "request j refused: never: what it needs at once exceeds the limit of team t: 4 accel"},
+		"gang":              {accel(gang("j", "t", 1, 5), 1), "request j refused: never: what it needs at once exceeds the limit of team t: 4 accel"},
+		"team without one":  {accel(gang("j", "u", 1, 5), 1), ""},
+		"another resource":  {gang("j", "t", 1000, 5), ""},
+		"exactly the limit": {accel(gang("j", "t", 1, 4), 1), ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := parts.AtMost(100)
+			b.Set(parts.Accel, 4)
+			s := New(WithTimer(manual()), WithLimit(&capped{map[string]parts.Bound{"t": b, "u": parts.AtMost(5)}, map[string]parts.Amount{}}))
+			s.Join(Endpoint{Name: "w", Kind: point.Worker, Capacity: wire.Needs{CPU: 9000, Accel: 8}})
+			err := s.Submit(tt.item)
+			if tt.want == "" {
+				is.NoErr(err)
+				return
+			}
+			is.Equal(err.Error(), tt.want)
+		})
+	}
+}
+
 func TestSmallTasksYieldToLargeOnes(t *testing.T) {
 	accel := batch("large", "few", 4000, 1)
 	accel.Needs.Accel = 1
--- a/placer/internal/sched/submit.go
+++ b/placer/internal/sched/submit.go
@@ -51,9 +51,18 @@
 			}
 		}
 	}
+	if name, limit, over := p.exceeded(item, item.Needs); over {
+		return refuse(wire.ReasonNever, "what it needs at once exceeds the limit of team "+item.Team+": "+strconv.FormatInt(limit, 10)+" "+name)
+	}
 	return p.fits(item, refuse)
 }
 
+// exceeded returns the resource of which the tasks of an item that start
+// together take more than their team's whole limit.
+func (p *pool) exceeded(item *Item, needs wire.Needs) (name string, limit int64, over bool) {
+	return p.limit.Exceeded(item.Team, counted(item.together(), needs))
+}
+
 // fits refuses what no endpoint of the placer could ever run.
 func (p *pool) fits(item *Item, refuse func(reason, detail string) error) error {
 	if len(p.table.Rows()) == 0 {
@@ -69,7 +78,8 @@
 }
 
 // expect returns what to grant each task of an item and how long it is
-// expected to run. A size that fits no endpoint is left as declared.
+// expected to run. A size that fits no endpoint or no limit is left as
+// declared.
 func (p *pool) expect(item *Item) (wire.Needs, time.Duration) {
 	run := item.Runtime
 	if run <= 0 {
@@ -79,11 +89,10 @@
 		return item.Needs, run
 	}
 	needs := p.learner.Size(item.Team, item.Name, item.Needs)
-	most := item.count()
-	if item.Kind != wire.Gang {
-		most = 1
+	if most := item.together(); p.table.Slots(needs, most) < most {
+		needs = item.Needs
 	}
-	if p.table.Slots(needs, most) < most {
+	if _, _, over := p.exceeded(item, needs); over {
 		needs = item.Needs
 	}
 	return needs, p.learner.Runtime(item.Team, item.Name, run)
--- a/trial/load/facts.go
+++ b/trial/load/facts.go
@@ -21,8 +21,8 @@
 func Limits(set *config.Set) []judge.Limit {
 	limits := make([]judge.Limit, 0)
 	for _, ref := range set.Refs() {
-		if l, ok := set.Object(ref).(*config.Limit); ok {
-			limits = append(limits, judge.Limit{Team: l.Team, Tasks: int(l.Tasks), From: time.Time{}})
+		if l, ok := set.Object(ref).(*config.Limit); ok && l.Tasks != nil {
+			limits = append(limits, judge.Limit{Team: l.Team, Tasks: int(*l.Tasks), From: time.Time{}})
 		}
 	}
 	return limits
