Gather scattered parts for a task that no single part has room for

Cause: a part of 3 accelerators in each of 4 zones can't start a task of 8 though the limit has 12. Each placer with such a task kept what it had for its own demand, other placers kept their spares, and no zone gave its standing part, so a need of the whole limit never ran and several needs of half of it blocked one another for good.

Change: what was refused for 5 s and is more than one piece is written into the holder's record, with a turn. The least turn takes all that nobody holds; the others give back what they have free of those resources and claim none. A turn ends with the start or after 2 minutes, dead holders' too. Single tasks and accelerators are never told, so teams of those write nothing more.

Seen failing, each left out alone: telling, pulling standing parts, giving spares back, yielding, keeping what was gathered, taking a told need back at once (TestScatteredPartsAreGathered); both ends of a turn (TestTurnsEnd).

Others than the gatherer wait for up to 2 minutes for parts that it can't use; what they hold they go on using.

--- a/coord/parts/account.go
+++ b/coord/parts/account.go
@@ -25,7 +25,9 @@
 type Entry struct {
 	Round uint64 `cbor:"round"` // in which it was recorded
 	Held  Amount `cbor:"held"`
-	Seq   uint64 `cbor:"seq"` // of the holder's last write
+	Seq   uint64 `cbor:"seq"`            // of the holder's last write
+	Want  Amount `cbor:"want,omitzero"`  // needed as a whole
+	Turn  uint64 `cbor:"turn,omitempty"` // in which it gathers that; the least is next, 0 is none
 }
 
 // Handed returns the sum of the zones' parts.
@@ -98,8 +100,8 @@
 
 // pull raises a zone's part of resource i by up to n, out of what no zone has
 // and out of what other zones neither hold nor keep standing, and returns by
-// how much.
-func (a *Account) pull(z *Zone, i int, n int64) int64 {
+// how much. If all is true, nothing is kept standing.
+func (a *Account) pull(z *Zone, i int, n int64, all bool) int64 {
 	left := -a.over()[i]
 	got := max(min(n, left), 0)
 	z.Part[i] += got
@@ -111,7 +113,11 @@
 		if !ok {
 			continue
 		}
-		k := max(min(n-got, free[i], other.Part[i]-other.Standing[i]), 0)
+		keep := other.Standing[i]
+		if all {
+			keep = 0
+		}
+		k := max(min(n-got, free[i], other.Part[i]-keep), 0)
 		other.Part[i] -= k
 		z.Part[i] += k
 		got += k
--- a/coord/parts/holder.go
+++ b/coord/parts/holder.go
@@ -94,14 +94,14 @@
 // if it doesn't fit the holder's part of each resource.
 func (h *Holder) Take(team string, n Amount) bool {
 	s, limited := h.find(team)
-	return s.take(n, limited)
+	return s.take(n, limited, h.timer)
 }
 
 // Room reports what Take would, and counts nothing. A part that has room isn't
 // idle.
 func (h *Holder) Room(team string, n Amount) bool {
 	s, limited := h.find(team)
-	return s.room(n, limited, h.timer.Now())
+	return s.room(n, limited, h.timer)
 }
 
 // Give counts n less, whose tasks are known to have ended or never to start.
@@ -168,3 +168,13 @@
 	defer s.mu.Unlock()
 	return s.short
 }
+
+// Done reports whether the row still has something that a team needed as a
+// whole although it has started or is given up, so that others wait for
+// nothing.
+func (h *Holder) Done(team string) bool {
+	s := h.split(team)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.told && s.large.lapsed(h.timer.Now())
+}
--- a/coord/parts/move.go
+++ b/coord/parts/move.go
@@ -21,7 +21,8 @@
 }
 
 // Serve answers another holder's Ask. The holder keeps half of what it has
-// free, but gives all that passed tasks took to who runs them.
+// free, but gives all that passed tasks took to who runs them. If it is its turn
+// to gather parts, it keeps what it needs as a whole.
 func (h *Holder) Serve(a Ask) Grant {
 	s := h.split(a.Team)
 	s.mu.Lock()
@@ -37,7 +38,11 @@
 		return answer
 	}
 	parked := a.Want.least(a.Debt).least(s.parked).most(Amount{})
-	half := s.free().Add(ones).Over(halves)
+	spare := s.free()
+	if s.large.first == h.name {
+		spare = spare.Sub(s.large.need)
+	}
+	half := spare.Add(ones).Over(halves)
 	n := parked.Add(a.Want.Sub(parked).least(half).most(Amount{}))
 	s.parked = s.parked.Sub(parked)
 	s.part = s.part.Sub(n)
--- a/coord/parts/parts_test.go
+++ b/coord/parts/parts_test.go
@@ -539,3 +539,49 @@
 		})
 	}
 }
+
+// Who gathers parts and doesn't get all of them, or is dead, keeps others from
+// theirs for a while only.
+func TestTurnsEnd(t *testing.T) {
+	tests := map[string]struct {
+		runs, ends int64 // of the limit of 12 at a third holder, before the turn and in it
+		dead       bool
+	}{
+		"can't have it all": {6, 0, false},
+		"dead":              {12, 12, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx := context.Background()
+			table, clock := store.New(), timer.New(timer.WithManual(time.Unix(0, 0)))
+			_, err := SetLimit(ctx, table, team, AtMost(12), []string{"a", "b", "c"})
+			is.NoErr(err)
+			first, next, busy := New("1", "a", WithTimer(clock)), New("2", "b", WithTimer(clock)), New("3", "c", WithTimer(clock))
+			settle := func(h *Holder) { is.NoErr(h.Settle(ctx, table, team, Amount{})) }
+			for !busy.Take(team, Count(tt.runs)) {
+				settle(busy)
+				clock.Advance(time.Second)
+			}
+			for range 10 {
+				is.True(!first.Take(team, Count(8)))
+				settle(first)
+				clock.Advance(time.Second)
+			}
+			busy.Give(team, Count(tt.ends))
+			at, started := clock.Boot(), false
+			for !started && clock.Boot()-at < 3*gatherTime {
+				if !tt.dead {
+					first.Take(team, Count(8))
+					settle(first)
+				}
+				settle(busy)
+				clock.Advance(time.Second)
+				started = next.Take(team, Count(6))
+				settle(next)
+			}
+			is.True(started)
+			is.True(clock.Boot()-at > gatherTime/2) // it was somebody's turn
+		})
+	}
+}
--- a/coord/parts/settle.go
+++ b/coord/parts/settle.go
@@ -103,8 +103,12 @@
 	if !s.written && !p.joins {
 		e.Round, e.Held, p.record = s.round, s.record, true
 	}
-	h.trim(s, a, z, e, p, spare)
-	h.claim(s, a, z, e, p, spare)
+	theirs, mine := h.tell(s, a, e, p)
+	if mine {
+		s.demand, spare = s.demand.most(a.dims().only(s.large.need)), Amount{}
+	}
+	h.trim(s, a, z, e, p, spare, theirs)
+	h.claim(s, a, z, e, p, spare, theirs, mine)
 	h.recount(s, z, p)
 	if *p == (proposal{}) && a.Accepted() {
 		s.demand = Amount{} // what is refused still will be noted again
@@ -132,8 +136,9 @@
 	p.joins = true
 }
 
-// trim returns what the holder doesn't need.
-func (h *Holder) trim(s *split, a *Account, z *Zone, e *Entry, p *proposal, spare Amount) {
+// trim returns what the holder doesn't need, and all that it has free of what
+// another gathers.
+func (h *Holder) trim(s *split, a *Account, z *Zone, e *Entry, p *proposal, spare, theirs Amount) {
 	idle, over := h.timer.Now().Sub(s.needed) >= keepTime, a.over()
 	for i := range size {
 		if !a.dims().Has(i) {
@@ -141,9 +146,13 @@
 		}
 		keep, now := spare[i], idle
 		if over[i] > 0 {
-			keep, now, s.demand[i] = 0, true, 0
+			s.demand[i] = 0
+		}
+		demand := s.demand[i]
+		if over[i] > 0 || theirs[i] > 0 {
+			keep, now, demand = 0, true, 0
 		}
-		if n := s.free()[i] - keep - s.demand[i]; now && n > keep && n > 0 {
+		if n := s.free()[i] - keep - demand; now && n > keep && n > 0 {
 			s.part[i] -= n
 			s.back[i] += n
 		}
@@ -154,8 +163,9 @@
 	}
 }
 
-// claim covers what runs above the part, then takes what the holder lacks.
-func (h *Holder) claim(s *split, a *Account, z *Zone, e *Entry, p *proposal, spare Amount) {
+// claim covers what runs above the part, then takes what the holder lacks and
+// no other gathers. If mine is true, it is the holder that gathers.
+func (h *Holder) claim(s *split, a *Account, z *Zone, e *Entry, p *proposal, spare, theirs Amount, mine bool) {
 	slack, ok := z.slack()
 	s.short = false
 	for i := range size {
@@ -164,7 +174,7 @@
 		}
 		short := s.demand[i] > s.free()[i]
 		if ok {
-			short = s.claim(a, z, e, p, i, slack[i], spare[i])
+			short = s.claim(a, z, e, p, i, slack[i], spare[i], theirs[i] > 0, mine)
 		}
 		s.short = s.short || short
 	}
@@ -172,9 +182,9 @@
 
 // claim does for one resource what Holder.claim does for all. It reports
 // whether more is lacking still.
-func (s *split) claim(a *Account, z *Zone, e *Entry, p *proposal, i int, slack, spare int64) (short bool) {
+func (s *split) claim(a *Account, z *Zone, e *Entry, p *proposal, i int, slack, spare int64, yields, mine bool) (short bool) {
 	if slack < 0 {
-		got := a.pull(z, i, -slack)
+		got := a.pull(z, i, -slack, false)
 		if slack += got; got > 0 {
 			p.pulled = true
 		}
@@ -183,12 +193,12 @@
 		p.owed[i] = s.owed[i] + min(slack, 0)
 	}
 	lack := s.demand[i] - s.free()[i] - p.owed[i]
-	if lack <= 0 || slack < 0 || a.over()[i] > 0 {
+	if lack <= 0 || slack < 0 || a.over()[i] > 0 || yields {
 		return s.demand[i] > s.free()[i]
 	}
 	lack += spare
 	got := min(lack, slack)
-	got += a.pull(z, i, lack-got)
+	got += a.pull(z, i, lack-got, mine)
 	e.Held[i] += got
 	p.gain[i] = got
 	if got > 0 {
--- a/coord/parts/split.go
+++ b/coord/parts/split.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/balsamford/balsamford/coord/timer"
 )
 
 // split is what a holder has of one team's limit.
@@ -20,6 +22,8 @@
 	short  bool            // the last Settle didn't cover all that was lacking
 	demand Amount          // what was refused since the last Settle
 
+	large   large
+	told    bool // whether the row has what the holder needs as a whole
 	joined  bool
 	round   uint64
 	record  Amount // held when the round was entered
@@ -48,6 +52,7 @@
 	back    Amount
 	owed    Amount
 	pulled  bool // the zone got more
+	told    bool // what the holder needs as a whole has changed
 	record  bool
 	joins   bool
 	next    uint64 // the round that the write started, or 0
@@ -65,33 +70,35 @@
 
 // take counts n if it fits the part of each resource that is limited. What n
 // doesn't need can't keep it from starting.
-func (s *split) take(n Amount, limited Dims) bool {
+func (s *split) take(n Amount, limited Dims, t *timer.Service) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.fits(n, limited) {
+	if !s.fits(n, limited, t) {
 		return false
 	}
 	s.used = s.used.Add(n)
+	s.large.start(limited.only(n))
 	return true
 }
 
 // room reports what take would.
-func (s *split) room(n Amount, limited Dims, now time.Time) bool {
+func (s *split) room(n Amount, limited Dims, t *timer.Service) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.fits(n, limited) {
+	if !s.fits(n, limited, t) {
 		return false
 	}
-	s.needed = now
+	s.needed = t.Now()
 	return true
 }
 
 // fits reports whether n fits; if it doesn't, it is noted as refused.
-func (s *split) fits(n Amount, limited Dims) bool {
+func (s *split) fits(n Amount, limited Dims, t *timer.Service) bool {
 	free := s.free()
 	for i, k := range n {
 		if k > 0 && free[i] < k && limited.Has(i) {
 			s.demand = s.demand.most(limited.only(n))
+			s.large.refuse(limited.only(n), t.Now())
 			return false
 		}
 	}
--- a/placer/internal/borrow/mover.go
+++ b/placer/internal/borrow/mover.go
@@ -102,7 +102,7 @@
 	lacked := false
 	for round := 1; m.wait(ctx, !lacked); round++ {
 		m.ask(ctx)
-		lacked = len(m.keeper.Wants()) > 0
+		lacked = m.keeper.Lacks()
 		if !lacked {
 			gap = wantRounds
 		}
--- a/placer/internal/limit/keeper.go
+++ b/placer/internal/limit/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -122,6 +123,15 @@
 // Wants returns by how much tasks of each team lack room.
 func (k *Keeper) Wants() map[string]parts.Amount { return k.holder.Wants() }
 
+// Lacks reports whether a team lacks room, or others still leave parts to one
+// that lacks room no more.
+func (k *Keeper) Lacks() bool {
+	if len(k.holder.Wants()) > 0 {
+		return true
+	}
+	return slices.ContainsFunc(k.holder.Teams(), k.holder.Done)
+}
+
 // Settle brings parts into line with the platform: those of teams that lack
 // room, whose limit has changed, or that weren't settled for half a minute.
 func (k *Keeper) Settle(ctx context.Context, t parts.Table) error {
@@ -159,7 +169,10 @@
 	for team, limit := range k.limits {
 		last, ok := k.last[team]
 		wait := settlePeriod
-		if wants[team].Any() {
+		switch {
+		case k.holder.Done(team):
+			wait = settlePause
+		case wants[team].Any():
 			wait = k.pause[team]
 		}
 		if !ok || now.Sub(last) >= wait {
--- a/placer/internal/limit/keeper_test.go
+++ b/placer/internal/limit/keeper_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -51,10 +53,105 @@
 	is.Equal(running, 5)
 }
 
+// Parts that are scattered over zones and placers, each wanted by all for one
+// task that needs more, are gathered by one after another. "all" needs what the
+// zones keep standing too.
+func TestScatteredPartsAreGathered(t *testing.T) {
+	tests := map[string]struct {
+		limit   int64
+		zones   []string // of the placers
+		kind    wire.Kind
+		tasks   int
+		accel   int64
+		waiting int // placers with such a task
+	}{
+		"8 of 12, four zones":            {12, []string{"a", "b", "c", "d"}, wire.Batch, 1, 8, 4},
+		"12 of 12, four zones":           {12, []string{"a", "b", "c", "d"}, wire.Batch, 1, 12, 4},
+		"12 of 12, one waits":            {12, []string{"a", "b", "c", "d"}, wire.Batch, 1, 12, 1},
+		"8 of 12, one zone":              {12, []string{"a", "a", "a", "a"}, wire.Batch, 1, 8, 4},
+		"12 of 12, two zones":            {12, []string{"a", "b", "a", "b"}, wire.Batch, 1, 12, 4},
+		"gang of 5 with 2, two zones":    {12, []string{"a", "b", "a", "b"}, wire.Gang, 5, 2, 4},
+		"gang of 12 with 1, three zones": {12, []string{"a", "b", "c", "b"}, wire.Gang, 12, 1, 4},
+		"64 of 64, all keep spares":      {64, slices.Repeat([]string{"a", "b", "c", "d"}, 6), wire.Batch, 1, 64, 24},
+		"8 of 64, all want them":         {64, slices.Repeat([]string{"a", "b", "c", "d"}, 6), wire.Batch, 1, 8, 24},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx := context.Background()
+			table, clock := &counting{Memory: store.New()}, timer.New(timer.WithManual(time.Unix(0, 0)))
+			limit := parts.AtMost(100)
+			limit.Set(parts.Accel, tt.limit)
+			keepers := make(map[string]*Keeper)
+			scheds := make(map[string]*sched.Scheduler)
+			peers := make(map[string][]string)
+			var names []string
+			for i, zone := range tt.zones {
+				name := "p" + strconv.Itoa(i)
+				k := New(name, zone, clock)
+				k.Configure(map[string]parts.Bound{"t": limit})
+				_, err := k.Publish(ctx, table, tt.zones[:min(len(tt.zones), 4)])
+				is.NoErr(err)
+				s := sched.New(sched.WithTimer(clock), sched.WithLimit(k))
+				s.Join(sched.Endpoint{Name: "w", Kind: point.Worker, Capacity: wire.Needs{CPU: 1000, Accel: 64}})
+				for j, other := range tt.zones {
+					if other == zone && j != i {
+						peers[name] = append(peers[name], "p"+strconv.Itoa(j))
+					}
+				}
+				names, keepers[name], scheds[name] = append(names, name), k, s
+				is.True(!k.Take("t", parts.Amount{parts.Tasks: 1, parts.Accel: 3})) // the parts of 3 that lie about
+				is.NoErr(k.Settle(ctx, table))
+			}
+			for i, name := range names[:tt.waiting] {
+				is.NoErr(scheds[name].Submit(sched.Item{
+					ID: "j" + strconv.Itoa(i), Team: "t", Kind: tt.kind, Needs: wire.Needs{CPU: 1, Accel: tt.accel}, Tasks: tt.tasks,
+				}))
+			}
+			started, running, most := 0, map[string][]sched.Decision{}, int64(0)
+			for range 30 * 60 * 5 { // 30 minutes of rounds of 200 ms
+				clock.Advance(200 * time.Millisecond)
+				held := int64(0)
+				for _, name := range names {
+					for _, d := range running[name] {
+						scheds[name].Ended(d.ID, d.Task, true)
+					}
+					running[name] = scheds[name].Decide()
+					started += len(running[name])
+					for _, r := range keepers[name].Asks(peers[name]) {
+						if confirm := keepers[name].Accept(keepers[r.Peer].Serve(r.Ask)); confirm != nil {
+							keepers[r.Peer].Serve(confirm.Ask)
+						}
+					}
+					is.NoErr(keepers[name].Settle(ctx, table))
+				}
+				for _, list := range running {
+					for _, d := range list {
+						held += d.Needs.Accel
+					}
+				}
+				most = max(most, held)
+				if started == tt.waiting*tt.tasks {
+					break
+				}
+			}
+			is.True(most <= tt.limit)
+			is.Equal(started, tt.waiting*tt.tasks)
+			is.True(table.writes <= 15*len(names)) // more if they took parts from one another all the time
+			t.Logf("all started after %v, with %d writes", clock.Boot(), table.writes)
+		})
+	}
+}
+
 // counting counts what reaches the platform.
 type counting struct {
 	*store.Memory
-	reads int
+	reads, writes int
+}
+
+func (c *counting) Commit(ctx context.Context, ops []store.Op) error {
+	c.writes++
+	return c.Memory.Commit(ctx, ops)
 }
 
 func (c *counting) Get(ctx context.Context, table, key string) (store.Row, error) {
