Bring lowered limits into force under load, and a team's first part at once

Cause, lowered limits: what ended at a placer with a part made room for its next waiting task in the same pass, so the parts of a busy team never came back: a lowered limit wasn't accepted while there was work, and more started above it. A placer heard a lowered limit up to 15 s late if the team lacked room already. Cause, first requests: a look at the accounts at once was only asked for while no team lacked room, and it then came a period of 200 ms or more late. With several teams' first requests close together each waited for the periods of those before it.

Change: from the look at an account whose parts exceed the limit until they fit, nothing that needs the resource starts and what ends is given back; such an account is looked at each 5 s. A changed limit is looked at at once and until the account has it. Each team that begins to lack room is signalled by itself and looked up at once.

--- a/coord/parts/account.go
+++ b/coord/parts/account.go
@@ -58,6 +58,17 @@
 // resource; it is negative where they are below it, and 0 without a limit.
 func (a *Account) over() Amount { return a.dims().only(a.Handed().Sub(a.Limit)) }
 
+// exceeded returns the resources of which more is handed out than the limit.
+func (a *Account) exceeded() Dims {
+	var d Dims
+	for i, n := range a.over() {
+		if n > 0 {
+			d |= DimsOf(i)
+		}
+	}
+	return d
+}
+
 // zone returns a zone, made if need be.
 func (a *Account) zone(name string) *Zone {
 	z := a.Zones[name]
--- a/coord/parts/holder.go
+++ b/coord/parts/holder.go
@@ -178,3 +178,12 @@
 	defer s.mu.Unlock()
 	return s.told && s.large.lapsed(h.timer.Now())
 }
+
+// Seen returns the limit that the last Settle found in a team's row, and
+// whether more than that was handed out.
+func (h *Holder) Seen(team string) (limit Bound, over bool) {
+	s := h.split(team)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bound, s.over != 0
+}
--- a/coord/parts/settle.go
+++ b/coord/parts/settle.go
@@ -92,6 +92,7 @@
 	if e != nil {
 		s.resolve(e.Seq, h.timer.Now())
 	}
+	s.bound, s.over = a.Bound(), a.exceeded()
 	p := &proposal{}
 	switch {
 	case e == nil:
--- a/coord/parts/split.go
+++ b/coord/parts/split.go
@@ -23,7 +23,9 @@
 	demand Amount          // what was refused since the last Settle
 
 	large   large
-	told    bool // whether the row has what the holder needs as a whole
+	bound   Bound // the limit in the row seen last
+	over    Dims  // resources of which more was handed out there than the limit
+	told    bool  // whether the row has what the holder needs as a whole
 	joined  bool
 	round   uint64
 	record  Amount // held when the round was entered
@@ -92,9 +94,16 @@
 	return true
 }
 
-// fits reports whether n fits; if it doesn't, it is noted as refused.
+// fits reports whether n fits; if it doesn't, it is noted as refused. Of a
+// resource whose limit was lowered nothing fits before the parts handed out
+// do, or what ends would make room for the next here and never come back.
 func (s *split) fits(n Amount, limited Dims, t *timer.Service) bool {
 	free := s.free()
+	for i, k := range n {
+		if k > 0 && limited.Has(i) && s.over.Has(i) {
+			return false
+		}
+	}
 	for i, k := range n {
 		if k > 0 && free[i] < k && limited.Has(i) {
 			s.demand = s.demand.most(limited.only(n))
--- a/placer/internal/borrow/mover.go
+++ b/placer/internal/borrow/mover.go
@@ -99,15 +99,20 @@
 // Run works until ctx ends. It always returns nil.
 func (m *Mover) Run(ctx context.Context) error {
 	gap, due := wantRounds, wantRounds
-	lacked := false
-	for round := 1; m.wait(ctx, !lacked); round++ {
+	fresh := false
+	for round := 1; m.wait(ctx, &fresh); round++ {
 		m.ask(ctx)
-		lacked = m.keeper.Lacks()
+		m.keeper.Known(m.keeper.Wants())
+		lacked := m.keeper.Lacks()
 		if !lacked {
 			gap = wantRounds
 		}
+		if m.keeper.Changed() || fresh {
+			gap, due = wantRounds, round
+		}
 		if round >= due {
 			m.settle(ctx)
+			m.keeper.Known(m.keeper.Wants()) // what is refused from now on is new
 			gap = min(2*gap, settleRounds)
 			due = round + gap
 		}
@@ -124,21 +129,19 @@
 	return nil
 }
 
-// wait waits for the next round, which comes at once when a team lacks room
-// for the first time. It reports false when ctx has ended.
-func (m *Mover) wait(ctx context.Context, early bool) bool {
+// wait waits for the next round, which comes at once, and is fresh, when a team
+// lacks room that didn't before. It reports false when ctx has ended.
+func (m *Mover) wait(ctx context.Context, fresh *bool) bool {
 	over := make(chan struct{})
 	t := m.pacer.After(askPeriod, func() { close(over) })
 	defer t.Stop()
-	lack := m.keeper.Lack()
-	if !early {
-		lack = nil
-	}
+	*fresh = false
 	select {
 	case <-ctx.Done():
 		return false
 	case <-over:
-	case <-lack:
+	case <-m.keeper.Lack():
+		*fresh = true
 	}
 	return true
 }
--- a/placer/internal/limit/keeper.go
+++ b/placer/internal/limit/keeper.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +18,10 @@
 // settlePause is the first pause after a settlement that gave too little.
 const settlePause = time.Second
 
+// overPause is the time between two settlements while a lowered limit waits
+// for parts to come back.
+const overPause = 5 * time.Second
+
 // spareParts is how much more than what runs a placer claims of a limit: one
 // part in so many.
 const spareParts = 64
@@ -35,6 +38,7 @@
 	last   map[string]time.Time     // when a team was settled
 	pause  map[string]time.Duration // after a settlement that gave a team too little
 	turn   int                      // of the peer that is asked next
+	fresh  bool                     // a limit has changed since Changed was called
 }
 
 // New returns a keeper without any part. The name must never come back.
@@ -54,6 +58,7 @@
 	for team, limit := range limits {
 		if old, ok := k.limits[team]; !ok || old != limit {
 			delete(k.last, team)
+			k.fresh = true
 		}
 	}
 	k.limits = limits
@@ -124,12 +129,28 @@
 func (k *Keeper) Wants() map[string]parts.Amount { return k.holder.Wants() }
 
 // Lacks reports whether a team lacks room, or others still leave parts to one
-// that lacks room no more.
+// that lacks room no more, or a changed limit isn't in force here yet.
 func (k *Keeper) Lacks() bool {
 	if len(k.holder.Wants()) > 0 {
 		return true
 	}
-	return slices.ContainsFunc(k.holder.Teams(), k.holder.Done)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for team, limit := range k.limits {
+		if seen, over := k.holder.Seen(team); over || seen != limit || k.holder.Done(team) {
+			return true
+		}
+	}
+	return false
+}
+
+// Changed reports whether a limit has changed since it was called last.
+func (k *Keeper) Changed() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	fresh := k.fresh
+	k.fresh = false
+	return fresh
 }
 
 // Settle brings parts into line with the platform: those of teams that lack
@@ -169,8 +190,11 @@
 	for team, limit := range k.limits {
 		last, ok := k.last[team]
 		wait := settlePeriod
+		seen, over := k.holder.Seen(team)
 		switch {
-		case k.holder.Done(team):
+		case over:
+			wait = overPause
+		case seen != limit || k.holder.Done(team):
 			wait = settlePause
 		case wants[team].Any():
 			wait = k.pause[team]
--- a/placer/internal/limit/keeper_test.go
+++ b/placer/internal/limit/keeper_test.go
@@ -53,6 +53,83 @@
 	is.Equal(running, 5)
 }
 
+// A limit is lowered while all placers run work at it and more waits. Nothing
+// starts above the new one once each placer has settled, nothing that runs is
+// stopped, the limit is accepted once what runs is under it, and is then used.
+func TestLimitLoweredUnderLoad(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	table, clock := store.New(), timer.New(timer.WithManual(time.Unix(0, 0)))
+	zones := []string{"a", "b", "c"}
+	bound := func(accel int64) map[string]parts.Bound {
+		b := parts.AtMost(100)
+		b.Set(parts.Accel, accel)
+		return map[string]parts.Bound{"t": b}
+	}
+	var keepers []*Keeper
+	var scheds []*sched.Scheduler
+	for i := range 6 {
+		k := New("p"+strconv.Itoa(i), zones[i%3], clock)
+		k.Configure(bound(40))
+		s := sched.New(sched.WithTimer(clock), sched.WithLimit(k))
+		s.Join(sched.Endpoint{Name: "w", Kind: point.Worker, Capacity: wire.Needs{CPU: 1000, Accel: 100}})
+		is.NoErr(s.Submit(sched.Item{ID: "j", Team: "t", Kind: wire.Batch, Needs: wire.Needs{CPU: 1, Accel: 1}, Tasks: 1000}))
+		keepers, scheds = append(keepers, k), append(scheds, s)
+	}
+	_, err := keepers[0].Publish(ctx, table, zones)
+	is.NoErr(err)
+	running, ends := 0, 0
+	round := func() (started int) {
+		clock.Advance(200 * time.Millisecond)
+		for i, k := range keepers {
+			for _, r := range k.Asks([]string{"p" + strconv.Itoa((i+3)%6)}) {
+				if confirm := k.Accept(keepers[(i+3)%6].Serve(r.Ask)); confirm != nil {
+					keepers[(i+3)%6].Serve(confirm.Ask)
+				}
+			}
+			is.NoErr(k.Settle(ctx, table))
+			for _, d := range scheds[i].Decide() {
+				started++
+				running++
+				ends++
+				clock.After(time.Duration(20000+ends*997%20000)*time.Millisecond, func() {
+					running--
+					scheds[i].Ended(d.ID, d.Task, true)
+				})
+			}
+		}
+		return started
+	}
+	for range 5 * 120 {
+		round()
+	}
+	is.Equal(running, 40)
+	for _, k := range keepers {
+		k.Configure(bound(16))
+	}
+	accepted, err := keepers[0].Publish(ctx, table, zones)
+	is.NoErr(err)
+	is.True(!accepted)
+	round()
+	for range 5 * 120 {
+		if started := round(); started > 0 {
+			is.True(running <= 16)
+		}
+		if accepted, err = parts.Accepted(ctx, table, "t"); accepted {
+			break
+		}
+	}
+	is.NoErr(err)
+	is.True(accepted)
+	is.True(running <= 16)
+	t.Logf("accepted %v after the publish", clock.Boot()-2*time.Minute)
+	for range 5 * 60 {
+		round()
+		is.True(running <= 16)
+	}
+	is.Equal(running, 16)
+}
+
 // Parts that are scattered over zones and placers, each wanted by all for one
 // task that needs more, are gathered by one after another. "all" needs what the
 // zones keep standing too.
