End a job that its team's whole limit can't hold

Cause: a job refused with never because it exceeds its team's whole limit was passed on to the next placer, whose endpoints had room for it; two placers handed it back and forth for good and its caller got no answer. TestPlacersKeepToProcessors, which runs two placers, found it.

Change: the refusal says that the team's limit is the reason, and the driver ends the job.

Seen failing: the test before the change (the caller got no reason), and with processors not counted.

--- a/placer/internal/jobs/submit.go
+++ b/placer/internal/jobs/submit.go
@@ -63,8 +63,8 @@
 // refused handles tasks that the scheduler didn't queue. What this placer's
 // endpoints can't run may fit those of another one.
 func (d *Driver) refused(ctx context.Context, j *job, e *sched.RefusedError) {
-	switch e.Reason {
-	case wire.ReasonDeadline:
+	switch {
+	case e.Reason == wire.ReasonDeadline, e.Team:
 		d.giveUp(j, e.Reason)
 	default:
 		if e.Reason == wire.ReasonNever || !d.queue.Fits(j.row.Request.Needs, 1) {
--- a/placer/internal/sched/errors.go
+++ b/placer/internal/sched/errors.go
@@ -5,6 +5,7 @@
 	ID     string
 	Reason string // a wire.Reason code: never, busy, deadline, limit or duplicate
 	Detail string // which resource, bound or limit
+	Team   bool   // its team's limit forbids it, at any placer
 }
 
 // Error implements error.
--- a/placer/internal/sched/submit.go
+++ b/placer/internal/sched/submit.go
@@ -52,7 +52,8 @@
 		}
 	}
 	if name, limit, over := p.exceeded(item, item.Needs); over {
-		return refuse(wire.ReasonNever, "what it needs at once exceeds the limit of team "+item.Team+": "+strconv.FormatInt(limit, 10)+" "+name)
+		detail := "what it needs at once exceeds the limit of team " + item.Team + ": " + strconv.FormatInt(limit, 10) + " " + name
+		return &RefusedError{ID: item.ID, Reason: wire.ReasonNever, Detail: detail, Team: true}
 	}
 	return p.fits(item, refuse)
 }
