--- a/entry/app_test.go
+++ b/entry/app_test.go
@@ -98,9 +98,10 @@
 	secret, digest := config.NewSecret("clerk")
 	operator, own := config.NewSecret("ana")
 	r.key, r.oper = secret, operator
+	hundred := int64(100)
 	objects := []config.Object{
 		&config.Team{Name: "red"}, &config.Key{Name: "clerk", Team: "red", Digest: digest}, &config.Queue{Name: "shop"},
-		&config.Key{Name: "ana", Role: config.RoleOperator, Digest: own}, &config.Limit{Name: "red", Team: "red", Tasks: 100},
+		&config.Key{Name: "ana", Role: config.RoleOperator, Digest: own}, &config.Limit{Name: "red", Team: "red", Tasks: &hundred},
 	}
 	edit := &config.Edit{ID: audit.NewID(time.Now()), Author: "ana", Base: config.AnyVersion, Action: audit.Set, Put: objects}
 	_, err := config.NewPublisher(memory, timer.New(), zap.NewNop()).Publish(context.Background(), edit)
--- a/entry/limit_test.go
+++ b/entry/limit_test.go
@@ -46,24 +46,24 @@
 	is := is.New(t)
 	r := newRig(t, 0, 20*time.Second)
 	r.until("ready", r.ready)
-	_, err := parts.SetLimit(t.Context(), r.memory, "red", 100, r.settings.Zones)
+	_, err := parts.SetLimit(t.Context(), r.memory, "red", parts.AtMost(100), r.settings.Zones)
 	is.NoErr(err)
 	h := parts.New("pa", "a")
-	h.Limit([]string{"red"})
-	is.True(!h.Take("red", 80)) // It asks for room.
-	is.NoErr(h.Settle(t.Context(), r.memory, "red", 0))
+	h.Limit(map[string]parts.Dims{"red": parts.DimsOf(parts.Tasks)})
+	is.True(!h.Take("red", parts.Count(80))) // It asks for room.
+	is.NoErr(h.Settle(t.Context(), r.memory, "red", parts.Amount{}))
 	part, _ := h.Part("red")
-	is.Equal(part, int64(80))
+	is.Equal(part[parts.Tasks], int64(80))
 	waited := false
 	last := r.lower("10", func(p *config.Progress) {
 		part, _ := h.Part("red")
-		is.True(!p.Accepted || part <= 10)
+		is.True(!p.Accepted || part[parts.Tasks] <= 10)
 		if len(p.Waits) == 0 {
 			return
 		}
 		waited = true
 		for range 4 { // A part that was needed lately goes back after a while.
-			is.NoErr(h.Settle(t.Context(), r.memory, "red", 0))
+			is.NoErr(h.Settle(t.Context(), r.memory, "red", parts.Amount{}))
 		}
 	})
 	is.True(waited)
--- a/trial/internal/faults/limit.go
+++ b/trial/internal/faults/limit.go
@@ -24,7 +24,7 @@
 	all := make([]*config.Limit, 0)
 	set := m.site.Book().Set()
 	for _, ref := range set.Refs() {
-		if l, ok := set.Object(ref).(*config.Limit); ok {
+		if l, ok := set.Object(ref).(*config.Limit); ok && l.Tasks != nil {
 			all = append(all, l)
 		}
 	}
@@ -42,8 +42,8 @@
 			return err
 		},
 		end: func(ctx context.Context) error {
-			m.limited(old.Team, int(old.Tasks)) // It may be in force before the operator hears of it.
-			if err := m.setLimit(ctx, second.Oper, old, int(old.Tasks)); err == nil {
+			m.limited(old.Team, int(*old.Tasks)) // It may be in force before the operator hears of it.
+			if err := m.setLimit(ctx, second.Oper, old, int(*old.Tasks)); err == nil {
 				return nil
 			}
 			return m.publish(ctx, func(ctx context.Context) (uint64, error) { return m.site.Book().Put(ctx, old) })
