Lend batch tasks to other placers of the zone

Change: once something waits for workers at the driver's placer, each newly submitted task that isn't urgent is lent to a placer drawn at random if fewer wait there. It waits in that placer's queue; its owner keeps room for 6 s after the driver's last word, the driver writes the attempt, the owner starts it under its own epoch and takes it from its part of the limit. The driver's word is held open for up to 0.4 s until there is room. Ends go first to the driver that had the task started. Taking over a job gives back what an earlier driver had booked or queued at the new one.

Seen failing: TestLentTasksRunOnce with room kept without an end, room not given back at a drop, and a launch that leaves what it took (7 tasks run where the limit allows 6); TestBatchTasksAtAnotherPlacer without lending. The property passes without the comparison of attempts, without taking what waits out of the queue before room is given back, and without requeueing what is no longer asked for: the endpoints' own fences and the expiry cover these, later.

--- a/placer/internal/bench/bench_test.go
+++ b/placer/internal/bench/bench_test.go
@@ -69,7 +69,10 @@
 		return sched.New(sched.WithTimer(c), sched.WithPolicy(policy(sched.AimShare, true, teams)))
 	})
 	for name, beat := range map[string]time.Duration{"share x8": share.Period, "share x8 1s": time.Second, "share x8 alone": 0} {
-		run(name, func(c *timer.Service) Engine { return NewFleet(8, beat, c, policy(sched.AimShare, false, teams)) })
+		run(name+" home", func(c *timer.Service) Engine { return NewFleet(8, beat, c, policy(sched.AimShare, false, teams)) })
+		run(name, func(c *timer.Service) Engine {
+			return NewFleet(8, beat, c, policy(sched.AimShare, false, teams)).Spread(c)
+		})
 	}
 	is.NoErr(Print(os.Stdout, results))
 	for _, r := range results {
--- a/placer/internal/bench/fleet.go
+++ b/placer/internal/bench/fleet.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -18,16 +19,33 @@
 	members []*sched.Scheduler
 	homes   map[string]int // of endpoints
 	jobs    map[string]int
+	spreads bool
+	lent    map[taskKey]int // tasks that wait or run at another member than their job's
+	late    []sched.Decision
+	due     []sched.Decision
+	rng     *rand.Rand
 	seq     uint64
 }
 
 // beatLag is how old a summary is when it arrives.
 const beatLag = 100 * time.Millisecond
 
+// wordBeat is the time between two words on tasks that wait at another member.
+const wordBeat = 50 * time.Millisecond
+
+// Spread lets tasks of batch jobs wait at other members than their job's, as
+// drivers do when something waits at home already. It returns the fleet.
+func (f *Fleet) Spread(clock *timer.Service) *Fleet {
+	f.spreads = true
+	clock.Every(wordBeat, func() { f.due, f.late = append(f.due, f.late...), nil })
+	return f
+}
+
 // NewFleet returns n schedulers that tell one another what they use once every
 // beat; 0 is never.
 func NewFleet(n int, beat time.Duration, clock *timer.Service, p sched.Policy) *Fleet {
-	f := &Fleet{homes: make(map[string]int), jobs: make(map[string]int)}
+	f := &Fleet{homes: make(map[string]int), jobs: make(map[string]int), lent: make(map[taskKey]int)}
+	f.rng = rand.New(rand.NewPCG(7, 7)) // #nosec G404 -- the run has to be repeatable
 	for range n {
 		f.members = append(f.members, sched.New(sched.WithTimer(clock), sched.WithPolicy(p)))
 	}
@@ -83,28 +101,85 @@
 func (f *Fleet) Report(name string, used wire.Needs) { f.members[f.homes[name]].Report(name, used) }
 
 // Submit implements Engine.
-func (f *Fleet) Submit(item sched.Item) error { return f.members[f.route(&item)].Submit(item) }
+func (f *Fleet) Submit(item sched.Item) error {
+	home := f.route(&item)
+	backlog := f.members[home].Backlog()
+	if !f.spreads || item.Kind != wire.Batch || item.Urgent || backlog == 0 {
+		return f.members[home].Submit(item)
+	}
+	numbers := item.Numbers
+	for n := range max(item.Tasks, 1) {
+		if item.Numbers == nil {
+			numbers = append(numbers, n)
+		}
+	}
+	parts := make(map[int][]int)
+	for _, n := range numbers {
+		delete(f.lent, taskKey{item.ID, n})
+		to := f.rng.IntN(len(f.members))
+		if f.members[to].Backlog()+len(parts[to]) >= backlog+len(parts[home]) {
+			to = home
+		}
+		if to != home {
+			f.lent[taskKey{item.ID, n}] = to
+		}
+		parts[to] = append(parts[to], n)
+	}
+	for to := range f.members {
+		if len(parts[to]) == 0 {
+			continue
+		}
+		part := item
+		part.Numbers, part.Tasks = parts[to], len(parts[to])
+		if err := f.members[to].Submit(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// at returns where a task waits or runs.
+func (f *Fleet) at(id string, task int) *sched.Scheduler {
+	if n, ok := f.lent[taskKey{id, task}]; ok {
+		return f.members[n]
+	}
+	return f.members[f.jobs[id]]
+}
 
 // Cancel implements Engine.
-func (f *Fleet) Cancel(id string) bool { return f.members[f.jobs[id]].Cancel(id) }
+func (f *Fleet) Cancel(id string) bool {
+	all := true
+	for _, m := range f.members {
+		gone := m.Cancel(id)
+		all = all && gone
+	}
+	return all
+}
 
 // Decide implements Engine.
 func (f *Fleet) Decide() []sched.Decision {
-	var out []sched.Decision
+	out := f.due
+	f.due = nil
 	for _, m := range f.members {
-		out = append(out, m.Decide()...)
+		for _, d := range m.Decide() {
+			if _, lent := f.lent[taskKey{d.ID, d.Task}]; lent && !d.Preempt {
+				f.late = append(f.late, d)
+				continue
+			}
+			out = append(out, d)
+		}
 	}
 	return out
 }
 
 // Started implements Engine.
-func (f *Fleet) Started(id string, task int) { f.members[f.jobs[id]].Started(id, task) }
+func (f *Fleet) Started(id string, task int) { f.at(id, task).Started(id, task) }
 
 // Unsent implements Engine.
-func (f *Fleet) Unsent(id string, task int) { f.members[f.jobs[id]].Unsent(id, task) }
+func (f *Fleet) Unsent(id string, task int) { f.at(id, task).Unsent(id, task) }
 
 // Ended implements Engine.
-func (f *Fleet) Ended(id string, task int, ok bool) { f.members[f.jobs[id]].Ended(id, task, ok) }
+func (f *Fleet) Ended(id string, task int, ok bool) { f.at(id, task).Ended(id, task, ok) }
 
 // Expire implements Engine.
 func (f *Fleet) Expire() []sched.Item {
--- a/placer/internal/daemon/gang_test.go
+++ b/placer/internal/daemon/gang_test.go
@@ -80,6 +80,45 @@
 	}
 }
 
+// TestBatchTasksAtAnotherPlacer has tasks wait at a placer whose endpoints are
+// full, so that some run at the other one's, over the loss of either.
+func TestBatchTasksAtAnotherPlacer(t *testing.T) {
+	tests := map[string]struct{ kill, left int }{
+		"nothing happens":      {kill: -1},
+		"the driver is killed": {kill: 0, left: 1},
+		"the owner is killed":  {kill: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			z := newZone(t, 2)
+			z.spread()
+			for i := range 2 {
+				z.start(i)
+			}
+			z.eventually("each owns its endpoints", func() bool {
+				_, a := z.placers[0].keeper.Count()
+				_, b := z.placers[1].keeper.Count()
+				return a == 2 && b == 2
+			})
+			z.submit(z.placers[0], jobRequest("a.full", wire.Service, 8, engine.Body{}))
+			z.eventually("its endpoints are full", func() bool { return z.runningAll() == 8 })
+			z.submit(z.placers[0], jobRequest("a.first", wire.Batch, 1, engine.Body{}))
+			z.eventually("a task waits", func() bool { return z.placers[0].desk.Backlog() == 1 })
+			z.submit(z.placers[0], jobRequest("a.lent", wire.Batch, 24, engine.Body{Work: setup.Duration(time.Second)}))
+			z.eventually("tasks run at the other placer", func() bool { return z.count(engine.Began, "a.lent") > 0 })
+			if tt.kill >= 0 {
+				z.placers[tt.kill].kill()
+			}
+			var c wire.Cancelled
+			z.eventually("the service is cancelled", func() bool {
+				return z.caller.Call(z.ctx, z.placers[tt.left].settings.Link, wire.VerbCancel, wire.Lookup{ID: "a.full"}, &c) == nil
+			})
+			z.eventually("the job is done", func() bool { return z.row("a.lent").Outcome == wire.Done })
+			z.judge()
+		})
+	}
+}
+
 // TestStartThatWasNeverAskedFor is the case that a driver died after it had
 // written that a task's start was sent, and before it asked the owner of the
 // endpoint for it. The owner lives, so its epoch tells the next driver nothing.
--- a/placer/internal/desk/desk.go
+++ b/placer/internal/desk/desk.go
@@ -188,6 +188,9 @@
 	}
 }
 
+// Backlog returns how many requests wait for workers.
+func (d *Desk) Backlog() int { return d.sched.Backlog() }
+
 // Fits reports whether the workers that are owned could run so many tasks
 // together if nothing else ran.
 func (d *Desk) Fits(needs wire.Needs, tasks int) bool {
--- a/placer/internal/desk/scheduler.go
+++ b/placer/internal/desk/scheduler.go
@@ -20,4 +20,5 @@
 	Ended(id string, task int, ok bool)
 	Expire() []sched.Item
 	Waiting() int
+	Backlog() int
 }
--- a/placer/internal/jobs/books.go
+++ b/placer/internal/jobs/books.go
@@ -80,6 +80,15 @@
 	return noted{Kept: b.kept()}
 }
 
+// forget gives back what an earlier driver of a job has here.
+func (s *books) forget(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b := s.byID[id]; b != nil {
+		s.dropLocked(b)
+	}
+}
+
 func (s *books) dropLocked(b *booking) {
 	delete(s.byID, b.ask.ID)
 	s.queue.Cancel(b.ask.ID)
--- a/placer/internal/jobs/carry.go
+++ b/placer/internal/jobs/carry.go
@@ -28,10 +28,10 @@
 
 // carry writes the attempts of decided tasks and then sends their starts.
 func (d *Driver) carry(ctx context.Context, id string, orders []desk.Order) {
-	if d.books.decided(id, orders) {
+	j := d.find(id)
+	if j == nil && d.loans.decided(id, orders) || (j == nil || j.gathering()) && d.books.decided(id, orders) {
 		return
 	}
-	j := d.find(id)
 	if j == nil || !j.send(orders) {
 		if j == nil || !j.stale(orders) {
 			d.queue.Cancel(id)
@@ -60,6 +60,7 @@
 	}
 	for _, o := range orders {
 		j.tasks[o.Task].order, j.tasks[o.Task].live, j.tasks[o.Task].queued = o, true, false
+		j.tasks[o.Task].lent = ""
 		t := &j.row.Tasks[o.Task]
 		t.Attempt, t.Endpoint, t.Epoch, t.Phase = o.Attempt, o.Endpoint, o.Epoch, wire.Sent
 	}
@@ -121,7 +122,7 @@
 	d.queue.Cancel(j.id())
 	for n := range j.tasks {
 		t := &j.tasks[n]
-		t.queued = false
+		t.queued, t.lent = false, ""
 		if j.row.Cancel && !t.live && j.row.Tasks[n].Outcome == "" {
 			j.endTaskLocked(n, neverRan(&j.row.Tasks[n]))
 		}
--- a/placer/internal/jobs/driver.go
+++ b/placer/internal/jobs/driver.go
@@ -43,18 +43,23 @@
 	unsure  atomic.Bool // rows may name this placer that it doesn't drive
 	books   *books
 	turns   *turns
+	loans   *loans
 
 	mu      sync.Mutex // guards the fields below
 	ctx     context.Context
 	jobs    map[string]*job
 	unsaved map[*job]bool // with changes that the platform lacks
 	lonely  map[string]*notice
+	lends   map[lendKey]*lend
+	lending map[string]bool   // placers that are asked for room
+	waits   map[string]heard  // by placer
+	hints   map[string]string // who drives a task started here for another driver, by its name
 }
 
 // counts are the driver's metrics.
 type counts struct {
-	starts, restarts, takeovers, writes, conflicts, deleted, gangs metrics.Counter
-	driven                                                         metrics.Gauge
+	starts, restarts, takeovers, writes, conflicts, deleted, gangs, lent metrics.Counter
+	driven                                                               metrics.Gauge
 }
 
 // Parts are what a Driver works with.
@@ -85,10 +90,12 @@
 			writes:    metrics.GetOrRegisterCounter("placer.job.writes", p.Metrics),
 			conflicts: metrics.GetOrRegisterCounter("placer.job.conflicts", p.Metrics),
 			deleted:   metrics.GetOrRegisterCounter("placer.job.deleted", p.Metrics),
+			lent:      metrics.GetOrRegisterCounter("placer.job.lent", p.Metrics),
 			gangs:     metrics.GetOrRegisterCounter("placer.job.gangs", p.Metrics),
 			driven:    metrics.GetOrRegisterGauge("placer.job.driven", p.Metrics),
 		},
-		books: newBooks(p.Timer, p.Queue), turns: newTurns(p.Timer),
+		books: newBooks(p.Timer, p.Queue), turns: newTurns(p.Timer), loans: newLoans(p.Timer, p.Queue),
+		lends: make(map[lendKey]*lend), lending: make(map[string]bool), waits: make(map[string]heard), hints: make(map[string]string),
 		dirty: make(chan struct{}, 1), jobs: make(map[string]*job), unsaved: make(map[*job]bool), lonely: make(map[string]*notice),
 	}
 }
@@ -107,6 +114,7 @@
 	g.Go(func() error { d.strandLoop(ctx); return nil })
 	g.Go(func() error { d.sweepLoop(ctx); return nil })
 	g.Go(func() error { d.books.run(ctx); return nil })
+	g.Go(func() error { d.loans.run(ctx); return nil })
 	_ = g.Wait()
 	return d.group.Wait()
 }
--- a/placer/internal/jobs/gather.go
+++ b/placer/internal/jobs/gather.go
@@ -134,7 +134,9 @@
 	d.counts.gangs.Inc(1)
 	var group errgroup.Group
 	for i := range g.shares {
-		group.Go(func() error { d.launchAt(ctx, j, g, &g.shares[i]); return nil })
+		p := &g.shares[i]
+		in := &launch{Epoch: g.epoch, Attempt: g.item.Attempt}
+		group.Go(func() error { d.launchAt(ctx, j, p.placer, in, p.orders(g)); return nil })
 	}
 	_ = group.Wait()
 	return true
@@ -159,18 +161,22 @@
 	return out
 }
 
-// launchAt has one placer start its part of a gang. What it doesn't answer for
-// is in doubt.
-func (d *Driver) launchAt(ctx context.Context, j *job, g *gathering, p *portion) {
+// launchAt has one placer start tasks for which it keeps room. What it doesn't
+// answer for is in doubt.
+func (d *Driver) launchAt(ctx context.Context, j *job, placer string, in *launch, orders []desk.Order) {
 	j.mu.Lock()
-	in := &launch{ID: j.id(), Epoch: g.epoch, Attempt: g.item.Attempt, Request: j.row.Request}
+	in.ID, in.Driver, in.Request = j.id(), d.name, j.row.Request
 	j.mu.Unlock()
-	out, _ := d.ask(ctx, p.placer, &note{Launch: in})
+	if in.Request.Kind == wire.Batch {
+		for _, o := range orders {
+			in.Numbers = append(in.Numbers, o.Task)
+		}
+	}
+	out, _ := d.ask(ctx, placer, &note{Launch: in})
 	fates := make(map[int]fate)
 	for _, f := range out.Fates {
 		fates[f.Task] = f
 	}
-	orders := p.orders(g)
 	j.asked(orders, false)
 	for _, o := range orders {
 		d.spawn(func(ctx context.Context) { d.sent(ctx, j, o, fates[o.Task]) })
--- a/placer/internal/jobs/gather_test.go
+++ b/placer/internal/jobs/gather_test.go
@@ -43,6 +43,8 @@
 	*desk.Desk
 	books  *books
 	turns  *turns
+	loans  *loans
+	part   *onePart
 	epoch  uint64
 	runs   map[string]desk.Order // by the task's name
 	barred map[string]uint32     // attempts up to which a task doesn't begin any more
@@ -50,7 +52,7 @@
 
 // Decided implements desk.Jobs.
 func (h *host) Decided(id string, orders []desk.Order) {
-	if h.books.decided(id, orders) {
+	if h.books.decided(id, orders) || h.loans.decided(id, orders) {
 		return
 	}
 	h.Cancel(id)
@@ -103,8 +105,10 @@
 // restart replaces an owner's process, which opens its worker anew.
 func (m *gangModel) restart(name string) {
 	h := m.hosts[name]
-	h.Desk = desk.New(sched.New(sched.WithTimer(m.clock), sched.WithLimit(new(onePart))))
+	h.part = new(onePart)
+	h.Desk = desk.New(sched.New(sched.WithTimer(m.clock), sched.WithLimit(h.part)))
 	h.books, h.turns = newBooks(m.clock, h.Desk), newTurns(m.clock)
+	h.loans = newLoans(m.clock, h.Desk)
 	h.Attach(h, nil)
 	h.epoch++
 	view := &point.View{Name: name, Kind: point.Worker, Owner: point.Owner{Epoch: h.epoch}, Capacity: wire.Needs{CPU: 8}}
@@ -159,16 +163,20 @@
 		return noted{Done: h.turns.ask(n.Turn)}, nil
 	case n.Book != nil:
 		return h.books.book(n.Book), nil
+	case n.Loans != nil:
+		return h.loans.book(n.Loans[0]), nil
 	}
 	orders, ok := h.books.take(n.Launch)
 	if !ok {
-		return noted{Void: true}, nil
+		orders = h.loans.take(n.Launch)
 	}
 	var out noted
 	for _, o := range orders {
 		f := fate{Task: o.Task, Fate: unsent}
 		if m.begin(h, o) {
 			f.Fate = begun
+		} else if o.Kind == wire.Batch {
+			h.loans.undo(o)
 		} else {
 			h.Unsent(o)
 		}
@@ -255,6 +263,7 @@
 	m.clock.Advance(d)
 	for _, h := range m.hosts {
 		h.books.expire()
+		h.loans.expire()
 	}
 }
 
--- a/placer/internal/jobs/index_test.go
+++ b/placer/internal/jobs/index_test.go
@@ -30,6 +30,7 @@
 func (noQueue) Cancel(string) bool        { return true }
 func (noQueue) Fits(wire.Needs, int) bool { return true }
 func (noQueue) Room(wire.Needs, int) int  { return 0 }
+func (noQueue) Backlog() int              { return 0 }
 func (noQueue) Started(desk.Order)        {}
 func (noQueue) Unsent(desk.Order) bool    { return true }
 func (noQueue) Ended(desk.Order, bool)    {}
--- a/placer/internal/jobs/job.go
+++ b/placer/internal/jobs/job.go
@@ -38,6 +38,8 @@
 	queued bool          // with the scheduler
 	since  time.Duration // when it was queued, on the clock that goes on during a suspension
 	asked  bool          // the owner of its endpoint is being asked to start it
+	lent   string        // the placer where it waits in place of home
+	home   bool          // waits at home the next time, since it couldn't elsewhere
 	barred uint32        // attempt that will not begin any more if it hasn't
 }
 
@@ -64,6 +66,19 @@
 
 func (j *job) id() string { return j.row.Request.ID }
 
+func (j *job) epoch() uint64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.row.Epoch
+}
+
+// gathering reports whether room for a gang is being booked.
+func (j *job) gathering() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.gathers
+}
+
 // editLocked notes a change and wakes those who wait for one.
 func (j *job) editLocked() {
 	j.edits++
--- a/placer/internal/jobs/launch.go
+++ b/placer/internal/jobs/launch.go
@@ -16,6 +16,8 @@
 	ID      string       `cbor:"id"`
 	Epoch   uint64       `cbor:"epoch"` // of the driver
 	Attempt uint32       `cbor:"attempt"`
+	Numbers []int        `cbor:"numbers,omitempty"` // of a batch job's tasks; a gang's start all
+	Driver  string       `cbor:"driver"`
 	Request wire.Request `cbor:"request"`
 }
 
@@ -38,8 +40,12 @@
 func (d *Driver) launched(ctx context.Context, in *launch) noted {
 	orders, ok := d.books.take(in)
 	if !ok {
+		orders = d.loans.take(in)
+	}
+	if len(orders) == 0 {
 		return noted{Void: true}
 	}
+	d.hint(in.Driver, orders)
 	fates := make([]fate, len(orders))
 	var g errgroup.Group
 	for i, o := range orders {
@@ -49,7 +55,7 @@
 			case begun:
 				d.queue.Started(o)
 			case unsent:
-				d.queue.Unsent(o)
+				d.undo(o)
 			default:
 				d.spawn(func(ctx context.Context) { d.recover(ctx, o) })
 			}
@@ -80,8 +86,32 @@
 			continue
 		}
 		if findTask(view.Tasks, o.ID, o.Task, o.Attempt) == nil {
-			d.queue.Unsent(o)
+			d.undo(o)
 		}
 		return
 	}
 }
+
+// undo gives the room of a start back that surely didn't and won't happen.
+func (d *Driver) undo(o desk.Order) {
+	if o.Kind == wire.Batch {
+		d.loans.undo(o)
+		return
+	}
+	d.queue.Unsent(o)
+}
+
+// maxHints bounds the tasks of which it is known who drives them.
+const maxHints = 1 << 14
+
+// hint notes who is to be told first of the ends of tasks.
+func (d *Driver) hint(driver string, orders []desk.Order) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.hints) >= maxHints {
+		clear(d.hints)
+	}
+	for _, o := range orders {
+		d.hints[desk.TaskID(o.ID, o.Task)] = driver
+	}
+}
--- a/placer/internal/jobs/note.go
+++ b/placer/internal/jobs/note.go
@@ -25,6 +25,7 @@
 	Drives   []string      `cbor:"drives,omitempty"`  // ids of jobs whose rows name the other
 	Turn     *ask          `cbor:"turn,omitempty"`
 	Book     *book         `cbor:"book,omitempty"`
+	Loans    []*book       `cbor:"loans,omitempty"` // tasks that are to wait at the other
 	Launch   *launch       `cbor:"launch,omitempty"`
 }
 
@@ -33,7 +34,8 @@
 	Known []bool   `cbor:"known,omitempty"` // of Tasks: driven here, and the end is written
 	Done  bool     `cbor:"done,omitempty"`  // Halt was carried out, Promise given, or Fit, Held or Turn holds
 	Names []string `cbor:"names,omitempty"` // answers Owned
-	Room  int      `cbor:"room,omitempty"`  // with Fit, how many of the tasks fit together
+	Room  int      `cbor:"room,omitempty"`  // with Fit, how many of the tasks fit together; with Loans, how many requests wait
+	Loans []noted  `cbor:"loans,omitempty"` // answers Loans, with Kept or Void
 	Kept  []booked `cbor:"kept,omitempty"`  // answers Book, once all of it has room
 	Fates []fate   `cbor:"fates,omitempty"` // answers Launch
 	Void  bool     `cbor:"void,omitempty"`  // Book can't be carried out, or there is none to Launch
@@ -74,7 +76,12 @@
 	case in.Turn != nil:
 		return noted{Done: d.turns.ask(in.Turn)}
 	case in.Book != nil:
+		if j := d.find(in.Book.ID); j != nil && j.epoch() != in.Book.Epoch {
+			return noted{Void: true}
+		}
 		return d.books.book(in.Book)
+	case len(in.Loans) > 0:
+		return d.lentHere(ctx, in.Loans)
 	case in.Launch != nil:
 		return d.launched(ctx, in.Launch)
 	case in.Owned:
--- a/placer/internal/jobs/notice.go
+++ b/placer/internal/jobs/notice.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -122,7 +123,7 @@
 		}
 		in.Tasks = append(in.Tasks, n.task)
 	}
-	for _, m := range d.peers() {
+	for _, m := range d.likely(in.Tasks) {
 		if len(in.Tasks) == 0 {
 			return
 		}
@@ -137,6 +138,28 @@
 	}
 }
 
+// likely returns the other placers of the zone, first those that are known to
+// have driven the tasks.
+func (d *Driver) likely(tasks []point.Task) []roster.Member {
+	peers := d.peers()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	first := make(map[string]bool)
+	for i := range tasks {
+		first[d.hints[tasks[i].ID]] = true
+	}
+	slices.SortStableFunc(peers, func(a, b roster.Member) int {
+		switch {
+		case first[a.Name] == first[b.Name]:
+			return 0
+		case first[a.Name]:
+			return -1
+		}
+		return 1
+	})
+	return peers
+}
+
 // confirmed drops what a driver has written and returns the rest.
 func (d *Driver) confirmed(endpoint string, tasks []point.Task, known []bool) []point.Task {
 	rest := make([]point.Task, 0, len(tasks))
@@ -153,6 +176,7 @@
 func (d *Driver) settled(n *notice, forget bool) {
 	d.mu.Lock()
 	delete(d.lonely, n.task.ID+"@"+n.endpoint)
+	delete(d.hints, n.task.ID)
 	d.mu.Unlock()
 	if forget {
 		d.owner.Ack(n.endpoint, n.task.Seq)
--- a/placer/internal/jobs/parts.go
+++ b/placer/internal/jobs/parts.go
@@ -27,6 +27,7 @@
 	Cancel(id string) bool
 	Fits(needs wire.Needs, tasks int) bool
 	Room(needs wire.Needs, tasks int) int
+	Backlog() int
 	Started(o desk.Order)
 	Unsent(o desk.Order) bool
 	Ended(o desk.Order, ok bool)
--- a/placer/internal/jobs/place.go
+++ b/placer/internal/jobs/place.go
@@ -164,6 +164,8 @@
 		j.mu.Unlock()
 		return j
 	}
+	d.books.forget(row.Request.ID)
+	d.loans.forget(row.Request.ID)
 	if row.Epoch > 1 {
 		d.counts.takeovers.Inc(1)
 	}
--- a/placer/internal/jobs/submit.go
+++ b/placer/internal/jobs/submit.go
@@ -26,9 +26,13 @@
 	if len(item.Numbers) == 0 || j.gathers {
 		return nil
 	}
+	d.spreadLocked(j, &item)
+	if len(item.Numbers) == 0 {
+		return nil
+	}
 	err := d.queue.Submit(item)
 	for _, n := range item.Numbers {
-		j.tasks[n].queued, j.tasks[n].since = err == nil, d.timer.Boot()
+		j.tasks[n].queued, j.tasks[n].home, j.tasks[n].since = err == nil, false, d.timer.Boot()
 	}
 	if err == nil {
 		j.regroup, j.nevers = false, 0
@@ -49,7 +53,7 @@
 	}
 	for n := range j.tasks {
 		t := &j.tasks[n]
-		if t.queued || t.live || j.row.Tasks[n].Outcome != "" {
+		if t.queued || t.lent != "" || t.live || j.row.Tasks[n].Outcome != "" {
 			continue
 		}
 		item.Numbers = append(item.Numbers, n)
@@ -86,7 +90,7 @@
 		if j.tasks[n].live || j.row.Tasks[n].Outcome != "" {
 			continue
 		}
-		j.tasks[n].queued = false
+		j.tasks[n].queued, j.tasks[n].lent = false, ""
 		j.endTaskLocked(n, neverRan(&j.row.Tasks[n]))
 	}
 	j.row.Reason = reason
--- a/placer/internal/sched/scheduler.go
+++ b/placer/internal/sched/scheduler.go
@@ -158,6 +158,9 @@
 // Waiting returns how many requests wait.
 func (s *Scheduler) Waiting() int { return s.executors.waiting() + s.workers.waiting() }
 
+// Backlog returns how many requests wait for workers.
+func (s *Scheduler) Backlog() int { return s.workers.waiting() }
+
 // Free returns the room of open endpoints by kind of request.
 func (s *Scheduler) Free() map[wire.Kind]wire.Needs {
 	room := s.workers.free()
