Refuse quick requests whose turn would come too late

Cause: beyond capacity a request waited at its placer until its deadline before it was refused, although the queue ahead of it told so on arrival. Refused callers that ask again also filled the entries' records: with 65,536 of them a host refuses what runs once.

Change: a placer keeps a line for each team, queue and urgency and the pace at which it drains, and refuses on arrival (busy) what isn't expected to start in 0.85 of its time. An entry remembers such a refusal for at most 50 ms and refuses the same class by itself, before a record is made. trial pace tells the times to refusal, and has a measure fair.

A flooding team still slows another one down; the scheduler orders the teams, this only refuses.

--- a/entry/internal/serve/quick.go
+++ b/entry/internal/serve/quick.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/balsamford/balsamford/coord/wire"
+	"github.com/balsamford/balsamford/entry/internal/admit"
 	"github.com/balsamford/balsamford/entry/internal/record"
 	"github.com/balsamford/balsamford/entry/internal/relay"
 )
@@ -29,6 +30,9 @@
 // runCounted is runHere for a request that is counted already.
 func (s *Service) runCounted(wanted context.Context, sub *submission, out sink) relay.Result {
 	q := sub.question()
+	if q.Private && s.late.Late(sub.class(), sub.deadline) {
+		return tooLate() // nothing else knows the id, so it needs no record
+	}
 	res, lost := s.act(wanted, sub, q, s.Keeper.Enter(q), out)
 	if lost != nil && sub.Request.Idempotent {
 		res, _ = s.act(wanted, sub, q, s.Keeper.TakeOver(q, *lost), out)
@@ -93,6 +97,9 @@
 		return relay.NotRun(reason, "no place before the deadline")
 	}
 	defer leave()
+	if s.late.Late(sub.class(), sub.deadline) {
+		return tooLate()
+	}
 	if q.Private {
 		if ans := s.Keeper.Secure(s.ctx, q, claim); ans.Verdict != record.Run {
 			return relay.Result{Outcome: ans.Note.Outcome, Reason: ans.Note.Reason, Detail: ans.Note.Detail}
@@ -105,7 +112,21 @@
 		Request: req, Deadline: sub.deadline, Wanted: l.wanted, Allow: allow.ask, Base: (claim.Run - 1) * attemptsPerRun,
 		Doubt: sub.Doubt,
 	}
-	return allow.truthful(s.Runner.Run(s.ctx, order, &phaseSink{live: l, next: out}))
+	left := sub.deadline.Sub(s.Clock.Now())
+	res := s.Runner.Run(s.ctx, order, &phaseSink{live: l, next: out})
+	if res.Outcome == wire.NotRun && res.Reason == wire.ReasonBusy {
+		s.late.Note(sub.class(), left)
+	}
+	return allow.truthful(res)
+}
+
+// class returns what shares the placers' queues with a submission.
+func (sub *submission) class() admit.Class {
+	return admit.Class{Team: sub.Request.Team, Queue: sub.Request.Queue, Urgent: sub.Request.Urgent}
+}
+
+func tooLate() relay.Result {
+	return relay.NotRun(wire.ReasonBusy, "its turn is not expected before the deadline")
 }
 
 // attemptsPerRun keeps the attempt numbers of a request's runs apart.
--- a/entry/internal/serve/service.go
+++ b/entry/internal/serve/service.go
@@ -57,6 +57,7 @@
 type Service struct {
 	Parts
 	counts  *counts
+	late    *admit.Refusals
 	lives   lives
 	drivers drivers
 	leaving atomic.Bool
@@ -69,7 +70,7 @@
 
 // New returns a Service.
 func New(parts Parts) *Service {
-	s := &Service{Parts: parts, counts: newCounts(parts.Registry)}
+	s := &Service{Parts: parts, counts: newCounts(parts.Registry), late: admit.NewRefusals(parts.Clock, parts.Registry)}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.group.SetLimit(backgroundLimit)
 	return s
--- a/placer/internal/exec/runner.go
+++ b/placer/internal/exec/runner.go
@@ -34,17 +34,20 @@
 	owner   Owner
 	client  Client
 	starts  *starts
+	lines   *lines
 	waits   metrics.Timer
 	ended   func(o wire.Outcome) // counts outcomes
 	running metrics.Counter
+	early   metrics.Counter // refused because their turn would come too late
 }
 
 // New returns a Runner that counts in r.
 func New(s *timer.Service, q Queue, o Owner, c Client, r metrics.Registry) *Runner {
 	return &Runner{
-		timer: s, queue: q, owner: o, client: c, starts: newStarts(),
+		timer: s, queue: q, owner: o, client: c, starts: newStarts(), lines: newLines(),
 		waits:   metrics.GetOrRegisterTimer("placer.quick.wait", r),
 		running: metrics.GetOrRegisterCounter("placer.quick.running", r),
+		early:   metrics.GetOrRegisterCounter("placer.quick.early", r),
 		ended: func(o wire.Outcome) {
 			metrics.GetOrRegisterCounter("placer.quick."+string(o), r).Inc(1)
 		},
@@ -87,44 +90,50 @@
 
 // queue waits for decisions and tries them until one has an outcome.
 func (j *run) queue(ctx context.Context) *wire.Event {
-	var ticket *desk.Ticket
 	for {
-		if ticket == nil {
-			t, err := j.runner.queue.Queue(j.item())
-			if err != nil {
-				return refused(err)
-			}
-			ticket = t
-		}
-		o, err := ticket.Wait(ctx)
+		ticket, o, err := j.wait(ctx)
 		if err != nil {
 			return unplaced(err)
 		}
 		j.runner.waits.UpdateSince(j.asked)
 		event, again := j.try(ctx, o)
-		if !again {
-			ticket.Close()
-			return event
-		}
 		// The next try avoids the endpoint, which the scheduler has to be told
 		// by a new item.
 		ticket.Close()
-		ticket = nil
+		if !again {
+			return event
+		}
 	}
 }
 
-// refused returns the final event for a request that couldn't be queued.
-func refused(err error) *wire.Event {
-	var r *sched.RefusedError
-	if errors.As(err, &r) {
-		return &wire.Event{Outcome: wire.NotRun, Reason: r.Reason, Detail: r.Detail}
+// wait queues the request and waits for a decision. The error says why there
+// is none; then nothing is queued any more.
+func (j *run) wait(ctx context.Context) (*desk.Ticket, desk.Order, error) {
+	r, c := j.runner, classOf(j.req)
+	if !r.lines.enter(c, r.timer.Now(), j.deadline) {
+		r.early.Inc(1)
+		return nil, desk.Order{}, &sched.RefusedError{
+			ID: j.req.ID, Reason: wire.ReasonBusy, Detail: "its turn is not expected before the deadline",
+		}
+	}
+	started := false
+	defer func() { r.lines.leave(c, r.timer.Now(), started) }()
+	ticket, err := r.queue.Queue(j.item())
+	if err != nil {
+		return nil, desk.Order{}, err
 	}
-	return &wire.Event{Outcome: wire.NotRun, Reason: wire.ReasonInvalid, Detail: err.Error()}
+	o, err := ticket.Wait(ctx)
+	started = err == nil
+	return ticket, o, err
 }
 
-// unplaced returns the final event for a request that left the queue without
-// a decision.
+// unplaced returns the final event for a request that wasn't queued, or left
+// the queue without a decision.
 func unplaced(err error) *wire.Event {
+	var r *sched.RefusedError
+	if errors.As(err, &r) {
+		return &wire.Event{Outcome: wire.NotRun, Reason: r.Reason, Detail: r.Detail}
+	}
 	var e *desk.ExpiredError
 	if errors.As(err, &e) {
 		return &wire.Event{Outcome: wire.NotRun, Reason: wire.ReasonDeadline, Detail: err.Error()}
--- a/trial/internal/pace/caller.go
+++ b/trial/internal/pace/caller.go
@@ -51,9 +51,17 @@
 	f := calls.Form{Queue: c.queue, Kind: wire.Quick, Needs: needs(), Tasks: 1, Idempotent: true, Deadline: setup.Duration(k.deadline)}
 	f.Body = engine.Body{Work: setup.Duration(k.work), Seed: uint64(n), Tag: "p-" + strconv.Itoa(n), Size: answerSize}
 	s := served{sent: time.Now()}
+	secret := k.secret
+	if secret == "" {
+		secret = c.secrets[n%len(c.secrets)]
+	}
 	for try := n; ; try++ {
-		reply, err := c.client.Submit(c.balancer.door(try), c.secrets[n%len(c.secrets)], &f)
+		asked := time.Since(s.sent)
+		reply, err := c.client.Submit(c.balancer.door(try), secret, &f)
 		s.took = time.Since(s.sent)
+		if err == nil && reply.Outcome == wire.NotRun {
+			s.refusals = append(s.refusals, s.took-asked)
+		}
 		s.done = err == nil && reply.Outcome == wire.Done && f.Own("0", reply.Answer)
 		s.reason = reason(reply, err)
 		if s.done || !k.again || s.took+pauseTime >= k.deadline || reply.Outcome != wire.NotRun {
--- a/trial/internal/pace/goodput.go
+++ b/trial/internal/pace/goodput.go
@@ -20,9 +20,7 @@
 // send again what was refused.
 func goodput(ctx context.Context, c *caller, s Settings, w io.Writer) (Count, error) {
 	var n Count
-	spec := s.Site.Spec
-	slots := float64(int(spec.Executor.Slots) * spec.Executors * len(spec.Zones))
-	capacity := slots / work.Seconds()
+	capacity := capacity(s)
 	for _, times := range []float64{0.5, 1, 2, 4} {
 		t := newTally()
 		before := usage(c.site.Cell())
@@ -39,3 +37,10 @@
 	}
 	return n, nil
 }
+
+// capacity returns how many requests of the goodput runs all executors can
+// run in a second.
+func capacity(s Settings) float64 {
+	spec := s.Site.Spec
+	return float64(int(spec.Executor.Slots)*spec.Executors*len(spec.Zones)) / work.Seconds()
+}
--- a/trial/internal/pace/kind.go
+++ b/trial/internal/pace/kind.go
@@ -6,5 +6,6 @@
 type kind struct {
 	work     time.Duration // on the endpoint
 	deadline time.Duration
-	again    bool // a refused request is sent again at once until its deadline
+	again    bool   // a refused request is sent again at once until its deadline
+	secret   string // key of the team that sends; all teams in turn if empty
 }
--- a/trial/internal/pace/run.go
+++ b/trial/internal/pace/run.go
@@ -21,6 +21,7 @@
 const (
 	Latency = "latency"
 	Goodput = "goodput"
+	Fair    = "fair"
 	Kill    = "kill"
 	Replace = "replace"
 	Direct  = "direct"
@@ -52,7 +53,7 @@
 	for _, m := range []struct {
 		name string
 		run  func(context.Context, *caller, Settings, io.Writer) (Count, error)
-	}{{Latency, through}, {Goodput, goodput}, {Kill, killed}, {Replace, replaced}, {Direct, direct}} {
+	}{{Latency, through}, {Goodput, goodput}, {Fair, fair}, {Kill, killed}, {Replace, replaced}, {Direct, direct}} {
 		if len(s.Only) > 0 && !slices.Contains(s.Only, m.name) {
 			continue
 		}
@@ -67,6 +68,6 @@
 
 // line writes what a tally holds.
 func line(w io.Writer, what string, t *tally) Count {
-	_, _ = fmt.Fprintf(w, "%s: %d of %d done, p50 %v, p99 %v%s\n", what, t.done(), t.sent, t.quantile(50), t.quantile(99), t.others())
+	_, _ = fmt.Fprintf(w, "%s: %d of %d done, p50 %v, p99 %v%s\n", what, t.done(), t.sent, t.quantile(50), t.quantile(99), t.others()+t.refusals())
 	return Count{Sent: t.sent, Done: t.done()}
 }
--- a/trial/internal/pace/served.go
+++ b/trial/internal/pace/served.go
@@ -8,4 +8,6 @@
 	took   time.Duration
 	done   bool
 	reason string
+
+	refusals []time.Duration // how long each refused try took
 }
--- a/trial/internal/pace/tally.go
+++ b/trial/internal/pace/tally.go
@@ -21,18 +21,22 @@
 	mu      sync.Mutex              // guards the fields below
 	took    *hdrhistogram.Histogram // of the done ones, in microseconds
 	ends    []time.Time             // of the done ones
+	refused *hdrhistogram.Histogram // of refused tries, in microseconds
 	sent    int
 	reasons map[string]int // of the others
 }
 
 func newTally() *tally {
-	return &tally{took: hdrhistogram.New(1, longest, digits), reasons: make(map[string]int)}
+	return &tally{took: hdrhistogram.New(1, longest, digits), refused: hdrhistogram.New(1, longest, digits), reasons: make(map[string]int)}
 }
 
 func (t *tally) add(s served) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sent++
+	for _, d := range s.refusals {
+		_ = t.refused.RecordValue(d.Microseconds())
+	}
 	if !s.done {
 		t.reasons[s.reason]++
 		return
@@ -71,6 +75,16 @@
 	return gap
 }
 
+// refusals describes the refused tries, of which one request may have several.
+func (t *tally) refusals() string {
+	n := t.refused.TotalCount()
+	if n == 0 {
+		return ""
+	}
+	return fmt.Sprintf("; %d tries refused after p50 %v, p99 %v", n,
+		time.Duration(t.refused.ValueAtQuantile(50))*time.Microsecond, time.Duration(t.refused.ValueAtQuantile(99))*time.Microsecond)
+}
+
 // others lists what became of those that weren't done.
 func (t *tally) others() string {
 	text := ""
