Give a job without an id to a zone that can run it

Cause: only placers of a job's home zone look for it, drive it or are offered it, and the home of an issued id is the zone of the entry that the caller reached. With no placer alive there, or none in that zone at all, the job waited although another zone had room.

Change: the id that an entry issues for a job is of the zone that its route table would send the job to: the own one if it has room, else one with room, else one that lives.

Left: a job under an id that was known before, or one accepted before its zone lost all placers, still waits for one of them; its row's key names the zone.

--- a/entry/internal/record/ids.go
+++ b/entry/internal/record/ids.go
@@ -52,11 +52,14 @@
 // Epoch returns the start of the process in Unix milliseconds.
 func (s *Issuer) Epoch() uint64 { return s.epoch }
 
-// Issue returns a new id.
-func (s *Issuer) Issue() string {
+// Issue returns a new id whose home is the zone of this process.
+func (s *Issuer) Issue() string { return s.IssueIn(s.zone) }
+
+// IssueIn returns a new id whose home is the given zone.
+func (s *Issuer) IssueIn(zone string) string {
 	second := uint64(s.clock.Now().Sub(s.start) / time.Second)
 	n := second<<countBits | s.count.Add(1)&(1<<countBits-1)
-	return strings.Join([]string{s.zone, s.host, strconv.FormatUint(s.epoch, idBase), strconv.FormatUint(n, idBase)}, idSep)
+	return strings.Join([]string{zone, s.host, strconv.FormatUint(s.epoch, idBase), strconv.FormatUint(n, idBase)}, idSep)
 }
 
 // ParseIssued reads an issued id; it reports false for any other text.
--- a/entry/internal/serve/job_test.go
+++ b/entry/internal/serve/job_test.go
@@ -37,6 +37,36 @@
 	is.Equal(len(rows), 1)
 }
 
+// TestJobOfAZoneWithoutPlacers sends a job without an id to an entry whose zone
+// can't run it while another one can: it belongs to that one.
+func TestJobOfAZoneWithoutPlacers(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(c *cell)
+		zone    int // whose placer has the job
+	}{
+		"own zone has room":   {prepare: func(*cell) {}, zone: 0},
+		"its placer is dead":  {prepare: placerDead, zone: 1},
+		"its placer has none": {prepare: func(c *cell) { c.placers[0].fill() }, zone: 1},
+		"both are full":       {prepare: func(c *cell) { c.placers[0].fill(); c.placers[1].fill() }, zone: 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := newCell(t)
+			tt.prepare(c)
+			c.entries["a1"].table.Poll(context.Background())
+			g := c.ask("a1", http.MethodPost, "/v1/requests", "k1", `{"queue":"shop","kind":"batch"}`)
+			is.Equal(g.code, 202)
+			until(t, func() bool { return len(c.placers[tt.zone].seen()) == 1 })
+			is.Equal(len(c.placers[1-tt.zone].seen()), 0)
+			for _, entry := range []string{"a2", "b1"} {
+				is.Equal(c.ask(entry, http.MethodGet, "/v1/requests/"+g.reply.ID, "k1", "").reply.Phase, wire.Queued)
+			}
+		})
+	}
+}
+
 // A job under an id that is older than what is known of jobs isn't accepted, and
 // isn't said not to have run.
 func TestJobWithAForgottenID(t *testing.T) {
--- a/entry/internal/serve/placer_test.go
+++ b/entry/internal/serve/placer_test.go
@@ -87,6 +87,13 @@
 	_ = p.done.Wait()
 }
 
+// fill leaves no room for anything.
+func (p *fakePlacer) fill() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.full = true
+}
+
 func (p *fakePlacer) set(next ...script) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/entry/internal/serve/submit.go
+++ b/entry/internal/serve/submit.go
@@ -11,6 +11,7 @@
 	"github.com/balsamford/balsamford/entry/internal/door"
 	"github.com/balsamford/balsamford/entry/internal/record"
 	"github.com/balsamford/balsamford/entry/internal/relay"
+	"github.com/balsamford/balsamford/entry/internal/route"
 )
 
 const (
@@ -103,7 +104,7 @@
 	sub := &submission{Key: secret, Request: req, Cancel: f.Cancel, Wait: f.waits(), deadline: s.deadline(req.Budget)}
 	if f.ID == "" {
 		sub.private = true
-		sub.Request.ID = s.Issuer.Issue()
+		sub.Request.ID = s.Issuer.IssueIn(s.homeOf(&req))
 		return sub, nil
 	}
 	id, ok := requestID(team, f.ID)
@@ -149,3 +150,16 @@
 	}
 	send(x, fasthttp.StatusAccepted, Reply{ID: record.Shown(id), Phase: wire.Queued, Keep: s.keepSeconds()})
 }
+
+// homeOf returns the home zone of a new request. Only placers of its home zone
+// drive a job, so that is one whose placers have room for it or at least live.
+func (s *Service) homeOf(req *wire.Request) string {
+	if req.Kind == wire.Quick {
+		return s.Self.Zone
+	}
+	p, ok := s.Table.Pick(route.Query{Kind: req.Kind, Queue: req.Queue, Needs: req.Needs})
+	if !ok {
+		return s.Self.Zone
+	}
+	return p.Zone
+}
