Give slow executors less work

Cause: an executor that answers slower than its peers, but takes its slots, was given as much as they are, as only its free room counted.

Change: a placer compares how long quick tasks take at each executor. Gauge placer.endpoints.slow; trial pace -k slow.

TestSlowEndpointGetsLess: three of five rows fail without the choice, two without the tries.

--- a/placer/internal/sched/choose.go
+++ b/placer/internal/sched/choose.go
@@ -14,7 +14,7 @@
 	}
 	switch e.item.Kind {
 	case wire.Quick:
-		return p.table.Loosest(needs, e.item.Avoid, skip)
+		return p.loosest(needs, e.item.Avoid, skip)
 	case wire.Service:
 		return p.spread(e, skip)
 	default:
--- a/placer/internal/sched/decide.go
+++ b/placer/internal/sched/decide.go
@@ -14,6 +14,7 @@
 	defer p.mu.Unlock()
 	p.pass.reset()
 	p.readmit()
+	p.paces.compare(p.timer.Now())
 	p.refresh()
 	p.rate()
 	if e := p.reserved.entry; e != nil && e.lane != nil {
--- a/placer/internal/sched/entry.go
+++ b/placer/internal/sched/entry.go
@@ -40,6 +40,7 @@
 	row     *cell.Row
 	needs   wire.Needs // granted
 	start   time.Time  // of the decision, or of the start once it is known
+	placed  time.Time  // when it was decided
 	started bool
 	saving  bool   // was told to checkpoint
 	reports uint64 // of its endpoint when it was granted
--- a/placer/internal/sched/pool.go
+++ b/placer/internal/sched/pool.go
@@ -36,6 +36,7 @@
 	rated     time.Time         // when teams were last rated
 	full      bool              // the last pass found no room for something
 	health    map[*cell.Row]*health
+	paces     paces
 	records   map[jobName]*record
 	barred    int        // endpoints in quarantine
 	seen      uint64     // version of the view
@@ -60,6 +61,7 @@
 		teams:   make(map[string]*team),
 		claims:  make(map[*cell.Row]int),
 		health:  make(map[*cell.Row]*health),
+		paces:   paces{rows: make(map[*cell.Row]*pace)},
 		records: make(map[jobName]*record),
 		queued:  make(map[string]int),
 	}
@@ -115,6 +117,7 @@
 	}
 	delete(p.hosted, row)
 	delete(p.health, row)
+	p.paces.drop(row)
 	if p.reserved.rows[row] {
 		p.reserved.release()
 	}
@@ -136,7 +139,7 @@
 
 // hold takes room for a task that was decided or adopted.
 func (p *pool) hold(e *entry, number int, attempt uint32, row *cell.Row, needs wire.Needs, start time.Time) *run {
-	r := &run{entry: e, number: number, attempt: attempt, row: row, needs: needs, start: start, reports: row.Reports()}
+	r := &run{entry: e, number: number, attempt: attempt, row: row, needs: needs, placed: start, start: start, reports: row.Reports()}
 	p.table.Adopt(row, needs)
 	r.slot = len(p.hosted[row])
 	p.hosted[row] = append(p.hosted[row], r)
--- a/placer/internal/sched/settle.go
+++ b/placer/internal/sched/settle.go
@@ -131,6 +131,9 @@
 	if ok && r.started && !r.saving && !e.adopted {
 		p.learner.Ran(e.item.Team, e.item.Name, e.item.Runtime, p.timer.Now().Sub(r.start))
 	}
+	if ok && e.item.Kind == wire.Quick && !e.adopted {
+		p.paces.note(r.row, p.timer.Now().Sub(r.placed))
+	}
 	p.release(r)
 	p.limit.Give(e.item.Team, 1)
 	again := pending{number, r.attempt + 1}
--- a/trial/internal/pace/run.go
+++ b/trial/internal/pace/run.go
@@ -22,6 +22,7 @@
 	Latency = "latency"
 	Goodput = "goodput"
 	Fair    = "fair"
+	Slow    = "slow"
 	Kill    = "kill"
 	Replace = "replace"
 	Direct  = "direct"
@@ -53,7 +54,7 @@
 	for _, m := range []struct {
 		name string
 		run  func(context.Context, *caller, Settings, io.Writer) (Count, error)
-	}{{Latency, through}, {Goodput, goodput}, {Fair, fair}, {Kill, killed}, {Replace, replaced}, {Direct, direct}} {
+	}{{Latency, through}, {Goodput, goodput}, {Fair, fair}, {Slow, slow}, {Kill, killed}, {Replace, replaced}, {Direct, direct}} {
 		if len(s.Only) > 0 && !slices.Contains(s.Only, m.name) {
 			continue
 		}
--- a/trial/options.go
+++ b/trial/options.go
@@ -60,7 +60,7 @@
 	}
 	play.Int(&o.count, "c", "count", "requests")
 	harm.StringSlice(&o.only, "k", "kind", "kind of fault, may be given several times; all if there is none")
-	speed.StringSlice(&o.only, "k", "kind", "measure: latency, goodput, fair, kill, replace or direct, may be given several times; all if there is none")
+	speed.StringSlice(&o.only, "k", "kind", "measure: latency, goodput, fair, slow, kill, replace or direct, may be given several times; all if there is none")
 	weigh.String(&o.sizes, "w", "workers", "workers of each zone, one number for each run")
 	weigh.String(&o.hosts, "n", "hosts", "entry hosts of each zone, one number for each run or one for all")
 	weigh.String(&o.rates, "r", "rates", "requests a second, one number for each run or one for all")
