Give the scheduler the configured weights of teams

Cause: the daemon counted a weight of 1 as 1,000, since the scheduler's weights were whole numbers. Where only their proportion counts that is harmless. With aim "wait" a wait is added to a team's share divided by its weight, so shares counted for nothing and the oldest request was served, whosever it was: a team that floods made every other one wait as long. The open queue's team, which has no weight, had a thousandth of the others'.

Change: weights are floats, given as they are configured.

The decision bench gives its own weights and passes as before.

Left: with aim "wait" the scale of weights still matters, so weights of 400 and 100 behave differently from 4 and 1.

--- a/placer/internal/bench/bench_test.go
+++ b/placer/internal/bench/bench_test.go
@@ -19,14 +19,14 @@
 func weights(n int) ([]float64, map[string]sched.Team) {
 	list, teams := make([]float64, n), make(map[string]sched.Team)
 	for i := range list {
-		w := int64(2)
+		w := 2.0
 		if i == 0 {
 			w = 4
 		}
 		if i%3 == 2 {
 			w = 1
 		}
-		list[i] = float64(w)
+		list[i] = w
 		teams[teamName(i)] = sched.Team{Weight: w}
 	}
 	return list, teams
--- a/placer/internal/daemon/policy.go
+++ b/placer/internal/daemon/policy.go
@@ -1,25 +1,18 @@
 package daemon
 
 import (
-	"math"
-
 	"github.com/balsamford/balsamford/coord/config"
 	"github.com/balsamford/balsamford/coord/wire"
 	"github.com/balsamford/balsamford/placer/internal/sched"
 )
 
-// weightParts is how many parts a weight of 1 is counted in, because the
-// scheduler's weights are whole numbers.
-const weightParts = 1000
-
 // policyOf returns what a version of the configuration asks of the scheduler.
 // Where the queues' policies differ, the scheduler, which decides for all of
 // them, takes nearness to shares before waiting time and the larger headroom.
 func policyOf(s *config.Snapshot) sched.Policy {
 	p := sched.Policy{Aim: sched.AimWait, Teams: make(map[string]sched.Team), Queues: make(map[string]sched.Queue)}
 	for _, name := range s.Teams() {
-		weight := int64(math.Round(s.Weight(name) * weightParts))
-		p.Teams[name] = sched.Team{Weight: max(weight, 1)}
+		p.Teams[name] = sched.Team{Weight: s.Weight(name)}
 	}
 	for _, ref := range s.Set().Refs() {
 		if ref.Type != config.TypeQueue {
--- a/placer/internal/sched/policy.go
+++ b/placer/internal/sched/policy.go
@@ -13,7 +13,7 @@
 
 // Team is a team's part of a Policy.
 type Team struct {
-	Weight int64 // its share when all is full is Weight over the sum of weights
+	Weight float64 // its share when all is full is Weight over the sum of weights
 }
 
 // Queue is a queue's part of a Policy.
@@ -24,7 +24,7 @@
 
 func (p *Policy) weight(team string) float64 {
 	if t, ok := p.Teams[team]; ok && t.Weight > 0 {
-		return float64(t.Weight)
+		return t.Weight
 	}
 	return 1
 }
