Remember refusals only where many come

Cause: an entry refused a class by itself for 50 ms after a single refusal by the placers.

Change: it takes four refusals within the time for which they stand. A row of TestRefusalsStandForAMoment has a single one.

TestRetry five times, and the package once: passed.

--- a/entry/internal/admit/refusals.go
+++ b/entry/internal/admit/refusals.go
@@ -10,6 +10,9 @@
 )
 
 const (
+	// fewest is how many refusals it takes in the time for which they stand, so
+	// that a caller who asks again after a single one is heard by the placers.
+	fewest = 4
 	// holdParts is what part of its budget a refusal stands for: in one part of
 	// so many a queue that is as deep as the budget doesn't run empty.
 	holdParts = 20
@@ -37,8 +40,9 @@
 
 // refusal says that no request with at most this budget would start in time.
 type refusal struct {
-	budget time.Duration
+	budget time.Duration // the largest one refused
 	until  time.Time
+	count  int // how many were refused
 }
 
 // NewRefusals returns Refusals that count in r.
@@ -52,10 +56,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	if last, ok := s.last[c]; ok && now.Before(last.until) && budget <= last.budget {
-		return
+	last := s.last[c]
+	if !now.Before(last.until) {
+		last = refusal{until: now.Add(min(budget/holdParts, maxHold))}
 	}
-	s.last[c] = refusal{budget: budget, until: now.Add(min(budget/holdParts, maxHold))}
+	last.budget = max(last.budget, budget)
+	last.count++
+	s.last[c] = last
 }
 
 // Late reports whether a request with that deadline would be refused by the
@@ -72,7 +79,7 @@
 		delete(s.last, c)
 		return false
 	}
-	if deadline.Sub(now) > last.budget {
+	if last.count < fewest || deadline.Sub(now) > last.budget {
 		return false
 	}
 	s.early.Inc(1)
--- a/entry/internal/admit/refusals_test.go
+++ b/entry/internal/admit/refusals_test.go
@@ -24,6 +24,7 @@
 		"a while later":      {refused, time.Second, 50 * time.Millisecond, false},
 		"another team":       {Class{Team: "blue", Queue: "checks"}, time.Second, 0, false},
 		"urgent":             {Class{Team: "red", Queue: "checks", Urgent: true}, time.Second, 0, false},
+		"refused once only":  {Class{Team: "red", Queue: "once"}, time.Second, 0, false},
 		"short, refused too": {Class{Team: "red", Queue: "short"}, 200 * time.Millisecond, 9 * time.Millisecond, true},
 		"short, later":       {Class{Team: "red", Queue: "short"}, 200 * time.Millisecond, 10 * time.Millisecond, false},
 	} {
@@ -31,9 +32,12 @@
 			is := is.New(t)
 			clock := timer.New(timer.WithManual(time.Unix(0, 0)))
 			s := NewRefusals(clock, metrics.NewRegistry())
-			s.Note(refused, time.Second)
-			s.Note(refused, 300*time.Millisecond) // tells nothing new
-			s.Note(Class{Team: "red", Queue: "short"}, 200*time.Millisecond)
+			s.Note(Class{Team: "red", Queue: "once"}, time.Second)
+			for range fewest {
+				s.Note(refused, time.Second)
+				s.Note(refused, 300*time.Millisecond) // tells nothing new
+				s.Note(Class{Team: "red", Queue: "short"}, 200*time.Millisecond)
+			}
 			clock.Advance(c.after)
 			is.Equal(s.Late(c.class, clock.Now().Add(c.budget)), c.late)
 		})
