Let entries' answers confirm the configuration in a platform outage

Cause: a process whose configuration no read of the head row confirmed lapsed after a period and the grace, so an outage of the platform stopped all keyed work within seconds.

Change: processes that may publish (entries with an operators' door) stand on a roll, a row of its own. A publish carries the roll as a condition, so what an earlier process of a name began can't take effect after its successor was put on it. While the platform gives nothing, one process of a zone asks all of the roll whether they know of nothing newer; if all are sure, the version counts as confirmed as of the question. A planned stop leaves a last answer. Silence since the write no longer means that a process has lapsed: a writer that all missing ones ask has to have the version, else the publish waits and says so. A process counts itself as listed for 90 minutes after its row was written, in place of 90 s, and rows of dead ones stay as long.

Seen failing: acceptance by time alone, TestNoOlderVersionAfterAcceptance after 8 cases ("entry/a honours 1, and 2 is in force"). An earlier form of the property, in which a host cut off from others had no platform either, passed 4,000 cases without that mechanism and so proved nothing.

Conclusion: sound without promises for a time to come: a truthful word on the past, as of the question, is all that acceptance needs.

--- /dev/null
+++ b/coord/config/answer_test.go
@@ -0,0 +1,413 @@
+package config
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"github.com/balsamford/balsamford/coord/audit"
+	"github.com/balsamford/balsamford/coord/setup"
+	"github.com/balsamford/balsamford/coord/store"
+)
+
+// outageModel is a cell whose entries publish, and whose processes confirm one
+// another while the platform answers nobody, or only some.
+type outageModel struct {
+	*testCell
+	seen     map[string]uint64 // highest version under which a host honoured keys
+	rounds   []*round
+	late     [][]store.Op // commits that take effect later
+	lose     string       // what happens to the answer of the next publish
+	midway   func()       // called when the next publish is about to be written
+	accepted uint64
+	teams    int
+}
+
+func newOutageModel() *outageModel {
+	m := &outageModel{testCell: newTestCell(), seen: make(map[string]uint64)}
+	for _, name := range []string{"entry/a", "entry/b", "placer/a", "placer/b"} {
+		m.launch(name)
+	}
+	for range 4 {
+		m.tick(DefaultInterval)
+	}
+	m.publish("entry/a", "1s")
+	for range 4 {
+		m.tick(DefaultInterval)
+		m.accept()
+	}
+	return m
+}
+
+// launch starts a process under that name, in place of the one before.
+func (m *outageModel) launch(name string) *Follower {
+	options := []Option{WithReaders(1)}
+	if strings.HasPrefix(name, "entry") {
+		options = append(options, WithWriter())
+	}
+	return m.start(name, "z-"+name[len(name)-1:], options...)
+}
+
+// stop ends a process, by plan or not.
+func (m *outageModel) stop(name string, planned bool) {
+	if planned && m.paused != name {
+		_ = m.followers[name].Leave(context.Background())
+	}
+	m.followers[name] = nil
+}
+
+// live returns the processes that run.
+func (m *outageModel) live(prefix string) []string {
+	names := slices.DeleteFunc(slices.Sorted(maps.Keys(m.followers)), func(name string) bool {
+		return m.followers[name] == nil || !strings.HasPrefix(name, prefix)
+	})
+	return names
+}
+
+// tick moves time on and lets all processes do what falls due.
+func (m *outageModel) tick(d time.Duration) {
+	m.timers.Advance(d)
+	for _, name := range m.live("") {
+		m.act(name)
+	}
+}
+
+func (m *outageModel) act(name string) {
+	if m.paused != name {
+		m.followers[name].outage(context.Background())
+		m.followers[name].refresh(context.Background())
+	}
+}
+
+// publishPlatform is the platform as the door of one entry sees it.
+type publishPlatform struct {
+	*testReader
+	model  *outageModel
+	cancel context.CancelFunc
+}
+
+func (p *publishPlatform) PutObject(ctx context.Context, name string, data []byte) error {
+	return p.cell.platform.PutObject(ctx, name, data)
+}
+
+func (p *publishPlatform) Commit(ctx context.Context, ops []store.Op) error {
+	if len(ops) < 3 {
+		return p.testReader.Commit(ctx, ops)
+	}
+	if midway := p.model.midway; midway != nil {
+		p.model.midway = nil
+		midway()
+	}
+	lose := p.model.lose
+	p.model.lose = ""
+	if lose == "late" {
+		p.model.late = append(p.model.late, ops)
+		p.cancel()
+		return &store.UnavailableError{Op: "commit"}
+	}
+	err := p.testReader.Commit(ctx, ops)
+	if err == nil && lose == "after" {
+		err = &store.UnavailableError{Op: "commit"}
+	}
+	if err != nil {
+		p.cancel() // nobody moves time on
+	}
+	return err
+}
+
+// publish lets an entry publish, and begins to wait for acceptance.
+func (m *outageModel) publish(name, grace string) {
+	f := m.followers[name]
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	p := NewPublisher(&publishPlatform{&testReader{cell: m.testCell, name: name}, m, cancel}, m.timers, zap.NewNop(), ByWriter(f))
+	m.teams++
+	var d Policy
+	d.Name, d.Grace = "p", mustDuration(grace)
+	res, err := p.Publish(ctx, &Edit{
+		ID: audit.NewID(m.timers.Now()), Author: "ana", Base: AnyVersion, Action: audit.Set,
+		Put: []Object{&d, &Queue{Name: "q", Policy: "p"}, &Team{Name: "t" + number(float64(m.teams))}},
+	})
+	m.lose, m.midway = "", nil
+	if err == nil {
+		m.wait(name, res)
+	}
+}
+
+func (m *outageModel) wait(name string, res Result) {
+	w := NewWaiter(&testReader{cell: m.testCell, name: name}, m.timers, m.followers[name], nil, zap.NewNop())
+	m.rounds = append(m.rounds, w.round(res))
+}
+
+// waitNewest lets an entry wait for the newest version, as after an answer
+// that was lost.
+func (m *outageModel) waitNewest(name string) {
+	head, _, err := readHead(context.Background(), &testReader{cell: m.testCell, name: name})
+	if err == nil && head.Version > 0 {
+		m.wait(name, Result{Head: head, Published: m.timers.Boot()})
+	}
+}
+
+// accept lets all that wait ask how it stands.
+func (m *outageModel) accept() {
+	for _, r := range m.rounds {
+		name := r.waiter.follower.name
+		if m.followers[name] != r.waiter.follower || m.paused == name {
+			continue
+		}
+		p, _ := r.ask(context.Background())
+		r.waiter.Close()
+		if p.Accepted && r.head.Version > m.accepted {
+			m.accepted = r.head.Version
+			r.waiter.accept(context.Background(), r.head.Version)
+		}
+	}
+}
+
+// honours returns the version under which a process serves keys, 0 if it
+// doesn't.
+func (m *outageModel) honours(name string) uint64 {
+	f := m.followers[name]
+	if f == nil || !f.Honours("q") && !f.Fresh() {
+		return 0
+	}
+	return f.Head().Version
+}
+
+func mustDuration(text string) *setup.Duration {
+	var d setup.Duration
+	if err := d.UnmarshalText([]byte(text)); err != nil {
+		panic(err)
+	}
+	return &d
+}
+
+func (r Roll) names() []string {
+	var out []string
+	for _, w := range r.Writers {
+		out = append(out, w.Name)
+	}
+	return out
+}
+
+// TestNoOlderVersionAfterAcceptance drives processes with kills, pauses, cuts,
+// lost and late answers, outages of the platform for all or for some, planned
+// stops, restarts under the same and new names, and publishes that race one
+// another. No process may honour keys under an older version than one that was
+// accepted.
+func TestNoOlderVersionAfterAcceptance(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		m := newOutageModel()
+		names := []string{"entry/a", "entry/b", "entry/c", "entry/d", "placer/a", "placer/b"}
+		any := func(r *rapid.T, prefix string) (string, bool) {
+			live := m.live(prefix)
+			if len(live) == 0 {
+				return "", false
+			}
+			return rapid.SampledFrom(live).Draw(r, "name"), true
+		}
+		each := func(prefix string, act func(*rapid.T, string)) func(*rapid.T) {
+			return func(r *rapid.T) {
+				if name, ok := any(r, prefix); ok {
+					act(r, name)
+				}
+			}
+		}
+		tick := func(r *rapid.T) {
+			for range rapid.IntRange(4, 12).Draw(r, "ticks") {
+				m.tick(DefaultInterval)
+				m.accept()
+			}
+		}
+		publish := func(r *rapid.T, name string) {
+			m.lose = rapid.SampledFrom([]string{"", "", "late", "after"}).Draw(r, "answer")
+			if rapid.Bool().Draw(r, "midway") {
+				m.midway = func() { m.tick(10 * time.Millisecond) }
+			}
+			m.publish(name, rapid.SampledFrom([]string{"0s", "1s"}).Draw(r, "grace"))
+		}
+		heal := func(r *rapid.T) {
+			clear(m.cut)
+			clear(m.apart)
+			clear(m.noPlatform)
+			m.paused, m.delay = "", 0
+			roll, _, _ := readRoll(context.Background(), m.platform)
+			for _, name := range append(roll.names(), "entry/a", "placer/a") {
+				if m.followers[name] == nil {
+					m.launch(name)
+				}
+			}
+			tick(r)
+		}
+		r.Repeat(map[string]func(*rapid.T){
+			"tick":    tick,
+			"tick on": tick,
+			"act":     each("", func(_ *rapid.T, name string) { m.act(name) }),
+			"read":    each("", func(_ *rapid.T, name string) { _ = m.followers[name].read(context.Background()) }),
+			"publish": each("entry", publish),
+			"race": each("entry", func(r *rapid.T, name string) {
+				other, _ := any(r, "entry")
+				if other != name { // one process publishes one after another
+					m.midway = func() { m.publish(other, "0s") }
+				}
+				m.publish(name, "0s")
+			}),
+			"wait": each("entry", func(_ *rapid.T, name string) { m.waitNewest(name) }),
+			"late commit": func(*rapid.T) {
+				if len(m.late) > 0 {
+					_ = m.platform.Commit(context.Background(), m.late[0])
+					m.late = m.late[1:]
+				}
+			},
+			"start": func(r *rapid.T) {
+				m.timers.Advance(time.Millisecond)
+				m.launch(rapid.SampledFrom(names).Draw(r, "name"))
+			},
+			"stop":  each("", func(r *rapid.T, name string) { m.stop(name, rapid.Bool().Draw(r, "planned")) }),
+			"pause": each("", func(_ *rapid.T, name string) { m.paused = name }),
+			"wake":  func(*rapid.T) { m.paused = "" },
+			"cut":   each("", func(_ *rapid.T, name string) { m.cut[name] = !m.cut[name] }),
+			"newcomer": func(r *rapid.T) { // the platform answers one entry alone
+				if rapid.IntRange(0, 3).Draw(r, "whole") > 0 {
+					heal(r)
+				}
+				name := rapid.SampledFrom(names[:4]).Draw(r, "name")
+				clear(m.cut)
+				clear(m.apart)
+				m.apart[name] = rapid.IntRange(0, 3).Draw(r, "apart") > 0
+				for _, other := range names {
+					m.noPlatform[other] = other != name
+				}
+				start := rapid.SampledFrom([]string{"as it is", "start", "stop and start"}).Draw(r, "start")
+				if start == "stop and start" && m.followers[name] != nil {
+					apart := m.apart[name]
+					m.apart[name] = false
+					m.stop(name, true)
+					m.apart[name] = apart
+				}
+				if start != "as it is" || m.followers[name] == nil {
+					m.timers.Advance(time.Millisecond)
+					m.launch(name)
+				}
+				tick(r)
+				publish(r, name)
+				tick(r)
+			},
+			"whole": heal,
+			"apart": each("", func(_ *rapid.T, name string) { m.apart[name] = !m.apart[name] }),
+			"heal":  func(*rapid.T) { clear(m.cut); clear(m.apart) },
+			"no platform": func(r *rapid.T) {
+				for _, name := range names {
+					m.noPlatform[name] = rapid.IntRange(0, 4).Draw(r, name) > 0
+				}
+			},
+			"slow answers": func(r *rapid.T) {
+				m.delay = time.Duration(rapid.SampledFrom([]int{0, 0, 20, 300}).Draw(r, "delay")) * time.Millisecond
+			},
+			"platform": func(*rapid.T) { clear(m.noPlatform) },
+			"accept":   func(*rapid.T) { m.accept() },
+			"time": func(r *rapid.T) {
+				m.timers.Advance(time.Duration(rapid.SampledFrom([]int{1, 100, 600, 2100}).Draw(r, "ms")) * time.Millisecond)
+			},
+			"": func(r *rapid.T) {
+				for _, name := range names {
+					version := m.honours(name)
+					if version == 0 {
+						continue
+					}
+					if version < m.accepted || version < m.seen[name] {
+						r.Fatalf("%s honours %d, after %d, and %d is in force", name, version, m.seen[name], m.accepted)
+					}
+					m.seen[name] = version
+				}
+			},
+		})
+	})
+}
+
+// TestOutageOfAnHour: the platform answers nobody for an hour.
+func TestOutageOfAnHour(t *testing.T) {
+	tests := map[string]struct {
+		event func(m *outageModel)
+		serve bool
+	}{
+		"all entries live":                 {event: func(*outageModel) {}, serve: true},
+		"a placer is killed":               {event: func(m *outageModel) { m.stop("placer/a", false) }, serve: true},
+		"an entry is killed":               {event: func(m *outageModel) { m.stop("entry/b", false) }},
+		"an entry is cut off":              {event: func(m *outageModel) { m.cut["entry/b"] = true }},
+		"an entry is paused":               {event: func(m *outageModel) { m.paused = "entry/b" }},
+		"an entry is stopped":              {event: func(m *outageModel) { m.stop("entry/b", true) }, serve: true},
+		"an entry is replaced":             {event: func(m *outageModel) { m.stop("entry/b", true); m.launch("entry/b") }, serve: true},
+		"an entry is killed and restarted": {event: func(m *outageModel) { m.stop("entry/b", false); m.launch("entry/b") }},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := newOutageModel()
+			m.platform.SetFaults(store.Faults{Down: true})
+			length := time.Minute
+			if name == "all entries live" {
+				length = time.Hour
+			}
+			for range length / DefaultInterval {
+				m.tick(DefaultInterval)
+				is.Equal(m.honours("entry/a"), uint64(1))
+				is.Equal(m.honours("placer/b"), uint64(1))
+				is.True(m.followers["entry/a"].Fresh()) // at the default grace
+			}
+			tt.event(m)
+			m.tick(DefaultPeriod + DefaultGrace)
+			for range 20 {
+				m.tick(DefaultInterval)
+			}
+			is.Equal(m.followers["entry/a"].Fresh(), tt.serve)
+			is.Equal(m.honours("entry/a") > 0, tt.serve)
+			is.Equal(m.honours("placer/b") > 0, tt.serve)
+			m.platform.SetFaults(store.Faults{})
+			clear(m.cut)
+			m.tick(DefaultInterval)
+			is.Equal(m.honours("entry/a"), uint64(1))
+		})
+	}
+}
+
+// TestNewcomerWaitsForAll: the platform answers an entry alone that the others
+// don't know of, so they go on and no publish of that one is accepted before
+// they have it. Once another entry has it that all of them ask, they lapse.
+func TestNewcomerWaitsForAll(t *testing.T) {
+	is := is.New(t)
+	m := newOutageModel()
+	ticks := func() {
+		for range 20 {
+			m.tick(DefaultInterval)
+			m.accept()
+		}
+	}
+	for _, name := range m.live("") {
+		m.noPlatform[name] = true
+	}
+	m.apart["entry/c"] = true
+	m.launch("entry/c")
+	ticks()
+	m.publish("entry/c", "0s")
+	ticks()
+	is.Equal(len(m.rounds), 2)
+	is.Equal(m.accepted, uint64(1))
+	is.Equal(m.honours("placer/b"), uint64(1))
+	p, err := m.rounds[1].ask(t.Context())
+	is.NoErr(err)
+	is.Equal(p.Waits, []string{noWitness})
+	is.Equal(p.Missing, []string{"entry/a", "entry/b", "placer/a", "placer/b"})
+	m.apart["entry/a"], m.noPlatform["entry/a"] = true, false // on the roll before all others
+	ticks()
+	is.Equal(m.accepted, uint64(2))
+	is.Equal(m.honours("placer/b"), uint64(0))
+	is.Equal(m.honours("entry/a"), uint64(2))
+}
--- a/coord/config/cell_test.go
+++ b/coord/config/cell_test.go
@@ -22,6 +22,7 @@
 	followers  map[string]*Follower
 	peers      []Peer
 	cut        map[string]bool // hosts that no call reaches or leaves
+	apart      map[string]bool // hosts that only one another can reach
 	noPlatform map[string]bool // hosts that can't reach the platform
 	delay      time.Duration   // that every answer of a peer takes
 	hung       string          // address that takes calls and never answers
@@ -33,6 +34,7 @@
 		timers:     timer.New(timer.WithManual(time.Unix(0, 0))),
 		followers:  make(map[string]*Follower),
 		cut:        make(map[string]bool),
+		apart:      make(map[string]bool),
 		noPlatform: make(map[string]bool),
 	}
 	c.platform = store.New(store.WithTimer(c.timers))
@@ -94,7 +96,7 @@
 
 func (c *testCaller) Call(ctx context.Context, address, verb string, in, out any) error {
 	f := c.cell.followers[address]
-	if f == nil || c.cell.cut[address] != c.cell.cut[c.from] {
+	if f == nil || c.cell.paused == address || c.cell.cut[address] != c.cell.cut[c.from] || c.cell.apart[address] != c.cell.apart[c.from] {
 		return &link.DialError{Address: address, Err: &link.CutError{Address: address}}
 	}
 	if c.cell.hung == address {
--- a/coord/config/counts_test.go
+++ b/coord/config/counts_test.go
@@ -21,8 +21,8 @@
 	r.Each(func(name string, _ any) { names = append(names, name) })
 	slices.Sort(names)
 	is.Equal(names, []string{
-		"config.age", "config.applied", "config.bytes", "config.corrupt", "config.failed",
-		"config.old", "config.pulls", "config.reads", "config.tells", "config.version",
+		"config.age", "config.answered", "config.applied", "config.asks", "config.bytes", "config.corrupt", "config.failed",
+		"config.old", "config.pulls", "config.reads", "config.tells", "config.unsure", "config.version",
 	})
 	page, err := os.ReadFile("../../docs/METRICS.md")
 	is.NoErr(err)
--- /dev/null
+++ b/coord/config/enroll.go
@@ -0,0 +1,86 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/balsamford/balsamford/coord/store"
+)
+
+// enroll puts a process that may publish on the roll, unless it stands there.
+// A publish that an earlier process of the name has begun can't take effect
+// any more from then on.
+func (f *Follower) enroll(ctx context.Context) {
+	if !f.writer || f.caller == nil {
+		return
+	}
+	f.mu.Lock()
+	due := !f.left && f.listedLocked() && (f.enrolled < 0 || f.held.roll.Number > 0 && !f.held.roll.has(f.run))
+	f.mu.Unlock()
+	if !due {
+		return
+	}
+	ctx, cancel := f.timeout(ctx, f.period)
+	defer cancel()
+	roll, row, err := readRoll(ctx, f.platform)
+	if err != nil {
+		return
+	}
+	if !roll.has(f.run) {
+		next := roll.with(Writer{Name: f.name, Run: f.run, Address: f.address})
+		if writeRoll(ctx, f.platform, next, row) != nil {
+			return // if it took effect, the next reading shows it
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.enrolled, f.stands = f.timers.Boot(), false
+	f.held.due = 0
+}
+
+// stoodLocked counts a read of the platform's head that this process has sent
+// itself. It knows all that earlier processes of its name have published if
+// the read was sent after it was put on the roll.
+func (f *Follower) stoodLocked(sent time.Duration) {
+	if f.enrolled >= 0 && sent >= f.enrolled {
+		f.stands = true
+	}
+}
+
+// leaveRoll takes this process off the roll.
+func (f *Follower) leaveRoll(ctx context.Context) error {
+	roll, row, err := readRoll(ctx, f.platform)
+	if err != nil || !roll.has(f.run) {
+		return err
+	}
+	return writeRoll(ctx, f.platform, roll.without(func(w Writer) bool { return w.Run == f.run }), row)
+}
+
+// strike takes a process whose row is removed off the roll.
+func strike(ctx context.Context, platform Joiner, row store.Row) error {
+	name := strings.TrimPrefix(row.Key, memberPrefix)
+	roll, version, err := readRoll(ctx, platform)
+	if err != nil {
+		return err
+	}
+	ops := []store.Op{{Table: Table, Key: row.Key, Expect: row.Version, Action: store.Delete}}
+	next := roll.without(func(w Writer) bool { return w.Name == name })
+	if len(next.Writers) < len(roll.Writers) {
+		value, err := json.Marshal(next)
+		if err != nil {
+			return &FormError{Key: KeyRoll, Err: err}
+		}
+		ops = append(ops, store.Op{Table: Table, Key: KeyRoll, Expect: version, Value: value, Action: store.Put})
+	}
+	return platform.Commit(ctx, ops)
+}
+
+func writeRoll(ctx context.Context, platform Joiner, roll Roll, row uint64) error {
+	value, err := json.Marshal(roll)
+	if err != nil {
+		return &FormError{Key: KeyRoll, Err: err}
+	}
+	return platform.Commit(ctx, []store.Op{{Table: Table, Key: KeyRoll, Expect: row, Value: value, Action: store.Put}})
+}
--- /dev/null
+++ b/coord/config/final.go
@@ -0,0 +1,69 @@
+package config
+
+import (
+	"context"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/balsamford/balsamford/coord/wire"
+)
+
+// Final is the last answer of a process that may publish: it never does so
+// again, and knew of no version newer than Version. It stands in for its
+// answers from then on.
+type Final struct {
+	Run     string `cbor:"run"`
+	Version uint64 `cbor:"version"`
+}
+
+// final returns the last answer of this process, if it can give one. The
+// process has left, so it begins no publish any more.
+func (f *Follower) final() (Final, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Final{Run: f.run, Version: f.top}, f.left && f.stands && !f.doubtfulLocked()
+}
+
+// sayFinal tells all other processes the last answer of this one.
+func (f *Follower) sayFinal(ctx context.Context) {
+	final, ok := f.final()
+	if !ok || f.caller == nil {
+		return
+	}
+	var g errgroup.Group
+	g.SetLimit(tellers)
+	for _, p := range f.roster.Peers() {
+		if p.Name == f.name {
+			continue
+		}
+		g.Go(func() error {
+			ctx, cancel := f.timeout(ctx, f.patience())
+			defer cancel()
+			f.counts.tells.Inc(1)
+			var out Status
+			_ = f.caller.Call(ctx, p.Address, wire.VerbTell, Told{Head: f.Head(), Address: f.address, Finals: []Final{final}}, &out)
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+// learnFinals keeps the last answers of processes on the roll.
+func (f *Follower) learnFinals(finals []Final) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, final := range finals {
+		if f.held.roll.has(final.Run) {
+			f.finals[final.Run] = final
+		}
+	}
+}
+
+// finalsLocked returns all last answers known.
+func (f *Follower) finalsLocked() []Final {
+	var out []Final
+	for _, final := range f.finals {
+		out = append(out, final)
+	}
+	return out
+}
--- a/coord/config/follower.go
+++ b/coord/config/follower.go
@@ -30,6 +30,8 @@
 	period     time.Duration
 	interval   time.Duration
 	readers    int
+	writer     bool   // the process may publish
+	run        string // of a writer; tells it from others of its name
 	log        *zap.Logger
 	registry   metrics.Registry
 	counts     counts
@@ -39,7 +41,15 @@
 
 	mu       sync.Mutex // guards the fields below
 	sent     time.Duration
-	counted  bool // sent holds a read that showed no version newer than the current one
+	counted  bool   // sent holds a read that showed no version newer than the current one
+	answered bool   // sent is the moment of a question to all writers, not of a read
+	grounded bool   // a read has confirmed a version since the process was listed
+	top      uint64 // newest version known to have been published
+	held     heldRoll
+	finals   map[string]Final // by run
+	enrolled time.Duration    // when the process was on the roll for certain; negative before
+	stands   bool             // the head was read after that
+	doubt    doubt
 	member   membership
 	drains   drainList
 	left     bool // Leave was called
@@ -63,6 +73,7 @@
 		roster: RosterFunc(func() []Peer { return nil }),
 		period: DefaultPeriod, interval: DefaultInterval, readers: DefaultReaders,
 		log: zap.NewNop(), registry: metrics.NewRegistry(), news: make(chan Head, 1),
+		finals: make(map[string]Final), enrolled: -1,
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -129,13 +140,15 @@
 		}
 	})
 	defer t.Stop()
-	var reads, tells errgroup.Group
+	var reads, asks, tells errgroup.Group
 	reads.SetLimit(outstanding)
+	asks.SetLimit(1)
 	for {
 		select {
 		case <-ctx.Done():
-			return errors.Join(reads.Wait(), tells.Wait())
+			return errors.Join(reads.Wait(), asks.Wait(), tells.Wait())
 		case <-tick:
+			asks.TryGo(func() error { f.outage(ctx); return nil })
 			reads.TryGo(func() error { f.refresh(ctx); return nil })
 		case head := <-f.news:
 			tells.Go(func() error { f.tell(ctx, head); return nil })
--- a/coord/config/head.go
+++ b/coord/config/head.go
@@ -14,6 +14,8 @@
 	// KeyAccepted is the row of the newest version known to be in force
 	// everywhere, an Accepted in JSON.
 	KeyAccepted = "accepted"
+	// KeyRoll is the row of the processes that may publish, a Roll in JSON.
+	KeyRoll = "roll"
 	// versionPrefix stands before the number in the key of a version's row,
 	// which holds its Head in JSON and is never changed.
 	versionPrefix = "version/"
--- a/coord/config/member.go
+++ b/coord/config/member.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/balsamford/balsamford/coord/store"
 	"github.com/balsamford/balsamford/coord/wire"
 )
@@ -15,11 +18,12 @@
 	// joinInterval is the time between two writes of a process's row.
 	joinInterval = 30 * time.Second
 	// joinTerm is how long a process counts itself as listed, from when it
-	// sent the write of its row.
-	joinTerm = 90 * time.Second
+	// sent the write of its row, and so the longest outage of the platform
+	// through which answers confirm its version.
+	joinTerm = 90 * time.Minute
 	// joinExpiry is how long a row has to stand unchanged before it is
 	// deleted.
-	joinExpiry = 2 * joinTerm
+	joinExpiry = joinTerm + joinTerm/drift + time.Minute
 )
 
 // Ask is the message of a wire.VerbHead.
@@ -27,6 +31,11 @@
 	// Join is the asker, if it can't write its own row and asks the peer to
 	// do that.
 	Join *Peer `cbor:"join,omitempty"`
+	// Roll is the number of the roll that the asker has.
+	Roll uint64 `cbor:"roll,omitempty"`
+	// Question is put to a process that may publish. Its answer has nothing
+	// else.
+	Question *Question `cbor:"question,omitempty"`
 }
 
 // membership is whether the process is listed in the platform's table. A
@@ -35,6 +44,7 @@
 type membership struct {
 	sent   time.Duration // when the newest write of the row was sent
 	listed bool
+	list   uint64        // roll that the row says; 0 if none is known to be in it
 	floor  time.Duration // reads sent before confirm nothing
 }
 
@@ -47,10 +57,11 @@
 	sent := f.timers.Boot()
 	ctx, cancel := f.timeout(ctx, f.period)
 	defer cancel()
-	if writeMember(ctx, f.platform, f.self()) != nil {
+	self := f.self()
+	if writeMember(ctx, f.platform, self) != nil {
 		return true
 	}
-	f.joined(sent)
+	f.joined(sent, self.List)
 	return false
 }
 
@@ -65,21 +76,26 @@
 		return err
 	}
 	if out.Joined {
-		f.joined(sent)
+		f.joined(sent, self.List)
 	}
 	return nil
 }
 
-func (f *Follower) self() Peer { return Peer{Name: f.name, Zone: f.zone, Address: f.address} }
+func (f *Follower) self() Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Peer{Name: f.name, Zone: f.zone, Address: f.address, List: f.held.roll.Number}
+}
 
 func (f *Follower) joinDue() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.left && (!f.listedLocked() || f.timers.Boot()-f.member.sent >= joinInterval)
+	return !f.left && (!f.listedLocked() || f.timers.Boot()-f.member.sent >= joinInterval || f.member.list == 0 && f.held.roll.Number > 0)
 }
 
-// joined counts a write of the row that was sent at that moment and answered.
-func (f *Follower) joined(sent time.Duration) {
+// joined counts a write of the row that was sent at that moment, said that
+// roll, and was answered.
+func (f *Follower) joined(sent time.Duration, list uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.left {
@@ -87,8 +103,9 @@
 	}
 	if !f.listedLocked() {
 		f.member.floor = f.timers.Boot()
-		f.counted = false
+		f.counted, f.grounded = false, false
 	}
+	f.member.list = max(f.member.list, list)
 	f.member.sent, f.member.listed = max(sent, f.member.sent), true
 }
 
@@ -97,12 +114,20 @@
 }
 
 // Leave takes the process off the list, so that no publish waits for it. It
-// honours no keys from then on. The error is the platform's.
+// honours no keys from then on. A process that may publish does so no more
+// and tells all others, who need no answer of it from then on. The error is
+// the platform's.
 func (f *Follower) Leave(ctx context.Context) error {
 	f.mu.Lock()
 	f.member, f.counted, f.left = membership{}, false, true
 	f.mu.Unlock()
-	return f.platform.Commit(ctx, []store.Op{{Table: Table, Key: memberPrefix + f.name, Expect: store.Any, Action: store.Delete}})
+	var g errgroup.Group
+	if f.writer {
+		g.Go(func() error { f.sayFinal(ctx); return nil })
+		g.Go(func() error { return f.leaveRoll(ctx) })
+	}
+	err := f.platform.Commit(ctx, []store.Op{{Table: Table, Key: memberPrefix + f.name, Expect: store.Any, Action: store.Delete}})
+	return errors.Join(err, g.Wait())
 }
 
 func writeMember(ctx context.Context, platform Joiner, p Peer) error {
--- a/coord/config/message.go
+++ b/coord/config/message.go
@@ -17,6 +17,19 @@
 	Read   time.Duration `cbor:"read"`
 	// Joined says that the process wrote the asker's row.
 	Joined bool `cbor:"joined,omitempty"`
+	// Run tells the process from others of its name; empty if it may not
+	// publish.
+	Run string `cbor:"run,omitempty"`
+	// Answered says that Age rests on answers to a Question, not on a read.
+	Answered bool `cbor:"answered,omitempty"`
+	// Sure answers a Question.
+	Sure bool `cbor:"sure,omitempty"`
+	// Roll is the roll by which the process asks, if the asker's is older;
+	// the read that returned it was sent RollAge before the answer.
+	Roll    *Roll         `cbor:"roll,omitempty"`
+	RollAge time.Duration `cbor:"rollage,omitempty"`
+	// Finals are the last answers that the process knows.
+	Finals []Final `cbor:"finals,omitempty"`
 }
 
 // Told is the message of a wire.VerbTell: there is a new head. It confirms
@@ -24,6 +37,8 @@
 type Told struct {
 	Head    Head   `cbor:"head"`
 	Address string `cbor:"address"` // where its content can be fetched
+	// Finals are last answers, from processes that have left.
+	Finals []Final `cbor:"finals,omitempty"`
 }
 
 // Fetch is the message of a wire.VerbFetch.
--- a/coord/config/offer.go
+++ b/coord/config/offer.go
@@ -18,7 +18,10 @@
 	// false if it is unknown.
 	sent    time.Duration
 	counted bool
-	source  string // address of a peer that has the content; empty for the platform
+	// answered is true if sent is the moment of a question to all that may
+	// publish, not of a read.
+	answered bool
+	source   string // address of a peer that has the content; empty for the platform
 }
 
 // take deals with an offer: it confirms the current version, starts loading a
@@ -26,6 +29,7 @@
 func (f *Follower) take(ctx context.Context, o offer) {
 	f.mu.Lock()
 	have := f.Head()
+	f.top = max(f.top, o.head.Version)
 	switch {
 	case o.head.Version < have.Version:
 		f.counts.old.Inc(1)
@@ -51,7 +55,9 @@
 // confirmLocked counts a read that returned the current version. A read that
 // was sent before this process started confirms nothing, because an earlier
 // process of this host may have confirmed a later version since; nor does one
-// that was sent before the process was listed.
+// that was sent before the process was listed. Answers only prolong what a
+// read has confirmed, since nobody waits for a process that wasn't listed when
+// the version was written that the read would have shown.
 func (f *Follower) confirmLocked(o offer) {
 	if o.head.Digest != f.Head().Digest {
 		f.counts.corrupt.Inc(1)
@@ -60,7 +66,11 @@
 	if !o.counted || o.sent < f.member.floor || f.counted && o.sent <= f.sent {
 		return
 	}
-	f.sent, f.counted = o.sent, true
+	if o.answered && (!f.grounded || f.top > o.head.Version) {
+		return
+	}
+	f.sent, f.counted, f.answered = o.sent, true, o.answered
+	f.grounded = f.grounded || !o.answered
 }
 
 // loadWanted loads the newest version offered until there is none newer than
--- a/coord/config/option.go
+++ b/coord/config/option.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"crypto/rand"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -27,6 +28,12 @@
 	return func(f *Follower) { f.roster, f.caller, f.address = r, c, address }
 }
 
+// WithWriter says that the process may publish, so that others ask it for
+// answers while the platform is away. It needs peers.
+func WithWriter() Option {
+	return func(f *Follower) { f.writer, f.run = true, rand.Text() }
+}
+
 // WithPeriod sets how long a read of the head confirms a version and the time
 // between two reads. All processes need the same period.
 func WithPeriod(period, interval time.Duration) Option {
--- a/coord/config/peer.go
+++ b/coord/config/peer.go
@@ -7,6 +7,9 @@
 	Name    string `json:"name" cbor:"name"` // unique among all processes
 	Zone    string `json:"zone" cbor:"zone"`
 	Address string `json:"address" cbor:"address"` // of its link.Node
+	// List is the number of the oldest roll by which the process may ask for
+	// answers; 0 if it doesn't.
+	List uint64 `json:"list,omitempty" cbor:"list,omitempty"`
 }
 
 // Roster returns the processes that follow the configuration, as far as this
--- a/coord/config/publisher.go
+++ b/coord/config/publisher.go
@@ -30,6 +30,7 @@
 	timers   *timer.Service
 	log      *zap.Logger
 	trail    *audit.Log
+	follower *Follower     // of a process that may publish while others follow
 	turn     chan struct{} // full while an edit is being published
 
 	mu   sync.Mutex // guards last
@@ -44,8 +45,12 @@
 }
 
 // NewPublisher returns a Publisher on a platform.
-func NewPublisher(p AuditPlatform, timers *timer.Service, log *zap.Logger) *Publisher {
-	return &Publisher{platform: p, timers: timers, log: log, trail: audit.New(p), turn: make(chan struct{}, 1)}
+func NewPublisher(p AuditPlatform, timers *timer.Service, log *zap.Logger, opts ...PublisherOption) *Publisher {
+	out := &Publisher{platform: p, timers: timers, log: log, trail: audit.New(p), turn: make(chan struct{}, 1)}
+	for _, opt := range opts {
+		opt(out)
+	}
+	return out
 }
 
 // base is the version that a publish starts from.
@@ -77,6 +82,9 @@
 		if errors.As(err, &conflict) && e.Base == AnyVersion && try < rebases {
 			continue
 		}
+		if conflict != nil && p.onlyRollMoved(e, conflict) && try < rebases {
+			continue
+		}
 		if errors.As(err, &conflict) {
 			p.record(ctx, e, audit.Conflict, conflict.Base, conflict.Yours, "version "+number(float64(conflict.Head.Version))+" came first")
 		}
@@ -165,13 +173,30 @@
 	if err != nil {
 		return &UnpublishedError{ID: e.ID, Step: "commit", Err: err}
 	}
+	ops := make([]store.Op, 0, 4)
+	if p.follower != nil {
+		check, err := p.follower.begin(ctx, e.ID, b.head.Version)
+		if err != nil {
+			return err
+		}
+		ops = append(ops, check)
+	}
 	record := e.record(p.timers.Now(), audit.Accepted, b.head.Version, res.Changes)
 	record.Version = res.Head.Version
-	ops := []store.Op{
-		{Table: Table, Key: KeyHead, Expect: b.row, Value: value, Action: store.Put},
-		{Table: Table, Key: VersionKey(res.Head.Version), Value: value, Action: store.Put},
+	ops = append(ops,
+		store.Op{Table: Table, Key: KeyHead, Expect: b.row, Value: value, Action: store.Put},
+		store.Op{Table: Table, Key: VersionKey(res.Head.Version), Value: value, Action: store.Put},
 		p.trail.Op(record),
+	)
+	err = p.send(ctx, e, ops)
+	if p.follower != nil {
+		p.follower.end(res.Head.Version, err)
 	}
+	return err
+}
+
+// send sends a transaction until it is answered.
+func (p *Publisher) send(ctx context.Context, e *Edit, ops []store.Op) error {
 	sent := false
 	for {
 		err := p.platform.Commit(ctx, ops)
@@ -191,6 +216,12 @@
 	}
 }
 
+// onlyRollMoved reports whether a publish met nothing but a change of the
+// roll, as processes start and stop.
+func (p *Publisher) onlyRollMoved(e *Edit, c *ConflictError) bool {
+	return p.follower != nil && e.Base == c.Head.Version
+}
+
 func (p *Publisher) remember(s *Snapshot) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/coord/config/refresh.go
+++ b/coord/config/refresh.go
@@ -29,6 +29,7 @@
 			_ = f.joinVia(ctx, p)
 		}
 	}
+	f.enroll(ctx)
 	if parent, ok := f.parent(); ok && f.pull(ctx, parent) == nil {
 		if age, ok := f.Age(); ok && age <= f.period/2 {
 			return
@@ -46,6 +47,7 @@
 func (f *Follower) read(ctx context.Context) error {
 	ctx, cancel := f.timeout(ctx, f.period)
 	defer cancel()
+	held, ok := f.readRoll(ctx)
 	f.counts.reads.Inc(1)
 	sent := f.timers.Boot()
 	head, _, err := readHead(ctx, f.platform)
@@ -53,6 +55,12 @@
 		return err
 	}
 	f.take(ctx, offer{head: head, sent: sent, counted: true})
+	f.mu.Lock()
+	f.stoodLocked(sent)
+	f.mu.Unlock()
+	if ok {
+		f.learnRoll(held)
+	}
 	f.readDrains(ctx)
 	return nil
 }
@@ -64,15 +72,22 @@
 	ctx, cancel := f.timeout(ctx, f.patience())
 	defer cancel()
 	f.counts.pulls.Inc(1)
+	f.mu.Lock()
+	have := f.held.roll.Number
+	f.mu.Unlock()
 	sent := f.timers.Boot()
 	var out Status
-	if err := f.caller.Call(ctx, p.Address, wire.VerbHead, Ask{}, &out); err != nil {
+	if err := f.caller.Call(ctx, p.Address, wire.VerbHead, Ask{Roll: have}, &out); err != nil {
 		return err
 	}
 	if out.Read >= 0 {
 		f.learnDrains(sent-out.Read, out.Drains)
 	}
-	f.take(ctx, offer{head: out.Head, sent: sent - aged(out.Age), counted: out.Age >= 0, source: p.Address})
+	f.take(ctx, offer{head: out.Head, sent: sent - aged(out.Age), counted: out.Age >= 0, answered: out.Answered, source: p.Address})
+	if out.Roll != nil {
+		f.learnRoll(heldRoll{roll: *out.Roll, sent: sent - aged(out.RollAge)})
+	}
+	f.learnFinals(out.Finals)
 	return nil
 }
 
--- a/coord/config/round.go
+++ b/coord/config/round.go
@@ -16,9 +16,10 @@
 	head   Head
 	end    time.Duration // on Boot, when everything older has lapsed
 	listed []Peer        // processes listed after the write; nil until they could be read
+	roll   Roll          // read after the write, with listed
 
 	mu        sync.Mutex // guards the fields below
-	confirmed map[string]bool
+	confirmed map[string]witness
 	asking    map[string]bool
 }
 
@@ -28,17 +29,24 @@
 	err := r.list(ctx)
 	peers := r.peers()
 	r.askPeers(ctx, peers)
-	out := Progress{Version: r.head.Version, Lapse: max(0, r.end-w.timers.Boot())}
+	out := Progress{Version: r.head.Version}
+	missing := make([]Peer, 0, len(peers))
 	for _, p := range peers {
 		if r.has(p.Name) {
 			out.Confirmed = append(out.Confirmed, p.Name)
 			continue
 		}
 		out.Missing = append(out.Missing, p.Name)
+		missing = append(missing, p)
 	}
+	end, certain := r.lapse(missing)
+	out.Lapse = max(0, end-w.timers.Boot())
 	slices.Sort(out.Confirmed)
 	slices.Sort(out.Missing)
-	out.Accepted = out.Lapse == 0 || r.listed != nil && len(out.Missing) == 0
+	out.Accepted = certain && out.Lapse == 0 || r.listed != nil && len(out.Missing) == 0
+	if !out.Accepted && !certain {
+		out.Waits = []string{noWitness}
+	}
 	if out.Accepted {
 		out.Waits = r.unsettled(ctx)
 		out.Accepted = len(out.Waits) == 0
@@ -56,7 +64,11 @@
 	if err != nil {
 		return err
 	}
-	r.listed = peers
+	roll, _, err := readRoll(ctx, r.waiter.platform)
+	if err != nil {
+		return err
+	}
+	r.listed, r.roll = peers, roll
 	return nil
 }
 
@@ -114,7 +126,7 @@
 func (r *round) begin(name string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.confirmed[name] || r.asking[name] {
+	if _, done := r.confirmed[name]; done || r.asking[name] {
 		return false
 	}
 	r.asking[name] = true
@@ -130,7 +142,8 @@
 func (r *round) has(name string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.confirmed[name]
+	_, done := r.confirmed[name]
+	return done
 }
 
 // askPeer tells one process of the head and counts it if it has applied it.
@@ -158,7 +171,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.confirmed[name] = true
+	r.confirmed[name] = witness{run: s.Run, at: r.waiter.timers.Boot()}
 }
 
 func (r *round) unsettled(ctx context.Context) []string {
--- a/coord/config/seen.go
+++ b/coord/config/seen.go
@@ -50,6 +50,6 @@
 	ctx, cancel := f.timeout(ctx, f.period/2)
 	defer cancel()
 	var out Status
-	err := f.caller.Call(ctx, p.Address, wire.VerbHead, Ask{}, &out)
+	err := f.caller.Call(ctx, p.Address, wire.VerbHead, Ask{Roll: allRolls}, &out)
 	return Seen{Peer: p, Reached: err == nil, Status: out}
 }
--- a/coord/config/serve.go
+++ b/coord/config/serve.go
@@ -53,6 +53,9 @@
 
 // asked answers an Ask.
 func (f *Follower) asked(ctx context.Context, in Ask) Status {
+	if in.Question != nil {
+		return f.answer(*in.Question)
+	}
 	joined := false
 	if in.Join != nil {
 		ctx, cancel := f.timeout(ctx, f.period)
@@ -61,12 +64,14 @@
 	}
 	s := f.Status()
 	s.Joined = joined
+	f.addRoll(&s, in.Roll)
 	return s
 }
 
 // told takes a head that a peer knows.
 func (f *Follower) told(ctx context.Context, in Told) {
 	f.take(ctx, offer{head: in.Head, source: in.Address})
+	f.learnFinals(in.Finals)
 }
 
 // Status returns what this process says of itself.
@@ -76,14 +81,28 @@
 	defer f.mu.Unlock()
 	s.Head = f.Head()
 	if f.counted && f.listedLocked() {
-		s.Age = f.timers.Boot() - f.sent
+		s.Age, s.Answered = f.timers.Boot()-f.sent, f.answered
 	}
+	s.Run = f.run
 	if f.drains.known {
 		s.Drains, s.Read = f.drains.names, f.timers.Boot()-f.drains.sent
 	}
 	return s
 }
 
+// addRoll adds the roll to an answer if the asker's is older. A process that
+// hasn't loaded the newest version that it knows of doesn't pass on its roll,
+// because that may be from after that version.
+func (f *Follower) addRoll(s *Status, have uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.Finals = f.finalsLocked()
+	if f.held.roll.Number > have && f.top == s.Head.Version {
+		roll := f.held.roll
+		s.Roll, s.RollAge = &roll, f.timers.Boot()-f.held.sent
+	}
+}
+
 // content answers a Fetch with a change, if the asker's version is one of which
 // it is known what changed since, or with everything.
 func (f *Follower) content(in Fetch) Content {
--- a/coord/config/waiter.go
+++ b/coord/config/waiter.go
@@ -97,7 +97,7 @@
 func (w *Waiter) round(res Result) *round {
 	return &round{
 		waiter: w, head: res.Head, end: res.Published + w.lapse(res.Head),
-		confirmed: make(map[string]bool), asking: make(map[string]bool),
+		confirmed: make(map[string]witness), asking: make(map[string]bool),
 	}
 }
 
@@ -143,7 +143,7 @@
 			return nil, &FormError{Key: row.Key, Err: err}
 		}
 		if w.expired(row) {
-			_ = w.platform.Commit(ctx, []store.Op{{Table: Table, Key: row.Key, Expect: row.Version, Action: store.Delete}})
+			_ = strike(ctx, w.platform, row)
 			continue
 		}
 		peers = append(peers, p)
--- /dev/null
+++ b/coord/config/writer.go
@@ -0,0 +1,9 @@
+package config
+
+// Writer is a process that may publish: an entry with an operators' door.
+type Writer struct {
+	Name    string `json:"name" cbor:"name"`
+	Run     string `json:"run" cbor:"run"`         // tells the process from others of the name
+	Address string `json:"address" cbor:"address"` // of its link.Node
+	Since   uint64 `json:"since" cbor:"since"`     // number of the first roll that has this run
+}
--- a/entry/app.go
+++ b/entry/app.go
@@ -64,8 +64,13 @@
 	}
 	a.platform = store.NewClient(s.Platform)
 	a.node = link.New(s.Host, link.NewCerts(a.certs), link.WithGate(a.faults))
-	a.follower = config.NewFollower(followerName(s.Host), s.Zone, a.platform, a.clock,
-		config.WithPeers(config.RosterFunc(a.peers), a.node, s.Link), config.WithLog(logger), config.WithMetrics(a.registry))
+	options := []config.Option{
+		config.WithPeers(config.RosterFunc(a.peers), a.node, s.Link), config.WithLog(logger), config.WithMetrics(a.registry),
+	}
+	if s.Oper != nil {
+		options = append(options, config.WithWriter())
+	}
+	a.follower = config.NewFollower(followerName(s.Host), s.Zone, a.platform, a.clock, options...)
 	a.follower.Register(a.node)
 	a.rights = &rights{follower: a.follower}
 	a.build()
--- a/entry/internal/oper/door.go
+++ b/entry/internal/oper/door.go
@@ -73,7 +73,7 @@
 	}
 	d.group.SetLimit(maxSpreads)
 	d.counts = newCounts(d.registry)
-	d.publisher = config.NewPublisher(p, timers, d.log)
+	d.publisher = config.NewPublisher(p, timers, d.log, config.ByWriter(f))
 	d.waiter = config.NewWaiter(p, timers, f, d.settler, d.log)
 	return d
 }
