Rest acceptance on witnesses alone; keep audit records for later

With them left out, TestNoOlderVersionAfterAcceptance held in 4,000 cases: acceptance rests on a witness that all missing processes ask, not on who may write. Records of refused and conflicting publishes, and of requests at the operators' door, were given up when the platform was away; records of drains didn't name the host of the door.

--- a/coord/config/answer.go
+++ b/coord/config/answer.go
@@ -20,9 +20,9 @@
 	Version uint64 `cbor:"version"`
 }
 
-// outage confirms the current version while the platform doesn't: if all that
-// may publish say that they have published nothing newer, there is nothing
-// newer. One process of the zone asks them, the others ask that one.
+// outage confirms the current version while the platform doesn't: if all on
+// the roll know of nothing newer, nothing newer is accepted, since acceptance
+// waits for one of them to know it (see round.lapse). One process of the zone asks them, the others ask that one.
 func (f *Follower) outage(ctx context.Context) {
 	if !f.outageDue() {
 		return
@@ -121,13 +121,12 @@
 }
 
 // answer answers a Question. A process that isn't the one that was asked
-// doesn't know what that one did, and one that was started lately doesn't know
-// what those before it did.
+// doesn't know what that one knew.
 func (f *Follower) answer(q Question) Status {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := Status{Name: f.name, Zone: f.zone, Age: -1, Read: -1, Run: f.run, Finals: f.finalsLocked()}
-	out.Sure = q.Run == f.run && f.stands && !f.doubtfulLocked() && f.top <= q.Version
+	out.Sure = q.Run == f.run && f.top <= q.Version
 	if !out.Sure {
 		out.Head = f.Head()
 	}
--- a/coord/config/answer_test.go
+++ b/coord/config/answer_test.go
@@ -124,10 +124,9 @@
 
 // publish lets an entry publish, and begins to wait for acceptance.
 func (m *outageModel) publish(name, grace string) {
-	f := m.followers[name]
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	p := NewPublisher(&publishPlatform{&testReader{cell: m.testCell, name: name}, m, cancel}, m.timers, zap.NewNop(), ByWriter(f))
+	p := NewPublisher(&publishPlatform{&testReader{cell: m.testCell, name: name}, m, cancel}, m.timers, zap.NewNop())
 	m.teams++
 	var d Policy
 	d.Name, d.Grace = "p", mustDuration(grace)
--- a/coord/config/base.go
+++ b/coord/config/base.go
@@ -123,13 +123,17 @@
 	return b.head, b.snap, nil
 }
 
-// record writes the record of an edit that took no effect. It is given up
-// when the platform doesn't answer: only records of accepted changes are never
-// lost.
+// Backlog returns the records that couldn't be written. Whoever has the
+// Publisher flushes it now and then.
+func (p *Publisher) Backlog() *audit.Backlog { return p.backlog }
+
+// record writes the record of an edit that took no effect, or keeps it in the
+// backlog when the platform doesn't answer: only records of accepted changes
+// are never lost.
 func (p *Publisher) record(ctx context.Context, e *Edit, v audit.Verdict, base uint64, changes []Difference, detail string) {
 	r := e.record(p.timers.Now(), v, base, changes)
 	r.ID, r.Detail = audit.NewID(p.timers.Now()), detail
-	if err := p.trail.Write(ctx, r); err != nil {
-		p.log.Warn("audit record not written")
+	if err := p.backlog.Write(ctx, r); err != nil {
+		p.log.Warn("audit record not written yet")
 	}
 }
--- a/coord/config/drain.go
+++ b/coord/config/drain.go
@@ -17,6 +17,7 @@
 type Drain struct {
 	Host   string    `json:"host"`
 	Author string    `json:"author"`
+	Door   string    `json:"door,omitempty"` // host of the operators' door that was asked
 	When   time.Time `json:"when"`
 	Note   string    `json:"note,omitempty"`
 }
@@ -29,7 +30,7 @@
 	if err != nil {
 		return &FormError{Key: d.Host, Err: err}
 	}
-	r := audit.Record{ID: id, When: d.When.UTC(), Who: d.Author, Action: audit.Drain, Verdict: audit.Accepted, Object: d.Host, Detail: d.Note}
+	r := audit.Record{ID: id, When: d.When.UTC(), Who: d.Author, Host: d.Door, Action: audit.Drain, Verdict: audit.Accepted, Object: d.Host, Detail: d.Note}
 	return once(ctx, p, id, []store.Op{
 		{Table: TableDrain, Key: d.Host, Expect: store.Any, Value: value, Action: store.Put},
 		audit.New(p).Op(r),
@@ -39,7 +40,7 @@
 // EndDrain takes a host or endpoint out of its drain, as SetDrain puts it
 // there.
 func EndDrain(ctx context.Context, p audit.Platform, id string, d Drain) error {
-	r := audit.Record{ID: id, When: d.When.UTC(), Who: d.Author, Action: audit.Resume, Verdict: audit.Accepted, Object: d.Host, Detail: d.Note}
+	r := audit.Record{ID: id, When: d.When.UTC(), Who: d.Author, Host: d.Door, Action: audit.Resume, Verdict: audit.Accepted, Object: d.Host, Detail: d.Note}
 	return once(ctx, p, id, []store.Op{
 		{Table: TableDrain, Key: d.Host, Expect: store.Any, Action: store.Delete},
 		audit.New(p).Op(r),
--- a/coord/config/drain_test.go
+++ b/coord/config/drain_test.go
@@ -21,7 +21,7 @@
 	}
 	c.write(t, 1, setWith(t, ""))
 	c.refreshFor(2 * time.Second)
-	d := Drain{Host: "w7", Author: "ana", When: c.timers.Now()}
+	d := Drain{Host: "w7", Author: "ana", Door: "h1", When: c.timers.Now()}
 	id := audit.NewID(c.timers.Now())
 	c.platform.SetFaults(store.Faults{Next: 1}) // the answer is lost
 	is.NoErr(SetDrain(t.Context(), c.platform, id, d))
@@ -43,6 +43,7 @@
 	for _, r := range c.records(t) {
 		if r.Action == audit.Drain {
 			drains++
+			is.Equal(r.Host, "h1")
 		}
 	}
 	is.Equal(drains, 1)
--- a/coord/config/enroll.go
+++ b/coord/config/enroll.go
@@ -4,20 +4,17 @@
 	"context"
 	"encoding/json"
 	"strings"
-	"time"
 
 	"github.com/balsamford/balsamford/coord/store"
 )
 
 // enroll puts a process that may publish on the roll, unless it stands there.
-// A publish that an earlier process of the name has begun can't take effect
-// any more from then on.
 func (f *Follower) enroll(ctx context.Context) {
 	if !f.writer || f.caller == nil {
 		return
 	}
 	f.mu.Lock()
-	due := !f.left && f.listedLocked() && (f.enrolled < 0 || f.held.roll.Number > 0 && !f.held.roll.has(f.run))
+	due := !f.left && f.listedLocked() && (!f.enrolled || f.held.roll.Number > 0 && !f.held.roll.has(f.run))
 	f.mu.Unlock()
 	if !due {
 		return
@@ -36,17 +33,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.enrolled, f.stands = f.timers.Boot(), false
-	f.held.due = 0
-}
-
-// stoodLocked counts a read of the platform's head that this process has sent
-// itself. It knows all that earlier processes of its name have published if
-// the read was sent after it was put on the roll.
-func (f *Follower) stoodLocked(sent time.Duration) {
-	if f.enrolled >= 0 && sent >= f.enrolled {
-		f.stands = true
-	}
+	f.enrolled, f.held.due = true, 0
 }
 
 // leaveRoll takes this process off the roll.
--- a/coord/config/final.go
+++ b/coord/config/final.go
@@ -21,7 +21,7 @@
 func (f *Follower) final() (Final, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return Final{Run: f.run, Version: f.top}, f.left && f.stands && !f.doubtfulLocked()
+	return Final{Run: f.run, Version: f.top}, f.left
 }
 
 // sayFinal tells all other processes the last answer of this one.
--- a/coord/config/follower.go
+++ b/coord/config/follower.go
@@ -47,9 +47,7 @@
 	top      uint64 // newest version known to have been published
 	held     heldRoll
 	finals   map[string]Final // by run
-	enrolled time.Duration    // when the process was on the roll for certain; negative before
-	stands   bool             // the head was read after that
-	doubt    doubt
+	enrolled bool             // the process has been on the roll
 	member   membership
 	drains   drainList
 	left     bool // Leave was called
@@ -73,7 +71,7 @@
 		roster: RosterFunc(func() []Peer { return nil }),
 		period: DefaultPeriod, interval: DefaultInterval, readers: DefaultReaders,
 		log: zap.NewNop(), registry: metrics.NewRegistry(), news: make(chan Head, 1),
-		finals: make(map[string]Final), enrolled: -1,
+		finals: make(map[string]Final),
 	}
 	for _, opt := range opts {
 		opt(f)
--- a/coord/config/publisher.go
+++ b/coord/config/publisher.go
@@ -30,8 +30,8 @@
 	timers   *timer.Service
 	log      *zap.Logger
 	trail    *audit.Log
-	follower *Follower     // of a process that may publish while others follow
-	turn     chan struct{} // full while an edit is being published
+	backlog  *audit.Backlog // of records of edits that took no effect
+	turn     chan struct{}  // full while an edit is being published
 
 	mu   sync.Mutex // guards last
 	last *Snapshot  // spares the reading of a base
@@ -45,12 +45,11 @@
 }
 
 // NewPublisher returns a Publisher on a platform.
-func NewPublisher(p AuditPlatform, timers *timer.Service, log *zap.Logger, opts ...PublisherOption) *Publisher {
-	out := &Publisher{platform: p, timers: timers, log: log, trail: audit.New(p), turn: make(chan struct{}, 1)}
-	for _, opt := range opts {
-		opt(out)
+func NewPublisher(p AuditPlatform, timers *timer.Service, log *zap.Logger) *Publisher {
+	trail := audit.New(p)
+	return &Publisher{
+		platform: p, timers: timers, log: log, trail: trail, backlog: audit.NewBacklog(trail), turn: make(chan struct{}, 1),
 	}
-	return out
 }
 
 // base is the version that a publish starts from.
@@ -82,9 +81,6 @@
 		if errors.As(err, &conflict) && e.Base == AnyVersion && try < rebases {
 			continue
 		}
-		if conflict != nil && p.onlyRollMoved(e, conflict) && try < rebases {
-			continue
-		}
 		if errors.As(err, &conflict) {
 			p.record(ctx, e, audit.Conflict, conflict.Base, conflict.Yours, "version "+number(float64(conflict.Head.Version))+" came first")
 		}
@@ -173,30 +169,13 @@
 	if err != nil {
 		return &UnpublishedError{ID: e.ID, Step: "commit", Err: err}
 	}
-	ops := make([]store.Op, 0, 4)
-	if p.follower != nil {
-		check, err := p.follower.begin(ctx, e.ID, b.head.Version)
-		if err != nil {
-			return err
-		}
-		ops = append(ops, check)
-	}
 	record := e.record(p.timers.Now(), audit.Accepted, b.head.Version, res.Changes)
 	record.Version = res.Head.Version
-	ops = append(ops,
-		store.Op{Table: Table, Key: KeyHead, Expect: b.row, Value: value, Action: store.Put},
-		store.Op{Table: Table, Key: VersionKey(res.Head.Version), Value: value, Action: store.Put},
+	ops := []store.Op{
+		{Table: Table, Key: KeyHead, Expect: b.row, Value: value, Action: store.Put},
+		{Table: Table, Key: VersionKey(res.Head.Version), Value: value, Action: store.Put},
 		p.trail.Op(record),
-	)
-	err = p.send(ctx, e, ops)
-	if p.follower != nil {
-		p.follower.end(res.Head.Version, err)
 	}
-	return err
-}
-
-// send sends a transaction until it is answered.
-func (p *Publisher) send(ctx context.Context, e *Edit, ops []store.Op) error {
 	sent := false
 	for {
 		err := p.platform.Commit(ctx, ops)
@@ -216,12 +195,6 @@
 	}
 }
 
-// onlyRollMoved reports whether a publish met nothing but a change of the
-// roll, as processes start and stop.
-func (p *Publisher) onlyRollMoved(e *Edit, c *ConflictError) bool {
-	return p.follower != nil && e.Base == c.Head.Version
-}
-
 func (p *Publisher) remember(s *Snapshot) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/coord/config/refresh.go
+++ b/coord/config/refresh.go
@@ -55,9 +55,6 @@
 		return err
 	}
 	f.take(ctx, offer{head: head, sent: sent, counted: true})
-	f.mu.Lock()
-	f.stoodLocked(sent)
-	f.mu.Unlock()
 	if ok {
 		f.learnRoll(held)
 	}
--- a/coord/config/roll.go
+++ b/coord/config/roll.go
@@ -12,9 +12,8 @@
 // rollInterval is the time between two readings of the roll.
 const rollInterval = 2 * time.Second
 
-// Roll is the list of all processes that may publish, the content of the row
-// KeyRoll in JSON. A publish takes effect only while the roll is the one that
-// its process knew when it began, and had this process's run in it.
+// Roll is the list of the processes that answer for the configuration while
+// the platform is away, the content of the row KeyRoll in JSON.
 type Roll struct {
 	Number  uint64   `json:"number" cbor:"number"` // goes up by one with each change; 0 if there never was a roll
 	Writers []Writer `json:"writers" cbor:"writers"`
--- a/coord/config/witness.go
+++ b/coord/config/witness.go
@@ -27,7 +27,7 @@
 // left since, is as good; and whoever has its name now doesn't answer for it.
 func (r *round) lapse(missing []Peer) (end time.Duration, certain bool) {
 	if r.listed == nil {
-		return r.end, !r.waiter.follower.writer
+		return r.end, false
 	}
 	if r.roll.Number == 0 {
 		return r.end, true
--- a/entry/internal/oper/auth.go
+++ b/entry/internal/oper/auth.go
@@ -61,8 +61,8 @@
 	}
 	c, cancel := d.timeout(auditTime)
 	defer cancel()
-	if err := d.trail.Write(c, r); err != nil {
-		d.log.Warn("audit record not written")
+	if err := d.publisher.Backlog().Write(c, r); err != nil {
+		d.log.Warn("audit record not written yet")
 	}
 }
 
--- a/entry/internal/oper/door.go
+++ b/entry/internal/oper/door.go
@@ -28,8 +28,9 @@
 	auditTime   = time.Second      // for the record of a request that changes nothing
 	waitTime    = 30 * time.Second // longest wait for acceptance, if the request sets none
 	maxWaitTime = 26 * time.Hour
-	maxSpreads  = 8 // versions on their way to the hosts at a time
-	denyRate    = 1 // records of refused requests a second
+	maxSpreads  = 8               // versions on their way to the hosts at a time
+	flushTime   = 2 * time.Second // between two tries to write kept records
+	denyRate    = 1               // records of refused requests a second
 	denyBurst   = 10
 	// watchInterval is the time between two looks for a new version.
 	watchInterval = 100 * time.Millisecond
@@ -73,7 +74,7 @@
 	}
 	d.group.SetLimit(maxSpreads)
 	d.counts = newCounts(d.registry)
-	d.publisher = config.NewPublisher(p, timers, d.log, config.ByWriter(f))
+	d.publisher = config.NewPublisher(p, timers, d.log)
 	d.waiter = config.NewWaiter(p, timers, f, d.settler, d.log)
 	return d
 }
@@ -118,6 +119,7 @@
 		Handler: d.handle, NoDefaultServerHeader: true, MaxRequestBodySize: maxBody, Concurrency: maxConns,
 		ReadTimeout: readTime, IdleTimeout: idleTime, CloseOnShutdown: true,
 	}
+	g.Go(func() error { return d.flush(reload) })
 	stop := context.AfterFunc(ctx, func() { _ = srv.Shutdown() })
 	defer stop()
 	err := srv.Serve(*d.listener.Load())
--- a/entry/internal/oper/drain.go
+++ b/entry/internal/oper/drain.go
@@ -14,7 +14,7 @@
 	defer cancel()
 	now := d.timers.Now()
 	id := audit.NewID(now)
-	dr := config.Drain{Host: host, Author: who, When: now, Note: string(ctx.QueryArgs().Peek("note"))}
+	dr := config.Drain{Host: host, Author: who, Door: d.settings.Host, When: now, Note: string(ctx.QueryArgs().Peek("note"))}
 	var err error
 	switch {
 	case ctx.IsPut():
