Follow the roll at once in a cell that starts; lose calls in the property

Cause: a process wrote the roll by which it asks into its row when it first had one, and then 30 s later. In a cell whose entries all start together that could be a roll of one writer, and if that one's zone was cut off a publish had no witness until then. Found by thought, not by a run.

Change: in the first 30 s of a process each change of the roll is read and written at once, later after 5 s; the roll is written up to four times at a time when entries contend for it.

The property loses calls by kind now.

--- a/coord/config/answer_test.go
+++ b/coord/config/answer_test.go
@@ -15,6 +15,7 @@
 	"github.com/balsamford/balsamford/coord/audit"
 	"github.com/balsamford/balsamford/coord/setup"
 	"github.com/balsamford/balsamford/coord/store"
+	"github.com/balsamford/balsamford/coord/wire"
 )
 
 // outageModel is a cell whose entries publish, and whose processes confirm one
@@ -236,7 +237,7 @@
 			clear(m.cut)
 			clear(m.apart)
 			clear(m.noPlatform)
-			m.paused, m.delay = "", 0
+			m.paused, m.delay, m.lost = "", 0, nil
 			roll, _, _ := readRoll(context.Background(), m.platform)
 			for _, name := range append(roll.names(), "entry/a", "placer/a") {
 				if m.followers[name] == nil {
@@ -284,6 +285,9 @@
 				for _, other := range names {
 					m.noPlatform[other] = other != name
 				}
+				if rapid.Bool().Draw(r, "lose") {
+					m.lost = map[string]bool{wire.VerbHead: true, wire.VerbTell: rapid.Bool().Draw(r, "tell")}
+				}
 				start := rapid.SampledFrom([]string{"as it is", "start", "stop and start"}).Draw(r, "start")
 				if start == "stop and start" && m.followers[name] != nil {
 					apart := m.apart[name]
@@ -307,6 +311,12 @@
 					m.noPlatform[name] = rapid.IntRange(0, 4).Draw(r, name) > 0
 				}
 			},
+			"lose calls": func(r *rapid.T) {
+				m.lost = make(map[string]bool)
+				for _, kind := range []string{wire.VerbHead, wire.VerbTell, wire.VerbFetch, "ask"} {
+					m.lost[kind] = rapid.Bool().Draw(r, kind)
+				}
+			},
 			"slow answers": func(r *rapid.T) {
 				m.delay = time.Duration(rapid.SampledFrom([]int{0, 0, 20, 300}).Draw(r, "delay")) * time.Millisecond
 			},
--- a/coord/config/cell_test.go
+++ b/coord/config/cell_test.go
@@ -24,6 +24,7 @@
 	cut        map[string]bool // hosts that no call reaches or leaves
 	apart      map[string]bool // hosts that only one another can reach
 	noPlatform map[string]bool // hosts that can't reach the platform
+	lost       map[string]bool // verbs whose calls are lost; "ask" for questions to writers
 	delay      time.Duration   // that every answer of a peer takes
 	hung       string          // address that takes calls and never answers
 	paused     string          // host that does nothing
@@ -99,6 +100,13 @@
 	if f == nil || c.cell.paused == address || c.cell.cut[address] != c.cell.cut[c.from] || c.cell.apart[address] != c.cell.apart[c.from] {
 		return &link.DialError{Address: address, Err: &link.CutError{Address: address}}
 	}
+	kind := verb
+	if ask, ok := in.(Ask); ok && ask.Question != nil {
+		kind = "ask"
+	}
+	if c.cell.lost[kind] {
+		return &link.StreamError{Op: "receive"}
+	}
 	if c.cell.hung == address {
 		<-ctx.Done()
 		return &link.StreamError{Op: "receive", Err: ctx.Err()}
--- a/coord/config/enroll.go
+++ b/coord/config/enroll.go
@@ -8,6 +8,10 @@
 	"github.com/balsamford/balsamford/coord/store"
 )
 
+// enrollTries is how often the roll is written at a time, when others write it
+// as well.
+const enrollTries = 4
+
 // enroll puts a process that may publish on the roll, unless it stands there.
 func (f *Follower) enroll(ctx context.Context) {
 	if !f.writer || f.caller == nil {
@@ -21,19 +25,26 @@
 	}
 	ctx, cancel := f.timeout(ctx, f.period)
 	defer cancel()
-	roll, row, err := readRoll(ctx, f.platform)
-	if err != nil {
-		return
-	}
-	if !roll.has(f.run) {
-		next := roll.with(Writer{Name: f.name, Run: f.run, Address: f.address})
-		if writeRoll(ctx, f.platform, next, row) != nil {
-			return // if it took effect, the next reading shows it
+	for range enrollTries {
+		if f.onRoll(ctx) {
+			f.mu.Lock()
+			f.enrolled, f.held.due = true, 0
+			f.mu.Unlock()
+			return
 		}
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.enrolled, f.held.due = true, 0
+}
+
+// onRoll reports whether the process is on the roll for certain, and puts it
+// there if it isn't. Whether a write took effect whose answer was lost shows
+// the next reading.
+func (f *Follower) onRoll(ctx context.Context) bool {
+	roll, row, err := readRoll(ctx, f.platform)
+	if err != nil || roll.has(f.run) {
+		return err == nil
+	}
+	next := roll.with(Writer{Name: f.name, Run: f.run, Address: f.address})
+	return writeRoll(ctx, f.platform, next, row) == nil
 }
 
 // leaveRoll takes this process off the roll.
--- a/coord/config/follower.go
+++ b/coord/config/follower.go
@@ -38,6 +38,7 @@
 	turn       atomic.Uint64 // rotates the peers that are asked
 	current    atomic.Pointer[applied]
 	news       chan Head // a head that Run has to tell peers of
+	started    time.Duration
 
 	mu       sync.Mutex // guards the fields below
 	sent     time.Duration
@@ -76,7 +77,8 @@
 	for _, opt := range opts {
 		opt(f)
 	}
-	f.member.floor = timers.Boot()
+	f.started = timers.Boot()
+	f.member.floor = f.started
 	f.counts = newCounts(f)
 	return f
 }
--- a/coord/config/member.go
+++ b/coord/config/member.go
@@ -17,6 +17,11 @@
 	memberPrefix = "host/"
 	// joinInterval is the time between two writes of a process's row.
 	joinInterval = 30 * time.Second
+	// rejoinInterval is the time between two writes if the roll has changed.
+	rejoinInterval = 5 * time.Second
+	// youth is how long after its start a process follows each change of the
+	// roll at once, since a cell that starts has many.
+	youth = 30 * time.Second
 	// joinTerm is how long a process counts itself as listed, from when it
 	// sent the write of its row, and so the longest outage of the platform
 	// through which answers confirm its version.
@@ -90,7 +95,12 @@
 func (f *Follower) joinDue() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.left && (!f.listedLocked() || f.timers.Boot()-f.member.sent >= joinInterval || f.member.list == 0 && f.held.roll.Number > 0)
+	if f.left {
+		return false
+	}
+	since := f.timers.Boot() - f.member.sent
+	changed := f.member.list == 0 || since >= rejoinInterval || f.youngLocked()
+	return !f.listedLocked() || since >= joinInterval || f.held.roll.Number > f.member.list && changed
 }
 
 // joined counts a write of the row that was sent at that moment, said that
@@ -109,6 +119,8 @@
 	f.member.sent, f.member.listed = max(sent, f.member.sent), true
 }
 
+func (f *Follower) youngLocked() bool { return f.timers.Boot()-f.started < youth }
+
 func (f *Follower) listedLocked() bool {
 	return f.member.listed && f.timers.Boot()-f.member.sent <= joinTerm
 }
--- a/coord/config/roll.go
+++ b/coord/config/roll.go
@@ -58,7 +58,7 @@
 func (f *Follower) readRoll(ctx context.Context) (held heldRoll, ok bool) {
 	sent := f.timers.Boot()
 	f.mu.Lock()
-	due := sent >= f.held.due
+	due := sent >= f.held.due || f.youngLocked()
 	f.mu.Unlock()
 	if !due {
 		return heldRoll{}, false
