--- /dev/null
+++ b/coord/config/enroll.go
@@ -0,0 +1,84 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+
+	"github.com/balsamford/balsamford/coord/store"
+)
+
+// enrollTries is how often the roll is written at a time, when others write it
+// as well.
+const enrollTries = 4
+
+// enroll puts a process that may publish on the roll, unless it stands there.
+func (f *Follower) enroll(ctx context.Context) {
+	if !f.writer || f.caller == nil {
+		return
+	}
+	f.mu.Lock()
+	due := !f.left && f.listedLocked() && (!f.enrolled || f.held.roll.Number > 0 && !f.held.roll.has(f.run))
+	f.mu.Unlock()
+	if !due {
+		return
+	}
+	ctx, cancel := f.timeout(ctx, f.period)
+	defer cancel()
+	for range enrollTries {
+		if f.onRoll(ctx) {
+			f.mu.Lock()
+			f.enrolled, f.held.due = true, 0
+			f.mu.Unlock()
+			return
+		}
+	}
+}
+
+// onRoll reports whether the process is on the roll for certain, and puts it
+// there if it isn't. Whether a write took effect whose answer was lost shows
+// the next reading.
+func (f *Follower) onRoll(ctx context.Context) bool {
+	roll, row, err := readRoll(ctx, f.platform)
+	if err != nil || roll.has(f.run) {
+		return err == nil
+	}
+	next := roll.with(Writer{Name: f.name, Run: f.run, Address: f.address})
+	return writeRoll(ctx, f.platform, next, row) == nil
+}
+
+// leaveRoll takes this process off the roll.
+func (f *Follower) leaveRoll(ctx context.Context) error {
+	roll, row, err := readRoll(ctx, f.platform)
+	if err != nil || !roll.has(f.run) {
+		return err
+	}
+	return writeRoll(ctx, f.platform, roll.without(func(w Writer) bool { return w.Run == f.run }), row)
+}
+
+// strike takes a process whose row is removed off the roll.
+func strike(ctx context.Context, platform Joiner, row store.Row) error {
+	name := strings.TrimPrefix(row.Key, memberPrefix)
+	roll, version, err := readRoll(ctx, platform)
+	if err != nil {
+		return err
+	}
+	ops := []store.Op{{Table: Table, Key: row.Key, Expect: row.Version, Action: store.Delete}}
+	next := roll.without(func(w Writer) bool { return w.Name == name })
+	if len(next.Writers) < len(roll.Writers) {
+		value, err := json.Marshal(next)
+		if err != nil {
+			return &FormError{Key: KeyRoll, Err: err}
+		}
+		ops = append(ops, store.Op{Table: Table, Key: KeyRoll, Expect: version, Value: value, Action: store.Put})
+	}
+	return platform.Commit(ctx, ops)
+}
+
+func writeRoll(ctx context.Context, platform Joiner, roll Roll, row uint64) error {
+	value, err := json.Marshal(roll)
+	if err != nil {
+		return &FormError{Key: KeyRoll, Err: err}
+	}
+	return platform.Commit(ctx, []store.Op{{Table: Table, Key: KeyRoll, Expect: row, Value: value, Action: store.Put}})
+}
--- a/coord/config/follower.go
+++ b/coord/config/follower.go
@@ -30,16 +30,25 @@
 	period     time.Duration
 	interval   time.Duration
 	readers    int
+	writer     bool   // the process may publish
+	run        string // of a writer; tells it from others of its name
 	log        *zap.Logger
 	registry   metrics.Registry
 	counts     counts
 	turn       atomic.Uint64 // rotates the peers that are asked
 	current    atomic.Pointer[applied]
 	news       chan Head // a head that Run has to tell peers of
+	started    time.Duration
 
 	mu       sync.Mutex // guards the fields below
 	sent     time.Duration
-	counted  bool // sent holds a read that showed no version newer than the current one
+	counted  bool   // sent holds a read that showed no version newer than the current one
+	answered bool   // sent is the moment of a question to all writers, not of a read
+	grounded bool   // a read has confirmed a version since the process was listed
+	top      uint64 // newest version known to have been published
+	held     heldRoll
+	finals   map[string]Final // by run
+	enrolled bool             // the process has been on the roll
 	member   membership
 	drains   drainList
 	left     bool // Leave was called
@@ -63,11 +72,13 @@
 		roster: RosterFunc(func() []Peer { return nil }),
 		period: DefaultPeriod, interval: DefaultInterval, readers: DefaultReaders,
 		log: zap.NewNop(), registry: metrics.NewRegistry(), news: make(chan Head, 1),
+		finals: make(map[string]Final),
 	}
 	for _, opt := range opts {
 		opt(f)
 	}
-	f.member.floor = timers.Boot()
+	f.started = timers.Boot()
+	f.member.floor = f.started
 	f.counts = newCounts(f)
 	return f
 }
@@ -129,13 +140,15 @@
 		}
 	})
 	defer t.Stop()
-	var reads, tells errgroup.Group
+	var reads, asks, tells errgroup.Group
 	reads.SetLimit(outstanding)
+	asks.SetLimit(1)
 	for {
 		select {
 		case <-ctx.Done():
-			return errors.Join(reads.Wait(), tells.Wait())
+			return errors.Join(reads.Wait(), asks.Wait(), tells.Wait())
 		case <-tick:
+			asks.TryGo(func() error { f.outage(ctx); return nil })
 			reads.TryGo(func() error { f.refresh(ctx); return nil })
 		case head := <-f.news:
 			tells.Go(func() error { f.tell(ctx, head); return nil })
--- a/coord/config/publisher.go
+++ b/coord/config/publisher.go
@@ -30,7 +30,8 @@
 	timers   *timer.Service
 	log      *zap.Logger
 	trail    *audit.Log
-	turn     chan struct{} // full while an edit is being published
+	backlog  *audit.Backlog // of records of edits that took no effect
+	turn     chan struct{}  // full while an edit is being published
 
 	mu   sync.Mutex // guards last
 	last *Snapshot  // spares the reading of a base
@@ -45,7 +46,10 @@
 
 // NewPublisher returns a Publisher on a platform.
 func NewPublisher(p AuditPlatform, timers *timer.Service, log *zap.Logger) *Publisher {
-	return &Publisher{platform: p, timers: timers, log: log, trail: audit.New(p), turn: make(chan struct{}, 1)}
+	trail := audit.New(p)
+	return &Publisher{
+		platform: p, timers: timers, log: log, trail: trail, backlog: audit.NewBacklog(trail), turn: make(chan struct{}, 1),
+	}
 }
 
 // base is the version that a publish starts from.
--- a/placer/internal/jobs/gather_test.go
+++ b/placer/internal/jobs/gather_test.go
@@ -10,6 +10,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/balsamford/balsamford/coord/parts"
 	"github.com/balsamford/balsamford/coord/point"
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/coord/wire"
@@ -26,16 +27,20 @@
 // onePart is one placer's part of a team's upper limit.
 type onePart struct{ taken int64 }
 
-func (p *onePart) Take(_ string, n int64) bool {
-	if p.taken+n > partTasks {
+func (*onePart) Exceeded(string, parts.Amount) (name string, limit int64, ok bool) {
+	return "", 0, false
+}
+func (p *onePart) Room(_ string, n parts.Amount) bool { return p.taken+n[parts.Tasks] <= partTasks }
+func (p *onePart) Take(team string, n parts.Amount) bool {
+	if !p.Room(team, n) {
 		return false
 	}
-	p.taken += n
+	p.taken += n[parts.Tasks]
 	return true
 }
-func (p *onePart) Give(_ string, n int64)           { p.taken -= n }
-func (p *onePart) Adopt(_ string, n int64)          { p.taken += n }
-func (p *onePart) Pass(_ string, n int64, _ string) { p.taken -= n }
+func (p *onePart) Give(_ string, n parts.Amount)           { p.taken -= n[parts.Tasks] }
+func (p *onePart) Adopt(_ string, n parts.Amount)          { p.taken += n[parts.Tasks] }
+func (p *onePart) Pass(_ string, n parts.Amount, _ string) { p.taken -= n[parts.Tasks] }
 
 // host is a placer with a worker of its own. The worker and its epoch outlast
 // the placer's process.
