Forget members that are dead and that nobody lists any more

Cause: coord/roster kept each name it had ever heard of.

Change: one that is dead, and that neither settings nor the host list named for 10 minutes, is forgotten; while the list can't be read nobody is. The last 256 are kept by name, epoch and turn: late word that one of them lives brings its death back, so that whoever still believes it is corrected; the one that does live raises its turn.

TestAnyFaults and the others are unchanged; the fake network only names joined members by a count of its own, and fails calls to members that are gone.

Conclusion: the table is bounded by those that live, are listed, or died in the last 10 minutes. It assumes that a living placer is in settings or in the host list by then.

--- a/coord/roster/entry.go
+++ b/coord/roster/entry.go
@@ -14,6 +14,7 @@
 	call   bool          // it is called in each round
 	helped time.Duration // when another member last answered a question about it
 	sign   time.Duration // when one that isn't alive was called dead, or when it was found
+	found  time.Duration // when settings or the host list last named it, or it was met first
 	listed time.Duration // until when the host list's word counts that it is leaving
 	probed time.Duration // when one that isn't alive was last called
 	tries  int           // calls before it was met
--- a/coord/roster/merge.go
+++ b/coord/roster/merge.go
@@ -53,16 +53,21 @@
 }
 
 // meetLocked takes the first word of a member; e is its entry if it was found
-// before. Dead members that aren't known needn't be.
+// before. Dead members that aren't known needn't be. A late word of one that was
+// forgotten brings its death back, so that whoever believes it is told.
 func (r *Roster) meetLocked(e *entry, w word, now time.Duration) *entry {
 	if w.Dead {
 		return e
 	}
 	if e == nil {
-		e = &entry{}
+		e = &entry{found: now}
 		r.known[w.Name] = e
 	}
 	e.member, e.met, e.alive, e.watch = w.Member, true, true, now
+	if f, ok := r.former[w.Name]; ok && !f.member.before(w.Member) {
+		e.member, e.alive, e.sign = f.member, false, f.sign
+	}
+	delete(r.former, w.Name)
 	r.spreadLocked(e)
 	return e
 }
--- a/coord/roster/net_test.go
+++ b/coord/roster/net_test.go
@@ -19,12 +19,13 @@
 
 // network is members that speak over a fake network in manual time.
 type network struct {
-	now   time.Duration
-	nodes []*node
-	group map[string]int // members of different groups can't speak
-	pair  [2]string      // two that can't speak with one another
-	loss  uint64         // percent of messages that are lost, and of those that come twice
-	calls atomic.Int64
+	now    time.Duration
+	nodes  []*node
+	joined int            // processes, those that are gone included
+	group  map[string]int // members of different groups can't speak
+	pair   [2]string      // two that can't speak with one another
+	loss   uint64         // percent of messages that are lost, and of those that come twice
+	calls  atomic.Int64
 }
 
 // node is a member of a network; it is also its Caller.
@@ -50,7 +51,8 @@
 
 // join starts one more process, which knows all others from its settings.
 func (w *network) join(epoch uint64) *node {
-	n := w.process(len(w.nodes), epoch)
+	n := w.process(w.joined, epoch)
+	w.joined++
 	w.nodes = append(w.nodes, n)
 	for _, o := range w.nodes {
 		o.Found(n.Self())
@@ -86,6 +88,9 @@
 	w := n.net
 	w.calls.Add(1)
 	i := slices.IndexFunc(w.nodes, func(o *node) bool { return o.Self().Link == address })
+	if i < 0 {
+		return errLost
+	}
 	to := w.nodes[i]
 	draw := w.draw(n.Self().Name, address)
 	if !to.runs() || !w.open(n.Self().Name, address) || draw < w.loss {
--- a/coord/roster/plan.go
+++ b/coord/roster/plan.go
@@ -42,6 +42,7 @@
 	paused := now-r.last > r.suspect()
 	r.last, r.fresh = now, false
 	r.rounds++
+	r.forgetLocked()
 	targets := r.targetsLocked(now)
 	for name, e := range r.known {
 		called := slices.Contains(targets, name)
--- a/coord/roster/roster.go
+++ b/coord/roster/roster.go
@@ -17,13 +17,16 @@
 // Roster is the set of members known to one process, itself included. All
 // methods may be called concurrently.
 type Roster struct {
-	clock Clock
-	lapse time.Duration
-	began time.Duration
+	clock  Clock
+	lapse  time.Duration
+	memory time.Duration // for how long one that is gone is known
 
 	mu     sync.Mutex // guards the fields below
 	self   Member
 	known  map[string]*entry
+	former map[string]former  // of forgotten members
+	blank  time.Duration      // since when those that aren't known have surely not run
+	listed time.Duration      // when settings or the host list last named anybody
 	last   time.Duration      // when the latest round began
 	rounds uint64             // how many there were
 	fresh  bool               // news came since the latest round
@@ -40,12 +43,12 @@
 
 // New returns a Roster that holds self alone.
 func New(self Member, clock Clock, opts ...Option) *Roster {
-	r := &Roster{clock: clock, lapse: defaultLapse, self: self, known: make(map[string]*entry)}
+	r := &Roster{clock: clock, lapse: defaultLapse, memory: defaultMemory, self: self, known: make(map[string]*entry), former: make(map[string]former)}
 	for _, opt := range opts {
 		opt(r)
 	}
-	r.began = clock.Boot()
-	r.last = r.began
+	r.blank = clock.Boot()
+	r.last = r.blank
 	return r
 }
 
@@ -59,7 +62,7 @@
 	e, ok := r.known[name]
 	switch {
 	case !ok:
-		return r.clock.Boot() - r.began
+		return r.clock.Boot() - r.goneLocked(name)
 	case e.alive:
 		return 0
 	}
@@ -96,6 +99,7 @@
 		e = &entry{member: m, sign: now}
 		r.known[m.Name] = e
 	}
+	e.found, r.listed = now, now
 	if !e.alive {
 		e.member.Link, e.member.Zone = m.Link, m.Zone
 	}
