Let timers that can wait share moments

Cause: a trace of 3 s of a placer at rest (2 hosts and 48 workers a zone) shows 211 times a second that the idle process wakes, 39 of them for the timer service. A wake costs more than the callback: thread, poller and scheduler, and the runtime's monitor thread, which was switched to 520 times a second. Change: Every and Sleep (not After, which ends deadlines) end on shared moments: 50 ms apart for periods from 50 ms on, and for sleeps at most a sixteenth of them late. Manual time has none.

TestSharedMoments was seen failing without the rounding ("0s late for a sleep of 50ms with grain 3.125ms") and without grains ("a sleep of 50ms shares no moment").

--- a/coord/timer/service.go
+++ b/coord/timer/service.go
@@ -12,11 +12,14 @@
 // idleWait is how long Run sleeps when nothing is subscribed.
 const idleWait = time.Minute
 
-// Service calls subscribers back when their time has come. The callbacks run
+// Service calls subscribers back when their time has come. Those that can wait a
+// little longer, in Every and Sleep, are called together, because each time that
+// an idle process wakes costs it more than the callback does. The callbacks run
 // one after another on the goroutine that calls Run or Advance, so they have
 // to be short and must not block. All methods may be called concurrently.
 type Service struct {
 	manual bool
+	began  time.Time // from which shared moments are counted
 	wake   chan struct{}
 
 	mu      sync.Mutex // guards the fields below
@@ -28,7 +31,7 @@
 
 // New returns a Service on the machine's clock, to be driven by Run.
 func New(opts ...Option) *Service {
-	s := &Service{wake: make(chan struct{}, 1)}
+	s := &Service{began: time.Now(), wake: make(chan struct{}, 1)}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -64,18 +67,20 @@
 
 // After calls f once, d from now.
 func (s *Service) After(d time.Duration, f func()) *Timer {
-	return s.subscribe(d, 0, f)
+	return s.subscribe(d, 0, 0, f)
 }
 
-// Every calls f each time that period has passed, first one period from now.
+// Every calls f each time that period has passed, first one period from now or
+// up to the grain of period later.
 func (s *Service) Every(period time.Duration, f func()) *Timer {
-	return s.subscribe(period, period, f)
+	return s.subscribe(period, period, grain(period), f)
 }
 
-// Sleep returns nil after d, or the context's error if that ends first.
+// Sleep returns nil after d or up to the grain of a part of d later, or the
+// context's error if that ends first.
 func (s *Service) Sleep(ctx context.Context, d time.Duration) error {
 	done := make(chan struct{})
-	t := s.After(d, func() { close(done) })
+	t := s.subscribe(d, 0, grain(d/sleepParts), func() { close(done) })
 	select {
 	case <-done:
 		return nil
@@ -132,15 +137,15 @@
 	return len(s.queue)
 }
 
-func (s *Service) subscribe(d, period time.Duration, f func()) *Timer {
-	t := &Timer{service: s, period: period, call: f}
+func (s *Service) subscribe(d, period, grain time.Duration, f func()) *Timer {
+	t := &Timer{service: s, period: period, grain: grain, call: f}
 	s.mu.Lock()
 	base := s.now
 	if !s.manual {
 		base = time.Now()
 	}
 	s.seq++
-	t.due, t.seq = base.Add(d), s.seq
+	t.due, t.seq = s.shared(base.Add(d), grain), s.seq
 	heap.Push(&s.queue, t)
 	first := s.queue[0] == t
 	s.mu.Unlock()
@@ -150,6 +155,15 @@
 	return t
 }
 
+// shared returns the first moment from due on that all timers of that grain
+// share. Manual time has none, so that tests know each moment.
+func (s *Service) shared(due time.Time, grain time.Duration) time.Time {
+	if s.manual || grain == 0 {
+		return due
+	}
+	return due.Add(late(due.Sub(s.began), grain))
+}
+
 func (s *Service) signal() {
 	select {
 	case s.wake <- struct{}{}:
@@ -186,7 +200,7 @@
 	}
 	t.due = t.due.Add(t.period)
 	if !t.due.After(now) {
-		t.due = now.Add(t.period)
+		t.due = s.shared(now.Add(t.period), t.grain)
 	}
 	heap.Fix(&s.queue, 0)
 	return t.call
--- a/coord/timer/timer.go
+++ b/coord/timer/timer.go
@@ -9,6 +9,7 @@
 type Timer struct {
 	service *Service
 	period  time.Duration
+	grain   time.Duration
 	call    func()
 
 	// The service's lock guards the fields below.
