Tell unchanged usage each five seconds

Cause: part of the rise of a placer at rest since what teams use is told: each placer called each other one each second, 3 calls in and 3 out of its 18 a second (2 zones of 2 hosts), changed or not. Change: a peer is told at once (each second, as before) what changed, again what it didn't take, and all when its process is a new one; what hasn't changed only each share.Period, a third of how long a word counts. With changing usage all is as before.

TestUnchangedIsToldLess was seen failing with all told each round ("1 != 5"), with changes not told, without the look at a new process, and with lost words counted as taken ("5 != 1"). TestTellIsBounded is unchanged.

--- a/placer/internal/usage/exchange.go
+++ b/placer/internal/usage/exchange.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -32,7 +34,8 @@
 	byteRate = 6 * 1024
 )
 
-// Exchange tells summaries and takes them in.
+// Exchange tells summaries and takes them in. A peer that was told what hasn't
+// changed since is told again only after share.Period.
 type Exchange struct {
 	self   Peer
 	epoch  uint64
@@ -41,13 +44,20 @@
 	pacer  Pacer
 	peers  func() []Peer
 
-	seq uint64 // of the last summary; only Run uses it
+	mu   sync.Mutex           // guards told, with what it points to
+	told map[string]*lastWord // by the name of the peer
+
+	// Only Run uses the fields below.
+	seq   uint64        // of the last summary
+	last  share.Summary // without its number
+	state uint64        // goes up when what teams use changes
+	age   time.Duration // how long Run has slept
 }
 
 // New returns an Exchange for the placer self, whose process has that epoch.
 // peers names all other placers that are known, in all zones.
 func New(self Peer, epoch uint64, s Scheduler, c Caller, p Pacer, peers func() []Peer) *Exchange {
-	return &Exchange{self: self, epoch: epoch, sched: s, caller: c, pacer: p, peers: peers}
+	return &Exchange{self: self, epoch: epoch, sched: s, caller: c, pacer: p, peers: peers, told: make(map[string]*lastWord)}
 }
 
 // Handle serves Verb.
@@ -58,6 +68,7 @@
 	}
 	if in.Placer != x.self.Name {
 		x.sched.Merge(in)
+		x.heard(&in)
 	}
 	return s.Send(wire.Empty{})
 }
@@ -65,33 +76,42 @@
 // Run tells summaries until ctx ends. It always returns nil.
 func (x *Exchange) Run(ctx context.Context) error {
 	for period := minPeriod; x.pacer.Sleep(ctx, period) == nil; {
+		x.age += period
 		period = x.tell(ctx)
 	}
 	return nil
 }
 
-// tell sends one summary to all and returns when the next one is due.
+// tell sends one summary to those that need it and returns when the next one
+// is due.
 func (x *Exchange) tell(ctx context.Context) time.Duration {
-	x.seq++
 	s := x.sched.Summary()
+	if x.state == 0 || s.Capacity != x.last.Capacity || !slices.Equal(s.Teams, x.last.Teams) {
+		x.last = s
+		x.state++
+	}
+	x.seq++
 	s.Placer, s.Epoch, s.Seq = x.self.Name, x.epoch, x.seq
-	peers := x.told()
+	peers := x.near()
 	var g errgroup.Group
 	g.SetLimit(parallelCalls)
-	for _, p := range peers {
+	for _, p := range x.due(peers) {
 		g.Go(func() error {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
 			var out wire.Empty
-			return x.caller.Call(ctx, p.Link, Verb, s, &out)
+			if x.caller.Call(ctx, p.Link, Verb, s, &out) == nil {
+				x.took(p)
+			}
+			return nil
 		})
 	}
 	_ = g.Wait() // the next summary says it all again
 	return period(len(peers), &s)
 }
 
-// told returns who is told.
-func (x *Exchange) told() []Peer {
+// near returns who is told.
+func (x *Exchange) near() []Peer {
 	all := x.peers()
 	if len(all) <= maxPeers {
 		return all
--- a/placer/internal/usage/exchange_test.go
+++ b/placer/internal/usage/exchange_test.go
@@ -14,7 +14,7 @@
 	"github.com/balsamford/balsamford/placer/internal/share"
 )
 
-// fakeSched uses a fixed amount and notes what is merged.
+// fakeSched uses a fixed amount.
 type fakeSched struct{ teams int }
 
 func (f fakeSched) Summary() share.Summary {
@@ -79,3 +79,42 @@
 		})
 	}
 }
+
+// What hasn't changed is told each Period only. A change, a new process of a
+// peer and a word that was lost are told in the next round.
+func TestUnchangedIsToldLess(t *testing.T) {
+	tests := map[string]struct {
+		between func(x *Exchange)
+		address string
+		rounds  int // until it is told again
+	}{
+		"nothing":                    {func(*Exchange) {}, "peer", int(share.Period / minPeriod)},
+		"a change":                   {func(x *Exchange) { x.sched = fakeSched{4} }, "peer", 1},
+		"a word of the same process": {func(x *Exchange) { x.heard(&share.Summary{Placer: "peer", Epoch: 5}) }, "peer", int(share.Period / minPeriod)},
+		"a new process":              {func(x *Exchange) { x.heard(&share.Summary{Placer: "peer", Epoch: 6}) }, "peer", 1},
+		"a lost word":                {func(*Exchange) {}, "dead", 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			calls := fakeCaller{make(chan share.Summary, 2)}
+			peers := func() []Peer { return []Peer{{Name: "peer", Link: tt.address}} }
+			x := New(Peer{Name: "self"}, 7, fakeSched{3}, calls, nil, peers)
+			x.due(peers())
+			x.heard(&share.Summary{Placer: "peer", Epoch: 5})
+			x.tell(context.Background())
+			is.Equal(len(calls.told), 1)
+			<-calls.told
+			tt.between(x)
+			for round := 1; ; round++ {
+				x.age += minPeriod
+				x.tell(context.Background())
+				if len(calls.told) > 0 {
+					is.Equal(round, tt.rounds)
+					return
+				}
+				is.True(round < 10)
+			}
+		})
+	}
+}
