Ask for parts of limits only while teams lack room

Cause: a placer woke 5 times a second to find that no team lacks room. A task that finds none already ends the wait at once. Change: without a lack a round of asks lasts 1 s in place of 200 ms, but for the first second. The looks at accounts and for dead holders keep their times: a rest ends at a multiple of its length, which divides theirs. That a placer has died is seen up to 0.8 s later there.

--- a/placer/internal/borrow/mover.go
+++ b/placer/internal/borrow/mover.go
@@ -34,6 +34,9 @@
 	// deadRounds the same while one is known.
 	buryRounds = 50
 	deadRounds = 10
+	// restRounds is how many pass at a time while no team lacks room. It divides
+	// buryRounds and deadRounds.
+	restRounds = 5
 	// callTimeout bounds one call.
 	callTimeout = 2 * time.Second
 )
@@ -103,7 +106,12 @@
 func (m *Mover) Run(ctx context.Context) error {
 	gap, due := wantRounds, wantRounds
 	lacked := false
-	for round := 1; m.wait(ctx, !lacked); round++ {
+	for round := 0; ; {
+		rounds, ok := m.wait(ctx, lacked, round)
+		if !ok {
+			return nil
+		}
+		round += rounds
 		m.ask(ctx)
 		lacked = len(m.keeper.Wants()) > 0
 		if !lacked {
@@ -124,26 +132,30 @@
 			m.bury(ctx)
 		}
 	}
-	return nil
 }
 
-// wait waits for the next round, which comes at once when a team lacks room
-// for the first time. It reports false when ctx has ended.
-func (m *Mover) wait(ctx context.Context, early bool) bool {
-	over := make(chan struct{})
-	t := m.pacer.After(askPeriod, func() { close(over) })
-	defer t.Stop()
-	lack := m.keeper.Lack()
-	if !early {
+// wait waits for the next ask and returns how many rounds have passed: one while
+// teams lack room or the process is new. Unless teams lack room already the first
+// lack ends the wait at once. It reports false when ctx has ended.
+func (m *Mover) wait(ctx context.Context, lacked bool, round int) (rounds int, ok bool) {
+	rounds, lack := restRounds-round%restRounds, m.keeper.Lack()
+	if lacked || round < startRounds {
+		rounds = 1
+	}
+	if lacked {
 		lack = nil
 	}
+	over := make(chan struct{})
+	t := m.pacer.After(time.Duration(rounds)*askPeriod, func() { close(over) })
+	defer t.Stop()
 	select {
 	case <-ctx.Done():
-		return false
+		return 0, false
 	case <-over:
+		return rounds, true
 	case <-lack:
+		return 1, true
 	}
-	return true
 }
 
 func (m *Mover) settle(ctx context.Context) {
