Let no idempotent request run beside a run of it that isn't known

With its home zone cut off, an entry elsewhere ran it unrecorded; the start waited at a suspended endpoint; the caller came again after the cut, reached a holder, which knew of nothing, and ran it too.

Change: an entry that is no holder and reaches none runs the request only once the placers of all zones have said that no run of it goes on, else the answer is unknown. A holder that can't reach the other one writes the claim to the platform in its place, as for requests that run once, and needs the placers' word only if the platform is away too. Two places of three know each claim.

Weighed: asking the placers whenever the other holder is silent; after a host's death each request with an own id would cost calls to all placers.

--- a/entry/internal/record/answer.go
+++ b/entry/internal/record/answer.go
@@ -29,7 +29,6 @@
 	Note    Note            // the claim with Run, the outcome with Known and Refuse
 	Done    <-chan struct{} // with Wait, closed when it ends
 	Doubt   bool            // with Run: an earlier run may still go on
-	Alone   bool            // with Run: a holder wasn't asked, and may know of an earlier run
 }
 
 func refuse(outcome wire.Outcome, reason, detail string) Answer {
--- a/entry/internal/record/enter.go
+++ b/entry/internal/record/enter.go
@@ -92,7 +92,7 @@
 	n.Run, n.Once, n.At = claim.Run, claim.Once, claim.At
 	row := false
 	ended, shared := k.endLocal(&n, &row)
-	if !ended || !n.Once && !shared {
+	if !ended || !n.Once && !shared && !row {
 		return
 	}
 	if !n.Once {
--- a/entry/internal/record/share.go
+++ b/entry/internal/record/share.go
@@ -17,10 +17,11 @@
 
 // share tells the other holder that an idempotent request runs here, so that
 // whichever of them is left doesn't run it beside that run. If the other
-// holder can't be reached the request runs all the same, unless this host may
-// have forgotten an earlier run: then the answer says so.
+// holder can't be reached the platform holds the claim in its place, and the
+// request runs. The answer has Doubt where an earlier run may be unknown here:
+// this host may have forgotten it, it is no holder, or neither place answered.
 func (k *Keeper) share(ctx context.Context, q Question, claim Note) Answer {
-	run := Answer{Verdict: Run, Note: claim, Alone: !q.Private}
+	run := Answer{Verdict: Run, Note: claim, Doubt: !q.Private}
 	if _, _, kept := k.Find(q.ID); q.Private || !kept {
 		return run
 	}
@@ -29,17 +30,13 @@
 	}
 	doubt := false
 	for range places {
-		told, err := k.holdSoon(ctx, claim)
-		if err != nil || len(told.Notes) == 0 {
-			held := err == nil && told.Held
-			k.noteShared(&claim, held)
+		found, sure := k.second(ctx, claim)
+		if found == nil {
 			ans := k.settle(q, claim, Answer{Verdict: Run, Note: claim})
-			remembered := k.complete(q.ID) || held && told.Complete
-			ans.Doubt, ans.Alone = doubt || !remembered, !held
+			ans.Doubt = doubt || !sure
 			return ans
 		}
-		found := told.Notes[0]
-		ans, again := k.adopt(q, claim, found)
+		ans, again := k.adopt(q, claim, *found)
 		if !again {
 			return k.settle(q, claim, ans)
 		}
@@ -49,6 +46,22 @@
 	return k.settle(q, claim, refuse(q.unproved(), wire.ReasonDuplicate, "the id is claimed elsewhere"))
 }
 
+// second puts a claim into a second place. It returns the claim that bars it
+// there, or whether both places together know of every earlier run.
+func (k *Keeper) second(ctx context.Context, claim Note) (found *Note, sure bool) {
+	told, err := k.holdSoon(ctx, claim)
+	if err == nil && len(told.Notes) > 0 {
+		return &told.Notes[0], false
+	}
+	held := err == nil && told.Held
+	k.noteShared(&claim, held)
+	if held {
+		return nil, told.Complete || k.complete(claim.ID)
+	}
+	found, err = k.writeRow(ctx, claim)
+	return found, err == nil && k.complete(claim.ID)
+}
+
 // holdSoon asks the other holder to hold a claim, unless it was silent just
 // now.
 func (k *Keeper) holdSoon(ctx context.Context, claim Note) (Told, error) {
--- a/entry/internal/serve/quick.go
+++ b/entry/internal/serve/quick.go
@@ -43,10 +43,10 @@
 // act does what the record says of a request. It returns the claim of the host
 // that has to answer instead, if that can't be reached.
 func (s *Service) act(wanted context.Context, sub *submission, q record.Question, ans record.Answer, out sink) (relay.Result, *record.Note) {
-	doubt, alone := sub.Doubt || ans.Doubt, false
+	doubt := sub.Doubt || ans.Doubt
 	if ans.Verdict == record.Run && !q.Private {
 		ans = s.Keeper.Secure(s.ctx, q, ans.Note)
-		doubt, alone = doubt || ans.Doubt, ans.Alone
+		doubt = doubt || ans.Doubt
 	}
 	sub.Doubt = doubt && sub.Request.Idempotent
 	switch ans.Verdict {
@@ -65,7 +65,7 @@
 		return relay.Result{Outcome: ans.Note.Outcome, Reason: ans.Note.Reason, Detail: ans.Note.Detail}, nil
 	case record.Run:
 	}
-	res := afterLoss(doubt || alone, s.run(wanted, sub, q, ans.Note, out))
+	res := afterLoss(doubt, s.run(wanted, sub, q, ans.Note, out))
 	s.end(sub, ans.Note, &res)
 	return res, nil
 }
