Wait in the trials by one function

Cause: reading; the wait for a time or the end of a context stood four times in trial under three names (load, cost, faults, pace).

Change: trial/wait.For.

--- a/trial/internal/cost/run.go
+++ b/trial/internal/cost/run.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/balsamford/balsamford/trial/wait"
+
 	"golang.org/x/sync/errgroup"
 
 	"github.com/balsamford/balsamford/trial/cell"
@@ -83,14 +85,14 @@
 
 // measure waits for rest, then compares the usage over span.
 func measure(ctx context.Context, st *site.Site, span time.Duration) (*row, error) {
-	if !sleep(ctx, settleTime) {
+	if !wait.For(ctx, settleTime) {
 		return nil, context.Cause(ctx)
 	}
 	before, err := take(st)
 	if err != nil {
 		return nil, err
 	}
-	if !sleep(ctx, span) {
+	if !wait.For(ctx, span) {
 		return nil, context.Cause(ctx)
 	}
 	after, err := take(st)
@@ -100,17 +102,6 @@
 	return &row{before: before, after: after, span: span}, nil
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func list(text string) []int64 {
 	parts := strings.Split(text, ",")
 	numbers := make([]int64, 0, len(parts))
--- a/trial/internal/faults/maker.go
+++ b/trial/internal/faults/maker.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/balsamford/balsamford/trial/wait"
+
 	"golang.org/x/sync/errgroup"
 
 	"github.com/balsamford/balsamford/trial/judge"
@@ -68,7 +70,7 @@
 			continue
 		}
 		g.Go(func() error { m.make(ctx, f); return nil })
-		pause(limit, time.Duration(m.rand.IntN(1500))*time.Millisecond)
+		wait.For(limit, time.Duration(m.rand.IntN(1500))*time.Millisecond)
 	}
 	_ = g.Wait()
 }
@@ -89,12 +91,12 @@
 	}
 	defer m.free(f.target)
 	m.say(f.text, f.begin(ctx))
-	pause(ctx, f.last)
+	wait.For(ctx, f.last)
 	if f.end == nil {
 		return
 	}
 	m.say("end of: "+f.text, f.end(ctx))
-	pause(ctx, startTime)
+	wait.For(ctx, startTime)
 }
 
 func (m *maker) take(targets []string) bool {
--- a/trial/internal/faults/run.go
+++ b/trial/internal/faults/run.go
@@ -6,6 +6,8 @@
 	"io"
 	"time"
 
+	"github.com/balsamford/balsamford/trial/wait"
+
 	"golang.org/x/sync/errgroup"
 
 	"github.com/balsamford/balsamford/trial/judge"
@@ -54,10 +56,10 @@
 	var g, watch errgroup.Group
 	g.Go(func() error { r.Run(loadCtx, 0); return nil })
 	watch.Go(func() error { record.Versions = st.Watch(watchCtx); return nil })
-	pause(ctx, quietTime)
+	wait.For(ctx, quietTime)
 	m := newMaker(st, s, w)
 	m.run(ctx, s.Time)
-	pause(ctx, quietTime)
+	wait.For(ctx, quietTime)
 	healed := st.Ready(ctx, healTime)
 	stopLoad()
 	_ = g.Wait()
@@ -86,13 +88,3 @@
 	}
 	return findings, nil
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/trial/internal/pace/fair.go
+++ b/trial/internal/pace/fair.go
@@ -6,6 +6,8 @@
 	"io"
 	"time"
 
+	"github.com/balsamford/balsamford/trial/wait"
+
 	"golang.org/x/sync/errgroup"
 )
 
@@ -43,7 +45,7 @@
 			times, modest, float64(flood.before(end)+other.before(end))/s.Span.Seconds()/capacity, capacity)
 		line(w, "  the flood", flood)
 		n = line(w, "  the other", other)
-		rest(ctx, calm)
+		wait.For(ctx, calm)
 	}
 	return n, nil
 }
--- a/trial/internal/pace/goodput.go
+++ b/trial/internal/pace/goodput.go
@@ -6,6 +6,8 @@
 	"io"
 	"time"
 
+	"github.com/balsamford/balsamford/trial/wait"
+
 	"github.com/balsamford/balsamford/trial/cell"
 )
 
@@ -33,7 +35,7 @@
 			times, float64(t.before(began.Add(s.Span)))/s.Span.Seconds()/capacity, capacity,
 			each(after[cell.RoleEntry]-before[cell.RoleEntry], t.done()), each(after[cell.RolePlacer]-before[cell.RolePlacer], t.done()))
 		n = line(w, "  callers", t)
-		rest(ctx, calm)
+		wait.For(ctx, calm)
 	}
 	return n, nil
 }
--- a/trial/internal/pace/losses.go
+++ b/trial/internal/pace/losses.go
@@ -6,6 +6,8 @@
 	"io"
 	"time"
 
+	"github.com/balsamford/balsamford/trial/wait"
+
 	"golang.org/x/sync/errgroup"
 
 	"github.com/balsamford/balsamford/trial/cell"
@@ -27,9 +29,9 @@
 		c.stream(loadCtx, rate, kind{work: 20 * time.Millisecond, deadline: deadline}, t)
 		return nil
 	})
-	rest(ctx, calm)
+	wait.For(ctx, calm)
 	err := act(ctx)
-	rest(ctx, calm)
+	wait.For(ctx, calm)
 	cancel()
 	_ = g.Wait()
 	return t, err
@@ -46,7 +48,7 @@
 		at = time.Now()
 		c.site.Cell().Kill(p)
 		owned = c.site.Taken(ctx, p.Name(), backTime).Sub(at)
-		rest(ctx, 4*calm)
+		wait.For(ctx, 4*calm)
 		if err := c.site.Cell().Start(p); err != nil {
 			return err
 		}
@@ -85,16 +87,6 @@
 	return c.site.Ready(ctx, backTime)
 }
 
-// rest waits for d or the end of ctx.
-func rest(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // StopError reports a process that was killed since it didn't stop.
 type StopError struct{ Process string }
 
--- a/trial/internal/pace/run.go
+++ b/trial/internal/pace/run.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/balsamford/balsamford/trial/wait"
+
 	"golang.org/x/sync/errgroup"
 
 	"github.com/balsamford/balsamford/trial/site"
@@ -38,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	rest(ctx, settleTime)
+	wait.For(ctx, settleTime)
 	c := newCaller(st)
 	defer c.close()
 	var g errgroup.Group
--- a/trial/load/one.go
+++ b/trial/load/one.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/balsamford/balsamford/trial/wait"
+
 	"github.com/valyala/fasthttp"
 
 	"github.com/balsamford/balsamford/coord/wire"
@@ -54,7 +56,7 @@
 		if err == nil && !again(&reply) {
 			break
 		}
-		if !sleep(ctx, tryPause) {
+		if !wait.For(ctx, tryPause) {
 			break
 		}
 	}
@@ -80,7 +82,7 @@
 // follow watches a job to its end. A service is cancelled after its stay.
 func (r *Runner) follow(ctx context.Context, it *item, c *judge.Call) {
 	if it.form.Kind == wire.Service {
-		sleep(ctx, it.stay)
+		wait.For(ctx, it.stay)
 		r.cancel(ctx, it, c)
 	}
 	for try := 0; ; try++ {
@@ -93,7 +95,7 @@
 			checkOutputs(it, &reply, c)
 			return
 		}
-		if !sleep(ctx, pollTime) {
+		if !wait.For(ctx, pollTime) {
 			c.Outcome, c.Reason = "", "the trial ended before the job"
 			return
 		}
@@ -114,20 +116,8 @@
 			return
 		}
 		c.Detail = fmt.Sprintf("cancel: status %d, %s", reply.Status, reply.Reason)
-		if !sleep(ctx, tryPause) {
+		if !wait.For(ctx, tryPause) {
 			return
 		}
 	}
 }
-
-// sleep returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
