--- a/trial/internal/cost/run.go
+++ b/trial/internal/cost/run.go
@@ -10,13 +10,12 @@
 	"strings"
 	"time"
 
-	"github.com/balsamford/balsamford/trial/wait"
-
 	"golang.org/x/sync/errgroup"
 
 	"github.com/balsamford/balsamford/trial/cell"
 	"github.com/balsamford/balsamford/trial/load"
 	"github.com/balsamford/balsamford/trial/site"
+	"github.com/balsamford/balsamford/trial/wait"
 )
 
 // settleTime lets a new deployment come to rest before it is measured.
--- a/trial/internal/faults/maker.go
+++ b/trial/internal/faults/maker.go
@@ -9,12 +9,11 @@
 	"sync"
 	"time"
 
-	"github.com/balsamford/balsamford/trial/wait"
-
 	"golang.org/x/sync/errgroup"
 
 	"github.com/balsamford/balsamford/trial/judge"
 	"github.com/balsamford/balsamford/trial/site"
+	"github.com/balsamford/balsamford/trial/wait"
 )
 
 const (
--- a/trial/internal/faults/run.go
+++ b/trial/internal/faults/run.go
@@ -6,14 +6,13 @@
 	"io"
 	"time"
 
-	"github.com/balsamford/balsamford/trial/wait"
-
 	"golang.org/x/sync/errgroup"
 
 	"github.com/balsamford/balsamford/trial/judge"
 	"github.com/balsamford/balsamford/trial/load"
 	"github.com/balsamford/balsamford/trial/report"
 	"github.com/balsamford/balsamford/trial/site"
+	"github.com/balsamford/balsamford/trial/wait"
 )
 
 const (
--- a/trial/internal/pace/fair.go
+++ b/trial/internal/pace/fair.go
@@ -6,9 +6,9 @@
 	"io"
 	"time"
 
-	"github.com/balsamford/balsamford/trial/wait"
-
 	"golang.org/x/sync/errgroup"
+
+	"github.com/balsamford/balsamford/trial/wait"
 )
 
 const (
--- a/trial/internal/pace/goodput.go
+++ b/trial/internal/pace/goodput.go
@@ -6,9 +6,8 @@
 	"io"
 	"time"
 
-	"github.com/balsamford/balsamford/trial/wait"
-
 	"github.com/balsamford/balsamford/trial/cell"
+	"github.com/balsamford/balsamford/trial/wait"
 )
 
 const (
--- a/trial/internal/pace/losses.go
+++ b/trial/internal/pace/losses.go
@@ -6,11 +6,10 @@
 	"io"
 	"time"
 
-	"github.com/balsamford/balsamford/trial/wait"
-
 	"golang.org/x/sync/errgroup"
 
 	"github.com/balsamford/balsamford/trial/cell"
+	"github.com/balsamford/balsamford/trial/wait"
 )
 
 const (
--- a/trial/internal/pace/run.go
+++ b/trial/internal/pace/run.go
@@ -8,11 +8,10 @@
 	"slices"
 	"time"
 
-	"github.com/balsamford/balsamford/trial/wait"
-
 	"golang.org/x/sync/errgroup"
 
 	"github.com/balsamford/balsamford/trial/site"
+	"github.com/balsamford/balsamford/trial/wait"
 )
 
 // settleTime lets a new deployment come to rest.
--- a/trial/load/one.go
+++ b/trial/load/one.go
@@ -5,13 +5,12 @@
 	"fmt"
 	"time"
 
-	"github.com/balsamford/balsamford/trial/wait"
-
 	"github.com/valyala/fasthttp"
 
 	"github.com/balsamford/balsamford/coord/wire"
 	"github.com/balsamford/balsamford/trial/calls"
 	"github.com/balsamford/balsamford/trial/judge"
+	"github.com/balsamford/balsamford/trial/wait"
 )
 
 // tries is how often a caller sends the same request, under the same id and
