--- a/placer/internal/jobs/lend.go
+++ b/placer/internal/jobs/lend.go
@@ -147,8 +147,8 @@
 		l.dropped = b.Drop
 		in.Loans = append(in.Loans, b)
 	}
-	ctx1, cancel := context.WithTimeout(ctx, sayTimeout)
-	out, err := d.ask(ctx1, placer, &in)
+	bounded, cancel := context.WithTimeout(ctx, sayTimeout)
+	out, err := d.ask(bounded, placer, &in)
 	cancel()
 	if err == nil {
 		d.mu.Lock()
