--- a/placer/internal/daemon/fault_test.go
+++ b/placer/internal/daemon/fault_test.go
@@ -290,16 +290,24 @@
 	z.judge()
 }
 
-// A placer that is killed and started again under its name drives its jobs on,
-// which no other placer can tell from driven ones.
-func TestRestartedDriverGoesOn(t *testing.T) {
-	is := is.New(t)
+// newPair starts two placers that know one another and own all of so many
+// workers.
+func newPair(t *testing.T, workers int) *zone {
+	t.Helper()
 	z := newZone(t, 2)
-	z.workers(4)
+	z.workers(workers)
 	z.start(0)
 	z.start(1)
-	z.eventually("all endpoints are owned", z.owned(4))
+	z.eventually("all endpoints are owned", z.owned(workers))
 	z.eventually("both live", func() bool { return len(z.placers[0].members.Names()) == 2 })
+	return z
+}
+
+// A placer that is killed and started again under its name drives its jobs on,
+// which no other placer can tell from driven ones.
+func TestRestartedDriverGoesOn(t *testing.T) {
+	is := is.New(t)
+	z := newPair(t, 4)
 	z.submit(z.placers[0], jobRequest("a.job", wire.Batch, 4, engine.Body{Work: setup.Duration(2 * time.Second)}))
 	z.eventually("it runs", func() bool { return z.runningAll() == 4 && z.row("a.job").Phase == wire.Running })
 	i := z.driver("a.job")
@@ -317,12 +325,7 @@
 // back.
 func TestJobsOutlastSuspendedWorkers(t *testing.T) {
 	is := is.New(t)
-	z := newZone(t, 2)
-	z.workers(4)
-	z.start(0)
-	z.start(1)
-	z.eventually("all endpoints are owned", z.owned(4))
-	z.eventually("both live", func() bool { return len(z.placers[0].members.Names()) == 2 })
+	z := newPair(t, 4)
 	for _, e := range z.engines {
 		e.SetFaults(engine.Faults{Freeze: true})
 	}
@@ -350,12 +353,7 @@
 // their answers are lost: the row names a placer that doesn't know it.
 func TestDriverWhoseWritesWereLost(t *testing.T) {
 	is := is.New(t)
-	z := newZone(t, 2)
-	z.workers(4)
-	z.start(0)
-	z.start(1)
-	z.eventually("all endpoints are owned", z.owned(4))
-	z.eventually("both live", func() bool { return len(z.placers[0].members.Names()) == 2 })
+	z := newPair(t, 4)
 	time.Sleep(4 * time.Second) // the scans that follow a change of members are over
 	for i := range 2 {
 		z.accept(jobRequest(fmt.Sprintf("a.%d", i), wire.Batch, 1, engine.Body{}))
