Take back what nobody holds of a lowered limit at once

Zones without placers have a standing part (20 of 120 each), which only placers of a zone gave back. Until the entry waited for parts nobody noticed; a zone whose placers are gone would have kept any lowered limit from being accepted.

Change: the write that lowers a limit also takes back, in each zone, what no holder has of its part. A holder claims only by a conditional write of the same row, so none can be using it.

Two tests of coord/quota expected the wait while their holder, which had asked for nothing, held nothing; it now asks for 80 of 100 first, as they meant.

--- a/coord/parts/table.go
+++ b/coord/parts/table.go
@@ -84,6 +84,9 @@
 			left := Amount{}.Sub(a.over())
 			z.Part = z.Part.Add(z.Standing.Sub(z.Part).least(left).most(Amount{}))
 		}
+		for _, z := range a.Zones {
+			a.shrink(z) // A zone without placers returns nothing by itself.
+		}
 	})
 	if err != nil {
 		return false, err
--- a/coord/quota/keeper_test.go
+++ b/coord/quota/keeper_test.go
@@ -62,6 +62,7 @@
 	is.Equal(c.unsettled(c.limit(100)), 0)
 	h := parts.New("p1", "z1", parts.WithTimer(c.timers))
 	h.Limit(map[string]parts.Dims{"shop": parts.DimsOf(parts.Tasks)})
+	is.True(!h.Take("shop", parts.Count(80))) // It asks for a part.
 	is.NoErr(h.Settle(t.Context(), c.platform, "shop", parts.Count(80)))
 	lowered := c.limit(10)
 	is.Equal(c.unsettled(lowered), 1)
@@ -105,6 +106,7 @@
 	is.Equal(len(waits), 0)
 	h := parts.New("p1", "z1", parts.WithTimer(c.timers))
 	h.Limit(map[string]parts.Dims{"shop": parts.DimsOf(parts.Tasks)})
+	is.True(!h.Take("shop", parts.Count(80))) // It asks for a part.
 	is.NoErr(h.Settle(t.Context(), c.platform, "shop", parts.Count(80)))
 	is.Equal(c.unsettled(c.limit(10)), 1)
 }
