Wait out a stall before quick requests are refused as late

A line that had started nothing for 0.5 s counted as draining slowly, also while endpoints were on their way to the placer.

Change: a line in which nothing has started refuses only what has less time left than it has stalled for; one that stalls goes on counting when what waited has expired, so that refusal isn't learned anew each second.

Before: TestStallIsWaitedOut failed at the first request after 0.5 s.

--- a/placer/internal/exec/line.go
+++ b/placer/internal/exec/line.go
@@ -30,17 +30,21 @@
 	if deadline.IsZero() || l.waiting == 0 {
 		return false
 	}
-	busy := l.busy + now.Sub(l.last).Seconds()
-	if busy < learnTime.Seconds() {
-		return false
+	busy, left := l.busy+now.Sub(l.last).Seconds(), deadline.Sub(now).Seconds()
+	if busy < learnTime.Seconds() || l.starts == 0 && busy < left {
+		return false // Endpoints may be on their way to this placer.
 	}
 	wait := busy / (l.starts + 1) * float64(l.waiting+1)
-	return wait > certain*deadline.Sub(now).Seconds()
+	return wait > certain*left
 }
 
 func (l *line) enter(now time.Time) {
 	if l.waiting == 0 {
-		l.starts, l.busy, l.last = 0, 0, now
+		// What waited in vain until just now tells of the same stall.
+		if l.starts > 0 || now.Sub(l.last) >= learnTime {
+			l.starts, l.busy = 0, 0
+		}
+		l.last = now
 	}
 	l.waiting++
 }
--- a/placer/internal/exec/line_test.go
+++ b/placer/internal/exec/line_test.go
@@ -57,3 +57,23 @@
 		})
 	}
 }
+
+// Nothing starts while endpoints change hands, which is no reason to refuse
+// what they would run within its time.
+func TestStallIsWaitedOut(t *testing.T) {
+	const step, patience, stall = 10 * time.Millisecond, time.Second, 900 * time.Millisecond
+	s, k := newLines(), class{team: "a"}
+	now, waiting := time.Unix(0, 0), 0
+	for end := now.Add(stall); now.Before(end); now = now.Add(step) {
+		if !s.enter(k, now, now.Add(patience)) {
+			t.Fatal("a request is refused during the stall")
+		}
+		waiting++
+	}
+	for range waiting {
+		s.leave(k, now, true)
+	}
+	if !s.enter(k, now, now.Add(patience)) {
+		t.Fatal("a request is refused after the stall")
+	}
+}
--- a/placer/internal/exec/lines.go
+++ b/placer/internal/exec/lines.go
@@ -36,7 +36,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.byClass[c]
-	if l.leave(now, started); l.waiting == 0 {
-		delete(s.byClass, c)
+	if l.leave(now, started); l.waiting == 0 && l.starts > 0 {
+		delete(s.byClass, c) // One that stalls is kept, so that it isn't learned anew.
 	}
 }
