Search the repository's files of Go by one function in the pages' tests

Change: matches. No check or pattern differs; ruled out: nothing. Before and after: `go test -count=1 ./coord/pages` passes, the linter finds 0. Conclusion: behaviour is as it was.

--- a/coord/pages/metrics_test.go
+++ b/coord/pages/metrics_test.go
@@ -49,22 +49,7 @@
 // codeStrings returns the string literals of the programs that look like names.
 func codeStrings(t *testing.T) map[string]bool {
 	t.Helper()
-	names := make(map[string]bool)
-	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
-		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
-			return err
-		}
-		data, err := os.ReadFile(path)
-		if err != nil {
-			return err
-		}
-		for _, m := range codeString.FindAllSubmatch(data, -1) {
-			names[string(m[1])] = true
-		}
-		return nil
-	})
-	is.New(t).NoErr(err)
-	return names
+	return matches(t, codeString, false)
 }
 
 // TestListedMetricsExist shows that the code has each metric that the page
--- a/coord/pages/proofs_test.go
+++ b/coord/pages/proofs_test.go
@@ -1,7 +1,6 @@
 package pages
 
 import (
-	"io/fs"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -22,22 +21,7 @@
 // testNames returns the test functions of all modules.
 func testNames(t *testing.T) map[string]bool {
 	t.Helper()
-	names := make(map[string]bool)
-	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
-		if err != nil || d.IsDir() || !strings.HasSuffix(path, "_test.go") {
-			return err
-		}
-		data, err := os.ReadFile(path)
-		if err != nil {
-			return err
-		}
-		for _, m := range testFunc.FindAllSubmatch(data, -1) {
-			names[string(m[1])] = true
-		}
-		return nil
-	})
-	is.New(t).NoErr(err)
-	return names
+	return matches(t, testFunc, true)
 }
 
 // pageFiles returns the Markdown pages of the repository.
