--- a/entry/internal/door/errors.go
+++ b/coord/httpd/errors.go
@@ -1,4 +1,4 @@
-package door
+package httpd
 
 // ListenError reports an address that can't be served.
 type ListenError struct {
--- a/entry/internal/door/refusal.go
+++ b/coord/httpd/refusal.go
@@ -1,4 +1,4 @@
-package door
+package httpd
 
 import (
 	"bytes"
@@ -12,7 +12,7 @@
 	statusUnavailable = fasthttp.StatusServiceUnavailable
 )
 
-// Refusal is the body of an answer to a request that the door didn't let in.
+// Refusal is the body of an answer to a request that the server refused.
 type Refusal struct {
 	Outcome string `json:"outcome"`
 	Reason  string `json:"reason"`
--- a/entry/internal/door/stream_test.go
+++ b/coord/httpd/stream_test.go
@@ -1,4 +1,4 @@
-package door
+package httpd
 
 import (
 	"bufio"
--- a/entry/app.go
+++ b/entry/app.go
@@ -19,7 +19,7 @@
 	"github.com/balsamford/balsamford/coord/store"
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/entry/internal/admit"
-	"github.com/balsamford/balsamford/entry/internal/door"
+	"github.com/balsamford/balsamford/coord/httpd"
 	"github.com/balsamford/balsamford/entry/internal/jobs"
 	"github.com/balsamford/balsamford/entry/internal/oper"
 	"github.com/balsamford/balsamford/entry/internal/params"
@@ -46,7 +46,7 @@
 	keeper   *record.Keeper
 	jobs     *jobs.Book
 	service  *serve.Service
-	door     *door.Server
+	door     *httpd.Server
 	page     *meter.Server
 	oper     *oper.Door  // nil if the settings have none
 	parting  atomic.Bool // not ready, requests are still served
@@ -130,11 +130,11 @@
 		Logger: a.logger, Registry: a.registry,
 	})
 	a.service.Mount(a.node)
-	doorOptions := []door.Option{door.WithLimits(a.limits()), door.WithLogger(a.logger), door.WithRegistry(a.registry)}
+	doorOptions := []httpd.Option{httpd.WithLimits(a.limits()), httpd.WithLogger(a.logger), httpd.WithRegistry(a.registry)}
 	if a.secure != nil {
-		doorOptions = append(doorOptions, door.WithTLS(a.secure.Door(door.Protocol)))
+		doorOptions = append(doorOptions, httpd.WithTLS(a.secure.Door(httpd.Protocol)))
 	}
-	a.door = door.New(a.clock, a.service, doorOptions...)
+	a.door = httpd.New(a.clock, a.service, doorOptions...)
 	options := []meter.Option{meter.WithDetail(a.detail)}
 	if s.Fault {
 		options = append(options, meter.WithPage(faultPath, a.faults.page))
@@ -150,8 +150,8 @@
 	a.page = meter.New(a.registry, a.ready, options...)
 }
 
-func (a *app) limits() door.Limits {
-	l := door.DefaultLimits()
+func (a *app) limits() httpd.Limits {
+	l := httpd.DefaultLimits()
 	s := a.settings.Limits
 	l.Conns, l.Requests, l.Header, l.Body = s.Conns, s.Requests, s.Header, s.Body
 	l.Shakes, l.Shake = s.Shakes, time.Duration(s.Shake)
--- a/entry/internal/serve/cell_test.go
+++ b/entry/internal/serve/cell_test.go
@@ -14,7 +14,7 @@
 	"github.com/balsamford/balsamford/coord/store"
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/entry/internal/admit"
-	"github.com/balsamford/balsamford/entry/internal/door"
+	"github.com/balsamford/balsamford/coord/httpd"
 	"github.com/balsamford/balsamford/entry/internal/jobs"
 	"github.com/balsamford/balsamford/entry/internal/record"
 	"github.com/balsamford/balsamford/entry/internal/relay"
@@ -53,7 +53,7 @@
 	table   *route.Table
 	jobs    *jobs.Book
 	service *Service
-	server  *door.Server
+	server  *httpd.Server
 	reg     metrics.Registry
 	stop    context.CancelFunc
 	done    *errgroup.Group
@@ -129,7 +129,7 @@
 		Runner: relay.New(c.clock, e.node, e.table, e.reg), Jobs: e.jobs, Logger: zap.NewNop(), Registry: e.reg,
 	})
 	e.service.Mount(e.node)
-	e.server = door.New(c.clock, e.service, door.WithRegistry(e.reg), door.WithLoops(1))
+	e.server = httpd.New(c.clock, e.service, httpd.WithRegistry(e.reg), httpd.WithLoops(1))
 	is.NoErr(e.node.Listen(e.self.Link))
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop, e.done = cancel, &errgroup.Group{}
--- a/entry/internal/serve/http.go
+++ b/entry/internal/serve/http.go
@@ -6,7 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/balsamford/balsamford/coord/wire"
-	"github.com/balsamford/balsamford/entry/internal/door"
+	"github.com/balsamford/balsamford/coord/httpd"
 	"github.com/balsamford/balsamford/entry/internal/record"
 	"github.com/balsamford/balsamford/entry/internal/relay"
 )
@@ -17,8 +17,8 @@
 	bearer       = "Bearer "
 )
 
-// Serve implements door.Handler.
-func (s *Service) Serve(x *door.Exchange) {
+// Serve implements httpd.Handler.
+func (s *Service) Serve(x *httpd.Exchange) {
 	path := string(x.Request().URI().Path())
 	method := string(x.Request().Header.Method())
 	rest, found := strings.CutPrefix(path, pathRequests)
@@ -35,7 +35,7 @@
 }
 
 // only calls serve if the method is the one that the path takes.
-func (s *Service) only(x *door.Exchange, method, want string, serve func(*door.Exchange)) {
+func (s *Service) only(x *httpd.Exchange, method, want string, serve func(*httpd.Exchange)) {
 	if method != want {
 		x.Header().Set(fasthttp.HeaderAllow, want)
 		send(x, fasthttp.StatusMethodNotAllowed, Reply{Reason: wire.ReasonInvalid, Detail: "use " + want})
@@ -45,7 +45,7 @@
 }
 
 // serveOne serves the paths of one request.
-func (s *Service) serveOne(x *door.Exchange, method, rest string) {
+func (s *Service) serveOne(x *httpd.Exchange, method, rest string) {
 	text, part, _ := strings.Cut(rest, "/")
 	team, reason := s.Config.Team(key(x))
 	if reason != "" {
@@ -57,16 +57,16 @@
 		send(x, fasthttp.StatusNotFound, Reply{ID: text, Detail: "this can't be a request's id"})
 		return
 	}
-	get := func(serve func(*door.Exchange)) { s.only(x, method, fasthttp.MethodGet, serve) }
+	get := func(serve func(*httpd.Exchange)) { s.only(x, method, fasthttp.MethodGet, serve) }
 	switch {
 	case part == "result":
-		get(func(x *door.Exchange) { s.serveResult(x, team, id) })
+		get(func(x *httpd.Exchange) { s.serveResult(x, team, id) })
 	case part == "watch":
-		get(func(x *door.Exchange) { s.serveWatch(x, team, id) })
+		get(func(x *httpd.Exchange) { s.serveWatch(x, team, id) })
 	case part == "" && method == fasthttp.MethodDelete:
 		s.serveCancel(x, team, id)
 	case part == "":
-		get(func(x *door.Exchange) { s.serveStatus(x, team, id) })
+		get(func(x *httpd.Exchange) { s.serveStatus(x, team, id) })
 	default:
 		send(x, fasthttp.StatusNotFound, Reply{ID: text, Detail: "no such path; see docs/API.md"})
 	}
@@ -82,7 +82,7 @@
 }
 
 // key returns the key that came with a request, or an empty text.
-func key(x *door.Exchange) string {
+func key(x *httpd.Exchange) string {
 	k, found := strings.CutPrefix(string(x.Request().Header.Peek(fasthttp.HeaderAuthorization)), bearer)
 	if !found {
 		return ""
@@ -91,7 +91,7 @@
 }
 
 // finish answers with a quick request's result.
-func (s *Service) finish(x *door.Exchange, out *callerSink, id string, res relay.Result) {
+func (s *Service) finish(x *httpd.Exchange, out *callerSink, id string, res relay.Result) {
 	if out.begun {
 		s.finishStream(x, res)
 		return
@@ -115,7 +115,7 @@
 
 // finishStream ends an answer that has begun. If it isn't whole the caller's
 // connection ends without the final chunk.
-func (s *Service) finishStream(x *door.Exchange, res relay.Result) {
+func (s *Service) finishStream(x *httpd.Exchange, res relay.Result) {
 	if res.Outcome != wire.Done {
 		s.counts.torn.Inc(1)
 		return
--- a/entry/internal/serve/job.go
+++ b/entry/internal/serve/job.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/balsamford/balsamford/coord/wire"
-	"github.com/balsamford/balsamford/entry/internal/door"
+	"github.com/balsamford/balsamford/coord/httpd"
 	"github.com/balsamford/balsamford/entry/internal/jobs"
 	"github.com/balsamford/balsamford/entry/internal/record"
 	"github.com/balsamford/balsamford/entry/internal/relay"
@@ -23,7 +23,7 @@
 )
 
 // acceptJob makes a job last, offers it to a placer, and answers its caller.
-func (s *Service) acceptJob(x *door.Exchange, sub *submission) {
+func (s *Service) acceptJob(x *httpd.Exchange, sub *submission) {
 	id := sub.Request.ID
 	sub.Request.Version = s.Config.Version()
 	state, job := s.Jobs.Accept(s.ctx, sub.Request)
--- a/entry/internal/serve/reply.go
+++ b/entry/internal/serve/reply.go
@@ -6,7 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/balsamford/balsamford/coord/wire"
-	"github.com/balsamford/balsamford/entry/internal/door"
+	"github.com/balsamford/balsamford/coord/httpd"
 	"github.com/balsamford/balsamford/entry/internal/record"
 	"github.com/balsamford/balsamford/entry/internal/relay"
 )
@@ -89,7 +89,7 @@
 }
 
 // send answers with JSON.
-func send(x *door.Exchange, code int, r Reply) {
+func send(x *httpd.Exchange, code int, r Reply) {
 	if r.ID != "" {
 		x.Header().Set(headerID, r.ID)
 	}
@@ -107,7 +107,7 @@
 }
 
 // fail answers with an outcome that is not a success.
-func fail(x *door.Exchange, id string, res relay.Result) {
+func fail(x *httpd.Exchange, id string, res relay.Result) {
 	send(x, status(res.Outcome, res.Reason), Reply{
 		ID: record.Shown(id), Outcome: res.Outcome, Reason: res.Reason, Detail: res.Detail, Code: res.Code,
 	})
--- a/entry/internal/serve/sink.go
+++ b/entry/internal/serve/sink.go
@@ -5,7 +5,7 @@
 
 	"github.com/balsamford/balsamford/coord/link"
 	"github.com/balsamford/balsamford/coord/wire"
-	"github.com/balsamford/balsamford/entry/internal/door"
+	"github.com/balsamford/balsamford/coord/httpd"
 	"github.com/balsamford/balsamford/entry/internal/record"
 )
 
@@ -15,7 +15,7 @@
 
 // callerSink passes a large answer on to the caller's connection.
 type callerSink struct {
-	exchange *door.Exchange
+	exchange *httpd.Exchange
 	id       string
 	begun    bool
 }
--- a/entry/internal/serve/state.go
+++ b/entry/internal/serve/state.go
@@ -8,7 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/balsamford/balsamford/coord/wire"
-	"github.com/balsamford/balsamford/entry/internal/door"
+	"github.com/balsamford/balsamford/coord/httpd"
 	"github.com/balsamford/balsamford/entry/internal/jobs"
 	"github.com/balsamford/balsamford/entry/internal/record"
 	"github.com/balsamford/balsamford/entry/internal/relay"
@@ -27,7 +27,7 @@
 
 // missing answers a question for a request that wasn't found. Only a host
 // that would know says so.
-func (s *Service) missing(x *door.Exchange, id string, f finding) {
+func (s *Service) missing(x *httpd.Exchange, id string, f finding) {
 	r := Reply{ID: record.Shown(id), Outcome: wire.Unknown, Reason: wire.ReasonGone, Keep: s.keepSeconds()}
 	switch {
 	case s.Keeper.Expired(id):
@@ -43,7 +43,7 @@
 }
 
 // serveStatus answers where a request stands.
-func (s *Service) serveStatus(x *door.Exchange, team, id string) {
+func (s *Service) serveStatus(x *httpd.Exchange, team, id string) {
 	f := s.look(x.Context(), inquiry{ID: id, Team: team})
 	if !f.Found {
 		s.missing(x, id, f)
@@ -53,7 +53,7 @@
 }
 
 // serveResult answers with a request's recorded answer, or a job's outputs.
-func (s *Service) serveResult(x *door.Exchange, team, id string) {
+func (s *Service) serveResult(x *httpd.Exchange, team, id string) {
 	f := s.look(x.Context(), inquiry{ID: id, Team: team, Body: true})
 	switch {
 	case !f.Found:
@@ -69,7 +69,7 @@
 }
 
 // serveCancel cancels a request and answers what became of it.
-func (s *Service) serveCancel(x *door.Exchange, team, id string) {
+func (s *Service) serveCancel(x *httpd.Exchange, team, id string) {
 	f := s.look(x.Context(), inquiry{ID: id, Team: team, Cancel: true})
 	if !f.Found {
 		s.missing(x, id, f)
@@ -121,7 +121,7 @@
 const watchPeriod = 500 * time.Millisecond
 
 // serveWatch streams a line of JSON for each change until the outcome.
-func (s *Service) serveWatch(x *door.Exchange, team, id string) {
+func (s *Service) serveWatch(x *httpd.Exchange, team, id string) {
 	f := s.look(x.Context(), inquiry{ID: id, Team: team})
 	if !f.Found {
 		s.missing(x, id, f)
--- a/entry/internal/serve/submit.go
+++ b/entry/internal/serve/submit.go
@@ -8,7 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/balsamford/balsamford/coord/wire"
-	"github.com/balsamford/balsamford/entry/internal/door"
+	"github.com/balsamford/balsamford/coord/httpd"
 	"github.com/balsamford/balsamford/entry/internal/record"
 	"github.com/balsamford/balsamford/entry/internal/relay"
 	"github.com/balsamford/balsamford/entry/internal/route"
@@ -23,7 +23,7 @@
 func hexadecimal(n uint64) string { return strconv.FormatUint(n, hex) }
 
 // serveIDs issues ids.
-func (s *Service) serveIDs(x *door.Exchange) {
+func (s *Service) serveIDs(x *httpd.Exchange) {
 	if _, reason := s.Config.Team(key(x)); reason != "" {
 		send(x, status(wire.NotRun, reason), Reply{Reason: reason})
 		return
@@ -54,7 +54,7 @@
 func (s *Service) keepSeconds() int { return int(s.Keeper.Keep().Seconds()) }
 
 // serveSubmit takes a request in.
-func (s *Service) serveSubmit(x *door.Exchange) {
+func (s *Service) serveSubmit(x *httpd.Exchange) {
 	f, err := parseForm(x.Request().Body())
 	if err != nil {
 		send(x, fasthttp.StatusBadRequest, Reply{Outcome: wire.NotRun, Reason: wire.ReasonInvalid, Detail: err.Error()})
@@ -78,7 +78,7 @@
 // submission builds the message of a request, or returns why it is refused.
 // Nothing is known of an id that the caller brought until its record has been
 // asked, so such a refusal doesn't say that the request has not run.
-func (s *Service) submission(x *door.Exchange, f *form) (*submission, *relay.Result) {
+func (s *Service) submission(x *httpd.Exchange, f *form) (*submission, *relay.Result) {
 	refuse := func(reason, detail string) (*submission, *relay.Result) {
 		if f.ID != "" {
 			res := relay.Unknown(reason, detail)
@@ -128,7 +128,7 @@
 }
 
 // answerQuick runs a quick request while its caller waits.
-func (s *Service) answerQuick(x *door.Exchange, sub *submission) {
+func (s *Service) answerQuick(x *httpd.Exchange, sub *submission) {
 	wanted := context.Background()
 	if sub.Cancel {
 		wanted = x.Context()
@@ -138,7 +138,7 @@
 }
 
 // acceptQuick runs a quick request in the background.
-func (s *Service) acceptQuick(x *door.Exchange, sub *submission) {
+func (s *Service) acceptQuick(x *httpd.Exchange, sub *submission) {
 	id := sub.Request.ID
 	if !s.later(func() { s.runHome(context.Background(), sub, nullSink{}) }) {
 		outcome := wire.Unknown
--- /dev/null
+++ b/node/internal/config/doc.go
@@ -0,0 +1,2 @@
+// Package config keeps the operators' newest configuration in force on a host.
+package config
--- /dev/null
+++ b/node/internal/follow/follower.go
@@ -0,0 +1,144 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/balsamford/balsamford/coord/timer"
+	"github.com/balsamford/balsamford/platform"
+)
+
+// Times of following.
+const (
+	// defaultWait is how long the store may wait for a change; it bounds how long
+	// a connection that has gone silent stays unnoticed.
+	defaultWait = time.Second
+	// retryWait is the pause after a failed call.
+	retryWait = 150 * time.Millisecond
+)
+
+// Store is what a Follower needs of the platform's store.
+type Store interface {
+	Read(table, part, from, to string) ([]platform.Row, int64, error)
+	Watch(table string, after int64, wait time.Duration) ([]platform.Row, int64, error)
+}
+
+// Handler hears of a table's rows. The calls come from one goroutine.
+type Handler interface {
+	// Reset gives all rows of the table; what isn't among them is gone.
+	Reset(rows []platform.Row)
+	// Change gives rows that have changed, in order.
+	Change(rows []platform.Row)
+}
+
+// Follower follows one table.
+type Follower struct {
+	store   Store
+	clock   *timer.Service
+	table   string
+	part    string
+	handler Handler
+	wait    time.Duration
+	gap     time.Duration
+	logger  *zap.Logger
+
+	mu    sync.Mutex // guards fresh
+	fresh time.Time
+}
+
+// Option changes how New makes a Follower.
+type Option func(*Follower)
+
+// WithGap sets the least time between two calls: changes within it come together.
+func WithGap(d time.Duration) Option { return func(f *Follower) { f.gap = d } }
+
+// WithLogger sets the logger.
+func WithLogger(l *zap.Logger) Option { return func(f *Follower) { f.logger = l } }
+
+// New returns a Follower of the rows of table in part.
+func New(store Store, clock *timer.Service, table, part string, h Handler, opts ...Option) *Follower {
+	f := &Follower{store: store, clock: clock, table: table, part: part, handler: h, wait: defaultWait, logger: zap.NewNop()}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
+}
+
+// Fresh returns the time at which what the handler has heard was complete; the
+// zero time if it has heard nothing yet. It may be called concurrently.
+func (f *Follower) Fresh() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fresh
+}
+
+func (f *Follower) confirm(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fresh = at
+}
+
+// Run follows until ctx ends. It always returns nil, so that it can be a member
+// of a group.
+func (f *Follower) Run(ctx context.Context) error {
+	version, read, lost := int64(0), false, false
+	for ctx.Err() == nil {
+		asked := f.clock.Now()
+		next, err := f.step(version, read)
+		if err != nil {
+			var history *platform.HistoryError
+			if errors.As(err, &history) {
+				f.logger.Info("reading the table anew", zap.String("table", f.table), zap.Error(err))
+				read = false
+				continue
+			}
+			if !lost {
+				lost = true
+				f.logger.Warn("table can't be followed", zap.String("table", f.table), zap.Int64("version", version), zap.Error(err))
+			}
+			_ = f.clock.Sleep(ctx, retryWait)
+			continue
+		}
+		if lost {
+			lost = false
+			f.logger.Info("table is followed again", zap.String("table", f.table), zap.Int64("version", next))
+		}
+		version, read = max(version, next), true
+		f.confirm(asked)
+		if rest := f.gap - f.clock.Now().Sub(asked); rest > 0 {
+			_ = f.clock.Sleep(ctx, rest)
+		}
+	}
+	return nil
+}
+
+// step makes one call and returns the version to go on from.
+func (f *Follower) step(version int64, read bool) (int64, error) {
+	if !read {
+		rows, next, err := f.store.Read(f.table, f.part, "", "")
+		if err == nil {
+			f.handler.Reset(rows)
+		}
+		return next, err
+	}
+	rows, next, err := f.store.Watch(f.table, version, f.wait)
+	if err == nil && len(rows) > 0 {
+		f.handler.Change(f.own(rows))
+	}
+	return next, err
+}
+
+// own returns the rows of the followed partition.
+func (f *Follower) own(rows []platform.Row) []platform.Row {
+	out := rows[:0]
+	for _, r := range rows {
+		if r.Part == f.part {
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/node/internal/front/front.go
@@ -0,0 +1,145 @@
+package front
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/balsamford/balsamford/coord/httpd"
+	"github.com/balsamford/balsamford/coord/model"
+	"github.com/balsamford/balsamford/coord/timer"
+	"github.com/balsamford/balsamford/node/internal/board"
+	"github.com/balsamford/balsamford/platform"
+)
+
+const (
+	jsonType = "application/json"
+	// answerMargin is left of a client's deadline for the answer's way back.
+	answerMargin = 150 * time.Millisecond
+	// defaultDeadline is for clients that don't say how long they wait.
+	defaultDeadline = 3 * time.Second
+	// retryAfter is what refused clients are told to wait while the store is
+	// away; other hosts may reach it.
+	retryAfter = time.Second
+)
+
+// Configs tells the configuration in force.
+type Configs interface {
+	// Config returns the newest configuration, nil if there is none yet.
+	Config() *model.Config
+}
+
+// Service answers clients. It implements httpd.Handler.
+type Service struct {
+	clock   *timer.Service
+	configs Configs
+	board   *board.Board
+	store   Store
+	writer  *writer
+	logger  *zap.Logger
+	counts  *counts
+}
+
+// New returns a Service. Run has to run for submissions to be stored.
+func New(clock *timer.Service, configs Configs, b *board.Board, store Store, logger *zap.Logger, registry metrics.Registry) *Service {
+	return &Service{
+		clock: clock, configs: configs, board: b, store: store, writer: newWriter(store, clock, logger), logger: logger,
+		counts: newCounts(registry),
+	}
+}
+
+// Run stores what is submitted until ctx ends.
+func (s *Service) Run(ctx context.Context) error { return s.writer.run(ctx) }
+
+// request is a client's request that has passed the checks.
+type request struct {
+	exchange *httpd.Exchange
+	queue    model.Queue
+	team     string // empty without a key
+	id       string // of a job; empty for the queue itself
+	limit    time.Time
+}
+
+// Serve implements httpd.Handler.
+func (s *Service) Serve(x *httpd.Exchange) {
+	r, ok := s.admit(x)
+	if !ok {
+		return
+	}
+	method := string(x.Request().Header.Method())
+	switch {
+	case method == fasthttp.MethodGet && r.id == "":
+		s.pending(r)
+	case r.id == "" || !platform.JobID(r.id):
+		s.answer(r.exchange, fasthttp.StatusBadRequest, "not a job's ID")
+	case method == fasthttp.MethodPost:
+		s.submit(r)
+	case method == fasthttp.MethodGet:
+		s.state(r)
+	case method == fasthttp.MethodDelete:
+		s.cancel(r)
+	default:
+		s.answer(x, fasthttp.StatusMethodNotAllowed, "use POST, GET or DELETE")
+	}
+}
+
+// admit finds a request's queue and checks its key. It has answered if it
+// returns false.
+func (s *Service) admit(x *httpd.Exchange) (*request, bool) {
+	config := s.configs.Config()
+	if config == nil {
+		s.unavailable(x, "no configuration yet")
+		return nil, false
+	}
+	req := x.Request()
+	path := string(req.URI().Path())
+	queue, ok := config.Route(hostname(string(req.Host())), path)
+	if !ok {
+		s.answer(x, fasthttp.StatusNotFound, "no such queue")
+		return nil, false
+	}
+	key, _ := strings.CutPrefix(string(req.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
+	team, known := config.TeamOf(key)
+	if !known && !queue.Open {
+		s.logger.Info("key refused", zap.String("path", path), zap.Int64("version", config.Version))
+		s.answer(x, fasthttp.StatusUnauthorized, "unknown key")
+		return nil, false
+	}
+	return &request{
+		exchange: x, queue: queue, team: team, id: strings.Trim(path[len(queue.Prefix):], "/"),
+		limit: s.clock.Now().Add(s.deadline(req) - answerMargin),
+	}, true
+}
+
+// deadline returns how long the client waits.
+func (s *Service) deadline(req *fasthttp.Request) time.Duration {
+	ms, err := strconv.ParseInt(string(req.Header.Peek(platform.DeadlineHeader)), 10, 64)
+	if err != nil || ms <= 0 {
+		return defaultDeadline
+	}
+	return min(defaultDeadline, time.Duration(ms)*time.Millisecond)
+}
+
+// hostname returns the name in a Host header.
+func hostname(host string) string {
+	name, _, _ := strings.Cut(host, ":")
+	return name
+}
+
+// answer gives a short answer.
+func (s *Service) answer(x *httpd.Exchange, code int, text string) {
+	s.counts.refused.Inc(1)
+	x.Answer(code, jsonType, []byte(`{"error":"`+text+`"}`))
+}
+
+// unavailable refuses a request that has not been carried out and never will be.
+func (s *Service) unavailable(x *httpd.Exchange, text string) {
+	x.Header().Set(fasthttp.HeaderRetryAfter, strconv.Itoa(int(retryAfter/time.Second)))
+	x.CloseAfter() // The balancer may lead the next try to another host.
+	s.answer(x, fasthttp.StatusServiceUnavailable, text)
+}
--- /dev/null
+++ b/node/internal/front/writer.go
@@ -0,0 +1,164 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/balsamford/balsamford/coord/timer"
+	"github.com/balsamford/balsamford/node/internal/board"
+	"github.com/balsamford/balsamford/platform"
+)
+
+const (
+	// entriesEach is how many entries of a write one item takes at most.
+	entriesEach = 3
+	// itemsPerWrite keeps a write under the store's limit of entries.
+	itemsPerWrite = platform.MaxEntries / entriesEach
+	// itemsQueued bounds the items that wait for a write.
+	itemsQueued = 1024
+	// retryPause separates the attempts of an item whose outcome isn't known.
+	retryPause = 100 * time.Millisecond
+)
+
+// Store is what the package needs of the platform's store.
+type Store interface {
+	Write(w *platform.Write) (int64, error)
+	Read(table, part, from, to string) ([]platform.Row, int64, error)
+}
+
+// item is a row to be created together with others, unless it is there.
+type item struct {
+	condition platform.Condition
+	puts      []platform.Put
+	limit     time.Time // when its client stops waiting
+	lost      bool      // an earlier attempt got no answer
+	done      chan error
+}
+
+// writer creates rows in transactions that carry the items of several clients,
+// one at a time, so that more clients make larger writes and not more of them.
+type writer struct {
+	store  Store
+	clock  *timer.Service
+	logger *zap.Logger
+	items  chan *item
+}
+
+func newWriter(store Store, clock *timer.Service, logger *zap.Logger) *writer {
+	return &writer{store: store, clock: clock, logger: logger, items: make(chan *item, itemsQueued)}
+}
+
+// create has puts written unless the first of them is there already, which is
+// success too. A *platform.RefusedError or *platform.DialError means that they
+// never will be, an *UnknownError that it isn't known.
+func (w *writer) create(limit time.Time, puts ...platform.Put) error {
+	first := puts[0]
+	it := &item{condition: board.Expect(first.Table, first.Key, 0), puts: puts, limit: limit, done: make(chan error, 1)}
+	select {
+	case w.items <- it:
+	default:
+		return &platform.RefusedError{Call: "queue of writes"}
+	}
+	return <-it.done
+}
+
+// run writes until ctx ends.
+func (w *writer) run(ctx context.Context) error {
+	var batch []*item
+	for {
+		if len(batch) == 0 {
+			select {
+			case <-ctx.Done():
+				return nil
+			case it := <-w.items:
+				batch = append(batch, it)
+			}
+		}
+		batch = w.fill(batch)
+		batch = w.write(ctx, batch)
+	}
+}
+
+// fill adds the items that wait.
+func (w *writer) fill(batch []*item) []*item {
+	for len(batch) < itemsPerWrite {
+		select {
+		case it := <-w.items:
+			batch = append(batch, it)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// write does one transaction and returns the items that have to go into another.
+func (w *writer) write(ctx context.Context, batch []*item) []*item {
+	tx := platform.Write{}
+	for _, it := range batch {
+		tx.Conditions = append(tx.Conditions, it.condition)
+		tx.Puts = append(tx.Puts, it.puts...)
+	}
+	_, err := w.store.Write(&tx)
+	if err == nil {
+		for _, it := range batch {
+			it.done <- nil
+		}
+		return nil
+	}
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return w.settle(batch, conflict)
+	}
+	w.logger.Info("write failed", zap.Int("items", len(batch)), zap.Error(err))
+	var lost *platform.LostError
+	if errors.As(err, &lost) {
+		for _, it := range batch {
+			it.lost = true
+		}
+	}
+	return w.again(ctx, batch, err)
+}
+
+// settle answers the items whose rows are there already.
+func (w *writer) settle(batch []*item, conflict *platform.ConflictError) []*item {
+	there := make(map[string]bool, len(conflict.Rows))
+	for _, row := range conflict.Rows {
+		if row.Version > 0 && !row.Deleted {
+			there[row.Key] = true
+		}
+	}
+	rest := batch[:0]
+	for _, it := range batch {
+		if there[it.condition.Key] {
+			it.done <- nil
+			continue
+		}
+		rest = append(rest, it)
+	}
+	return rest
+}
+
+// again keeps the items whose outcome isn't known and whose clients still wait;
+// the others are answered.
+func (w *writer) again(ctx context.Context, batch []*item, err error) []*item {
+	now := w.clock.Now()
+	rest := batch[:0]
+	for _, it := range batch {
+		switch {
+		case !it.lost:
+			it.done <- err
+		case now.After(it.limit):
+			it.done <- &UnknownError{Err: err}
+		default:
+			rest = append(rest, it)
+		}
+	}
+	if len(rest) > 0 {
+		_ = w.clock.Sleep(ctx, retryPause)
+	}
+	return rest
+}
--- /dev/null
+++ b/node/internal/owner/agent.go
@@ -0,0 +1,101 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/balsamford/balsamford/coord/model"
+	"github.com/balsamford/balsamford/node/internal/plan"
+)
+
+const (
+	// ordersQueued bounds the orders that wait for an executor.
+	ordersQueued = 1024
+	// orderTimeout bounds one order: a round trip takes some milliseconds.
+	orderTimeout = 500 * time.Millisecond
+)
+
+// agent deals with one incarnation of an executor: it keeps its lease, takes
+// its reports and carries out orders.
+type agent struct {
+	term   *term
+	client Executor
+	orders chan order
+	ctx    context.Context // ends with the agent
+	cancel context.CancelFunc
+	noted  chan struct{} // ends have been recorded
+
+	// The term's mu guards the fields below.
+	info   model.Executor
+	born   time.Time
+	lease  lease
+	listed bool  // it has an entry
+	silent bool  // it didn't answer the last call
+	heard  bool  // it has reported
+	seen   int64 // last end that the plan has taken
+	kept   int64 // last end whose effect is recorded
+}
+
+// newAgent returns an agent that isn't running yet. The term's mu is held.
+func newAgent(t *term, info model.Executor) *agent {
+	ctx, cancel := context.WithCancel(t.ctx)
+	return &agent{
+		term: t, client: t.owner.connect(info.ID, info.Address), orders: make(chan order, ordersQueued), ctx: ctx, cancel: cancel,
+		noted: make(chan struct{}, 1), info: info, born: info.Born, listed: true,
+	}
+}
+
+// run starts the agent's two loops.
+func (a *agent) run() {
+	a.term.group.Go(func() error { a.watch(); return nil })
+	a.term.group.Go(func() error { a.obey(); return nil })
+}
+
+// end stops the agent. The term's mu is held.
+func (a *agent) end() {
+	a.cancel()
+	a.client.Close()
+	delete(a.term.agents, a.info.ID)
+}
+
+// update takes a changed entry and reports whether it matters to the plan. The
+// term's mu is held.
+func (a *agent) update(info model.Executor) bool {
+	old := a.info
+	a.info = info
+	changed := !a.listed || old.Draining != info.Draining || old.Room != info.Room || old.Service != info.Service
+	a.listed = true
+	return changed
+}
+
+// unlisted notes that the executor has no entry: it gets no new work. The
+// term's mu is held.
+func (a *agent) unlisted() {
+	if !a.listed {
+		return
+	}
+	a.listed = false
+	info := a.info
+	info.Draining = true
+	a.term.plan.SetExecutor(info)
+	a.term.owner.logger.Info("executor isn't listed any more", zap.String("executor", info.ID))
+}
+
+// give hands an order to the agent. The term's mu is held.
+func (a *agent) give(o order) {
+	select {
+	case a.orders <- o:
+	default:
+		if o.start != nil {
+			a.term.plan.Refused(a.term.owner.clock.Now(), *o.start, plan.RefusedUnsent)
+		}
+	}
+}
+
+// leaseLeft returns for how long the lease may be extended now. The term's mu is
+// held.
+func (t *term) leaseLeft(now time.Time) time.Duration {
+	return min(leaseTime, t.owner.bounds.Lease, t.confirmed.Add(t.owner.bounds.Lease+unconfirmedTime).Sub(now))
+}
--- /dev/null
+++ b/node/internal/owner/deps.go
@@ -0,0 +1,35 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/balsamford/balsamford/coord/model"
+	"github.com/balsamford/balsamford/node/internal/follow"
+	"github.com/balsamford/balsamford/platform"
+)
+
+// Store is what an owner needs of the platform's store.
+type Store interface {
+	follow.Store
+	Write(w *platform.Write) (int64, error)
+}
+
+// Configs tells the configuration in force.
+type Configs interface {
+	// Config returns the newest configuration, nil if there is none yet.
+	Config() *model.Config
+}
+
+// Advisers asks the placement adviser, here or through another host.
+type Advisers interface {
+	Ask(step model.StepID, executors []string, takes time.Duration) (*platform.Advice, error)
+}
+
+// Executor gives orders to one executor.
+type Executor interface {
+	Start(o platform.StartOrder, timeout time.Duration) (time.Duration, error)
+	Stop(o platform.StopOrder, timeout time.Duration) (time.Duration, error)
+	Pace(o platform.PaceOrder, timeout time.Duration) (time.Duration, error)
+	Watch(o platform.WatchOrder) (*platform.Report, error)
+	Close()
+}
--- /dev/null
+++ b/node/internal/owner/lease.go
@@ -0,0 +1,54 @@
+package owner
+
+import "time"
+
+const (
+	// leaseTime is how long executors go on without the owner: long enough for
+	// another host to take over, short so that work on a lost executor starts
+	// elsewhere soon.
+	leaseTime = 5 * time.Second
+	// unconfirmedTime is how long leases are extended while the store doesn't
+	// confirm ownership, beyond the longest lease. A successor waits as long for
+	// executors that it can't reach.
+	unconfirmedTime = 4 * time.Second
+	// settleMargin covers the clocks' difference in rate over the longest wait.
+	settleMargin = 500 * time.Millisecond
+	// lapseMargin is for the resolution of executors' clocks.
+	lapseMargin = 50 * time.Millisecond
+	// slowestClock is the least rate of an executor's clock.
+	slowestClock = 0.98
+)
+
+// lease follows an executor's clock and the lease that it may have.
+type lease struct {
+	clock time.Duration // of the executor when it was last heard
+	at    time.Time     // when that was
+	until time.Duration // latest end that was sent, on the executor's clock
+}
+
+// heard notes the executor's clock from an answer.
+func (l *lease) heard(clock time.Duration, at time.Time) {
+	if clock > 0 {
+		l.clock, l.at = clock, at
+	}
+}
+
+// extend returns the end of a lease of d from now, on the executor's clock, or
+// zero if its clock isn't known.
+func (l *lease) extend(now time.Time, d time.Duration) time.Duration {
+	if l.at.IsZero() || d <= 0 {
+		return 0
+	}
+	end := (l.clock + now.Sub(l.at) + d).Truncate(time.Millisecond)
+	l.until = max(l.until, end)
+	return end
+}
+
+// lapsed reports whether no lease that was sent can still hold.
+func (l *lease) lapsed(now time.Time) bool {
+	if l.at.IsZero() {
+		return false
+	}
+	least := l.clock + time.Duration(float64(now.Sub(l.at))*slowestClock)
+	return least > l.until+lapseMargin
+}
--- /dev/null
+++ b/node/internal/owner/obey.go
@@ -0,0 +1,119 @@
+package owner
+
+import (
+	"errors"
+
+	"go.uber.org/zap"
+
+	"github.com/balsamford/balsamford/node/internal/plan"
+	"github.com/balsamford/balsamford/platform"
+)
+
+// obey carries out orders, one after another, until the agent ends.
+func (a *agent) obey() {
+	for {
+		select {
+		case <-a.ctx.Done():
+			return
+		case o := <-a.orders:
+			switch {
+			case o.start != nil:
+				a.start(o.start)
+			case o.stop != nil:
+				a.stop(o.stop)
+			case o.pace != nil:
+				a.pace(o.pace)
+			}
+		}
+	}
+}
+
+func (a *agent) start(s *plan.Start) {
+	t := a.term
+	now := t.owner.clock.Now()
+	t.mu.Lock()
+	end := a.lease.extend(now, t.leaseLeft(now))
+	if a.silent || end == 0 {
+		t.plan.Refused(now, *s, plan.RefusedUnsent)
+		t.mu.Unlock()
+		return
+	}
+	t.mu.Unlock()
+	clock, err := a.client.Start(platform.StartOrder{
+		Task: s.Task, Number: s.Number, Spec: s.Spec, Lease: end, Fence: t.epoch, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
+	}, orderTimeout)
+	now = t.owner.clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err == nil {
+		a.lease.heard(clock, now)
+		t.plan.Started(now, *s)
+		return
+	}
+	t.owner.logger.Info("start failed", zap.String("id", s.Task.Job), zap.Int("step", s.Task.Step), zap.Int("index", s.Task.Index),
+		zap.Int("run", s.Number), zap.String("executor", s.Executor), zap.Int64("epoch", t.epoch), zap.Error(err))
+	defer notify(t.wake)
+	var refusal *platform.OrderError
+	var refused *platform.RefusedError
+	var dial *platform.DialError
+	var other *platform.IncarnationError
+	switch {
+	case errors.As(err, &refusal):
+		t.refused(s, refusal.Reason)
+	case errors.As(err, &refused):
+		t.plan.Refused(now, *s, plan.RefusedBusy)
+	case errors.As(err, &dial):
+		t.plan.Refused(now, *s, plan.RefusedUnsent)
+	case errors.As(err, &other):
+		a.gone()
+	default:
+		t.plan.Doubted(now, *s)
+	}
+}
+
+// refused takes an executor's reason. The term's mu is held.
+func (t *term) refused(s *plan.Start, why platform.Reason) {
+	now := t.owner.clock.Now()
+	switch why {
+	case platform.NoRoom:
+		t.plan.Refused(now, *s, plan.RefusedRoom)
+	case platform.BadTicket:
+		t.plan.Refused(now, *s, plan.RefusedTicket)
+	case platform.Stale:
+		t.plan.Refused(now, *s, plan.RefusedNumber)
+	case platform.Expired:
+		t.plan.Refused(now, *s, plan.RefusedLate)
+	case platform.Fenced:
+		t.plan.Refused(now, *s, plan.RefusedUnsent)
+	default:
+		t.plan.Refused(now, *s, plan.RefusedBusy)
+	}
+}
+
+func (a *agent) stop(s *plan.Stop) {
+	t := a.term
+	if _, err := a.client.Stop(platform.StopOrder{Task: s.Task, Number: s.Number, Fence: t.epoch}, orderTimeout); err != nil {
+		t.owner.logger.Info("stop failed", zap.String("id", s.Task.Job), zap.Int("run", s.Number), zap.String("executor", s.Executor), zap.Error(err))
+		return // The plan orders it again.
+	}
+	now := t.owner.clock.Now()
+	t.mu.Lock()
+	t.plan.Stopped(now, *s)
+	t.mu.Unlock()
+}
+
+func (a *agent) pace(p *plan.Pace) {
+	t := a.term
+	if _, err := a.client.Pace(platform.PaceOrder{Task: p.Task, Number: p.Number, Percent: p.Percent, Fence: t.epoch}, orderTimeout); err != nil {
+		t.owner.logger.Info("pace failed", zap.String("id", p.Task.Job), zap.Int("percent", p.Percent), zap.String("executor", p.Executor), zap.Error(err))
+	}
+}
+
+// gone notes that the executor's incarnation has ended. The term's mu is held.
+func (a *agent) gone() {
+	t := a.term
+	t.owner.logger.Info("executor's incarnation has ended", zap.String("executor", a.info.ID))
+	a.end()
+	t.plan.RemoveExecutor(a.info.ID)
+	notify(t.wake)
+}
--- /dev/null
+++ b/node/internal/owner/owner.go
@@ -0,0 +1,132 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/balsamford/balsamford/coord/timer"
+	"github.com/balsamford/balsamford/node/internal/board"
+	"github.com/balsamford/balsamford/platform"
+)
+
+const (
+	// deadAfter is how long an owner may be seen to write nothing until another
+	// host takes over: three of its heartbeats and some delay of the store.
+	deadAfter = 1500 * time.Millisecond
+	// rankDelay separates the hosts that would take over.
+	rankDelay = 150 * time.Millisecond
+	// checkPeriod is how often it is looked whether to take over.
+	checkPeriod = 100 * time.Millisecond
+	// claimPause follows a claim that failed.
+	claimPause = 300 * time.Millisecond
+)
+
+// Owner takes and keeps ownership of the cell. It may be used concurrently.
+type Owner struct {
+	host     string
+	process  string
+	bounds   platform.Bounds
+	store    Store
+	clock    *timer.Service
+	board    *board.Board
+	configs  Configs
+	advisers Advisers
+	connect  func(id, address string) Executor
+	logger   *zap.Logger
+	registry metrics.Registry
+
+	stopping atomic.Bool
+	owning   atomic.Bool
+
+	mu      sync.Mutex // guards the fields below
+	seen    time.Time  // when the owner's row was last seen to change
+	version int64      // of the row then
+}
+
+// Parts is what an Owner is built from.
+type Parts struct {
+	Host     string
+	Process  string // tells this process from others of the host
+	Bounds   platform.Bounds
+	Store    Store
+	Clock    *timer.Service
+	Board    *board.Board
+	Configs  Configs
+	Advisers Advisers
+	Connect  func(id, address string) Executor
+	Logger   *zap.Logger
+	Registry metrics.Registry
+}
+
+// New returns an Owner that owns nothing yet.
+func New(p Parts) *Owner {
+	return &Owner{
+		host: p.Host, process: p.Process, bounds: p.Bounds, store: p.Store, clock: p.Clock, board: p.Board, configs: p.Configs,
+		advisers: p.Advisers, connect: p.Connect, logger: p.Logger, registry: p.Registry,
+	}
+}
+
+// Owning reports whether this host owns the cell.
+func (o *Owner) Owning() bool { return o.owning.Load() }
+
+// Run takes ownership whenever the cell has no live owner, until ctx ends.
+// Ownership is handed over then. It always returns nil.
+func (o *Owner) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		_ = o.clock.Sleep(ctx, checkPeriod)
+		if ctx.Err() != nil || o.configs.Config() == nil {
+			continue
+		}
+		row, version, ok := o.vacant()
+		if !ok {
+			continue
+		}
+		claim, version, err := o.claim(row, version)
+		if err != nil {
+			o.logger.Info("ownership not taken", zap.Int64("epoch", claim.Epoch), zap.Error(err))
+			_ = o.clock.Sleep(ctx, claimPause)
+			continue
+		}
+		o.owning.Store(true)
+		o.rule(ctx, row, claim, version)
+		o.owning.Store(false)
+	}
+	return nil
+}
+
+// vacant returns the owner's row if this host should take over now.
+func (o *Owner) vacant() (board.Owner, int64, bool) {
+	row, version := o.board.Owner()
+	now := o.clock.Now()
+	o.mu.Lock()
+	if version != o.version || o.seen.IsZero() {
+		o.version, o.seen = version, now
+	}
+	silent := now.Sub(o.seen)
+	o.mu.Unlock()
+	if row.Host == o.host && row.Process != o.process {
+		return row, version, true // An earlier process of this host.
+	}
+	delay := time.Duration(o.rank(row.Epoch)) * rankDelay
+	if version == 0 || row.Resigned {
+		return row, version, silent >= delay
+	}
+	return row, version, silent >= deadAfter+delay
+}
+
+// claim takes ownership if the owner's row still has version.
+func (o *Owner) claim(row board.Owner, version int64) (board.Owner, int64, error) {
+	next := board.Owner{Host: o.host, Process: o.process, Epoch: row.Epoch + 1}
+	put, err := board.Put(board.Table, board.OwnerKey, next)
+	if err != nil {
+		return next, 0, err
+	}
+	w := platform.Write{Conditions: []platform.Condition{board.Expect(board.Table, board.OwnerKey, version)}, Puts: []platform.Put{put}}
+	got, err := o.store.Write(&w)
+	return next, got, err
+}
--- /dev/null
+++ b/node/internal/owner/term.go
@@ -0,0 +1,248 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/balsamford/balsamford/coord/model"
+	"github.com/balsamford/balsamford/node/internal/board"
+	"github.com/balsamford/balsamford/node/internal/follow"
+	"github.com/balsamford/balsamford/node/internal/plan"
+	"github.com/balsamford/balsamford/platform"
+)
+
+const (
+	// decideGap is the least time between two decisions, so that events that come
+	// together are decided on together.
+	decideGap = 10 * time.Millisecond
+	// decidePeriod is how often is decided without an event, for what falls due.
+	decidePeriod = 100 * time.Millisecond
+	// serversGap is the least time between two looks for executors' changes.
+	serversGap = 300 * time.Millisecond
+	// jobsGap is the least time between two looks for new jobs.
+	jobsGap = 25 * time.Millisecond
+	// runsPerEpoch keeps the numbers of this owner's runs above those of runs of
+	// earlier owners that it hasn't heard of.
+	runsPerEpoch = 64
+	// loadPause follows a failed read of the cell's rows.
+	loadPause = 150 * time.Millisecond
+)
+
+// term is one ownership of the cell.
+type term struct {
+	owner   *Owner
+	epoch   int64
+	began   time.Time
+	settled time.Duration // from began until nothing unknown runs at executors that don't answer
+	wake    chan struct{} // something happened that calls for a decision
+	record  chan struct{} // something is to be recorded
+	end     context.CancelCauseFunc
+	ctx     context.Context // of all that the term has started
+	group   *errgroup.Group
+	loaded  sync.Once // the jobs of earlier owners are in the plan
+
+	mu        sync.Mutex // guards the fields below
+	plan      *plan.State
+	agents    map[string]*agent
+	config    *model.Config
+	confirmed time.Time // when ownership was last known to hold
+}
+
+// rule runs a term until it is lost or ctx ends.
+func (o *Owner) rule(ctx context.Context, before, claim board.Owner, version int64) {
+	now := o.clock.Now()
+	o.logger.Info("ownership taken", zap.Int64("epoch", claim.Epoch), zap.String("from", before.Host), zap.Bool("resigned", before.Resigned))
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	g, gctx := errgroup.WithContext(ctx)
+	t := &term{
+		owner: o, epoch: claim.Epoch, began: now, wake: make(chan struct{}, 1), record: make(chan struct{}, 1), end: end, group: g,
+		agents: make(map[string]*agent), confirmed: now, config: o.configs.Config(),
+	}
+	t.settled = t.settleTime(before)
+	t.plan = plan.New(t.config, plan.WithFar(o.bounds.Far), plan.WithBase(int(claim.Epoch-1)*runsPerEpoch), plan.WithSettle(now.Add(t.settled)))
+	t.ctx = gctx
+	rec := &recorder{term: t, row: claim, version: version}
+	o.board.Listen(t)
+	g.Go(func() error {
+		jobs, err := t.load(gctx)
+		if err != nil {
+			return err
+		}
+		g.Go(func() error { return jobs.Run(gctx) })
+		g.Go(func() error { return t.decide(gctx) })
+		return nil
+	})
+	g.Go(func() error { return rec.run(gctx) })
+	err := g.Wait()
+	o.board.Listen(nil)
+	t.close()
+	cause := context.Cause(ctx)
+	var lost *LostError
+	if ctx.Err() != nil && !errors.As(cause, &lost) && !errors.As(err, &lost) {
+		rec.resign()
+	}
+	o.logger.Info("ownership ended", zap.Int64("epoch", t.epoch), zap.NamedError("cause", cause), zap.Error(err))
+}
+
+// settleTime returns how long runs that an earlier owner started may go on at
+// executors that don't answer.
+func (t *term) settleTime(before board.Owner) time.Duration {
+	switch {
+	case before.Epoch == 0:
+		return 0
+	case before.Resigned || before.Host == t.owner.host:
+		return t.owner.bounds.Lease + settleMargin
+	}
+	return t.owner.bounds.Lease + unconfirmedTime + settleMargin
+}
+
+// load reads the cell's rows and begins to follow them.
+func (t *term) load(ctx context.Context) (*follow.Follower, error) {
+	o := t.owner
+	records := make(map[string]*model.Progress)
+	for {
+		rows, _, err := o.store.Read(board.Progress, board.Part, "", "")
+		if err == nil {
+			t.readProgress(rows, records)
+			break
+		}
+		o.logger.Warn("progress can't be read", zap.Int64("epoch", t.epoch), zap.Error(err))
+		_ = o.clock.Sleep(ctx, loadPause)
+		if ctx.Err() != nil {
+			return nil, context.Cause(ctx)
+		}
+	}
+	jobs := &jobRows{term: t, records: records}
+	return follow.New(o.store, o.clock, board.Jobs, board.Part, jobs, follow.WithGap(jobsGap), follow.WithLogger(o.logger)), nil
+}
+
+func (t *term) readProgress(rows []platform.Row, records map[string]*model.Progress) {
+	for _, row := range rows {
+		p := &model.Progress{}
+		if err := board.Decode(row, p); err != nil {
+			t.owner.logger.Error("progress left out", zap.Error(err))
+			continue
+		}
+		records[row.Key] = p
+	}
+}
+
+// followExecutors begins to deal with executors. That has to wait until all jobs
+// are known: runs of unknown jobs are stopped.
+func (t *term) followExecutors() {
+	o := t.owner
+	servers := follow.New(o.store, o.clock, platform.ExecutorTable, "", &serverRows{term: t}, follow.WithGap(serversGap), follow.WithLogger(o.logger))
+	t.group.Go(func() error { return servers.Run(t.ctx) })
+}
+
+// decide asks the plan for orders whenever something has happened.
+func (t *term) decide(ctx context.Context) error {
+	tick := t.owner.clock.Every(decidePeriod, func() { notify(t.wake) })
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-t.wake:
+		}
+		t.decideOnce()
+		_ = t.owner.clock.Sleep(ctx, decideGap)
+	}
+}
+
+func (t *term) decideOnce() {
+	now := t.owner.clock.Now()
+	t.mu.Lock()
+	if c := t.owner.configs.Config(); c != t.config {
+		t.config = c
+		t.plan.Configure(c)
+	}
+	orders := t.plan.Decide(now)
+	for _, s := range orders.Starts {
+		if a := t.agents[s.Executor]; a != nil {
+			a.give(order{start: &s})
+		}
+	}
+	for _, s := range orders.Stops {
+		if a := t.agents[s.Executor]; a != nil {
+			a.give(order{stop: &s})
+		}
+	}
+	for _, p := range orders.Paces {
+		if a := t.agents[p.Executor]; a != nil {
+			a.give(order{pace: &p})
+		}
+	}
+	t.mu.Unlock()
+	for _, a := range orders.Asks {
+		t.group.Go(func() error { t.ask(a); return nil })
+	}
+	notify(t.record)
+}
+
+// ask carries out a question to the placement adviser.
+func (t *term) ask(a plan.Ask) {
+	advice, err := t.owner.advisers.Ask(a.Step, a.Executors, a.Takes)
+	now := t.owner.clock.Now()
+	t.mu.Lock()
+	if err != nil {
+		t.plan.Unadvised(a.Step)
+	} else {
+		t.plan.Advised(a.Step, a.Executors, advice.Tickets, now.Add(advice.Valid))
+	}
+	t.mu.Unlock()
+	if err != nil {
+		t.owner.logger.Info("no advice", zap.String("job", a.Step.Job), zap.Int("step", a.Step.Step), zap.Int("executors", len(a.Executors)), zap.Error(err))
+		return
+	}
+	notify(t.wake)
+}
+
+// OwnerChanged implements board.Listener.
+func (t *term) OwnerChanged(row board.Owner, _ int64) {
+	if row.Epoch > t.epoch || (row.Epoch == t.epoch && row.Process != t.owner.process) {
+		t.end(&LostError{Epoch: t.epoch, Host: row.Host})
+	}
+}
+
+// JobCancelled implements board.Listener.
+func (t *term) JobCancelled(id string) {
+	now := t.owner.clock.Now()
+	t.mu.Lock()
+	known := t.plan.Cancel(now, id)
+	t.mu.Unlock()
+	if known {
+		t.owner.logger.Info("job cancelled", zap.String("id", id), zap.Int64("epoch", t.epoch))
+		notify(t.wake)
+	}
+}
+
+// confirm notes that ownership held at a time.
+func (t *term) confirm(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.confirmed = at
+}
+
+// close ends the connections.
+func (t *term) close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, a := range t.agents {
+		a.client.Close()
+	}
+}
+
+// notify wakes a loop that may be busy.
+func notify(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/node/internal/owner/watch.go
@@ -0,0 +1,151 @@
+package owner
+
+import (
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/balsamford/balsamford/coord/model"
+	"github.com/balsamford/balsamford/node/internal/plan"
+	"github.com/balsamford/balsamford/platform"
+)
+
+const (
+	// watchWait is how long an executor may wait for a run to end before it
+	// answers; leases are extended as often.
+	watchWait = 1500 * time.Millisecond
+	// watchPause follows a call that failed.
+	watchPause = 200 * time.Millisecond
+	// notedWait is how long an executor isn't asked again while its last ends
+	// aren't recorded, since it would list them again at once.
+	notedWait = 400 * time.Millisecond
+	// fullList is how many ends an executor lists at a time.
+	fullList = 500
+)
+
+// watch asks the executor for its runs again and again, which extends its
+// lease, until the agent ends.
+func (a *agent) watch() {
+	t := a.term
+	wait := time.Duration(0) // The first question learns its clock at once.
+	for a.ctx.Err() == nil {
+		now := t.owner.clock.Now()
+		t.mu.Lock()
+		o := platform.WatchOrder{Lease: a.lease.extend(now, t.leaseLeft(now)), Fence: t.epoch, Seen: a.kept, Wait: wait}
+		if a.silent {
+			o.Seen = 0 // It may be another incarnation, with ends that aren't known.
+		}
+		t.mu.Unlock()
+		rep, err := a.client.Watch(o)
+		if err != nil {
+			wait = 0
+			if !a.failed(err) {
+				return
+			}
+			_ = t.owner.clock.Sleep(a.ctx, watchPause)
+			continue
+		}
+		wait = watchWait
+		if o.Lease == 0 {
+			wait = 0
+		}
+		if !a.reported(now, rep) {
+			return
+		}
+		a.awaitRecord()
+	}
+}
+
+// awaitRecord waits until what the executor said is recorded.
+func (a *agent) awaitRecord() {
+	timeout := a.term.owner.clock.After(notedWait, func() { notify(a.noted) })
+	defer timeout.Stop()
+	for {
+		a.term.mu.Lock()
+		done := a.kept >= a.seen
+		a.term.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-a.ctx.Done():
+			return
+		case <-a.noted:
+			return
+		}
+	}
+}
+
+// reported gives a report to the plan. It returns false if the incarnation has
+// ended.
+func (a *agent) reported(asked time.Time, rep *platform.Report) bool {
+	t := a.term
+	now := t.owner.clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if a.ctx.Err() != nil {
+		return false
+	}
+	if !rep.Born.IsZero() && rep.Born.After(a.born) {
+		if !a.born.IsZero() {
+			t.owner.logger.Info("executor has a new incarnation", zap.String("executor", a.info.ID), zap.Time("born", rep.Born))
+			t.plan.Lapsed(a.info.ID)
+			a.seen, a.kept, a.lease = 0, 0, lease{}
+		}
+		a.born = rep.Born
+	}
+	a.lease.heard(rep.Clock, now)
+	if a.silent {
+		t.owner.logger.Info("executor answers again", zap.String("executor", a.info.ID))
+	}
+	a.silent, a.heard = false, true
+	t.plan.Reported(now, a.info.ID, plan.Report{Asked: asked, Runs: rep.Runs, Ends: a.fresh(rep.Ends), More: len(rep.Ends) >= fullList})
+	notify(t.wake)
+	notify(t.record)
+	return true
+}
+
+// fresh returns the ends that the plan hasn't taken yet. The term's mu is held.
+func (a *agent) fresh(ends []model.End) []model.End {
+	out := ends[:0]
+	for _, e := range ends {
+		if e.Seq > a.seen {
+			a.seen = e.Seq
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// failed takes a failed question. It returns false if the incarnation has ended
+// or nothing is left to wait for.
+func (a *agent) failed(err error) bool {
+	t := a.term
+	now := t.owner.clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var other *platform.IncarnationError
+	if errors.As(err, &other) {
+		a.gone()
+		return false
+	}
+	if !a.silent {
+		t.owner.logger.Info("executor doesn't answer", zap.String("executor", a.info.ID), zap.Error(err))
+		t.plan.Silent(a.info.ID)
+	}
+	a.silent = true
+	lapsed := a.lease.lapsed(now) || (!a.heard && now.Sub(t.began) > t.settled)
+	if lapsed {
+		t.plan.Lapsed(a.info.ID)
+		t.plan.Settled(a.info.ID)
+		notify(t.wake)
+		if !a.listed {
+			t.owner.logger.Info("executor is forgotten", zap.String("executor", a.info.ID))
+			a.end()
+			t.plan.RemoveExecutor(a.info.ID)
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/node/internal/plan/answers.go
@@ -0,0 +1,115 @@
+package plan
+
+import (
+	"time"
+
+	"github.com/balsamford/balsamford/coord/model"
+)
+
+const (
+	// shunRefused keeps new work from an executor that refused some because it
+	// isn't healthy, about as long as an overload lasts.
+	shunRefused = time.Second
+	// shunRoom keeps new work from one that said that it has no room: another's
+	// runs are there, and the next report tells which.
+	shunRoom = 300 * time.Millisecond
+)
+
+// Started notes that an executor confirmed a start.
+func (s *State) Started(now time.Time, o Start) {
+	if r := s.find(o.Executor, o.Task, o.Number); r != nil {
+		r.certain = now
+		if r.state == starting || r.state == doubtful {
+			r.state = active
+		}
+	}
+}
+
+// Refusal is why a start surely didn't happen.
+type Refusal int
+
+// The kinds of refusals.
+const (
+	RefusedBusy   Refusal = iota // the executor isn't healthy
+	RefusedRoom                  // it has no room
+	RefusedTicket                // the ticket isn't good
+	RefusedNumber                // the run's number is too low there
+	RefusedLate                  // the lease had ended
+	RefusedUnsent                // the order was never sent
+)
+
+// Refused notes that a start surely didn't happen.
+func (s *State) Refused(now time.Time, o Start, why Refusal) {
+	r := s.find(o.Executor, o.Task, o.Number)
+	if r == nil {
+		return
+	}
+	switch why {
+	case RefusedBusy, RefusedUnsent:
+		r.on.shunned = now.Add(shunRefused)
+	case RefusedRoom:
+		r.on.shunned = now.Add(shunRoom)
+	case RefusedTicket:
+		r.stage.advice.expire(o.Executor)
+	case RefusedNumber, RefusedLate:
+	}
+	s.dropRun(r)
+	if r.stage.spec.Gang {
+		s.breakUp(r.stage, now)
+	}
+}
+
+// Doubted notes that a start may or may not have happened.
+func (s *State) Doubted(now time.Time, o Start) {
+	if r := s.find(o.Executor, o.Task, o.Number); r != nil && r.state == starting {
+		r.state = doubtful
+		r.began = now
+	}
+}
+
+// Stopped notes that an executor confirmed a stop: the run ends, or won't start.
+func (s *State) Stopped(now time.Time, o Stop) {
+	if r := s.find(o.Executor, o.Task, o.Number); r != nil {
+		r.certain = now
+	}
+}
+
+// find returns a run on an executor, or nil.
+func (s *State) find(executor string, t model.Task, number int) *run {
+	w := s.execs[executor]
+	if w == nil {
+		return nil
+	}
+	return w.runs[runKey{task: t, number: number}]
+}
+
+// breakUp stops what is there of a gang, since it can't be whole.
+func (s *State) breakUp(st *stage, now time.Time) {
+	for i := range st.tasks {
+		if r := st.tasks[i].run; r != nil && r.state != stopping {
+			s.stopRun(r, now)
+		}
+	}
+}
+
+// Cancel ends a job at the request of its team. It reports whether the job is
+// known and hadn't ended.
+func (s *State) Cancel(now time.Time, id string) bool {
+	j := s.jobs[id]
+	if j == nil || j.phase.Final() {
+		return false
+	}
+	s.finish(j, model.Cancelled, now)
+	return true
+}
+
+// finish ends a job and stops what runs of it.
+func (s *State) finish(j *job, phase model.Phase, now time.Time) {
+	j.phase = phase
+	s.changed(j)
+	for _, o := range j.occurs {
+		for _, st := range o.stages {
+			s.breakUp(st, now)
+		}
+	}
+}
--- /dev/null
+++ b/node/internal/plan/job.go
@@ -0,0 +1,98 @@
+package plan
+
+import (
+	"time"
+
+	"github.com/balsamford/balsamford/coord/model"
+)
+
+// job is an accepted job that hasn't ended.
+type job struct {
+	spec     *model.Job
+	queue    model.Queue
+	old      bool // it was there before this owner, which may not know all its runs
+	phase    model.Phase
+	occurs   map[int]*occur // begun and not finished
+	finished map[int]bool   // occurrences
+	version  int            // changes with each thing that is to be recorded
+	chain    time.Duration  // longest path of estimates through the steps
+}
+
+// AddJob takes a job into the plan, with the progress that an earlier owner
+// recorded or nil. It reports whether the job is new here.
+func (s *State) AddJob(spec *model.Job, progress *model.Progress) bool {
+	if s.jobs[spec.ID] != nil || s.ended[spec.ID] {
+		return false
+	}
+	j := &job{spec: spec, old: progress != nil, occurs: make(map[int]*occur), finished: make(map[int]bool)}
+	j.chain = chain(spec.Steps)
+	j.refresh(s.config)
+	if progress != nil {
+		j.phase = progress.Phase
+		if j.phase.Final() {
+			return false
+		}
+		j.restore(progress)
+	}
+	s.jobs[spec.ID] = j
+	return true
+}
+
+// refresh takes the job's queue from a configuration, if it is there.
+func (j *job) refresh(config *model.Config) {
+	if config == nil {
+		return
+	}
+	if q, ok := config.Queues[j.spec.Queue]; ok {
+		j.queue = q
+	}
+}
+
+// attempts returns how many runs of a task may fail.
+func (j *job) attempts() int { return max(1, j.queue.Attempts) }
+
+// begin returns occurrence k, which is made when needed, or nil if it has
+// finished.
+func (j *job) begin(k int) *occur {
+	if j.finished[k] || k < 0 || k >= j.spec.Occurrences() {
+		return nil
+	}
+	o := j.occurs[k]
+	if o == nil {
+		o = newOccur(j, k)
+		j.occurs[k] = o
+	}
+	return o
+}
+
+// next returns the next occurrence that hasn't begun, if it is due.
+func (j *job) next(now time.Time) (int, bool) {
+	for k := range j.spec.Occurrences() {
+		if j.finished[k] || j.occurs[k] != nil {
+			continue
+		}
+		return k, !j.spec.Due(k).After(now)
+	}
+	return 0, false
+}
+
+// changed marks the job as having something to record.
+func (s *State) changed(j *job) {
+	j.version++
+	s.dirty[j.spec.ID] = j
+}
+
+// chain returns the longest path of estimates through steps.
+func chain(steps []model.Step) time.Duration {
+	ends := make([]time.Duration, len(steps))
+	longest := time.Duration(0)
+	for i := range steps {
+		start := time.Duration(0)
+		for _, a := range steps[i].After {
+			start = max(start, ends[a])
+		}
+		ends[i] = start + steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
--- /dev/null
+++ b/node/internal/plan/option.go
@@ -0,0 +1,19 @@
+package plan
+
+import "time"
+
+// Option changes how New makes a State.
+type Option func(*State)
+
+// WithFar sets how many times as long a task takes away from its data or a gang
+// across racks.
+func WithFar(x float64) Option { return func(s *State) { s.far = x } }
+
+// WithBase sets the number that all new runs lie above, so that they are above
+// those of earlier owners.
+func WithBase(n int) Option { return func(s *State) { s.base = n } }
+
+// WithSettle blocks tasks of jobs that were there before, of which no run is
+// known, until each executor has reported or the time has come: they may run on
+// an executor that hasn't.
+func WithSettle(until time.Time) Option { return func(s *State) { s.settle = until } }
--- /dev/null
+++ b/node/internal/plan/restore.go
@@ -0,0 +1,147 @@
+package plan
+
+import "github.com/balsamford/balsamford/coord/model"
+
+const bitsPerByte = 8
+
+// restore takes over recorded progress.
+func (j *job) restore(p *model.Progress) {
+	for k, po := range p.Occurs {
+		if po.Done {
+			j.finished[k] = true
+			continue
+		}
+		o := j.begin(k)
+		if o == nil {
+			continue
+		}
+		for i, ps := range po.Stages {
+			if i >= 0 && i < len(o.stages) {
+				o.stages[i].restore(ps)
+			}
+		}
+	}
+}
+
+func (st *stage) restore(p model.Stage) {
+	for i := range st.tasks {
+		if i/bitsPerByte < len(p.Done) && p.Done[i/bitsPerByte]&(1<<(i%bitsPerByte)) != 0 {
+			st.finish(i)
+		}
+	}
+	for i, numbers := range p.Failed {
+		if i < 0 || i >= len(st.tasks) {
+			continue
+		}
+		for _, n := range numbers {
+			st.tasks[i].fail(n)
+		}
+	}
+}
+
+// Change is a job whose recorded progress is out of date.
+type Change struct {
+	Job      string
+	Queue    string
+	Progress *model.Progress
+	Version  int // to be given to Recorded
+}
+
+// Changes returns up to n jobs with something to record.
+func (s *State) Changes(n int) []Change {
+	out := make([]Change, 0, min(n, len(s.dirty)))
+	for id, j := range s.dirty {
+		if len(out) == n {
+			break
+		}
+		out = append(out, Change{Job: id, Queue: j.spec.Queue, Progress: j.progress(), Version: j.version})
+	}
+	return out
+}
+
+// Recorded notes that a change has been recorded. A job that has ended is
+// forgotten then.
+func (s *State) Recorded(c Change) {
+	j := s.dirty[c.Job]
+	if j == nil || j.version != c.Version {
+		return
+	}
+	delete(s.dirty, c.Job)
+	if j.phase.Final() && !s.present(j) {
+		s.forget(c.Job)
+	}
+}
+
+// forget drops a job that has ended and is recorded.
+func (s *State) forget(id string) {
+	delete(s.jobs, id)
+	s.ended[id] = true
+}
+
+// Expired notes that the rows of an ended job have been deleted.
+func (s *State) Expired(id string) { delete(s.ended, id) }
+
+// present reports whether a run of the job may be present somewhere.
+func (s *State) present(j *job) bool {
+	for _, o := range j.occurs {
+		for _, st := range o.stages {
+			for i := range st.tasks {
+				if st.tasks[i].run != nil {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// progress returns what is to be recorded of the job.
+func (j *job) progress() *model.Progress {
+	p := &model.Progress{Phase: j.phase}
+	if j.phase.Final() {
+		return p
+	}
+	p.Occurs = make(map[int]model.Occur, len(j.occurs)+len(j.finished))
+	for k := range j.finished {
+		p.Occurs[k] = model.Occur{Done: true}
+	}
+	for k, o := range j.occurs {
+		po := model.Occur{}
+		for i, st := range o.stages {
+			if ps, some := st.progress(); some {
+				if po.Stages == nil {
+					po.Stages = make(map[int]model.Stage)
+				}
+				po.Stages[i] = ps
+			}
+		}
+		if po.Stages != nil {
+			p.Occurs[k] = po
+		}
+	}
+	return p
+}
+
+// progress returns what is to be recorded of the stage and whether it is
+// anything.
+func (st *stage) progress() (model.Stage, bool) {
+	var p model.Stage
+	some := st.left < len(st.tasks)
+	if some {
+		p.Done = make([]byte, (len(st.tasks)+bitsPerByte-1)/bitsPerByte)
+	}
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		if t.done {
+			p.Done[i/bitsPerByte] |= 1 << (i % bitsPerByte)
+		}
+		if len(t.failed) > 0 {
+			if p.Failed == nil {
+				p.Failed = make(map[int][]int)
+			}
+			p.Failed[i] = t.failed
+			some = true
+		}
+	}
+	return p, some
+}
--- /dev/null
+++ b/node/internal/plan/run.go
@@ -0,0 +1,82 @@
+package plan
+
+import (
+	"time"
+
+	"github.com/balsamford/balsamford/coord/model"
+)
+
+// runState is what is known of a run.
+type runState int
+
+const (
+	starting runState = iota // ordered, not yet answered
+	doubtful                 // the order's answer was lost
+	active                   // present on the executor
+	stopping                 // ordered to stop
+)
+
+// run is a run that may be present on an executor.
+type run struct {
+	stage   *stage
+	index   int
+	number  int
+	on      *worker
+	state   runState
+	room    model.Amount // taken on the executor
+	need    model.Amount // counted for the team
+	began   time.Time
+	certain time.Time // when the executor confirmed a start or stop of it; zero if it hasn't
+	stopped time.Time // when a stop was last ordered
+	percent int
+	moved   time.Time // when percent last changed
+	gauge   int64
+	pace    int // percent
+}
+
+// runKey names a run.
+type runKey struct {
+	task   model.Task
+	number int
+}
+
+func (r *run) key() runKey { return runKey{task: r.stage.name(r.index), number: r.number} }
+
+// attachRun counts a run of a stage on an executor.
+func (s *State) attachRun(st *stage, i, number int, w *worker, state runState, now time.Time) *run {
+	r := &run{
+		stage: st, index: i, number: number, on: w, state: state, room: st.spec.Room(), need: st.spec.Need,
+		began: now, moved: now, pace: fullPace,
+	}
+	w.runs[r.key()] = r
+	w.used = w.used.Add(r.room)
+	if st.spec.Filler {
+		w.fill += st.spec.Need.CPU
+	}
+	t := s.team(st.occur.job.spec.Team)
+	t.used = t.used.Add(r.need)
+	st.attach(i, r)
+	return r
+}
+
+// dropRun forgets a run that is certain to be gone.
+func (s *State) dropRun(r *run) {
+	if r.on.runs[r.key()] != r {
+		return
+	}
+	delete(r.on.runs, r.key())
+	r.on.used = r.on.used.Sub(r.room)
+	if r.stage.spec.Filler {
+		r.on.fill -= r.stage.spec.Need.CPU
+	}
+	t := s.team(r.stage.occur.job.spec.Team)
+	t.used = t.used.Sub(r.need)
+	r.stage.detach(r.index, r)
+}
+
+// stopRun orders a run to stop.
+func (s *State) stopRun(r *run, now time.Time) {
+	r.state = stopping
+	r.stopped = now
+	s.orders.Stops = append(s.orders.Stops, Stop{Task: r.stage.name(r.index), Number: r.number, Executor: r.on.info.ID})
+}
--- /dev/null
+++ b/node/internal/plan/state.go
@@ -0,0 +1,58 @@
+package plan
+
+import (
+	"time"
+
+	"github.com/balsamford/balsamford/coord/model"
+)
+
+// State is all that decisions rest on.
+type State struct {
+	config *model.Config
+	far    float64
+	base   int       // run numbers of this owner lie above it
+	settle time.Time // until when unknown runs may exist
+	jobs   map[string]*job
+	execs  map[string]*worker
+	teams  map[string]*team
+	dirty  map[string]*job // progress or phase not yet recorded
+	ended  map[string]bool // jobs that have ended and are recorded
+	orders Orders          // collected between and during decisions
+}
+
+// New returns an empty State under config.
+func New(config *model.Config, opts ...Option) *State {
+	s := &State{
+		config: config, far: 1, jobs: make(map[string]*job), execs: make(map[string]*worker),
+		teams: make(map[string]*team), dirty: make(map[string]*job), ended: make(map[string]bool),
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
+}
+
+// Configure puts a configuration in force. Jobs of queues that it lacks keep
+// the queue that they had.
+func (s *State) Configure(config *model.Config) {
+	s.config = config
+	for _, j := range s.jobs {
+		j.refresh(config)
+	}
+}
+
+// Jobs returns the number of jobs that haven't ended.
+func (s *State) Jobs() int { return len(s.jobs) }
+
+// Executors returns the number of known executors.
+func (s *State) Executors() int { return len(s.execs) }
+
+// team returns the use of a team, which is made when needed.
+func (s *State) team(name string) *team {
+	t := s.teams[name]
+	if t == nil {
+		t = &team{}
+		s.teams[name] = t
+	}
+	return t
+}
--- /dev/null
+++ b/node/internal/plan/task.go
@@ -0,0 +1,22 @@
+package plan
+
+import "slices"
+
+// task is one task of a stage.
+type task struct {
+	done       bool
+	last       int   // highest number of a run
+	failed     []int // numbers of failed runs
+	checkpoint string
+	run        *run // the present one, nil for none
+}
+
+// fail notes a failed run and reports whether it wasn't known.
+func (t *task) fail(number int) bool {
+	if slices.Contains(t.failed, number) {
+		return false
+	}
+	t.failed = append(t.failed, number)
+	t.last = max(t.last, number)
+	return true
+}
--- /dev/null
+++ b/node/internal/plan/worker.go
@@ -0,0 +1,88 @@
+package plan
+
+import (
+	"time"
+
+	"github.com/balsamford/balsamford/coord/model"
+)
+
+// worker is an executor with what may be present on it.
+type worker struct {
+	info     model.Executor
+	known    bool // it has reported to this owner
+	silent   bool // it doesn't answer
+	used     model.Amount
+	fill     int64 // CPU need of fillers
+	runs     map[runKey]*run
+	serving  int       // runs with a latency target
+	faults   int       // runs of different jobs that failed since the last that was done
+	suspect  string    // job of the last fault
+	shunned  time.Time // until when it gets no new work
+	reported time.Time // last report
+	paced    time.Time // last change of pace
+}
+
+// free returns the room that is left.
+func (w *worker) free() model.Amount { return w.info.Room.Sub(w.used) }
+
+// usable reports whether new work may start on it.
+func (w *worker) usable(now time.Time) bool {
+	return w.known && !w.silent && !w.info.Draining && !now.Before(w.shunned)
+}
+
+// SetExecutor takes an executor's entry into the plan or renews it.
+func (s *State) SetExecutor(info model.Executor) {
+	w := s.execs[info.ID]
+	if w == nil {
+		w = &worker{runs: make(map[runKey]*run)}
+		s.execs[info.ID] = w
+	}
+	w.info = info
+}
+
+// Silent notes that an executor doesn't answer: it gets no new work until its
+// next report. What runs there counts on.
+func (s *State) Silent(id string) {
+	if w := s.execs[id]; w != nil {
+		w.silent = true
+	}
+}
+
+// Lapsed notes that nothing runs on an executor any more: its leases have ended
+// or it has a new incarnation.
+func (s *State) Lapsed(id string) {
+	w := s.execs[id]
+	if w == nil {
+		return
+	}
+	for _, r := range w.runs {
+		s.dropRun(r)
+	}
+}
+
+// RemoveExecutor forgets an executor on which nothing runs any more.
+func (s *State) RemoveExecutor(id string) {
+	s.Lapsed(id)
+	delete(s.execs, id)
+}
+
+// Settled notes that an executor that hasn't reported can't run anything that
+// isn't known.
+func (s *State) Settled(id string) {
+	if w := s.execs[id]; w != nil {
+		w.known = true
+	}
+}
+
+// unsettled reports whether an executor of service may run what isn't known.
+func (s *State) unsettled(service string, now time.Time) bool {
+	if !now.Before(s.settle) {
+		return false
+	}
+	for _, w := range s.execs {
+		if w.info.Service == service && !w.known {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/node/main.go
@@ -0,0 +1,57 @@
+// Command node is balsamford on the users' platform: one process on a host that
+// takes clients' jobs, and decides for the cell when the host owns it.
+package main
+
+import "C"
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/gravitational/trace"
+	"github.com/integrii/flaggy"
+
+	"github.com/balsamford/balsamford/platform"
+)
+
+// Exit codes.
+const (
+	exitSettings = 2 // the settings are not in order
+	exitFailure  = 1
+)
+
+// signalBuffer keeps signals that come while one is handled.
+const signalBuffer = 4
+
+func main() {
+	signals := make(chan os.Signal, signalBuffer)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	path := platform.SettingsPath()
+	p := flaggy.NewParser("node")
+	p.Description = "Takes clients' jobs and runs them on the platform's executors."
+	p.AdditionalHelpAppend = "\nStop it with SIGTERM: it hands over what it owns and answers all clients."
+	p.String(&path, "c", "config", "settings file of the platform")
+	if err := p.Parse(); err != nil {
+		os.Exit(exitSettings)
+	}
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		_, _ = os.Stderr.WriteString(err.Error() + "\n")
+		os.Exit(exitSettings)
+	}
+	if err := run(settings, signals); err != nil {
+		_, _ = os.Stderr.WriteString("node: " + trace.UserMessage(err) + "\n")
+		os.Exit(exitFailure)
+	}
+}
+
+// run serves until a signal ends it.
+func run(settings *platform.Settings, signals <-chan os.Signal) error {
+	a, err := newApp(settings)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(a.run(context.Background(), signals))
+}
