Count runs that are being stopped after a takeover

Cause: a new owner ordered unwanted runs of an earlier one to stop without counting their room, so that others started beside them (LIMIT). Change: they are counted until their end is listed; an executor with an unknown run gets no new work; rows of ended jobs are deleted once nothing runs of them.

--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -25,8 +25,11 @@
 	// changesPerWrite keeps a write under the store's limit of entries: two rows
 	// a change, up to two more to delete, and the owner's.
 	changesPerWrite = 24
-	// rowsPerJob is how many rows a job has at most.
-	rowsPerJob = 4
+	// overPerWrite bounds the ended jobs of which one write deletes what isn't
+	// needed any more.
+	overPerWrite = 10
+	// rowsPerJob is how many rows an ended job has.
+	rowsPerJob = 1
 	// expirePerWrite bounds the jobs whose rows one write deletes.
 	expirePerWrite = 10
 	// expireMargin is how much longer than asked for an ended job's state is kept.
@@ -38,7 +41,8 @@
 type recorder struct {
 	term    *term
 	row     board.Owner
-	version int64 // of the owner's row
+	version int64    // of the owner's row
+	left    []string // ended jobs whose rows a failed write should have deleted
 }
 
 // run records until the term ends.
@@ -128,11 +132,14 @@
 			return err
 		}
 	}
+	over := r.over(&w)
 	expired := r.expire(&w)
 	version, err := r.term.owner.store.Write(&w)
 	if err != nil {
+		r.left = over
 		return r.resolve(err)
 	}
+	r.left = nil
 	r.row, r.version = next, version
 	r.term.mu.Lock()
 	defer r.term.mu.Unlock()
@@ -142,6 +149,24 @@
 	return nil
 }
 
+// over adds the deletion of what isn't needed of ended jobs to a write.
+func (r *recorder) over(w *platform.Write) []string {
+	t := r.term
+	ids := r.left
+	if len(ids) == 0 {
+		t.mu.Lock()
+		ids = t.plan.Over(overPerWrite)
+		t.mu.Unlock()
+	}
+	for _, id := range ids {
+		w.Deletes = append(w.Deletes,
+			platform.Key{Table: board.Jobs, Part: board.Part, Key: id},
+			platform.Key{Table: board.Progress, Part: board.Part, Key: id},
+			platform.Key{Table: board.Table, Part: board.Part, Key: board.CancelKey(id)})
+	}
+	return ids
+}
+
 // expire adds the deletion of jobs that ended long ago to a write.
 func (r *recorder) expire(w *platform.Write) []string {
 	o := r.term.owner
@@ -149,10 +174,7 @@
 	ids := o.board.Ended(before, min(expirePerWrite, (platform.MaxEntries-w.Size())/rowsPerJob))
 	for _, id := range ids {
 		w.Deletes = append(w.Deletes,
-			platform.Key{Table: board.Table, Part: board.Part, Key: board.JobKey(id)},
-			platform.Key{Table: board.Table, Part: board.Part, Key: board.CancelKey(id)},
-			platform.Key{Table: board.Jobs, Part: board.Part, Key: id},
-			platform.Key{Table: board.Progress, Part: board.Part, Key: id})
+			platform.Key{Table: board.Table, Part: board.Part, Key: board.JobKey(id)})
 	}
 	return ids
 }
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -29,6 +29,8 @@
 	// runsPerEpoch keeps the numbers of this owner's runs above those of runs of
 	// earlier owners that it hasn't heard of.
 	runsPerEpoch = 64
+	// stopSlack is how much later than it should a stopped run's end may be listed.
+	stopSlack = 300 * time.Millisecond
 	// loadPause follows a failed read of the cell's rows.
 	loadPause = 150 * time.Millisecond
 )
@@ -65,7 +67,7 @@
 		agents: make(map[string]*agent), confirmed: now, config: o.configs.Config(),
 	}
 	t.settled = t.settleTime(before)
-	t.plan = plan.New(t.config, plan.WithFar(o.bounds.Far), plan.WithBase(int(claim.Epoch-1)*runsPerEpoch), plan.WithSettle(now.Add(t.settled)))
+	t.plan = plan.New(t.config, plan.WithFar(o.bounds.Far), plan.WithStopTime(o.bounds.Stop+stopSlack), plan.WithBase(int(claim.Epoch-1)*runsPerEpoch), plan.WithSettle(now.Add(t.settled)))
 	t.ctx = gctx
 	rec := &recorder{term: t, row: claim, version: version}
 	o.board.Listen(t)
--- a/node/internal/plan/answers.go
+++ b/node/internal/plan/answers.go
@@ -18,7 +18,7 @@
 // Started notes that an executor confirmed a start.
 func (s *State) Started(now time.Time, o Start) {
 	if r := s.find(o.Executor, o.Task, o.Number); r != nil {
-		r.certain = now
+		r.certain, r.present = now, true
 		if r.state == starting || r.state == doubtful {
 			r.state = active
 		}
@@ -85,6 +85,9 @@
 
 // breakUp stops what is there of a gang, since it can't be whole.
 func (s *State) breakUp(st *stage, now time.Time) {
+	if st.spec.Gang && st.left == 0 {
+		return // It has ended; the members' own ends are on their way.
+	}
 	for i := range st.tasks {
 		if r := st.tasks[i].run; r != nil && r.state != stopping {
 			s.stopRun(r, now)
--- a/node/internal/plan/decide.go
+++ b/node/internal/plan/decide.go
@@ -90,7 +90,7 @@
 		}
 	}
 	for id, j := range s.jobs {
-		if j.phase.Final() && s.dirty[id] == nil && !s.present(j) {
+		if j.phase.Final() && s.dirty[id] == nil && !s.present(j) && (!j.old || now.After(s.settle)) {
 			s.forget(id)
 		}
 	}
--- a/node/internal/plan/ends.go
+++ b/node/internal/plan/ends.go
@@ -17,7 +17,7 @@
 		t.last = max(t.last, e.Number)
 		st.save(e.Task.Index, e.Checkpoint)
 	}
-	if st == nil {
+	if st == nil || st.occur.job.phase.Final() {
 		return
 	}
 	switch e.Outcome {
--- a/node/internal/plan/job.go
+++ b/node/internal/plan/job.go
@@ -14,6 +14,7 @@
 	phase    model.Phase
 	occurs   map[int]*occur // begun and not finished
 	finished map[int]bool   // occurrences
+	runs     int            // that may be present on executors
 	version  int            // changes with each thing that is to be recorded
 	chain    time.Duration  // longest path of estimates through the steps
 }
@@ -28,10 +29,7 @@
 	j.chain = chain(spec.Steps)
 	j.refresh(s.config)
 	if progress != nil {
-		j.phase = progress.Phase
-		if j.phase.Final() {
-			return false
-		}
+		j.phase = progress.Phase // A job that has ended is kept for what may still run of it.
 		j.restore(progress)
 	}
 	s.jobs[spec.ID] = j
--- a/node/internal/plan/option.go
+++ b/node/internal/plan/option.go
@@ -9,6 +9,9 @@
 // across racks.
 func WithFar(x float64) Option { return func(s *State) { s.far = x } }
 
+// WithStopTime sets how long a run takes at most to stop.
+func WithStopTime(d time.Duration) Option { return func(s *State) { s.stopTime = d } }
+
 // WithBase sets the number that all new runs lie above, so that they are above
 // those of earlier owners.
 func WithBase(n int) Option { return func(s *State) { s.base = n } }
--- a/node/internal/plan/report.go
+++ b/node/internal/plan/report.go
@@ -39,6 +39,8 @@
 			continue
 		}
 		switch {
+		case r.state == stopping && r.present && !rep.Asked.After(r.certain.Add(s.stopTime)):
+			// Its end will be listed.
 		case !r.certain.IsZero() && rep.Asked.After(r.certain):
 			s.dropRun(r)
 			if r.stage.spec.Gang {
@@ -59,6 +61,7 @@
 			return
 		}
 	}
+	r.present = true
 	if r.certain.IsZero() {
 		r.certain = now
 	}
@@ -76,18 +79,31 @@
 // it isn't wanted.
 func (s *State) adopt(now time.Time, w *worker, m *model.Run) *run {
 	st := s.stageOf(m.Task)
-	if st == nil || st.tasks[m.Task.Index].done || st.tasks[m.Task.Index].run != nil {
+	if st == nil { // What it needs isn't known, so that nothing else may start beside it.
+		w.shunned = now.Add(shunForeign)
 		s.orders.Stops = append(s.orders.Stops, Stop{Task: m.Task, Number: m.Number, Executor: w.info.ID})
 		return nil
 	}
-	s.running(st.occur.job)
+	j := st.occur.job
+	if t := &st.tasks[m.Task.Index]; j.phase.Final() || t.done || t.run != nil {
+		r := &run{stage: st, index: m.Task.Index, number: m.Number, on: w, room: st.spec.Room(), need: st.spec.Need, began: now, moved: now, pace: fullPace}
+		s.count(r)
+		t.last = max(t.last, r.number)
+		s.stopRun(r, now)
+		return r
+	}
+	s.running(j)
 	return s.attachRun(st, m.Task.Index, m.Number, w, active, now)
 }
 
-// stageOf returns the stage of a task that may run, or nil.
+// shunForeign keeps new work from an executor on which something unknown runs,
+// until its next report.
+const shunForeign = 3 * time.Second
+
+// stageOf returns the stage of a task of a known job, or nil.
 func (s *State) stageOf(t model.Task) *stage {
 	j := s.jobs[t.Job]
-	if j == nil || j.phase.Final() || t.Step < 0 || t.Step >= len(j.spec.Steps) {
+	if j == nil || t.Step < 0 || t.Step >= len(j.spec.Steps) {
 		return nil
 	}
 	if t.Index < 0 || t.Index >= j.spec.Steps[t.Step].Count {
--- a/node/internal/plan/restore.go
+++ b/node/internal/plan/restore.go
@@ -67,33 +67,29 @@
 		return
 	}
 	delete(s.dirty, c.Job)
-	if j.phase.Final() && !s.present(j) {
-		s.forget(c.Job)
-	}
 }
 
 // forget drops a job that has ended and is recorded.
 func (s *State) forget(id string) {
 	delete(s.jobs, id)
 	s.ended[id] = true
+	s.over = append(s.over, id)
+}
+
+// Over returns up to n jobs of which nothing can be asked any more but how they
+// ended, and forgets them.
+func (s *State) Over(n int) []string {
+	n = min(n, len(s.over))
+	out := s.over[:n:n]
+	s.over = s.over[n:]
+	return out
 }
 
 // Expired notes that the rows of an ended job have been deleted.
 func (s *State) Expired(id string) { delete(s.ended, id) }
 
 // present reports whether a run of the job may be present somewhere.
-func (s *State) present(j *job) bool {
-	for _, o := range j.occurs {
-		for _, st := range o.stages {
-			for i := range st.tasks {
-				if st.tasks[i].run != nil {
-					return true
-				}
-			}
-		}
-	}
-	return false
-}
+func (s *State) present(j *job) bool { return j.runs > 0 }
 
 // progress returns what is to be recorded of the job.
 func (j *job) progress() *model.Progress {
--- a/node/internal/plan/run.go
+++ b/node/internal/plan/run.go
@@ -27,6 +27,7 @@
 	need    model.Amount // counted for the team
 	began   time.Time
 	certain time.Time // when the executor confirmed a start or stop of it; zero if it hasn't
+	present bool      // it has been there: it takes room until its end is listed
 	stopped time.Time // when a stop was last ordered
 	percent int
 	moved   time.Time // when percent last changed
@@ -48,17 +49,24 @@
 		stage: st, index: i, number: number, on: w, state: state, room: st.spec.Room(), need: st.spec.Need,
 		began: now, moved: now, pace: fullPace,
 	}
-	w.runs[r.key()] = r
-	w.used = w.used.Add(r.room)
-	if st.spec.Filler {
-		w.fill += st.spec.Need.CPU
-	}
-	t := s.team(st.occur.job.spec.Team)
-	t.used = t.used.Add(r.need)
+	s.count(r)
 	st.attach(i, r)
 	return r
 }
 
+// count takes what a run needs from its executor's room and its team's limit.
+func (s *State) count(r *run) {
+	r.on.runs[r.key()] = r
+	r.on.used = r.on.used.Add(r.room)
+	if r.stage.spec.Filler {
+		r.on.fill += r.stage.spec.Need.CPU
+	}
+	j := r.stage.occur.job
+	j.runs++
+	t := s.team(j.spec.Team)
+	t.used = t.used.Add(r.need)
+}
+
 // dropRun forgets a run that is certain to be gone.
 func (s *State) dropRun(r *run) {
 	if r.on.runs[r.key()] != r {
@@ -69,7 +77,9 @@
 	if r.stage.spec.Filler {
 		r.on.fill -= r.stage.spec.Need.CPU
 	}
-	t := s.team(r.stage.occur.job.spec.Team)
+	j := r.stage.occur.job
+	j.runs--
+	t := s.team(j.spec.Team)
 	t.used = t.used.Sub(r.need)
 	r.stage.detach(r.index, r)
 }
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -8,22 +8,24 @@
 
 // State is all that decisions rest on.
 type State struct {
-	config *model.Config
-	far    float64
-	base   int       // run numbers of this owner lie above it
-	settle time.Time // until when unknown runs may exist
-	jobs   map[string]*job
-	execs  map[string]*worker
-	teams  map[string]*team
-	dirty  map[string]*job // progress or phase not yet recorded
-	ended  map[string]bool // jobs that have ended and are recorded
-	orders Orders          // collected between and during decisions
+	config   *model.Config
+	far      float64
+	stopTime time.Duration // that stopping a run takes at most
+	base     int           // run numbers of this owner lie above it
+	settle   time.Time     // until when unknown runs may exist
+	jobs     map[string]*job
+	execs    map[string]*worker
+	teams    map[string]*team
+	dirty    map[string]*job // progress or phase not yet recorded
+	ended    map[string]bool // jobs that have ended and are recorded
+	over     []string        // jobs that were forgotten and not yet returned by Over
+	orders   Orders          // collected between and during decisions
 }
 
 // New returns an empty State under config.
 func New(config *model.Config, opts ...Option) *State {
 	s := &State{
-		config: config, far: 1, jobs: make(map[string]*job), execs: make(map[string]*worker),
+		config: config, far: 1, stopTime: time.Second, jobs: make(map[string]*job), execs: make(map[string]*worker),
 		teams: make(map[string]*team), dirty: make(map[string]*job), ended: make(map[string]bool),
 	}
 	for _, opt := range opts {
