Let leases of executors that don't answer run out

Change: no lease is extended until it answers; questions to the adviser count what spread allows; long waits are logged with what decided them.

--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -22,6 +22,8 @@
 	decideGap = 10 * time.Millisecond
 	// decidePeriod is how often is decided without an event, for what falls due.
 	decidePeriod = 100 * time.Millisecond
+	// waitsPeriod is how often long waits are looked for.
+	waitsPeriod = time.Second
 	// serversGap is the least time between two looks for executors' changes.
 	serversGap = 300 * time.Millisecond
 	// jobsGap is the least time between two looks for new jobs.
@@ -52,6 +54,7 @@
 	plan      *plan.State
 	agents    map[string]*agent
 	config    *model.Config
+	told      time.Time // when long waits were last logged
 	confirmed time.Time // when ownership was last known to hold
 }
 
@@ -166,6 +169,11 @@
 		t.plan.Configure(c)
 	}
 	orders := t.plan.Decide(now)
+	var waits []plan.Wait
+	if now.Sub(t.told) > waitsPeriod {
+		t.told = now
+		waits = t.plan.Waits(now)
+	}
 	for _, s := range orders.Starts {
 		if a := t.agents[s.Executor]; a != nil {
 			a.give(order{start: &s})
@@ -182,12 +190,22 @@
 		}
 	}
 	t.mu.Unlock()
+	for i := range waits {
+		t.tellWait(&waits[i], now)
+	}
 	for _, a := range orders.Asks {
 		t.group.Go(func() error { t.ask(a); return nil })
 	}
 	notify(t.record)
 }
 
+// tellWait logs why a stage waits.
+func (t *term) tellWait(w *plan.Wait, now time.Time) {
+	t.owner.logger.Info("step waits", zap.String("id", w.Step.Job), zap.Int("occur", w.Step.Occur), zap.Int("step", w.Step.Step),
+		zap.String("reason", w.Reason), zap.Int("tasks", w.Waiting), zap.Duration("for", now.Sub(w.Since)), zap.Int("usable", w.Usable),
+		zap.Int("allowed", w.Allowed), zap.Int("roomy", w.Roomy), zap.Bool("asking", w.Asking), zap.Int64("epoch", t.epoch))
+}
+
 // ask carries out a question to the placement adviser.
 func (t *term) ask(a plan.Ask) {
 	advice, err := t.owner.advisers.Ask(a.Step, a.Executors, a.Takes)
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -32,9 +32,9 @@
 	for a.ctx.Err() == nil {
 		now := t.owner.clock.Now()
 		t.mu.Lock()
-		o := platform.WatchOrder{Lease: a.lease.extend(now, t.leaseLeft(now)), Fence: t.epoch, Seen: a.kept, Wait: wait}
-		if a.silent {
-			o.Seen = 0 // It may be another incarnation, with ends that aren't known.
+		o := platform.WatchOrder{Fence: t.epoch, Wait: wait}
+		if !a.silent { // While it is, its lease has to run out, and it may be another incarnation with unknown ends.
+			o.Lease, o.Seen = a.lease.extend(now, t.leaseLeft(now)), a.kept
 		}
 		t.mu.Unlock()
 		rep, err := a.client.Watch(o)
--- a/node/internal/plan/advice.go
+++ b/node/internal/plan/advice.go
@@ -82,15 +82,17 @@
 	var names []string
 	held := 0 // tasks that the named executors have room for
 	for _, w := range usable {
-		if t, ok := st.advice.tickets[w.info.ID]; ok && t.allowed && room.Fits(w.free()) {
-			names = append(names, w.info.ID)
-			held += w.holds(st, room)
+		if t, ok := st.advice.tickets[w.info.ID]; ok && t.allowed {
+			if n := w.holds(st, room); n > 0 {
+				names = append(names, w.info.ID)
+				held += n
+			}
 		}
 	}
 	if held < st.waiting {
 		fresh := slices.DeleteFunc(slices.Clone(usable), func(w *worker) bool {
 			_, known := st.advice.tickets[w.info.ID]
-			return known || !room.Fits(w.free()) || !room.Fits(w.info.Room)
+			return known || w.holds(st, room) == 0
 		})
 		slices.SortFunc(fresh, func(a, b *worker) int { return cmp.Compare(b.free().CPU, a.free().CPU) })
 		for _, w := range fresh[:min(len(fresh), askedAtOnce)] {
@@ -105,9 +107,12 @@
 	s.orders.Asks = append(s.orders.Asks, Ask{Step: st.id(), Executors: names, Takes: q.Decide + time.Duration(len(names))*q.Each})
 }
 
-// holds returns how many tasks of the stage there is room for.
+// holds returns how many more tasks of the stage may run there.
 func (w *worker) holds(st *stage, room model.Amount) int {
 	n := st.waiting
+	if st.spec.Spread > 0 {
+		n = min(n, st.spec.Spread-w.count(st))
+	}
 	free := w.free()
 	if room.CPU > 0 {
 		n = min(n, int(free.CPU/room.CPU))
--- a/node/internal/plan/place.go
+++ b/node/internal/plan/place.go
@@ -68,12 +68,6 @@
 		if k == 0 {
 			continue
 		}
-		if st.spec.Spread > 0 {
-			k = min(k, st.spec.Spread-w.count(st))
-			if k <= 0 {
-				continue
-			}
-		}
 		if st.occur.job.queue.Advised {
 			if _, ok := st.advice.allows(w.info.ID, now); !ok {
 				continue
--- a/node/internal/plan/stage.go
+++ b/node/internal/plan/stage.go
@@ -15,6 +15,7 @@
 	left    int       // tasks that aren't done
 	waiting int       // tasks that are neither done nor have a run
 	since   time.Time // when it was first seen ready
+	told    time.Time // when its wait was last told
 	advice  advice
 }
 
