Ask the adviser for the most urgent first, one question a host

Change: the plan asks only while a host is free, in order of urgency, keeps a quarter of the hosts for quick questions, names executors until the waiting tasks have room, and puts a long question off that would start few. Conclusion: the adviser was what bound.

--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -168,6 +168,7 @@
 		t.config = c
 		t.plan.Configure(c)
 	}
+	t.plan.SetTurns(max(1, len(t.owner.board.Hosts())))
 	orders := t.plan.Decide(now)
 	var waits []plan.Wait
 	if now.Sub(t.told) > waitsPeriod {
--- a/node/internal/plan/advice.go
+++ b/node/internal/plan/advice.go
@@ -18,8 +18,57 @@
 	// askAgain is how long a question may be under way before it counts as lost,
 	// beyond what the adviser needs for it.
 	askAgain = 3 * time.Second
+	// longAnswer divides quick questions from those that keep a host busy for so
+	// long that quick ones must not wait behind them.
+	longAnswer = 200 * time.Millisecond
+	// quickShare is which part of the hosts is kept for quick questions.
+	quickShare = 4
+	// allowedShare is the share of executors that is expected to be allowed.
+	allowedShare = 0.4
+	// askSurplus is how many times the waiting tasks a question should find room
+	// for, since others take room while it is answered.
+	askSurplus = 1.5
+	// startsWorthAsking is how many starts make a long question worth its time at
+	// once; after askPatience any is.
+	startsWorthAsking = 4
+	askPatience       = 1500 * time.Millisecond
 )
 
+// question is a question to the adviser that is under way.
+type question struct {
+	long  bool
+	until time.Time // when it counts as lost
+}
+
+// SetTurns says how many hosts can ask the adviser, each one question at a time.
+func (s *State) SetTurns(n int) { s.turns = n }
+
+// mayAsk reports whether a host is free for another question.
+func (s *State) mayAsk(long bool) bool {
+	if len(s.asking) >= s.turns {
+		return false
+	}
+	if !long {
+		return true
+	}
+	n := 0
+	for _, q := range s.asking {
+		if q.long {
+			n++
+		}
+	}
+	return n < max(1, s.turns-max(1, s.turns/quickShare))
+}
+
+// forgetQuestions drops the questions that count as lost.
+func (s *State) forgetQuestions(now time.Time) {
+	for id, q := range s.asking {
+		if now.After(q.until) {
+			s.Unadvised(id)
+		}
+	}
+}
+
 // advice is what the adviser has said of a stage.
 type advice struct {
 	tickets map[string]ticket // by executor; which are allowed never changes
@@ -49,6 +98,7 @@
 // Advised takes the adviser's answer: named were asked for, and tickets has
 // those that may run the step, each good until until.
 func (s *State) Advised(step model.StepID, named []string, tickets map[string]string, until time.Time) {
+	delete(s.asking, step)
 	st := s.stageOf(model.Task{Job: step.Job, Occur: step.Occur, Step: step.Step})
 	if st == nil {
 		return
@@ -65,46 +115,77 @@
 
 // Unadvised notes that a question was not answered.
 func (s *State) Unadvised(step model.StepID) {
+	delete(s.asking, step)
 	if st := s.stageOf(model.Task{Job: step.Job, Occur: step.Occur, Step: step.Step}); st != nil {
 		st.advice.asked = time.Time{}
 	}
 }
 
-// ask orders a question about the stage if none is under way: for the allowed
-// executors with room whose tickets have expired, and if they are too few also
-// for those that weren't asked for yet.
+// ask orders a question about the stage if none is under way and a host is free
+// to ask it. It names executors with room: those that are known to be allowed,
+// whose tickets have expired, and as many new ones as the waiting tasks seem to
+// need.
 func (s *State) ask(st *stage, usable []*worker, now time.Time) {
+	if !st.advice.asked.IsZero() {
+		return
+	}
 	q := &st.occur.job.queue
-	if !st.advice.asked.IsZero() && now.Before(st.advice.asked.Add(askAgain+q.Decide+askedAtOnce*q.Each)) {
+	long := q.Decide > longAnswer
+	if !s.mayAsk(long) {
 		return
 	}
+	names, expected := s.named(st, usable)
+	if len(names) == 0 {
+		return
+	}
+	worth := float64(min(st.waiting, startsWorthAsking))
+	if long && expected < worth && now.Sub(st.since) < askPatience {
+		return
+	}
+	st.advice.asked = now
+	takes := q.Decide + time.Duration(len(names))*q.Each
+	s.asking[st.id()] = question{long: long, until: now.Add(takes + askAgain)}
+	s.orders.Asks = append(s.orders.Asks, Ask{Step: st.id(), Executors: names, Takes: takes})
+}
+
+// named returns the executors that a question names, and how many tasks are
+// expected to start after its answer.
+func (s *State) named(st *stage, usable []*worker) ([]string, float64) {
 	room := st.spec.Room()
-	var names []string
-	held := 0 // tasks that the named executors have room for
+	var known, fresh []spot
 	for _, w := range usable {
-		if t, ok := st.advice.tickets[w.info.ID]; ok && t.allowed {
-			if n := w.holds(st, room); n > 0 {
-				names = append(names, w.info.ID)
-				held += n
-			}
+		t, asked := st.advice.tickets[w.info.ID]
+		if asked && !t.allowed {
+			continue
 		}
-	}
-	if held < st.waiting {
-		fresh := slices.DeleteFunc(slices.Clone(usable), func(w *worker) bool {
-			_, known := st.advice.tickets[w.info.ID]
-			return known || w.holds(st, room) == 0
-		})
-		slices.SortFunc(fresh, func(a, b *worker) int { return cmp.Compare(b.free().CPU, a.free().CPU) })
-		for _, w := range fresh[:min(len(fresh), askedAtOnce)] {
-			names = append(names, w.info.ID)
+		n := w.holds(st, room)
+		switch {
+		case n == 0:
+		case asked:
+			known = append(known, spot{worker: w, room: n})
+		default:
+			fresh = append(fresh, spot{worker: w, room: n})
 		}
 	}
-	if len(names) == 0 {
-		return
+	most := func(a, b spot) int { return cmp.Compare(b.room, a.room) }
+	slices.SortFunc(known, most)
+	slices.SortFunc(fresh, most)
+	var names []string
+	expected := 0.0
+	for i, group := range [][]spot{known, fresh} {
+		chance := 1.0
+		if i > 0 {
+			chance = allowedShare
+		}
+		for _, sp := range group {
+			if len(names) == askedAtOnce || expected >= askSurplus*float64(st.waiting) {
+				return names, expected
+			}
+			names = append(names, sp.worker.info.ID)
+			expected += chance * float64(sp.room)
+		}
 	}
-	names = names[:min(len(names), askedAtOnce)]
-	st.advice.asked = now
-	s.orders.Asks = append(s.orders.Asks, Ask{Step: st.id(), Executors: names, Takes: q.Decide + time.Duration(len(names))*q.Each})
+	return names, expected
 }
 
 // holds returns how many more tasks of the stage may run there.
--- a/node/internal/plan/decide.go
+++ b/node/internal/plan/decide.go
@@ -12,6 +12,7 @@
 // Decide returns the orders that are due at now. Each is to be carried out once.
 func (s *State) Decide(now time.Time) Orders {
 	s.sweep(now)
+	s.forgetQuestions(now)
 	waiting := s.waiting(now)
 	pools := make(map[string]*pool)
 	for _, c := range waiting {
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -16,17 +16,19 @@
 	jobs     map[string]*job
 	execs    map[string]*worker
 	teams    map[string]*team
-	dirty    map[string]*job // progress or phase not yet recorded
-	ended    map[string]bool // jobs that have ended and are recorded
-	over     []string        // jobs that were forgotten and not yet returned by Over
-	orders   Orders          // collected between and during decisions
+	dirty    map[string]*job           // progress or phase not yet recorded
+	ended    map[string]bool           // jobs that have ended and are recorded
+	asking   map[model.StepID]question // questions to the adviser under way
+	turns    int                       // hosts that can ask
+	over     []string                  // jobs that were forgotten and not yet returned by Over
+	orders   Orders                    // collected between and during decisions
 }
 
 // New returns an empty State under config.
 func New(config *model.Config, opts ...Option) *State {
 	s := &State{
 		config: config, far: 1, stopTime: time.Second, jobs: make(map[string]*job), execs: make(map[string]*worker),
-		teams: make(map[string]*team), dirty: make(map[string]*job), ended: make(map[string]bool),
+		teams: make(map[string]*team), dirty: make(map[string]*job), ended: make(map[string]bool), asking: make(map[model.StepID]question), turns: 1,
 	}
 	for _, opt := range opts {
 		opt(s)
