Start only under confirmed ownership; spread clients' writes over partitions

Cause: an owner in a cut zone started tasks again at its own executors while its successor had recorded their ends (TWICE); a successor knew nothing of runs at executors that it couldn't reach (QUOTA); a slow store does two transactions a second in a partition, so that submissions ran into their deadlines. Change: runs start only within 1.5 s of a confirmed ownership, or while all executors still follow; where runs are is recorded beside their progress; what clients write lies in 16 partitions, the owner's rows in one of its own; ended jobs are known by their phases. Starts held back are logged.

--- a/coord/model/progress.go
+++ b/coord/model/progress.go
@@ -17,4 +17,5 @@
 type Stage struct {
 	Done   []byte        `cbor:"1,keyasint,omitempty"` // one bit a task
 	Failed map[int][]int `cbor:"2,keyasint,omitempty"` // numbers of failed runs by task; of a gang under 0
+	Runs   map[int]Place `cbor:"3,keyasint,omitempty"` // by task, as far as known when it was written
 }
--- a/node/app.go
+++ b/node/app.go
@@ -86,8 +86,8 @@
 	a.configs = config.New(logger)
 	a.board = board.New(logger)
 	a.follows = []*follow.Follower{
-		follow.New(a.store, a.clock, platform.ConfigTable, "", a.configs, follow.WithGap(configGap), follow.WithLogger(logger)),
-		follow.New(a.store, a.clock, board.Table, board.Part, a.board, follow.WithGap(boardGap), follow.WithLogger(logger)),
+		follow.New(a.store, a.clock, platform.ConfigTable, []string{""}, a.configs, follow.WithGap(configGap), follow.WithLogger(logger)),
+		follow.New(a.store, a.clock, board.Table, board.Parts(), a.board, follow.WithGap(boardGap), follow.WithLogger(logger)),
 	}
 	a.node = link.New(s.Host, private)
 	a.service = front.New(a.clock, a.configs, a.board, a.store, logger, a.registry)
@@ -180,7 +180,7 @@
 
 // register writes the host's row of the board.
 func (a *app) register(ctx context.Context, address string) error {
-	put, err := board.Put(board.Table, board.HostKey(a.settings.Host), board.Host{
+	put, err := board.Put(board.Table, board.PartOf(a.settings.Host), board.HostKey(a.settings.Host), board.Host{
 		Name: a.settings.Host, Zone: a.settings.Zone, Link: address, Process: a.process,
 	})
 	if err != nil {
--- /dev/null
+++ b/node/internal/board/apply.go
@@ -0,0 +1,123 @@
+package board
+
+import (
+	"github.com/balsamford/balsamford/coord/model"
+	"github.com/balsamford/balsamford/platform"
+)
+
+// apply takes one changed row.
+func (b *Board) apply(row platform.Row) error {
+	if row.Key == OwnerKey {
+		return b.applyOwner(row)
+	}
+	if id, ok := suffix(row.Key, acceptPrefix); ok {
+		return b.applyAccept(id, row)
+	}
+	if id, ok := suffix(row.Key, phasePrefix); ok {
+		return b.applyPhase(id, row)
+	}
+	if id, ok := suffix(row.Key, cancelPrefix); ok {
+		b.applyCancel(id, row)
+		return nil
+	}
+	if name, ok := suffix(row.Key, hostPrefix); ok {
+		return b.applyHost(name, row)
+	}
+	return nil
+}
+
+func (b *Board) applyOwner(row platform.Row) error {
+	var o Owner
+	if err := Decode(row, &o); err != nil {
+		return err
+	}
+	b.mu.Lock()
+	if row.Version <= b.ownerVer {
+		b.mu.Unlock()
+		return nil
+	}
+	b.owner, b.ownerVer = o, row.Version
+	l := b.listener
+	b.mu.Unlock()
+	if l != nil {
+		l.OwnerChanged(o, row.Version)
+	}
+	return nil
+}
+
+// count adds n to the jobs of its queue that haven't begun if the job is one of
+// them. The caller holds mu.
+func (b *Board) count(id string, n int) {
+	if j, ok := b.jobs[id]; ok && b.phases[id].Phase == model.Queued {
+		b.pending[j.Queue] += n
+	}
+}
+
+func (b *Board) applyAccept(id string, row platform.Row) error {
+	var j Accepted
+	if !row.Deleted {
+		if err := Decode(row, &j); err != nil {
+			return err
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.count(id, -1)
+	delete(b.jobs, id)
+	if row.Deleted {
+		return nil
+	}
+	b.jobs[id] = j
+	b.count(id, 1)
+	return nil
+}
+
+func (b *Board) applyPhase(id string, row platform.Row) error {
+	var p Phase
+	if !row.Deleted {
+		if err := Decode(row, &p); err != nil {
+			return err
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.count(id, -1)
+	delete(b.phases, id)
+	if !row.Deleted {
+		b.phases[id] = p
+	}
+	b.count(id, 1)
+	return nil
+}
+
+func (b *Board) applyCancel(id string, row platform.Row) {
+	b.mu.Lock()
+	l := b.listener
+	if row.Deleted {
+		delete(b.cancelled, id)
+		l = nil
+	} else {
+		b.cancelled[id] = true
+	}
+	b.mu.Unlock()
+	if l != nil {
+		l.JobCancelled(id)
+	}
+}
+
+func (b *Board) applyHost(name string, row platform.Row) error {
+	var h Host
+	if !row.Deleted {
+		if err := Decode(row, &h); err != nil {
+			return err
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if row.Deleted {
+		delete(b.hosts, name)
+		return nil
+	}
+	b.hosts[name] = h
+	return nil
+}
--- a/node/internal/board/board.go
+++ b/node/internal/board/board.go
@@ -11,7 +11,8 @@
 
 // Entry is what the board shows of a job.
 type Entry struct {
-	Job
+	Accepted
+	Phase     model.Phase
 	Cancelled bool // its team has cancelled it
 }
 
@@ -30,7 +31,8 @@
 	owner     Owner
 	ownerVer  int64
 	hosts     map[string]Host
-	jobs      map[string]Job
+	jobs      map[string]Accepted
+	phases    map[string]Phase
 	cancelled map[string]bool
 	pending   map[string]int // jobs that haven't begun, by queue
 	listener  Listener       // nil for none
@@ -44,7 +46,7 @@
 }
 
 func (b *Board) clear() {
-	b.hosts, b.jobs = make(map[string]Host), make(map[string]Job)
+	b.hosts, b.jobs, b.phases = make(map[string]Host), make(map[string]Accepted), make(map[string]Phase)
 	b.cancelled, b.pending = make(map[string]bool), make(map[string]int)
 }
 
@@ -73,12 +75,12 @@
 	return out
 }
 
-// Job returns what is known of a job, and whether it is known.
+// Job returns what is known of a job, and whether it is accepted.
 func (b *Board) Job(id string) (Entry, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	j, ok := b.jobs[id]
-	return Entry{Job: j, Cancelled: b.cancelled[id]}, ok
+	return Entry{Accepted: j, Phase: b.phases[id].Phase, Cancelled: b.cancelled[id]}, ok
 }
 
 // Pending returns how many jobs of a queue haven't begun.
@@ -88,16 +90,34 @@
 	return b.pending[queue]
 }
 
-// Ended returns up to n jobs that ended before a time in Unix seconds.
-func (b *Board) Ended(before int64, n int) []string {
+// Ended returns up to n jobs that ended before a time in Unix seconds. Those that
+// are no longer accepted are told apart: only their phase is left.
+func (b *Board) Ended(before int64, n int) (accepted, rest []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var out []string
-	for id, j := range b.jobs {
-		if len(out) == n {
+	for id, p := range b.phases {
+		if len(accepted)+len(rest) == n {
 			break
 		}
-		if j.Phase.Final() && j.Ended < before {
+		if !p.Phase.Final() || p.Ended >= before {
+			continue
+		}
+		if _, ok := b.jobs[id]; ok {
+			accepted = append(accepted, id)
+		} else {
+			rest = append(rest, id)
+		}
+	}
+	return accepted, rest
+}
+
+// Cancelled returns the jobs that were cancelled and haven't ended.
+func (b *Board) Cancelled() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]string, 0, len(b.cancelled))
+	for id := range b.cancelled {
+		if !b.phases[id].Phase.Final() {
 			out = append(out, id)
 		}
 	}
@@ -120,107 +140,3 @@
 		}
 	}
 }
-
-// apply takes one changed row.
-func (b *Board) apply(row platform.Row) error {
-	if row.Key == OwnerKey {
-		return b.applyOwner(row)
-	}
-	if id, ok := suffix(row.Key, jobPrefix); ok {
-		return b.applyJob(id, row)
-	}
-	if id, ok := suffix(row.Key, cancelPrefix); ok {
-		b.applyCancel(id, row)
-		return nil
-	}
-	if name, ok := suffix(row.Key, hostPrefix); ok {
-		return b.applyHost(name, row)
-	}
-	return nil
-}
-
-func (b *Board) applyOwner(row platform.Row) error {
-	var o Owner
-	if err := Decode(row, &o); err != nil {
-		return err
-	}
-	b.mu.Lock()
-	if row.Version <= b.ownerVer {
-		b.mu.Unlock()
-		return nil
-	}
-	b.owner, b.ownerVer = o, row.Version
-	l := b.listener
-	b.mu.Unlock()
-	if l != nil {
-		l.OwnerChanged(o, row.Version)
-	}
-	return nil
-}
-
-func (b *Board) applyJob(id string, row platform.Row) error {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if old, ok := b.jobs[id]; ok && old.Phase == model.Queued {
-		b.pending[old.Queue]--
-	}
-	delete(b.jobs, id)
-	if row.Deleted {
-		delete(b.cancelled, id)
-		return nil
-	}
-	var j Job
-	if err := Decode(row, &j); err != nil {
-		return err
-	}
-	b.jobs[id] = j
-	if j.Phase == model.Queued {
-		b.pending[j.Queue]++
-	}
-	return nil
-}
-
-func (b *Board) applyCancel(id string, row platform.Row) {
-	b.mu.Lock()
-	l := b.listener
-	if row.Deleted {
-		delete(b.cancelled, id)
-		l = nil
-	} else {
-		b.cancelled[id] = true
-	}
-	b.mu.Unlock()
-	if l != nil {
-		l.JobCancelled(id)
-	}
-}
-
-func (b *Board) applyHost(name string, row platform.Row) error {
-	var h Host
-	if !row.Deleted {
-		if err := Decode(row, &h); err != nil {
-			return err
-		}
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if row.Deleted {
-		delete(b.hosts, name)
-		return nil
-	}
-	b.hosts[name] = h
-	return nil
-}
-
-// Cancelled returns the jobs that were cancelled and haven't ended.
-func (b *Board) Cancelled() []string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	out := make([]string, 0, len(b.cancelled))
-	for id := range b.cancelled {
-		if j, ok := b.jobs[id]; ok && !j.Phase.Final() {
-			out = append(out, id)
-		}
-	}
-	return out
-}
--- /dev/null
+++ b/node/internal/board/parts.go
@@ -0,0 +1,33 @@
+package board
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Main is the partition that only the owner writes, so that its writes wait for
+// nobody else's.
+const Main = "main"
+
+// jobParts is over how many partitions jobs are spread. A partition does one
+// transaction after another, and a slow store takes half a second for each.
+const jobParts = 16
+
+// PartOf returns the partition of what clients write of a job. It depends on the
+// job alone, so that two submissions of it meet.
+func PartOf(id string) string { return partName(int(xxhash.Sum64String(id) % jobParts)) }
+
+// JobParts returns the partitions of what clients write.
+func JobParts() []string {
+	out := make([]string, jobParts)
+	for i := range out {
+		out[i] = partName(i)
+	}
+	return out
+}
+
+// Parts returns all partitions of a cell.
+func Parts() []string { return append(JobParts(), Main) }
+
+func partName(i int) string { return "jobs" + strconv.Itoa(i) }
--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -9,25 +9,30 @@
 	"github.com/balsamford/balsamford/platform"
 )
 
-// Tables of a cell. All rows lie in one partition, so that a write by the owner
-// can depend on its ownership.
+// Tables of a cell.
 const (
-	Table    = "board"    // owner, hosts, phases and cancellations
-	Jobs     = "jobs"     // what was submitted
+	Table    = "board"    // owner, hosts, and of each job whether it is accepted, its phase and its cancellation
+	Jobs     = "jobs"     // what was submitted, by job
 	Progress = "progress" // recorded progress, by job
-	Part     = "main"
 )
 
 // Keys of the board's rows.
 const (
 	OwnerKey     = "owner"
 	hostPrefix   = "host/"
-	jobPrefix    = "job/"
+	acceptPrefix = "accept/"
+	phasePrefix  = "phase/"
 	cancelPrefix = "cancel/"
 )
 
-// JobKey returns the key of a job's row.
-func JobKey(id string) string { return jobPrefix + id }
+// AcceptKey returns the key of the row that makes a job accepted.
+func AcceptKey(id string) string { return acceptPrefix + id }
+
+// PhaseKey returns the key of a job's phase, which the owner writes.
+func PhaseKey(id string) string { return phasePrefix + id }
+
+// PhaseJob returns the job whose phase a row holds, and whether it holds one.
+func PhaseJob(key string) (string, bool) { return suffix(key, phasePrefix) }
 
 // CancelKey returns the key of a job's cancellation.
 func CancelKey(id string) string { return cancelPrefix + id }
@@ -53,27 +58,25 @@
 	Process string `cbor:"4,keyasint"`
 }
 
-// Job is how far a job has come.
-type Job struct {
-	Queue string      `cbor:"1,keyasint"`
-	Team  string      `cbor:"2,keyasint,omitempty"`
-	Phase model.Phase `cbor:"3,keyasint,omitempty"`
-	Ended int64       `cbor:"4,keyasint,omitempty"` // Unix seconds
+// Accepted says whose a job is.
+type Accepted struct {
+	Queue string `cbor:"1,keyasint"`
+	Team  string `cbor:"2,keyasint,omitempty"`
+}
+
+// Phase is how far a job has come; without the row it is queued.
+type Phase struct {
+	Phase model.Phase `cbor:"1,keyasint"`
+	Ended int64       `cbor:"2,keyasint,omitempty"` // Unix seconds
 }
 
-// Put returns the write of a row of one of the cell's tables.
-func Put(table, key string, v any) (platform.Put, error) {
+// Put returns the write of a row.
+func Put(table, part, key string, v any) (platform.Put, error) {
 	data, err := cbor.Marshal(v)
 	if err != nil {
 		return platform.Put{}, &EncodeError{Key: key, Err: err}
 	}
-	return platform.Put{Table: table, Part: Part, Key: key, Value: data}, nil
-}
-
-// Expect returns the condition that a row of one of the cell's tables has a
-// version.
-func Expect(table, key string, version int64) platform.Condition {
-	return platform.Condition{Table: table, Part: Part, Key: key, Version: version}
+	return platform.Put{Table: table, Part: part, Key: key, Value: data}, nil
 }
 
 // Decode reads the value of a row.
--- a/node/internal/follow/follower.go
+++ b/node/internal/follow/follower.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/platform"
@@ -40,7 +42,7 @@
 	store   Store
 	clock   *timer.Service
 	table   string
-	part    string
+	parts   []string
 	handler Handler
 	wait    time.Duration
 	gap     time.Duration
@@ -59,9 +61,9 @@
 // WithLogger sets the logger.
 func WithLogger(l *zap.Logger) Option { return func(f *Follower) { f.logger = l } }
 
-// New returns a Follower of the rows of table in part.
-func New(store Store, clock *timer.Service, table, part string, h Handler, opts ...Option) *Follower {
-	f := &Follower{store: store, clock: clock, table: table, part: part, handler: h, wait: defaultWait, logger: zap.NewNop()}
+// New returns a Follower of the rows of table, which lie in parts.
+func New(store Store, clock *timer.Service, table string, parts []string, h Handler, opts ...Option) *Follower {
+	f := &Follower{store: store, clock: clock, table: table, parts: parts, handler: h, wait: defaultWait, logger: zap.NewNop()}
 	for _, opt := range opts {
 		opt(f)
 	}
@@ -119,7 +121,7 @@
 // step makes one call and returns the version to go on from.
 func (f *Follower) step(version int64, read bool) (int64, error) {
 	if !read {
-		rows, next, err := f.store.Read(f.table, f.part, "", "")
+		rows, next, err := f.readAll()
 		if err == nil {
 			f.handler.Reset(rows)
 		}
@@ -127,18 +129,26 @@
 	}
 	rows, next, err := f.store.Watch(f.table, version, f.wait)
 	if err == nil && len(rows) > 0 {
-		f.handler.Change(f.own(rows))
+		f.handler.Change(rows)
 	}
 	return next, err
 }
 
-// own returns the rows of the followed partition.
-func (f *Follower) own(rows []platform.Row) []platform.Row {
-	out := rows[:0]
-	for _, r := range rows {
-		if r.Part == f.part {
-			out = append(out, r)
-		}
+// readAll reads the partitions at the same time. The version is the oldest of
+// theirs, so that some changes are heard of again, in order.
+func (f *Follower) readAll() ([]platform.Row, int64, error) {
+	parts := make([][]platform.Row, len(f.parts))
+	versions := make([]int64, len(f.parts))
+	var g errgroup.Group
+	for i, part := range f.parts {
+		g.Go(func() error {
+			var err error
+			parts[i], versions[i], err = f.store.Read(f.table, part, "", "")
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return nil, 0, err
 	}
-	return out
+	return slices.Concat(parts...), slices.Min(versions), nil
 }
--- a/node/internal/front/front.go
+++ b/node/internal/front/front.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/balsamford/balsamford/coord/httpd"
 	"github.com/balsamford/balsamford/coord/model"
@@ -40,21 +41,34 @@
 	configs Configs
 	board   *board.Board
 	store   Store
-	writer  *writer
+	writers map[string]*writer // by partition
 	logger  *zap.Logger
 	counts  *counts
 }
 
 // New returns a Service. Run has to run for submissions to be stored.
 func New(clock *timer.Service, configs Configs, b *board.Board, store Store, logger *zap.Logger, registry metrics.Registry) *Service {
-	return &Service{
-		clock: clock, configs: configs, board: b, store: store, writer: newWriter(store, clock, logger), logger: logger,
+	s := &Service{
+		clock: clock, configs: configs, board: b, store: store, writers: make(map[string]*writer), logger: logger,
 		counts: newCounts(registry),
 	}
+	for _, part := range board.JobParts() {
+		s.writers[part] = newWriter(store, clock, logger)
+	}
+	return s
 }
 
+// writer returns the writer of a job's rows.
+func (s *Service) writer(id string) *writer { return s.writers[board.PartOf(id)] }
+
 // Run stores what is submitted until ctx ends.
-func (s *Service) Run(ctx context.Context) error { return s.writer.run(ctx) }
+func (s *Service) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for _, w := range s.writers {
+		g.Go(func() error { return w.run(ctx) })
+	}
+	return g.Wait()
+}
 
 // request is a client's request that has passed the checks.
 type request struct {
--- a/node/internal/front/query.go
+++ b/node/internal/front/query.go
@@ -20,13 +20,14 @@
 	e, known := s.board.Job(r.id)
 	if !known {
 		// The job may have been accepted elsewhere a moment ago.
-		rows, _, err := s.store.Read(board.Table, board.Part, board.JobKey(r.id), board.JobKey(r.id)+"\x00")
+		key := board.AcceptKey(r.id)
+		rows, _, err := s.store.Read(board.Table, board.PartOf(r.id), key, key+"\x00")
 		if err != nil {
 			s.logger.Info("state unknown", zap.String("id", r.id), zap.Error(err))
 			s.unavailable(r.exchange, "the store is away")
 			return e, false
 		}
-		if len(rows) > 0 && board.Decode(rows[0], &e.Job) == nil {
+		if len(rows) > 0 && board.Decode(rows[0], &e.Accepted) == nil {
 			known = true
 		}
 	}
@@ -60,12 +61,12 @@
 		s.accepted(r)
 		return
 	}
-	put, err := board.Put(board.Table, board.CancelKey(r.id), r.team)
+	put, err := board.Put(board.Table, board.PartOf(r.id), board.CancelKey(r.id), r.team)
 	if err != nil {
 		s.answer(r.exchange, fasthttp.StatusBadRequest, "not a job")
 		return
 	}
-	if err := s.writer.create(r.limit, put); err != nil {
+	if err := s.writer(r.id).create(r.limit, put); err != nil {
 		s.failed(r, err)
 		return
 	}
--- a/node/internal/front/submit.go
+++ b/node/internal/front/submit.go
@@ -23,17 +23,18 @@
 		return
 	}
 	job.ID, job.Queue, job.Team, job.Sent = r.id, r.queue.Name, r.team, s.clock.Now()
-	row, err := board.Put(board.Table, board.JobKey(r.id), board.Job{Queue: job.Queue, Team: job.Team})
+	part := board.PartOf(r.id)
+	row, err := board.Put(board.Table, part, board.AcceptKey(r.id), board.Accepted{Queue: job.Queue, Team: job.Team})
 	if err != nil {
 		s.answer(r.exchange, fasthttp.StatusBadRequest, "not a job")
 		return
 	}
-	definition, err := board.Put(board.Jobs, r.id, job)
+	definition, err := board.Put(board.Jobs, part, r.id, job)
 	if err != nil {
 		s.answer(r.exchange, fasthttp.StatusBadRequest, "not a job")
 		return
 	}
-	if err := s.writer.create(r.limit, row, definition); err != nil {
+	if err := s.writer(r.id).create(r.limit, row, definition); err != nil {
 		s.failed(r, err)
 		return
 	}
--- a/node/internal/front/writer.go
+++ b/node/internal/front/writer.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"github.com/balsamford/balsamford/coord/timer"
-	"github.com/balsamford/balsamford/node/internal/board"
 	"github.com/balsamford/balsamford/platform"
 )
 
@@ -38,7 +37,7 @@
 	done      chan error
 }
 
-// writer creates rows in transactions that carry the items of several clients,
+// writer creates rows of one partition in transactions that carry the items of several clients,
 // one at a time, so that more clients make larger writes and not more of them.
 type writer struct {
 	store  Store
@@ -56,7 +55,7 @@
 // never will be, an *UnknownError that it isn't known.
 func (w *writer) create(limit time.Time, puts ...platform.Put) error {
 	first := puts[0]
-	it := &item{condition: board.Expect(first.Table, first.Key, 0), puts: puts, limit: limit, done: make(chan error, 1)}
+	it := &item{condition: platform.Condition{Table: first.Table, Part: first.Part, Key: first.Key}, puts: puts, limit: limit, done: make(chan error, 1)}
 	select {
 	case w.items <- it:
 	default:
--- a/node/internal/owner/agent.go
+++ b/node/internal/owner/agent.go
@@ -28,14 +28,15 @@
 	noted  chan struct{} // ends have been recorded
 
 	// The term's mu guards the fields below.
-	info   model.Executor
-	born   time.Time
-	lease  lease
-	listed bool  // it has an entry
-	silent bool  // it didn't answer the last call
-	heard  bool  // it has reported
-	seen   int64 // last end that the plan has taken
-	kept   int64 // last end whose effect is recorded
+	info     model.Executor
+	born     time.Time
+	lease    lease
+	listed   bool          // it has an entry
+	silent   bool          // it didn't answer the last call
+	heard    bool          // it has reported
+	answered time.Duration // when the last question was sent that it answered, on the clock that includes suspensions
+	seen     int64         // last end that the plan has taken
+	kept     int64         // last end whose effect is recorded
 }
 
 // newAgent returns an agent that isn't running yet. The term's mu is held.
@@ -96,6 +97,6 @@
 
 // leaseLeft returns for how long the lease may be extended now. The term's mu is
 // held.
-func (t *term) leaseLeft(now time.Time) time.Duration {
-	return min(leaseTime, t.owner.bounds.Lease, t.confirmed.Add(t.owner.bounds.Lease+unconfirmedTime).Sub(now))
+func (t *term) leaseLeft() time.Duration {
+	return min(leaseTime, t.owner.bounds.Lease, t.confirmed+t.owner.bounds.Lease+unconfirmedTime-t.owner.clock.Boot())
 }
--- a/node/internal/owner/jobrows.go
+++ b/node/internal/owner/jobrows.go
@@ -51,8 +51,9 @@
 		t.owner.logger.Error("job left out", zap.String("id", row.Key), zap.Error(err))
 		return
 	}
+	now := t.owner.clock.Now()
 	t.mu.Lock()
-	t.plan.AddJob(j, progress)
+	t.plan.AddJob(now, j, progress)
 	t.mu.Unlock()
 	if e, ok := t.owner.board.Job(j.ID); ok && e.Cancelled {
 		t.JobCancelled(j.ID)
--- /dev/null
+++ b/node/internal/owner/mandate.go
@@ -0,0 +1,54 @@
+package owner
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// mandateTime is how long after ownership was confirmed runs may start
+	// without further proof: less than another host waits until it takes over.
+	mandateTime = 1500 * time.Millisecond
+	// proofTime is how old an executor's answer may be to show that no other host
+	// has taken it over.
+	proofTime = 1200 * time.Millisecond
+)
+
+// mayStart reports whether runs may start: ownership was confirmed a moment ago,
+// or, while the store doesn't answer, all executors that answered then still
+// follow this owner. An owner that is cut off from some of them may have a
+// successor there, which starts the same tasks. The term's mu is held.
+func (t *term) mayStart() bool {
+	now := t.owner.clock.Boot()
+	if now-t.confirmed <= mandateTime {
+		return true
+	}
+	since := max(t.confirmed+mandateTime, now-proofTime)
+	for _, a := range t.agents {
+		if a.answered < since && (!a.silent || a.answered > t.confirmed-mandateTime) {
+			return false
+		}
+	}
+	return len(t.agents) > 0
+}
+
+// pause holds starts back or lets them go on. The term's mu is held.
+func (t *term) pause(paused bool) {
+	if paused != t.paused {
+		t.paused = paused
+		silent := 0
+		for _, a := range t.agents {
+			if a.silent {
+				silent++
+			}
+		}
+		t.owner.logger.Info("starts", zap.Bool("paused", paused), zap.Int64("epoch", t.epoch), zap.Duration("confirmed", t.owner.clock.Boot()-t.confirmed),
+			zap.Int("executors", len(t.agents)), zap.Int("silent", silent))
+	}
+	t.plan.Pause(paused)
+}
+
+// doubted reports whether ownership hasn't been confirmed for a while, so that
+// executors have to be asked more often. The term's mu is held.
+func (t *term) doubted() bool { return t.owner.clock.Boot()-t.confirmed > mandateTime }
--- a/node/internal/owner/obey.go
+++ b/node/internal/owner/obey.go
@@ -32,8 +32,8 @@
 	t := a.term
 	now := t.owner.clock.Now()
 	t.mu.Lock()
-	end := a.lease.extend(now, t.leaseLeft(now))
-	if a.silent || end == 0 {
+	end := a.lease.extend(now, t.leaseLeft())
+	if a.silent || end == 0 || !t.mayStart() {
 		t.plan.Refused(now, *s, plan.RefusedUnsent)
 		t.mu.Unlock()
 		return
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -17,7 +17,7 @@
 const (
 	// deadAfter is how long an owner may be seen to write nothing until another
 	// host takes over: three of its heartbeats and some delay of the store.
-	deadAfter = 1500 * time.Millisecond
+	deadAfter = 1800 * time.Millisecond
 	// rankDelay separates the hosts that would take over.
 	rankDelay = 150 * time.Millisecond
 	// checkPeriod is how often it is looked whether to take over.
@@ -119,14 +119,19 @@
 	return row, version, silent >= deadAfter+delay
 }
 
+// ownerRow is the condition that the owner's row has a version.
+func ownerRow(version int64) platform.Condition {
+	return platform.Condition{Table: board.Table, Part: board.Main, Key: board.OwnerKey, Version: version}
+}
+
 // claim takes ownership if the owner's row still has version.
 func (o *Owner) claim(row board.Owner, version int64) (board.Owner, int64, error) {
 	next := board.Owner{Host: o.host, Process: o.process, Epoch: row.Epoch + 1}
-	put, err := board.Put(board.Table, board.OwnerKey, next)
+	put, err := board.Put(board.Table, board.Main, board.OwnerKey, next)
 	if err != nil {
 		return next, 0, err
 	}
-	w := platform.Write{Conditions: []platform.Condition{board.Expect(board.Table, board.OwnerKey, version)}, Puts: []platform.Put{put}}
+	w := platform.Write{Conditions: []platform.Condition{ownerRow(version)}, Puts: []platform.Put{put}}
 	got, err := o.store.Write(&w)
 	return next, got, err
 }
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/balsamford/balsamford/coord/model"
 	"github.com/balsamford/balsamford/node/internal/board"
 	"github.com/balsamford/balsamford/node/internal/plan"
 	"github.com/balsamford/balsamford/platform"
@@ -25,15 +24,6 @@
 	// changesPerWrite keeps a write under the store's limit of entries: two rows
 	// a change, up to two more to delete, and the owner's.
 	changesPerWrite = 24
-	// overPerWrite bounds the ended jobs of which one write deletes what isn't
-	// needed any more.
-	overPerWrite = 10
-	// rowsPerJob is how many rows an ended job has.
-	rowsPerJob = 1
-	// expirePerWrite bounds the jobs whose rows one write deletes.
-	expirePerWrite = 10
-	// expireMargin is how much longer than asked for an ended job's state is kept.
-	expireMargin = 30 * time.Second
 )
 
 // recorder writes what must outlive the host. Each write depends on the owner's
@@ -57,7 +47,7 @@
 			return context.Cause(ctx)
 		case <-t.record:
 		}
-		now := t.owner.clock.Now()
+		now, asked := t.owner.clock.Now(), t.owner.clock.Boot()
 		changes, ends := r.collect()
 		if len(changes) == 0 && now.Sub(last) < beatPeriod {
 			r.keep(changes, ends)
@@ -74,7 +64,7 @@
 			continue
 		}
 		last = now
-		t.confirm(now)
+		t.confirm(asked)
 		r.keep(changes, ends)
 		if len(changes) == changesPerWrite {
 			notify(t.record)
@@ -121,8 +111,8 @@
 func (r *recorder) write(changes []plan.Change) error {
 	next := r.row
 	next.Seq++
-	w := platform.Write{Conditions: []platform.Condition{board.Expect(board.Table, board.OwnerKey, r.version)}}
-	put, err := board.Put(board.Table, board.OwnerKey, next)
+	w := platform.Write{Conditions: []platform.Condition{ownerRow(r.version)}}
+	put, err := board.Put(board.Table, board.Main, board.OwnerKey, next)
 	if err != nil {
 		return err
 	}
@@ -132,8 +122,7 @@
 			return err
 		}
 	}
-	over := r.over(&w)
-	expired := r.expire(&w)
+	over, expired := r.clean(&w)
 	version, err := r.term.owner.store.Write(&w)
 	if err != nil {
 		r.left = over
@@ -141,62 +130,35 @@
 	}
 	r.left = nil
 	r.row, r.version = next, version
-	r.term.mu.Lock()
-	defer r.term.mu.Unlock()
+	t := r.term
+	if len(over) > 0 {
+		t.group.Go(func() error { t.drop(over, board.Jobs, plainKey); return nil })
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for _, id := range expired {
-		r.term.plan.Expired(id)
+		t.plan.Expired(id)
 	}
 	return nil
 }
 
-// over adds the deletion of what isn't needed of ended jobs to a write.
-func (r *recorder) over(w *platform.Write) []string {
-	t := r.term
-	ids := r.left
-	if len(ids) == 0 {
-		t.mu.Lock()
-		ids = t.plan.Over(overPerWrite)
-		t.mu.Unlock()
-	}
-	for _, id := range ids {
-		w.Deletes = append(w.Deletes,
-			platform.Key{Table: board.Jobs, Part: board.Part, Key: id},
-			platform.Key{Table: board.Progress, Part: board.Part, Key: id},
-			platform.Key{Table: board.Table, Part: board.Part, Key: board.CancelKey(id)})
-	}
-	return ids
-}
-
-// expire adds the deletion of jobs that ended long ago to a write.
-func (r *recorder) expire(w *platform.Write) []string {
-	o := r.term.owner
-	before := o.clock.Now().Add(-o.bounds.Status - expireMargin).Unix()
-	ids := o.board.Ended(before, min(expirePerWrite, (platform.MaxEntries-w.Size())/rowsPerJob))
-	for _, id := range ids {
-		w.Deletes = append(w.Deletes,
-			platform.Key{Table: board.Table, Part: board.Part, Key: board.JobKey(id)})
-	}
-	return ids
-}
-
 // add puts a change into a write.
 func (r *recorder) add(w *platform.Write, c plan.Change) error {
-	e, _ := r.term.owner.board.Job(c.Job)
-	row := board.Job{Queue: c.Queue, Team: e.Team, Phase: c.Progress.Phase}
+	row := board.Phase{Phase: c.Progress.Phase}
 	if row.Phase.Final() {
 		row.Ended = r.term.owner.clock.Now().Unix()
 	}
 	for _, p := range []struct {
 		table, key string
 		value      any
-	}{{board.Table, board.JobKey(c.Job), row}, {board.Progress, c.Job, c.Progress}} {
-		put, err := board.Put(p.table, p.key, p.value)
+	}{{board.Table, board.PhaseKey(c.Job), row}, {board.Progress, c.Job, c.Progress}} {
+		put, err := board.Put(p.table, board.Main, p.key, p.value)
 		if err != nil {
 			return err
 		}
 		w.Puts = append(w.Puts, put)
 	}
-	if c.Progress.Phase == model.Done || c.Progress.Phase == model.Failed || c.Progress.Phase == model.Cancelled {
+	if c.Progress.Phase.Final() {
 		r.term.owner.logger.Info("job ended", zap.String("id", c.Job), zap.Int("phase", int(c.Progress.Phase)), zap.Int64("epoch", r.term.epoch))
 	}
 	return nil
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -54,8 +54,9 @@
 	plan      *plan.State
 	agents    map[string]*agent
 	config    *model.Config
-	told      time.Time // when long waits were last logged
-	confirmed time.Time // when ownership was last known to hold
+	told      time.Time     // when long waits were last logged
+	paused    bool          // no run may start
+	confirmed time.Duration // when ownership was last known to hold, on the clock that includes suspensions
 }
 
 // rule runs a term until it is lost or ctx ends.
@@ -67,7 +68,7 @@
 	g, gctx := errgroup.WithContext(ctx)
 	t := &term{
 		owner: o, epoch: claim.Epoch, began: now, wake: make(chan struct{}, 1), record: make(chan struct{}, 1), end: end, group: g,
-		agents: make(map[string]*agent), confirmed: now, config: o.configs.Config(),
+		agents: make(map[string]*agent), confirmed: o.clock.Boot(), config: o.configs.Config(),
 	}
 	t.settled = t.settleTime(before)
 	t.plan = plan.New(t.config, plan.WithFar(o.bounds.Far), plan.WithStopTime(o.bounds.Stop+stopSlack), plan.WithBase(int(claim.Epoch-1)*runsPerEpoch), plan.WithSettle(now.Add(t.settled)))
@@ -107,27 +108,36 @@
 	return t.owner.bounds.Lease + unconfirmedTime + settleMargin
 }
 
-// load reads the cell's rows and begins to follow them.
+// load reads what earlier owners recorded and returns a follower of the jobs.
 func (t *term) load(ctx context.Context) (*follow.Follower, error) {
 	o := t.owner
-	records := make(map[string]*model.Progress)
 	for {
-		rows, _, err := o.store.Read(board.Progress, board.Part, "", "")
+		records, err := t.readRecords()
 		if err == nil {
-			t.readProgress(rows, records)
-			break
+			jobs := &jobRows{term: t, records: records}
+			return follow.New(o.store, o.clock, board.Jobs, board.JobParts(), jobs, follow.WithGap(jobsGap), follow.WithLogger(o.logger)), nil
 		}
-		o.logger.Warn("progress can't be read", zap.Int64("epoch", t.epoch), zap.Error(err))
+		o.logger.Warn("records can't be read", zap.Int64("epoch", t.epoch), zap.Error(err))
 		_ = o.clock.Sleep(ctx, loadPause)
 		if ctx.Err() != nil {
 			return nil, context.Cause(ctx)
 		}
 	}
-	jobs := &jobRows{term: t, records: records}
-	return follow.New(o.store, o.clock, board.Jobs, board.Part, jobs, follow.WithGap(jobsGap), follow.WithLogger(o.logger)), nil
 }
 
-func (t *term) readProgress(rows []platform.Row, records map[string]*model.Progress) {
+// readRecords reads the phases and the progress of all jobs. An ended job may
+// have no progress any more while the job itself isn't deleted yet.
+func (t *term) readRecords() (map[string]*model.Progress, error) {
+	store := t.owner.store
+	rows, _, err := store.Read(board.Progress, board.Main, "", "")
+	if err != nil {
+		return nil, err
+	}
+	phases, _, err := store.Read(board.Table, board.Main, "", "")
+	if err != nil {
+		return nil, err
+	}
+	records := make(map[string]*model.Progress, len(rows))
 	for _, row := range rows {
 		p := &model.Progress{}
 		if err := board.Decode(row, p); err != nil {
@@ -136,13 +146,26 @@
 		}
 		records[row.Key] = p
 	}
+	for _, row := range phases {
+		var p board.Phase
+		id, ok := board.PhaseJob(row.Key)
+		if !ok || records[id] != nil {
+			continue
+		}
+		if err := board.Decode(row, &p); err != nil {
+			t.owner.logger.Error("phase left out", zap.Error(err))
+			continue
+		}
+		records[id] = &model.Progress{Phase: p.Phase}
+	}
+	return records, nil
 }
 
 // followExecutors begins to deal with executors. That has to wait until all jobs
 // are known: runs of unknown jobs are stopped.
 func (t *term) followExecutors() {
 	o := t.owner
-	servers := follow.New(o.store, o.clock, platform.ExecutorTable, "", &serverRows{term: t}, follow.WithGap(serversGap), follow.WithLogger(o.logger))
+	servers := follow.New(o.store, o.clock, platform.ExecutorTable, []string{""}, &serverRows{term: t}, follow.WithGap(serversGap), follow.WithLogger(o.logger))
 	t.group.Go(func() error { return servers.Run(t.ctx) })
 }
 
@@ -168,6 +191,7 @@
 		t.config = c
 		t.plan.Configure(c)
 	}
+	t.pause(!t.mayStart())
 	t.plan.SetTurns(max(1, len(t.owner.board.Hosts())))
 	orders := t.plan.Decide(now)
 	var waits []plan.Wait
@@ -245,7 +269,7 @@
 }
 
 // confirm notes that ownership held at a time.
-func (t *term) confirm(at time.Time) {
+func (t *term) confirm(at time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.confirmed = at
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -15,6 +15,8 @@
 	// watchWait is how long an executor may wait for a run to end before it
 	// answers; leases are extended as often.
 	watchWait = 1500 * time.Millisecond
+	// doubtedWait takes the place of watchWait while ownership isn't confirmed.
+	doubtedWait = 300 * time.Millisecond
 	// watchPause follows a call that failed.
 	watchPause = 200 * time.Millisecond
 	// notedWait is how long an executor isn't asked again while its last ends
@@ -30,11 +32,14 @@
 	t := a.term
 	wait := time.Duration(0) // The first question learns its clock at once.
 	for a.ctx.Err() == nil {
-		now := t.owner.clock.Now()
+		now, asked := t.owner.clock.Now(), t.owner.clock.Boot()
 		t.mu.Lock()
+		if t.doubted() {
+			wait = min(wait, doubtedWait)
+		}
 		o := platform.WatchOrder{Fence: t.epoch, Wait: wait}
 		if !a.silent { // While it is, its lease has to run out, and it may be another incarnation with unknown ends.
-			o.Lease, o.Seen = a.lease.extend(now, t.leaseLeft(now)), a.kept
+			o.Lease, o.Seen = a.lease.extend(now, t.leaseLeft()), a.kept
 		}
 		t.mu.Unlock()
 		rep, err := a.client.Watch(o)
@@ -50,7 +55,7 @@
 		if o.Lease == 0 {
 			wait = 0
 		}
-		if !a.reported(now, rep) {
+		if !a.reported(now, asked, rep) {
 			return
 		}
 		a.awaitRecord()
@@ -79,7 +84,7 @@
 
 // reported gives a report to the plan. It returns false if the incarnation has
 // ended.
-func (a *agent) reported(asked time.Time, rep *platform.Report) bool {
+func (a *agent) reported(asked time.Time, sent time.Duration, rep *platform.Report) bool {
 	t := a.term
 	now := t.owner.clock.Now()
 	t.mu.Lock()
@@ -99,7 +104,7 @@
 	if a.silent {
 		t.owner.logger.Info("executor answers again", zap.String("executor", a.info.ID))
 	}
-	a.silent, a.heard = false, true
+	a.silent, a.heard, a.answered = false, true, sent
 	t.plan.Reported(now, a.info.ID, plan.Report{Asked: asked, Runs: rep.Runs, Ends: a.fresh(rep.Ends), More: len(rep.Ends) >= fullList})
 	notify(t.wake)
 	notify(t.record)
--- a/node/internal/plan/decide.go
+++ b/node/internal/plan/decide.go
@@ -13,7 +13,10 @@
 func (s *State) Decide(now time.Time) Orders {
 	s.sweep(now)
 	s.forgetQuestions(now)
-	waiting := s.waiting(now)
+	var waiting []candidate
+	if !s.paused {
+		waiting = s.waiting(now)
+	}
 	pools := make(map[string]*pool)
 	for _, c := range waiting {
 		service := c.stage.occur.job.queue.Service
@@ -30,6 +33,9 @@
 	return out
 }
 
+// Pause says whether runs may start.
+func (s *State) Pause(paused bool) { s.paused = paused }
+
 // candidate is a stage with tasks to start.
 type candidate struct {
 	stage   *stage
@@ -83,7 +89,11 @@
 // sweep orders stops again that haven't taken effect and forgets jobs that have
 // ended and are recorded.
 func (s *State) sweep(now time.Time) {
-	for _, w := range s.execs {
+	for id, w := range s.execs {
+		if w.info.Service == "" && now.After(s.settle) {
+			s.RemoveExecutor(id) // It never had an entry.
+			continue
+		}
 		for _, r := range w.runs {
 			if r.state == stopping && now.Sub(r.stopped) > stopAgain && !w.silent {
 				s.stopRun(r, now)
--- a/node/internal/plan/job.go
+++ b/node/internal/plan/job.go
@@ -21,7 +21,7 @@
 
 // AddJob takes a job into the plan, with the progress that an earlier owner
 // recorded or nil. It reports whether the job is new here.
-func (s *State) AddJob(spec *model.Job, progress *model.Progress) bool {
+func (s *State) AddJob(now time.Time, spec *model.Job, progress *model.Progress) bool {
 	if s.jobs[spec.ID] != nil || s.ended[spec.ID] {
 		return false
 	}
@@ -30,7 +30,7 @@
 	j.refresh(s.config)
 	if progress != nil {
 		j.phase = progress.Phase // A job that has ended is kept for what may still run of it.
-		j.restore(progress)
+		s.restore(j, progress, now)
 	}
 	s.jobs[spec.ID] = j
 	return true
--- a/node/internal/plan/restore.go
+++ b/node/internal/plan/restore.go
@@ -1,11 +1,16 @@
 package plan
 
-import "github.com/balsamford/balsamford/coord/model"
+import (
+	"time"
+
+	"github.com/balsamford/balsamford/coord/model"
+)
 
 const bitsPerByte = 8
 
-// restore takes over recorded progress.
-func (j *job) restore(p *model.Progress) {
+// restore takes over recorded progress. Recorded runs count until their
+// executors have reported or can't run them any more.
+func (s *State) restore(j *job, p *model.Progress, now time.Time) {
 	for k, po := range p.Occurs {
 		if po.Done {
 			j.finished[k] = true
@@ -17,13 +22,13 @@
 		}
 		for i, ps := range po.Stages {
 			if i >= 0 && i < len(o.stages) {
-				o.stages[i].restore(ps)
+				s.restoreStage(o.stages[i], ps, now)
 			}
 		}
 	}
 }
 
-func (st *stage) restore(p model.Stage) {
+func (s *State) restoreStage(st *stage, p model.Stage, now time.Time) {
 	for i := range st.tasks {
 		if i/bitsPerByte < len(p.Done) && p.Done[i/bitsPerByte]&(1<<(i%bitsPerByte)) != 0 {
 			st.finish(i)
@@ -37,6 +42,15 @@
 			st.tasks[i].fail(n)
 		}
 	}
+	for i, place := range p.Runs {
+		if i < 0 || i >= len(st.tasks) || st.tasks[i].done || st.tasks[i].run != nil {
+			continue
+		}
+		w := s.worker(place.Executor)
+		if r := s.attachRun(st, i, place.Number, w, doubtful, now); !w.known {
+			r.certain = now // The executor takes no order of an earlier owner once it has reported.
+		}
+	}
 }
 
 // Change is a job whose recorded progress is out of date.
@@ -131,6 +145,13 @@
 		if t.done {
 			p.Done[i/bitsPerByte] |= 1 << (i % bitsPerByte)
 		}
+		if t.run != nil && t.run.state != stopping {
+			if p.Runs == nil {
+				p.Runs = make(map[int]model.Place)
+			}
+			p.Runs[i] = model.Place{Executor: t.run.on.info.ID, Number: t.run.number}
+			some = true
+		}
 		if len(t.failed) > 0 {
 			if p.Failed == nil {
 				p.Failed = make(map[int][]int)
--- a/node/internal/plan/run.go
+++ b/node/internal/plan/run.go
@@ -51,6 +51,7 @@
 	}
 	s.count(r)
 	st.attach(i, r)
+	s.changed(st.occur.job)
 	return r
 }
 
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -19,6 +19,7 @@
 	dirty    map[string]*job           // progress or phase not yet recorded
 	ended    map[string]bool           // jobs that have ended and are recorded
 	asking   map[model.StepID]question // questions to the adviser under way
+	paused   bool                      // no run may start
 	turns    int                       // hosts that can ask
 	over     []string                  // jobs that were forgotten and not yet returned by Over
 	orders   Orders                    // collected between and during decisions
--- a/node/internal/plan/worker.go
+++ b/node/internal/plan/worker.go
@@ -32,12 +32,18 @@
 
 // SetExecutor takes an executor's entry into the plan or renews it.
 func (s *State) SetExecutor(info model.Executor) {
-	w := s.execs[info.ID]
+	s.worker(info.ID).info = info
+}
+
+// worker returns an executor, which is made when needed: a recorded run may name
+// one that has no entry.
+func (s *State) worker(id string) *worker {
+	w := s.execs[id]
 	if w == nil {
-		w = &worker{runs: make(map[runKey]*run)}
-		s.execs[info.ID] = w
+		w = &worker{info: model.Executor{ID: id}, runs: make(map[runKey]*run)}
+		s.execs[id] = w
 	}
-	w.info = info
+	return w
 }
 
 // Silent notes that an executor doesn't answer: it gets no new work until its
@@ -80,7 +86,7 @@
 		return false
 	}
 	for _, w := range s.execs {
-		if w.info.Service == service && !w.known {
+		if (w.info.Service == service || w.info.Service == "") && !w.known {
 			return true
 		}
 	}
