Go on with executors whose entries lapsed; refuse at once while the store fails

Cause: entries lapse while the store is away, and their executors got no new work though they answered; submissions at a host that the store doesn't answer were held for seconds; one partition that is away took a share of all jobs. Change: an executor that answers keeps getting work until 2.5 s after others renew their entries again; a host whose feed fails refuses at once; a second partition is tried, and submissions in two partitions are one job.

--- a/node/app.go
+++ b/node/app.go
@@ -90,7 +90,7 @@
 		follow.New(a.store, a.clock, board.Table, board.Parts(), a.board, follow.WithGap(boardGap), follow.WithLogger(logger)),
 	}
 	a.node = link.New(s.Host, private)
-	a.service = front.New(a.clock, a.configs, a.board, a.store, logger, a.registry)
+	a.service = front.New(a.clock, a.configs, a.board, a.store, a.follows[1], logger, a.registry)
 	a.server = httpd.New(a.clock, a.service, httpd.WithLogger(logger), httpd.WithRegistry(a.registry), httpd.WithLoops(1))
 	a.owner = owner.New(owner.Parts{
 		Host: s.Host, Process: a.process, Bounds: s.Bounds, Store: a.store, Clock: a.clock, Board: a.board, Configs: a.configs,
@@ -180,7 +180,7 @@
 
 // register writes the host's row of the board.
 func (a *app) register(ctx context.Context, address string) error {
-	put, err := board.Put(board.Table, board.PartOf(a.settings.Host), board.HostKey(a.settings.Host), board.Host{
+	put, err := board.Put(board.Table, board.PartOf(a.settings.Host, 0), board.HostKey(a.settings.Host), board.Host{
 		Name: a.settings.Host, Zone: a.settings.Zone, Link: address, Process: a.process,
 	})
 	if err != nil {
--- a/node/internal/board/apply.go
+++ b/node/internal/board/apply.go
@@ -1,6 +1,8 @@
 package board
 
 import (
+	"slices"
+
 	"github.com/balsamford/balsamford/coord/model"
 	"github.com/balsamford/balsamford/platform"
 )
@@ -63,11 +65,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.count(id, -1)
-	delete(b.jobs, id)
-	if row.Deleted {
-		return nil
+	parts := slices.DeleteFunc(b.parts[id], func(p string) bool { return p == row.Part })
+	if !row.Deleted {
+		parts = append(parts, row.Part)
+		b.jobs[id] = j
+	}
+	b.parts[id] = parts
+	if len(parts) == 0 {
+		delete(b.parts, id)
+		delete(b.jobs, id)
 	}
-	b.jobs[id] = j
 	b.count(id, 1)
 	return nil
 }
--- a/node/internal/board/board.go
+++ b/node/internal/board/board.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"slices"
 	"sync"
 
 	"go.uber.org/zap"
@@ -33,6 +34,7 @@
 	hosts     map[string]Host
 	jobs      map[string]Accepted
 	phases    map[string]Phase
+	parts     map[string][]string // partitions that have rows of a job
 	cancelled map[string]bool
 	pending   map[string]int // jobs that haven't begun, by queue
 	listener  Listener       // nil for none
@@ -47,6 +49,7 @@
 
 func (b *Board) clear() {
 	b.hosts, b.jobs, b.phases = make(map[string]Host), make(map[string]Accepted), make(map[string]Phase)
+	b.parts = make(map[string][]string)
 	b.cancelled, b.pending = make(map[string]bool), make(map[string]int)
 }
 
@@ -83,6 +86,13 @@
 	return Entry{Accepted: j, Phase: b.phases[id].Phase, Cancelled: b.cancelled[id]}, ok
 }
 
+// PartsOf returns the partitions that have rows of a job.
+func (b *Board) PartsOf(id string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.parts[id])
+}
+
 // Pending returns how many jobs of a queue haven't begun.
 func (b *Board) Pending(queue string) int {
 	b.mu.Lock()
--- a/node/internal/board/parts.go
+++ b/node/internal/board/parts.go
@@ -14,9 +14,16 @@
 // transaction after another, and a slow store takes half a second for each.
 const jobParts = 16
 
-// PartOf returns the partition of what clients write of a job. It depends on the
-// job alone, so that two submissions of it meet.
-func PartOf(id string) string { return partName(int(xxhash.Sum64String(id) % jobParts)) }
+// partStep is how far apart the partitions of two tries are; it has no factor in
+// common with jobParts.
+const partStep = 5
+
+// PartOf returns the partition for what clients write of a job, at the nth try:
+// the next one may work while one is away. Submissions of one job that end up in
+// two partitions are still one job.
+func PartOf(id string, try int) string {
+	return partName(int((xxhash.Sum64String(id) + uint64(try)*partStep) % jobParts))
+}
 
 // JobParts returns the partitions of what clients write.
 func JobParts() []string {
--- a/node/internal/follow/follower.go
+++ b/node/internal/follow/follower.go
@@ -19,6 +19,8 @@
 	// defaultWait is how long the store may wait for a change; it bounds how long
 	// a connection that has gone silent stays unnoticed.
 	defaultWait = time.Second
+	// slowAnswer is how late an answer may come until the store counts as failing.
+	slowAnswer = 600 * time.Millisecond
 	// retryWait is the pause after a failed call.
 	retryWait = 150 * time.Millisecond
 )
@@ -48,8 +50,9 @@
 	gap     time.Duration
 	logger  *zap.Logger
 
-	mu    sync.Mutex // guards fresh
-	fresh time.Time
+	mu      sync.Mutex // guards the fields below
+	fresh   time.Time
+	failing bool // the last call failed
 }
 
 // Option changes how New makes a Follower.
@@ -81,7 +84,21 @@
 func (f *Follower) confirm(at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.fresh = at
+	f.fresh, f.failing = at, false
+}
+
+// Failing reports whether the last call failed or the present one takes too
+// long. It may be called concurrently.
+func (f *Follower) Failing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failing || f.clock.Now().Sub(f.fresh) > f.wait+f.gap+slowAnswer
+}
+
+func (f *Follower) fail() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failing = true
 }
 
 // Run follows until ctx ends. It always returns nil, so that it can be a member
@@ -92,6 +109,7 @@
 		asked := f.clock.Now()
 		next, err := f.step(version, read)
 		if err != nil {
+			f.fail()
 			var history *platform.HistoryError
 			if errors.As(err, &history) {
 				f.logger.Info("reading the table anew", zap.String("table", f.table), zap.Error(err))
--- a/node/internal/front/front.go
+++ b/node/internal/front/front.go
@@ -20,10 +20,6 @@
 
 const (
 	jsonType = "application/json"
-	// answerMargin is left of a client's deadline for the answer's way back.
-	answerMargin = 150 * time.Millisecond
-	// defaultDeadline is for clients that don't say how long they wait.
-	defaultDeadline = 3 * time.Second
 	// retryAfter is what refused clients are told to wait while the store is
 	// away; other hosts may reach it.
 	retryAfter = time.Second
@@ -35,32 +31,36 @@
 	Config() *model.Config
 }
 
+// Health tells whether the store answers.
+type Health interface {
+	// Failing reports whether calls to the store fail at present.
+	Failing() bool
+}
+
 // Service answers clients. It implements httpd.Handler.
 type Service struct {
 	clock   *timer.Service
 	configs Configs
 	board   *board.Board
 	store   Store
+	health  Health
 	writers map[string]*writer // by partition
 	logger  *zap.Logger
 	counts  *counts
 }
 
 // New returns a Service. Run has to run for submissions to be stored.
-func New(clock *timer.Service, configs Configs, b *board.Board, store Store, logger *zap.Logger, registry metrics.Registry) *Service {
+func New(clock *timer.Service, configs Configs, b *board.Board, store Store, health Health, logger *zap.Logger, registry metrics.Registry) *Service {
 	s := &Service{
-		clock: clock, configs: configs, board: b, store: store, writers: make(map[string]*writer), logger: logger,
+		clock: clock, configs: configs, board: b, store: store, health: health, writers: make(map[string]*writer), logger: logger,
 		counts: newCounts(registry),
 	}
 	for _, part := range board.JobParts() {
-		s.writers[part] = newWriter(store, clock, logger)
+		s.writers[part] = newWriter(store, logger)
 	}
 	return s
 }
 
-// writer returns the writer of a job's rows.
-func (s *Service) writer(id string) *writer { return s.writers[board.PartOf(id)] }
-
 // Run stores what is submitted until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
@@ -76,7 +76,6 @@
 	queue    model.Queue
 	team     string // empty without a key
 	id       string // of a job; empty for the queue itself
-	limit    time.Time
 }
 
 // Serve implements httpd.Handler.
@@ -124,19 +123,7 @@
 		s.answer(x, fasthttp.StatusUnauthorized, "unknown key")
 		return nil, false
 	}
-	return &request{
-		exchange: x, queue: queue, team: team, id: strings.Trim(path[len(queue.Prefix):], "/"),
-		limit: s.clock.Now().Add(s.deadline(req) - answerMargin),
-	}, true
-}
-
-// deadline returns how long the client waits.
-func (s *Service) deadline(req *fasthttp.Request) time.Duration {
-	ms, err := strconv.ParseInt(string(req.Header.Peek(platform.DeadlineHeader)), 10, 64)
-	if err != nil || ms <= 0 {
-		return defaultDeadline
-	}
-	return min(defaultDeadline, time.Duration(ms)*time.Millisecond)
+	return &request{exchange: x, queue: queue, team: team, id: strings.Trim(path[len(queue.Prefix):], "/")}, true
 }
 
 // hostname returns the name in a Host header.
--- a/node/internal/front/query.go
+++ b/node/internal/front/query.go
@@ -20,16 +20,12 @@
 	e, known := s.board.Job(r.id)
 	if !known {
 		// The job may have been accepted elsewhere a moment ago.
-		key := board.AcceptKey(r.id)
-		rows, _, err := s.store.Read(board.Table, board.PartOf(r.id), key, key+"\x00")
-		if err != nil {
+		var err error
+		if e.Accepted, known, err = s.find(r.id); err != nil {
 			s.logger.Info("state unknown", zap.String("id", r.id), zap.Error(err))
 			s.unavailable(r.exchange, "the store is away")
 			return e, false
 		}
-		if len(rows) > 0 && board.Decode(rows[0], &e.Accepted) == nil {
-			known = true
-		}
 	}
 	if !known || e.Queue != r.queue.Name {
 		s.answer(r.exchange, fasthttp.StatusGone, "no such job")
@@ -38,6 +34,22 @@
 	return e, true
 }
 
+// find looks for an accepted job in the store.
+func (s *Service) find(id string) (board.Accepted, bool, error) {
+	var a board.Accepted
+	key := board.AcceptKey(id)
+	for try := range maxTries {
+		rows, _, err := s.store.Read(board.Table, board.PartOf(id, try), key, key+"\x00")
+		if err != nil {
+			return a, false, err
+		}
+		if len(rows) > 0 {
+			return a, true, board.Decode(rows[0], &a)
+		}
+	}
+	return a, false, nil
+}
+
 // state tells how far a job has come.
 func (s *Service) state(r *request) {
 	e, ok := s.lookup(r)
@@ -61,14 +73,5 @@
 		s.accepted(r)
 		return
 	}
-	put, err := board.Put(board.Table, board.PartOf(r.id), board.CancelKey(r.id), r.team)
-	if err != nil {
-		s.answer(r.exchange, fasthttp.StatusBadRequest, "not a job")
-		return
-	}
-	if err := s.writer(r.id).create(r.limit, put); err != nil {
-		s.failed(r, err)
-		return
-	}
-	s.accepted(r)
+	s.keep(r, row{table: board.Table, key: board.CancelKey(r.id), value: r.team})
 }
--- a/node/internal/front/submit.go
+++ b/node/internal/front/submit.go
@@ -23,23 +23,54 @@
 		return
 	}
 	job.ID, job.Queue, job.Team, job.Sent = r.id, r.queue.Name, r.team, s.clock.Now()
-	part := board.PartOf(r.id)
-	row, err := board.Put(board.Table, part, board.AcceptKey(r.id), board.Accepted{Queue: job.Queue, Team: job.Team})
-	if err != nil {
-		s.answer(r.exchange, fasthttp.StatusBadRequest, "not a job")
+	s.keep(r, row{table: board.Table, key: board.AcceptKey(r.id), value: board.Accepted{Queue: job.Queue, Team: job.Team}},
+		row{table: board.Jobs, key: r.id, value: job})
+}
+
+// row is a row to be written to some partition.
+type row struct {
+	table string
+	key   string
+	value any
+}
+
+// maxTries is how many partitions are tried until a client is refused.
+const maxTries = 2
+
+// keep has rows stored, the first of which tells whether they are there already,
+// and answers the client.
+func (s *Service) keep(r *request, rows ...row) {
+	if s.health.Failing() {
+		s.logger.Info("refused", zap.String("id", r.id), zap.String("reason", "the store doesn't answer"))
+		s.unavailable(r.exchange, "the store is away")
 		return
 	}
-	definition, err := board.Put(board.Jobs, part, r.id, job)
-	if err != nil {
-		s.answer(r.exchange, fasthttp.StatusBadRequest, "not a job")
-		return
+	var last, lost error
+	for try := range maxTries {
+		part := board.PartOf(r.id, try)
+		puts := make([]platform.Put, 0, len(rows))
+		for _, row := range rows {
+			put, err := board.Put(row.table, part, row.key, row.value)
+			if err != nil {
+				s.answer(r.exchange, fasthttp.StatusBadRequest, "not a job")
+				return
+			}
+			puts = append(puts, put)
+		}
+		last = s.writers[part].create(puts...)
+		if last == nil {
+			s.accepted(r)
+			return
+		}
+		var unknown *UnknownError
+		if errors.As(last, &unknown) {
+			lost = last
+		}
 	}
-	if err := s.writer(r.id).create(r.limit, row, definition); err != nil {
-		s.failed(r, err)
-		return
+	if lost != nil { // One write may still be done, whatever became of the others.
+		last = lost
 	}
-	s.logger.Debug("job accepted", zap.String("id", r.id), zap.String("queue", job.Queue), zap.String("team", job.Team))
-	s.accepted(r)
+	s.failed(r, last)
 }
 
 // accepted says that a job or a cancellation is stored.
--- a/node/internal/front/writer.go
+++ b/node/internal/front/writer.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"go.uber.org/zap"
 
-	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/platform"
 )
 
@@ -18,8 +16,6 @@
 	itemsPerWrite = platform.MaxEntries / entriesEach
 	// itemsQueued bounds the items that wait for a write.
 	itemsQueued = 1024
-	// retryPause separates the attempts of an item whose outcome isn't known.
-	retryPause = 100 * time.Millisecond
 )
 
 // Store is what the package needs of the platform's store.
@@ -32,8 +28,6 @@
 type item struct {
 	condition platform.Condition
 	puts      []platform.Put
-	limit     time.Time // when its client stops waiting
-	lost      bool      // an earlier attempt got no answer
 	done      chan error
 }
 
@@ -41,21 +35,20 @@
 // one at a time, so that more clients make larger writes and not more of them.
 type writer struct {
 	store  Store
-	clock  *timer.Service
 	logger *zap.Logger
 	items  chan *item
 }
 
-func newWriter(store Store, clock *timer.Service, logger *zap.Logger) *writer {
-	return &writer{store: store, clock: clock, logger: logger, items: make(chan *item, itemsQueued)}
+func newWriter(store Store, logger *zap.Logger) *writer {
+	return &writer{store: store, logger: logger, items: make(chan *item, itemsQueued)}
 }
 
 // create has puts written unless the first of them is there already, which is
 // success too. A *platform.RefusedError or *platform.DialError means that they
 // never will be, an *UnknownError that it isn't known.
-func (w *writer) create(limit time.Time, puts ...platform.Put) error {
+func (w *writer) create(puts ...platform.Put) error {
 	first := puts[0]
-	it := &item{condition: platform.Condition{Table: first.Table, Part: first.Part, Key: first.Key}, puts: puts, limit: limit, done: make(chan error, 1)}
+	it := &item{condition: platform.Condition{Table: first.Table, Part: first.Part, Key: first.Key}, puts: puts, done: make(chan error, 1)}
 	select {
 	case w.items <- it:
 	default:
@@ -77,7 +70,7 @@
 			}
 		}
 		batch = w.fill(batch)
-		batch = w.write(ctx, batch)
+		batch = w.write(batch)
 	}
 }
 
@@ -95,7 +88,7 @@
 }
 
 // write does one transaction and returns the items that have to go into another.
-func (w *writer) write(ctx context.Context, batch []*item) []*item {
+func (w *writer) write(batch []*item) []*item {
 	tx := platform.Write{}
 	for _, it := range batch {
 		tx.Conditions = append(tx.Conditions, it.condition)
@@ -115,11 +108,12 @@
 	w.logger.Info("write failed", zap.Int("items", len(batch)), zap.Error(err))
 	var lost *platform.LostError
 	if errors.As(err, &lost) {
-		for _, it := range batch {
-			it.lost = true
-		}
+		err = &UnknownError{Err: err}
+	}
+	for _, it := range batch {
+		it.done <- err
 	}
-	return w.again(ctx, batch, err)
+	return nil
 }
 
 // settle answers the items whose rows are there already.
@@ -140,24 +134,3 @@
 	}
 	return rest
 }
-
-// again keeps the items whose outcome isn't known and whose clients still wait;
-// the others are answered.
-func (w *writer) again(ctx context.Context, batch []*item, err error) []*item {
-	now := w.clock.Now()
-	rest := batch[:0]
-	for _, it := range batch {
-		switch {
-		case !it.lost:
-			it.done <- err
-		case now.After(it.limit):
-			it.done <- &UnknownError{Err: err}
-		default:
-			rest = append(rest, it)
-		}
-	}
-	if len(rest) > 0 {
-		_ = w.clock.Sleep(ctx, retryPause)
-	}
-	return rest
-}
--- a/node/internal/owner/agent.go
+++ b/node/internal/owner/agent.go
@@ -15,6 +15,9 @@
 	ordersQueued = 1024
 	// orderTimeout bounds one order: a round trip takes some milliseconds.
 	orderTimeout = 500 * time.Millisecond
+	// relistTime is how long after a return of the store the entries that lapsed
+	// meanwhile may take to come back.
+	relistTime = 2500 * time.Millisecond
 )
 
 // agent deals with one incarnation of an executor: it keeps its lease, takes
@@ -32,6 +35,8 @@
 	born     time.Time
 	lease    lease
 	listed   bool          // it has an entry
+	missed   time.Time     // since when it has none
+	retired  bool          // it gets no new work for that
 	silent   bool          // it didn't answer the last call
 	heard    bool          // it has reported
 	answered time.Duration // when the last question was sent that it answered, on the clock that includes suspensions
@@ -67,21 +72,37 @@
 	old := a.info
 	a.info = info
 	changed := !a.listed || old.Draining != info.Draining || old.Room != info.Room || old.Service != info.Service
-	a.listed = true
+	a.listed, a.retired = true, false
 	return changed
 }
 
-// unlisted notes that the executor has no entry: it gets no new work. The
-// term's mu is held.
+// unlisted notes that the executor has no entry. The term's mu is held.
 func (a *agent) unlisted() {
-	if !a.listed {
+	if a.listed {
+		a.listed, a.missed = false, a.term.owner.clock.Now()
+		a.term.owner.logger.Info("executor isn't listed any more", zap.String("executor", a.info.ID), zap.Bool("silent", a.silent))
+	}
+}
+
+// retire gives no new work to an executor that has lost its entry, unless it
+// answers and the entry may have lapsed because the store was away. The term's
+// mu is held.
+func (a *agent) retire(now time.Time) {
+	if a.listed || a.retired {
+		return
+	}
+	since := a.missed
+	if a.term.steady.After(since) {
+		since = a.term.steady
+	}
+	if !a.silent && !a.info.Draining && now.Sub(since) < relistTime {
 		return
 	}
-	a.listed = false
+	a.retired = true
 	info := a.info
 	info.Draining = true
 	a.term.plan.SetExecutor(info)
-	a.term.owner.logger.Info("executor isn't listed any more", zap.String("executor", info.ID))
+	a.term.owner.logger.Info("executor gets no new work", zap.String("executor", a.info.ID), zap.Duration("unlisted", now.Sub(a.missed)))
 }
 
 // give hands an order to the agent. The term's mu is held.
--- a/node/internal/owner/clean.go
+++ b/node/internal/owner/clean.go
@@ -39,24 +39,27 @@
 		w.Deletes = append(w.Deletes, platform.Key{Table: board.Table, Part: board.Main, Key: board.PhaseKey(id)})
 	}
 	if len(accepted) > 0 { // Their phases go once these rows are seen to be gone.
-		t.group.Go(func() error { t.drop(accepted, board.Table, board.AcceptKey, board.CancelKey); return nil })
+		t.group.Go(func() error { t.drop(accepted, true); return nil })
 	}
 	return over, rest
 }
 
-func plainKey(id string) string { return id }
-
-// drop deletes rows of jobs that clients wrote. It needs no proof of ownership,
-// since the jobs have ended.
-func (t *term) drop(ids []string, table string, keys ...func(id string) string) {
+// drop deletes what clients submitted of jobs that have ended, and if all is set
+// also that they were accepted and cancelled. It needs no proof of ownership.
+func (t *term) drop(ids []string, all bool) {
 	writes := make(map[string]*platform.Write)
 	for _, id := range ids {
-		part := board.PartOf(id)
-		if writes[part] == nil {
-			writes[part] = &platform.Write{}
-		}
-		for _, key := range keys {
-			writes[part].Deletes = append(writes[part].Deletes, platform.Key{Table: table, Part: part, Key: key(id)})
+		for _, part := range t.owner.board.PartsOf(id) {
+			if writes[part] == nil {
+				writes[part] = &platform.Write{}
+			}
+			w := writes[part]
+			w.Deletes = append(w.Deletes, platform.Key{Table: board.Jobs, Part: part, Key: id})
+			if all {
+				w.Deletes = append(w.Deletes,
+					platform.Key{Table: board.Table, Part: part, Key: board.AcceptKey(id)},
+					platform.Key{Table: board.Table, Part: part, Key: board.CancelKey(id)})
+			}
 		}
 	}
 	for part, w := range writes {
--- a/node/internal/owner/serverrows.go
+++ b/node/internal/owner/serverrows.go
@@ -1,11 +1,17 @@
 package owner
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"github.com/balsamford/balsamford/platform"
 )
 
+// entryGap is how long none of the executors may renew its entry until the store
+// counts as having been away.
+const entryGap = 1200 * time.Millisecond
+
 // serverRows gives executors' entries to the plan.
 type serverRows struct{ term *term }
 
@@ -39,6 +45,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	a := t.agents[row.Key]
+	now := t.owner.clock.Now()
+	if now.Sub(t.beat) > entryGap {
+		t.steady = now
+	}
+	t.beat = now
 	if row.Deleted {
 		if a != nil {
 			a.unlisted()
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -54,6 +54,8 @@
 	plan      *plan.State
 	agents    map[string]*agent
 	config    *model.Config
+	steady    time.Time     // since when executors write their entries without a gap
+	beat      time.Time     // last change of an entry
 	told      time.Time     // when long waits were last logged
 	paused    bool          // no run may start
 	confirmed time.Duration // when ownership was last known to hold, on the clock that includes suspensions
@@ -198,6 +200,9 @@
 	if now.Sub(t.told) > waitsPeriod {
 		t.told = now
 		waits = t.plan.Waits(now)
+		for _, a := range t.agents {
+			a.retire(now)
+		}
 	}
 	for _, s := range orders.Starts {
 		if a := t.agents[s.Executor]; a != nil {
