Probe an owner that writes nothing, so that another host takes over sooner

Cause: 1.9 s without starts after the owner lost the store or its zone was cut. Change: after 0.65 s without a write a host reads the row and asks the owner, which gives up if the store hasn't confirmed it for 0.5 s; one that doesn't answer is succeeded after 1 s. Executors are asked each second.

--- a/node/app.go
+++ b/node/app.go
@@ -98,6 +98,7 @@
 		Connect:  func(id, address string) owner.Executor { return platform.NewExecutor(id, address) },
 		Logger:   logger, Registry: a.registry,
 	})
+	a.owner.Mount(a.node)
 	a.page = meter.New(a.registry, a.unready, meter.WithPage(platform.ReadyPath, a.ready))
 	return a, nil
 }
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -9,15 +9,18 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/balsamford/balsamford/coord/link"
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/node/internal/board"
 	"github.com/balsamford/balsamford/platform"
 )
 
 const (
-	// deadAfter is how long an owner may be seen to write nothing until another
-	// host takes over: three of its heartbeats and some delay of the store.
-	deadAfter = 1800 * time.Millisecond
+	// deadAfter is how long an owner that doesn't answer may be seen to write
+	// nothing until another host takes over. It has to be more than mandateTime.
+	deadAfter = time.Second
+	// stuckAfter is the same for an owner that says that it is one.
+	stuckAfter = 2 * time.Second
 	// rankDelay separates the hosts that would take over.
 	rankDelay = 150 * time.Millisecond
 	// checkPeriod is how often it is looked whether to take over.
@@ -43,7 +46,10 @@
 	stopping atomic.Bool
 	owning   atomic.Bool
 
+	node *link.Node // nil before Mount
+
 	mu      sync.Mutex // guards the fields below
+	term    *term      // the present one, nil if this host doesn't own the cell
 	seen    time.Time  // when the owner's row was last seen to change
 	version int64      // of the row then
 }
@@ -107,16 +113,26 @@
 	if version != o.version || o.seen.IsZero() {
 		o.version, o.seen = version, now
 	}
-	silent := now.Sub(o.seen)
+	quiet := now.Sub(o.seen)
 	o.mu.Unlock()
 	if row.Host == o.host && row.Process != o.process {
 		return row, version, true // An earlier process of this host.
 	}
 	delay := time.Duration(o.rank(row.Epoch)) * rankDelay
 	if version == 0 || row.Resigned {
-		return row, version, silent >= delay
+		return row, version, quiet >= delay
+	}
+	if quiet < probeAfter+delay {
+		return row, version, false
+	}
+	switch o.examine(row, version) {
+	case yielding:
+		return row, version, true
+	case silent:
+		return row, version, quiet >= deadAfter+delay
+	case alive:
 	}
-	return row, version, silent >= deadAfter+delay
+	return row, version, quiet >= stuckAfter+delay
 }
 
 // ownerRow is the condition that the owner's row has a version.
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -15,7 +15,7 @@
 const (
 	// beatPeriod is how often the owner writes at least, which shows that it
 	// lives.
-	beatPeriod = 400 * time.Millisecond
+	beatPeriod = 300 * time.Millisecond
 	// recordGap is the least time between two writes, so that changes that come
 	// together share one.
 	recordGap = 20 * time.Millisecond
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -77,6 +77,8 @@
 	t.ctx = gctx
 	rec := &recorder{term: t, row: claim, version: version}
 	o.board.Listen(t)
+	o.setTerm(t)
+	defer o.setTerm(nil)
 	g.Go(func() error {
 		jobs, err := t.load(gctx)
 		if err != nil {
@@ -92,12 +94,19 @@
 	t.close()
 	cause := context.Cause(ctx)
 	var lost *LostError
-	if ctx.Err() != nil && !errors.As(cause, &lost) && !errors.As(err, &lost) {
+	var yield *YieldError
+	if ctx.Err() != nil && !errors.As(cause, &lost) && !errors.As(cause, &yield) && !errors.As(err, &lost) {
 		rec.resign()
 	}
 	o.logger.Info("ownership ended", zap.Int64("epoch", t.epoch), zap.NamedError("cause", cause), zap.Error(err))
 }
 
+func (o *Owner) setTerm(t *term) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.term = t
+}
+
 // settleTime returns how long runs that an earlier owner started may go on at
 // executors that don't answer.
 func (t *term) settleTime(before board.Owner) time.Duration {
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -14,7 +14,7 @@
 const (
 	// watchWait is how long an executor may wait for a run to end before it
 	// answers; leases are extended as often.
-	watchWait = 1500 * time.Millisecond
+	watchWait = time.Second
 	// doubtedWait takes the place of watchWait while ownership isn't confirmed.
 	doubtedWait = 300 * time.Millisecond
 	// watchPause follows a call that failed.
