Keep what was submitted on the board, so that a successor has it

Change: the accepted row carries the job; all hosts follow it, and a successor starts once its board shows its own first write.

--- a/node/app.go
+++ b/node/app.go
@@ -34,8 +34,6 @@
 	storeTimeout = 1500 * time.Millisecond
 	// configGap is the least time between two looks for a new configuration.
 	configGap = 200 * time.Millisecond
-	// boardGap is the least time between two looks for changes of the board.
-	boardGap = 150 * time.Millisecond
 	// staleAfter is how old the board and the configuration may be until the host
 	// is no longer ready: two long polls that failed.
 	staleAfter = 4 * time.Second
@@ -87,13 +85,13 @@
 	a.board = board.New(logger)
 	a.follows = []*follow.Follower{
 		follow.New(a.store, a.clock, platform.ConfigTable, []string{""}, a.configs, follow.WithGap(configGap), follow.WithLogger(logger)),
-		follow.New(a.store, a.clock, board.Table, board.Parts(), a.board, follow.WithGap(boardGap), follow.WithLogger(logger)),
+		follow.New(a.store, a.clock, board.Table, board.Parts(), a.board, follow.WithGap(owner.FollowGap), follow.WithLogger(logger)),
 	}
 	a.node = link.New(s.Host, private)
 	a.service = front.New(a.clock, a.configs, a.board, a.store, a.follows[1], logger, a.registry)
 	a.server = httpd.New(a.clock, a.service, httpd.WithLogger(logger), httpd.WithRegistry(a.registry), httpd.WithLoops(1))
 	a.owner = owner.New(owner.Parts{
-		Host: s.Host, Process: a.process, Bounds: s.Bounds, Store: a.store, Clock: a.clock, Board: a.board, Configs: a.configs,
+		Host: s.Host, Process: a.process, Bounds: s.Bounds, Store: a.store, Clock: a.clock, Board: a.board, Pacer: a.follows[1], Configs: a.configs,
 		Advisers: peers.New(s.Host, a.node, platform.NewAdviser(s.Adviser), a.clock, a.board),
 		Connect:  func(id, address string) owner.Executor { return platform.NewExecutor(id, address) },
 		Logger:   logger, Registry: a.registry,
--- a/node/internal/board/apply.go
+++ b/node/internal/board/apply.go
@@ -63,7 +63,6 @@
 		}
 	}
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.count(id, -1)
 	parts := slices.DeleteFunc(b.parts[id], func(p string) bool { return p == row.Part })
 	if !row.Deleted {
@@ -76,6 +75,11 @@
 		delete(b.jobs, id)
 	}
 	b.count(id, 1)
+	l := b.listener
+	b.mu.Unlock()
+	if l != nil && j.Job != nil {
+		l.JobAccepted(j.Job)
+	}
 	return nil
 }
 
--- a/node/internal/board/board.go
+++ b/node/internal/board/board.go
@@ -20,6 +20,7 @@
 // Listener hears of changes that concern the owner. The calls must not block.
 type Listener interface {
 	OwnerChanged(o Owner, version int64)
+	JobAccepted(j *model.Job)
 	JobCancelled(id string)
 }
 
@@ -53,11 +54,21 @@
 	b.cancelled, b.pending = make(map[string]bool), make(map[string]int)
 }
 
-// Listen sets who hears of changes; nil is nobody.
-func (b *Board) Listen(l Listener) {
+// Listen sets who hears of changes from now on, nil for nobody, and returns the
+// jobs that there are and which of them are cancelled.
+func (b *Board) Listen(l Listener) (jobs []*model.Job, cancelled []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.listener = l
+	for _, a := range b.jobs {
+		if a.Job != nil {
+			jobs = append(jobs, a.Job)
+		}
+	}
+	for id := range b.cancelled {
+		cancelled = append(cancelled, id)
+	}
+	return jobs, cancelled
 }
 
 // Owner returns the cell's owner and the version of its row, 0 if there is none.
@@ -121,19 +132,6 @@
 	return accepted, rest
 }
 
-// Cancelled returns the jobs that were cancelled and haven't ended.
-func (b *Board) Cancelled() []string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	out := make([]string, 0, len(b.cancelled))
-	for id := range b.cancelled {
-		if !b.phases[id].Phase.Final() {
-			out = append(out, id)
-		}
-	}
-	return out
-}
-
 // Reset implements follow.Handler.
 func (b *Board) Reset(rows []platform.Row) {
 	b.mu.Lock()
--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -11,8 +11,7 @@
 
 // Tables of a cell.
 const (
-	Table    = "board"    // owner, hosts, and of each job whether it is accepted, its phase and its cancellation
-	Jobs     = "jobs"     // what was submitted, by job
+	Table    = "board"    // owner, hosts, accepted jobs with their phases and cancellations
 	Progress = "progress" // recorded progress, by job
 )
 
@@ -58,10 +57,11 @@
 	Process string `cbor:"4,keyasint"`
 }
 
-// Accepted says whose a job is.
+// Accepted is a job that has been accepted.
 type Accepted struct {
-	Queue string `cbor:"1,keyasint"`
-	Team  string `cbor:"2,keyasint,omitempty"`
+	Queue string     `cbor:"1,keyasint"`
+	Team  string     `cbor:"2,keyasint,omitempty"`
+	Job   *model.Job `cbor:"3,keyasint,omitempty"` // nil once nothing runs of it any more
 }
 
 // Phase is how far a job has come; without the row it is queued.
--- a/node/internal/follow/follower.go
+++ b/node/internal/follow/follower.go
@@ -47,10 +47,10 @@
 	parts   []string
 	handler Handler
 	wait    time.Duration
-	gap     time.Duration
 	logger  *zap.Logger
 
 	mu      sync.Mutex // guards the fields below
+	gap     time.Duration
 	fresh   time.Time
 	failing bool // the last call failed
 }
@@ -81,6 +81,20 @@
 	return f.fresh
 }
 
+// SetGap sets the least time between two calls. It may be called concurrently.
+func (f *Follower) SetGap(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gap = d
+}
+
+// rest returns how long to wait after a call that was sent at asked.
+func (f *Follower) rest(asked time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gap - f.clock.Now().Sub(asked)
+}
+
 func (f *Follower) confirm(at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -129,7 +143,7 @@
 		}
 		version, read = max(version, next), true
 		f.confirm(asked)
-		if rest := f.gap - f.clock.Now().Sub(asked); rest > 0 {
+		if rest := f.rest(asked); rest > 0 {
 			_ = f.clock.Sleep(ctx, rest)
 		}
 	}
--- a/node/internal/front/query.go
+++ b/node/internal/front/query.go
@@ -73,5 +73,5 @@
 		s.accepted(r)
 		return
 	}
-	s.keep(r, row{table: board.Table, key: board.CancelKey(r.id), value: r.team})
+	s.keep(r, board.CancelKey(r.id), r.team)
 }
--- a/node/internal/front/submit.go
+++ b/node/internal/front/submit.go
@@ -23,23 +23,15 @@
 		return
 	}
 	job.ID, job.Queue, job.Team, job.Sent = r.id, r.queue.Name, r.team, s.clock.Now()
-	s.keep(r, row{table: board.Table, key: board.AcceptKey(r.id), value: board.Accepted{Queue: job.Queue, Team: job.Team}},
-		row{table: board.Jobs, key: r.id, value: job})
-}
-
-// row is a row to be written to some partition.
-type row struct {
-	table string
-	key   string
-	value any
+	s.keep(r, board.AcceptKey(r.id), board.Accepted{Queue: job.Queue, Team: job.Team, Job: job})
 }
 
 // maxTries is how many partitions are tried until a client is refused.
 const maxTries = 2
 
-// keep has rows stored, the first of which tells whether they are there already,
-// and answers the client.
-func (s *Service) keep(r *request, rows ...row) {
+// keep has a row of the board stored, unless it is there already, and answers
+// the client.
+func (s *Service) keep(r *request, key string, value any) {
 	if s.health.Failing() {
 		s.logger.Info("refused", zap.String("id", r.id), zap.String("reason", "the store doesn't answer"))
 		s.unavailable(r.exchange, "the store is away")
@@ -48,16 +40,12 @@
 	var last, lost error
 	for try := range maxTries {
 		part := board.PartOf(r.id, try)
-		puts := make([]platform.Put, 0, len(rows))
-		for _, row := range rows {
-			put, err := board.Put(row.table, part, row.key, row.value)
-			if err != nil {
-				s.answer(r.exchange, fasthttp.StatusBadRequest, "not a job")
-				return
-			}
-			puts = append(puts, put)
+		put, err := board.Put(board.Table, part, key, value)
+		if err != nil {
+			s.answer(r.exchange, fasthttp.StatusBadRequest, "not a job")
+			return
 		}
-		last = s.writers[part].create(puts...)
+		last = s.writers[part].create(put)
 		if last == nil {
 			s.accepted(r)
 			return
--- a/node/internal/front/writer.go
+++ b/node/internal/front/writer.go
@@ -11,7 +11,7 @@
 
 const (
 	// entriesEach is how many entries of a write one item takes at most.
-	entriesEach = 3
+	entriesEach = 2
 	// itemsPerWrite keeps a write under the store's limit of entries.
 	itemsPerWrite = platform.MaxEntries / entriesEach
 	// itemsQueued bounds the items that wait for a write.
@@ -24,11 +24,10 @@
 	Read(table, part, from, to string) ([]platform.Row, int64, error)
 }
 
-// item is a row to be created together with others, unless it is there.
+// item is a row to be created unless it is there.
 type item struct {
-	condition platform.Condition
-	puts      []platform.Put
-	done      chan error
+	put  platform.Put
+	done chan error
 }
 
 // writer creates rows of one partition in transactions that carry the items of several clients,
@@ -43,12 +42,11 @@
 	return &writer{store: store, logger: logger, items: make(chan *item, itemsQueued)}
 }
 
-// create has puts written unless the first of them is there already, which is
-// success too. A *platform.RefusedError or *platform.DialError means that they
-// never will be, an *UnknownError that it isn't known.
-func (w *writer) create(puts ...platform.Put) error {
-	first := puts[0]
-	it := &item{condition: platform.Condition{Table: first.Table, Part: first.Part, Key: first.Key}, puts: puts, done: make(chan error, 1)}
+// create has a row written unless it is there already, which is success too. A
+// *platform.RefusedError or *platform.DialError means that it never will be, an
+// *UnknownError that it isn't known.
+func (w *writer) create(put platform.Put) error {
+	it := &item{put: put, done: make(chan error, 1)}
 	select {
 	case w.items <- it:
 	default:
@@ -91,8 +89,8 @@
 func (w *writer) write(batch []*item) []*item {
 	tx := platform.Write{}
 	for _, it := range batch {
-		tx.Conditions = append(tx.Conditions, it.condition)
-		tx.Puts = append(tx.Puts, it.puts...)
+		tx.Conditions = append(tx.Conditions, platform.Condition{Table: it.put.Table, Part: it.put.Part, Key: it.put.Key})
+		tx.Puts = append(tx.Puts, it.put)
 	}
 	_, err := w.store.Write(&tx)
 	if err == nil {
@@ -126,7 +124,7 @@
 	}
 	rest := batch[:0]
 	for _, it := range batch {
-		if there[it.condition.Key] {
+		if there[it.put.Key] {
 			it.done <- nil
 			continue
 		}
--- a/node/internal/owner/clean.go
+++ b/node/internal/owner/clean.go
@@ -39,32 +39,49 @@
 		w.Deletes = append(w.Deletes, platform.Key{Table: board.Table, Part: board.Main, Key: board.PhaseKey(id)})
 	}
 	if len(accepted) > 0 { // Their phases go once these rows are seen to be gone.
-		t.group.Go(func() error { t.drop(accepted, true); return nil })
+		t.group.Go(func() error { t.drop(accepted); return nil })
 	}
 	return over, rest
 }
 
-// drop deletes what clients submitted of jobs that have ended, and if all is set
-// also that they were accepted and cancelled. It needs no proof of ownership.
-func (t *term) drop(ids []string, all bool) {
+// drop deletes that jobs were accepted and cancelled, which have ended long ago.
+// It needs no proof of ownership.
+func (t *term) drop(ids []string) {
+	t.tidy(ids, func(w *platform.Write, part, id string) {
+		w.Deletes = append(w.Deletes,
+			platform.Key{Table: board.Table, Part: part, Key: board.AcceptKey(id)},
+			platform.Key{Table: board.Table, Part: part, Key: board.CancelKey(id)})
+	})
+}
+
+// trim deletes what was submitted of jobs of which nothing runs any more.
+func (t *term) trim(ids []string) {
+	t.tidy(ids, func(w *platform.Write, part, id string) {
+		e, ok := t.owner.board.Job(id)
+		put, err := board.Put(board.Table, part, board.AcceptKey(id), board.Accepted{Queue: e.Queue, Team: e.Team})
+		if ok && err == nil {
+			w.Puts = append(w.Puts, put)
+		}
+	})
+}
+
+// tidy writes to all partitions that have rows of jobs.
+func (t *term) tidy(ids []string, add func(w *platform.Write, part, id string)) {
 	writes := make(map[string]*platform.Write)
 	for _, id := range ids {
 		for _, part := range t.owner.board.PartsOf(id) {
 			if writes[part] == nil {
 				writes[part] = &platform.Write{}
 			}
-			w := writes[part]
-			w.Deletes = append(w.Deletes, platform.Key{Table: board.Jobs, Part: part, Key: id})
-			if all {
-				w.Deletes = append(w.Deletes,
-					platform.Key{Table: board.Table, Part: part, Key: board.AcceptKey(id)},
-					platform.Key{Table: board.Table, Part: part, Key: board.CancelKey(id)})
-			}
+			add(writes[part], part, id)
 		}
 	}
 	for part, w := range writes {
+		if w.Size() == 0 {
+			continue
+		}
 		if _, err := t.owner.store.Write(w); err != nil {
-			t.owner.logger.Info("rows of ended jobs not deleted", zap.String("part", part), zap.Int("rows", len(w.Deletes)), zap.Error(err))
+			t.owner.logger.Info("rows of ended jobs not deleted", zap.String("part", part), zap.Int("rows", w.Size()), zap.Error(err))
 		}
 	}
 }
--- a/node/internal/owner/deps.go
+++ b/node/internal/owner/deps.go
@@ -14,6 +14,11 @@
 	Write(w *platform.Write) (int64, error)
 }
 
+// Pacer sets how often the board is brought up to date.
+type Pacer interface {
+	SetGap(d time.Duration)
+}
+
 // Configs tells the configuration in force.
 type Configs interface {
 	// Config returns the newest configuration, nil if there is none yet.
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -37,6 +37,7 @@
 	store    Store
 	clock    *timer.Service
 	board    *board.Board
+	pacer    Pacer
 	configs  Configs
 	advisers Advisers
 	connect  func(id, address string) Executor
@@ -62,6 +63,7 @@
 	Store    Store
 	Clock    *timer.Service
 	Board    *board.Board
+	Pacer    Pacer // of the board
 	Configs  Configs
 	Advisers Advisers
 	Connect  func(id, address string) Executor
@@ -72,7 +74,7 @@
 // New returns an Owner that owns nothing yet.
 func New(p Parts) *Owner {
 	return &Owner{
-		host: p.Host, process: p.Process, bounds: p.Bounds, store: p.Store, clock: p.Clock, board: p.Board, configs: p.Configs,
+		host: p.Host, process: p.Process, bounds: p.Bounds, store: p.Store, clock: p.Clock, board: p.Board, pacer: p.Pacer, configs: p.Configs,
 		advisers: p.Advisers, connect: p.Connect, logger: p.Logger, registry: p.Registry,
 	}
 }
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -132,7 +132,7 @@
 	r.row, r.version = next, version
 	t := r.term
 	if len(over) > 0 {
-		t.group.Go(func() error { t.drop(over, false); return nil })
+		t.group.Go(func() error { t.trim(over); return nil })
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -26,8 +26,13 @@
 	waitsPeriod = time.Second
 	// serversGap is the least time between two looks for executors' changes.
 	serversGap = 300 * time.Millisecond
-	// jobsGap is the least time between two looks for new jobs.
-	jobsGap = 25 * time.Millisecond
+	// FollowGap is the least time between two looks for changes of the board of a
+	// host that doesn't own the cell.
+	FollowGap = 150 * time.Millisecond
+	// ownerGap is the least time between two looks for new jobs.
+	ownerGap = 25 * time.Millisecond
+	// boardPoll is how often a new owner looks whether its board is up to date.
+	boardPoll = 5 * time.Millisecond
 	// runsPerEpoch keeps the numbers of this owner's runs above those of runs of
 	// earlier owners that it hasn't heard of.
 	runsPerEpoch = 64
@@ -48,7 +53,6 @@
 	end     context.CancelCauseFunc
 	ctx     context.Context // of all that the term has started
 	group   *errgroup.Group
-	loaded  sync.Once // the jobs of earlier owners are in the plan
 
 	mu        sync.Mutex // guards the fields below
 	plan      *plan.State
@@ -76,21 +80,19 @@
 	t.plan = plan.New(t.config, plan.WithFar(o.bounds.Far), plan.WithStopTime(o.bounds.Stop+stopSlack), plan.WithBase(int(claim.Epoch-1)*runsPerEpoch), plan.WithSettle(now.Add(t.settled)))
 	t.ctx = gctx
 	rec := &recorder{term: t, row: claim, version: version}
-	o.board.Listen(t)
 	o.setTerm(t)
 	defer o.setTerm(nil)
 	g.Go(func() error {
-		jobs, err := t.load(gctx)
-		if err != nil {
+		if err := t.load(gctx, version); err != nil {
 			return err
 		}
-		g.Go(func() error { return jobs.Run(gctx) })
-		g.Go(func() error { return t.decide(gctx) })
-		return nil
+		return t.decide(gctx)
 	})
 	g.Go(func() error { return rec.run(gctx) })
+	o.pacer.SetGap(ownerGap)
 	err := g.Wait()
 	o.board.Listen(nil)
+	o.pacer.SetGap(FollowGap)
 	t.close()
 	cause := context.Cause(ctx)
 	var lost *LostError
@@ -119,21 +121,45 @@
 	return t.owner.bounds.Lease + unconfirmedTime + settleMargin
 }
 
-// load reads what earlier owners recorded and returns a follower of the jobs.
-func (t *term) load(ctx context.Context) (*follow.Follower, error) {
+// load takes over what earlier owners recorded and begins to deal with executors.
+// The board has to show the term's first write, so that it shows all jobs that
+// were accepted before: runs of unknown jobs are stopped.
+func (t *term) load(ctx context.Context, version int64) error {
 	o := t.owner
+	var records map[string]*model.Progress
 	for {
-		records, err := t.readRecords()
-		if err == nil {
-			jobs := &jobRows{term: t, records: records}
-			return follow.New(o.store, o.clock, board.Jobs, board.JobParts(), jobs, follow.WithGap(jobsGap), follow.WithLogger(o.logger)), nil
+		_, seen := o.board.Owner()
+		if seen >= version {
+			var err error
+			if records, err = t.readRecords(); err == nil {
+				break
+			}
+			o.logger.Warn("records can't be read", zap.Int64("epoch", t.epoch), zap.Error(err))
+			_ = o.clock.Sleep(ctx, loadPause)
 		}
-		o.logger.Warn("records can't be read", zap.Int64("epoch", t.epoch), zap.Error(err))
-		_ = o.clock.Sleep(ctx, loadPause)
+		_ = o.clock.Sleep(ctx, boardPoll)
 		if ctx.Err() != nil {
-			return nil, context.Cause(ctx)
+			return context.Cause(ctx)
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	jobs, cancelled := o.board.Listen(t)
+	now := o.clock.Now()
+	for _, j := range jobs {
+		progress := records[j.ID]
+		if progress == nil {
+			progress = &model.Progress{}
 		}
+		t.plan.AddJob(now, j, progress)
+	}
+	for _, id := range cancelled {
+		t.plan.Cancel(now, id)
 	}
+	o.logger.Info("records read", zap.Int64("epoch", t.epoch), zap.Int("jobs", len(jobs)), zap.Int("records", len(records)), zap.Int("cancelled", len(cancelled)))
+	servers := follow.New(o.store, o.clock, platform.ExecutorTable, []string{""}, &serverRows{term: t}, follow.WithGap(serversGap), follow.WithLogger(o.logger))
+	t.group.Go(func() error { return servers.Run(ctx) })
+	return nil
 }
 
 // readRecords reads the phases and the progress of all jobs. An ended job may
@@ -172,14 +198,6 @@
 	return records, nil
 }
 
-// followExecutors begins to deal with executors. That has to wait until all jobs
-// are known: runs of unknown jobs are stopped.
-func (t *term) followExecutors() {
-	o := t.owner
-	servers := follow.New(o.store, o.clock, platform.ExecutorTable, []string{""}, &serverRows{term: t}, follow.WithGap(serversGap), follow.WithLogger(o.logger))
-	t.group.Go(func() error { return servers.Run(t.ctx) })
-}
-
 // decide asks the plan for orders whenever something has happened.
 func (t *term) decide(ctx context.Context) error {
 	tick := t.owner.clock.Every(decidePeriod, func() { notify(t.wake) })
@@ -270,6 +288,17 @@
 	}
 }
 
+// JobAccepted implements board.Listener.
+func (t *term) JobAccepted(j *model.Job) {
+	now := t.owner.clock.Now()
+	t.mu.Lock()
+	added := t.plan.AddJob(now, j, nil)
+	t.mu.Unlock()
+	if added {
+		notify(t.wake)
+	}
+}
+
 // JobCancelled implements board.Listener.
 func (t *term) JobCancelled(id string) {
 	now := t.owner.clock.Now()
