--- a/node/internal/owner/serverrows.go
+++ b/node/internal/owner/serverrows.go
@@ -30,6 +30,9 @@
 	}
 	t.mu.Unlock()
 	r.Change(rows)
+	t.mu.Lock()
+	t.plan.Complete()
+	t.mu.Unlock()
 	notify(t.wake)
 }
 
--- /dev/null
+++ b/node/internal/plan/fixture_test.go
@@ -0,0 +1,76 @@
+package plan
+
+import (
+	"time"
+
+	"github.com/balsamford/balsamford/coord/model"
+)
+
+// settle is how long a successor waits for executors in these tests.
+const settle = 6 * time.Second
+
+var (
+	epoch = time.Unix(1_800_000_000, 0)
+	small = model.Amount{CPU: 1000, Memory: 100}
+	whole = model.Amount{CPU: 32000, Memory: 128000}
+)
+
+// fixture is a State with one service and its queues.
+type fixture struct {
+	state  *State
+	config *model.Config
+}
+
+// queues of the fixture: urgent work, work that lasts, and work in bulk.
+var queues = []model.Queue{
+	{Name: "urgent", Service: "s", Priority: 0, Attempts: 2, Stretch: 1.5, Slack: 250 * time.Millisecond},
+	{Name: "bulk", Service: "s", Priority: 2, Attempts: 2, Stretch: 2, Slack: time.Second},
+	{
+		Name: "advised", Service: "s", Priority: 2, Attempts: 2, Stretch: 2, Slack: time.Second, Advised: true,
+		Decide: 400 * time.Millisecond, Each: 5 * time.Millisecond, Valid: 2 * time.Second,
+	},
+	{
+		Name: "quick", Service: "s", Priority: 0, Attempts: 2, Stretch: 1.5, Slack: 250 * time.Millisecond, Advised: true,
+		Decide: 20 * time.Millisecond, Each: time.Millisecond / 2, Valid: 2 * time.Second,
+	},
+}
+
+func newFixture(opts ...Option) *fixture {
+	teams := []model.Team{
+		{Name: "t", Weight: 10, Limit: model.Amount{}},
+		{Name: "capped", Weight: 10, Limit: model.Amount{CPU: 4000}},
+	}
+	config := model.NewConfig(1, queues, []model.Service{{Name: "s"}}, teams)
+	return &fixture{state: New(config, opts...), config: config}
+}
+
+// job returns a job of the urgent queue.
+func (f *fixture) job(id string, steps ...model.Step) *model.Job {
+	return &model.Job{ID: id, Queue: "urgent", Team: "t", Spec: "spec", Steps: steps, Sent: epoch}
+}
+
+// executor adds an executor that hasn't reported.
+func (f *fixture) executor(id string) {
+	f.state.SetExecutor(model.Executor{ID: id, Service: "s", Address: id, Room: whole, Kind: "a", Rack: "r1", Labels: []string{"a", "r1"}})
+}
+
+// ready adds executors that have reported.
+func (f *fixture) ready(ids ...string) {
+	for _, id := range ids {
+		f.executor(id)
+		f.state.Reported(epoch, id, Report{Asked: epoch})
+	}
+	f.state.Complete()
+}
+
+// confirm confirms starts.
+func (f *fixture) confirm(now time.Time, starts []Start) {
+	for _, o := range starts {
+		f.state.Started(now, o)
+	}
+}
+
+// end reports the end of a run.
+func (f *fixture) end(now time.Time, o Start, outcome model.Outcome) {
+	f.state.Reported(now, o.Executor, Report{Asked: now, Ends: []model.End{{Seq: 1, Task: o.Task, Number: o.Number, Outcome: outcome}}})
+}
--- a/node/internal/plan/worker.go
+++ b/node/internal/plan/worker.go
@@ -80,11 +80,17 @@
 	}
 }
 
+// Complete notes that all executors that have an entry are known.
+func (s *State) Complete() { s.complete = true }
+
 // unsettled reports whether an executor of service may run what isn't known.
 func (s *State) unsettled(service string, now time.Time) bool {
 	if !now.Before(s.settle) {
 		return false
 	}
+	if !s.complete {
+		return true
+	}
 	for _, w := range s.execs {
 		if (w.info.Service == service || w.info.Service == "") && !w.known {
 			return true
