Let no run of a task start beside an unwanted one; keep urgent work's headroom

Change: a present run goes before an older recorded one; a task waits until its unwanted runs are gone. A team's limit keeps room for as much urgent work as it had of late; the slowness of kinds is learned, and urgent work takes the faster ones. Executors are asked at most each 150 ms. Jobs' ends are logged with what they waited for.

--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -18,7 +18,7 @@
 	beatPeriod = 300 * time.Millisecond
 	// recordGap is the least time between two writes, so that changes that come
 	// together share one.
-	recordGap = 20 * time.Millisecond
+	recordGap = 30 * time.Millisecond
 	// recordPause follows a write that failed.
 	recordPause = 100 * time.Millisecond
 	// changesPerWrite keeps a write under the store's limit of entries: two rows
@@ -159,7 +159,9 @@
 		w.Puts = append(w.Puts, put)
 	}
 	if c.Progress.Phase.Final() {
-		r.term.owner.logger.Info("job ended", zap.String("id", c.Job), zap.Int("phase", int(c.Progress.Phase)), zap.Int64("epoch", r.term.epoch))
+		r.term.owner.logger.Info("job ended", zap.String("id", c.Job), zap.String("queue", c.Queue), zap.Int("phase", int(c.Progress.Phase)),
+			zap.Duration("after", r.term.owner.clock.Now().Sub(c.Sent)), zap.Duration("limit", c.Delay.Limit), zap.Duration("room", c.Delay.Room),
+			zap.Duration("advice", c.Delay.Advice), zap.Int64("epoch", r.term.epoch))
 	}
 	return nil
 }
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -28,7 +28,7 @@
 	serversGap = 300 * time.Millisecond
 	// FollowGap is the least time between two looks for changes of the board of a
 	// host that doesn't own the cell.
-	FollowGap = 150 * time.Millisecond
+	FollowGap = 200 * time.Millisecond
 	// ownerGap is the least time between two looks for new jobs.
 	ownerGap = 25 * time.Millisecond
 	// boardPoll is how often a new owner looks whether its board is up to date.
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -17,6 +17,9 @@
 	watchWait = time.Second
 	// doubtedWait takes the place of watchWait while ownership isn't confirmed.
 	doubtedWait = 300 * time.Millisecond
+	// watchGap is the least time from an answer to the next question: ends that
+	// come shortly after one another are learned together.
+	watchGap = 150 * time.Millisecond
 	// watchPause follows a call that failed.
 	watchPause = 200 * time.Millisecond
 	// notedWait is how long an executor isn't asked again while its last ends
@@ -55,10 +58,14 @@
 		if o.Lease == 0 {
 			wait = 0
 		}
+		answered := t.owner.clock.Now()
 		if !a.reported(now, asked, rep) {
 			return
 		}
 		a.awaitRecord()
+		if rest := watchGap - t.owner.clock.Now().Sub(answered); rest > 0 {
+			_ = t.owner.clock.Sleep(a.ctx, rest)
+		}
 	}
 }
 
--- /dev/null
+++ b/node/internal/plan/adopt_test.go
@@ -0,0 +1,67 @@
+package plan
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/balsamford/balsamford/coord/model"
+)
+
+// The record of a successor may name an older run than the one that is present:
+// the present one is kept, and no third one starts beside it.
+func TestPresentRunGoesBeforeRecordedOne(t *testing.T) {
+	task := model.Task{Job: "j"}
+	recorded := &model.Progress{Phase: model.Running, Occurs: map[int]model.Occur{
+		0: {Stages: map[int]model.Stage{0: {Runs: map[int]model.Place{0: {Executor: "a", Number: 1}}}}},
+	}}
+	failed := Report{Asked: epoch.Add(time.Second), Ends: []model.End{{Seq: 1, Task: task, Number: 1, Outcome: model.RunFailed}}}
+	present := Report{Asked: epoch.Add(time.Second), Runs: []model.Run{{Task: task, Number: 2}}}
+	tests := map[string]struct{ order []string }{
+		"the present run is heard of first":  {order: []string{"b", "a"}},
+		"the recorded run is heard of first": {order: []string{"a", "b"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(WithSettle(epoch.Add(settle)))
+			f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: small}), recorded)
+			f.executor("a")
+			f.executor("b")
+			f.state.Complete()
+			reports := map[string]Report{"a": failed, "b": present}
+			for _, id := range tt.order {
+				f.state.Reported(epoch.Add(time.Second), id, reports[id])
+			}
+			orders := f.state.Decide(epoch.Add(time.Second))
+			is.Equal(len(orders.Starts), 0) // Run 2 works.
+			is.Equal(len(orders.Stops), 0)  // It is the wanted one.
+		})
+	}
+}
+
+// While an unwanted run of a task may be present, no other run of it starts.
+func TestNoStartBesideUnwantedRun(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.ready("a", "b")
+	f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: small}), nil)
+	starts := f.state.Decide(epoch).Starts
+	is.Equal(len(starts), 1)
+	f.confirm(epoch, starts)
+	other := "a"
+	if starts[0].Executor == "a" {
+		other = "b"
+	}
+	stray := model.Run{Task: model.Task{Job: "j"}, Number: 7}
+	f.state.Reported(epoch, other, Report{Asked: epoch, Runs: []model.Run{stray}})
+	f.end(epoch, starts[0], model.RunFailed)
+	orders := f.state.Decide(epoch)
+	is.Equal(len(orders.Starts), 0)
+	is.Equal(len(orders.Stops), 1)
+	f.state.Reported(epoch, other, Report{Asked: epoch, Ends: []model.End{{Seq: 1, Task: stray.Task, Number: 7, Outcome: model.RunStopped}}})
+	starts = f.state.Decide(epoch).Starts
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Number, 8) // Above all earlier runs.
+}
--- a/node/internal/plan/ends.go
+++ b/node/internal/plan/ends.go
@@ -10,6 +10,9 @@
 func (s *State) runEnded(now time.Time, w *worker, e model.End) {
 	st := s.stageOf(e.Task)
 	if r := w.runs[runKey{task: e.Task, number: e.Number}]; r != nil {
+		if e.Outcome == model.RunDone {
+			s.timed(r.stage, w, now.Sub(r.began))
+		}
 		r.stage.save(r.index, e.Checkpoint)
 		s.dropRun(r)
 	} else if st != nil {
--- a/node/internal/plan/job.go
+++ b/node/internal/plan/job.go
@@ -14,9 +14,10 @@
 	phase    model.Phase
 	occurs   map[int]*occur // begun and not finished
 	finished map[int]bool   // occurrences
-	runs     int            // that may be present on executors
-	version  int            // changes with each thing that is to be recorded
-	chain    time.Duration  // longest path of estimates through the steps
+	delay    Delay
+	runs     int           // that may be present on executors
+	version  int           // changes with each thing that is to be recorded
+	chain    time.Duration // longest path of estimates through the steps
 }
 
 // AddJob takes a job into the plan, with the progress that an earlier owner
--- a/node/internal/plan/place.go
+++ b/node/internal/plan/place.go
@@ -5,35 +5,48 @@
 	"math"
 	"slices"
 	"time"
-
-	"github.com/balsamford/balsamford/coord/model"
 )
 
 // place starts what it can of a stage.
 func (s *State) place(st *stage, p *pool, now time.Time) {
 	j := st.occur.job
-	limit := model.Amount{}
-	if s.config != nil {
-		limit = s.config.Teams[j.spec.Team].Limit
-	}
-	n := s.team(j.spec.Team).headroom(st.spec.Need, limit, st.waiting)
+	n := s.headroom(st, now)
 	if n == 0 || (st.spec.Gang && n < len(st.tasks)) {
+		st.delayed(byLimit, now)
 		return
 	}
 	workers := s.suitable(st, p)
 	if st.spec.Gang {
 		s.placeGang(st, workers, now)
-		return
+	} else {
+		s.placeEach(st, workers, n, now)
+	}
+	switch {
+	case st.waiting == 0:
+		st.tried = time.Time{}
+	case n < st.waiting:
+		st.delayed(byLimit, now)
+	case j.queue.Advised && !st.advice.asked.IsZero():
+		st.delayed(byAdvice, now)
+	default:
+		st.delayed(byRoom, now)
 	}
+}
+
+// placeEach starts up to n tasks wherever there is room.
+func (s *State) placeEach(st *stage, workers []*worker, n int, now time.Time) {
 	spots := s.spots(st, workers, n, now)
-	if len(spots) < n && j.queue.Advised {
+	if len(spots) < n && st.occur.job.queue.Advised {
 		s.ask(st, workers, now)
 	}
 	i := 0
 	for _, w := range spots {
-		for st.tasks[i].done || st.tasks[i].run != nil {
+		for i < len(st.tasks) && !st.tasks[i].idle() {
 			i++
 		}
+		if i == len(st.tasks) {
+			return // The others wait until unwanted runs of them are gone.
+		}
 		s.start(st, i, st.number(i, s.base), w, now)
 	}
 }
@@ -112,6 +125,12 @@
 		}
 	} else {
 		score = float64(left.CPU) / math.Max(1, float64(w.info.Room.CPU))
+		penalty := speedPenalty * (s.slow(w) - 1)
+		if st.urgent() {
+			score += penalty
+		} else {
+			score -= penalty // The faster ones are left to urgent work.
+		}
 	}
 	if st.spec.Rack != "" && !w.info.Has(st.spec.Rack) {
 		score += farPenalty * s.far
--- a/node/internal/plan/report.go
+++ b/node/internal/plan/report.go
@@ -61,7 +61,7 @@
 			return
 		}
 	}
-	r.present = true
+	r.present, r.restored = true, false
 	if r.certain.IsZero() {
 		r.certain = now
 	}
@@ -85,10 +85,15 @@
 		return nil
 	}
 	j := st.occur.job
-	if t := &st.tasks[m.Task.Index]; j.phase.Final() || t.done || t.run != nil {
-		r := &run{stage: st, index: m.Task.Index, number: m.Number, on: w, room: st.spec.Room(), need: st.spec.Need, began: now, moved: now, pace: fullPace}
-		s.count(r)
+	t := &st.tasks[m.Task.Index]
+	if t.run != nil && t.run.restored && t.run.number < m.Number {
+		s.release(t.run) // The record was older than this run.
+	}
+	if j.phase.Final() || t.done || t.run != nil {
+		r := s.newRun(st, m.Task.Index, m.Number, w, active, now)
 		t.last = max(t.last, r.number)
+		t.spare++
+		r.spare = true
 		s.stopRun(r, now)
 		return r
 	}
--- a/node/internal/plan/restore.go
+++ b/node/internal/plan/restore.go
@@ -47,9 +47,9 @@
 			continue
 		}
 		w := s.worker(place.Executor)
-		if r := s.attachRun(st, i, place.Number, w, doubtful, now); !w.known {
-			r.certain = now // The executor takes no order of an earlier owner once it has reported.
-		}
+		r := s.attachRun(st, i, place.Number, w, doubtful, now)
+		r.restored = true
+		r.certain = now // The executor takes no order of an earlier owner once it has reported.
 	}
 }
 
@@ -58,7 +58,9 @@
 	Job      string
 	Queue    string
 	Progress *model.Progress
-	Version  int // to be given to Recorded
+	Delay    Delay
+	Sent     time.Time // when the job was accepted
+	Version  int       // to be given to Recorded
 }
 
 // Changes returns up to n jobs with something to record.
@@ -68,7 +70,7 @@
 		if len(out) == n {
 			break
 		}
-		out = append(out, Change{Job: id, Queue: j.spec.Queue, Progress: j.progress(), Version: j.version})
+		out = append(out, Change{Job: id, Queue: j.spec.Queue, Progress: j.progress(), Delay: j.delay, Sent: j.spec.Sent, Version: j.version})
 	}
 	return out
 }
--- a/node/internal/plan/run.go
+++ b/node/internal/plan/run.go
@@ -18,21 +18,24 @@
 
 // run is a run that may be present on an executor.
 type run struct {
-	stage   *stage
-	index   int
-	number  int
-	on      *worker
-	state   runState
-	room    model.Amount // taken on the executor
-	need    model.Amount // counted for the team
-	began   time.Time
-	certain time.Time // when the executor confirmed a start or stop of it; zero if it hasn't
-	present bool      // it has been there: it takes room until its end is listed
-	stopped time.Time // when a stop was last ordered
-	percent int
-	moved   time.Time // when percent last changed
-	gauge   int64
-	pace    int // percent
+	stage    *stage
+	index    int
+	number   int
+	on       *worker
+	state    runState
+	room     model.Amount // taken on the executor
+	need     model.Amount // counted for the team
+	urgent   bool         // counted as urgent work of the team
+	began    time.Time
+	certain  time.Time // when the executor confirmed a start or stop of it; zero if it hasn't
+	spare    bool      // it isn't the wanted run of its task
+	restored bool      // it is known from a record alone
+	present  bool      // it has been there: it takes room until its end is listed
+	stopped  time.Time // when a stop was last ordered
+	percent  int
+	moved    time.Time // when percent last changed
+	gauge    int64
+	pace     int // percent
 }
 
 // runKey names a run.
@@ -45,16 +48,29 @@
 
 // attachRun counts a run of a stage on an executor.
 func (s *State) attachRun(st *stage, i, number int, w *worker, state runState, now time.Time) *run {
+	r := s.newRun(st, i, number, w, state, now)
+	st.attach(i, r)
+	s.changed(st.occur.job)
+	return r
+}
+
+// newRun counts a run on an executor that isn't its task's wanted one yet.
+func (s *State) newRun(st *stage, i, number int, w *worker, state runState, now time.Time) *run {
 	r := &run{
 		stage: st, index: i, number: number, on: w, state: state, room: st.spec.Room(), need: st.spec.Need,
 		began: now, moved: now, pace: fullPace,
 	}
 	s.count(r)
-	st.attach(i, r)
-	s.changed(st.occur.job)
 	return r
 }
 
+// release takes a task's wanted run away; it counts until it is known to be gone.
+func (s *State) release(r *run) {
+	r.stage.detach(r.index, r)
+	r.stage.tasks[r.index].spare++
+	r.spare = true
+}
+
 // count takes what a run needs from its executor's room and its team's limit.
 func (s *State) count(r *run) {
 	r.on.runs[r.key()] = r
@@ -62,10 +78,14 @@
 	if r.stage.spec.Filler {
 		r.on.fill += r.stage.spec.Need.CPU
 	}
+	r.urgent = r.stage.urgent()
 	j := r.stage.occur.job
 	j.runs++
 	t := s.team(j.spec.Team)
 	t.used = t.used.Add(r.need)
+	if r.urgent {
+		t.urgent += r.need.CPU
+	}
 }
 
 // dropRun forgets a run that is certain to be gone.
@@ -82,6 +102,12 @@
 	j.runs--
 	t := s.team(j.spec.Team)
 	t.used = t.used.Sub(r.need)
+	if r.urgent {
+		t.urgent -= r.need.CPU
+	}
+	if r.spare {
+		r.stage.tasks[r.index].spare--
+	}
 	r.stage.detach(r.index, r)
 }
 
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -22,6 +22,7 @@
 	asking   map[model.StepID]question // questions to the adviser under way
 	paused   bool                      // no run may start
 	turns    int                       // hosts that can ask
+	slowness map[string]float64        // learned, by kind of hardware
 	over     []string                  // jobs that were forgotten and not yet returned by Over
 	orders   Orders                    // collected between and during decisions
 }
@@ -30,7 +31,7 @@
 func New(config *model.Config, opts ...Option) *State {
 	s := &State{
 		config: config, far: 1, stopTime: time.Second, jobs: make(map[string]*job), execs: make(map[string]*worker),
-		teams: make(map[string]*team), dirty: make(map[string]*job), ended: make(map[string]bool), asking: make(map[model.StepID]question), turns: 1,
+		teams: make(map[string]*team), dirty: make(map[string]*job), ended: make(map[string]bool), slowness: make(map[string]float64), asking: make(map[model.StepID]question), turns: 1,
 	}
 	for _, opt := range opts {
 		opt(s)
--- a/node/internal/plan/team.go
+++ b/node/internal/plan/team.go
@@ -1,10 +1,17 @@
 package plan
 
-import "github.com/balsamford/balsamford/coord/model"
+import (
+	"time"
+
+	"github.com/balsamford/balsamford/coord/model"
+)
 
 // team is what an organisation has running.
 type team struct {
-	used model.Amount // needs of all runs that may be present
+	used   model.Amount // needs of all runs that may be present
+	urgent int64        // CPU of these that urgent work takes
+	peak   int64        // CPU that urgent work had or wanted to have when peaked
+	peaked time.Time
 }
 
 // headroom returns how many tasks of the given need fit under limit, at most n.
