--- a/node/internal/board/apply.go
+++ b/node/internal/board/apply.go
@@ -76,6 +76,9 @@
 	}
 	b.count(id, 1)
 	l := b.listener
+	if b.phases[id].Phase.Final() {
+		l = nil // A write of it has come late.
+	}
 	b.mu.Unlock()
 	if l != nil && j.Job != nil {
 		l.JobAccepted(j.Job)
