--- a/entry/app.go
+++ b/entry/app.go
@@ -12,6 +12,7 @@
 
 	"github.com/balsamford/balsamford/coord/certs"
 	"github.com/balsamford/balsamford/coord/config"
+	"github.com/balsamford/balsamford/coord/httpd"
 	"github.com/balsamford/balsamford/coord/link"
 	"github.com/balsamford/balsamford/coord/logs"
 	"github.com/balsamford/balsamford/coord/meter"
@@ -19,7 +20,6 @@
 	"github.com/balsamford/balsamford/coord/store"
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/entry/internal/admit"
-	"github.com/balsamford/balsamford/coord/httpd"
 	"github.com/balsamford/balsamford/entry/internal/jobs"
 	"github.com/balsamford/balsamford/entry/internal/oper"
 	"github.com/balsamford/balsamford/entry/internal/params"
--- a/entry/internal/serve/cell_test.go
+++ b/entry/internal/serve/cell_test.go
@@ -10,11 +10,11 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/balsamford/balsamford/coord/httpd"
 	"github.com/balsamford/balsamford/coord/link"
 	"github.com/balsamford/balsamford/coord/store"
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/entry/internal/admit"
-	"github.com/balsamford/balsamford/coord/httpd"
 	"github.com/balsamford/balsamford/entry/internal/jobs"
 	"github.com/balsamford/balsamford/entry/internal/record"
 	"github.com/balsamford/balsamford/entry/internal/relay"
--- a/entry/internal/serve/sink.go
+++ b/entry/internal/serve/sink.go
@@ -3,9 +3,9 @@
 import (
 	"github.com/valyala/fasthttp"
 
+	"github.com/balsamford/balsamford/coord/httpd"
 	"github.com/balsamford/balsamford/coord/link"
 	"github.com/balsamford/balsamford/coord/wire"
-	"github.com/balsamford/balsamford/coord/httpd"
 	"github.com/balsamford/balsamford/entry/internal/record"
 )
 
--- a/entry/internal/serve/submit.go
+++ b/entry/internal/serve/submit.go
@@ -7,8 +7,8 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/balsamford/balsamford/coord/wire"
 	"github.com/balsamford/balsamford/coord/httpd"
+	"github.com/balsamford/balsamford/coord/wire"
 	"github.com/balsamford/balsamford/entry/internal/record"
 	"github.com/balsamford/balsamford/entry/internal/relay"
 	"github.com/balsamford/balsamford/entry/internal/route"
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -44,8 +44,7 @@
 	logger   *zap.Logger
 	registry metrics.Registry
 
-	stopping atomic.Bool
-	owning   atomic.Bool
+	owning atomic.Bool
 
 	node *link.Node // nil before Mount
 
