--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -55,6 +55,7 @@
 	Zone    string `cbor:"2,keyasint"`
 	Link    string `cbor:"3,keyasint"` // address for calls between hosts
 	Process string `cbor:"4,keyasint"`
+	Power   int    `cbor:"5,keyasint,omitempty"` // thousandths of a core that it may use
 }
 
 // Accepted is a job that has been accepted.
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -21,6 +21,9 @@
 	deadAfter = time.Second
 	// stuckAfter is the same for an owner that says that it is one.
 	stuckAfter = 2 * time.Second
+	// firstDelay lets all hosts of a new deployment register before the first
+	// owner is found among them.
+	firstDelay = 700 * time.Millisecond
 	// rankDelay separates the hosts that would take over.
 	rankDelay = 150 * time.Millisecond
 	// checkPeriod is how often it is looked whether to take over.
@@ -120,7 +123,10 @@
 		return row, version, true // An earlier process of this host.
 	}
 	delay := time.Duration(o.rank(row.Epoch)) * rankDelay
-	if version == 0 || row.Resigned {
+	if version == 0 {
+		return row, version, quiet >= firstDelay+delay
+	}
+	if row.Resigned {
 		return row, version, quiet >= delay
 	}
 	if quiet < probeAfter+delay {
--- /dev/null
+++ b/node/rig_test.go
@@ -0,0 +1,207 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/balsamford/balsamford/node/internal/board"
+	"github.com/balsamford/balsamford/platform/fake"
+)
+
+const (
+	executors = 6
+	// startTime bounds how long a process may take until it is ready.
+	startTime = 20 * time.Second
+)
+
+// rig is a cell of real processes against a stand-in of the platform.
+type rig struct {
+	t       *testing.T
+	binary  string
+	store   *fake.Store
+	judge   *fake.Judge
+	workers []*fake.Executor
+	hosts   []*host
+	urls    [3]string // store, adviser
+	client  http.Client
+}
+
+// host is one process.
+type host struct {
+	name    string
+	front   string
+	ready   string
+	path    string // of its settings
+	command *exec.Cmd
+	log     *os.File
+}
+
+// newRig builds the program and starts the stand-in and n hosts.
+func newRig(t *testing.T, n int) *rig {
+	t.Helper()
+	r := &rig{t: t, store: fake.NewStore(), judge: fake.NewJudge(), client: http.Client{Timeout: 3 * time.Second}}
+	dir := t.TempDir()
+	r.binary = filepath.Join(dir, "node")
+	if out, err := exec.Command("go", "build", "-o", r.binary, ".").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	r.urls[0] = r.serve(r.store)
+	r.urls[1] = r.serve(fake.Adviser{})
+	r.store.Put("op", "config", fake.Config())
+	for i := range executors {
+		id := fmt.Sprintf("i-%d", i)
+		e := fake.NewExecutor(id, r.judge)
+		r.workers = append(r.workers, e)
+		r.store.Put("servers", id, e.Entry(fake.Service, r.serve(e)))
+	}
+	for i := range n {
+		h := &host{name: fmt.Sprintf("h%d", i), front: address(t), ready: address(t)}
+		h.path = filepath.Join(dir, h.name+".toml")
+		if err := os.WriteFile(h.path, []byte(r.settings(h)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		r.hosts = append(r.hosts, h)
+		r.start(h)
+	}
+	for _, h := range r.hosts {
+		r.await("host "+h.name+" to be ready", startTime, func() bool { return r.isReady(h) })
+	}
+	return r
+}
+
+// serve serves a handler on the loopback and returns its address.
+func (r *rig) serve(h http.Handler) string {
+	s := httptest.NewServer(h)
+	r.t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// address returns an address with a port that is free now.
+func address(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+func (r *rig) settings(h *host) string {
+	_, port, err := net.SplitHostPort(address(r.t))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return fmt.Sprintf(`node = %q
+role = "node"
+zone = "z"
+ip = "127.0.0.1"
+port_range = [%s,%s]
+hint = %q
+[listen]
+front = %q
+ready = %q
+[platform]
+addr = %q
+[bounds]
+grace_s = 6
+hold_max_ms = 6000
+stop_ms = 200
+gang_wait_ms = 3000
+drain_ms = 2000
+status_s = 120
+far_x = 2
+unknown = 1
+`, h.name, port, port, r.urls[1], h.front, h.ready, r.urls[0])
+}
+
+// start runs a host's process.
+func (r *rig) start(h *host) {
+	r.t.Helper()
+	h.command = exec.Command(r.binary, "--config", h.path)
+	log, err := os.OpenFile(h.path+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	h.command.Stderr = log
+	if err := h.command.Start(); err != nil {
+		r.t.Fatal(err)
+	}
+	command := h.command
+	r.t.Cleanup(func() {
+		_ = command.Process.Kill() // It may have ended.
+		_ = command.Wait()
+		_ = log.Close()
+	})
+}
+
+func (r *rig) isReady(h *host) bool {
+	resp, err := r.client.Get("http://" + h.ready + "/api/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// owner returns the host that owns the cell, or nil.
+func (r *rig) owner() *host {
+	var o board.Owner
+	if err := board.Decode(row(r.store.Get(board.Table, board.Main, board.OwnerKey)), &o); err != nil || o.Resigned {
+		return nil
+	}
+	for _, h := range r.hosts {
+		if h.name == o.Host {
+			return h
+		}
+	}
+	return nil
+}
+
+// call makes a request at a host and returns the status and the body; the status
+// is 0 if there was no answer.
+func (r *rig) call(h *host, method, path, key, body string) (int, string) {
+	r.t.Helper()
+	req, err := http.NewRequest(method, "http://"+h.front+path, strings.NewReader(body))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	req.Host = fake.Host
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("X-Balsamford-Deadline-Ms", "3000")
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(data)
+}
+
+// await waits until a condition holds.
+func (r *rig) await(what string, within time.Duration, holds func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	for _, h := range r.hosts {
+		if data, err := os.ReadFile(h.path + ".log"); err == nil {
+			r.t.Logf("log of %s:\n%s", h.name, data[max(0, len(data)-4000):])
+		}
+	}
+	r.t.Fatalf("waited %v in vain for %s", within, what)
+}
