--- a/node/app.go
+++ b/node/app.go
@@ -53,6 +53,7 @@
 	settings *platform.Settings
 	process  string
 	logger   *zap.Logger
+	lines    *logs.Writer
 	clock    *timer.Service
 	registry metrics.Registry
 	store    *platform.Store
@@ -69,7 +70,9 @@
 
 // newApp builds the parts; none of them runs yet.
 func newApp(s *platform.Settings) (*app, error) {
-	logger, err := logs.New("info", "node", s.Host, s.Zone)
+	registry, lines := metrics.NewRegistry(), logs.NewWriter(os.Stdout)
+	leftOut := metrics.GetOrRegisterCounter("node.logs.left", registry)
+	logger, err := logs.NewBounded(lines, "info", "node", s.Host, s.Zone, func() { leftOut.Inc(1) })
 	if err != nil {
 		return nil, err
 	}
@@ -79,7 +82,7 @@
 	}
 	a := &app{
 		settings: s, process: strconv.Itoa(os.Getpid()) + "." + strconv.FormatInt(time.Now().UnixNano(), 36), logger: logger,
-		clock: timer.New(), registry: metrics.NewRegistry(), store: platform.NewStore(s.Store, storeTimeout),
+		clock: timer.New(), registry: registry, lines: lines, store: platform.NewStore(s.Store, storeTimeout),
 	}
 	a.configs = config.New(logger)
 	a.board = board.New(logger)
@@ -103,6 +106,10 @@
 
 // run serves until a signal ends it or a part fails.
 func (a *app) run(ctx context.Context, signals <-chan os.Signal) error {
+	logCtx, endLog := context.WithCancel(context.WithoutCancel(ctx))
+	defer endLog()
+	var logGroup errgroup.Group
+	logGroup.Go(func() error { return a.lines.Run(logCtx) })
 	a.logger.Info("starting", zap.String("process", a.process), zap.String("ingress", a.settings.Ingress), zap.String("store", a.settings.Store))
 	linkAddress := net.JoinHostPort(a.settings.IP, strconv.Itoa(a.settings.Ports[0]))
 	if err := a.node.Listen(linkAddress); err != nil {
@@ -131,6 +138,8 @@
 	})
 	err := g.Wait()
 	a.logger.Info("stopped", zap.Error(err))
+	endLog()
+	_ = logGroup.Wait() // It never fails.
 	return err
 }
 
--- a/node/internal/front/front.go
+++ b/node/internal/front/front.go
@@ -76,6 +76,7 @@
 	queue    model.Queue
 	team     string // empty without a key
 	id       string // of a job; empty for the queue itself
+	version  int64  // of the configuration that it was checked against
 }
 
 // Serve implements httpd.Handler.
@@ -123,7 +124,7 @@
 		s.answer(x, fasthttp.StatusUnauthorized, "unknown key")
 		return nil, false
 	}
-	return &request{exchange: x, queue: queue, team: team, id: strings.Trim(path[len(queue.Prefix):], "/")}, true
+	return &request{exchange: x, queue: queue, team: team, id: strings.Trim(path[len(queue.Prefix):], "/"), version: config.Version}, true
 }
 
 // hostname returns the name in a Host header.
--- a/node/internal/front/submit.go
+++ b/node/internal/front/submit.go
@@ -64,6 +64,8 @@
 // accepted says that a job or a cancellation is stored.
 func (s *Service) accepted(r *request) {
 	s.counts.accepted.Inc(1)
+	s.logger.Info("accepted", zap.String("id", r.id), zap.ByteString("method", r.exchange.Request().Header.Method()),
+		zap.String("queue", r.queue.Name), zap.String("team", r.team), zap.Int64("version", r.version))
 	r.exchange.Answer(fasthttp.StatusOK, jsonType, []byte("{}"))
 }
 
--- a/node/internal/plan/advice.go
+++ b/node/internal/plan/advice.go
@@ -134,33 +134,45 @@
 	if !s.mayAsk(long) {
 		return
 	}
-	names, expected := s.named(st, usable)
-	if len(names) == 0 {
+	d := s.draft(st, usable, now)
+	if len(d.names) == 0 {
 		return
 	}
-	worth := float64(min(st.waiting, startsWorthAsking))
-	if long && expected < worth && now.Sub(st.since) < askPatience {
+	if long && d.full && d.gain < float64(min(st.waiting, startsWorthAsking)) && now.Sub(st.since) < askPatience {
 		return
 	}
 	st.advice.asked = now
-	takes := q.Decide + time.Duration(len(names))*q.Each
+	takes := q.Decide + time.Duration(len(d.names))*q.Each
 	s.asking[st.id()] = question{long: long, until: now.Add(takes + askAgain)}
-	s.orders.Asks = append(s.orders.Asks, Ask{Step: st.id(), Executors: names, Takes: takes})
+	s.orders.Asks = append(s.orders.Asks, Ask{Step: st.id(), Executors: d.names, Takes: takes})
 }
 
-// named returns the executors that a question names, and how many tasks are
-// expected to start after its answer.
-func (s *State) named(st *stage, usable []*worker) ([]string, float64) {
+// draft is a question that could be asked.
+type draft struct {
+	names []string
+	gain  float64 // tasks that are expected to start after its answer
+	full  bool    // there are executors that it would name if they had room
+}
+
+// draft returns the question for a stage. Executors with a valid ticket needn't
+// be named; those without room would be of no use.
+func (s *State) draft(st *stage, usable []*worker, now time.Time) draft {
 	room := st.spec.Room()
+	var d draft
 	var known, fresh []spot
+	have := 0
 	for _, w := range usable {
 		t, asked := st.advice.tickets[w.info.ID]
 		if asked && !t.allowed {
 			continue
 		}
 		n := w.holds(st, room)
+		_, valid := st.advice.allows(w.info.ID, now)
 		switch {
 		case n == 0:
+			d.full = true
+		case valid:
+			have += n
 		case asked:
 			known = append(known, spot{worker: w, room: n})
 		default:
@@ -170,22 +182,21 @@
 	most := func(a, b spot) int { return cmp.Compare(b.room, a.room) }
 	slices.SortFunc(known, most)
 	slices.SortFunc(fresh, most)
-	var names []string
-	expected := 0.0
+	wanted := askSurplus * float64(st.waiting-have)
 	for i, group := range [][]spot{known, fresh} {
 		chance := 1.0
 		if i > 0 {
 			chance = allowedShare
 		}
 		for _, sp := range group {
-			if len(names) == askedAtOnce || expected >= askSurplus*float64(st.waiting) {
-				return names, expected
+			if len(d.names) == askedAtOnce || d.gain >= wanted {
+				return d
 			}
-			names = append(names, sp.worker.info.ID)
-			expected += chance * float64(sp.room)
+			d.names = append(d.names, sp.worker.info.ID)
+			d.gain += chance * float64(sp.room)
 		}
 	}
-	return names, expected
+	return d
 }
 
 // holds returns how many more tasks of the stage may run there.
--- /dev/null
+++ b/node/internal/plan/policy_test.go
@@ -0,0 +1,171 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/balsamford/balsamford/coord/model"
+)
+
+// bulk returns a job of the bulk queue.
+func (f *fixture) bulk(id, team string, steps ...model.Step) *model.Job {
+	j := f.job(id, steps...)
+	j.Queue, j.Team = "bulk", team
+	return j
+}
+
+// Urgent work that comes in bursts finds headroom under its team's limit, though
+// the team has bulk work waiting for all of it.
+func TestUrgentWorkKeepsHeadroom(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.ready("a")
+	urgent := f.job("u1", model.Step{Count: 2, Need: small})
+	urgent.Team = "capped"
+	f.state.AddJob(epoch, urgent, nil)
+	starts := f.state.Decide(epoch).Starts
+	is.Equal(len(starts), 2) // Of the 4 that the limit allows.
+	f.confirm(epoch, starts)
+	f.state.AddJob(epoch, f.bulk("b", "capped", model.Step{Count: 9, Need: small}), nil)
+	is.Equal(len(f.state.Decide(epoch).Starts), 2)
+	for i, o := range starts {
+		f.state.Reported(epoch, "a", Report{Asked: epoch, Ends: []model.End{{Seq: int64(i + 1), Task: o.Task, Number: 1, Outcome: model.RunDone}}, More: true})
+	}
+	is.Equal(len(f.state.Decide(epoch).Starts), 0) // It is kept for the next burst.
+	is.Equal(len(f.state.Decide(epoch.Add(10*reserveTime)).Starts), 2)
+}
+
+// A flood of long questions leaves hosts free for quick ones, and the most
+// urgent are asked first.
+func TestQuickQuestionsGoBesideLongOnes(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.ready("a", "b")
+	f.state.SetTurns(4)
+	for i := range 8 {
+		j := f.job(fmt.Sprintf("long%d", i), model.Step{Count: 4, Need: small})
+		j.Queue = "advised"
+		f.state.AddJob(epoch, j, nil)
+	}
+	asks := f.state.Decide(epoch).Asks
+	is.Equal(len(asks), 3) // A quarter of four hosts is kept.
+	quick := f.job("quick", model.Step{Count: 1, Need: small})
+	quick.Queue = "quick"
+	f.state.AddJob(epoch, quick, nil)
+	asks = f.state.Decide(epoch).Asks
+	is.Equal(len(asks), 1)
+	is.Equal(asks[0].Step.Job, "quick")
+	f.state.Advised(asks[0].Step, asks[0].Executors, map[string]string{"b": "ticket"}, epoch.Add(time.Second))
+	starts := f.state.Decide(epoch).Starts
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Executor, "b")
+	is.Equal(starts[0].Ticket, "ticket")
+}
+
+// Where tasks of a step are spread, allowed executors that hold one already don't
+// keep the adviser from being asked for others.
+func TestSpreadTasksAskForMoreExecutors(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.ready("a")
+	j := f.job("j", model.Step{Count: 2, Need: small, Spread: 1})
+	j.Queue = "quick"
+	f.state.AddJob(epoch, j, nil)
+	ask := f.state.Decide(epoch).Asks[0]
+	f.state.Advised(ask.Step, ask.Executors, map[string]string{"a": "ticket"}, epoch.Add(time.Second))
+	is.Equal(len(f.state.Decide(epoch).Starts), 1)
+	f.ready("b")
+	asks := f.state.Decide(epoch).Asks
+	is.Equal(len(asks), 1)
+	is.Equal(asks[0].Executors, []string{"b"})
+}
+
+// A gang starts whole or not at all, under one number, and starts anew whole.
+func TestGangStartsWhole(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.ready("a")
+	half := model.Amount{CPU: 20000, Memory: 1000}
+	f.state.AddJob(epoch, f.job("g", model.Step{Count: 2, Need: half, Gang: true}), nil)
+	is.Equal(len(f.state.Decide(epoch).Starts), 0)
+	f.ready("b")
+	starts := f.state.Decide(epoch).Starts
+	is.Equal(len(starts), 2)
+	is.Equal(starts[0].Number, starts[1].Number)
+	f.confirm(epoch, starts)
+	f.end(epoch, starts[0], model.RunFailed)
+	orders := f.state.Decide(epoch)
+	is.Equal(len(orders.Starts), 0) // The other member is there.
+	is.Equal(len(orders.Stops), 1)
+	f.end(epoch, starts[1], model.RunBroken)
+	starts = f.state.Decide(epoch).Starts
+	is.Equal(len(starts), 2)
+	is.Equal(starts[0].Number, 2)
+}
+
+// Steps wait for those before them, jobs end as failed after their attempts, and
+// each end counts once.
+func TestOrderAndAttempts(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.ready("a")
+	f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: small}, model.Step{Count: 1, Need: small, After: []int{0}}), nil)
+	starts := f.state.Decide(epoch).Starts
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Task.Step, 0)
+	f.confirm(epoch, starts)
+	f.end(epoch, starts[0], model.RunFailed)
+	f.end(epoch, starts[0], model.RunFailed) // Listed again.
+	again := f.state.Decide(epoch.Add(shunFaulty)).Starts
+	is.Equal(len(again), 1)
+	f.end(epoch, again[0], model.RunFailed)
+	is.Equal(len(f.state.Decide(epoch.Add(2*shunFaulty)).Starts), 0)
+	changes := f.state.Changes(10)
+	is.Equal(len(changes), 1)
+	is.Equal(changes[0].Progress.Phase, model.Failed)
+}
+
+// A start whose answer was lost is looked for, then forbidden, and its room and
+// its task are free only when it is certain that it won't happen.
+func TestLostAnswerOfStart(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.ready("a")
+	f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: whole}), nil)
+	o := f.state.Decide(epoch).Starts[0]
+	f.state.Doubted(epoch, o)
+	f.state.Reported(epoch, "a", Report{Asked: epoch}) // Asked before.
+	is.Equal(len(f.state.Decide(epoch).Stops), 0)
+	later := epoch.Add(time.Second)
+	f.state.Reported(later, "a", Report{Asked: later})
+	orders := f.state.Decide(later)
+	is.Equal(len(orders.Starts), 0)
+	is.Equal(len(orders.Stops), 1)
+	f.state.Stopped(later, orders.Stops[0])
+	after := later.Add(time.Second)
+	f.state.Reported(after, "a", Report{Asked: after})
+	starts := f.state.Decide(after).Starts
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Number, 2)
+}
+
+// No executor is given more than it has, whatever waits, and no team more than
+// its limit.
+func TestRoomAndLimits(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.ready("a", "b")
+	for i := range 50 {
+		f.state.AddJob(epoch, f.bulk(fmt.Sprintf("t%d", i), "t", model.Step{Count: 7, Need: model.Amount{CPU: 5000, Memory: 3000}}), nil)
+		f.state.AddJob(epoch, f.bulk(fmt.Sprintf("c%d", i), "capped", model.Step{Count: 3, Need: small}), nil)
+	}
+	f.state.Decide(epoch)
+	for _, w := range f.state.execs {
+		is.True(w.used.Fits(w.info.Room))
+	}
+	is.True(f.state.teams["capped"].used.CPU <= 4000)
+	is.True(f.state.teams["t"].used.CPU > 50000) // The rest is used.
+}
