Read the board anew at once, and tell no number that isn't known

Change: the new rows replace the old ones at once; the number of waiting jobs is refused with 503 until the board is read and while the feed fails. Test: TestResetIsAtOnce, seen failing on the code before (0 of 300).

--- a/node/app.go
+++ b/node/app.go
@@ -211,6 +211,9 @@
 	if a.configs.Config() == nil {
 		return "no configuration yet"
 	}
+	if !a.board.Ready() {
+		return "the board isn't read yet"
+	}
 	for _, f := range a.follows {
 		if a.clock.Now().Sub(f.Fresh()) > staleAfter {
 			return "the store doesn't answer"
--- a/node/internal/board/board.go
+++ b/node/internal/board/board.go
@@ -39,6 +39,7 @@
 	cancelled map[string]bool
 	pending   map[string]int // jobs that haven't begun, by queue
 	listener  Listener       // nil for none
+	ready     bool           // the rows have been read
 }
 
 // New returns an empty Board.
@@ -132,12 +133,59 @@
 	return accepted, rest
 }
 
-// Reset implements follow.Handler.
+// Ready reports whether the board has been read.
+func (b *Board) Ready() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ready
+}
+
+// Reset implements follow.Handler. The board changes from the old rows to the
+// new ones at once, so that no question finds it half read.
 func (b *Board) Reset(rows []platform.Row) {
+	fresh := New(b.logger)
+	fresh.Change(rows)
 	b.mu.Lock()
-	b.clear()
+	b.ready = true
+	b.hosts, b.jobs, b.phases, b.parts = fresh.hosts, fresh.jobs, fresh.phases, fresh.parts
+	b.cancelled, b.pending = fresh.cancelled, fresh.pending
+	l := b.listener
+	owner, version := fresh.owner, fresh.ownerVer
+	changed := version > b.ownerVer
+	if changed {
+		b.owner, b.ownerVer = owner, version
+	}
+	var jobs []*model.Job
+	var cancelled []string
+	if l != nil {
+		jobs, cancelled = b.openLocked()
+	}
 	b.mu.Unlock()
-	b.Change(rows)
+	if l == nil {
+		return
+	}
+	if changed {
+		l.OwnerChanged(owner, version)
+	}
+	for _, j := range jobs {
+		l.JobAccepted(j)
+	}
+	for _, id := range cancelled {
+		l.JobCancelled(id)
+	}
+}
+
+// openLocked returns the jobs that haven't ended and the cancelled ones.
+func (b *Board) openLocked() (jobs []*model.Job, cancelled []string) {
+	for id, a := range b.jobs {
+		if a.Job != nil && !b.phases[id].Phase.Final() {
+			jobs = append(jobs, a.Job)
+		}
+	}
+	for id := range b.cancelled {
+		cancelled = append(cancelled, id)
+	}
+	return jobs, cancelled
 }
 
 // Change implements follow.Handler.
--- a/node/internal/board/board_test.go
+++ b/node/internal/board/board_test.go
@@ -1,10 +1,13 @@
 package board
 
 import (
+	"strconv"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/balsamford/balsamford/coord/model"
 	"github.com/balsamford/balsamford/platform"
@@ -89,3 +92,33 @@
 		is.True(PartOf(id, 0) != PartOf(id, 1))
 	}
 }
+
+// Whoever asks while the board is read anew finds the old or the new rows, never
+// a part of them.
+func TestResetIsAtOnce(t *testing.T) {
+	is := is.New(t)
+	const jobs = 300
+	rows := make([]platform.Row, 0, jobs)
+	for i := range jobs {
+		rows = append(rows, row(t, AcceptKey(strconv.Itoa(i)), int64(i+1), Accepted{Queue: "q"}))
+	}
+	b := New(zap.NewNop())
+	is.True(!b.Ready())
+	b.Reset(rows)
+	is.True(b.Ready())
+	var g errgroup.Group
+	var stop atomic.Bool
+	g.Go(func() error {
+		for range 200 {
+			b.Reset(rows)
+		}
+		stop.Store(true)
+		return nil
+	})
+	least := jobs
+	for !stop.Load() {
+		least = min(least, b.Pending("q"))
+	}
+	is.NoErr(g.Wait())
+	is.Equal(least, jobs)
+}
--- a/node/internal/front/query.go
+++ b/node/internal/front/query.go
@@ -11,6 +11,10 @@
 
 // pending tells how many jobs of a queue haven't begun.
 func (s *Service) pending(r *request) {
+	if !s.board.Ready() || s.health.Failing() {
+		s.unavailable(r.exchange, "the number isn't known")
+		return
+	}
 	r.exchange.Answer(fasthttp.StatusOK, jsonType, platform.PendingBody(s.board.Pending(r.queue.Name)))
 }
 
