--- a/node/app.go
+++ b/node/app.go
@@ -40,8 +40,12 @@
 	// noticeTime is how long a stopping host goes on serving after it is no longer
 	// ready, so that the balancer has led its clients elsewhere.
 	noticeTime = 3 * time.Second
-	// stopMargin is left before the platform kills the process.
-	stopMargin = time.Second
+	// stopMargin is left before the platform kills the process: two writes of a
+	// client's request may still have to time out.
+	stopMargin = 2200 * time.Millisecond
+	// frontTimeout bounds a client's write, which is tried twice within the three
+	// seconds that clients wait.
+	frontTimeout = time.Second
 	// drainPoll is how often a stopping host looks whether all is answered.
 	drainPoll = 50 * time.Millisecond
 	// registerPause follows a failed registration of the host.
@@ -91,7 +95,7 @@
 		follow.New(a.store, a.clock, board.Table, board.Parts(), a.board, follow.WithGap(owner.FollowGap), follow.WithLogger(logger)),
 	}
 	a.node = link.New(s.Host, private)
-	a.service = front.New(a.clock, a.configs, a.board, a.store, a.follows[1], logger, a.registry)
+	a.service = front.New(a.clock, a.configs, a.board, platform.NewStore(s.Store, frontTimeout), a.follows[1], logger, a.registry)
 	a.server = httpd.New(a.clock, a.service, httpd.WithLogger(logger), httpd.WithRegistry(a.registry), httpd.WithLoops(1))
 	a.owner = owner.New(owner.Parts{
 		Host: s.Host, Process: a.process, Bounds: s.Bounds, Store: a.store, Clock: a.clock, Board: a.board, Pacer: a.follows[1], Configs: a.configs,
--- a/node/internal/owner/mandate.go
+++ b/node/internal/owner/mandate.go
@@ -9,7 +9,7 @@
 const (
 	// mandateTime is how long after ownership was confirmed runs may start
 	// without further proof: less than another host waits until it takes over.
-	mandateTime = 800 * time.Millisecond
+	mandateTime = 1100 * time.Millisecond
 	// proofTime is how old an executor's answer may be to show that no other host
 	// has taken it over.
 	proofTime = 1200 * time.Millisecond
