Put work beyond a team's share last; let urgent work ask for faster executors

Change: jobs beyond weight a second rank behind all work that is in time; for urgent work the faster kinds are named first. Tests: TestFloodOfOneTeam, seen failing without the rank; TestUrgentWorkAsksForFasterExecutors.

--- a/node/internal/plan/advice.go
+++ b/node/internal/plan/advice.go
@@ -174,12 +174,19 @@
 		case valid:
 			have += n
 		case asked:
-			known = append(known, spot{worker: w, room: n})
+			known = append(known, spot{worker: w, room: n, score: s.slow(w)})
 		default:
-			fresh = append(fresh, spot{worker: w, room: n})
+			fresh = append(fresh, spot{worker: w, room: n, score: s.slow(w)})
 		}
 	}
-	most := func(a, b spot) int { return cmp.Compare(b.room, a.room) }
+	most := func(a, b spot) int {
+		if st.urgent() {
+			if c := cmp.Compare(a.score, b.score); c != 0 {
+				return c
+			}
+		}
+		return cmp.Compare(b.room, a.room)
+	}
 	slices.SortFunc(known, most)
 	slices.SortFunc(fresh, most)
 	wanted := askSurplus * float64(st.waiting-have)
--- /dev/null
+++ b/node/internal/plan/excess.go
@@ -0,0 +1,34 @@
+package plan
+
+import "time"
+
+const (
+	// excessBurst is how much of its rate a team may submit at once.
+	excessBurst = 2 * time.Second
+	// excessRank is how many ranks work beyond a team's share waits behind: all
+	// that is in time goes first.
+	excessRank = 3
+)
+
+// exceeds reports whether a job that was accepted at sent goes beyond the team's
+// share, which is weight jobs a second. A team that sends many times its usual
+// would otherwise take the room of the others' work.
+func (t *team) exceeds(weight float64, sent time.Time) bool {
+	if weight <= 0 {
+		return false
+	}
+	most := weight * excessBurst.Seconds()
+	if t.filled.IsZero() {
+		t.tokens = most
+	} else if d := sent.Sub(t.filled); d > 0 {
+		t.tokens = min(most, t.tokens+weight*d.Seconds())
+	}
+	if sent.After(t.filled) {
+		t.filled = sent
+	}
+	if t.tokens < 1 {
+		return true
+	}
+	t.tokens--
+	return false
+}
--- a/node/internal/plan/job.go
+++ b/node/internal/plan/job.go
@@ -15,6 +15,7 @@
 	occurs   map[int]*occur // begun and not finished
 	finished map[int]bool   // occurrences
 	delay    Delay
+	excess   bool          // beyond its team's share
 	runs     int           // that may be present on executors
 	version  int           // changes with each thing that is to be recorded
 	chain    time.Duration // longest path of estimates through the steps
@@ -33,6 +34,9 @@
 		j.phase = progress.Phase // A job that has ended is kept for what may still run of it.
 		s.restore(j, progress, now)
 	}
+	if progress == nil && s.config != nil && spec.Team != "" {
+		j.excess = s.team(spec.Team).exceeds(s.config.Teams[spec.Team].Weight, spec.Sent)
+	}
 	s.jobs[spec.ID] = j
 	return true
 }
--- a/node/internal/plan/policy_test.go
+++ b/node/internal/plan/policy_test.go
@@ -169,3 +169,42 @@
 	is.True(f.state.teams["capped"].used.CPU <= 4000)
 	is.True(f.state.teams["t"].used.CPU > 50000) // The rest is used.
 }
+
+// A team that sends many times its share doesn't make the others wait: what it
+// sends beyond its weight in jobs a second comes after their work.
+func TestFloodOfOneTeam(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	for i := range 100 {
+		f.state.AddJob(epoch, f.job(fmt.Sprintf("flood%d", i), model.Step{Count: 1, Need: small}), nil)
+	}
+	other := f.job("other", model.Step{Count: 1, Need: small})
+	other.Team, other.Sent = "capped", epoch.Add(time.Millisecond)
+	f.state.AddJob(epoch, other, nil)
+	f.ready("a") // It has room for a third of the jobs.
+	started := make(map[string]bool)
+	for _, o := range f.state.Decide(epoch.Add(time.Millisecond)).Starts {
+		started[o.Task.Job] = true
+	}
+	is.Equal(len(started), 32)
+	is.True(started["other"])
+}
+
+// Urgent work asks the adviser for the faster kind of executors first.
+func TestUrgentWorkAsksForFasterExecutors(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	for i := range 40 {
+		f.ready(fmt.Sprintf("slow%02d", i))
+		f.state.execs[fmt.Sprintf("slow%02d", i)].info.Kind = "b"
+	}
+	f.ready("fast")
+	f.state.slowness["b"] = 1.3
+	f.state.slowness["a"] = 0.9
+	j := f.job("j", model.Step{Count: 1, Need: small})
+	j.Queue = "quick"
+	f.state.AddJob(epoch, j, nil)
+	asks := f.state.Decide(epoch).Asks
+	is.Equal(len(asks), 1)
+	is.Equal(asks[0].Executors[0], "fast")
+}
--- a/node/internal/plan/team.go
+++ b/node/internal/plan/team.go
@@ -12,6 +12,8 @@
 	urgent int64        // CPU of these that urgent work takes
 	peak   int64        // CPU that urgent work had or wanted to have when peaked
 	peaked time.Time
+	tokens float64   // jobs that it may submit within its share
+	filled time.Time // when tokens were last added
 }
 
 // headroom returns how many tasks of the given need fit under limit, at most n.
--- a/node/internal/plan/urgency.go
+++ b/node/internal/plan/urgency.go
@@ -35,6 +35,9 @@
 		origin = j.spec.Due(st.occur.number)
 	}
 	u := urgency{rank: j.queue.Priority}
+	if j.excess {
+		u.rank += excessRank
+	}
 	if st.spec.Lasting {
 		u.latest = origin
 		return u
