--- a/coord/model/end.go
+++ b/coord/model/end.go
@@ -13,6 +13,25 @@
 	RunAlone           // the rest of its gang didn't come in time
 )
 
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	switch o {
+	case RunDone:
+		return "done"
+	case RunFailed:
+		return "failed"
+	case RunStopped:
+		return "stopped"
+	case RunLapsed:
+		return "lapsed"
+	case RunBroken:
+		return "broken"
+	case RunAlone:
+		return "alone"
+	}
+	return "unknown"
+}
+
 // End is the end of a run as its executor lists it.
 type End struct {
 	Seq        int64 // place in the executor's list, from 1 in each incarnation
--- a/coord/model/phase.go
+++ b/coord/model/phase.go
@@ -12,5 +12,22 @@
 	Cancelled
 )
 
+// String returns the phase's name.
+func (p Phase) String() string {
+	switch p {
+	case Queued:
+		return "queued"
+	case Running:
+		return "running"
+	case Done:
+		return "done"
+	case Failed:
+		return "failed"
+	case Cancelled:
+		return "cancelled"
+	}
+	return "unknown"
+}
+
 // Final reports whether the job has ended.
 func (p Phase) Final() bool { return p >= Done }
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -159,7 +159,7 @@
 		w.Puts = append(w.Puts, put)
 	}
 	if c.Progress.Phase.Final() {
-		r.term.owner.logger.Info("job ended", zap.String("id", c.Job), zap.String("queue", c.Queue), zap.Int("phase", int(c.Progress.Phase)),
+		r.term.owner.logger.Info("job ended", zap.String("id", c.Job), zap.String("queue", c.Queue), zap.Stringer("phase", c.Progress.Phase),
 			zap.Duration("after", r.term.owner.clock.Now().Sub(c.Sent)), zap.Duration("limit", c.Delay.Limit), zap.Duration("room", c.Delay.Room),
 			zap.Duration("advice", c.Delay.Advice), zap.Int64("epoch", r.term.epoch))
 	}
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -125,11 +125,22 @@
 		if e.Seq > a.seen {
 			a.seen = e.Seq
 			out = append(out, e)
+			a.note(e)
 		}
 	}
 	return out
 }
 
+// note logs the end of a run that wasn't wanted.
+func (a *agent) note(e model.End) {
+	if e.Outcome == model.RunDone || e.Outcome == model.RunStopped {
+		return
+	}
+	a.term.owner.logger.Info("run ended early", zap.String("id", e.Task.Job), zap.Int("occur", e.Task.Occur), zap.Int("step", e.Task.Step),
+		zap.Int("index", e.Task.Index), zap.Int("run", e.Number), zap.Stringer("how", e.Outcome), zap.String("executor", a.info.ID),
+		zap.Int64("epoch", a.term.epoch))
+}
+
 // failed takes a failed question. It returns false if the incarnation has ended
 // or nothing is left to wait for.
 func (a *agent) failed(err error) bool {
--- a/node/internal/plan/ends.go
+++ b/node/internal/plan/ends.go
@@ -31,6 +31,10 @@
 		}
 	case model.RunFailed:
 		w.failed(st.occur.job.spec.ID, now)
+		if st.faulty == nil {
+			st.faulty = make(map[string]bool)
+		}
+		st.faulty[w.info.ID] = true
 		s.failed(st, e, now)
 	case model.RunStopped, model.RunLapsed, model.RunBroken, model.RunAlone:
 	}
--- a/node/internal/plan/place.go
+++ b/node/internal/plan/place.go
@@ -109,6 +109,7 @@
 // Weights of what makes an executor a worse choice, in shares of its processors.
 const (
 	farPenalty     = 10.0 // away from the data
+	faultyPenalty  = 20.0 // where a run of the step has failed: the fault may be the executor's
 	servingPenalty = 5.0  // a filler beside a task that serves users
 )
 
@@ -132,6 +133,9 @@
 			score -= penalty // The faster ones are left to urgent work.
 		}
 	}
+	if st.faulty[w.info.ID] && w.faults > 0 { // Nothing has succeeded there since.
+		score += faultyPenalty
+	}
 	if st.spec.Rack != "" && !w.info.Has(st.spec.Rack) {
 		score += farPenalty * s.far
 	}
--- a/node/internal/plan/policy_test.go
+++ b/node/internal/plan/policy_test.go
@@ -208,3 +208,18 @@
 	is.Equal(len(asks), 1)
 	is.Equal(asks[0].Executors[0], "fast")
 }
+
+// An executor that fails what it runs looks the emptiest: a step's next try goes
+// elsewhere, so that one bad executor doesn't use up the attempts.
+func TestNextTryGoesElsewhere(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.ready("a", "b")
+	f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: small}), nil)
+	first := f.state.Decide(epoch).Starts[0]
+	f.confirm(epoch, []Start{first})
+	f.end(epoch, first, model.RunFailed)
+	second := f.state.Decide(epoch).Starts
+	is.Equal(len(second), 1)
+	is.True(second[0].Executor != first.Executor)
+}
--- a/node/internal/plan/stage.go
+++ b/node/internal/plan/stage.go
@@ -12,14 +12,15 @@
 	spec    *model.Step
 	index   int
 	tasks   []task
-	left    int           // tasks that aren't done
-	waiting int           // tasks that are neither done nor have a run
-	since   time.Time     // when it was first seen ready
-	told    time.Time     // when its wait was last told
-	took    time.Duration // of the tasks that were done
-	ended   int           // how many these are
-	tried   time.Time     // when it was last found that tasks can't start; zero if all could
-	cause   cause         // what kept them then
+	left    int             // tasks that aren't done
+	waiting int             // tasks that are neither done nor have a run
+	since   time.Time       // when it was first seen ready
+	told    time.Time       // when its wait was last told
+	faulty  map[string]bool // executors on which a run of it has failed
+	took    time.Duration   // of the tasks that were done
+	ended   int             // how many these are
+	tried   time.Time       // when it was last found that tasks can't start; zero if all could
+	cause   cause           // what kept them then
 	advice  advice
 }
 
