Take a write for done when the board shows it

Change: the owner's row on the board, or the job's, stands for the answer; a claim whose answer was lost begins its term.

--- a/node/internal/front/submit.go
+++ b/node/internal/front/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
@@ -45,7 +46,7 @@
 			s.answer(r.exchange, fasthttp.StatusBadRequest, "not a job")
 			return
 		}
-		last = s.writers[part].create(put)
+		last = s.create(r.id, part, put)
 		if last == nil {
 			s.accepted(r)
 			return
@@ -61,6 +62,38 @@
 	s.failed(r, last)
 }
 
+// showPeriod is how often it is looked whether the board shows a row whose write
+// isn't answered yet.
+const showPeriod = 60 * time.Millisecond
+
+// create has a row written. An answer that is lost doesn't matter once the board
+// shows the row.
+func (s *Service) create(id, part string, put platform.Put) error {
+	it, err := s.writers[part].enqueue(put)
+	if err != nil {
+		return err
+	}
+	look := make(chan struct{}, 1)
+	tick := s.clock.Every(showPeriod, func() {
+		select {
+		case look <- struct{}{}:
+		default:
+		}
+	})
+	defer tick.Stop()
+	for {
+		select {
+		case err := <-it.done:
+			return err
+		case <-look:
+		}
+		e, known := s.board.Job(id)
+		if known && put.Key == board.AcceptKey(id) || e.Cancelled && put.Key == board.CancelKey(id) {
+			return nil
+		}
+	}
+}
+
 // accepted says that a job or a cancellation is stored.
 func (s *Service) accepted(r *request) {
 	s.counts.accepted.Inc(1)
--- a/node/internal/front/writer.go
+++ b/node/internal/front/writer.go
@@ -42,17 +42,17 @@
 	return &writer{store: store, logger: logger, items: make(chan *item, itemsQueued)}
 }
 
-// create has a row written unless it is there already, which is success too. A
-// *platform.RefusedError or *platform.DialError means that it never will be, an
-// *UnknownError that it isn't known.
-func (w *writer) create(put platform.Put) error {
+// enqueue has a row written unless it is there already, which is success too. The
+// item tells the outcome: a *platform.RefusedError or *platform.DialError means
+// that it never will be written, an *UnknownError that it isn't known.
+func (w *writer) enqueue(put platform.Put) (*item, error) {
 	it := &item{put: put, done: make(chan error, 1)}
 	select {
 	case w.items <- it:
+		return it, nil
 	default:
-		return &platform.RefusedError{Call: "queue of writes"}
+		return nil, &platform.RefusedError{Call: "queue of writes"}
 	}
-	return <-it.done
 }
 
 // run writes until ctx ends.
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -48,6 +48,7 @@
 	registry metrics.Registry
 
 	owning atomic.Bool
+	ruled  int64 // epoch of the last term; Run alone uses it
 
 	node *link.Node // nil before Mount
 
@@ -92,6 +93,10 @@
 		if ctx.Err() != nil || o.configs.Config() == nil {
 			continue
 		}
+		if row, version := o.board.Owner(); row.Process == o.process && !row.Resigned && row.Epoch > o.ruled {
+			o.begin(ctx, board.Owner{Epoch: row.Epoch - 1}, row, version) // The answer to a claim was lost.
+			continue
+		}
 		row, version, ok := o.vacant()
 		if !ok {
 			continue
@@ -102,13 +107,19 @@
 			_ = o.clock.Sleep(ctx, claimPause)
 			continue
 		}
-		o.owning.Store(true)
-		o.rule(ctx, row, claim, version)
-		o.owning.Store(false)
+		o.begin(ctx, row, claim, version)
 	}
 	return nil
 }
 
+// begin runs a term.
+func (o *Owner) begin(ctx context.Context, before, claim board.Owner, version int64) {
+	o.ruled = claim.Epoch
+	o.owning.Store(true)
+	o.rule(ctx, before, claim, version)
+	o.owning.Store(false)
+}
+
 // vacant returns the owner's row if this host should take over now.
 func (o *Owner) vacant() (board.Owner, int64, bool) {
 	row, version := o.board.Owner()
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -123,7 +123,7 @@
 		}
 	}
 	over, expired := r.clean(&w)
-	version, err := r.term.owner.store.Write(&w)
+	version, err := r.send(&w, next.Seq)
 	if err != nil {
 		r.left = over
 		return r.resolve(err)
@@ -142,6 +142,32 @@
 	return nil
 }
 
+// send does a write. The answer may be lost: the write is also known to be done
+// when the board shows its row.
+func (r *recorder) send(w *platform.Write, seq int64) (int64, error) {
+	t := r.term
+	type result struct {
+		version int64
+		err     error
+	}
+	done := make(chan result, 1)
+	t.group.Go(func() error {
+		version, err := t.owner.store.Write(w)
+		done <- result{version, err}
+		return nil
+	})
+	for {
+		select {
+		case res := <-done:
+			return res.version, res.err
+		case s := <-t.seen:
+			if s.seq == seq {
+				return s.version, nil
+			}
+		}
+	}
+}
+
 // add puts a change into a write.
 func (r *recorder) add(w *platform.Write, c plan.Change) error {
 	row := board.Phase{Phase: c.Progress.Phase}
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -50,6 +50,7 @@
 	settled time.Duration // from began until nothing unknown runs at executors that don't answer
 	wake    chan struct{} // something happened that calls for a decision
 	record  chan struct{} // something is to be recorded
+	seen    chan sight    // writes of this term that the board shows
 	end     context.CancelCauseFunc
 	ctx     context.Context // of all that the term has started
 	group   *errgroup.Group
@@ -65,6 +66,16 @@
 	confirmed time.Duration // when ownership was last known to hold, on the clock that includes suspensions
 }
 
+// sight is a write of the owner as the board shows it.
+type sight struct {
+	seq     int64
+	version int64 // of the owner's row
+}
+
+// sightsKept bounds the writes that the board shows and the recorder hasn't
+// looked at; it has one under way at a time.
+const sightsKept = 4
+
 // rule runs a term until it is lost or ctx ends.
 func (o *Owner) rule(ctx context.Context, before, claim board.Owner, version int64) {
 	now := o.clock.Now()
@@ -73,7 +84,7 @@
 	defer end(nil)
 	g, gctx := errgroup.WithContext(ctx)
 	t := &term{
-		owner: o, epoch: claim.Epoch, began: now, wake: make(chan struct{}, 1), record: make(chan struct{}, 1), end: end, group: g,
+		owner: o, epoch: claim.Epoch, began: now, wake: make(chan struct{}, 1), record: make(chan struct{}, 1), seen: make(chan sight, sightsKept), end: end, group: g,
 		agents: make(map[string]*agent), confirmed: o.clock.Boot(), config: o.configs.Config(),
 	}
 	t.settled = t.settleTime(before)
@@ -282,9 +293,17 @@
 }
 
 // OwnerChanged implements board.Listener.
-func (t *term) OwnerChanged(row board.Owner, _ int64) {
+func (t *term) OwnerChanged(row board.Owner, version int64) {
 	if row.Epoch > t.epoch || (row.Epoch == t.epoch && row.Process != t.owner.process) {
 		t.end(&LostError{Epoch: t.epoch, Host: row.Host})
+		return
+	}
+	if row.Epoch < t.epoch {
+		return
+	}
+	select {
+	case t.seen <- sight{seq: row.Seq, version: version}:
+	default: // The recorder waits for none of them.
 	}
 }
 
