Try a late write anew, and look at the board for ownership

Change: an answer is waited for four times as long as usual, 250 ms at least, then the write is tried anew under the same condition and a number of its own; a look at the board confirms ownership for 0.3 s, and one that takes over a silent owner starts nothing for as long.

--- a/node/internal/follow/follower.go
+++ b/node/internal/follow/follower.go
@@ -49,10 +49,11 @@
 	wait    time.Duration
 	logger  *zap.Logger
 
-	mu      sync.Mutex // guards the fields below
-	gap     time.Duration
-	fresh   time.Time
-	failing bool // the last call failed
+	mu        sync.Mutex // guards the fields below
+	gap       time.Duration
+	fresh     time.Time
+	confirmed time.Duration // fresh on the clock that includes suspensions
+	failing   bool          // the last call failed
 }
 
 // Option changes how New makes a Follower.
@@ -95,10 +96,18 @@
 	return f.gap - f.clock.Now().Sub(asked)
 }
 
-func (f *Follower) confirm(at time.Time) {
+// Confirmed returns what Fresh does on the clock that includes suspensions. It
+// may be called concurrently.
+func (f *Follower) Confirmed() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.fresh, f.failing = at, false
+	return f.confirmed
+}
+
+func (f *Follower) confirm(at time.Time, boot time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fresh, f.confirmed, f.failing = at, boot, false
 }
 
 // Failing reports whether the last call failed or the present one takes too
@@ -120,7 +129,7 @@
 func (f *Follower) Run(ctx context.Context) error {
 	version, read, lost := int64(0), false, false
 	for ctx.Err() == nil {
-		asked := f.clock.Now()
+		asked, boot := f.clock.Now(), f.clock.Boot()
 		next, err := f.step(version, read)
 		if err != nil {
 			f.fail()
@@ -142,7 +151,7 @@
 			f.logger.Info("table is followed again", zap.String("table", f.table), zap.Int64("version", next))
 		}
 		version, read = max(version, next), true
-		f.confirm(asked)
+		f.confirm(asked, boot)
 		if rest := f.rest(asked); rest > 0 {
 			_ = f.clock.Sleep(ctx, rest)
 		}
--- a/node/internal/owner/deps.go
+++ b/node/internal/owner/deps.go
@@ -14,9 +14,13 @@
 	Write(w *platform.Write) (int64, error)
 }
 
-// Pacer sets how often the board is brought up to date.
+// Pacer keeps the board up to date.
 type Pacer interface {
+	// SetGap sets how often.
 	SetGap(d time.Duration)
+	// Confirmed returns when the board was last known to be complete, on the clock
+	// that includes suspensions.
+	Confirmed() time.Duration
 }
 
 // Configs tells the configuration in force.
--- a/node/internal/owner/errors.go
+++ b/node/internal/owner/errors.go
@@ -1,5 +1,7 @@
 package owner
 
+import "time"
+
 // LostError ends a term: another host owns the cell.
 type LostError struct {
 	Epoch int64  // of this term
@@ -14,3 +16,10 @@
 
 // Error implements error.
 func (e *StopError) Error() string { return "the process stops" }
+
+// PatienceError reports a write whose answer isn't waited for any longer. It may
+// have been done, or be done later.
+type PatienceError struct{ Waited time.Duration }
+
+// Error implements error.
+func (e *PatienceError) Error() string { return "no answer to a write for " + e.Waited.String() }
--- a/node/internal/owner/mandate.go
+++ b/node/internal/owner/mandate.go
@@ -10,6 +10,9 @@
 	// mandateTime is how long after ownership was confirmed runs may start
 	// without further proof: less than another host waits until it takes over.
 	mandateTime = 1100 * time.Millisecond
+	// boardTime is the same for a look at the board, which shows no other owner.
+	// One that takes over a silent owner starts nothing for as long.
+	boardTime = 300 * time.Millisecond
 	// proofTime is how old an executor's answer may be to show that no other host
 	// has taken it over.
 	proofTime = 1200 * time.Millisecond
@@ -21,7 +24,10 @@
 // successor there, which starts the same tasks. The term's mu is held.
 func (t *term) mayStart() bool {
 	now := t.owner.clock.Boot()
-	if now-t.confirmed <= mandateTime {
+	if now < t.quietUntil {
+		return false
+	}
+	if now-t.confirmed <= mandateTime || now-t.owner.pacer.Confirmed() <= boardTime {
 		return true
 	}
 	since := max(t.confirmed+mandateTime, now-proofTime)
@@ -51,4 +57,7 @@
 
 // doubted reports whether ownership hasn't been confirmed for a while, so that
 // executors have to be asked more often. The term's mu is held.
-func (t *term) doubted() bool { return t.owner.clock.Boot()-t.confirmed > mandateTime }
+func (t *term) doubted() bool { return t.owner.clock.Boot()-t.sure() > mandateTime }
+
+// sure returns when ownership was last known to hold. The term's mu is held.
+func (t *term) sure() time.Duration { return max(t.confirmed, t.owner.pacer.Confirmed()) }
--- a/node/internal/owner/probe.go
+++ b/node/internal/owner/probe.go
@@ -71,7 +71,7 @@
 		return true
 	}
 	t.mu.Lock()
-	age := o.clock.Boot() - t.confirmed
+	age := o.clock.Boot() - t.sure()
 	t.mu.Unlock()
 	if age < yieldAfter {
 		return false
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -19,8 +19,15 @@
 	// recordGap is the least time between two writes, so that changes that come
 	// together share one.
 	recordGap = 30 * time.Millisecond
+	// patience times its usual time an answer is waited for until the write is tried
+	// anew; leastPatience at least. Both writes have the same condition, so that
+	// only one of them is done.
+	patience      = 4
+	leastPatience = 250 * time.Millisecond
+	// smoothing is over how many writes the usual time is averaged.
+	smoothing = 8
 	// recordPause follows a write that failed.
-	recordPause = 100 * time.Millisecond
+	recordPause = 50 * time.Millisecond
 	// changesPerWrite keeps a write under the store's limit of entries: two rows
 	// a change, up to two more to delete, and the owner's.
 	changesPerWrite = 24
@@ -31,8 +38,10 @@
 type recorder struct {
 	term    *term
 	row     board.Owner
-	version int64    // of the owner's row
-	left    []string // ended jobs whose rows a failed write should have deleted
+	version int64         // of the owner's row
+	attempt int64         // number of the last write that was tried; each has its own
+	typical time.Duration // that a write takes
+	left    []string      // ended jobs whose rows a failed write should have deleted
 }
 
 // run records until the term ends.
@@ -110,7 +119,8 @@
 // cell.
 func (r *recorder) write(changes []plan.Change) error {
 	next := r.row
-	next.Seq++
+	r.attempt++
+	next.Seq = r.attempt
 	w := platform.Write{Conditions: []platform.Condition{ownerRow(r.version)}}
 	put, err := board.Put(board.Table, board.Main, board.OwnerKey, next)
 	if err != nil {
@@ -151,6 +161,10 @@
 		err     error
 	}
 	done := make(chan result, 1)
+	asked := t.owner.clock.Now()
+	late := make(chan struct{})
+	timeout := t.owner.clock.After(max(leastPatience, patience*r.typical), func() { close(late) })
+	defer timeout.Stop()
 	t.group.Go(func() error {
 		version, err := t.owner.store.Write(w)
 		done <- result{version, err}
@@ -159,7 +173,12 @@
 	for {
 		select {
 		case res := <-done:
+			if res.err == nil {
+				r.typical += (t.owner.clock.Now().Sub(asked) - r.typical) / smoothing
+			}
 			return res.version, res.err
+		case <-late:
+			return 0, &PatienceError{Waited: t.owner.clock.Now().Sub(asked)}
 		case s := <-t.seen:
 			if s.seq == seq {
 				return s.version, nil
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -44,16 +44,17 @@
 
 // term is one ownership of the cell.
 type term struct {
-	owner   *Owner
-	epoch   int64
-	began   time.Time
-	settled time.Duration // from began until nothing unknown runs at executors that don't answer
-	wake    chan struct{} // something happened that calls for a decision
-	record  chan struct{} // something is to be recorded
-	seen    chan sight    // writes of this term that the board shows
-	end     context.CancelCauseFunc
-	ctx     context.Context // of all that the term has started
-	group   *errgroup.Group
+	owner      *Owner
+	epoch      int64
+	began      time.Time
+	settled    time.Duration // from began until nothing unknown runs at executors that don't answer
+	quietUntil time.Duration // until when no run may start, on the clock that includes suspensions
+	wake       chan struct{} // something happened that calls for a decision
+	record     chan struct{} // something is to be recorded
+	seen       chan sight    // writes of this term that the board shows
+	end        context.CancelCauseFunc
+	ctx        context.Context // of all that the term has started
+	group      *errgroup.Group
 
 	mu        sync.Mutex // guards the fields below
 	plan      *plan.State
@@ -88,6 +89,9 @@
 		agents: make(map[string]*agent), confirmed: o.clock.Boot(), config: o.configs.Config(),
 	}
 	t.settled = t.settleTime(before)
+	if before.Epoch > 0 && !before.Resigned && before.Host != o.host {
+		t.quietUntil = o.clock.Boot() + boardTime // It may not have seen yet that it is succeeded.
+	}
 	t.plan = plan.New(t.config, plan.WithFar(o.bounds.Far), plan.WithStopTime(o.bounds.Stop+stopSlack), plan.WithBase(int(claim.Epoch-1)*runsPerEpoch), plan.WithSettle(now.Add(t.settled)))
 	t.ctx = gctx
 	rec := &recorder{term: t, row: claim, version: version}
