Let patience with the store grow while it is slow

Cause: after 250 ms a write was tried anew however slow the store was, so that a partition that does two writes a second got more and more of them. Change: each vain wait doubles the next; an answer sets it to four times what it took. Tests: TestPatienceWithSlowStore; TestEarlierTryIsNoAnswer compares two tries now.

--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -19,10 +19,10 @@
 	// recordGap is the least time between two writes, so that changes that come
 	// together share one.
 	recordGap = 30 * time.Millisecond
-	// patience times its usual time an answer is waited for until the write is tried
+	// patienceTimes its usual time an answer is waited for until the write is tried
 	// anew; leastPatience at least. Both writes have the same condition, so that
 	// only one of them is done.
-	patience      = 4
+	patienceTimes = 4
 	leastPatience = 250 * time.Millisecond
 	// smoothing is over how many writes the usual time is averaged.
 	smoothing = 8
@@ -36,12 +36,13 @@
 // recorder writes what must outlive the host. Each write depends on the owner's
 // row and rewrites it, so that one that comes late changes nothing.
 type recorder struct {
-	term    *term
-	row     board.Owner
-	version int64         // of the owner's row
-	attempt int64         // number of the last write that was tried; each has its own
-	typical time.Duration // that a write takes
-	left    []string      // ended jobs whose rows a failed write should have deleted
+	term     *term
+	row      board.Owner
+	version  int64         // of the owner's row
+	attempt  int64         // number of the last write that was tried; each has its own
+	typical  time.Duration // that a write takes
+	patience time.Duration // how long the next answer is waited for
+	left     []string      // ended jobs whose rows a failed write should have deleted
 }
 
 // run records until the term ends.
@@ -163,7 +164,7 @@
 	done := make(chan result, 1)
 	asked := t.owner.clock.Now()
 	late := make(chan struct{})
-	timeout := t.owner.clock.After(max(leastPatience, patience*r.typical), func() { close(late) })
+	timeout := t.owner.clock.After(max(leastPatience, r.patience), func() { close(late) })
 	defer timeout.Stop()
 	t.group.Go(func() error {
 		version, err := t.owner.store.Write(w)
@@ -173,11 +174,10 @@
 	for {
 		select {
 		case res := <-done:
-			if res.err == nil {
-				r.typical += (t.owner.clock.Now().Sub(asked) - r.typical) / smoothing
-			}
+			r.answered(t.owner.clock.Now().Sub(asked))
 			return res.version, res.err
 		case <-late:
+			r.patience = 2 * max(leastPatience, r.patience) // The store may just be slow.
 			return 0, &PatienceError{Waited: t.owner.clock.Now().Sub(asked)}
 		case s := <-t.seen:
 			if s.seq == seq {
@@ -187,6 +187,13 @@
 	}
 }
 
+// answered learns how long answers take: a slower one counts at once, faster ones
+// little by little.
+func (r *recorder) answered(took time.Duration) {
+	r.typical = max(took, r.typical+(took-r.typical)/smoothing)
+	r.patience = patienceTimes * r.typical
+}
+
 // add puts a change into a write.
 func (r *recorder) add(w *platform.Write, c plan.Change) error {
 	row := board.Phase{Phase: c.Progress.Phase}
--- a/node/internal/owner/recorder_test.go
+++ b/node/internal/owner/recorder_test.go
@@ -66,21 +66,22 @@
 }
 
 // The board may show an earlier try while a later one is under way: that is no
-// answer to the later one.
+// answer to the later one, which may hold more.
 func TestEarlierTryIsNoAnswer(t *testing.T) {
 	tests := map[string]struct {
 		seq  int64
 		done bool
 	}{
-		"the write itself": {seq: 2, done: true},
-		"an earlier try":   {seq: 1},
+		"the later try":   {seq: 3, done: true},
+		"the earlier try": {seq: 2},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			r, f := newRecorder(t)
 			is.NoErr(r.write(nil))
-			f.SetSlow(storeTimeout / 2)
+			f.SetSlow(storeTimeout)
+			is.True(r.write(nil) != nil)
 			r.term.seen <- sight{seq: tt.seq, version: 77}
 			err := r.write(nil)
 			is.Equal(err == nil, tt.done)
@@ -91,6 +92,21 @@
 	}
 }
 
+// A slow store isn't asked more and more: patience grows with each vain wait, and
+// is then what its answers take.
+func TestPatienceWithSlowStore(t *testing.T) {
+	is := is.New(t)
+	r, f := newRecorder(t)
+	is.NoErr(r.write(nil))
+	f.SetSlow(storeTimeout * 3 / 10)
+	tries := 0
+	for r.write(nil) != nil {
+		tries++
+		is.True(tries < 5)
+	}
+	is.NoErr(r.write(nil)) // At the first try.
+}
+
 // Another host's row ends the term.
 func TestAnotherOwnerEndsTheTerm(t *testing.T) {
 	is := is.New(t)
