--- a/coord/httpd/conn.go
+++ b/coord/httpd/conn.go
@@ -22,7 +22,7 @@
 	raw    gnet.Conn
 	secure *secure      // nil on a plain connection
 	shard  int          // guarded by connSet
-	due    atomic.Int64 // time limit in Unix nanoseconds, 0 for none
+	due    atomic.Int64 // deadline in Unix nanoseconds, 0 for none
 	idle   atomic.Bool  // no byte of a next request has come
 
 	buf      []byte
@@ -47,7 +47,7 @@
 	return cn
 }
 
-// limit sets the time limit to d from now; 0 is none.
+// limit sets the deadline to d from now; 0 is none.
 func (cn *conn) limit(d time.Duration) {
 	if d == 0 {
 		cn.due.Store(0)
--- a/coord/httpd/connset.go
+++ b/coord/httpd/connset.go
@@ -44,7 +44,7 @@
 
 func (s *connSet) count() int { return int(s.size.Load()) }
 
-// due returns the connections whose time limit is before now, and all idle
+// due returns the connections whose deadline is before now, and all idle
 // ones if idle is true.
 func (s *connSet) due(now int64, idle bool) []*conn {
 	var out []*conn
--- a/coord/httpd/counts.go
+++ b/coord/httpd/counts.go
@@ -8,7 +8,7 @@
 	requests metrics.Counter // requests given to the handler
 	refused  metrics.Counter // connections and requests over a limit
 	invalid  metrics.Counter // requests that can't be understood
-	late     metrics.Counter // connections closed for a time limit
+	late     metrics.Counter // connections closed for a deadline
 	stalled  metrics.Counter // answers given up because the caller didn't read
 	shakes   metrics.Counter // TLS handshakes that ended well
 	aborted  metrics.Counter // TLS handshakes that began and failed or were cut
--- a/coord/httpd/pipe.go
+++ b/coord/httpd/pipe.go
@@ -129,7 +129,7 @@
 // RemoteAddr implements net.Conn.
 func (p *pipe) RemoteAddr() net.Addr { return nil }
 
-// SetDeadline implements net.Conn. The server's time limits close the pipe.
+// SetDeadline implements net.Conn. The server's deadlines close the pipe.
 func (p *pipe) SetDeadline(time.Time) error { return nil }
 
 // SetReadDeadline implements net.Conn.
--- a/coord/httpd/server.go
+++ b/coord/httpd/server.go
@@ -19,7 +19,7 @@
 	defaultLoops = 2
 	// readBuffer is the size of an event loop's read buffer in bytes.
 	readBuffer = 16 << 10
-	// sweepPeriod is how often time limits of connections are looked at.
+	// sweepPeriod is how often deadlines of connections are looked at.
 	sweepPeriod = 250 * time.Millisecond
 	// stopTime bounds how long closing the event loops may take.
 	stopTime = 5 * time.Second
@@ -169,7 +169,7 @@
 	})
 }
 
-// sweep closes connections that are past their time limit.
+// sweep closes connections that are past their deadline.
 func (s *Server) sweep() {
 	now := s.clock.Now().UnixNano()
 	leaving := s.leaving.Load()
--- a/node/internal/owner/agent.go
+++ b/node/internal/owner/agent.go
@@ -56,7 +56,7 @@
 // run starts the agent's two loops.
 func (a *agent) run() {
 	a.term.group.Go(func() error { a.watch(); return nil })
-	a.term.group.Go(func() error { a.obey(); return nil })
+	a.term.group.Go(func() error { a.execute(); return nil })
 }
 
 // end stops the agent. The term's mu is held.
@@ -119,5 +119,5 @@
 // leaseLeft returns for how long the lease may be extended now. The term's mu is
 // held.
 func (t *term) leaseLeft() time.Duration {
-	return min(leaseTime, t.owner.bounds.Lease, t.sure()+t.owner.bounds.Lease+unconfirmedTime-t.owner.clock.Boot())
+	return min(leaseTime, t.owner.bounds.Lease, t.confirmedAt()+t.owner.bounds.Lease+unconfirmedTime-t.owner.clock.Boot())
 }
--- a/node/internal/owner/mandate.go
+++ b/node/internal/owner/authority.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// mandateTime is how long after ownership was confirmed runs may start
+	// authorityTime is how long after ownership was confirmed runs may start
 	// without further proof: less than another host waits until it takes over.
-	mandateTime = 1100 * time.Millisecond
+	authorityTime = 1100 * time.Millisecond
 	// boardTime is the same for a look at the board, which shows no other owner.
 	// One that takes over a silent owner starts nothing for as long.
 	boardTime = 300 * time.Millisecond
@@ -27,12 +27,12 @@
 	if now < t.quietUntil {
 		return false
 	}
-	if now-t.confirmed <= mandateTime || now-t.owner.pacer.Confirmed() <= boardTime {
+	if now-t.confirmed <= authorityTime || now-t.owner.pacer.Confirmed() <= boardTime {
 		return true
 	}
-	since := max(t.confirmed+mandateTime, now-proofTime)
+	since := max(t.confirmed+authorityTime, now-proofTime)
 	for _, a := range t.agents {
-		if a.answered < since && (!a.silent || a.answered > t.confirmed-mandateTime) {
+		if a.answered < since && (!a.silent || a.answered > t.confirmed-authorityTime) {
 			return false
 		}
 	}
@@ -55,9 +55,9 @@
 	t.plan.Pause(paused)
 }
 
-// doubted reports whether ownership hasn't been confirmed for a while, so that
+// unconfirmed reports whether ownership hasn't been confirmed for a while, so that
 // executors have to be asked more often. The term's mu is held.
-func (t *term) doubted() bool { return t.owner.clock.Boot()-t.sure() > mandateTime }
+func (t *term) unconfirmed() bool { return t.owner.clock.Boot()-t.confirmedAt() > authorityTime }
 
-// sure returns when ownership was last known to hold. The term's mu is held.
-func (t *term) sure() time.Duration { return max(t.confirmed, t.owner.pacer.Confirmed()) }
+// confirmedAt returns when ownership was last known to hold. The term's mu is held.
+func (t *term) confirmedAt() time.Duration { return max(t.confirmed, t.owner.pacer.Confirmed()) }
--- /dev/null
+++ b/node/internal/owner/decide.go
@@ -0,0 +1,103 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/balsamford/balsamford/node/internal/plan"
+)
+
+const (
+	// decideGap is the least time between two decisions, so that events that come
+	// together are decided on together.
+	decideGap = 10 * time.Millisecond
+	// decidePeriod is how often is decided without an event, for what falls due.
+	decidePeriod = 100 * time.Millisecond
+	// waitsPeriod is how often long waits are looked for.
+	waitsPeriod = time.Second
+)
+
+// decide asks the plan for orders whenever something has happened.
+func (t *term) decide(ctx context.Context) error {
+	tick := t.owner.clock.Every(decidePeriod, func() { notify(t.wake) })
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-t.wake:
+		}
+		t.decideOnce()
+		_ = t.owner.clock.Sleep(ctx, decideGap)
+	}
+}
+
+func (t *term) decideOnce() {
+	now := t.owner.clock.Now()
+	t.mu.Lock()
+	if c := t.owner.configs.Config(); c != t.config {
+		t.config = c
+		t.plan.Configure(c)
+	}
+	t.pause(!t.mayStart())
+	t.plan.SetTurns(max(1, len(t.owner.board.Hosts())))
+	orders := t.plan.Decide(now)
+	var waits []plan.Wait
+	if now.Sub(t.logged) > waitsPeriod {
+		t.logged = now
+		waits = t.plan.Waits(now)
+		for _, a := range t.agents {
+			a.retire(now)
+		}
+	}
+	for _, s := range orders.Starts {
+		if a := t.agents[s.Executor]; a != nil {
+			a.give(order{start: &s})
+		}
+	}
+	for _, s := range orders.Stops {
+		if a := t.agents[s.Executor]; a != nil {
+			a.give(order{stop: &s})
+		}
+	}
+	for _, p := range orders.Paces {
+		if a := t.agents[p.Executor]; a != nil {
+			a.give(order{pace: &p})
+		}
+	}
+	t.mu.Unlock()
+	for i := range waits {
+		t.logWait(&waits[i], now)
+	}
+	for _, a := range orders.Asks {
+		t.group.Go(func() error { t.ask(a); return nil })
+	}
+	notify(t.record)
+}
+
+// logWait logs why a stage waits.
+func (t *term) logWait(w *plan.Wait, now time.Time) {
+	t.owner.logger.Info("step waits", zap.String("id", w.Step.Job), zap.Int("occur", w.Step.Occur), zap.Int("step", w.Step.Step),
+		zap.String("reason", w.Reason), zap.Int("tasks", w.Waiting), zap.Duration("for", now.Sub(w.Since)), zap.Int("usable", w.Usable),
+		zap.Int("allowed", w.Allowed), zap.Int("roomy", w.Roomy), zap.Bool("asking", w.Asking), zap.Int64("epoch", t.epoch))
+}
+
+// ask carries out a question to the placement adviser.
+func (t *term) ask(a plan.Ask) {
+	advice, err := t.owner.advisers.Ask(a.Step, a.Executors, a.Takes)
+	now := t.owner.clock.Now()
+	t.mu.Lock()
+	if err != nil {
+		t.plan.Unadvised(a.Step)
+	} else {
+		t.plan.Advised(a.Step, a.Executors, advice.Tickets, now.Add(advice.Valid))
+	}
+	t.mu.Unlock()
+	if err != nil {
+		t.owner.logger.Info("no advice", zap.String("job", a.Step.Job), zap.Int("step", a.Step.Step), zap.Int("executors", len(a.Executors)), zap.Error(err))
+		return
+	}
+	notify(t.wake)
+}
--- a/node/internal/owner/obey.go
+++ b/node/internal/owner/execute.go
@@ -9,8 +9,8 @@
 	"github.com/balsamford/balsamford/platform"
 )
 
-// obey carries out orders, one after another, until the agent ends.
-func (a *agent) obey() {
+// execute carries out orders, one after another, until the agent ends.
+func (a *agent) execute() {
 	for {
 		select {
 		case <-a.ctx.Done():
@@ -67,7 +67,7 @@
 	case errors.As(err, &other):
 		a.gone()
 	default:
-		t.plan.Doubted(now, *s)
+		t.plan.Unanswered(now, *s)
 	}
 }
 
--- a/node/internal/owner/lease_test.go
+++ b/node/internal/owner/lease_test.go
@@ -37,9 +37,9 @@
 
 // A successor takes over a silent owner only after that owner has stopped
 // starting work by itself.
-func TestMandateEndsBeforeTakeover(t *testing.T) {
-	if mandateTime >= deadAfter {
-		t.Errorf("an owner starts work for %v after its last write, a successor after %v", mandateTime, deadAfter)
+func TestAuthorityEndsBeforeTakeover(t *testing.T) {
+	if authorityTime >= deadAfter {
+		t.Errorf("an owner starts work for %v after its last write, a successor after %v", authorityTime, deadAfter)
 	}
 	if beatPeriod*2 >= probeAfter {
 		t.Errorf("an owner writes each %v, and is probed after %v", beatPeriod, probeAfter)
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -17,7 +17,7 @@
 
 const (
 	// deadAfter is how long an owner that doesn't answer may be seen to write
-	// nothing until another host takes over. It has to be more than mandateTime.
+	// nothing until another host takes over. It has to be more than authorityTime.
 	deadAfter = 1300 * time.Millisecond
 	// stuckAfter is the same for an owner that says that it is one.
 	stuckAfter = 2 * time.Second
--- a/node/internal/owner/probe.go
+++ b/node/internal/owner/probe.go
@@ -71,7 +71,7 @@
 		return true
 	}
 	t.mu.Lock()
-	age := o.clock.Boot() - t.sure()
+	age := o.clock.Boot() - t.confirmedAt()
 	t.mu.Unlock()
 	if age < yieldAfter {
 		return false
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -26,6 +26,9 @@
 	leastPatience = 250 * time.Millisecond
 	// smoothing is over how many writes the usual time is averaged.
 	smoothing = 8
+	// resignTries is how often an owner that stops tries to hand over: an answer may
+	// be lost, and the next try then learns what became of it.
+	resignTries = 3
 	// recordPause follows a write that failed.
 	recordPause = 50 * time.Millisecond
 	// changesPerWrite keeps a write under the store's limit of entries: two rows
@@ -242,9 +245,13 @@
 
 // resign hands the cell over to whoever takes it first.
 func (r *recorder) resign() {
-	changes, _ := r.collect()
-	r.row.Resigned = true
-	if err := r.write(changes); err != nil {
-		r.term.owner.logger.Warn("ownership not handed over", zap.Int64("epoch", r.term.epoch), zap.Error(err))
+	var err error
+	for range resignTries {
+		changes, _ := r.collect()
+		r.row.Resigned = true
+		if err = r.write(changes); err == nil {
+			return
+		}
 	}
+	r.term.owner.logger.Warn("ownership not handed over", zap.Int64("epoch", r.term.epoch), zap.Error(err))
 }
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -15,8 +15,8 @@
 	// watchWait is how long an executor may wait for a run to end before it
 	// answers; leases are extended as often.
 	watchWait = time.Second
-	// doubtedWait takes the place of watchWait while ownership isn't confirmed.
-	doubtedWait = 300 * time.Millisecond
+	// unconfirmedWait takes the place of watchWait while ownership isn't confirmed.
+	unconfirmedWait = 300 * time.Millisecond
 	// watchGap is the least time from an answer to the next question: ends that
 	// come shortly after one another are learned together.
 	watchGap = 150 * time.Millisecond
@@ -37,8 +37,8 @@
 	for a.ctx.Err() == nil {
 		now, asked := t.owner.clock.Now(), t.owner.clock.Boot()
 		t.mu.Lock()
-		if t.doubted() {
-			wait = min(wait, doubtedWait)
+		if t.unconfirmed() {
+			wait = min(wait, unconfirmedWait)
 		}
 		o := platform.WatchOrder{Fence: t.epoch, Wait: wait}
 		if !a.silent { // While it is, its lease has to run out, and it may be another incarnation with unknown ends.
--- a/node/internal/plan/answers.go
+++ b/node/internal/plan/answers.go
@@ -19,7 +19,7 @@
 func (s *State) Started(now time.Time, o Start) {
 	if r := s.find(o.Executor, o.Task, o.Number); r != nil {
 		r.certain, r.present = now, true
-		if r.state == starting || r.state == doubtful {
+		if r.state == starting || r.state == inDoubt {
 			r.state = active
 		}
 	}
@@ -55,14 +55,14 @@
 	}
 	s.dropRun(r)
 	if r.stage.spec.Gang {
-		s.breakUp(r.stage, now)
+		s.stopRuns(r.stage, now)
 	}
 }
 
-// Doubted notes that a start may or may not have happened.
-func (s *State) Doubted(now time.Time, o Start) {
+// Unanswered notes that a start may or may not have happened.
+func (s *State) Unanswered(now time.Time, o Start) {
 	if r := s.find(o.Executor, o.Task, o.Number); r != nil && r.state == starting {
-		r.state = doubtful
+		r.state = inDoubt
 		r.began = now
 	}
 }
@@ -83,8 +83,8 @@
 	return w.runs[runKey{task: t, number: number}]
 }
 
-// breakUp stops what is there of a gang, since it can't be whole.
-func (s *State) breakUp(st *stage, now time.Time) {
+// stopRuns stops what is there of a gang, since it can't be whole.
+func (s *State) stopRuns(st *stage, now time.Time) {
 	if st.spec.Gang && st.left == 0 {
 		return // It has ended; the members' own ends are on their way.
 	}
@@ -112,7 +112,7 @@
 	s.changed(j)
 	for _, o := range j.occurs {
 		for _, st := range o.stages {
-			s.breakUp(st, now)
+			s.stopRuns(st, now)
 		}
 	}
 }
--- a/node/internal/plan/ends.go
+++ b/node/internal/plan/ends.go
@@ -39,7 +39,7 @@
 	case model.RunStopped, model.RunLapsed, model.RunBroken, model.RunAlone:
 	}
 	if st.spec.Gang && e.Outcome != model.RunDone {
-		s.breakUp(st, now)
+		s.stopRuns(st, now)
 	}
 }
 
--- a/node/internal/plan/policy_test.go
+++ b/node/internal/plan/policy_test.go
@@ -136,7 +136,7 @@
 	f.ready("a")
 	f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: whole}), nil)
 	o := f.state.Decide(epoch).Starts[0]
-	f.state.Doubted(epoch, o)
+	f.state.Unanswered(epoch, o)
 	f.state.Reported(epoch, "a", Report{Asked: epoch}) // Asked before.
 	is.Equal(len(f.state.Decide(epoch).Stops), 0)
 	later := epoch.Add(time.Second)
--- a/node/internal/plan/report.go
+++ b/node/internal/plan/report.go
@@ -44,9 +44,9 @@
 		case !r.certain.IsZero() && rep.Asked.After(r.certain):
 			s.dropRun(r)
 			if r.stage.spec.Gang {
-				s.breakUp(r.stage, now)
+				s.stopRuns(r.stage, now)
 			}
-		case r.state == doubtful && rep.Asked.After(r.began):
+		case r.state == inDoubt && rep.Asked.After(r.began):
 			s.stopRun(r, now)
 		}
 	}
@@ -65,7 +65,7 @@
 	if r.certain.IsZero() {
 		r.certain = now
 	}
-	if r.state == starting || r.state == doubtful {
+	if r.state == starting || r.state == inDoubt {
 		r.state = active
 	}
 	if m.Percent != r.percent {
--- a/node/internal/plan/restore.go
+++ b/node/internal/plan/restore.go
@@ -47,7 +47,7 @@
 			continue
 		}
 		w := s.worker(place.Executor)
-		r := s.attachRun(st, i, place.Number, w, doubtful, now)
+		r := s.attachRun(st, i, place.Number, w, inDoubt, now)
 		r.restored = true
 		r.certain = now // The executor takes no order of an earlier owner once it has reported.
 	}
--- a/node/internal/plan/run.go
+++ b/node/internal/plan/run.go
@@ -11,7 +11,7 @@
 
 const (
 	starting runState = iota // ordered, not yet answered
-	doubtful                 // the order's answer was lost
+	inDoubt                  // the order's answer was lost
 	active                   // present on the executor
 	stopping                 // ordered to stop
 )
--- a/node/internal/plan/stage.go
+++ b/node/internal/plan/stage.go
@@ -15,7 +15,7 @@
 	left    int             // tasks that aren't done
 	waiting int             // tasks that are neither done nor have a run
 	since   time.Time       // when it was first seen ready
-	told    time.Time       // when its wait was last told
+	logged  time.Time       // when its wait was last told
 	faulty  map[string]bool // executors on which a run of it has failed
 	took    time.Duration   // of the tasks that were done
 	ended   int             // how many these are
--- a/node/internal/plan/waits.go
+++ b/node/internal/plan/waits.go
@@ -51,10 +51,10 @@
 
 // waitOf tells why a stage waits, if it has for long.
 func (s *State) waitOf(st *stage, now time.Time) (Wait, bool) {
-	if st.waiting == 0 || st.since.IsZero() || now.Sub(st.since) < longWait || now.Sub(st.told) < longWait || !st.occur.ready(st) {
+	if st.waiting == 0 || st.since.IsZero() || now.Sub(st.since) < longWait || now.Sub(st.logged) < longWait || !st.occur.ready(st) {
 		return Wait{}, false
 	}
-	st.told = now
+	st.logged = now
 	j := st.occur.job
 	w := Wait{Step: st.id(), Waiting: st.waiting, Since: st.since, Asking: !st.advice.asked.IsZero(), Reason: "room"}
 	room := st.spec.Room()
