--- a/coord/model/job.go
+++ b/coord/model/job.go
@@ -25,13 +25,3 @@
 	}
 	return j.First.Add(time.Duration(k) * j.Every)
 }
-
-// Lasting reports whether the job runs until it is cancelled.
-func (j *Job) Lasting() bool {
-	for i := range j.Steps {
-		if j.Steps[i].Lasting {
-			return true
-		}
-	}
-	return false
-}
--- a/node/app.go
+++ b/node/app.go
@@ -101,7 +101,7 @@
 		Host: s.Host, Process: a.process, Bounds: s.Bounds, Store: a.store, Clock: a.clock, Board: a.board, Pacer: a.follows[1], Configs: a.configs,
 		Advisers: peers.New(s.Host, a.node, platform.NewAdviser(s.Adviser), a.clock, a.board),
 		Connect:  func(id, address string) owner.Executor { return platform.NewExecutor(id, address) },
-		Logger:   logger, Registry: a.registry,
+		Logger:   logger,
 	})
 	a.owner.Mount(a.node)
 	a.page = meter.New(a.registry, a.unready, meter.WithPage(platform.ReadyPath, a.ready))
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/balsamford/balsamford/coord/link"
@@ -45,7 +44,6 @@
 	advisers Advisers
 	connect  func(id, address string) Executor
 	logger   *zap.Logger
-	registry metrics.Registry
 
 	owning atomic.Bool
 	ruled  int64 // epoch of the last term; Run alone uses it
@@ -71,14 +69,13 @@
 	Advisers Advisers
 	Connect  func(id, address string) Executor
 	Logger   *zap.Logger
-	Registry metrics.Registry
 }
 
 // New returns an Owner that owns nothing yet.
 func New(p Parts) *Owner {
 	return &Owner{
 		host: p.Host, process: p.Process, bounds: p.Bounds, store: p.Store, clock: p.Clock, board: p.Board, pacer: p.Pacer, configs: p.Configs,
-		advisers: p.Advisers, connect: p.Connect, logger: p.Logger, registry: p.Registry,
+		advisers: p.Advisers, connect: p.Connect, logger: p.Logger,
 	}
 }
 
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -48,12 +48,6 @@
 	}
 }
 
-// Jobs returns the number of jobs that haven't ended.
-func (s *State) Jobs() int { return len(s.jobs) }
-
-// Executors returns the number of known executors.
-func (s *State) Executors() int { return len(s.execs) }
-
 // team returns the use of a team, which is made when needed.
 func (s *State) team(name string) *team {
 	t := s.teams[name]
