Keep the fractions of a second of times on the board

Cause: CBOR's default writes times as whole seconds, so that a successor of the host that accepted a job, and the owner itself, took a job for up to a second older than it is: its objective was misjudged and the time in 'job ended' too long. Change: times are written with microseconds; both forms are read.

--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -71,9 +71,17 @@
 	Ended int64       `cbor:"2,keyasint,omitempty"` // Unix seconds
 }
 
+// encoding returns how values are written: times with their fractions of a
+// second, which the library's default cuts off.
+func encoding() (cbor.EncMode, error) { return cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode() }
+
 // Put returns the write of a row.
 func Put(table, part, key string, v any) (platform.Put, error) {
-	data, err := cbor.Marshal(v)
+	mode, err := encoding()
+	if err != nil {
+		return platform.Put{}, &EncodeError{Key: key, Err: err}
+	}
+	data, err := mode.Marshal(v)
 	if err != nil {
 		return platform.Put{}, &EncodeError{Key: key, Err: err}
 	}
