Hand a cell over before held calls end, and take over by what the owner's row says

With a slow store starts were paused and resumed each 0.1 s. Change: a stopping owner starts nothing more, resigns with its last record, and offers the cell to its first successor, which claims it at once; its row names three successors that answer, the strongest of other zones first, and says how long it may act without another write (0.7 s; longer while writes are slow), which is what others wait. A host whose board can't be followed counts no silence. Stopped hosts delete their row.

--- a/node/app.go
+++ b/node/app.go
@@ -182,7 +182,12 @@
 	a.server.Part()
 	resign()
 	end := began.Add(max(noticeTime, a.settings.Bounds.Grace-stopMargin))
+	listed := true
 	for a.clock.Now().Before(end) && ctx.Err() == nil {
+		if listed && !a.owner.Owning() {
+			listed = false
+			a.unregister()
+		}
 		if a.clock.Now().Sub(began) >= noticeTime && a.server.Active() == 0 && !a.owner.Owning() {
 			return
 		}
@@ -207,6 +212,14 @@
 	return nil
 }
 
+// unregister deletes the host's row, so that others don't count on it any more.
+func (a *app) unregister() {
+	key := platform.Key{Table: board.Table, Part: board.PartOf(a.settings.Host, 0), Key: board.HostKey(a.settings.Host)}
+	if _, err := a.store.Write(&platform.Write{Deletes: []platform.Key{key}}); err != nil {
+		a.logger.Info("host not unregistered", zap.Error(err))
+	}
+}
+
 // unready returns why the host isn't ready, or an empty string.
 func (a *app) unready() string {
 	if a.leaving.Load() {
--- a/node/internal/board/board.go
+++ b/node/internal/board/board.go
@@ -90,6 +90,14 @@
 	return out
 }
 
+// Host returns a host, and whether there is one of that name.
+func (b *Board) Host(name string) (Host, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h, ok := b.hosts[name]
+	return h, ok
+}
+
 // Job returns what is known of a job, and whether it is accepted.
 func (b *Board) Job(id string) (Entry, bool) {
 	b.mu.Lock()
--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -47,6 +48,10 @@
 	Epoch    int64  `cbor:"3,keyasint"` // fencing token
 	Seq      int64  `cbor:"4,keyasint"` // of the owner's writes
 	Resigned bool   `cbor:"5,keyasint,omitempty"`
+	// Authority is how long after this write the owner may start work without
+	// another one. Nobody takes over earlier, unless the owner agrees.
+	Authority  time.Duration `cbor:"6,keyasint,omitempty"`
+	Successors []string      `cbor:"7,keyasint,omitempty"` // hosts that take over first, in this order
 }
 
 // Host is one of the system's hosts.
--- a/node/internal/follow/follower.go
+++ b/node/internal/follow/follower.go
@@ -48,6 +48,7 @@
 	handler Handler
 	wait    time.Duration
 	logger  *zap.Logger
+	kick    chan struct{} // the gap has changed
 
 	mu        sync.Mutex // guards the fields below
 	gap       time.Duration
@@ -67,7 +68,7 @@
 
 // New returns a Follower of the rows of table, which lie in parts.
 func New(store Store, clock *timer.Service, table string, parts []string, h Handler, opts ...Option) *Follower {
-	f := &Follower{store: store, clock: clock, table: table, parts: parts, handler: h, wait: defaultWait, logger: zap.NewNop()}
+	f := &Follower{store: store, clock: clock, table: table, parts: parts, handler: h, wait: defaultWait, logger: zap.NewNop(), kick: make(chan struct{}, 1)}
 	for _, opt := range opts {
 		opt(f)
 	}
@@ -82,18 +83,36 @@
 	return f.fresh
 }
 
-// SetGap sets the least time between two calls. It may be called concurrently.
+// SetGap sets the least time between two calls, from now on. It may be called
+// concurrently.
 func (f *Follower) SetGap(d time.Duration) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.gap = d
+	f.mu.Unlock()
+	select {
+	case f.kick <- struct{}{}:
+	default:
+	}
 }
 
-// rest returns how long to wait after a call that was sent at asked.
-func (f *Follower) rest(asked time.Time) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.gap - f.clock.Now().Sub(asked)
+// rest waits until the gap after a call that was sent at asked is over.
+func (f *Follower) rest(ctx context.Context, asked time.Time) {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		left := f.gap - f.clock.Now().Sub(asked)
+		f.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		over := make(chan struct{})
+		t := f.clock.After(left, func() { close(over) })
+		select {
+		case <-ctx.Done():
+		case <-over:
+		case <-f.kick: // It may be shorter now.
+		}
+		t.Stop()
+	}
 }
 
 // Confirmed returns what Fresh does on the clock that includes suspensions. It
@@ -152,9 +171,7 @@
 		}
 		version, read = max(version, next), true
 		f.confirm(asked, boot)
-		if rest := f.rest(asked); rest > 0 {
-			_ = f.clock.Sleep(ctx, rest)
-		}
+		f.rest(ctx, asked)
 	}
 	return nil
 }
--- a/node/internal/owner/authority.go
+++ b/node/internal/owner/authority.go
@@ -7,9 +7,15 @@
 )
 
 const (
-	// authorityTime is how long after ownership was confirmed runs may start
-	// without further proof: less than another host waits until it takes over.
-	authorityTime = 1100 * time.Millisecond
+	// leastAuthority is how long at least a write lets its owner start work
+	// without another one: two heartbeats and a write that is tried again.
+	leastAuthority = 700 * time.Millisecond
+	// mostAuthority bounds it while the store is slow: executors' leases have to
+	// outlast a takeover.
+	mostAuthority = 2 * time.Second
+	// writesCovered is how many writes of the usual time have to fit into an
+	// owner's authority beside two heartbeats.
+	writesCovered = 3
 	// boardTime is the same for a look at the board, which shows no other owner.
 	// One that takes over a silent owner starts nothing for as long.
 	boardTime = 300 * time.Millisecond
@@ -18,21 +24,31 @@
 	proofTime = 1200 * time.Millisecond
 )
 
+// authorityFor returns how long the next write is to let its owner act, when
+// writes usually take typical.
+func authorityFor(typical time.Duration) time.Duration {
+	return min(mostAuthority, max(leastAuthority, 2*beatPeriod+writesCovered*typical))
+}
+
+// limit notes that a write with that authority may come into force. The term's mu
+// is held.
+func (t *term) limit(authority time.Duration) { t.authority = min(t.authority, authority) }
+
 // mayStart reports whether runs may start: ownership was confirmed a moment ago,
 // or, while the store doesn't answer, all executors that answered then still
 // follow this owner. An owner that is cut off from some of them may have a
 // successor there, which starts the same tasks. The term's mu is held.
 func (t *term) mayStart() bool {
 	now := t.owner.clock.Boot()
-	if now < t.quietUntil {
+	if t.leaving || now < t.quietUntil {
 		return false
 	}
-	if now-t.confirmed <= authorityTime || now-t.owner.pacer.Confirmed() <= boardTime {
+	if now-t.confirmed <= t.authority || now-t.owner.pacer.Confirmed() <= boardTime {
 		return true
 	}
-	since := max(t.confirmed+authorityTime, now-proofTime)
+	since := max(t.confirmed+t.authority, now-proofTime)
 	for _, a := range t.agents {
-		if a.answered < since && (!a.silent || a.answered > t.confirmed-authorityTime) {
+		if a.answered < since && (!a.silent || a.answered > t.confirmed-t.authority) {
 			return false
 		}
 	}
@@ -57,7 +73,7 @@
 
 // unconfirmed reports whether ownership hasn't been confirmed for a while, so that
 // executors have to be asked more often. The term's mu is held.
-func (t *term) unconfirmed() bool { return t.owner.clock.Boot()-t.confirmedAt() > authorityTime }
+func (t *term) unconfirmed() bool { return t.owner.clock.Boot()-t.confirmedAt() > t.authority }
 
 // confirmedAt returns when ownership was last known to hold. The term's mu is held.
 func (t *term) confirmedAt() time.Duration { return max(t.confirmed, t.owner.pacer.Confirmed()) }
--- a/node/internal/owner/deps.go
+++ b/node/internal/owner/deps.go
@@ -21,6 +21,8 @@
 	// Confirmed returns when the board was last known to be complete, on the clock
 	// that includes suspensions.
 	Confirmed() time.Duration
+	// Failing reports whether the board can't be followed at present.
+	Failing() bool
 }
 
 // Configs tells the configuration in force.
--- /dev/null
+++ b/node/internal/owner/handover_test.go
@@ -0,0 +1,80 @@
+package owner
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/balsamford/balsamford/coord/timer"
+	"github.com/balsamford/balsamford/node/internal/board"
+	"github.com/balsamford/balsamford/node/internal/config"
+	"github.com/balsamford/balsamford/node/internal/follow"
+	"github.com/balsamford/balsamford/platform"
+	"github.com/balsamford/balsamford/platform/fake"
+)
+
+// held is an executor that answers no question until it is released.
+type held struct {
+	Executor
+	asked    chan struct{}
+	released chan struct{}
+}
+
+func (h *held) Watch(platform.WatchOrder) (*platform.Report, error) {
+	select {
+	case h.asked <- struct{}{}:
+	default:
+	}
+	<-h.released
+	return nil, &platform.LostError{Call: "watch"}
+}
+
+func (h *held) Close() {}
+
+// A process that stops hands its cell over at once, and not only when the
+// executors have answered the calls that they hold.
+func TestStopHandsOverBeforeCallsEnd(t *testing.T) {
+	is := is.New(t)
+	f := fake.NewStore()
+	server := httptest.NewServer(f)
+	t.Cleanup(server.Close)
+	store := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), storeTimeout)
+	f.Put("op", "config", fake.Config())
+	f.Put(platform.ExecutorTable, "i-1", fake.NewExecutor("i-1", fake.NewJudge()).Entry(fake.Service, "127.0.0.1:1"))
+	clock, logger := timer.New(), zap.NewNop()
+	configs, b := config.New(logger), board.New(logger)
+	rows := follow.New(store, clock, board.Table, board.Parts(), b, follow.WithGap(FollowGap))
+	executor := &held{asked: make(chan struct{}, 1), released: make(chan struct{})}
+	o := New(Parts{
+		Host: "h", Process: "p", Bounds: platform.Bounds{Lease: 6 * time.Second, Stop: time.Second}, Store: store, Clock: clock, Board: b, Pacer: rows,
+		Configs: configs, Connect: func(string, string) Executor { return executor }, Logger: logger,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ruling, stop := context.WithCancel(ctx)
+	var g errgroup.Group
+	g.Go(func() error { return clock.Run(ctx) })
+	g.Go(func() error { return rows.Run(ctx) })
+	g.Go(func() error {
+		return follow.New(store, clock, platform.ConfigTable, []string{""}, configs).Run(ctx)
+	})
+	g.Go(func() error { return o.Run(ruling) })
+	<-executor.asked
+	stop()
+	resigned := func() bool {
+		var row board.Owner
+		value := f.Get(board.Table, board.Main, board.OwnerKey)
+		return value != nil && board.Decode(platform.Row{Value: value}, &row) == nil && row.Resigned
+	}
+	for end := time.Now().Add(10 * time.Second); !resigned() && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	is.True(resigned())
+	close(executor.released)
+	cancel()
+	is.NoErr(g.Wait())
+}
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -15,10 +15,11 @@
 )
 
 const (
-	// deadAfter is how long an owner that doesn't answer may be seen to write
-	// nothing until another host takes over. It has to be more than authorityTime.
-	deadAfter = 1300 * time.Millisecond
-	// stuckAfter is the same for an owner that says that it is one.
+	// takeoverMargin is how much longer than an owner may act by its last write it
+	// is waited for: for clocks' rates, and for a packet on its way.
+	takeoverMargin = 200 * time.Millisecond
+	// stuckAfter is how long an owner that answers may write nothing until
+	// another host takes over.
 	stuckAfter = 2 * time.Second
 	// firstDelay lets all hosts of a new deployment register before the first
 	// owner is found among them.
@@ -46,9 +47,11 @@
 	logger   *zap.Logger
 
 	owning atomic.Bool
-	ruled  int64 // epoch of the last term; Run alone uses it
+	ready  atomic.Bool // it waits for ownership
+	ruled  int64       // epoch of the last term; Run alone uses it
 
-	node *link.Node // nil before Mount
+	node   *link.Node    // nil before Mount
+	offers chan handover // ownership that its owner hands to this host
 
 	mu      sync.Mutex // guards the fields below
 	term    *term      // the present one, nil if this host doesn't own the cell
@@ -75,7 +78,7 @@
 func New(p Parts) *Owner {
 	return &Owner{
 		host: p.Host, process: p.Process, bounds: p.Bounds, store: p.Store, clock: p.Clock, board: p.Board, pacer: p.Pacer, configs: p.Configs,
-		advisers: p.Advisers, connect: p.Connect, logger: p.Logger,
+		advisers: p.Advisers, connect: p.Connect, logger: p.Logger, offers: make(chan handover, 1),
 	}
 }
 
@@ -86,10 +89,14 @@
 // Ownership is handed over then. It always returns nil.
 func (o *Owner) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		_ = o.clock.Sleep(ctx, checkPeriod)
+		offer := o.await(ctx)
 		if ctx.Err() != nil || o.configs.Config() == nil {
 			continue
 		}
+		if offer != nil {
+			o.accept(ctx, offer)
+			continue
+		}
 		if row, version := o.board.Owner(); row.Process == o.process && !row.Resigned && row.Epoch > o.ruled {
 			o.begin(ctx, board.Owner{Epoch: row.Epoch - 1}, row, version) // The answer to a claim was lost.
 			continue
@@ -98,17 +105,24 @@
 		if !ok {
 			continue
 		}
-		claim, version, err := o.claim(row, version)
-		if err != nil {
-			o.logger.Info("ownership not taken", zap.Int64("epoch", claim.Epoch), zap.Error(err))
+		if !o.take(ctx, row, version) {
 			_ = o.clock.Sleep(ctx, claimPause)
-			continue
 		}
-		o.begin(ctx, row, claim, version)
 	}
 	return nil
 }
 
+// take claims ownership and runs a term. It reports whether the claim succeeded.
+func (o *Owner) take(ctx context.Context, row board.Owner, version int64) bool {
+	claim, version, err := o.claim(row, version)
+	if err != nil {
+		o.logger.Info("ownership not taken", zap.Int64("epoch", claim.Epoch), zap.Error(err))
+		return false
+	}
+	o.begin(ctx, row, claim, version)
+	return true
+}
+
 // begin runs a term.
 func (o *Owner) begin(ctx context.Context, before, claim board.Owner, version int64) {
 	o.ruled = claim.Epoch
@@ -122,15 +136,16 @@
 	row, version := o.board.Owner()
 	now := o.clock.Now()
 	o.mu.Lock()
-	if version != o.version || o.seen.IsZero() {
-		o.version, o.seen = version, now
+	if version != o.version || o.seen.IsZero() || o.pacer.Failing() {
+		o.version, o.seen = version, now // A board that can't be followed shows nothing.
 	}
 	quiet := now.Sub(o.seen)
 	o.mu.Unlock()
 	if row.Host == o.host && row.Process != o.process {
 		return row, version, true // An earlier process of this host.
 	}
-	delay := time.Duration(o.rank(row.Epoch)) * rankDelay
+	delay := time.Duration(o.rank(row)) * rankDelay
+	authority := max(row.Authority, leastAuthority)
 	if version == 0 {
 		return row, version, quiet >= firstDelay+delay
 	}
@@ -144,10 +159,10 @@
 	case yielding:
 		return row, version, true
 	case silent:
-		return row, version, quiet >= deadAfter+delay
+		return row, version, quiet >= authority+takeoverMargin+delay
 	case alive:
 	}
-	return row, version, quiet >= stuckAfter+delay
+	return row, version, quiet >= max(stuckAfter, authority+takeoverMargin)+delay
 }
 
 // ownerRow is the condition that the owner's row has a version.
@@ -157,7 +172,7 @@
 
 // claim takes ownership if the owner's row still has version.
 func (o *Owner) claim(row board.Owner, version int64) (board.Owner, int64, error) {
-	next := board.Owner{Host: o.host, Process: o.process, Epoch: row.Epoch + 1}
+	next := board.Owner{Host: o.host, Process: o.process, Epoch: row.Epoch + 1, Authority: leastAuthority}
 	put, err := board.Put(board.Table, board.Main, board.OwnerKey, next)
 	if err != nil {
 		return next, 0, err
--- a/node/internal/owner/probe.go
+++ b/node/internal/owner/probe.go
@@ -59,6 +59,7 @@
 		}
 		return s.Send(&verdict{Yields: o.yields(p.Epoch)})
 	}))
+	node.Handle(offerVerb, link.HandlerFunc(o.offered))
 }
 
 // yields reports whether this host doesn't own the cell under epoch any more. It
@@ -87,19 +88,14 @@
 	if err != nil || len(rows) == 0 || rows[0].Version != version {
 		return alive
 	}
-	address := ""
-	for _, h := range o.board.Hosts() {
-		if h.Name == row.Host {
-			address = h.Link
-		}
-	}
-	if address == "" || o.node == nil {
+	h, ok := o.board.Host(row.Host)
+	if !ok || o.node == nil {
 		return silent
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	var v verdict
-	err = o.node.Call(ctx, address, probeVerb, &probe{Epoch: row.Epoch}, &v)
+	err = o.node.Call(ctx, h.Link, probeVerb, &probe{Epoch: row.Epoch}, &v)
 	o.logger.Info("owner probed", zap.String("owner", row.Host), zap.Int64("epoch", row.Epoch), zap.Bool("yields", v.Yields), zap.Error(err))
 	switch {
 	case err != nil:
--- a/node/internal/owner/rank.go
+++ b/node/internal/owner/rank.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -8,10 +9,19 @@
 	"github.com/balsamford/balsamford/node/internal/board"
 )
 
-// rank returns this host's place among the hosts that could take over after
-// epoch. Hosts with more processor time come first, since the owner does the
-// most work; the order of like ones differs from epoch to epoch.
-func (o *Owner) rank(epoch int64) int {
+// rank returns this host's place among the hosts that could take over from the
+// owner of a row: first its successors, in its order, then all others.
+func (o *Owner) rank(row board.Owner) int {
+	if i := slices.Index(row.Successors, o.host); i >= 0 {
+		return i
+	}
+	return len(row.Successors) + o.place(row.Epoch)
+}
+
+// place returns this host's place among all hosts. Those with more processor time
+// come first, since the owner does the most work; the order of like ones differs
+// from epoch to epoch.
+func (o *Owner) place(epoch int64) int {
 	hosts := o.board.Hosts()
 	var self board.Host
 	for _, h := range hosts {
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -24,6 +24,8 @@
 	// only one of them is done.
 	patienceTimes = 4
 	leastPatience = 250 * time.Millisecond
+	// mostPatience bounds it, so that a store that comes back is noticed soon.
+	mostPatience = time.Second
 	// smoothing is over how many writes the usual time is averaged.
 	smoothing = 8
 	// resignTries is how often an owner that stops tries to hand over: an answer may
@@ -57,7 +59,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return context.Cause(ctx)
+			return r.finish(ctx)
 		case <-t.record:
 		}
 		now, asked := t.owner.clock.Now(), t.owner.clock.Boot()
@@ -77,7 +79,7 @@
 			continue
 		}
 		last = now
-		t.confirm(asked)
+		t.confirm(asked, r.row.Authority)
 		r.keep(changes, ends)
 		if len(changes) == changesPerWrite {
 			notify(t.record)
@@ -124,7 +126,7 @@
 func (r *recorder) write(changes []plan.Change) error {
 	next := r.row
 	r.attempt++
-	next.Seq = r.attempt
+	next.Seq, next.Authority, next.Successors = r.attempt, authorityFor(r.typical), r.term.successors()
 	w := platform.Write{Conditions: []platform.Condition{ownerRow(r.version)}}
 	put, err := board.Put(board.Table, board.Main, board.OwnerKey, next)
 	if err != nil {
@@ -137,6 +139,9 @@
 		}
 	}
 	over, expired := r.clean(&w)
+	r.term.mu.Lock()
+	r.term.limit(next.Authority)
+	r.term.mu.Unlock()
 	version, err := r.send(&w, next.Seq)
 	if err != nil {
 		r.left = over
@@ -180,7 +185,7 @@
 			r.answered(t.owner.clock.Now().Sub(asked))
 			return res.version, res.err
 		case <-late:
-			r.patience = 2 * max(leastPatience, r.patience) // The store may just be slow.
+			r.patience = min(mostPatience, 2*max(leastPatience, r.patience)) // The store may just be slow.
 			return 0, &PatienceError{Waited: t.owner.clock.Now().Sub(asked)}
 		case s := <-t.seen:
 			if s.seq == seq {
@@ -194,7 +199,7 @@
 // little by little.
 func (r *recorder) answered(took time.Duration) {
 	r.typical = max(took, r.typical+(took-r.typical)/smoothing)
-	r.patience = patienceTimes * r.typical
+	r.patience = min(mostPatience, patienceTimes*r.typical)
 }
 
 // add puts a change into a write.
@@ -236,6 +241,7 @@
 		}
 		if o.Process == r.row.Process && o.Epoch == r.row.Epoch {
 			r.row, r.version = o, row.Version
+			r.row.Resigned = false
 			return err
 		}
 		return &LostError{Epoch: r.row.Epoch, Host: o.Host}
@@ -243,15 +249,33 @@
 	return &LostError{Epoch: r.row.Epoch}
 }
 
-// resign hands the cell over to whoever takes it first.
+// finish hands the cell over when the process stops. A term that another host
+// ended has nothing to hand over.
+func (r *recorder) finish(ctx context.Context) error {
+	cause := context.Cause(ctx)
+	var lost *LostError
+	var yield *YieldError
+	if !errors.As(cause, &lost) && !errors.As(cause, &yield) {
+		r.resign()
+	}
+	return cause
+}
+
+// resign hands the cell over to its first successor, or to whoever takes it. No
+// run starts from then on.
 func (r *recorder) resign() {
+	t := r.term
+	t.mu.Lock()
+	t.leaving = true
+	t.mu.Unlock()
 	var err error
 	for range resignTries {
 		changes, _ := r.collect()
 		r.row.Resigned = true
 		if err = r.write(changes); err == nil {
+			t.owner.offer(r.row, r.version)
 			return
 		}
 	}
-	r.term.owner.logger.Warn("ownership not handed over", zap.Int64("epoch", r.term.epoch), zap.Error(err))
+	t.owner.logger.Warn("ownership not handed over", zap.Int64("epoch", t.epoch), zap.Error(err))
 }
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -49,7 +48,10 @@
 	beat      time.Time     // last change of an entry
 	logged    time.Time     // when long waits were last logged
 	paused    bool          // no run may start
+	leaving   bool          // ownership is being handed over: nothing starts any more
 	confirmed time.Duration // when ownership was last known to hold, on the clock that includes suspensions
+	authority time.Duration // how long it holds from then, by the owner's row
+	heirs     []string      // hosts that take over first
 }
 
 // sight is a write of the owner as the board shows it.
@@ -71,7 +73,7 @@
 	g, gctx := errgroup.WithContext(ctx)
 	t := &term{
 		owner: o, epoch: claim.Epoch, began: now, wake: make(chan struct{}, 1), record: make(chan struct{}, 1), seen: make(chan sight, sightsKept), end: end, group: g,
-		agents: make(map[string]*agent), confirmed: o.clock.Boot(), config: o.configs.Config(),
+		agents: make(map[string]*agent), confirmed: o.clock.Boot(), authority: claim.Authority, config: o.configs.Config(),
 	}
 	t.settled = t.settleTime(before)
 	if before.Epoch > 0 && !before.Resigned && before.Host != o.host {
@@ -89,18 +91,13 @@
 		return t.decide(gctx)
 	})
 	g.Go(func() error { return rec.run(gctx) })
+	g.Go(func() error { return t.watchSuccessors(gctx) })
 	o.pacer.SetGap(ownerGap)
 	err := g.Wait()
 	o.board.Listen(nil)
 	o.pacer.SetGap(FollowGap)
 	t.close()
-	cause := context.Cause(ctx)
-	var lost *LostError
-	var yield *YieldError
-	if ctx.Err() != nil && !errors.As(cause, &lost) && !errors.As(cause, &yield) && !errors.As(err, &lost) {
-		rec.resign()
-	}
-	o.logger.Info("ownership ended", zap.Int64("epoch", t.epoch), zap.NamedError("cause", cause), zap.Error(err))
+	o.logger.Info("ownership ended", zap.Int64("epoch", t.epoch), zap.NamedError("cause", context.Cause(ctx)), zap.Error(err))
 }
 
 func (o *Owner) setTerm(t *term) {
@@ -109,11 +106,11 @@
 	o.term = t
 }
 
-// confirm notes that ownership held at a time.
-func (t *term) confirm(at time.Duration) {
+// confirm notes that ownership held at a time, and for how long from then.
+func (t *term) confirm(at, authority time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.confirmed = at
+	t.confirmed, t.authority = at, authority
 }
 
 // close ends the connections.
