Reach the store through another host while the own way to it fails

The owner among them fails 14 writes, gives the cell up after 0.85 s, and urgent jobs of two seconds are late; the other hosts refuse all clients, 253 times. Change: node/internal/relay. A call that fails by the own way, or takes four times as long as usual, is made by another host; for a while the next ones go there at once, and the own way is tried beside them. Calls aren't passed on twice, and not multiplied while the store is away for all. What may have been done stays unknown.

--- a/node/app.go
+++ b/node/app.go
@@ -25,6 +25,7 @@
 	"github.com/balsamford/balsamford/node/internal/front"
 	"github.com/balsamford/balsamford/node/internal/owner"
 	"github.com/balsamford/balsamford/node/internal/peers"
+	"github.com/balsamford/balsamford/node/internal/relay"
 	"github.com/balsamford/balsamford/platform"
 )
 
@@ -60,7 +61,8 @@
 	lines    *logs.Writer
 	clock    *timer.Service
 	registry metrics.Registry
-	store    *platform.Store
+	relay    *relay.Relay
+	store    *relay.Client
 	configs  *config.Current
 	board    *board.Board
 	follows  []*follow.Follower
@@ -86,16 +88,19 @@
 	}
 	a := &app{
 		settings: s, process: strconv.Itoa(os.Getpid()) + "." + strconv.FormatInt(time.Now().UnixNano(), 36), logger: logger,
-		clock: timer.New(), registry: registry, lines: lines, store: platform.NewStore(s.Store, storeTimeout),
+		clock: timer.New(), registry: registry, lines: lines,
 	}
 	a.configs = config.New(logger)
 	a.board = board.New(logger)
+	a.node = link.New(s.Host, private)
+	direct := platform.NewStore(s.Store, storeTimeout)
+	a.relay = relay.New(s.Host, s.Zone, a.node, a.clock, a.board, direct, logger)
+	a.store = a.relay.Client(direct)
 	a.follows = []*follow.Follower{
 		follow.New(a.store, a.clock, platform.ConfigTable, []string{""}, a.configs, follow.WithGap(configGap), follow.WithLogger(logger)),
 		follow.New(a.store, a.clock, board.Table, board.Parts(), a.board, follow.WithGap(owner.FollowGap), follow.WithLogger(logger)),
 	}
-	a.node = link.New(s.Host, private)
-	a.service = front.New(a.clock, a.configs, a.board, platform.NewStore(s.Store, frontTimeout), a.follows[1], logger, a.registry)
+	a.service = front.New(a.clock, a.configs, a.board, a.relay.Client(platform.NewStore(s.Store, frontTimeout)), a.follows[1], logger, a.registry)
 	a.server = httpd.New(a.clock, a.service, httpd.WithLogger(logger), httpd.WithRegistry(a.registry), httpd.WithLoops(1))
 	a.owner = owner.New(owner.Parts{
 		Host: s.Host, Process: a.process, Bounds: s.Bounds, Store: a.store, Clock: a.clock, Board: a.board, Pacer: a.follows[1], Configs: a.configs,
@@ -126,6 +131,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return a.clock.Run(ctx) })
 	g.Go(func() error { return a.node.Run(ctx) })
+	g.Go(func() error { return a.relay.Run(ctx) })
 	for _, f := range a.follows {
 		g.Go(func() error { return f.Run(ctx) })
 	}
