Tell the owner of stored jobs at once, and ask it for states

While the store holds changes back for a second (platform_compact), no job starts at all. Change: a host tells the owner of each job and cancellation that it has stored, and asks it for states; the board brings the same later, and is followed each 0.6 s by hosts that are no successors. The owner tells an end once it is recorded.

--- a/node/app.go
+++ b/node/app.go
@@ -100,8 +100,6 @@
 		follow.New(a.store, a.clock, platform.ConfigTable, []string{""}, a.configs, follow.WithGap(configGap), follow.WithLogger(logger)),
 		follow.New(a.store, a.clock, board.Table, board.Parts(), a.board, follow.WithGap(owner.FollowGap), follow.WithLogger(logger)),
 	}
-	a.service = front.New(a.clock, a.configs, a.board, a.relay.Client(platform.NewStore(s.Store, frontTimeout)), a.follows[1], logger, a.registry)
-	a.server = httpd.New(a.clock, a.service, httpd.WithLogger(logger), httpd.WithRegistry(a.registry), httpd.WithLoops(1))
 	a.owner = owner.New(owner.Parts{
 		Host: s.Host, Process: a.process, Bounds: s.Bounds, Store: a.store, Clock: a.clock, Board: a.board, Pacer: a.follows[1], Configs: a.configs,
 		Advisers: peers.New(s.Host, a.node, platform.NewAdviser(s.Adviser), a.clock, a.board),
@@ -109,6 +107,8 @@
 		Logger:   logger,
 	})
 	a.owner.Mount(a.node)
+	a.service = front.New(a.clock, a.configs, a.board, a.relay.Client(platform.NewStore(s.Store, frontTimeout)), a.follows[1], a.owner, logger, a.registry)
+	a.server = httpd.New(a.clock, a.service, httpd.WithLogger(logger), httpd.WithRegistry(a.registry), httpd.WithLoops(1))
 	a.page = meter.New(a.registry, a.unready, meter.WithPage(platform.ReadyPath, a.ready))
 	return a, nil
 }
@@ -140,6 +140,7 @@
 	g.Go(func() error { return a.server.Run(ctx, a.settings.Ingress) })
 	g.Go(func() error { return a.page.Run(ctx, a.settings.Ready) })
 	g.Go(func() error { return a.owner.Run(ruling) })
+	g.Go(func() error { return a.owner.Tell(ctx) })
 	g.Go(func() error {
 		a.await(ctx, signals)
 		a.stop(ctx, resign)
--- a/node/internal/front/front.go
+++ b/node/internal/front/front.go
@@ -15,6 +15,7 @@
 	"github.com/balsamford/balsamford/coord/model"
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/node/internal/board"
+	"github.com/balsamford/balsamford/node/internal/owner"
 	"github.com/balsamford/balsamford/platform"
 )
 
@@ -37,6 +38,16 @@
 	Failing() bool
 }
 
+// Cell is the owner of the cell, wherever it is.
+type Cell interface {
+	// Submitted and Cancelled tell it what has been stored. They don't wait.
+	Submitted(j *model.Job)
+	Cancelled(id string)
+	// State asks it for a job, and returns false if it can't be asked or doesn't
+	// know the job.
+	State(id string) (owner.State, bool)
+}
+
 // Service answers clients. It implements httpd.Handler.
 type Service struct {
 	clock   *timer.Service
@@ -44,15 +55,16 @@
 	board   *board.Board
 	store   Store
 	health  Health
+	cell    Cell
 	writers map[string]*writer // by partition
 	logger  *zap.Logger
 	counts  *counts
 }
 
 // New returns a Service. Run has to run for submissions to be stored.
-func New(clock *timer.Service, configs Configs, b *board.Board, store Store, health Health, logger *zap.Logger, registry metrics.Registry) *Service {
+func New(clock *timer.Service, configs Configs, b *board.Board, store Store, health Health, cell Cell, logger *zap.Logger, registry metrics.Registry) *Service {
 	s := &Service{
-		clock: clock, configs: configs, board: b, store: store, health: health, writers: make(map[string]*writer), logger: logger,
+		clock: clock, configs: configs, board: b, store: store, health: health, cell: cell, writers: make(map[string]*writer), logger: logger,
 		counts: newCounts(registry),
 	}
 	for _, part := range board.JobParts() {
--- a/node/internal/front/query.go
+++ b/node/internal/front/query.go
@@ -22,6 +22,11 @@
 // if it returns false.
 func (s *Service) lookup(r *request) (board.Entry, bool) {
 	e, known := s.board.Job(r.id)
+	if !known || !e.Phase.Final() {
+		if st, ok := s.cell.State(r.id); ok {
+			e.Queue, e.Phase, known = st.Queue, st.Phase, true
+		}
+	}
 	if !known {
 		// The job may have been accepted elsewhere a moment ago.
 		var err error
@@ -77,5 +82,7 @@
 		s.accepted(r)
 		return
 	}
-	s.keep(r, board.CancelKey(r.id), r.team)
+	if s.keep(r, board.CancelKey(r.id), r.team) {
+		s.cell.Cancelled(r.id)
+	}
 }
--- a/node/internal/front/submit.go
+++ b/node/internal/front/submit.go
@@ -24,19 +24,21 @@
 		return
 	}
 	job.ID, job.Queue, job.Team, job.Sent = r.id, r.queue.Name, r.team, s.clock.Now()
-	s.keep(r, board.AcceptKey(r.id), board.Accepted{Queue: job.Queue, Team: job.Team, Job: job})
+	if s.keep(r, board.AcceptKey(r.id), board.Accepted{Queue: job.Queue, Team: job.Team, Job: job}) {
+		s.cell.Submitted(job)
+	}
 }
 
 // maxTries is how many partitions are tried until a client is refused.
 const maxTries = 2
 
 // keep has a row of the board stored, unless it is there already, and answers
-// the client.
-func (s *Service) keep(r *request, key string, value any) {
+// the client. It reports whether the row is there.
+func (s *Service) keep(r *request, key string, value any) bool {
 	if s.health.Failing() {
 		s.logger.Info("refused", zap.String("id", r.id), zap.String("reason", "the store doesn't answer"))
 		s.unavailable(r.exchange, "the store is away")
-		return
+		return false
 	}
 	var last, lost error
 	for try := range maxTries {
@@ -44,12 +46,12 @@
 		put, err := board.Put(board.Table, part, key, value)
 		if err != nil {
 			s.answer(r.exchange, fasthttp.StatusBadRequest, "not a job")
-			return
+			return false
 		}
 		last = s.create(r.id, part, put)
 		if last == nil {
 			s.accepted(r)
-			return
+			return true
 		}
 		var unknown *UnknownError
 		if errors.As(last, &unknown) {
@@ -60,6 +62,7 @@
 		last = lost
 	}
 	s.failed(r, last)
+	return false
 }
 
 // showPeriod is how often it is looked whether the board shows a row whose write
--- a/node/internal/owner/load.go
+++ b/node/internal/owner/load.go
@@ -68,6 +68,7 @@
 	for _, id := range cancelled {
 		t.plan.Cancel(now, id)
 	}
+	t.loaded = true
 	o.logger.Info("records read", zap.Int64("epoch", t.epoch), zap.Int("jobs", len(jobs)), zap.Int("records", len(records)), zap.Int("cancelled", len(cancelled)))
 	servers := follow.New(o.store, o.clock, platform.ExecutorTable, []string{""}, &serverRows{term: t}, follow.WithGap(serversGap), follow.WithLogger(o.logger))
 	t.group.Go(func() error { return servers.Run(ctx) })
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,11 +48,13 @@
 	logger   *zap.Logger
 
 	owning atomic.Bool
-	ready  atomic.Bool // it waits for ownership
-	ruled  int64       // epoch of the last term; Run alone uses it
+	ready  atomic.Bool   // it waits for ownership
+	ruled  int64         // epoch of the last term; Run alone uses it
+	gap    time.Duration // at which the board is followed; Run alone uses it
 
 	node   *link.Node    // nil before Mount
 	offers chan handover // ownership that its owner hands to this host
+	news   chan news     // to be told to the owner
 
 	mu      sync.Mutex // guards the fields below
 	term    *term      // the present one, nil if this host doesn't own the cell
@@ -78,7 +81,7 @@
 func New(p Parts) *Owner {
 	return &Owner{
 		host: p.Host, process: p.Process, bounds: p.Bounds, store: p.Store, clock: p.Clock, board: p.Board, pacer: p.Pacer, configs: p.Configs,
-		advisers: p.Advisers, connect: p.Connect, logger: p.Logger, offers: make(chan handover, 1),
+		advisers: p.Advisers, connect: p.Connect, logger: p.Logger, offers: make(chan handover, 1), news: make(chan news, newsQueued),
 	}
 }
 
@@ -89,6 +92,7 @@
 // Ownership is handed over then. It always returns nil.
 func (o *Owner) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		o.attend()
 		offer := o.await(ctx)
 		if ctx.Err() != nil || o.configs.Config() == nil {
 			continue
@@ -112,6 +116,19 @@
 	return nil
 }
 
+// attend has the board followed as closely as this host's part in the cell needs.
+func (o *Owner) attend() {
+	row, version := o.board.Owner()
+	gap := idleGap
+	if version == 0 || row.Resigned || len(row.Successors) == 0 || slices.Contains(row.Successors, o.host) {
+		gap = FollowGap
+	}
+	if gap != o.gap {
+		o.gap = gap
+		o.pacer.SetGap(gap)
+	}
+}
+
 // take claims ownership and runs a term. It reports whether the claim succeeded.
 func (o *Owner) take(ctx context.Context, row board.Owner, version int64) bool {
 	claim, version, err := o.claim(row, version)
--- a/node/internal/owner/probe.go
+++ b/node/internal/owner/probe.go
@@ -60,14 +60,14 @@
 		return s.Send(&verdict{Yields: o.yields(p.Epoch)})
 	}))
 	node.Handle(offerVerb, link.HandlerFunc(o.offered))
+	node.Handle(newsVerb, link.HandlerFunc(o.hearNews))
+	node.Handle(stateVerb, link.HandlerFunc(o.tellState))
 }
 
 // yields reports whether this host doesn't own the cell under epoch any more. It
 // gives ownership up if the store hasn't confirmed it for a while.
 func (o *Owner) yields(epoch int64) bool {
-	o.mu.Lock()
-	t := o.term
-	o.mu.Unlock()
+	t := o.current()
 	if t == nil || t.epoch != epoch {
 		return true
 	}
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -114,6 +114,9 @@
 	defer t.mu.Unlock()
 	for _, c := range changes {
 		t.plan.Recorded(c)
+		if c.Progress.Phase.Final() {
+			t.ends[c.Job] = c.Progress.Phase
+		}
 	}
 	for a, seq := range ends {
 		a.kept = max(a.kept, min(seq, a.seen))
@@ -157,6 +160,7 @@
 	defer t.mu.Unlock()
 	for _, id := range expired {
 		t.plan.Expired(id)
+		delete(t.ends, id)
 	}
 	return nil
 }
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -15,8 +15,11 @@
 
 const (
 	// FollowGap is the least time between two looks for changes of the board of a
-	// host that doesn't own the cell.
+	// host that may have to take the cell over soon.
 	FollowGap = 200 * time.Millisecond
+	// idleGap is the same for all others. They ask the owner for what is newer, and
+	// may tell counts that are two seconds old.
+	idleGap = 600 * time.Millisecond
 	// ownerGap is the least time between two looks for new jobs.
 	ownerGap = 25 * time.Millisecond
 	// runsPerEpoch keeps the numbers of this owner's runs above those of runs of
@@ -44,14 +47,16 @@
 	plan      *plan.State
 	agents    map[string]*agent
 	config    *model.Config
-	steady    time.Time     // since when executors write their entries without a gap
-	beat      time.Time     // last change of an entry
-	logged    time.Time     // when long waits were last logged
-	paused    bool          // no run may start
-	leaving   bool          // ownership is being handed over: nothing starts any more
-	confirmed time.Duration // when ownership was last known to hold, on the clock that includes suspensions
-	authority time.Duration // how long it holds from then, by the owner's row
-	heirs     []string      // hosts that take over first
+	steady    time.Time              // since when executors write their entries without a gap
+	beat      time.Time              // last change of an entry
+	logged    time.Time              // when long waits were last logged
+	paused    bool                   // no run may start
+	leaving   bool                   // ownership is being handed over: nothing starts any more
+	confirmed time.Duration          // when ownership was last known to hold, on the clock that includes suspensions
+	authority time.Duration          // how long it holds from then, by the owner's row
+	heirs     []string               // hosts that take over first
+	loaded    bool                   // what was recorded is in the plan
+	ends      map[string]model.Phase // of jobs whose end this term has recorded
 }
 
 // sight is a write of the owner as the board shows it.
@@ -73,7 +78,7 @@
 	g, gctx := errgroup.WithContext(ctx)
 	t := &term{
 		owner: o, epoch: claim.Epoch, began: now, wake: make(chan struct{}, 1), record: make(chan struct{}, 1), seen: make(chan sight, sightsKept), end: end, group: g,
-		agents: make(map[string]*agent), confirmed: o.clock.Boot(), authority: claim.Authority, config: o.configs.Config(),
+		agents: make(map[string]*agent), ends: make(map[string]model.Phase), confirmed: o.clock.Boot(), authority: claim.Authority, config: o.configs.Config(),
 	}
 	t.settled = t.settleTime(before)
 	if before.Epoch > 0 && !before.Resigned && before.Host != o.host {
@@ -95,7 +100,7 @@
 	o.pacer.SetGap(ownerGap)
 	err := g.Wait()
 	o.board.Listen(nil)
-	o.pacer.SetGap(FollowGap)
+	o.gap = 0 // It has to be set anew.
 	t.close()
 	o.logger.Info("ownership ended", zap.Int64("epoch", t.epoch), zap.NamedError("cause", context.Cause(ctx)), zap.Error(err))
 }
--- a/node/internal/plan/job.go
+++ b/node/internal/plan/job.go
@@ -41,6 +41,19 @@
 	return true
 }
 
+// Phase returns the queue of a job and how far it has come, and whether it is
+// known. An end may not be recorded yet: it is told as running.
+func (s *State) Phase(id string) (string, model.Phase, bool) {
+	j := s.jobs[id]
+	if j == nil {
+		return "", model.Queued, false
+	}
+	if j.phase.Final() {
+		return j.spec.Queue, model.Running, true
+	}
+	return j.spec.Queue, j.phase, true
+}
+
 // refresh takes the job's queue from a configuration, if it is there.
 func (j *job) refresh(config *model.Config) {
 	if config == nil {
