--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -20,6 +20,9 @@
 	// watchGap is the least time from an answer to the next question: ends that
 	// come shortly after one another are learned together.
 	watchGap = 150 * time.Millisecond
+	// urgentGap takes the place of watchGap while urgent work runs there, whose
+	// latency objective is some hundred milliseconds.
+	urgentGap = 20 * time.Millisecond
 	// watchPause follows a call that failed.
 	watchPause = 200 * time.Millisecond
 	// notedWait is how long an executor isn't asked again while its last ends
@@ -63,12 +66,22 @@
 			return
 		}
 		a.awaitRecord()
-		if rest := watchGap - t.owner.clock.Now().Sub(answered); rest > 0 {
+		if rest := a.gap() - t.owner.clock.Now().Sub(answered); rest > 0 {
 			_ = t.owner.clock.Sleep(a.ctx, rest)
 		}
 	}
 }
 
+// gap returns the least time between an answer and the next question.
+func (a *agent) gap() time.Duration {
+	a.term.mu.Lock()
+	defer a.term.mu.Unlock()
+	if a.term.plan.Urgent(a.info.ID) {
+		return urgentGap
+	}
+	return watchGap
+}
+
 // awaitRecord waits until what the executor said is recorded.
 func (a *agent) awaitRecord() {
 	timeout := a.term.owner.clock.After(notedWait, func() { notify(a.noted) })
--- a/node/internal/plan/run.go
+++ b/node/internal/plan/run.go
@@ -85,6 +85,7 @@
 	t.used = t.used.Add(r.need)
 	if r.urgent {
 		t.urgent += r.need.CPU
+		r.on.urgent++
 	}
 }
 
@@ -104,6 +105,7 @@
 	t.used = t.used.Sub(r.need)
 	if r.urgent {
 		t.urgent -= r.need.CPU
+		r.on.urgent--
 	}
 	if r.spare {
 		r.stage.tasks[r.index].spare--
--- a/node/internal/plan/worker.go
+++ b/node/internal/plan/worker.go
@@ -15,6 +15,7 @@
 	fill     int64 // CPU need of fillers
 	runs     map[runKey]*run
 	serving  int       // runs with a latency target
+	urgent   int       // runs of urgent work
 	faults   int       // runs of different jobs that failed since the last that was done
 	suspect  string    // job of the last fault
 	shunned  time.Time // until when it gets no new work
@@ -30,6 +31,12 @@
 	return w.known && !w.silent && !w.info.Draining && !now.Before(w.shunned)
 }
 
+// Urgent reports whether urgent work runs on an executor.
+func (s *State) Urgent(id string) bool {
+	w := s.execs[id]
+	return w != nil && w.urgent > 0
+}
+
 // SetExecutor takes an executor's entry into the plan or renews it.
 func (s *State) SetExecutor(info model.Executor) {
 	s.worker(info.ID).info = info
