Write a job's phase only when it has changed

Cause: each change of a job's progress, with every end and start of a task, rewrote the row of its phase too, which all hosts follow: half of the entries of a write, and most of the bytes that the store sends. Change: the plan knows which phase was recorded last.

--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -208,20 +208,22 @@
 
 // add puts a change into a write.
 func (r *recorder) add(w *platform.Write, c plan.Change) error {
+	put, err := board.Put(board.Progress, board.Main, c.Job, c.Progress)
+	if err != nil {
+		return err
+	}
+	w.Puts = append(w.Puts, put)
+	if !c.Moved {
+		return nil // All hosts follow the phases: they are written only when they change.
+	}
 	row := board.Phase{Phase: c.Progress.Phase}
 	if row.Phase.Final() {
 		row.Ended = r.term.owner.clock.Now().Unix()
 	}
-	for _, p := range []struct {
-		table, key string
-		value      any
-	}{{board.Table, board.PhaseKey(c.Job), row}, {board.Progress, c.Job, c.Progress}} {
-		put, err := board.Put(p.table, board.Main, p.key, p.value)
-		if err != nil {
-			return err
-		}
-		w.Puts = append(w.Puts, put)
+	if put, err = board.Put(board.Table, board.Main, board.PhaseKey(c.Job), row); err != nil {
+		return err
 	}
+	w.Puts = append(w.Puts, put)
 	if c.Progress.Phase.Final() {
 		r.term.owner.logger.Info("job ended", zap.String("id", c.Job), zap.String("queue", c.Queue), zap.Stringer("phase", c.Progress.Phase),
 			zap.Duration("after", r.term.owner.clock.Now().Sub(c.Sent)), zap.Duration("limit", c.Delay.Limit), zap.Duration("room", c.Delay.Room),
--- a/node/internal/plan/job.go
+++ b/node/internal/plan/job.go
@@ -12,6 +12,7 @@
 	queue    model.Queue
 	old      bool // it was there before this owner, which may not know all its runs
 	phase    model.Phase
+	recorded model.Phase    // the phase that was recorded last; without a record it is queued
 	occurs   map[int]*occur // begun and not finished
 	finished map[int]bool   // occurrences
 	delay    Delay
@@ -31,7 +32,7 @@
 	j.chain = chain(spec.Steps)
 	j.refresh(s.config)
 	if progress != nil {
-		j.phase = progress.Phase // A job that has ended is kept for what may still run of it.
+		j.phase, j.recorded = progress.Phase, progress.Phase // A job that has ended is kept for what may still run of it.
 		s.restore(j, progress, now)
 	}
 	if progress == nil && s.config != nil && spec.Team != "" {
--- a/node/internal/plan/restore.go
+++ b/node/internal/plan/restore.go
@@ -60,6 +60,7 @@
 	Progress *model.Progress
 	Delay    Delay
 	Sent     time.Time // when the job was accepted
+	Moved    bool      // the phase isn't the one that was recorded last
 	Version  int       // to be given to Recorded
 }
 
@@ -70,7 +71,7 @@
 		if len(out) == n {
 			break
 		}
-		out = append(out, Change{Job: id, Queue: j.spec.Queue, Progress: j.progress(), Delay: j.delay, Sent: j.spec.Sent, Version: j.version})
+		out = append(out, Change{Job: id, Queue: j.spec.Queue, Progress: j.progress(), Delay: j.delay, Sent: j.spec.Sent, Moved: j.phase != j.recorded, Version: j.version})
 	}
 	return out
 }
@@ -79,7 +80,11 @@
 // forgotten then.
 func (s *State) Recorded(c Change) {
 	j := s.dirty[c.Job]
-	if j == nil || j.version != c.Version {
+	if j == nil {
+		return
+	}
+	j.recorded = c.Progress.Phase
+	if j.version != c.Version {
 		return
 	}
 	delete(s.dirty, c.Job)
