Let one record hold twice as many changes

Cause: a record took 24 changes at most, since each had two rows; a cell with some hundred jobs under a slow store (0.4 s a write) needs more. Change: as many changes as the store's limit of entries allows; deletions take what is left.

--- a/node/internal/owner/clean.go
+++ b/node/internal/owner/clean.go
@@ -24,17 +24,22 @@
 // phases of jobs that ended long ago.
 func (r *recorder) clean(w *platform.Write) (over, expired []string) {
 	t := r.term
+	room := platform.MaxEntries - w.Size()
 	over = r.left
 	if len(over) == 0 {
 		t.mu.Lock()
-		over = t.plan.Over(overPerWrite)
+		over = t.plan.Over(min(room, overPerWrite))
 		t.mu.Unlock()
 	}
+	if len(over) > room {
+		over = nil // The next write has room for them.
+	}
+	room -= len(over)
 	for _, id := range over {
 		w.Deletes = append(w.Deletes, platform.Key{Table: board.Progress, Part: board.Main, Key: id})
 	}
 	before := t.owner.clock.Now().Add(-t.owner.bounds.Status - expireMargin).Unix()
-	accepted, rest := t.owner.board.Ended(before, expirePerWrite)
+	accepted, rest := t.owner.board.Ended(before, min(room, expirePerWrite))
 	for _, id := range rest {
 		w.Deletes = append(w.Deletes, platform.Key{Table: board.Table, Part: board.Main, Key: board.PhaseKey(id)})
 	}
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -33,9 +33,9 @@
 	resignTries = 3
 	// recordPause follows a write that failed.
 	recordPause = 50 * time.Millisecond
-	// changesPerWrite keeps a write under the store's limit of entries: two rows
-	// a change, up to two more to delete, and the owner's.
-	changesPerWrite = 24
+	// changesPerWrite keeps a write under the store's limit of entries: up to two
+	// rows a change, and the owner's row with its condition.
+	changesPerWrite = (platform.MaxEntries - 2) / 2
 )
 
 // recorder writes what must outlive the host. Each write depends on the owner's
@@ -147,10 +147,14 @@
 	r.term.mu.Unlock()
 	version, err := r.send(&w, next.Seq)
 	if err != nil {
-		r.left = over
+		if len(over) > 0 {
+			r.left = over
+		}
 		return r.resolve(err)
 	}
-	r.left = nil
+	if len(over) > 0 {
+		r.left = nil
+	}
 	r.row, r.version = next, version
 	t := r.term
 	if len(over) > 0 {
