Keep the fractions of a second of times between hosts

Cause: jobs come to the owner in messages between hosts now, whose times were cut to whole seconds as the board's were (ready up to 0.85 s after they were sent, in the trace).

--- a/coord/link/stream.go
+++ b/coord/link/stream.go
@@ -53,7 +53,7 @@
 
 // Send sends one message. The error is a *StreamError or a *SizeError.
 func (s *Stream) Send(v any) error {
-	body, err := cbor.Marshal(v)
+	body, err := encode(v)
 	if err != nil {
 		return &StreamError{Op: "encode", Err: err}
 	}
@@ -95,7 +95,7 @@
 }
 
 func (s *Stream) write(v any) error {
-	data, err := cbor.Marshal(v)
+	data, err := encode(v)
 	if err != nil {
 		return &StreamError{Op: "encode", Err: err}
 	}
