Find out about unanswered orders and watches by other calls

A start that got no answer held its task up for 0.5 s and until the executor's waiting call ended; a lost watch made its executor silent for 1.4 s, with all ends there. Change: orders time out after 150 ms; then the executor's runs are looked at on the connection of orders, and again after the stop of a run that isn't there, so that its task starts elsewhere at once. A watch without an answer is asked again at once, and while that happens often watches wait 0.2 s at most where urgent work runs. Reports that were overtaken are dropped, by the executor's clock.

--- a/node/internal/owner/agent.go
+++ b/node/internal/owner/agent.go
@@ -13,8 +13,9 @@
 const (
 	// ordersQueued bounds the orders that wait for an executor.
 	ordersQueued = 1024
-	// orderTimeout bounds one order: a round trip takes some milliseconds.
-	orderTimeout = 500 * time.Millisecond
+	// orderTimeout bounds one order: a round trip takes some milliseconds, and an
+	// order that isn't answered is found out about by other calls.
+	orderTimeout = 150 * time.Millisecond
 	// relistTime is how long after a return of the store the entries that lapsed
 	// meanwhile may take to come back.
 	relistTime = 2500 * time.Millisecond
@@ -39,6 +40,7 @@
 	retired  bool          // it gets no new work for that
 	silent   bool          // it didn't answer the last call
 	heard    bool          // it has reported
+	clock    time.Duration // of the newest report, on the executor's clock
 	answered time.Duration // when the last question was sent that it answered, on the clock that includes suspensions
 	seen     int64         // last end that the plan has taken
 	kept     int64         // last end whose effect is recorded
--- a/node/internal/owner/execute.go
+++ b/node/internal/owner/execute.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -39,16 +40,25 @@
 		return
 	}
 	t.mu.Unlock()
+	if a.order(s, end) {
+		a.look()
+	}
+}
+
+// order sends the start of a run under a lease and takes the answer. It reports
+// whether there was none.
+func (a *agent) order(s *plan.Start, end time.Duration) bool {
+	t := a.term
 	clock, err := a.client.Start(platform.StartOrder{
 		Task: s.Task, Number: s.Number, Spec: s.Spec, Lease: end, Fence: t.epoch, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
 	}, orderTimeout)
-	now = t.owner.clock.Now()
+	now := t.owner.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if err == nil {
 		a.lease.heard(clock, now)
 		t.plan.Started(now, *s)
-		return
+		return false
 	}
 	t.owner.logger.Info("start failed", zap.String("id", s.Task.Job), zap.Int("step", s.Task.Step), zap.Int("index", s.Task.Index),
 		zap.Int("run", s.Number), zap.String("executor", s.Executor), zap.Int64("epoch", t.epoch), zap.Error(err))
@@ -68,7 +78,9 @@
 		a.gone()
 	default:
 		t.plan.Unanswered(now, *s)
+		return true
 	}
+	return false
 }
 
 // refused takes an executor's reason. The term's mu is held.
@@ -98,8 +110,27 @@
 	}
 	now := t.owner.clock.Now()
 	t.mu.Lock()
-	t.plan.Stopped(now, *s)
+	unseen := t.plan.Stopped(now, *s)
 	t.mu.Unlock()
+	if unseen {
+		a.look()
+	}
+}
+
+// look asks for the executor's runs at once, beside the call that it may hold: the
+// fate of a run hangs on it.
+func (a *agent) look() {
+	t := a.term
+	now, asked := t.owner.clock.Now(), t.owner.clock.Boot()
+	t.mu.Lock()
+	o := platform.WatchOrder{Fence: t.epoch, Seen: a.kept}
+	t.mu.Unlock()
+	rep, err := a.client.Look(o)
+	if err != nil {
+		t.owner.logger.Info("look failed", zap.String("executor", a.info.ID), zap.Error(err))
+		return // The next answer to a watch tells.
+	}
+	a.reported(now, asked, rep)
 }
 
 func (a *agent) pace(p *plan.Pace) {
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -49,6 +49,8 @@
 	config    *model.Config
 	steady    time.Time              // since when executors write their entries without a gap
 	beat      time.Time              // last change of an entry
+	lossy     time.Time              // until when answers of executors are expected to get lost
+	lastLoss  time.Time              // when the last one did
 	logged    time.Time              // when long waits were last logged
 	paused    bool                   // no run may start
 	leaving   bool                   // ownership is being handed over: nothing starts any more
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -17,6 +17,13 @@
 	watchWait = time.Second
 	// unconfirmedWait takes the place of watchWait while ownership isn't confirmed.
 	unconfirmedWait = 300 * time.Millisecond
+	// lossyWait does so at executors with urgent work while answers get lost: the
+	// ends that a lost one told of are learned with the next.
+	lossyWait = 200 * time.Millisecond
+	// lossyTime is how long the loss of answers is expected to go on after two of
+	// them within lossySpan.
+	lossyTime = 5 * time.Second
+	lossySpan = time.Second
 	// watchGap is the least time from an answer to the next question: ends that
 	// come shortly after one another are learned together.
 	watchGap = 150 * time.Millisecond
@@ -43,12 +50,21 @@
 		if t.unconfirmed() {
 			wait = min(wait, unconfirmedWait)
 		}
+		if now.Before(t.lossy) && t.plan.Urgent(a.info.ID) {
+			wait = min(wait, lossyWait)
+		}
 		o := platform.WatchOrder{Fence: t.epoch, Wait: wait}
 		if !a.silent { // While it is, its lease has to run out, and it may be another incarnation with unknown ends.
 			o.Lease, o.Seen = a.lease.extend(now, t.leaseLeft()), a.kept
 		}
 		t.mu.Unlock()
 		rep, err := a.client.Watch(o)
+		if lost(err) { // Only the answer may be.
+			o.Wait = 0
+			if rep, err = a.client.Watch(o); err == nil {
+				t.answerLost()
+			}
+		}
 		if err != nil {
 			wait = 0
 			if !a.failed(err) {
@@ -82,6 +98,23 @@
 	return watchGap
 }
 
+// lost reports whether a call got no answer.
+func lost(err error) bool {
+	var e *platform.LostError
+	return errors.As(err, &e)
+}
+
+// answerLost notes that an executor that answers left a call unanswered.
+func (t *term) answerLost() {
+	now := t.owner.clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.lastLoss) < lossySpan {
+		t.lossy = now.Add(lossyTime)
+	}
+	t.lastLoss = now
+}
+
 // awaitRecord waits until what the executor said is recorded.
 func (a *agent) awaitRecord() {
 	timeout := a.term.owner.clock.After(notedWait, func() { notify(a.noted) })
@@ -116,10 +149,14 @@
 		if !a.born.IsZero() {
 			t.owner.logger.Info("executor has a new incarnation", zap.String("executor", a.info.ID), zap.Time("born", rep.Born))
 			t.plan.Lapsed(a.info.ID)
-			a.seen, a.kept, a.lease = 0, 0, lease{}
+			a.seen, a.kept, a.clock, a.lease = 0, 0, 0, lease{}
 		}
 		a.born = rep.Born
 	}
+	if rep.Clock < a.clock {
+		return true // A later one has overtaken it.
+	}
+	a.clock = rep.Clock
 	a.lease.heard(rep.Clock, now)
 	if a.silent {
 		t.owner.logger.Info("executor answers again", zap.String("executor", a.info.ID))
--- a/node/internal/plan/answers.go
+++ b/node/internal/plan/answers.go
@@ -68,10 +68,15 @@
 }
 
 // Stopped notes that an executor confirmed a stop: the run ends, or won't start.
-func (s *State) Stopped(now time.Time, o Stop) {
-	if r := s.find(o.Executor, o.Task, o.Number); r != nil {
-		r.certain = now
+// It reports whether the run hasn't been seen there: if it hasn't begun, the next
+// report lets the task start elsewhere.
+func (s *State) Stopped(now time.Time, o Stop) bool {
+	r := s.find(o.Executor, o.Task, o.Number)
+	if r == nil {
+		return false
 	}
+	r.certain = now
+	return !r.present
 }
 
 // find returns a run on an executor, or nil.
