Let executors that left hold back only what was recorded on them; end dead connections

The hosts' connections to the killed process live on for 3 s: its successor at the same address is told of nothing. Change: an executor gets no new work once its entry is gone, unless entries lapse with the store; the owner's row says whether they may. So whatever runs there is recorded, and other tasks needn't wait. A process that starts again at an address ends old connections to it (stateless reset), and an owner that doesn't answer isn't asked for 0.4 s.

--- a/coord/link/node.go
+++ b/coord/link/node.go
@@ -30,6 +30,7 @@
 	idle         time.Duration
 	streamWindow uint64
 	connWindow   uint64
+	reset        *quic.StatelessResetKey // nil for none
 	handlers     map[string]Handler
 	transport    *quic.Transport
 	listener     *quic.Listener
@@ -72,7 +73,7 @@
 	if err != nil {
 		return &DialError{Address: address, Err: err}
 	}
-	n.transport = &quic.Transport{Conn: conn}
+	n.transport = &quic.Transport{Conn: conn, StatelessResetKey: n.reset}
 	n.listener, err = n.transport.Listen(n.tls.Server(), n.config())
 	if err != nil {
 		return &DialError{Address: address, Err: errors.Join(err, conn.Close())}
--- a/node/app.go
+++ b/node/app.go
@@ -92,7 +92,7 @@
 	}
 	a.configs = config.New(logger)
 	a.board = board.New(logger)
-	a.node = link.New(s.Host, private)
+	a.node = link.New(s.Host, private, link.WithResetSecret(s.Host))
 	direct := platform.NewStore(s.Store, storeTimeout)
 	a.relay = relay.New(s.Host, s.Zone, a.node, a.clock, a.board, direct, logger)
 	a.store = a.relay.Client(direct)
--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -52,6 +52,10 @@
 	// another one. Nobody takes over earlier, unless the owner agrees.
 	Authority  time.Duration `cbor:"6,keyasint,omitempty"`
 	Successors []string      `cbor:"7,keyasint,omitempty"` // hosts that take over first, in this order
+	// Unsteady is whether executors that live may lack their entries, since the store
+	// was away a moment ago.
+	Unsteady bool          `cbor:"8,keyasint,omitempty"`
+	Written  time.Duration `cbor:"9,keyasint,omitempty"` // on the owner's clock since its machine started
 }
 
 // Host is one of the system's hosts.
--- a/node/internal/owner/agent.go
+++ b/node/internal/owner/agent.go
@@ -83,9 +83,14 @@
 	if a.listed {
 		a.listed, a.missed = false, a.term.owner.clock.Now()
 		a.term.owner.logger.Info("executor isn't listed any more", zap.String("executor", a.info.ID), zap.Bool("silent", a.silent))
+		a.retire(a.missed)
 	}
 }
 
+// unsteady reports whether executors that live may lack their entries, since the
+// store was away a moment ago. The term's mu is held.
+func (t *term) unsteady(now time.Time) bool { return now.Sub(t.steady) < relistTime }
+
 // retire gives no new work to an executor that has lost its entry, unless it
 // answers and the entry may have lapsed because the store was away. The term's
 // mu is held.
@@ -93,11 +98,7 @@
 	if a.listed || a.retired {
 		return
 	}
-	since := a.missed
-	if a.term.steady.After(since) {
-		since = a.term.steady
-	}
-	if !a.silent && !a.info.Draining && now.Sub(since) < relistTime {
+	if !a.silent && !a.info.Draining && a.term.unsteady(now) {
 		return
 	}
 	a.retired = true
--- a/node/internal/owner/errors.go
+++ b/node/internal/owner/errors.go
@@ -17,6 +17,20 @@
 // Error implements error.
 func (e *StopError) Error() string { return "the process stops" }
 
+// NoOwnerError reports that nobody can be asked as the cell's owner.
+type NoOwnerError struct {
+	Epoch int64 // of the last one
+	Mute  bool  // it didn't answer a moment ago
+}
+
+// Error implements error.
+func (e *NoOwnerError) Error() string {
+	if e.Mute {
+		return "the owner didn't answer a moment ago"
+	}
+	return "no owner is known"
+}
+
 // PatienceError reports a write whose answer isn't waited for any longer. It may
 // have been done, or be done later.
 type PatienceError struct{ Waited time.Duration }
--- a/node/internal/owner/news.go
+++ b/node/internal/owner/news.go
@@ -16,6 +16,8 @@
 	newsQueued = 256
 	// newsTimeout bounds telling the owner, which takes a few milliseconds.
 	newsTimeout = 300 * time.Millisecond
+	// muteTime is how long an owner that didn't answer isn't asked.
+	muteTime = 400 * time.Millisecond
 )
 
 // news is what a host has stored and the owner may not have seen on the board yet.
@@ -69,16 +71,31 @@
 		t.hear(n)
 		return
 	}
+	if err := o.call(ctx, newsVerb, newsTimeout, n, &heard{}); err != nil {
+		o.logger.Info("owner not told", zap.Int("jobs", len(n.Jobs)), zap.Error(err))
+	}
+}
+
+// call asks the host that owns the cell by the board. One that doesn't answer isn't
+// asked again for a moment: it may have died.
+func (o *Owner) call(ctx context.Context, verb string, timeout time.Duration, in, out any) error {
 	row, _ := o.board.Owner()
 	h, ok := o.board.Host(row.Host)
-	if !ok || row.Resigned || o.node == nil {
-		return
+	o.mu.Lock()
+	mute := row.Epoch == o.muteEpoch && o.clock.Now().Before(o.muteUntil)
+	o.mu.Unlock()
+	if !ok || row.Resigned || o.node == nil || mute {
+		return &NoOwnerError{Epoch: row.Epoch, Mute: mute}
 	}
-	ctx, cancel := context.WithTimeout(ctx, newsTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if err := o.node.Call(ctx, h.Link, newsVerb, n, &heard{}); err != nil {
-		o.logger.Info("owner not told", zap.String("owner", row.Host), zap.Int64("epoch", row.Epoch), zap.Int("jobs", len(n.Jobs)), zap.Error(err))
+	err := o.node.Call(ctx, h.Link, verb, in, out)
+	if err != nil {
+		o.mu.Lock()
+		o.muteEpoch, o.muteUntil = row.Epoch, o.clock.Now().Add(muteTime)
+		o.mu.Unlock()
 	}
+	return err
 }
 
 // hearNews serves other hosts' news.
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -60,6 +60,9 @@
 	term    *term      // the present one, nil if this host doesn't own the cell
 	seen    time.Time  // when the owner's row was last seen to change
 	version int64      // of the row then
+	// muteUntil is until when the owner of epoch muteEpoch isn't asked.
+	muteUntil time.Time
+	muteEpoch int64
 }
 
 // Parts is what an Owner is built from.
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -130,6 +130,7 @@
 	next := r.row
 	r.attempt++
 	next.Seq, next.Authority, next.Successors = r.attempt, authorityFor(r.typical), r.term.successors()
+	next.Unsteady, next.Written = r.term.entriesLapse(), r.term.owner.clock.Boot()
 	w := platform.Write{Conditions: []platform.Condition{ownerRow(r.version)}}
 	put, err := board.Put(board.Table, board.Main, board.OwnerKey, next)
 	if err != nil {
--- a/node/internal/owner/serverrows.go
+++ b/node/internal/owner/serverrows.go
@@ -36,6 +36,13 @@
 	notify(t.wake)
 }
 
+// entriesLapse reports whether executors that live may lack their entries.
+func (t *term) entriesLapse() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.unsteady(t.owner.clock.Now())
+}
+
 // Change implements follow.Handler.
 func (r *serverRows) Change(rows []platform.Row) {
 	for _, row := range rows {
--- a/node/internal/owner/state.go
+++ b/node/internal/owner/state.go
@@ -32,15 +32,8 @@
 	if t := o.current(); t != nil {
 		return t.state(id), true
 	}
-	row, _ := o.board.Owner()
-	h, ok := o.board.Host(row.Host)
-	if !ok || row.Resigned || o.node == nil {
-		return State{}, false
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
-	defer cancel()
 	var s State
-	err := o.node.Call(ctx, h.Link, stateVerb, &stateOf{ID: id}, &s)
+	err := o.call(context.Background(), stateVerb, stateTimeout, &stateOf{ID: id}, &s)
 	return s, err == nil && s.Known
 }
 
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -25,6 +25,9 @@
 	// runsPerEpoch keeps the numbers of this owner's runs above those of runs of
 	// earlier owners that it hasn't heard of.
 	runsPerEpoch = 64
+	// entryLife is less than the time that the entry of an executor lasts without
+	// being renewed: three heartbeats of a second or more.
+	entryLife = 2500 * time.Millisecond
 	// stopSlack is how much later than it should a stopped run's end may be listed.
 	stopSlack = 300 * time.Millisecond
 )
@@ -83,10 +86,14 @@
 		agents: make(map[string]*agent), ends: make(map[string]model.Phase), confirmed: o.clock.Boot(), authority: claim.Authority, config: o.configs.Config(),
 	}
 	t.settled = t.settleTime(before)
+	relist := now
+	if !o.recent(before) {
+		relist = now.Add(relistTime)
+	}
 	if before.Epoch > 0 && !before.Resigned && before.Host != o.host {
 		t.quietUntil = o.clock.Boot() + boardTime // It may not have seen yet that it is succeeded.
 	}
-	t.plan = plan.New(t.config, plan.WithFar(o.bounds.Far), plan.WithStopTime(o.bounds.Stop+stopSlack), plan.WithBase(int(claim.Epoch-1)*runsPerEpoch), plan.WithSettle(now.Add(t.settled)))
+	t.plan = plan.New(t.config, plan.WithFar(o.bounds.Far), plan.WithStopTime(o.bounds.Stop+stopSlack), plan.WithBase(int(claim.Epoch-1)*runsPerEpoch), plan.WithSettle(now.Add(t.settled)), plan.WithRelist(relist))
 	t.ctx = gctx
 	rec := &recorder{term: t, row: claim, version: version}
 	o.setTerm(t)
@@ -107,6 +114,22 @@
 	o.logger.Info("ownership ended", zap.Int64("epoch", t.epoch), zap.NamedError("cause", context.Cause(ctx)), zap.Error(err))
 }
 
+// recent reports whether an owner wrote its row a moment ago, while executors' entries
+// were complete: those that lack one now have lost it for their own reasons, and
+// that owner gave them no new work.
+func (o *Owner) recent(row board.Owner) bool {
+	if row.Unsteady {
+		return false
+	}
+	if row.Host == o.host { // This process may have started after that.
+		age := o.clock.Boot() - row.Written
+		return row.Written > 0 && age >= 0 && age < entryLife
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.seen.IsZero() && o.clock.Now().Sub(o.seen) < entryLife
+}
+
 func (o *Owner) setTerm(t *term) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/node/internal/plan/option.go
+++ b/node/internal/plan/option.go
@@ -16,6 +16,11 @@
 // those of earlier owners.
 func WithBase(n int) Option { return func(s *State) { s.base = n } }
 
+// WithRelist sets until when an executor that runs were recorded on and that has no
+// entry may have run more than was recorded: its entry may have lapsed with the
+// store.
+func WithRelist(until time.Time) Option { return func(s *State) { s.relist = until } }
+
 // WithSettle blocks tasks of jobs that were there before, of which no run is
 // known, until each executor has reported or the time has come: they may run on
 // an executor that hasn't.
--- a/node/internal/plan/settle_test.go
+++ b/node/internal/plan/settle_test.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -40,3 +41,39 @@
 		})
 	}
 }
+
+// An executor that has left doesn't hold back the tasks of earlier owners, but for
+// those that were recorded on it: it got no new work since it lost its entry. If
+// entries may have lapsed with the store, it holds back all until it would be
+// back.
+func TestGoneExecutorHoldsBackItsOwnTasks(t *testing.T) {
+	const relist = 2 * time.Second
+	onGone := &model.Progress{Phase: model.Running, Occurs: map[int]model.Occur{
+		0: {Stages: map[int]model.Stage{0: {Runs: map[int]model.Place{0: {Executor: "gone", Number: 1}}}}},
+	}}
+	tests := map[string]struct {
+		relist, at time.Duration
+		starts     []string
+	}{
+		"at once":                     {at: time.Millisecond, starts: []string{"other"}},
+		"entries may have lapsed":     {relist: relist, at: relist / 2},
+		"they would be back":          {relist: relist, at: relist, starts: []string{"other"}},
+		"nothing can run there":       {at: settle + time.Millisecond, starts: []string{"j", "other"}},
+		"nothing can, entries lapsed": {relist: relist, at: settle + time.Millisecond, starts: []string{"j", "other"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(WithSettle(epoch.Add(settle)), WithRelist(epoch.Add(tt.relist)))
+			f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: small}), onGone)
+			f.state.AddJob(epoch, f.job("other", model.Step{Count: 1, Need: small}), &model.Progress{})
+			f.ready("a")
+			var got []string
+			for _, s := range f.state.Decide(epoch.Add(tt.at)).Starts {
+				got = append(got, s.Task.Job)
+			}
+			slices.Sort(got)
+			is.Equal(got, tt.starts)
+		})
+	}
+}
--- a/node/internal/plan/worker.go
+++ b/node/internal/plan/worker.go
@@ -90,7 +90,8 @@
 // Complete notes that all executors that have an entry are known.
 func (s *State) Complete() { s.complete = true }
 
-// unsettled reports whether an executor of service may run what isn't known.
+// unsettled reports whether an executor of service may run what isn't known. One
+// without an entry got no new work of late, so that all its runs are recorded.
 func (s *State) unsettled(service string, now time.Time) bool {
 	if !now.Before(s.settle) {
 		return false
@@ -99,7 +100,10 @@
 		return true
 	}
 	for _, w := range s.execs {
-		if (w.info.Service == service || w.info.Service == "") && !w.known {
+		if w.known {
+			continue
+		}
+		if w.info.Service == service || w.info.Service == "" && now.Before(s.relist) {
 			return true
 		}
 	}
