Record which executors are closed to new work

Change: executors that get no new work (silent, draining, without entry) are named in a row, with a record that holds all runs on them. A successor need not wait for these. One is used again only when the row no longer names it. Tests: TestClosedExecutorHoldsBackItsOwnTasks; TestClosedExecutorsRunOnlyWhatIsRecorded, a property over lost writes, seen failing without the wait for the row.

--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -23,6 +23,8 @@
 	acceptPrefix = "accept/"
 	phasePrefix  = "phase/"
 	cancelPrefix = "cancel/"
+	// ClosedKey names the row of Progress that holds Closed.
+	ClosedKey = "closed"
 )
 
 // AcceptKey returns the key of the row that makes a job accepted.
@@ -58,6 +60,13 @@
 	Written  time.Duration `cbor:"9,keyasint,omitempty"` // on the owner's clock since its machine started
 }
 
+// Closed is the executors that the owner starts nothing on. All runs there are
+// recorded: those of an executor that isn't named may be a moment ahead of the
+// record.
+type Closed struct {
+	Executors []string `cbor:"1,keyasint,omitempty"`
+}
+
 // Host is one of the system's hosts.
 type Host struct {
 	Name    string `cbor:"1,keyasint"`
--- a/node/internal/owner/load.go
+++ b/node/internal/owner/load.go
@@ -39,11 +39,12 @@
 func (t *term) load(ctx context.Context, version int64) error {
 	o := t.owner
 	var records map[string]*model.Progress
+	var closed board.Closed
 	for {
 		_, seen := o.board.Owner()
 		if seen >= version {
 			var err error
-			if records, err = t.readRecords(); err == nil {
+			if records, err = t.readRecords(&closed); err == nil {
 				break
 			}
 			o.logger.Warn("records can't be read", zap.Int64("epoch", t.epoch), zap.Error(err))
@@ -68,16 +69,19 @@
 	for _, id := range cancelled {
 		t.plan.Cancel(now, id)
 	}
+	t.plan.RestoreClosed(closed.Executors)
 	t.loaded = true
-	o.logger.Info("records read", zap.Int64("epoch", t.epoch), zap.Int("jobs", len(jobs)), zap.Int("records", len(records)), zap.Int("cancelled", len(cancelled)))
+	o.logger.Info("records read", zap.Int64("epoch", t.epoch), zap.Int("jobs", len(jobs)), zap.Int("records", len(records)), zap.Int("cancelled", len(cancelled)),
+		zap.Int("closed", len(closed.Executors)))
 	servers := follow.New(o.store, o.clock, platform.ExecutorTable, []string{""}, &serverRows{term: t}, follow.WithGap(serversGap), follow.WithLogger(o.logger))
 	t.group.Go(func() error { return servers.Run(ctx) })
 	return nil
 }
 
-// readRecords reads the phases and the progress of all jobs. An ended job may
-// have no progress any more while the job itself isn't deleted yet.
-func (t *term) readRecords() (map[string]*model.Progress, error) {
+// readRecords reads the phases and the progress of all jobs, and the executors that
+// were closed. An ended job may have no progress any more while the job itself isn't
+// deleted yet.
+func (t *term) readRecords(closed *board.Closed) (map[string]*model.Progress, error) {
 	store := t.owner.store
 	rows, _, err := store.Read(board.Progress, board.Main, "", "")
 	if err != nil {
@@ -89,6 +93,12 @@
 	}
 	records := make(map[string]*model.Progress, len(rows))
 	for _, row := range rows {
+		if row.Key == board.ClosedKey {
+			if err := board.Decode(row, closed); err != nil {
+				t.owner.logger.Error("closed executors left out", zap.Error(err))
+			}
+			continue
+		}
 		p := &model.Progress{}
 		if err := board.Decode(row, p); err != nil {
 			t.owner.logger.Error("progress left out", zap.Error(err))
--- a/node/internal/owner/news_test.go
+++ b/node/internal/owner/news_test.go
@@ -85,6 +85,6 @@
 	tm.plan.SetExecutor(model.Executor{ID: "e"})
 	tm.plan.Reported(now, "e", plan.Report{Asked: now, Ends: []model.End{{Seq: 1, Task: model.Task{Job: job.ID}, Number: 1}}})
 	is.Equal(tm.state(job.ID).Phase, model.Running) // It has ended and isn't recorded.
-	(&recorder{term: tm}).keep(tm.plan.Changes(1), nil)
+	(&recorder{term: tm}).keep(batch{changes: tm.plan.Changes(1)})
 	is.Equal(tm.state(job.ID).Phase, model.Done)
 }
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -34,8 +34,8 @@
 	// recordPause follows a write that failed.
 	recordPause = 50 * time.Millisecond
 	// changesPerWrite keeps a write under the store's limit of entries: up to two
-	// rows a change, and the owner's row with its condition.
-	changesPerWrite = (platform.MaxEntries - 2) / 2
+	// rows a change, the closed executors, and the owner's row with its condition.
+	changesPerWrite = (platform.MaxEntries - 3) / 2
 )
 
 // recorder writes what must outlive the host. Each write depends on the owner's
@@ -63,12 +63,12 @@
 		case <-t.record:
 		}
 		now, asked := t.owner.clock.Now(), t.owner.clock.Boot()
-		changes, ends := r.collect()
-		if len(changes) == 0 && now.Sub(last) < beatPeriod {
-			r.keep(changes, ends)
+		b := r.collect()
+		if b.empty() && now.Sub(last) < beatPeriod {
+			r.keep(b)
 			continue
 		}
-		if err := r.write(changes); err != nil {
+		if err := r.write(b); err != nil {
 			var lost *LostError
 			if errors.As(err, &lost) {
 				t.end(lost)
@@ -80,53 +80,74 @@
 		}
 		last = now
 		t.confirm(asked, r.row.Authority)
-		r.keep(changes, ends)
-		if len(changes) == changesPerWrite {
+		r.keep(b)
+		if b.full() {
 			notify(t.record)
 		}
 		_ = t.owner.clock.Sleep(ctx, recordGap)
 	}
 }
 
-// collect returns what is to be recorded, and for each executor the last end
-// that is recorded with it if that is all.
-func (r *recorder) collect() ([]plan.Change, map[*agent]int64) {
+// batch is what one write records.
+type batch struct {
+	changes []plan.Change
+	ends    map[*agent]int64 // the last end of each executor that is recorded with it
+	closed  *board.Closed    // nil if it is recorded as it is
+}
+
+func (b *batch) empty() bool { return len(b.changes) == 0 && b.closed == nil }
+
+// full reports whether there may be more to record.
+func (b *batch) full() bool { return len(b.changes) == changesPerWrite }
+
+// collect returns what is to be recorded. Ends and closed executors are part of it
+// only if all changes are: what an executor ended, and what runs on one that is
+// closed, has to be recorded by then.
+func (r *recorder) collect() batch {
 	t := r.term
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	changes := t.plan.Changes(changesPerWrite)
-	if len(changes) == changesPerWrite {
-		return changes, nil
+	b := batch{changes: t.plan.Changes(changesPerWrite)}
+	if b.full() {
+		return b
 	}
-	ends := make(map[*agent]int64)
+	b.ends = make(map[*agent]int64)
 	for _, a := range t.agents {
 		if a.seen > a.kept {
-			ends[a] = a.seen
+			b.ends[a] = a.seen
 		}
 	}
-	return changes, ends
+	if ids, differ := t.plan.Closed(); differ {
+		t.plan.Closing(ids)
+		b.closed = &board.Closed{Executors: ids}
+	}
+	return b
 }
 
-// keep notes that changes are recorded.
-func (r *recorder) keep(changes []plan.Change, ends map[*agent]int64) {
+// keep notes that a batch is recorded.
+func (r *recorder) keep(b batch) {
 	t := r.term
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, c := range changes {
+	for _, c := range b.changes {
 		t.plan.Recorded(c)
 		if c.Progress.Phase.Final() {
 			t.ends[c.Job] = c.Progress.Phase
 		}
 	}
-	for a, seq := range ends {
+	for a, seq := range b.ends {
 		a.kept = max(a.kept, min(seq, a.seen))
 		notify(a.noted)
 	}
+	if b.closed != nil {
+		t.plan.ClosedRecorded(b.closed.Executors)
+		notify(t.wake)
+	}
 }
 
 // write does one transaction. A *LostError means that another host owns the
 // cell.
-func (r *recorder) write(changes []plan.Change) error {
+func (r *recorder) write(b batch) error {
 	next := r.row
 	r.attempt++
 	next.Seq, next.Authority, next.Successors = r.attempt, authorityFor(r.typical), r.term.successors()
@@ -137,11 +158,18 @@
 		return err
 	}
 	w.Puts = append(w.Puts, put)
-	for _, c := range changes {
+	for _, c := range b.changes {
 		if err := r.add(&w, c); err != nil {
 			return err
 		}
 	}
+	if b.closed != nil {
+		put, err := board.Put(board.Progress, board.Main, board.ClosedKey, b.closed)
+		if err != nil {
+			return err
+		}
+		w.Puts = append(w.Puts, put)
+	}
 	over, expired := r.clean(&w)
 	r.term.mu.Lock()
 	r.term.limit(next.Authority)
@@ -281,9 +309,8 @@
 	t.mu.Unlock()
 	var err error
 	for range resignTries {
-		changes, _ := r.collect()
 		r.row.Resigned = true
-		if err = r.write(changes); err == nil {
+		if err = r.write(r.collect()); err == nil {
 			t.owner.offer(r.row, r.version)
 			return
 		}
--- a/node/internal/owner/recorder_test.go
+++ b/node/internal/owner/recorder_test.go
@@ -52,17 +52,17 @@
 func TestLostAnswerOfRecord(t *testing.T) {
 	is := is.New(t)
 	r, f := newRecorder(t)
-	is.NoErr(r.write(nil))
+	is.NoErr(r.write(batch{}))
 	f.SetSlow(storeTimeout / 2)
 	began := time.Now()
 	var impatient *PatienceError
-	is.True(errors.As(r.write(nil), &impatient))
+	is.True(errors.As(r.write(batch{}), &impatient))
 	is.True(time.Since(began) < storeTimeout/2)
 	time.Sleep(storeTimeout) // The write is done late.
 	f.SetSlow(0)
 	var conflict *platform.ConflictError
-	is.True(errors.As(r.write(nil), &conflict)) // Its own row is there.
-	is.NoErr(r.write(nil))
+	is.True(errors.As(r.write(batch{}), &conflict)) // Its own row is there.
+	is.NoErr(r.write(batch{}))
 }
 
 // The board may show an earlier try while a later one is under way: that is no
@@ -79,11 +79,11 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			r, f := newRecorder(t)
-			is.NoErr(r.write(nil))
+			is.NoErr(r.write(batch{}))
 			f.SetSlow(storeTimeout)
-			is.True(r.write(nil) != nil)
+			is.True(r.write(batch{}) != nil)
 			r.term.seen <- sight{seq: tt.seq, version: 77}
-			err := r.write(nil)
+			err := r.write(batch{})
 			is.Equal(err == nil, tt.done)
 			if tt.done {
 				is.Equal(r.version, int64(77))
@@ -97,14 +97,14 @@
 func TestPatienceWithSlowStore(t *testing.T) {
 	is := is.New(t)
 	r, f := newRecorder(t)
-	is.NoErr(r.write(nil))
+	is.NoErr(r.write(batch{}))
 	f.SetSlow(storeTimeout * 3 / 10)
 	tries := 0
-	for r.write(nil) != nil {
+	for r.write(batch{}) != nil {
 		tries++
 		is.True(tries < 5)
 	}
-	is.NoErr(r.write(nil)) // At the first try.
+	is.NoErr(r.write(batch{})) // At the first try.
 }
 
 // Another host's row ends the term.
@@ -115,6 +115,6 @@
 	_, _, err := other.claim(r.row, r.version)
 	is.NoErr(err)
 	var lost *LostError
-	is.True(errors.As(r.write(nil), &lost))
+	is.True(errors.As(r.write(batch{}), &lost))
 	is.Equal(lost.Host, "h2")
 }
--- /dev/null
+++ b/node/internal/plan/closed_test.go
@@ -0,0 +1,132 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/balsamford/balsamford/coord/model"
+)
+
+// An executor that doesn't answer a successor doesn't hold back the tasks of earlier
+// owners if it was closed: what may run there is recorded.
+func TestClosedExecutorHoldsBackItsOwnTasks(t *testing.T) {
+	onSilent := &model.Progress{Phase: model.Running, Occurs: map[int]model.Occur{
+		0: {Stages: map[int]model.Stage{0: {Runs: map[int]model.Place{0: {Executor: "silent", Number: 1}}}}},
+	}}
+	tests := map[string]struct {
+		closed []string
+		starts []string
+	}{
+		"closed": {closed: []string{"silent"}, starts: []string{"other"}},
+		"open":   {},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(WithSettle(epoch.Add(settle)))
+			f.state.RestoreClosed(tt.closed)
+			f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: small}), onSilent)
+			f.state.AddJob(epoch, f.job("other", model.Step{Count: 1, Need: small}), &model.Progress{})
+			f.executor("silent")
+			f.ready("a")
+			var got []string
+			for _, s := range f.state.Decide(epoch).Starts {
+				got = append(got, s.Task.Job)
+			}
+			is.Equal(got, tt.starts)
+		})
+	}
+}
+
+// store is what a successor would read: the closed executors, and where runs are.
+type store struct {
+	closed map[string]bool
+	runs   map[model.Task]model.Place
+}
+
+// apply does a write.
+func (s *store) apply(changes []Change, closed []string, differ bool) {
+	for _, c := range changes {
+		for task := range s.runs {
+			if task.Job == c.Job {
+				delete(s.runs, task)
+			}
+		}
+		for k, o := range c.Progress.Occurs {
+			for i, st := range o.Stages {
+				for n, place := range st.Runs {
+					s.runs[model.Task{Job: c.Job, Occur: k, Step: i, Index: n}] = place
+				}
+			}
+		}
+	}
+	if differ {
+		s.closed = make(map[string]bool)
+		for _, id := range closed {
+			s.closed[id] = true
+		}
+	}
+}
+
+// Whatever a record names as closed runs nothing that isn't recorded, through
+// executors that fall silent and answer again, and writes that are lost, or done
+// without an answer.
+func TestClosedExecutorsRunOnlyWhatIsRecorded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := []string{"a", "b", "c"}
+		f := newFixture()
+		f.ready(ids...)
+		s := &store{closed: make(map[string]bool), runs: make(map[model.Task]model.Place)}
+		now := epoch
+		for i := range rapid.IntRange(1, 60).Draw(t, "events") {
+			now = now.Add(10 * time.Millisecond)
+			id := rapid.SampledFrom(ids).Draw(t, "executor")
+			switch rapid.SampledFrom([]string{"job", "silent", "answers", "write"}).Draw(t, "event") {
+			case "job":
+				f.state.AddJob(now, f.job(fmt.Sprintf("j%d", i), model.Step{Count: 2, Need: small}), nil)
+				f.confirm(now, f.state.Decide(now).Starts)
+			case "silent":
+				f.state.Silent(id)
+			case "answers":
+				rep := Report{Asked: now}
+				for _, r := range f.state.execs[id].runs {
+					rep.Runs = append(rep.Runs, model.Run{Task: r.stage.name(r.index), Number: r.number})
+				}
+				f.state.Reported(now, id, rep)
+			case "write":
+				changes := f.state.Changes(1 + rapid.IntRange(0, 3).Draw(t, "room"))
+				var closed []string
+				differ := false
+				if rest := f.state.Changes(len(changes) + 1); len(rest) == len(changes) { // All of them.
+					if closed, differ = f.state.Closed(); differ {
+						f.state.Closing(closed)
+					}
+				}
+				if !rapid.Bool().Draw(t, "done") {
+					continue
+				}
+				s.apply(changes, closed, differ)
+				if !rapid.Bool().Draw(t, "answered") {
+					continue
+				}
+				for _, c := range changes {
+					f.state.Recorded(c)
+				}
+				if differ {
+					f.state.ClosedRecorded(closed)
+				}
+			}
+			for id := range s.closed {
+				for key := range f.state.execs[id].runs {
+					if s.runs[key.task].Executor != id {
+						t.Fatalf("%v runs on %s, which is recorded as closed, and isn't recorded", key, id)
+					}
+				}
+			}
+		}
+	})
+}
--- a/node/internal/plan/pool.go
+++ b/node/internal/plan/pool.go
@@ -10,7 +10,7 @@
 func (s *State) pool(service string, now time.Time) *pool {
 	p := &pool{}
 	for _, w := range s.execs {
-		if w.info.Service == service && w.usable(now) {
+		if w.info.Service == service && s.open(w, now) {
 			p.workers = append(p.workers, w)
 		}
 	}
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -24,15 +24,19 @@
 	paused   bool                      // no run may start
 	turns    int                       // hosts that can ask
 	slowness map[string]float64        // learned, by kind of hardware
-	over     []string                  // jobs that were forgotten and not yet returned by Over
-	orders   Orders                    // collected between and during decisions
+	closed   []string                  // executors that the last record names as closed, in order
+	barred   map[string]bool           // executors that a record may name
+	// closedBefore is the executors that the last owner had closed.
+	closedBefore map[string]bool
+	over         []string // jobs that were forgotten and not yet returned by Over
+	orders       Orders   // collected between and during decisions
 }
 
 // New returns an empty State under config.
 func New(config *model.Config, opts ...Option) *State {
 	s := &State{
 		config: config, far: 1, stopTime: time.Second, jobs: make(map[string]*job), execs: make(map[string]*worker),
-		teams: make(map[string]*team), dirty: make(map[string]*job), ended: make(map[string]bool), slowness: make(map[string]float64), asking: make(map[model.StepID]question), turns: 1,
+		teams: make(map[string]*team), dirty: make(map[string]*job), ended: make(map[string]bool), slowness: make(map[string]float64), asking: make(map[model.StepID]question), barred: make(map[string]bool), turns: 1,
 	}
 	for _, opt := range opts {
 		opt(s)
--- a/node/internal/plan/waits.go
+++ b/node/internal/plan/waits.go
@@ -59,7 +59,7 @@
 	w := Wait{Step: st.id(), Waiting: st.waiting, Since: st.since, Asking: !st.advice.asked.IsZero(), Reason: "room"}
 	room := st.spec.Room()
 	for _, e := range s.execs {
-		if e.info.Service != j.queue.Service || !e.usable(now) {
+		if e.info.Service != j.queue.Service || !s.open(e, now) {
 			continue
 		}
 		w.Usable++
--- a/node/internal/plan/worker.go
+++ b/node/internal/plan/worker.go
@@ -26,11 +26,18 @@
 // free returns the room that is left.
 func (w *worker) free() model.Amount { return w.info.Room.Sub(w.used) }
 
-// usable reports whether new work may start on it.
+// usable reports whether new work may start on it, if no record names it as
+// closed.
 func (w *worker) usable(now time.Time) bool {
-	return w.known && !w.silent && !w.info.Draining && !now.Before(w.shunned)
+	return w.known && !w.shut() && !now.Before(w.shunned)
 }
 
+// shut reports whether it is to get no new work until that changes.
+func (w *worker) shut() bool { return w.silent || w.info.Draining }
+
+// open reports whether new work may start on an executor.
+func (s *State) open(w *worker, now time.Time) bool { return w.usable(now) && !s.barred[w.info.ID] }
+
 // Urgent reports whether urgent work runs on an executor.
 func (s *State) Urgent(id string) bool {
 	w := s.execs[id]
@@ -91,7 +98,8 @@
 func (s *State) Complete() { s.complete = true }
 
 // unsettled reports whether an executor of service may run what isn't known. One
-// without an entry got no new work of late, so that all its runs are recorded.
+// that was closed, or that lacks an entry, got no new work of late, so that all its
+// runs are recorded.
 func (s *State) unsettled(service string, now time.Time) bool {
 	if !now.Before(s.settle) {
 		return false
@@ -99,8 +107,8 @@
 	if !s.complete {
 		return true
 	}
-	for _, w := range s.execs {
-		if w.known {
+	for id, w := range s.execs {
+		if w.known || s.closedBefore[id] {
 			continue
 		}
 		if w.info.Service == service || w.info.Service == "" && now.Before(s.relist) {
