Place the tasks of a step in one zone

Change: a step's tasks go to one zone that has room for all, where it has runs already first; which zone differs from step to step; tasks that last are spread as before. The adviser is asked for executors in the same order. Test: TestStepsLieInOneZone, seen failing.

--- a/node/internal/plan/advice.go
+++ b/node/internal/plan/advice.go
@@ -187,6 +187,13 @@
 		}
 		return cmp.Compare(b.room, a.room)
 	}
+	if !st.spec.Lasting {
+		order := st.zoneOrder(slices.Concat(known, fresh), st.waiting)
+		inZone := most
+		most = func(a, b spot) int {
+			return cmp.Or(cmp.Compare(order[a.worker.info.Zone], order[b.worker.info.Zone]), inZone(a, b))
+		}
+	}
 	slices.SortFunc(known, most)
 	slices.SortFunc(fresh, most)
 	wanted := askSurplus * float64(st.waiting-have)
--- a/node/internal/plan/place.go
+++ b/node/internal/plan/place.go
@@ -88,11 +88,13 @@
 		}
 		found = append(found, spot{worker: w, room: k, score: s.score(st, w)})
 	}
+	var order map[string]int
+	if !st.spec.Lasting {
+		order = st.zoneOrder(found, n)
+	}
 	slices.SortFunc(found, func(a, b spot) int {
-		if c := cmp.Compare(a.score, b.score); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.worker.info.ID, b.worker.info.ID)
+		return cmp.Or(cmp.Compare(order[a.worker.info.Zone], order[b.worker.info.Zone]), cmp.Compare(a.score, b.score),
+			cmp.Compare(a.worker.info.ID, b.worker.info.ID))
 	})
 	out := make([]*worker, 0, n)
 	for _, f := range found {
--- /dev/null
+++ b/node/internal/plan/zones_test.go
@@ -0,0 +1,64 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/balsamford/balsamford/coord/model"
+)
+
+// zones makes executors in zones, some in each.
+func (f *fixture) zones(zones, each int) {
+	for z := range zones {
+		for i := range each {
+			id := fmt.Sprintf("z%d-%d", z, i)
+			f.state.SetExecutor(model.Executor{ID: id, Service: "s", Address: id, Zone: fmt.Sprintf("z%d", z), Room: whole, Kind: "a"})
+			f.state.Reported(epoch, id, Report{Asked: epoch})
+		}
+	}
+	f.state.Complete()
+}
+
+// Load pattern: a zone is cut off while steps of some ten tasks run. With the tasks of
+// a step in one zone the loss hurts the steps that are there, not nearly all; steps
+// share the zones evenly. What fits no zone is spread over as few as can be, and tasks
+// that last over all.
+func TestStepsLieInOneZone(t *testing.T) {
+	const zones, each = 4, 3 // executors of 32 cores
+	tests := map[string]struct {
+		step    model.Step
+		jobs    int
+		perStep int // zones that a step may use
+		used    int // zones that all use together, at least
+	}{
+		"small steps":           {step: model.Step{Count: 10, Need: model.Amount{CPU: 1000}}, jobs: 16, perStep: 1, used: zones},
+		"wider than a zone":     {step: model.Step{Count: 5, Need: model.Amount{CPU: 32000}}, jobs: 1, perStep: 2, used: 2},
+		"tasks that last":       {step: model.Step{Count: 4, Need: model.Amount{CPU: 32000}, Lasting: true}, jobs: 1, perStep: zones, used: 2},
+		"a zone is nearly full": {step: model.Step{Count: 3, Need: model.Amount{CPU: 16000}}, jobs: 8, perStep: 1, used: zones},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			f.zones(zones, each)
+			for i := range tt.jobs {
+				f.state.AddJob(epoch, f.job(fmt.Sprintf("job-%d", i), tt.step), nil)
+			}
+			byJob, all := make(map[string]map[string]bool), make(map[string]bool)
+			for _, s := range f.state.Decide(epoch).Starts {
+				zone := f.state.execs[s.Executor].info.Zone
+				if byJob[s.Task.Job] == nil {
+					byJob[s.Task.Job] = make(map[string]bool)
+				}
+				byJob[s.Task.Job][zone], all[zone] = true, true
+			}
+			is.Equal(len(byJob), tt.jobs)
+			for _, used := range byJob {
+				is.True(len(used) <= tt.perStep)
+			}
+			is.True(len(all) >= tt.used)
+		})
+	}
+}
