Let slow stores do each write once; take silent owners over sooner

The owner gave each answer up after 0.25 s and wrote anew, and calls were passed on to other hosts, so that a write (seq 32) was tried for 3.5 s. A killed owner was probed twice before it was taken over, 1.5 s after the kill. Change: a write that takes long is waited for while a small read is answered slowly, too; it is passed on only if the own way is dead. While the store is slow, submissions are written by the owner's host, many in one write. A silent owner is probed once (after 0.5 s), successors follow the board each 0.1 s. The test that a probe comes after two heartbeats is replaced by one that an owner gives up only after two: a probe alone changes nothing.

--- a/node/internal/front/query.go
+++ b/node/internal/front/query.go
@@ -82,7 +82,5 @@
 		s.accepted(r)
 		return
 	}
-	if s.keep(r, board.CancelKey(r.id), r.team) {
-		s.cell.Cancelled(r.id)
-	}
+	s.keep(r, board.CancelKey(r.id), r.team, func() { s.cell.Cancelled(r.id) })
 }
--- a/node/internal/front/submit.go
+++ b/node/internal/front/submit.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/balsamford/balsamford/node/internal/board"
+	"github.com/balsamford/balsamford/node/internal/owner"
 	"github.com/balsamford/balsamford/platform"
 )
 
@@ -24,34 +25,42 @@
 		return
 	}
 	job.ID, job.Queue, job.Team, job.Sent = r.id, r.queue.Name, r.team, s.clock.Now()
-	if s.keep(r, board.AcceptKey(r.id), board.Accepted{Queue: job.Queue, Team: job.Team, Job: job}) {
-		s.cell.Submitted(job)
-	}
+	s.keep(r, board.AcceptKey(r.id), board.Accepted{Queue: job.Queue, Team: job.Team, Job: job}, func() { s.cell.Submitted(job) })
 }
 
 // maxTries is how many partitions are tried until a client is refused.
 const maxTries = 2
 
 // keep has a row of the board stored, unless it is there already, and answers
-// the client. It reports whether the row is there.
-func (s *Service) keep(r *request, key string, value any) bool {
+// the client. tell is called if this host stored it.
+func (s *Service) keep(r *request, key string, value any, tell func()) {
 	if s.health.Failing() {
 		s.logger.Info("refused", zap.String("id", r.id), zap.String("reason", "the store doesn't answer"))
 		s.unavailable(r.exchange, "the store is away")
-		return false
+		return
 	}
 	var last, lost error
 	for try := range maxTries {
-		part := board.PartOf(r.id, try)
-		put, err := board.Put(board.Table, part, key, value)
+		put, err := board.Put(board.Table, board.PartOf(r.id, try), key, value)
 		if err != nil {
 			s.answer(r.exchange, fasthttp.StatusBadRequest, "not a job")
-			return false
+			return
 		}
-		last = s.create(r.id, part, put)
+		if try == 0 && s.store.Slow() {
+			switch s.cell.Keep(r.id, put) {
+			case owner.IsKept:
+				s.accepted(r)
+				return
+			case owner.MayBeKept:
+				lost = &UnknownError{Err: &platform.LostError{Call: "write through the owner"}}
+			case owner.NotKept:
+			}
+		}
+		last = s.Keep(r.id, put)
 		if last == nil {
 			s.accepted(r)
-			return true
+			tell()
+			return
 		}
 		var unknown *UnknownError
 		if errors.As(last, &unknown) {
@@ -62,17 +71,22 @@
 		last = lost
 	}
 	s.failed(r, last)
-	return false
 }
 
 // showPeriod is how often it is looked whether the board shows a row whose write
 // isn't answered yet.
 const showPeriod = 60 * time.Millisecond
 
-// create has a row written. An answer that is lost doesn't matter once the board
-// shows the row.
-func (s *Service) create(id, part string, put platform.Put) error {
-	it, err := s.writers[part].enqueue(put)
+// Keep has a row of the board created by this host unless it is there, which is
+// success too. An answer that is lost doesn't matter once the board shows the row.
+// Errors are a *platform.RefusedError or *platform.DialError if it surely never will
+// be created, and an *UnknownError. It may be called concurrently.
+func (s *Service) Keep(id string, put platform.Put) error {
+	w := s.writers[put.Part]
+	if w == nil {
+		return &platform.RefusedError{Call: "partition " + put.Part}
+	}
+	it, err := w.enqueue(put)
 	if err != nil {
 		return err
 	}
--- a/node/internal/front/writer.go
+++ b/node/internal/front/writer.go
@@ -22,6 +22,8 @@
 type Store interface {
 	Write(w *platform.Write) (int64, error)
 	Read(table, part, from, to string) ([]platform.Row, int64, error)
+	// Slow reports whether it takes many times as long as usual.
+	Slow() bool
 }
 
 // item is a row to be created unless it is there.
--- a/node/internal/owner/authority.go
+++ b/node/internal/owner/authority.go
@@ -18,7 +18,7 @@
 	writesCovered = 3
 	// boardTime is the same for a look at the board, which shows no other owner.
 	// One that takes over a silent owner starts nothing for as long.
-	boardTime = 300 * time.Millisecond
+	boardTime = 150 * time.Millisecond
 	// proofTime is how old an executor's answer may be to show that no other host
 	// has taken it over.
 	proofTime = 1200 * time.Millisecond
--- a/node/internal/owner/authority_test.go
+++ b/node/internal/owner/authority_test.go
@@ -53,8 +53,8 @@
 			if got := authorityFor(typical); got < beatPeriod+2*typical {
 				t.Errorf("ownership holds for %v; a heartbeat each %v takes %v", got, beatPeriod, typical)
 			}
-			if beatPeriod*2 >= probeAfter {
-				t.Errorf("an owner writes each %v, and is probed after %v", beatPeriod, probeAfter)
+			if beatPeriod*2 >= yieldAfter || beatPeriod >= probeAfter {
+				t.Errorf("an owner writes each %v, is asked after %v and gives up after %v", beatPeriod, probeAfter, yieldAfter)
 			}
 		})
 	}
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -51,10 +51,12 @@
 	ready  atomic.Bool   // it waits for ownership
 	ruled  int64         // epoch of the last term; Run alone uses it
 	gap    time.Duration // at which the board is followed; Run alone uses it
+	mute   int64         // version of its row at which an owner didn't answer; Run alone uses it
 
 	node   *link.Node    // nil before Mount
 	offers chan handover // ownership that its owner hands to this host
 	news   chan news     // to be told to the owner
+	keeper Keeper        // creates rows for other hosts
 
 	mu      sync.Mutex // guards the fields below
 	term    *term      // the present one, nil if this host doesn't own the cell
--- a/node/internal/owner/probe.go
+++ b/node/internal/owner/probe.go
@@ -13,14 +13,15 @@
 const (
 	probeVerb = "owner"
 	// probeAfter is how long an owner may write nothing until it is asked whether
-	// it still owns the cell: two of its heartbeats.
-	probeAfter = 650 * time.Millisecond
+	// it still owns the cell: more than a heartbeat and a slow write.
+	probeAfter = 500 * time.Millisecond
 	// probeTimeout bounds the question; an answer within a deployment takes some
 	// milliseconds.
-	probeTimeout = 250 * time.Millisecond
+	probeTimeout = 200 * time.Millisecond
 	// yieldAfter is how long its ownership may be unconfirmed until an owner gives
-	// it up to a host that reaches the store.
-	yieldAfter = 500 * time.Millisecond
+	// it up to a host that reaches the store: longer than it takes to find the way
+	// through another host.
+	yieldAfter = 800 * time.Millisecond
 )
 
 // YieldError ends a term because another host reaches the store and this one
@@ -61,6 +62,7 @@
 	}))
 	node.Handle(offerVerb, link.HandlerFunc(o.offered))
 	node.Handle(newsVerb, link.HandlerFunc(o.hearNews))
+	node.Handle(keepVerb, link.HandlerFunc(o.keepFor))
 	node.Handle(stateVerb, link.HandlerFunc(o.tellState))
 }
 
@@ -81,9 +83,13 @@
 	return true
 }
 
-// examine finds out about an owner whose row hasn't changed for a while. The row
-// is read first, which also shows that this host reaches the store.
+// examine finds out about an owner whose row hasn't changed for a while, once for
+// each version of it if the owner is silent. The row is read first, which also
+// shows that this host reaches the store.
 func (o *Owner) examine(row board.Owner, version int64) finding {
+	if version == o.mute {
+		return silent
+	}
 	rows, _, err := o.store.Read(board.Table, board.Main, board.OwnerKey, board.OwnerKey+"\x00")
 	if err != nil || len(rows) == 0 || rows[0].Version != version {
 		return alive
@@ -99,6 +105,7 @@
 	o.logger.Info("owner probed", zap.String("owner", row.Host), zap.Int64("epoch", row.Epoch), zap.Bool("yields", v.Yields), zap.Error(err))
 	switch {
 	case err != nil:
+		o.mute = version
 		return silent
 	case v.Yields:
 		return yielding
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -26,6 +26,8 @@
 	leastPatience = 250 * time.Millisecond
 	// mostPatience bounds it, so that a store that comes back is noticed soon.
 	mostPatience = time.Second
+	// slowRead is longer than a small read takes unless the store is slow.
+	slowRead = 80 * time.Millisecond
 	// smoothing is over how many writes the usual time is averaged.
 	smoothing = 8
 	// resignTries is how often an owner that stops tries to hand over: an answer may
@@ -216,14 +218,26 @@
 		done <- result{version, err}
 		return nil
 	})
+	slow := make(chan bool, 1)
 	for {
 		select {
 		case res := <-done:
 			r.answered(t.owner.clock.Now().Sub(asked))
 			return res.version, res.err
 		case <-late:
-			r.patience = min(mostPatience, 2*max(leastPatience, r.patience)) // The store may just be slow.
-			return 0, &PatienceError{Waited: t.owner.clock.Now().Sub(asked)}
+			late = nil
+			t.group.Go(func() error { slow <- t.storeIsSlow(); return nil })
+		case is := <-slow:
+			waited := t.owner.clock.Now().Sub(asked)
+			if !is || waited > mostPatience {
+				r.patience = min(mostPatience, 2*max(leastPatience, r.patience))
+				return 0, &PatienceError{Waited: waited}
+			}
+			r.patience = mostPatience // A second write would queue behind the first.
+			again := make(chan struct{})
+			rest := t.owner.clock.After(mostPatience-waited, func() { close(again) })
+			defer rest.Stop()
+			late = again
 		case s := <-t.seen:
 			if s.seq == seq {
 				return s.version, nil
@@ -232,6 +246,14 @@
 	}
 }
 
+// storeIsSlow reports whether a small read takes long, too: the store does what it
+// is asked, but slowly. Otherwise a write without an answer is lost.
+func (t *term) storeIsSlow() bool {
+	began := t.owner.clock.Now()
+	_, _, err := t.owner.store.Read(board.Table, board.Main, board.OwnerKey, board.OwnerKey+"\x00")
+	return err == nil && t.owner.clock.Now().Sub(began) > slowRead
+}
+
 // answered learns how long answers take: a slower one counts at once, faster ones
 // little by little.
 func (r *recorder) answered(took time.Duration) {
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -16,7 +16,7 @@
 const (
 	// FollowGap is the least time between two looks for changes of the board of a
 	// host that may have to take the cell over soon.
-	FollowGap = 200 * time.Millisecond
+	FollowGap = 100 * time.Millisecond
 	// idleGap is the same for all others. They ask the owner for what is newer, and
 	// may tell counts that are two seconds old.
 	idleGap = 600 * time.Millisecond
--- a/node/internal/relay/client.go
+++ b/node/internal/relay/client.go
@@ -14,6 +14,8 @@
 	// call is also passed on, leastHedge at least.
 	hedgeTimes = 4
 	leastHedge = 150 * time.Millisecond
+	// slowTime is longer than calls take unless the store is slow.
+	slowTime = 80 * time.Millisecond
 	// smoothing is over how many calls the usual time is averaged.
 	smoothing = 8
 	// passTimeout bounds a call through another host beyond the time that the
@@ -63,10 +65,16 @@
 	var failure error
 	if !astray {
 		c.start(q, wait, own)
-		if r, ok := c.await(own, wait); ok {
-			if r.final() {
-				return r.Rows, r.Version, r.err
-			}
+		r, ok := c.await(own, wait+c.patience())
+		if !ok && q.Write != nil && c.relay.answers() {
+			// A slow store does the writes of a partition one after the other: a second
+			// one would only be in the way of the first.
+			r, ok = <-own, true
+		}
+		if ok && r.final() {
+			return r.Rows, r.Version, r.err
+		}
+		if ok {
 			failure = r.err
 		}
 	}
@@ -107,11 +115,10 @@
 	})
 }
 
-// await waits for the own way's answer for as long as it usually takes, and some
-// time more.
-func (c *Client) await(own <-chan result, wait time.Duration) (result, bool) {
+// await waits for the own way's answer, but no longer than d.
+func (c *Client) await(own <-chan result, d time.Duration) (result, bool) {
 	late := make(chan struct{})
-	t := c.relay.clock.After(wait+c.patience(), func() { close(late) })
+	t := c.relay.clock.After(d, func() { close(late) })
 	defer t.Stop()
 	select {
 	case r := <-own:
@@ -121,12 +128,21 @@
 	}
 }
 
+// patience returns for how long an answer by the own way is waited for: what it
+// usually takes, and some time more.
 func (c *Client) patience() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return max(leastHedge, hedgeTimes*c.typical)
 }
 
+// Slow reports whether the store takes many times as long as usual.
+func (c *Client) Slow() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.typical > slowTime
+}
+
 // took learns how long answers take: a slower one counts at once, faster ones
 // little by little.
 func (c *Client) took(d time.Duration) {
--- a/node/internal/relay/relay.go
+++ b/node/internal/relay/relay.go
@@ -23,6 +23,9 @@
 	// vainTime is how long other hosts aren't asked after none of them reached the
 	// store: it is away or overloaded for all.
 	vainTime = 300 * time.Millisecond
+	// answerTime is how long a small read may take until the own way counts as dead:
+	// twice what it takes when the store is fifty times as slow as usual.
+	answerTime = 400 * time.Millisecond
 )
 
 // Hosts tells which hosts there are.
@@ -111,9 +114,32 @@
 	return failing
 }
 
-// try finds out whether the own way works again, by a read of one small row.
+// probe makes a read of one small row by the own way.
+func (r *Relay) probe() answer {
+	return answerOf(r.own.Read(board.Table, board.Main, board.OwnerKey, board.OwnerKey+"\x00"))
+}
+
+// answers reports whether the store answers by the own way, however slowly.
+func (r *Relay) answers() bool {
+	got := make(chan bool, 1)
+	r.spawn(func() {
+		a := r.probe()
+		got <- a.final()
+	})
+	late := make(chan struct{})
+	t := r.clock.After(answerTime, func() { close(late) })
+	defer t.Stop()
+	select {
+	case ok := <-got:
+		return ok
+	case <-late:
+		return false
+	}
+}
+
+// try finds out whether the own way works again.
 func (r *Relay) try() {
-	a := answerOf(r.own.Read(board.Table, board.Main, board.OwnerKey, board.OwnerKey+"\x00"))
+	a := r.probe()
 	r.mu.Lock()
 	r.trying = false
 	r.mu.Unlock()
