--- a/node/app.go
+++ b/node/app.go
@@ -44,9 +44,9 @@
 	// stopMargin is left before the platform kills the process: two writes of a
 	// client's request may still have to time out.
 	stopMargin = 2200 * time.Millisecond
-	// frontTimeout bounds a client's write, which is tried twice within the three
-	// seconds that clients wait.
-	frontTimeout = time.Second
+	// frontTimeout bounds a client's write: half of the three seconds that clients
+	// wait, so that it may be tried twice.
+	frontTimeout = 1500 * time.Millisecond
 	// drainPoll is how often a stopping host looks whether all is answered.
 	drainPoll = 50 * time.Millisecond
 	// registerPause follows a failed registration of the host.
--- a/node/internal/front/submit.go
+++ b/node/internal/front/submit.go
@@ -28,8 +28,12 @@
 	s.keep(r, board.AcceptKey(r.id), board.Accepted{Queue: job.Queue, Team: job.Team, Job: job}, func() { s.cell.Submitted(job) })
 }
 
-// maxTries is how many partitions are tried until a client is refused.
-const maxTries = 2
+const (
+	// maxTries is how many partitions are tried until a client is refused.
+	maxTries = 2
+	// tryTime is after how long no other one is tried: clients wait three seconds.
+	tryTime = 1400 * time.Millisecond
+)
 
 // keep has a row of the board stored, unless it is there already, and answers
 // the client. tell is called if this host stored it.
@@ -40,20 +44,28 @@
 		return
 	}
 	var last, lost error
+	began := s.clock.Now()
 	for try := range maxTries {
+		if try > 0 && s.clock.Now().Sub(began) > tryTime {
+			break
+		}
 		put, err := board.Put(board.Table, board.PartOf(r.id, try), key, value)
 		if err != nil {
 			s.answer(r.exchange, fasthttp.StatusBadRequest, "not a job")
 			return
 		}
-		if try == 0 && s.store.Slow() {
+		if s.store.Slow() {
 			switch s.cell.Keep(r.id, put) {
 			case owner.IsKept:
 				s.accepted(r)
 				return
 			case owner.MayBeKept:
 				lost = &UnknownError{Err: &platform.LostError{Call: "write through the owner"}}
+				continue
 			case owner.NotKept:
+				last = &platform.RefusedError{Call: "write through the owner"}
+				continue
+			case owner.NotAsked:
 			}
 		}
 		last = s.Keep(r.id, put)
--- a/node/internal/owner/keep.go
+++ b/node/internal/owner/keep.go
@@ -18,7 +18,7 @@
 	keepVerb = "keep"
 	// keepTimeout bounds having a row written by the owner's host; a slow store takes
 	// half a second for a write, and another one may be before it.
-	keepTimeout = 1300 * time.Millisecond
+	keepTimeout = 1700 * time.Millisecond
 	// pingAfter is how long there may be no answer until the owner is asked whether
 	// it lives.
 	pingAfter = 120 * time.Millisecond
@@ -49,7 +49,8 @@
 
 // The outcomes.
 const (
-	NotKept   Kept = iota // it surely wasn't and won't be
+	NotAsked  Kept = iota // there is no other host to ask
+	NotKept               // it surely wasn't and won't be
 	IsKept                // the row is there
 	MayBeKept             // nobody knows
 )
@@ -59,7 +60,7 @@
 // too; this way the rows of all hosts share them.
 func (o *Owner) Keep(id string, put platform.Put) Kept {
 	if o.current() != nil {
-		return NotKept // This host can do it itself.
+		return NotAsked
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), keepTimeout)
 	defer cancel()
@@ -93,8 +94,10 @@
 	switch {
 	case r.err == nil && r.Done:
 		return IsKept
-	case r.err == nil && r.Refused, errors.As(r.err, &never), errors.As(r.err, &dial):
+	case r.err == nil && r.Refused:
 		return NotKept
+	case errors.As(r.err, &never), errors.As(r.err, &dial):
+		return NotAsked
 	}
 	return MayBeKept
 }
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -240,6 +240,7 @@
 			late = again
 		case s := <-t.seen:
 			if s.seq == seq {
+				r.answered(t.owner.clock.Now().Sub(asked))
 				return s.version, nil
 			}
 		}
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -33,8 +33,10 @@
 	// watchPause follows a call that failed.
 	watchPause = 200 * time.Millisecond
 	// notedWait is how long an executor isn't asked again while its last ends
-	// aren't recorded, since it would list them again at once.
-	notedWait = 400 * time.Millisecond
+	// aren't recorded, since it would list them again at once; urgentNoted takes its
+	// place while urgent work runs there.
+	notedWait   = 400 * time.Millisecond
+	urgentNoted = 100 * time.Millisecond
 	// fullList is how many ends an executor lists at a time.
 	fullList = 500
 )
@@ -90,14 +92,19 @@
 
 // gap returns the least time between an answer and the next question.
 func (a *agent) gap() time.Duration {
-	a.term.mu.Lock()
-	defer a.term.mu.Unlock()
-	if a.term.plan.Urgent(a.info.ID) {
+	if a.urgent() {
 		return urgentGap
 	}
 	return watchGap
 }
 
+// urgent reports whether urgent work runs on the executor.
+func (a *agent) urgent() bool {
+	a.term.mu.Lock()
+	defer a.term.mu.Unlock()
+	return a.term.plan.Urgent(a.info.ID)
+}
+
 // lost reports whether a call got no answer.
 func lost(err error) bool {
 	var e *platform.LostError
@@ -117,7 +124,11 @@
 
 // awaitRecord waits until what the executor said is recorded.
 func (a *agent) awaitRecord() {
-	timeout := a.term.owner.clock.After(notedWait, func() { notify(a.noted) })
+	wait := notedWait
+	if a.urgent() {
+		wait = urgentNoted
+	}
+	timeout := a.term.owner.clock.After(wait, func() { notify(a.noted) })
 	defer timeout.Stop()
 	for {
 		a.term.mu.Lock()
--- a/node/internal/relay/client.go
+++ b/node/internal/relay/client.go
@@ -14,6 +14,9 @@
 	// call is also passed on, leastHedge at least.
 	hedgeTimes = 4
 	leastHedge = 150 * time.Millisecond
+	// watchHedge is leastHedge for a call that the store may hold: it says nothing of
+	// how long the store takes otherwise.
+	watchHedge = 600 * time.Millisecond
 	// slowTime is longer than calls take unless the store is slow.
 	slowTime = 80 * time.Millisecond
 	// smoothing is over how many calls the usual time is averaged.
@@ -65,7 +68,7 @@
 	var failure error
 	if !astray {
 		c.start(q, wait, own)
-		r, ok := c.await(own, wait+c.patience())
+		r, ok := c.await(own, wait+c.patience(wait))
 		if !ok && q.Write != nil && c.relay.answers() {
 			// A slow store does the writes of a partition one after the other: a second
 			// one would only be in the way of the first.
@@ -130,10 +133,14 @@
 
 // patience returns for how long an answer by the own way is waited for: what it
 // usually takes, and some time more.
-func (c *Client) patience() time.Duration {
+func (c *Client) patience(wait time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return max(leastHedge, hedgeTimes*c.typical)
+	least := leastHedge
+	if wait > 0 {
+		least = watchHedge
+	}
+	return max(least, hedgeTimes*c.typical)
 }
 
 // Slow reports whether the store takes many times as long as usual.
