Give no work to executors that fail a look; follow the board less often

Change: a failed look makes it silent at once. Hosts that are no successors follow the board each 1.5 s, the owner each 50 ms: they tell one another what matters.

--- a/node/internal/owner/execute.go
+++ b/node/internal/owner/execute.go
@@ -126,9 +126,11 @@
 	o := platform.WatchOrder{Fence: t.epoch, Seen: a.kept}
 	t.mu.Unlock()
 	rep, err := a.client.Look(o)
-	if err != nil {
-		t.owner.logger.Info("look failed", zap.String("executor", a.info.ID), zap.Error(err))
-		return // The next answer to a watch tells.
+	if err != nil { // No more work goes there until a watch is answered.
+		t.mu.Lock()
+		a.mute(err)
+		t.mu.Unlock()
+		return
 	}
 	a.reported(now, asked, rep)
 }
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -19,9 +19,9 @@
 	FollowGap = 100 * time.Millisecond
 	// idleGap is the same for all others. They ask the owner for what is newer, and
 	// may tell counts that are two seconds old.
-	idleGap = 600 * time.Millisecond
+	idleGap = 1500 * time.Millisecond
 	// ownerGap is the least time between two looks for new jobs.
-	ownerGap = 25 * time.Millisecond
+	ownerGap = 50 * time.Millisecond
 	// runsPerEpoch keeps the numbers of this owner's runs above those of runs of
 	// earlier owners that it hasn't heard of.
 	runsPerEpoch = 64
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -202,6 +202,16 @@
 		zap.Int64("epoch", a.term.epoch))
 }
 
+// mute notes that the executor didn't answer a question. The term's mu is held.
+func (a *agent) mute(err error) {
+	if a.silent {
+		return
+	}
+	a.silent = true
+	a.term.plan.Silent(a.info.ID)
+	a.term.owner.logger.Info("executor doesn't answer", zap.String("executor", a.info.ID), zap.Error(err))
+}
+
 // failed takes a failed question. It returns false if the incarnation has ended
 // or nothing is left to wait for.
 func (a *agent) failed(err error) bool {
@@ -214,11 +224,7 @@
 		a.gone()
 		return false
 	}
-	if !a.silent {
-		t.owner.logger.Info("executor doesn't answer", zap.String("executor", a.info.ID), zap.Error(err))
-		t.plan.Silent(a.info.ID)
-	}
-	a.silent = true
+	a.mute(err)
 	lapsed := a.lease.lapsed(now) || (!a.heard && now.Sub(t.began) > t.settled)
 	if lapsed {
 		t.plan.Lapsed(a.info.ID)
