Hand on when leases end at executors that no owner reaches

The new owner waits 10.5 s until leases there have surely ended; before that it is stopped in turn, and its successor waits as long again. Change: the row of closed executors says when leases end at those that don't answer, on the store's steady clock; successors go on from that. Executors without an entry count as closed, too.

--- a/node/app.go
+++ b/node/app.go
@@ -93,7 +93,7 @@
 	a.configs = config.New(logger)
 	a.board = board.New(logger)
 	a.node = link.New(s.Host, private, link.WithResetSecret(s.Host))
-	direct := platform.NewStore(s.Store, storeTimeout)
+	direct := platform.NewStore(s.Store, storeTimeout, platform.WithClock(a.clock))
 	a.relay = relay.New(s.Host, s.Zone, a.node, a.clock, a.board, direct, logger)
 	a.store = a.relay.Client(direct)
 	a.follows = []*follow.Follower{
@@ -101,7 +101,7 @@
 		follow.New(a.store, a.clock, board.Table, board.Parts(), a.board, follow.WithGap(owner.FollowGap), follow.WithLogger(logger)),
 	}
 	a.owner = owner.New(owner.Parts{
-		Host: s.Host, Process: a.process, Bounds: s.Bounds, Store: a.store, Clock: a.clock, Board: a.board, Pacer: a.follows[1], Configs: a.configs,
+		Host: s.Host, Process: a.process, Bounds: s.Bounds, Store: a.store, StoreClock: direct, Clock: a.clock, Board: a.board, Pacer: a.follows[1], Configs: a.configs,
 		Advisers: peers.New(s.Host, a.node, platform.NewAdviser(s.Adviser), a.clock, a.board),
 		Connect:  func(id, address string) owner.Executor { return platform.NewExecutor(id, address) },
 		Logger:   logger,
--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -65,6 +65,9 @@
 // record.
 type Closed struct {
 	Executors []string `cbor:"1,keyasint,omitempty"`
+	// Lapses tells of executors that don't answer when all leases there have surely
+	// ended, on the store's clock.
+	Lapses map[string]time.Duration `cbor:"2,keyasint,omitempty"`
 }
 
 // Host is one of the system's hosts.
--- a/node/internal/owner/deps.go
+++ b/node/internal/owner/deps.go
@@ -14,6 +14,12 @@
 	Write(w *platform.Write) (int64, error)
 }
 
+// StoreClock reads the store's clock.
+type StoreClock interface {
+	// Tick returns the last reading, and false if there is none.
+	Tick() (platform.Tick, bool)
+}
+
 // Pacer keeps the board up to date.
 type Pacer interface {
 	// SetGap sets how often.
--- a/node/internal/owner/lease.go
+++ b/node/internal/owner/lease.go
@@ -44,6 +44,15 @@
 	return end
 }
 
+// left returns how long until no lease that was sent can still hold.
+func (l *lease) left(now time.Time) time.Duration {
+	if l.at.IsZero() {
+		return 0
+	}
+	end := l.at.Add(time.Duration(float64(l.until+lapseMargin-l.clock) / slowestClock))
+	return max(0, end.Sub(now))
+}
+
 // lapsed reports whether no lease that was sent can still hold.
 func (l *lease) lapsed(now time.Time) bool {
 	if l.at.IsZero() {
--- a/node/internal/owner/load.go
+++ b/node/internal/owner/load.go
@@ -69,7 +69,7 @@
 	for _, id := range cancelled {
 		t.plan.Cancel(now, id)
 	}
-	t.plan.RestoreClosed(closed.Executors)
+	t.inherit(closed, now)
 	t.loaded = true
 	o.logger.Info("records read", zap.Int64("epoch", t.epoch), zap.Int("jobs", len(jobs)), zap.Int("records", len(records)), zap.Int("cancelled", len(cancelled)),
 		zap.Int("closed", len(closed.Executors)))
--- a/node/internal/owner/news_test.go
+++ b/node/internal/owner/news_test.go
@@ -18,7 +18,7 @@
 func newTerm() (*term, *board.Board) {
 	b := board.New(zap.NewNop())
 	o := New(Parts{Host: "h", Process: "p", Clock: timer.New(), Board: b, Logger: zap.NewNop()})
-	t := &term{owner: o, epoch: 1, plan: plan.New(nil), agents: make(map[string]*agent), ends: make(map[string]model.Phase), wake: make(chan struct{}, 1)}
+	t := &term{owner: o, epoch: 1, plan: plan.New(nil), agents: make(map[string]*agent), ends: make(map[string]model.Phase), lapseAt: make(map[string]time.Duration), lapseBy: make(map[string]time.Time), wake: make(chan struct{}, 1)}
 	o.setTerm(t)
 	return t, b
 }
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -39,6 +39,7 @@
 	process  string
 	bounds   platform.Bounds
 	store    Store
+	ticks    StoreClock // nil for none
 	clock    *timer.Service
 	board    *board.Board
 	pacer    Pacer
@@ -69,23 +70,24 @@
 
 // Parts is what an Owner is built from.
 type Parts struct {
-	Host     string
-	Process  string // tells this process from others of the host
-	Bounds   platform.Bounds
-	Store    Store
-	Clock    *timer.Service
-	Board    *board.Board
-	Pacer    Pacer // of the board
-	Configs  Configs
-	Advisers Advisers
-	Connect  func(id, address string) Executor
-	Logger   *zap.Logger
+	Host       string
+	Process    string // tells this process from others of the host
+	Bounds     platform.Bounds
+	Store      Store
+	StoreClock StoreClock // nil for none
+	Clock      *timer.Service
+	Board      *board.Board
+	Pacer      Pacer // of the board
+	Configs    Configs
+	Advisers   Advisers
+	Connect    func(id, address string) Executor
+	Logger     *zap.Logger
 }
 
 // New returns an Owner that owns nothing yet.
 func New(p Parts) *Owner {
 	return &Owner{
-		host: p.Host, process: p.Process, bounds: p.Bounds, store: p.Store, clock: p.Clock, board: p.Board, pacer: p.Pacer, configs: p.Configs,
+		host: p.Host, process: p.Process, bounds: p.Bounds, store: p.Store, ticks: p.StoreClock, clock: p.Clock, board: p.Board, pacer: p.Pacer, configs: p.Configs,
 		advisers: p.Advisers, connect: p.Connect, logger: p.Logger, offers: make(chan handover, 1), news: make(chan news, newsQueued),
 	}
 }
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -121,7 +121,7 @@
 	}
 	if ids, differ := t.plan.Closed(); differ {
 		t.plan.Closing(ids)
-		b.closed = &board.Closed{Executors: ids}
+		b.closed = &board.Closed{Executors: ids, Lapses: t.lapses(ids, t.owner.clock.Now())}
 	}
 	return b
 }
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -50,18 +50,20 @@
 	plan      *plan.State
 	agents    map[string]*agent
 	config    *model.Config
-	steady    time.Time              // since when executors write their entries without a gap
-	beat      time.Time              // last change of an entry
-	lossy     time.Time              // until when answers of executors are expected to get lost
-	lastLoss  time.Time              // when the last one did
-	logged    time.Time              // when long waits were last logged
-	paused    bool                   // no run may start
-	leaving   bool                   // ownership is being handed over: nothing starts any more
-	confirmed time.Duration          // when ownership was last known to hold, on the clock that includes suspensions
-	authority time.Duration          // how long it holds from then, by the owner's row
-	heirs     []string               // hosts that take over first
-	loaded    bool                   // what was recorded is in the plan
-	ends      map[string]model.Phase // of jobs whose end this term has recorded
+	steady    time.Time                // since when executors write their entries without a gap
+	beat      time.Time                // last change of an entry
+	lossy     time.Time                // until when answers of executors are expected to get lost
+	lastLoss  time.Time                // when the last one did
+	logged    time.Time                // when long waits were last logged
+	paused    bool                     // no run may start
+	lapseAt   map[string]time.Duration // by silent executor, when leases there have ended, on the store's clock
+	lapseBy   map[string]time.Time     // the same of executors that the last owner had closed, on this host's
+	leaving   bool                     // ownership is being handed over: nothing starts any more
+	confirmed time.Duration            // when ownership was last known to hold, on the clock that includes suspensions
+	authority time.Duration            // how long it holds from then, by the owner's row
+	heirs     []string                 // hosts that take over first
+	loaded    bool                     // what was recorded is in the plan
+	ends      map[string]model.Phase   // of jobs whose end this term has recorded
 }
 
 // sight is a write of the owner as the board shows it.
@@ -83,7 +85,7 @@
 	g, gctx := errgroup.WithContext(ctx)
 	t := &term{
 		owner: o, epoch: claim.Epoch, began: now, wake: make(chan struct{}, 1), record: make(chan struct{}, 1), seen: make(chan sight, sightsKept), end: end, group: g,
-		agents: make(map[string]*agent), ends: make(map[string]model.Phase), confirmed: o.clock.Boot(), authority: claim.Authority, config: o.configs.Config(),
+		agents: make(map[string]*agent), lapseAt: make(map[string]time.Duration), lapseBy: make(map[string]time.Time), ends: make(map[string]model.Phase), confirmed: o.clock.Boot(), authority: claim.Authority, config: o.configs.Config(),
 	}
 	t.settled = t.settleTime(before)
 	relist := now
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -173,6 +173,8 @@
 		t.owner.logger.Info("executor answers again", zap.String("executor", a.info.ID))
 	}
 	a.silent, a.heard, a.answered = false, true, sent
+	delete(t.lapseAt, a.info.ID)
+	delete(t.lapseBy, a.info.ID)
 	t.plan.Reported(now, a.info.ID, plan.Report{Asked: asked, Runs: rep.Runs, Ends: a.fresh(rep.Ends), More: len(rep.Ends) >= fullList})
 	notify(t.wake)
 	notify(t.record)
@@ -225,7 +227,7 @@
 		return false
 	}
 	a.mute(err)
-	lapsed := a.lease.lapsed(now) || (!a.heard && now.Sub(t.began) > t.settled)
+	lapsed := a.lease.lapsed(now) || (!a.heard && now.After(t.lapseTime(a.info.ID)))
 	if lapsed {
 		t.plan.Lapsed(a.info.ID)
 		t.plan.Settled(a.info.ID)
--- a/node/internal/plan/closed.go
+++ b/node/internal/plan/closed.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 )
 
 // An executor that gets no new work is recorded as closed: a successor that can't
@@ -37,8 +38,18 @@
 	s.Closing(ids)
 }
 
-// RestoreClosed takes over what an earlier owner recorded.
-func (s *State) RestoreClosed(ids []string) {
+// RestoreClosed takes over what an earlier owner recorded; by says of some executors
+// when nothing can run there any more.
+func (s *State) RestoreClosed(ids []string, by map[string]time.Time) {
 	s.ClosedRecorded(ids)
 	s.closedBefore = maps.Clone(s.barred)
+	s.lapses = maps.Clone(by)
+}
+
+// lapse returns when nothing can run on an executor any more that doesn't answer.
+func (s *State) lapse(id string) time.Time {
+	if at, ok := s.lapses[id]; ok {
+		return at
+	}
+	return s.settle
 }
--- a/node/internal/plan/closed_test.go
+++ b/node/internal/plan/closed_test.go
@@ -28,7 +28,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFixture(WithSettle(epoch.Add(settle)))
-			f.state.RestoreClosed(tt.closed)
+			f.state.RestoreClosed(tt.closed, nil)
 			f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: small}), onSilent)
 			f.state.AddJob(epoch, f.job("other", model.Step{Count: 1, Need: small}), &model.Progress{})
 			f.executor("silent")
@@ -130,3 +130,29 @@
 		}
 	})
 }
+
+// What was recorded on an executor that left runs again once its leases have ended, and
+// that doesn't begin anew with each owner.
+func TestLapseIsInherited(t *testing.T) {
+	onGone := &model.Progress{Phase: model.Running, Occurs: map[int]model.Occur{
+		0: {Stages: map[int]model.Stage{0: {Runs: map[int]model.Place{0: {Executor: "gone", Number: 1}}}}},
+	}}
+	tests := map[string]struct {
+		lapses map[string]time.Time
+		at     time.Duration
+		starts int
+	}{
+		"not yet":               {lapses: map[string]time.Time{"gone": epoch.Add(time.Second)}, at: time.Second},
+		"they have":             {lapses: map[string]time.Time{"gone": epoch.Add(time.Second)}, at: time.Second + time.Millisecond, starts: 1},
+		"nothing was inherited": {at: time.Second + time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(WithSettle(epoch.Add(settle)))
+			f.state.RestoreClosed([]string{"gone"}, tt.lapses)
+			f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: small}), onGone)
+			f.ready("a")
+			is.New(t).Equal(len(f.state.Decide(epoch.Add(tt.at)).Starts), tt.starts)
+		})
+	}
+}
--- a/node/internal/plan/decide.go
+++ b/node/internal/plan/decide.go
@@ -90,7 +90,7 @@
 // ended and are recorded.
 func (s *State) sweep(now time.Time) {
 	for id, w := range s.execs {
-		if w.info.Service == "" && now.After(s.settle) {
+		if w.info.Service == "" && now.After(s.lapse(id)) {
 			s.RemoveExecutor(id) // It never had an entry.
 			continue
 		}
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -28,8 +28,9 @@
 	barred   map[string]bool           // executors that a record may name
 	// closedBefore is the executors that the last owner had closed.
 	closedBefore map[string]bool
-	over         []string // jobs that were forgotten and not yet returned by Over
-	orders       Orders   // collected between and during decisions
+	lapses       map[string]time.Time // when leases end at some of them
+	over         []string             // jobs that were forgotten and not yet returned by Over
+	orders       Orders               // collected between and during decisions
 }
 
 // New returns an empty State under config.
--- a/node/internal/plan/worker.go
+++ b/node/internal/plan/worker.go
@@ -32,8 +32,9 @@
 	return w.known && !w.shut() && !now.Before(w.shunned)
 }
 
-// shut reports whether it is to get no new work until that changes.
-func (w *worker) shut() bool { return w.silent || w.info.Draining }
+// shut reports whether it is to get no new work until that changes: it may have no
+// entry, too.
+func (w *worker) shut() bool { return w.silent || w.info.Draining || w.info.Service == "" }
 
 // open reports whether new work may start on an executor.
 func (s *State) open(w *worker, now time.Time) bool { return w.usable(now) && !s.barred[w.info.ID] }
