Serve counters and latency histograms of the node

Cause: a node had three counters; operators couldn't tell how long answers, store calls and jobs take, nor whether an owner holds starts back.

--- a/node/app.go
+++ b/node/app.go
@@ -94,7 +94,7 @@
 	a.board = board.New(logger)
 	a.node = link.New(s.Host, private, link.WithResetSecret(s.Host))
 	direct := platform.NewStore(s.Store, storeTimeout, platform.WithClock(a.clock))
-	a.relay = relay.New(s.Host, s.Zone, a.node, a.clock, a.board, direct, logger)
+	a.relay = relay.New(s.Host, s.Zone, a.node, a.clock, a.board, direct, logger, registry)
 	a.store = a.relay.Client(direct)
 	a.follows = []*follow.Follower{
 		follow.New(a.store, a.clock, platform.ConfigTable, []string{""}, a.configs, follow.WithGap(configGap), follow.WithLogger(logger)),
@@ -104,7 +104,7 @@
 		Host: s.Host, Process: a.process, Bounds: s.Bounds, Store: a.store, StoreClock: direct, Clock: a.clock, Board: a.board, Pacer: a.follows[1], Configs: a.configs,
 		Advisers: peers.New(s.Host, a.node, platform.NewAdviser(s.Adviser), a.clock, a.board),
 		Connect:  func(id, address string) owner.Executor { return platform.NewExecutor(id, address) },
-		Logger:   logger,
+		Logger:   logger, Registry: registry,
 	})
 	a.owner.Mount(a.node)
 	a.service = front.New(a.clock, a.configs, a.board, a.relay.Client(platform.NewStore(s.Store, frontTimeout)), a.follows[1], a.owner, logger, a.registry)
--- a/node/internal/front/front.go
+++ b/node/internal/front/front.go
@@ -101,6 +101,7 @@
 		return
 	}
 	method := string(x.Request().Header.Method())
+	began := s.clock.Now()
 	switch {
 	case method == fasthttp.MethodGet && r.id == "":
 		s.pending(r)
@@ -108,10 +109,13 @@
 		s.answer(r.exchange, fasthttp.StatusBadRequest, "not a job's ID")
 	case method == fasthttp.MethodPost:
 		s.submit(r)
+		s.counts.submits.Note(s.clock.Now().Sub(began))
 	case method == fasthttp.MethodGet:
 		s.state(r)
+		s.counts.states.Note(s.clock.Now().Sub(began))
 	case method == fasthttp.MethodDelete:
 		s.cancel(r)
+		s.counts.submits.Note(s.clock.Now().Sub(began))
 	default:
 		s.answer(x, fasthttp.StatusMethodNotAllowed, "use POST, GET or DELETE")
 	}
--- a/node/internal/owner/decide.go
+++ b/node/internal/owner/decide.go
@@ -48,6 +48,7 @@
 	if now.Sub(t.logged) > waitsPeriod {
 		t.logged = now
 		waits = t.plan.Waits(now)
+		t.gauge()
 		for _, a := range t.agents {
 			a.retire(now)
 		}
--- a/node/internal/owner/execute.go
+++ b/node/internal/owner/execute.go
@@ -58,8 +58,10 @@
 	if err == nil {
 		a.lease.heard(clock, now)
 		t.plan.Started(now, *s)
+		t.owner.counts.starts.Inc(1)
 		return false
 	}
+	t.owner.counts.failed.Inc(1)
 	t.owner.logger.Info("start failed", zap.String("id", s.Task.Job), zap.Int("step", s.Task.Step), zap.Int("index", s.Task.Index),
 		zap.Int("run", s.Number), zap.String("executor", s.Executor), zap.Int64("epoch", t.epoch), zap.Error(err))
 	defer notify(t.wake)
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/balsamford/balsamford/coord/link"
@@ -47,6 +48,7 @@
 	advisers Advisers
 	connect  func(id, address string) Executor
 	logger   *zap.Logger
+	counts   *counts
 
 	owning atomic.Bool
 	ready  atomic.Bool   // it waits for ownership
@@ -82,13 +84,17 @@
 	Advisers   Advisers
 	Connect    func(id, address string) Executor
 	Logger     *zap.Logger
+	Registry   metrics.Registry // nil for one of its own
 }
 
 // New returns an Owner that owns nothing yet.
 func New(p Parts) *Owner {
+	if p.Registry == nil {
+		p.Registry = metrics.NewRegistry()
+	}
 	return &Owner{
 		host: p.Host, process: p.Process, bounds: p.Bounds, store: p.Store, ticks: p.StoreClock, clock: p.Clock, board: p.Board, pacer: p.Pacer, configs: p.Configs,
-		advisers: p.Advisers, connect: p.Connect, logger: p.Logger, offers: make(chan handover, 1), news: make(chan news, newsQueued),
+		advisers: p.Advisers, connect: p.Connect, logger: p.Logger, counts: newCounts(p.Registry), offers: make(chan handover, 1), news: make(chan news, newsQueued),
 	}
 }
 
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -131,11 +131,17 @@
 	t := r.term
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, c := range b.changes {
-		t.plan.Recorded(c)
-		if c.Progress.Phase.Final() {
-			t.ends[c.Job] = c.Progress.Phase
+	now := t.owner.clock.Now()
+	for i := range b.changes {
+		c := &b.changes[i]
+		t.plan.Recorded(*c)
+		if !c.Progress.Phase.Final() {
+			continue
+		}
+		if _, known := t.ends[c.Job]; !known {
+			t.owner.counts.ended(c, now)
 		}
+		t.ends[c.Job] = c.Progress.Phase
 	}
 	for a, seq := range b.ends {
 		a.kept = max(a.kept, min(seq, a.seen))
@@ -258,6 +264,7 @@
 // answered learns how long answers take: a slower one counts at once, faster ones
 // little by little.
 func (r *recorder) answered(took time.Duration) {
+	r.term.owner.counts.records.Note(took)
 	r.typical = max(took, r.typical+(took-r.typical)/smoothing)
 	r.patience = min(mostPatience, patienceTimes*r.typical)
 }
@@ -282,7 +289,7 @@
 	w.Puts = append(w.Puts, put)
 	if c.Progress.Phase.Final() {
 		r.term.owner.logger.Info("job ended", zap.String("id", c.Job), zap.String("queue", c.Queue), zap.Stringer("phase", c.Progress.Phase),
-			zap.Duration("after", r.term.owner.clock.Now().Sub(c.Sent)), zap.Duration("limit", c.Delay.Limit), zap.Duration("room", c.Delay.Room),
+			zap.Duration("after", r.term.owner.clock.Now().Sub(c.Sent)), zap.Duration("objective", c.Objective), zap.Duration("limit", c.Delay.Limit), zap.Duration("room", c.Delay.Room),
 			zap.Duration("advice", c.Delay.Advice), zap.Int64("epoch", r.term.epoch))
 	}
 	return nil
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -79,6 +79,9 @@
 // rule runs a term until it is lost or ctx ends.
 func (o *Owner) rule(ctx context.Context, before, claim board.Owner, version int64) {
 	now := o.clock.Now()
+	o.counts.epoch.Update(claim.Epoch)
+	o.counts.terms.Inc(1)
+	defer o.counts.clear()
 	o.logger.Info("ownership taken", zap.Int64("epoch", claim.Epoch), zap.String("from", before.Host), zap.Bool("resigned", before.Resigned))
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -199,6 +199,7 @@
 	if e.Outcome == model.RunDone || e.Outcome == model.RunStopped {
 		return
 	}
+	a.term.owner.counts.lost.Inc(1)
 	a.term.owner.logger.Info("run ended early", zap.String("id", e.Task.Job), zap.Int("occur", e.Task.Occur), zap.Int("step", e.Task.Step),
 		zap.Int("index", e.Task.Index), zap.Int("run", e.Number), zap.Stringer("how", e.Outcome), zap.String("executor", a.info.ID),
 		zap.Int64("epoch", a.term.epoch))
--- a/node/internal/plan/restore.go
+++ b/node/internal/plan/restore.go
@@ -55,13 +55,14 @@
 
 // Change is a job whose recorded progress is out of date.
 type Change struct {
-	Job      string
-	Queue    string
-	Progress *model.Progress
-	Delay    Delay
-	Sent     time.Time // when the job was accepted
-	Moved    bool      // the phase isn't the one that was recorded last
-	Version  int       // to be given to Recorded
+	Job       string
+	Queue     string
+	Progress  *model.Progress
+	Delay     Delay
+	Sent      time.Time     // when the job was accepted
+	Objective time.Duration // of the time from then; 0 without one
+	Moved     bool          // the phase isn't the one that was recorded last
+	Version   int           // to be given to Recorded
 }
 
 // Changes returns up to n jobs with something to record.
@@ -71,7 +72,7 @@
 		if len(out) == n {
 			break
 		}
-		out = append(out, Change{Job: id, Queue: j.spec.Queue, Progress: j.progress(), Delay: j.delay, Sent: j.spec.Sent, Moved: j.phase != j.recorded, Version: j.version})
+		out = append(out, Change{Job: id, Queue: j.spec.Queue, Progress: j.progress(), Delay: j.delay, Sent: j.spec.Sent, Objective: j.objective(), Moved: j.phase != j.recorded, Version: j.version})
 	}
 	return out
 }
--- a/node/internal/plan/urgency.go
+++ b/node/internal/plan/urgency.go
@@ -42,7 +42,7 @@
 		u.latest = origin
 		return u
 	}
-	objective := time.Duration(j.queue.Stretch*float64(j.chain)) + j.queue.Slack
+	objective := j.goal()
 	rest := st.rest()
 	u.latest = origin.Add(objective - rest)
 	switch {
@@ -54,6 +54,24 @@
 	return u
 }
 
+// goal returns how long an occurrence of the job is meant to take, by its estimates.
+func (j *job) goal() time.Duration {
+	return time.Duration(j.queue.Stretch*float64(j.chain)) + j.queue.Slack
+}
+
+// objective returns the latency objective of a job that runs once, 0 for others.
+func (j *job) objective() time.Duration {
+	if j.spec.Times > 0 {
+		return 0
+	}
+	for i := range j.spec.Steps {
+		if j.spec.Steps[i].Lasting {
+			return 0
+		}
+	}
+	return j.goal()
+}
+
 // rest returns the longest path of estimates from this stage to the end.
 func (st *stage) rest() time.Duration {
 	steps := st.occur.job.spec.Steps
--- a/node/internal/plan/waits.go
+++ b/node/internal/plan/waits.go
@@ -28,6 +28,24 @@
 	Asking  bool // a question to the adviser is under way
 }
 
+// Waiting returns how many tasks could run and have no run.
+func (s *State) Waiting() int {
+	n := 0
+	for _, j := range s.jobs {
+		if j.phase.Final() {
+			continue
+		}
+		for _, o := range j.occurs {
+			for _, st := range o.stages {
+				if st.waiting > 0 && o.ready(st) {
+					n += st.waiting
+				}
+			}
+		}
+	}
+	return n
+}
+
 // Waits returns stages that have waited for long, each once in a while.
 func (s *State) Waits(now time.Time) []Wait {
 	var out []Wait
--- a/node/internal/relay/client.go
+++ b/node/internal/relay/client.go
@@ -153,6 +153,7 @@
 // took learns how long answers take: a slower one counts at once, faster ones
 // little by little.
 func (c *Client) took(d time.Duration) {
+	c.relay.counts.calls.Note(d)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.typical = max(d, c.typical+(d-c.typical)/smoothing)
--- /dev/null
+++ b/node/internal/relay/counts.go
@@ -0,0 +1,21 @@
+package relay
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/balsamford/balsamford/coord/meter"
+)
+
+// counts are the metrics of a Relay.
+type counts struct {
+	passed metrics.Counter // calls that another host made for this one
+	served metrics.Counter // calls that this host made for others
+	calls  *meter.Latency  // of the store by the own way, held ones apart
+}
+
+func newCounts(r metrics.Registry) *counts {
+	return &counts{
+		passed: metrics.GetOrRegisterCounter("node.store.passed", r), served: metrics.GetOrRegisterCounter("node.store.served", r),
+		calls: meter.NewLatency("node.store.call", r),
+	}
+}
--- a/node/internal/relay/relay.go
+++ b/node/internal/relay/relay.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -43,6 +44,7 @@
 	hosts  Hosts
 	own    Store
 	logger *zap.Logger
+	counts *counts
 	group  errgroup.Group
 
 	mu      sync.Mutex    // guards the fields below
@@ -57,8 +59,8 @@
 
 // New returns a Relay of host in zone, which makes and serves calls by node. own
 // is its own way to the store.
-func New(host, zone string, node *link.Node, clock *timer.Service, hosts Hosts, own Store, logger *zap.Logger) *Relay {
-	r := &Relay{host: host, zone: zone, node: node, clock: clock, hosts: hosts, own: own, logger: logger}
+func New(host, zone string, node *link.Node, clock *timer.Service, hosts Hosts, own Store, logger *zap.Logger, registry metrics.Registry) *Relay {
+	r := &Relay{host: host, zone: zone, node: node, clock: clock, hosts: hosts, own: own, logger: logger, counts: newCounts(registry)}
 	node.Handle(verb, link.HandlerFunc(r.serve))
 	return r
 }
@@ -97,6 +99,7 @@
 	}
 	a := answerOf(ask(r.own, &q))
 	r.note(&a)
+	r.counts.served.Inc(1)
 	return s.Send(&a)
 }
 
@@ -167,6 +170,7 @@
 
 // divert notes that helper reached the store while the own way failed.
 func (r *Relay) divert(helper string) {
+	r.counts.passed.Inc(1)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.failing {
--- a/node/internal/relay/relay_test.go
+++ b/node/internal/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -83,7 +84,7 @@
 		private, err := link.NewPrivate()
 		is.NoErr(err)
 		node := link.New(name, private)
-		r := New(name, "z", node, clock, hosts, s, zap.NewNop())
+		r := New(name, "z", node, clock, hosts, s, zap.NewNop(), metrics.NewRegistry())
 		is.NoErr(node.Listen("127.0.0.1:0"))
 		g.Go(func() error { return node.Run(ctx) })
 		g.Go(func() error { return r.Run(ctx) })
