Put changed settings in force without a restart

Cause: a changed settings file was only noted, and only on SIGHUP; the platform changes it without a signal, too. Change: the file is looked at each two seconds and on SIGHUP; bounds, and the addresses of store and adviser take effect (bounds of leases with the next term), names and served addresses stay, and a file that isn't in order changes nothing.

--- a/node/app.go
+++ b/node/app.go
@@ -55,7 +55,8 @@
 
 // app is all parts of the process.
 type app struct {
-	settings *platform.Settings
+	settings *platform.Settings // as the process began
+	live     *settings          // in force
 	process  string
 	logger   *zap.Logger
 	lines    *logs.Writer
@@ -75,7 +76,7 @@
 }
 
 // newApp builds the parts; none of them runs yet.
-func newApp(s *platform.Settings) (*app, error) {
+func newApp(path string, s *platform.Settings) (*app, error) {
 	registry, lines := metrics.NewRegistry(), logs.NewWriter(os.Stdout)
 	leftOut := metrics.GetOrRegisterCounter("node.logs.left", registry)
 	logger, err := logs.NewBounded(lines, "info", "node", s.Host, s.Zone, func() { leftOut.Inc(1) })
@@ -96,18 +97,24 @@
 	direct := platform.NewStore(s.Store, storeTimeout, platform.WithClock(a.clock))
 	a.relay = relay.New(s.Host, s.Zone, a.node, a.clock, a.board, direct, logger, registry)
 	a.store = a.relay.Client(direct)
+	accepting, adviser := platform.NewStore(s.Store, frontTimeout), platform.NewAdviser(s.Adviser)
+	a.live = newSettings(path, s, a.clock, logger, func(s *platform.Settings) {
+		direct.Move(s.Store)
+		accepting.Move(s.Store)
+		adviser.Move(s.Adviser)
+	})
 	a.follows = []*follow.Follower{
 		follow.New(a.store, a.clock, platform.ConfigTable, []string{""}, a.configs, follow.WithGap(configGap), follow.WithLogger(logger)),
 		follow.New(a.store, a.clock, board.Table, board.Parts(), a.board, follow.WithGap(owner.FollowGap), follow.WithLogger(logger)),
 	}
 	a.owner = owner.New(owner.Parts{
-		Host: s.Host, Process: a.process, Bounds: s.Bounds, Store: a.store, StoreClock: direct, Clock: a.clock, Board: a.board, Pacer: a.follows[1], Configs: a.configs,
-		Advisers: peers.New(s.Host, a.node, platform.NewAdviser(s.Adviser), a.clock, a.board),
+		Host: s.Host, Process: a.process, Bounds: a.live.Bounds, Store: a.store, StoreClock: direct, Clock: a.clock, Board: a.board, Pacer: a.follows[1], Configs: a.configs,
+		Advisers: peers.New(s.Host, a.node, adviser, a.clock, a.board),
 		Connect:  func(id, address string) owner.Executor { return platform.NewExecutor(id, address) },
 		Logger:   logger, Registry: registry,
 	})
 	a.owner.Mount(a.node)
-	a.service = front.New(a.clock, a.configs, a.board, a.relay.Client(platform.NewStore(s.Store, frontTimeout)), a.follows[1], a.owner, logger, a.registry)
+	a.service = front.New(a.clock, a.configs, a.board, a.relay.Client(accepting), a.follows[1], a.owner, logger, a.registry)
 	a.owner.ServeKeeping(a.service)
 	a.server = httpd.New(a.clock, a.service, httpd.WithLogger(logger), httpd.WithRegistry(a.registry), httpd.WithLoops(1))
 	a.page = meter.New(a.registry, a.unready, meter.WithPage(platform.ReadyPath, a.ready))
@@ -133,6 +140,7 @@
 	g.Go(func() error { return a.clock.Run(ctx) })
 	g.Go(func() error { return a.node.Run(ctx) })
 	g.Go(func() error { return a.relay.Run(ctx) })
+	g.Go(func() error { return a.live.Run(ctx) })
 	for _, f := range a.follows {
 		g.Go(func() error { return f.Run(ctx) })
 	}
@@ -166,22 +174,11 @@
 				a.logger.Info("stopping", zap.String("signal", sig.String()))
 				return
 			}
-			a.reload()
+			a.live.Reload()
 		}
 	}
 }
 
-// reload reads the settings file again. Nothing in it takes effect without a
-// restart, so that a change is only noted.
-func (a *app) reload() {
-	s, err := platform.LoadSettings(platform.SettingsPath())
-	if err != nil {
-		a.logger.Error("settings left as they are", zap.Error(err))
-		return
-	}
-	a.logger.Info("settings read", zap.Bool("changed", *s != *a.settings))
-}
-
 // stop hands ownership over, serves on until the balancer has noticed, and waits
 // for the last answers.
 func (a *app) stop(ctx context.Context, resign context.CancelFunc) {
@@ -189,7 +186,7 @@
 	a.leaving.Store(true)
 	a.server.Part()
 	resign()
-	end := began.Add(max(noticeTime, a.settings.Bounds.Grace-stopMargin))
+	end := began.Add(max(noticeTime, a.live.Bounds().Grace-stopMargin))
 	listed := true
 	for a.clock.Now().Before(end) && ctx.Err() == nil {
 		if listed && !a.owner.Owning() {
--- a/node/internal/owner/agent.go
+++ b/node/internal/owner/agent.go
@@ -122,5 +122,5 @@
 // leaseLeft returns for how long the lease may be extended now. The term's mu is
 // held.
 func (t *term) leaseLeft() time.Duration {
-	return min(leaseTime, t.owner.bounds.Lease, t.confirmedAt()+t.owner.bounds.Lease+unconfirmedTime-t.owner.clock.Boot())
+	return min(leaseTime, t.bounds.Lease, t.confirmedAt()+t.bounds.Lease+unconfirmedTime-t.owner.clock.Boot())
 }
--- a/node/internal/owner/clean.go
+++ b/node/internal/owner/clean.go
@@ -38,7 +38,7 @@
 	for _, id := range over {
 		w.Deletes = append(w.Deletes, platform.Key{Table: board.Progress, Part: board.Main, Key: id})
 	}
-	before := t.owner.clock.Now().Add(-t.owner.bounds.Status - expireMargin).Unix()
+	before := t.owner.clock.Now().Add(-t.bounds.Status - expireMargin).Unix()
 	accepted, rest := t.owner.board.Ended(before, min(room, expirePerWrite))
 	for _, id := range rest {
 		w.Deletes = append(w.Deletes, platform.Key{Table: board.Table, Part: board.Main, Key: board.PhaseKey(id)})
--- a/node/internal/owner/load.go
+++ b/node/internal/owner/load.go
@@ -28,9 +28,9 @@
 	case before.Epoch == 0:
 		return 0
 	case before.Resigned || before.Host == t.owner.host:
-		return t.owner.bounds.Lease + settleMargin
+		return t.bounds.Lease + settleMargin
 	}
-	return t.owner.bounds.Lease + unconfirmedTime + settleMargin
+	return t.bounds.Lease + unconfirmedTime + settleMargin
 }
 
 // load takes over what earlier owners recorded and begins to deal with executors.
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -38,7 +38,7 @@
 type Owner struct {
 	host     string
 	process  string
-	bounds   platform.Bounds
+	bounds   func() platform.Bounds
 	store    Store
 	ticks    StoreClock // nil for none
 	clock    *timer.Service
@@ -73,8 +73,8 @@
 // Parts is what an Owner is built from.
 type Parts struct {
 	Host       string
-	Process    string // tells this process from others of the host
-	Bounds     platform.Bounds
+	Process    string                 // tells this process from others of the host
+	Bounds     func() platform.Bounds // in force; a term keeps those that it begins with
 	Store      Store
 	StoreClock StoreClock // nil for none
 	Clock      *timer.Service
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -11,6 +11,7 @@
 	"github.com/balsamford/balsamford/coord/model"
 	"github.com/balsamford/balsamford/node/internal/board"
 	"github.com/balsamford/balsamford/node/internal/plan"
+	"github.com/balsamford/balsamford/platform"
 )
 
 const (
@@ -37,6 +38,7 @@
 	owner      *Owner
 	epoch      int64
 	began      time.Time
+	bounds     platform.Bounds
 	settled    time.Duration // from began until nothing unknown runs at executors that don't answer
 	quietUntil time.Duration // until when no run may start, on the clock that includes suspensions
 	wake       chan struct{} // something happened that calls for a decision
@@ -87,7 +89,7 @@
 	defer end(nil)
 	g, gctx := errgroup.WithContext(ctx)
 	t := &term{
-		owner: o, epoch: claim.Epoch, began: now, wake: make(chan struct{}, 1), record: make(chan struct{}, 1), seen: make(chan sight, sightsKept), end: end, group: g,
+		owner: o, epoch: claim.Epoch, began: now, bounds: o.bounds(), wake: make(chan struct{}, 1), record: make(chan struct{}, 1), seen: make(chan sight, sightsKept), end: end, group: g,
 		agents: make(map[string]*agent), lapseAt: make(map[string]time.Duration), lapseBy: make(map[string]time.Time), ends: make(map[string]model.Phase), confirmed: o.clock.Boot(), authority: claim.Authority, config: o.configs.Config(),
 	}
 	t.settled = t.settleTime(before)
@@ -98,7 +100,7 @@
 	if before.Epoch > 0 && !before.Resigned && before.Host != o.host {
 		t.quietUntil = o.clock.Boot() + boardTime // It may not have seen yet that it is succeeded.
 	}
-	t.plan = plan.New(t.config, plan.WithFar(o.bounds.Far), plan.WithStopTime(o.bounds.Stop+stopSlack), plan.WithBase(int(claim.Epoch-1)*runsPerEpoch), plan.WithSettle(now.Add(t.settled)), plan.WithRelist(relist))
+	t.plan = plan.New(t.config, plan.WithFar(t.bounds.Far), plan.WithStopTime(t.bounds.Stop+stopSlack), plan.WithBase(int(claim.Epoch-1)*runsPerEpoch), plan.WithSettle(now.Add(t.settled)), plan.WithRelist(relist))
 	t.ctx = gctx
 	rec := &recorder{term: t, row: claim, version: version}
 	o.setTerm(t)
--- a/node/main.go
+++ b/node/main.go
@@ -41,15 +41,15 @@
 		_, _ = os.Stderr.WriteString(err.Error() + "\n")
 		os.Exit(exitSettings)
 	}
-	if err := run(settings, signals); err != nil {
+	if err := run(path, settings, signals); err != nil {
 		_, _ = os.Stderr.WriteString("node: " + trace.UserMessage(err) + "\n")
 		os.Exit(exitFailure)
 	}
 }
 
 // run serves until a signal ends it.
-func run(settings *platform.Settings, signals <-chan os.Signal) error {
-	a, err := newApp(settings)
+func run(path string, settings *platform.Settings, signals <-chan os.Signal) error {
+	a, err := newApp(path, settings)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/node/metrics_test.go
+++ b/node/metrics_test.go
@@ -14,7 +14,7 @@
 // The page lists each metric of the process, and no others.
 func TestMetricsPage(t *testing.T) {
 	is := is.New(t)
-	a, err := newApp(&platform.Settings{Host: "h", Zone: "z", IP: "127.0.0.1", Store: "127.0.0.1:1", Adviser: "127.0.0.1:1", Ingress: "127.0.0.1:0", Ready: "127.0.0.1:0"})
+	a, err := newApp("", &platform.Settings{Host: "h", Zone: "z", IP: "127.0.0.1", Store: "127.0.0.1:1", Adviser: "127.0.0.1:1", Ingress: "127.0.0.1:0", Ready: "127.0.0.1:0"})
 	is.NoErr(err)
 	var names []string
 	a.registry.Each(func(name string, _ any) {
