Explain a job by the logs of all hosts: balsam trace

Cause: on-call engineers had to merge the logs of some dozen hosts by hand. Change: balsam trace ID FILE... orders the lines of a job over all logs with those of the cell's owner, and names the cause: refused, late by limit, room, adviser or time without an owner, failed by itself or by one executor, cancelled.

--- a/balsam/internal/shell/errors.go
+++ b/balsam/internal/shell/errors.go
@@ -22,6 +22,12 @@
 // Error implements error.
 func (e *ExitError) Error() string { return "" }
 
+// MissingError reports that what was asked for isn't there.
+type MissingError struct{ What string }
+
+// Error implements error.
+func (e *MissingError) Error() string { return "there is no " + e.What }
+
 // codeOf returns the exit code of an error.
 func codeOf(err error) Code {
 	var exit *ExitError
@@ -31,6 +37,7 @@
 	var reach *remote.ReachError
 	var file *setup.FileError
 	var settings *setup.InvalidError
+	var missing *MissingError
 	switch {
 	case err == nil:
 		return OK
@@ -42,6 +49,8 @@
 		return failureCode(failure.Code)
 	case errors.As(err, &invalid):
 		return Invalid
+	case errors.As(err, &missing):
+		return Missing
 	case errors.Is(err, context.Canceled):
 		return Other
 	case errors.As(err, &reach):
--- a/balsam/internal/shell/run.go
+++ b/balsam/internal/shell/run.go
@@ -58,6 +58,7 @@
 	a.reads(p)
 	a.hosts(p)
 	a.requests(p)
+	a.traces(p)
 	if err := p.ParseArgs(args); err != nil {
 		return a.end(&UsageError{Text: err.Error() + `; see "balsam --help"`})
 	}
--- a/balsam/internal/shell/run_test.go
+++ b/balsam/internal/shell/run_test.go
@@ -65,12 +65,17 @@
 		"status, none":      {args: []string{"status", "x"}, status: 404, answer: []any{reply{}}, want: Missing},
 		"result":            {args: []string{"result", "x"}, status: 200, answer: []any{reply{Phase: wire.Ended}}, want: OK, sent: "GET /v1/requests/x/result"},
 		"cancel":            {args: []string{"cancel", "x"}, status: 200, answer: []any{reply{Phase: wire.Ended}}, want: OK, sent: "DELETE /v1/requests/x"},
+		"trace":             {args: []string{"trace", "0123456789abcdef", "node.log"}, want: OK, out: "cause: its team cancelled it"},
+		"trace as JSON":     {args: []string{"trace", "0123456789abcdef", "node.log", "--output", "json"}, want: OK, out: `"cause":"its team cancelled it"`},
+		"trace, none":       {args: []string{"trace", "ffffffffffffffff", "node.log"}, want: Missing, out: "in these logs"},
+		"trace, no file":    {args: []string{"trace", "0123456789abcdef", "no.log"}, want: Usage, out: "no.log"},
 		"settings file":     {args: []string{"show", "--config", "settings.toml"}, want: Usage, out: "settings.toml: line 1"},
 		"bad key name":      {args: []string{"key", "shop.1"}, want: Usage, out: "one word"},
 		"secret and digest": {args: []string{"key", "shop-1"}, want: OK, out: "[key.shop-1]"},
 	}
 	dir := t.TempDir()
 	files := map[string]string{
+		"node.log":  `{"time":"2026-08-12T06:28:10Z","host":"h","text":"job ended","id":"0123456789abcdef","phase":"cancelled"}` + "\n",
 		"good.toml": "[team.a]\n", "settings.toml": "doors = 1\n",
 		"all/bad.toml": "\n[limit.x]\nteam = \"a\"\ntasks = 1\n",
 	}
