Start runs without progress elsewhere; give stored rows a format version

Cause: executors whose work stands still (srv_grey hang) answer all calls and kept getting urgent work, which waited there for up to seven seconds. Stored rows said nothing of the program that wrote them, so that an earlier one could drop a later one's fields. The owner's row carries a format; a program doesn't own a cell of a later one.

--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -42,6 +42,12 @@
 // HostKey returns the key of a host's row.
 func HostKey(name string) string { return hostPrefix + name }
 
+// Format is the version of the rows' format that this program writes. It reads all
+// earlier ones; rows without one are of version 0. Fields are only ever added, so that
+// an earlier program reads what it knows; it doesn't own a cell whose rows are of a
+// later format, since it would drop what it doesn't know.
+const Format = 1
+
 // Owner is who decides for the cell. The owner rewrites the row with each write,
 // so that the row's version proves ownership and shows that the owner lives.
 type Owner struct {
@@ -58,6 +64,7 @@
 	// was away a moment ago.
 	Unsteady bool          `cbor:"8,keyasint,omitempty"`
 	Written  time.Duration `cbor:"9,keyasint,omitempty"` // on the owner's clock since its machine started
+	Format   int           `cbor:"10,keyasint,omitempty"`
 }
 
 // Closed is the executors that the owner starts nothing on. All runs there are
--- a/node/internal/owner/decide.go
+++ b/node/internal/owner/decide.go
@@ -72,6 +72,11 @@
 	for i := range waits {
 		t.logWait(&waits[i], now)
 	}
+	for _, s := range orders.Stalls {
+		t.owner.logger.Info("run makes no progress", zap.String("id", s.Task.Job), zap.Int("occur", s.Task.Occur), zap.Int("step", s.Task.Step),
+			zap.Int("index", s.Task.Index), zap.Int("run", s.Number), zap.String("executor", s.Executor), zap.Int("percent", s.Percent),
+			zap.Duration("for", s.For), zap.Bool("stopped", s.Stopped), zap.Int64("epoch", t.epoch))
+	}
 	for _, a := range orders.Asks {
 		t.group.Go(func() error { t.ask(a); return nil })
 	}
--- a/node/internal/owner/handover.go
+++ b/node/internal/owner/handover.go
@@ -86,7 +86,7 @@
 
 // accept takes over what its owner offered.
 func (o *Owner) accept(ctx context.Context, h *handover) {
-	if h.Row.Resigned && h.Row.Epoch > o.ruled {
+	if h.Row.Resigned && h.Row.Epoch > o.ruled && h.Row.Format <= board.Format {
 		o.take(ctx, h.Row, h.Version)
 	}
 }
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -54,6 +54,7 @@
 	ready  atomic.Bool   // it waits for ownership
 	ruled  int64         // epoch of the last term; Run alone uses it
 	gap    time.Duration // at which the board is followed; Run alone uses it
+	told   int64         // epoch of a later program that was told of; Run alone uses it
 	mute   int64         // version of its row at which an owner didn't answer; Run alone uses it
 
 	node   *link.Node    // nil before Mount
@@ -171,6 +172,10 @@
 	}
 	quiet := now.Sub(o.seen)
 	o.mu.Unlock()
+	if row.Format > board.Format {
+		o.foreign(row)
+		return row, version, false
+	}
 	if row.Host == o.host && row.Process != o.process {
 		return row, version, true // An earlier process of this host.
 	}
@@ -195,6 +200,15 @@
 	return row, version, quiet >= max(stuckAfter, authority+takeoverMargin)+delay
 }
 
+// foreign tells once that a later program owns the cell, whose rows this one must not
+// rewrite.
+func (o *Owner) foreign(row board.Owner) {
+	if o.told != row.Epoch {
+		o.told = row.Epoch
+		o.logger.Warn("cell is left to a later program", zap.String("owner", row.Host), zap.Int64("epoch", row.Epoch), zap.Int("format", row.Format))
+	}
+}
+
 // ownerRow is the condition that the owner's row has a version.
 func ownerRow(version int64) platform.Condition {
 	return platform.Condition{Table: board.Table, Part: board.Main, Key: board.OwnerKey, Version: version}
@@ -202,7 +216,7 @@
 
 // claim takes ownership if the owner's row still has version.
 func (o *Owner) claim(row board.Owner, version int64) (board.Owner, int64, error) {
-	next := board.Owner{Host: o.host, Process: o.process, Epoch: row.Epoch + 1, Authority: leastAuthority}
+	next := board.Owner{Host: o.host, Process: o.process, Epoch: row.Epoch + 1, Authority: leastAuthority, Format: board.Format}
 	put, err := board.Put(board.Table, board.Main, board.OwnerKey, next)
 	if err != nil {
 		return next, 0, err
--- a/node/internal/plan/orders.go
+++ b/node/internal/plan/orders.go
@@ -44,4 +44,5 @@
 	Stops  []Stop
 	Paces  []Pace
 	Asks   []Ask
+	Stalls []Stall // to be told
 }
--- a/node/internal/plan/report.go
+++ b/node/internal/plan/report.go
@@ -29,7 +29,7 @@
 	seen := make(map[runKey]bool, len(rep.Runs))
 	for i := range rep.Runs {
 		seen[runKey{task: rep.Runs[i].Task, number: rep.Runs[i].Number}] = true
-		s.confirm(now, w, &rep.Runs[i])
+		s.confirm(now, rep.Asked, w, &rep.Runs[i])
 	}
 	if rep.More {
 		return
@@ -52,8 +52,8 @@
 	}
 }
 
-// confirm takes one run that an executor says is there.
-func (s *State) confirm(now time.Time, w *worker, m *model.Run) {
+// confirm takes one run that an executor, asked at asked, says is there.
+func (s *State) confirm(now, asked time.Time, w *worker, m *model.Run) {
 	r := w.runs[runKey{task: m.Task, number: m.Number}]
 	if r == nil {
 		r = s.adopt(now, w, m)
@@ -70,6 +70,8 @@
 	}
 	if m.Percent != r.percent {
 		r.percent, r.moved = m.Percent, now
+	} else {
+		s.checkStall(r, asked, now)
 	}
 	r.gauge = m.Gauge
 	r.stage.save(r.index, m.Checkpoint)
