--- a/node/internal/front/query.go
+++ b/node/internal/front/query.go
@@ -22,15 +22,16 @@
 // if it returns false.
 func (s *Service) lookup(r *request) (board.Entry, bool) {
 	e, known := s.board.Job(r.id)
-	if !known || !e.Phase.Final() {
+	asked := known && e.Phase.Final()
+	if !asked {
 		if st, ok := s.cell.State(r.id); ok {
-			e.Queue, e.Phase, known = st.Queue, st.Phase, true
+			e.Queue, e.Phase, known, asked = st.Queue, st.Phase, true, true
 		}
 	}
-	if !known {
-		// The job may have been accepted elsewhere a moment ago.
+	if !asked {
+		// The job may have been accepted or ended elsewhere a moment ago.
 		var err error
-		if e.Accepted, known, err = s.find(r.id); err != nil {
+		if e, known, err = s.find(r.id); err != nil {
 			s.logger.Info("state unknown", zap.String("id", r.id), zap.Error(err))
 			s.unavailable(r.exchange, "the store is away")
 			return e, false
@@ -43,20 +44,37 @@
 	return e, true
 }
 
-// find looks for an accepted job in the store.
-func (s *Service) find(id string) (board.Accepted, bool, error) {
-	var a board.Accepted
-	key := board.AcceptKey(id)
+// find looks for a job in the store, which knows the newest state of it when the
+// owner can't be asked.
+func (s *Service) find(id string) (board.Entry, bool, error) {
+	var e board.Entry
 	for try := range maxTries {
-		rows, _, err := s.store.Read(board.Table, board.PartOf(id, try), key, key+"\x00")
+		part := board.PartOf(id, try)
+		known, err := s.read(part, board.AcceptKey(id), &e.Accepted)
 		if err != nil {
-			return a, false, err
+			return e, false, err
 		}
-		if len(rows) > 0 {
-			return a, true, board.Decode(rows[0], &a)
+		if !known {
+			continue
 		}
+		var p board.Phase
+		if _, err := s.read(board.Main, board.PhaseKey(id), &p); err != nil {
+			return e, false, err
+		}
+		e.Phase = p.Phase
+		e.Cancelled, err = s.read(part, board.CancelKey(id), new(string))
+		return e, err == nil, err
+	}
+	return e, false, nil
+}
+
+// read reads one row of the board into v and reports whether it is there.
+func (s *Service) read(part, key string, v any) (bool, error) {
+	rows, _, err := s.store.Read(board.Table, part, key, key+"\x00")
+	if err != nil || len(rows) == 0 {
+		return false, err
 	}
-	return a, false, nil
+	return true, board.Decode(rows[0], v)
 }
 
 // state tells how far a job has come.
--- a/node/internal/owner/news_test.go
+++ b/node/internal/owner/news_test.go
@@ -79,6 +79,8 @@
 	tm.loaded = true
 	job := &model.Job{ID: "0123456789abcdef", Queue: "q", Steps: []model.Step{{Count: 1}}}
 	is.Equal(tm.state(job.ID).Known, false)
+	_, known := tm.owner.State(job.ID)
+	is.Equal(known, false) // The store is looked at then.
 	tm.hear(&news{Jobs: []*model.Job{job}})
 	is.Equal(tm.state(job.ID), State{Known: true, Queue: "q", Phase: model.Queued})
 	now := time.Now()
--- a/node/internal/owner/state.go
+++ b/node/internal/owner/state.go
@@ -27,10 +27,12 @@
 	Phase model.Phase `cbor:"3,keyasint,omitempty"` // a final one is recorded
 }
 
-// State returns the owner's state of a job, and false if the owner can't be asked.
+// State returns the owner's state of a job, and false if the owner can't be asked or
+// doesn't know the job: it may be behind, or be no owner any more.
 func (o *Owner) State(id string) (State, bool) {
 	if t := o.current(); t != nil {
-		return t.state(id), true
+		s := t.state(id)
+		return s, s.Known
 	}
 	var s State
 	err := o.call(context.Background(), stateVerb, stateTimeout, &stateOf{ID: id}, &s)
