Read the settings file at the first look; test changes by log lines, not by time

The test also slept 20 ms for a look that nothing told of, so a busy machine could miss the change. Besides, a file changed between the process's reading it and its first look was never noticed. Change: the first look reads the file in any case and logs it; the test waits for log lines while it moves the manual clock, replaces the file by a rename and counts atomically. After: go test -race ./node -run TestSettingsChange -count=20 passes. Conclusion: the fault was the test's, the missed change the program's; both are mended.

--- a/node/settings.go
+++ b/node/settings.go
@@ -39,10 +39,11 @@
 // Bounds returns the bounds in force.
 func (s *settings) Bounds() platform.Bounds { return s.Now().Bounds }
 
-// Run looks for changes of the file until ctx ends. It always returns nil, so that it
-// can be a member of a group.
+// Run looks for changes of the file until ctx ends. The first look reads it in any
+// case, since it may have changed after the process read it. Run always returns nil, so
+// that it can be a member of a group.
 func (s *settings) Run(ctx context.Context) error {
-	last := s.changed()
+	var last time.Time
 	for s.clock.Sleep(ctx, settingsPeriod) == nil {
 		if at := s.changed(); !at.Equal(last) {
 			last = at
--- a/node/settings_test.go
+++ b/node/settings_test.go
@@ -5,11 +5,13 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/balsamford/balsamford/coord/timer"
@@ -32,12 +34,34 @@
 status_s = 120
 `
 
+// replace puts a file in place of path at once, with a time of its own.
+func replace(t *testing.T, path, text string) {
+	t.Helper()
+	is := is.New(t)
+	next := path + ".next"
+	is.NoErr(os.WriteFile(next, []byte(text), 0o600))
+	is.NoErr(os.Chtimes(next, time.Time{}, time.Now().Add(time.Hour)))
+	is.NoErr(os.Rename(next, path))
+}
+
+// advanceUntil moves clock on until done returns true, and returns false if that takes
+// more than ten seconds of real time.
+func advanceUntil(clock *timer.Service, done func() bool) bool {
+	for end := time.Now().Add(10 * time.Second); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			return false
+		}
+		clock.Advance(settingsPeriod)
+	}
+	return true
+}
+
 // A changed file takes effect, with a signal or without; what a process can't change
 // while it runs stays, and a file that isn't in order changes nothing.
 func TestSettingsChange(t *testing.T) {
 	tests := map[string]struct {
 		edit    func(text string) string
-		applied int
+		applied int64
 		check   func(s *platform.Settings) bool
 	}{
 		"unchanged": {edit: func(text string) string { return text }, check: func(s *platform.Settings) bool { return s.Bounds.Status == 2*time.Minute }},
@@ -71,28 +95,26 @@
 				first, err := platform.LoadSettings(path)
 				is.NoErr(err)
 				clock := timer.New(timer.WithManual(time.Unix(1_800_000_000, 0)))
-				applied := 0
-				s := newSettings(path, first, clock, zap.NewNop(), func(*platform.Settings) { applied++ })
+				core, lines := observer.New(zap.InfoLevel)
+				var applied atomic.Int64
+				s := newSettings(path, first, clock, zap.New(core), func(*platform.Settings) { applied.Add(1) })
 				var g errgroup.Group
 				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
 				if !signal {
-					looked := make(chan struct{})
-					g.Go(func() error { close(looked); return s.Run(ctx) })
-					<-looked
-					time.Sleep(20 * time.Millisecond) // Its first look, of which nothing tells.
+					g.Go(func() error { return s.Run(ctx) })
+					is.True(advanceUntil(clock, func() bool { return lines.Len() > 0 })) // Its first look.
 				}
-				is.NoErr(os.WriteFile(path, []byte(tt.edit(settingsText)), 0o600))
-				is.NoErr(os.Chtimes(path, time.Time{}, time.Now().Add(time.Hour)))
+				seen := lines.Len()
+				replace(t, path, tt.edit(settingsText))
 				if signal {
 					s.Reload()
 				} else {
-					clock.Advance(2 * settingsPeriod)
-					for end := time.Now().Add(5 * time.Second); applied < tt.applied && time.Now().Before(end); time.Sleep(time.Millisecond) {
-					}
+					is.True(advanceUntil(clock, func() bool { return lines.Len() > seen }))
 				}
 				cancel()
 				is.NoErr(g.Wait())
-				is.Equal(applied, tt.applied)
+				is.Equal(applied.Load(), tt.applied)
 				is.True(tt.check(s.Now()))
 			})
 		}
