Let leases of earlier owners run out at executors that answered once

A zone with the owner is cut off; the old owner goes on extending leases there. A successor gets one answer of an executor, the next call times out, and since the successor itself had extended no lease there, it took all leases for ended, forgot the executor and started two of its tasks elsewhere 0.8 s later, while they ran on. Ruled out: the wait for executors that never answered (settled, 15.5 s here), which held. Change: with the first answer an executor's leases count as held for the longest lease, on its clock. TestEarlierOwnersLeaseOutlastsSilence failed before (3 of 4 rows). Conclusion: an unknown lease was treated as none.

--- a/node/internal/owner/lease.go
+++ b/node/internal/owner/lease.go
@@ -23,7 +23,15 @@
 type lease struct {
 	clock time.Duration // of the executor when it was last heard
 	at    time.Time     // when that was
-	until time.Duration // latest end that was sent, on the executor's clock
+	until time.Duration // latest end that any owner may have sent, on the executor's clock
+}
+
+// inherit notes the executor's clock as of its first answer to this owner. Earlier
+// owners can extend no lease any more; those that they gave last at most longest.
+func (l *lease) inherit(clock, longest time.Duration) {
+	if l.at.IsZero() {
+		l.until = clock + longest
+	}
 }
 
 // heard notes the executor's clock from an answer.
--- a/node/internal/owner/lease_test.go
+++ b/node/internal/owner/lease_test.go
@@ -1,12 +1,55 @@
 package owner
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/balsamford/balsamford/coord/model"
+	"github.com/balsamford/balsamford/coord/timer"
+	"github.com/balsamford/balsamford/platform"
 )
 
+// closer is an executor that is asked nothing.
+type closer struct{ Executor }
+
+func (closer) Close() {}
+
+// An executor that answered once after a takeover and is silent again may still run
+// under the lease of an earlier owner, which this one never extended.
+func TestEarlierOwnersLeaseOutlastsSilence(t *testing.T) {
+	const longest = 6 * time.Second
+	tests := map[string]struct {
+		after time.Duration // the first answer
+		known bool
+	}{
+		"at once":              {after: 400 * time.Millisecond, known: true},
+		"just before its end":  {after: longest - time.Millisecond, known: true},
+		"on the slowest clock": {after: longest + 100*time.Millisecond, known: true},
+		"after its end":        {after: longest + time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			clock := timer.New(timer.WithManual(time.Unix(1_800_000_000, 0)))
+			tm, _ := newTerm()
+			tm.owner.clock, tm.bounds.Lease = clock, longest
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			a := &agent{term: tm, client: closer{}, ctx: ctx, cancel: cancel, noted: make(chan struct{}, 1), info: model.Executor{ID: "e"}}
+			tm.agents["e"] = a
+			tm.plan.SetExecutor(a.info)
+			is.True(a.reported(clock.Now(), clock.Boot(), &platform.Report{Clock: time.Hour}))
+			clock.Advance(tt.after)
+			is.Equal(a.failed(&platform.LostError{Call: "watch"}), tt.known)
+			is.Equal(tm.agents["e"] != nil, tt.known)
+		})
+	}
+}
+
 // A lease never counts as lapsed while it holds on the executor's clock, which
 // may be slow, and does soon after it has ended.
 func TestLeaseLapsesAfterTheExecutors(t *testing.T) {
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -168,6 +168,7 @@
 		return true // A later one has overtaken it.
 	}
 	a.clock = rep.Clock
+	a.lease.inherit(rep.Clock, t.bounds.Lease)
 	a.lease.heard(rep.Clock, now)
 	if a.silent {
 		t.owner.logger.Info("executor answers again", zap.String("executor", a.info.ID))
