--- a/node/internal/owner/keep.go
+++ b/node/internal/owner/keep.go
@@ -99,6 +99,7 @@
 	case errors.As(r.err, &never), errors.As(r.err, &dial):
 		return NotAsked
 	}
+	o.logger.Info("row may be kept by the owner", zap.String("id", id), zap.Error(r.err))
 	return MayBeKept
 }
 
