Ask all executors at once when ownership isn't confirmed

Change: when starts are held back, each executor that answers is asked at once beside its held call. TestStartsGoOnWithoutTheStore failed before.

--- a/node/internal/owner/agent.go
+++ b/node/internal/owner/agent.go
@@ -30,6 +30,7 @@
 	ctx    context.Context // ends with the agent
 	cancel context.CancelFunc
 	noted  chan struct{} // ends have been recorded
+	doubt  chan struct{} // it is to show at once whether it still follows this owner
 
 	// The term's mu guards the fields below.
 	info     model.Executor
@@ -51,7 +52,7 @@
 	ctx, cancel := context.WithCancel(t.ctx)
 	return &agent{
 		term: t, client: t.owner.connect(info.ID, info.Address), orders: make(chan order, ordersQueued), ctx: ctx, cancel: cancel,
-		noted: make(chan struct{}, 1), info: info, born: info.Born, listed: true,
+		noted: make(chan struct{}, 1), doubt: make(chan struct{}, 1), info: info, born: info.Born, listed: true,
 	}
 }
 
--- a/node/internal/owner/authority.go
+++ b/node/internal/owner/authority.go
@@ -67,10 +67,26 @@
 		}
 		t.owner.logger.Info("starts", zap.Bool("paused", paused), zap.Int64("epoch", t.epoch), zap.Duration("confirmed", t.owner.clock.Boot()-t.confirmed),
 			zap.Int("executors", len(t.agents)), zap.Int("silent", silent))
+		if paused {
+			t.askAll()
+		}
 	}
 	t.plan.Pause(paused)
 }
 
+// askAll has all executors that answer asked at once whether they still follow this
+// owner: their held calls would show it up to a second later. The term's mu is held.
+func (t *term) askAll() {
+	if t.leaving || t.owner.clock.Boot() < t.quietUntil {
+		return // No answer would let runs start.
+	}
+	for _, a := range t.agents {
+		if !a.silent {
+			notify(a.doubt)
+		}
+	}
+}
+
 // unconfirmed reports whether ownership hasn't been confirmed for a while, so that
 // executors have to be asked more often. The term's mu is held.
 func (t *term) unconfirmed() bool { return t.owner.clock.Boot()-t.confirmedAt() > t.authority }
--- a/node/internal/owner/authority_test.go
+++ b/node/internal/owner/authority_test.go
@@ -1,12 +1,93 @@
 package owner
 
 import (
+	"context"
+	"strconv"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
+
+	"github.com/balsamford/balsamford/coord/model"
+	"github.com/balsamford/balsamford/coord/timer"
+	"github.com/balsamford/balsamford/platform"
 )
 
+// follower is an executor that answers looks, unless it follows another owner.
+type follower struct {
+	Executor
+	lost bool
+}
+
+func (f *follower) Look(platform.WatchOrder) (*platform.Report, error) {
+	if f.lost {
+		return nil, &platform.OrderError{Reason: platform.Fenced}
+	}
+	return &platform.Report{Clock: time.Hour}, nil
+}
+
+// unconfirmed is a board that the store doesn't confirm.
+type unconfirmed struct{ Pacer }
+
+func (unconfirmed) Confirmed() time.Duration { return -time.Hour }
+
+// While the store is away, starts go on as soon as all executors have shown that they
+// follow this owner, and not if one of them follows another. Their held calls show it
+// only after a second.
+func TestStartsGoOnWithoutTheStore(t *testing.T) {
+	tests := map[string]struct {
+		lost int // executors that follow another owner
+		goes bool
+	}{
+		"all follow":       {goes: true},
+		"one doesn't":      {lost: 1},
+		"none do any more": {lost: 3},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			clock := timer.New(timer.WithManual(time.Unix(1_800_000_000, 0)))
+			tm, _ := newTerm()
+			tm.owner.clock, tm.owner.pacer = clock, unconfirmed{}
+			tm.confirm(clock.Boot(), leastAuthority)
+			ctx, cancel := context.WithCancel(context.Background())
+			tm.ctx = ctx
+			var g errgroup.Group
+			var agents []*agent
+			for i := range 3 {
+				tm.owner.connect = func(string, string) Executor { return &follower{lost: i < tt.lost} }
+				a := newAgent(tm, model.Executor{ID: strconv.Itoa(i)})
+				a.answered = clock.Boot()
+				tm.agents[a.info.ID] = a
+				agents = append(agents, a)
+				g.Go(func() error { a.execute(); return nil })
+			}
+			is.True(tm.mayStart())
+			clock.Advance(leastAuthority + time.Millisecond)
+			tm.mu.Lock()
+			is.True(!tm.mayStart())
+			tm.pause(true)
+			tm.mu.Unlock()
+			asked := func(a *agent) bool { return a.silent || a.answered == clock.Boot() }
+			for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+				tm.mu.Lock()
+				done := asked(agents[0]) && asked(agents[1]) && asked(agents[2])
+				tm.mu.Unlock()
+				if done {
+					break
+				}
+			}
+			tm.mu.Lock()
+			is.Equal(tm.mayStart(), tt.goes)
+			tm.mu.Unlock()
+			cancel()
+			is.NoErr(g.Wait())
+		})
+	}
+}
+
 // A successor takes over a silent owner only after that owner has stopped starting
 // work by itself, whichever of its writes were done, and however long each of them
 // was to hold.
--- a/node/internal/owner/execute.go
+++ b/node/internal/owner/execute.go
@@ -16,6 +16,8 @@
 		select {
 		case <-a.ctx.Done():
 			return
+		case <-a.doubt:
+			a.look()
 		case o := <-a.orders:
 			switch {
 			case o.start != nil:
@@ -120,7 +122,7 @@
 }
 
 // look asks for the executor's runs at once, beside the call that it may hold: the
-// fate of a run hangs on it.
+// fate of a run or of the ownership hangs on it.
 func (a *agent) look() {
 	t := a.term
 	now, asked := t.owner.clock.Now(), t.owner.clock.Boot()
