--- a/node/internal/board/board.go
+++ b/node/internal/board/board.go
@@ -72,6 +72,20 @@
 	return jobs, cancelled
 }
 
+// Past returns the accepted jobs of which nothing runs any more, without their
+// submissions.
+func (b *Board) Past() []Accepted {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Accepted
+	for _, a := range b.jobs {
+		if a.Job == nil {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 // Owner returns the cell's owner and the version of its row, 0 if there is none.
 func (b *Board) Owner() (Owner, int64) {
 	b.mu.Lock()
--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -91,6 +91,7 @@
 	Queue string     `cbor:"1,keyasint"`
 	Team  string     `cbor:"2,keyasint,omitempty"`
 	Job   *model.Job `cbor:"3,keyasint,omitempty"` // nil once nothing runs of it any more
+	Sent  time.Time  `cbor:"4,keyasint,omitempty"` // when a job was accepted whose Job is nil
 }
 
 // Phase is how far a job has come; without the row it is queued.
--- a/node/internal/owner/authority_test.go
+++ b/node/internal/owner/authority_test.go
@@ -140,3 +140,19 @@
 		})
 	}
 }
+
+// The answer to a held call doesn't undo what a later question has shown.
+func TestHeldCallAnswersAfterLook(t *testing.T) {
+	is := is.New(t)
+	tm, _ := newTerm()
+	clock := timer.New(timer.WithManual(time.Unix(1_800_000_000, 0)))
+	tm.owner.clock, tm.ctx = clock, context.Background()
+	tm.owner.connect = func(string, string) Executor { return &follower{} }
+	a := newAgent(tm, model.Executor{ID: "e"})
+	held := clock.Boot()
+	clock.Advance(500 * time.Millisecond)
+	looked := clock.Boot()
+	is.True(a.reported(clock.Now(), looked, &platform.Report{Clock: time.Hour}))
+	is.True(a.reported(clock.Now(), held, &platform.Report{Clock: time.Hour}))
+	is.Equal(a.answered, looked)
+}
--- a/node/internal/owner/clean.go
+++ b/node/internal/owner/clean.go
@@ -63,7 +63,11 @@
 func (t *term) trim(ids []string) {
 	t.tidy(ids, func(w *platform.Write, part, id string) {
 		e, ok := t.owner.board.Job(id)
-		put, err := board.Put(board.Table, part, board.AcceptKey(id), board.Accepted{Queue: e.Queue, Team: e.Team})
+		past := board.Accepted{Queue: e.Queue, Team: e.Team, Sent: e.Sent}
+		if e.Job != nil {
+			past.Sent = e.Job.Sent
+		}
+		put, err := board.Put(board.Table, part, board.AcceptKey(id), past)
 		if ok && err == nil {
 			w.Puts = append(w.Puts, put)
 		}
--- a/node/internal/owner/load.go
+++ b/node/internal/owner/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -59,12 +60,16 @@
 	defer t.mu.Unlock()
 	jobs, cancelled := o.board.Listen(t)
 	now := o.clock.Now()
-	for _, j := range jobs {
-		progress := records[j.ID]
+	for _, a := range submissions(o.board.Past(), jobs) {
+		if a.Job == nil {
+			t.plan.Submitted(a.Team, a.Sent)
+			continue
+		}
+		progress := records[a.Job.ID]
 		if progress == nil {
 			progress = &model.Progress{}
 		}
-		t.plan.AddJob(now, j, progress)
+		t.plan.AddJob(now, a.Job, progress)
 	}
 	for _, id := range cancelled {
 		t.plan.Cancel(now, id)
@@ -78,6 +83,17 @@
 	return nil
 }
 
+// submissions returns what was submitted, in order: teams' shares go by that. past
+// are jobs that have ended.
+func submissions(past []board.Accepted, jobs []*model.Job) []board.Accepted {
+	out := slices.DeleteFunc(past, func(a board.Accepted) bool { return a.Sent.IsZero() })
+	for _, j := range jobs {
+		out = append(out, board.Accepted{Queue: j.Queue, Team: j.Team, Job: j, Sent: j.Sent})
+	}
+	slices.SortFunc(out, func(a, b board.Accepted) int { return a.Sent.Compare(b.Sent) })
+	return out
+}
+
 // readRecords reads the phases and the progress of all jobs, and the executors that
 // were closed. An ended job may have no progress any more while the job itself isn't
 // deleted yet.
--- /dev/null
+++ b/node/internal/owner/load_test.go
@@ -0,0 +1,26 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/balsamford/balsamford/coord/model"
+	"github.com/balsamford/balsamford/node/internal/board"
+)
+
+// A new owner counts jobs against their teams' shares in the order in which they were
+// submitted, whether they have ended or not.
+func TestSubmissionsAreInOrder(t *testing.T) {
+	is := is.New(t)
+	at := func(s int) time.Time { return time.Unix(1_800_000_000+int64(s), 0) }
+	past := []board.Accepted{{Team: "a", Sent: at(3)}, {Team: "b", Sent: at(1)}, {Team: "c"}}
+	jobs := []*model.Job{{ID: "2", Team: "d", Sent: at(2)}, {ID: "0", Team: "e", Sent: at(0)}}
+	teams := ""
+	for _, a := range submissions(past, jobs) {
+		teams += a.Team
+		is.Equal(a.Job != nil, a.Team >= "d")
+	}
+	is.Equal(teams, "ebda") // One whose time isn't known is left out.
+}
--- a/node/internal/plan/excess.go
+++ b/node/internal/plan/excess.go
@@ -10,6 +10,15 @@
 	excessRank = 3
 )
 
+// Submitted counts a job that a team submitted at sent, and reports whether it is
+// beyond the team's share.
+func (s *State) Submitted(team string, sent time.Time) bool {
+	if team == "" || s.config == nil {
+		return false
+	}
+	return s.team(team).exceeds(s.config.Teams[team].Weight, sent)
+}
+
 // exceeds reports whether a job that was accepted at sent goes beyond the team's
 // share, which is weight jobs a second. A team that sends many times its usual
 // would otherwise take the room of the others' work.
--- a/node/internal/plan/job.go
+++ b/node/internal/plan/job.go
@@ -23,7 +23,8 @@
 }
 
 // AddJob takes a job into the plan, with the progress that an earlier owner
-// recorded or nil. It reports whether the job is new here.
+// recorded or nil. It reports whether the job is new here. Several jobs are to be
+// added in the order in which they were accepted.
 func (s *State) AddJob(now time.Time, spec *model.Job, progress *model.Progress) bool {
 	if s.jobs[spec.ID] != nil || s.ended[spec.ID] {
 		return false
@@ -31,13 +32,11 @@
 	j := &job{spec: spec, old: progress != nil, occurs: make(map[int]*occur), finished: make(map[int]bool)}
 	j.chain = chain(spec.Steps)
 	j.refresh(s.config)
+	j.excess = s.Submitted(spec.Team, spec.Sent)
 	if progress != nil {
 		j.phase, j.recorded = progress.Phase, progress.Phase // A job that has ended is kept for what may still run of it.
 		s.restore(j, progress, now)
 	}
-	if progress == nil && s.config != nil && spec.Team != "" {
-		j.excess = s.team(spec.Team).exceeds(s.config.Teams[spec.Team].Weight, spec.Sent)
-	}
 	s.jobs[spec.ID] = j
 	return true
 }
--- a/node/internal/plan/policy_test.go
+++ b/node/internal/plan/policy_test.go
@@ -223,3 +223,52 @@
 	is.Equal(len(second), 1)
 	is.True(second[0].Executor != first.Executor)
 }
+
+// What a team sent beyond its share comes after others' work under a later owner,
+// too, and jobs that have ended meanwhile count for the share.
+func TestFloodOutlastsTakeover(t *testing.T) {
+	tests := map[string]struct{ past, first int }{ // jobs that have ended; of the others, those within the share
+		"none has ended": {first: 20},
+		"some have":      {past: 5, first: 15},
+		"all within":     {past: 20},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			for range tt.past {
+				f.state.Submitted("t", epoch)
+			}
+			for i := range 100 {
+				j := f.job(fmt.Sprintf("flood%d", i), model.Step{Count: 1, Need: small})
+				f.state.AddJob(epoch, j, &model.Progress{})
+				is.Equal(f.state.jobs[j.ID].excess, i >= tt.first)
+			}
+		})
+	}
+}
+
+// Urgent work beyond a team's share leaves the part of the limit free that the team's
+// urgent work within its share needed of late.
+func TestExcessLeavesTheReserve(t *testing.T) {
+	tests := map[string]struct {
+		excess bool
+		starts int
+	}{
+		"within the share": {starts: 4},
+		"beyond it":        {excess: true, starts: 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			f.ready("a")
+			f.state.team("capped").expect(4000, epoch)
+			j := f.job("j", model.Step{Count: 4, Need: small})
+			j.Team = "capped"
+			f.state.AddJob(epoch, j, nil)
+			f.state.jobs["j"].excess = tt.excess
+			is.Equal(len(f.state.Decide(epoch).Starts), tt.starts)
+		})
+	}
+}
--- a/node/internal/plan/reserve.go
+++ b/node/internal/plan/reserve.go
@@ -17,8 +17,11 @@
 	reserveShare = 0.5
 )
 
-// urgent reports whether the stage's queue goes first.
-func (st *stage) urgent() bool { return st.occur.job.queue.Priority == urgentPriority }
+// urgent reports whether the stage goes first: what a team submits beyond its share
+// doesn't.
+func (st *stage) urgent() bool {
+	return st.occur.job.queue.Priority == urgentPriority && !st.occur.job.excess
+}
 
 // headroom returns how many tasks of a stage its team's limit lets start. A team
 // that has filled its limit with other work would let its urgent work wait for
--- a/node/internal/plan/restore.go
+++ b/node/internal/plan/restore.go
@@ -61,6 +61,7 @@
 	Delay     Delay
 	Sent      time.Time     // when the job was accepted
 	Objective time.Duration // of the time from then; 0 without one
+	Excess    bool          // the job is beyond its team's share
 	Moved     bool          // the phase isn't the one that was recorded last
 	Version   int           // to be given to Recorded
 }
@@ -72,7 +73,7 @@
 		if len(out) == n {
 			break
 		}
-		out = append(out, Change{Job: id, Queue: j.spec.Queue, Progress: j.progress(), Delay: j.delay, Sent: j.spec.Sent, Objective: j.objective(), Moved: j.phase != j.recorded, Version: j.version})
+		out = append(out, Change{Job: id, Queue: j.spec.Queue, Progress: j.progress(), Delay: j.delay, Sent: j.spec.Sent, Objective: j.objective(), Excess: j.excess, Moved: j.phase != j.recorded, Version: j.version})
 	}
 	return out
 }
--- a/node/internal/plan/waits.go
+++ b/node/internal/plan/waits.go
@@ -25,6 +25,7 @@
 	Usable  int  // executors that could get new work
 	Allowed int  // of these, executors with a valid ticket
 	Roomy   int  // of these, executors with room for a task
+	Excess  bool // the job is beyond its team's share
 	Asking  bool // a question to the adviser is under way
 }
 
@@ -74,7 +75,7 @@
 	}
 	st.logged = now
 	j := st.occur.job
-	w := Wait{Step: st.id(), Waiting: st.waiting, Since: st.since, Asking: !st.advice.asked.IsZero(), Reason: "room"}
+	w := Wait{Step: st.id(), Waiting: st.waiting, Since: st.since, Excess: j.excess, Asking: !st.advice.asked.IsZero(), Reason: "room"}
 	room := st.spec.Room()
 	for _, e := range s.execs {
 		if e.info.Service != j.queue.Service || !s.open(e, now) {
