Keep submissions in a table of their own, which only owners and the strongest hosts read

Change: rows of the board say queue, team and time alone; the submission goes into the table 'submitted' in the same write and is deleted when the job has ended. The owner, its successors and the hosts with most processor time keep a copy; a claim writes a row there, so that a successor knows that its copy is complete. Partitions are read four at a time. Format 2: while the owner is of an earlier one, submissions go onto the board; rows of format 1 are read.

--- a/node/internal/board/board.go
+++ b/node/internal/board/board.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"maps"
 	"slices"
 	"sync"
 
@@ -19,8 +20,8 @@
 
 // Listener hears of changes that concern the owner. The calls must not block.
 type Listener interface {
+	JobListener // of jobs whose submissions the board has itself
 	OwnerChanged(o Owner, version int64)
-	JobAccepted(j *model.Job)
 	JobCancelled(id string)
 }
 
@@ -56,7 +57,7 @@
 }
 
 // Listen sets who hears of changes from now on, nil for nobody, and returns the
-// jobs that there are and which of them are cancelled.
+// jobs whose submissions the board has itself and which jobs are cancelled.
 func (b *Board) Listen(l Listener) (jobs []*model.Job, cancelled []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -72,18 +73,11 @@
 	return jobs, cancelled
 }
 
-// Past returns the accepted jobs of which nothing runs any more, without their
-// submissions.
-func (b *Board) Past() []Accepted {
+// Accepted returns all accepted jobs, by ID.
+func (b *Board) Accepted() map[string]Accepted {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var out []Accepted
-	for _, a := range b.jobs {
-		if a.Job == nil {
-			out = append(out, a)
-		}
-	}
-	return out
+	return maps.Clone(b.jobs)
 }
 
 // Owner returns the cell's owner and the version of its row, 0 if there is none.
--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -14,6 +14,8 @@
 const (
 	Table    = "board"    // owner, hosts, accepted jobs with their phases and cancellations
 	Progress = "progress" // recorded progress, by job
+	// Submitted has what clients submitted, by job, until the job has ended.
+	Submitted = "submitted"
 )
 
 // Keys of the board's rows.
@@ -25,6 +27,8 @@
 	cancelPrefix = "cancel/"
 	// ClosedKey names the row of Progress that holds Closed.
 	ClosedKey = "closed"
+	// ClaimKey names the row of Submitted that is written with each claim of ownership.
+	ClaimKey = "claim"
 )
 
 // AcceptKey returns the key of the row that makes a job accepted.
@@ -46,7 +50,11 @@
 // earlier ones; rows without one are of version 0. Fields are only ever added, so that
 // an earlier program reads what it knows; it doesn't own a cell whose rows are of a
 // later format, since it would drop what it doesn't know.
-const Format = 1
+const Format = 2
+
+// SplitFormat is the first format with a table of its own for submissions. Owners of
+// an earlier one expect them in the rows of the board.
+const SplitFormat = 2
 
 // Owner is who decides for the cell. The owner rewrites the row with each write,
 // so that the row's version proves ownership and shows that the owner lives.
@@ -90,8 +98,8 @@
 type Accepted struct {
 	Queue string     `cbor:"1,keyasint"`
 	Team  string     `cbor:"2,keyasint,omitempty"`
-	Job   *model.Job `cbor:"3,keyasint,omitempty"` // nil once nothing runs of it any more
-	Sent  time.Time  `cbor:"4,keyasint,omitempty"` // when a job was accepted whose Job is nil
+	Job   *model.Job `cbor:"3,keyasint,omitempty"` // until it has ended, if it isn't in the table Submitted
+	Sent  time.Time  `cbor:"4,keyasint,omitempty"` // when it was accepted, if Job is nil
 }
 
 // Phase is how far a job has come; without the row it is queued.
--- /dev/null
+++ b/node/internal/board/submissions.go
@@ -0,0 +1,98 @@
+package board
+
+import (
+	"sync"
+
+	"go.uber.org/zap"
+
+	"github.com/balsamford/balsamford/coord/model"
+	"github.com/balsamford/balsamford/platform"
+)
+
+// JobListener hears of submitted jobs. The calls must not block.
+type JobListener interface {
+	JobAccepted(j *model.Job)
+}
+
+// Submissions is a host's copy of what was submitted of jobs that haven't ended. Only
+// the owner and the hosts that may succeed it keep one: submissions are many times as
+// large as the rows of the board. It may be used concurrently; it implements
+// follow.Handler.
+type Submissions struct {
+	logger *zap.Logger
+
+	mu       sync.Mutex // guards the fields below
+	jobs     map[string]*model.Job
+	claim    int64       // version of the newest claim of ownership that it has seen
+	listener JobListener // nil for none
+}
+
+// NewSubmissions returns empty Submissions.
+func NewSubmissions(logger *zap.Logger) *Submissions {
+	return &Submissions{logger: logger, jobs: make(map[string]*model.Job)}
+}
+
+// Listen sets who hears of jobs from now on, nil for nobody, and returns those that
+// there are.
+func (s *Submissions) Listen(l JobListener) []*model.Job {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener = l
+	out := make([]*model.Job, 0, len(s.jobs))
+	for _, j := range s.jobs {
+		out = append(out, j)
+	}
+	return out
+}
+
+// Claim returns the version of the newest claim of ownership that has been seen: all
+// jobs that were accepted before it are known.
+func (s *Submissions) Claim() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.claim
+}
+
+// Reset implements follow.Handler.
+func (s *Submissions) Reset(rows []platform.Row) {
+	s.mu.Lock()
+	s.jobs = make(map[string]*model.Job, len(rows))
+	s.mu.Unlock()
+	s.Change(rows)
+}
+
+// Change implements follow.Handler.
+func (s *Submissions) Change(rows []platform.Row) {
+	for _, row := range rows {
+		if err := s.apply(row); err != nil {
+			s.logger.Warn("submission left out", zap.String("key", row.Key), zap.Error(err))
+		}
+	}
+}
+
+// apply takes one changed row. A job in two partitions is kept until one of its rows
+// is deleted, which is done to both.
+func (s *Submissions) apply(row platform.Row) error {
+	var j *model.Job
+	if row.Key != ClaimKey && !row.Deleted {
+		j = &model.Job{}
+		if err := Decode(row, j); err != nil {
+			return err
+		}
+	}
+	s.mu.Lock()
+	l := s.listener
+	switch {
+	case row.Key == ClaimKey:
+		s.claim = max(s.claim, row.Version)
+	case j == nil:
+		delete(s.jobs, row.Key)
+	default:
+		s.jobs[row.Key] = j
+	}
+	s.mu.Unlock()
+	if l != nil && j != nil {
+		l.JobAccepted(j)
+	}
+	return nil
+}
--- a/node/internal/follow/follower.go
+++ b/node/internal/follow/follower.go
@@ -25,6 +25,10 @@
 	retryWait = 150 * time.Millisecond
 )
 
+// readsAtOnce is how many partitions are read at the same time: with more of them a
+// host with a slow link would have no answer in time.
+const readsAtOnce = 4
+
 // Store is what a Follower needs of the platform's store.
 type Store interface {
 	Read(table, part, from, to string) ([]platform.Row, int64, error)
@@ -192,12 +196,13 @@
 	return next, err
 }
 
-// readAll reads the partitions at the same time. The version is the oldest of
+// readAll reads the partitions, some at the same time. The version is the oldest of
 // theirs, so that some changes are heard of again, in order.
 func (f *Follower) readAll() ([]platform.Row, int64, error) {
 	parts := make([][]platform.Row, len(f.parts))
 	versions := make([]int64, len(f.parts))
 	var g errgroup.Group
+	g.SetLimit(readsAtOnce)
 	for i, part := range f.parts {
 		g.Go(func() error {
 			var err error
--- a/node/internal/front/front.go
+++ b/node/internal/front/front.go
@@ -43,9 +43,9 @@
 	// Submitted and Cancelled tell it what has been stored. They don't wait.
 	Submitted(j *model.Job)
 	Cancelled(id string)
-	// Keep has its host create a row unless it is there, and tells it what the row
-	// says.
-	Keep(id string, put platform.Put) owner.Kept
+	// Keep has its host create rows unless the first of them is there, and tells it
+	// what they say.
+	Keep(id string, puts []platform.Put) owner.Kept
 	// State asks it for a job, and returns false if it can't be asked or doesn't
 	// know the job.
 	State(id string) (owner.State, bool)
--- a/node/internal/front/query.go
+++ b/node/internal/front/query.go
@@ -100,5 +100,5 @@
 		s.accepted(r)
 		return
 	}
-	s.keep(r, board.CancelKey(r.id), r.team, func() { s.cell.Cancelled(r.id) })
+	s.keep(r, board.CancelKey(r.id), []any{r.team}, func() { s.cell.Cancelled(r.id) })
 }
--- a/node/internal/front/submit.go
+++ b/node/internal/front/submit.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/balsamford/balsamford/coord/model"
 	"github.com/balsamford/balsamford/node/internal/board"
 	"github.com/balsamford/balsamford/node/internal/owner"
 	"github.com/balsamford/balsamford/platform"
@@ -25,7 +26,18 @@
 		return
 	}
 	job.ID, job.Queue, job.Team, job.Sent = r.id, r.queue.Name, r.team, s.clock.Now()
-	s.keep(r, board.AcceptKey(r.id), board.Accepted{Queue: job.Queue, Team: job.Team, Job: job}, func() { s.cell.Submitted(job) })
+	s.keep(r, board.AcceptKey(r.id), s.rows(job), func() { s.cell.Submitted(job) })
+}
+
+// rows returns the values of a job's rows: of the board and, unless the cell has an
+// owner of an earlier format, of the submissions.
+func (s *Service) rows(job *model.Job) []any {
+	a := board.Accepted{Queue: job.Queue, Team: job.Team, Sent: job.Sent}
+	if o, _ := s.board.Owner(); o.Format < board.SplitFormat {
+		a.Job = job
+		return []any{a}
+	}
+	return []any{a, job}
 }
 
 const (
@@ -35,9 +47,27 @@
 	tryTime = 1400 * time.Millisecond
 )
 
-// keep has a row of the board stored, unless it is there already, and answers
-// the client. tell is called if this host stored it.
-func (s *Service) keep(r *request, key string, value any, tell func()) {
+// puts returns the writes of a job's rows in a partition.
+func puts(id, part, key string, values []any) ([]platform.Put, error) {
+	out := make([]platform.Put, 0, len(values))
+	for i, v := range values {
+		table := board.Table
+		if i > 0 {
+			table, key = board.Submitted, id
+		}
+		put, err := board.Put(table, part, key, v)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, put)
+	}
+	return out, nil
+}
+
+// keep has a row of the board stored, and the submission with it if there is a second
+// value, unless the row is there already, and answers the client. tell is called if
+// this host stored it.
+func (s *Service) keep(r *request, key string, values []any, tell func()) {
 	if s.health.Failing() {
 		s.logger.Info("refused", zap.String("id", r.id), zap.String("reason", "the store doesn't answer"))
 		s.unavailable(r.exchange, "the store is away")
@@ -49,13 +79,13 @@
 		if try > 0 && s.clock.Now().Sub(began) > tryTime {
 			break
 		}
-		put, err := board.Put(board.Table, board.PartOf(r.id, try), key, value)
+		rows, err := puts(r.id, board.PartOf(r.id, try), key, values)
 		if err != nil {
 			s.answer(r.exchange, fasthttp.StatusBadRequest, "not a job")
 			return
 		}
 		if s.store.Slow() {
-			switch s.cell.Keep(r.id, put) {
+			switch s.cell.Keep(r.id, rows) {
 			case owner.IsKept:
 				s.accepted(r)
 				return
@@ -68,7 +98,7 @@
 			case owner.NotAsked:
 			}
 		}
-		last = s.Keep(r.id, put)
+		last = s.Keep(r.id, rows)
 		if last == nil {
 			s.accepted(r)
 			tell()
@@ -89,16 +119,17 @@
 // isn't answered yet.
 const showPeriod = 60 * time.Millisecond
 
-// Keep has a row of the board created by this host unless it is there, which is
-// success too. An answer that is lost doesn't matter once the board shows the row.
+// Keep has rows created by this host unless the first, which is one of the board, is
+// there, which is success too. An answer that is lost doesn't matter once the board shows the row.
 // Errors are a *platform.RefusedError or *platform.DialError if it surely never will
 // be created, and an *UnknownError. It may be called concurrently.
-func (s *Service) Keep(id string, put platform.Put) error {
-	w := s.writers[put.Part]
+func (s *Service) Keep(id string, puts []platform.Put) error {
+	first := &puts[0]
+	w := s.writers[first.Part]
 	if w == nil {
-		return &platform.RefusedError{Call: "partition " + put.Part}
+		return &platform.RefusedError{Call: "partition " + first.Part}
 	}
-	it, err := w.enqueue(put)
+	it, err := w.enqueue(puts)
 	if err != nil {
 		return err
 	}
@@ -117,7 +148,7 @@
 		case <-look:
 		}
 		e, known := s.board.Job(id)
-		if known && put.Key == board.AcceptKey(id) || e.Cancelled && put.Key == board.CancelKey(id) {
+		if known && first.Key == board.AcceptKey(id) || e.Cancelled && first.Key == board.CancelKey(id) {
 			return nil
 		}
 	}
--- a/node/internal/front/writer.go
+++ b/node/internal/front/writer.go
@@ -11,7 +11,7 @@
 
 const (
 	// entriesEach is how many entries of a write one item takes at most.
-	entriesEach = 2
+	entriesEach = 3
 	// itemsPerWrite keeps a write under the store's limit of entries.
 	itemsPerWrite = platform.MaxEntries / entriesEach
 	// itemsQueued bounds the items that wait for a write.
@@ -26,9 +26,9 @@
 	Slow() bool
 }
 
-// item is a row to be created unless it is there.
+// item is rows to be created unless the first of them is there.
 type item struct {
-	put  platform.Put
+	puts []platform.Put
 	done chan error
 }
 
@@ -44,11 +44,11 @@
 	return &writer{store: store, logger: logger, items: make(chan *item, itemsQueued)}
 }
 
-// enqueue has a row written unless it is there already, which is success too. The
+// enqueue has rows written unless the first is there already, which is success too. The
 // item tells the outcome: a *platform.RefusedError or *platform.DialError means
 // that it never will be written, an *UnknownError that it isn't known.
-func (w *writer) enqueue(put platform.Put) (*item, error) {
-	it := &item{put: put, done: make(chan error, 1)}
+func (w *writer) enqueue(puts []platform.Put) (*item, error) {
+	it := &item{puts: puts, done: make(chan error, 1)}
 	select {
 	case w.items <- it:
 		return it, nil
@@ -91,8 +91,9 @@
 func (w *writer) write(batch []*item) []*item {
 	tx := platform.Write{}
 	for _, it := range batch {
-		tx.Conditions = append(tx.Conditions, platform.Condition{Table: it.put.Table, Part: it.put.Part, Key: it.put.Key})
-		tx.Puts = append(tx.Puts, it.put)
+		first := &it.puts[0]
+		tx.Conditions = append(tx.Conditions, platform.Condition{Table: first.Table, Part: first.Part, Key: first.Key})
+		tx.Puts = append(tx.Puts, it.puts...)
 	}
 	_, err := w.store.Write(&tx)
 	if err == nil {
@@ -126,7 +127,7 @@
 	}
 	rest := batch[:0]
 	for _, it := range batch {
-		if there[it.put.Key] {
+		if there[it.puts[0].Key] {
 			it.done <- nil
 			continue
 		}
--- a/node/internal/owner/clean.go
+++ b/node/internal/owner/clean.go
@@ -63,14 +63,16 @@
 func (t *term) trim(ids []string) {
 	t.tidy(ids, func(w *platform.Write, part, id string) {
 		e, ok := t.owner.board.Job(id)
-		past := board.Accepted{Queue: e.Queue, Team: e.Team, Sent: e.Sent}
-		if e.Job != nil {
-			past.Sent = e.Job.Sent
+		if !ok || e.Job == nil {
+			w.Deletes = append(w.Deletes, platform.Key{Table: board.Submitted, Part: part, Key: id})
+			return
 		}
-		put, err := board.Put(board.Table, part, board.AcceptKey(id), past)
-		if ok && err == nil {
-			w.Puts = append(w.Puts, put)
+		put, err := board.Put(board.Table, part, board.AcceptKey(id), board.Accepted{Queue: e.Queue, Team: e.Team, Sent: e.Job.Sent})
+		if err != nil {
+			t.owner.logger.Error("submission left on the board", zap.String("id", id), zap.Error(err))
+			return
 		}
+		w.Puts = append(w.Puts, put)
 	})
 }
 
--- a/node/internal/owner/events.go
+++ b/node/internal/owner/events.go
@@ -22,14 +22,22 @@
 	}
 }
 
-// JobAccepted implements board.Listener.
+// JobAccepted implements board.Listener. The job may be cancelled already, or a late
+// submission of one that has ended.
 func (t *term) JobAccepted(j *model.Job) {
+	if e, _ := t.owner.board.Job(j.ID); e.Phase.Final() {
+		return
+	}
 	now := t.owner.clock.Now()
 	t.mu.Lock()
 	added := t.plan.AddJob(now, j, nil)
 	t.mu.Unlock()
-	if added {
-		notify(t.wake)
+	if !added {
+		return
+	}
+	notify(t.wake)
+	if e, _ := t.owner.board.Job(j.ID); e.Cancelled {
+		t.JobCancelled(j.ID)
 	}
 }
 
--- a/node/internal/owner/handover.go
+++ b/node/internal/owner/handover.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/balsamford/balsamford/coord/link"
 	"github.com/balsamford/balsamford/node/internal/board"
@@ -85,8 +86,8 @@
 }
 
 // accept takes over what its owner offered.
-func (o *Owner) accept(ctx context.Context, h *handover) {
+func (o *Owner) accept(ctx context.Context, g *errgroup.Group, h *handover) {
 	if h.Row.Resigned && h.Row.Epoch > o.ruled && h.Row.Format <= board.Format {
-		o.take(ctx, h.Row, h.Version)
+		o.take(ctx, g, h.Row, h.Version)
 	}
 }
--- a/node/internal/owner/keep.go
+++ b/node/internal/owner/keep.go
@@ -24,18 +24,37 @@
 	pingAfter = 120 * time.Millisecond
 )
 
-// Keeper has rows of the board created unless they are there, several hosts' rows in
-// one write. Errors are those of front.
+// Keeper has rows created unless the first of them, which is one of the board, is
+// there, several hosts' rows in one write. Errors are those of front.
 type Keeper interface {
-	Keep(id string, put platform.Put) error
+	Keep(id string, puts []platform.Put) error
 }
 
-// keeping asks for a row to be created.
+// keeping asks for a row of the board to be created, and one of the submissions with it.
 type keeping struct {
-	ID    string `cbor:"1,keyasint"` // of the job
-	Part  string `cbor:"2,keyasint"`
-	Key   string `cbor:"3,keyasint"`
-	Value []byte `cbor:"4,keyasint"`
+	ID        string `cbor:"1,keyasint"` // of the job
+	Part      string `cbor:"2,keyasint"`
+	Key       string `cbor:"3,keyasint"`
+	Value     []byte `cbor:"4,keyasint"`
+	Submitted []byte `cbor:"5,keyasint,omitempty"` // value of the other row, if there is one
+}
+
+// keepingOf returns the question for rows.
+func keepingOf(id string, puts []platform.Put) *keeping {
+	q := &keeping{ID: id, Part: puts[0].Part, Key: puts[0].Key, Value: puts[0].Value}
+	if len(puts) > 1 {
+		q.Submitted = puts[1].Value
+	}
+	return q
+}
+
+// puts returns the rows.
+func (q *keeping) puts() []platform.Put {
+	out := []platform.Put{{Table: board.Table, Part: q.Part, Key: q.Key, Value: q.Value}}
+	if len(q.Submitted) > 0 {
+		out = append(out, platform.Put{Table: board.Submitted, Part: q.Part, Key: q.ID, Value: q.Submitted})
+	}
+	return out
 }
 
 // kept answers it.
@@ -55,10 +74,10 @@
 	MayBeKept             // nobody knows
 )
 
-// Keep has the owner's host create a row of the board unless it is there. A slow
-// store does the writes of a partition one after the other, each host's own ones
+// Keep has the owner's host create rows, the first of which is one of the board, unless
+// that is there. A slow store does the writes of a partition one after the other, each host's own ones
 // too; this way the rows of all hosts share them.
-func (o *Owner) Keep(id string, put platform.Put) Kept {
+func (o *Owner) Keep(id string, puts []platform.Put) Kept {
 	if o.current() != nil {
 		return NotAsked
 	}
@@ -72,7 +91,7 @@
 	var g errgroup.Group
 	g.Go(func() error {
 		var r result
-		r.err = o.call(ctx, keepVerb, keepTimeout, &keeping{ID: id, Part: put.Part, Key: put.Key, Value: put.Value}, &r.kept)
+		r.err = o.call(ctx, keepVerb, keepTimeout, keepingOf(id, puts), &r.kept)
 		done <- r
 		return nil
 	})
@@ -124,7 +143,7 @@
 	if t == nil {
 		return s.Send(&kept{Refused: true})
 	}
-	err := o.keeper.Keep(q.ID, platform.Put{Table: board.Table, Part: q.Part, Key: q.Key, Value: q.Value})
+	err := o.keeper.Keep(q.ID, q.puts())
 	if err != nil {
 		var lost *platform.LostError
 		o.logger.Info("row of another host not kept", zap.String("id", q.ID), zap.String("from", s.From()), zap.Error(err))
@@ -139,10 +158,13 @@
 	if q.Key == board.CancelKey(q.ID) {
 		return &news{Cancelled: []string{q.ID}}
 	}
-	var a board.Accepted
-	if err := board.Decode(platform.Row{Table: board.Table, Key: q.Key, Value: q.Value}, &a); err != nil || a.Job == nil {
+	if len(q.Submitted) == 0 {
+		return &news{} // A host of an earlier format sent it; the board tells of it.
+	}
+	var job model.Job
+	if err := board.Decode(platform.Row{Table: board.Submitted, Key: q.ID, Value: q.Submitted}, &job); err != nil {
 		o.logger.Warn("row of another host left out", zap.String("id", q.ID), zap.Error(err))
 		return &news{}
 	}
-	return &news{Jobs: []*model.Job{a.Job}}
+	return &news{Jobs: []*model.Job{&job}}
 }
--- a/node/internal/owner/load.go
+++ b/node/internal/owner/load.go
@@ -35,15 +35,15 @@
 }
 
 // load takes over what earlier owners recorded and begins to deal with executors.
-// The board has to show the term's first write, so that it shows all jobs that
-// were accepted before: runs of unknown jobs are stopped.
-func (t *term) load(ctx context.Context, version int64) error {
+// The board and the submissions have to show the term's first write, so that they show
+// all jobs that were accepted before: runs of unknown jobs are stopped.
+func (t *term) load(ctx context.Context, version int64, copied *copied) error {
 	o := t.owner
 	var records map[string]*model.Progress
 	var closed board.Closed
 	for {
 		_, seen := o.board.Owner()
-		if seen >= version {
+		if seen >= version && copied.rows.Claim() >= version {
 			var err error
 			if records, err = t.readRecords(&closed); err == nil {
 				break
@@ -59,8 +59,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	jobs, cancelled := o.board.Listen(t)
+	jobs = append(jobs, copied.rows.Listen(t)...)
+	copied.follower.SetGap(ownSubmissionsGap)
 	now := o.clock.Now()
-	for _, a := range submissions(o.board.Past(), jobs) {
+	for _, a := range submissions(o.board.Accepted(), jobs) {
 		if a.Job == nil {
 			t.plan.Submitted(a.Team, a.Sent)
 			continue
@@ -83,12 +85,18 @@
 	return nil
 }
 
-// submissions returns what was submitted, in order: teams' shares go by that. past
-// are jobs that have ended.
-func submissions(past []board.Accepted, jobs []*model.Job) []board.Accepted {
-	out := slices.DeleteFunc(past, func(a board.Accepted) bool { return a.Sent.IsZero() })
+// submissions returns what was accepted, in order, since teams' shares go by that;
+// those that have ended have no Job.
+func submissions(accepted map[string]board.Accepted, jobs []*model.Job) []board.Accepted {
+	out := make([]board.Accepted, 0, len(accepted))
 	for _, j := range jobs {
 		out = append(out, board.Accepted{Queue: j.Queue, Team: j.Team, Job: j, Sent: j.Sent})
+		delete(accepted, j.ID)
+	}
+	for _, a := range accepted {
+		if a.Job == nil && !a.Sent.IsZero() {
+			out = append(out, a)
+		}
 	}
 	slices.SortFunc(out, func(a, b board.Accepted) int { return a.Sent.Compare(b.Sent) })
 	return out
--- a/node/internal/owner/load_test.go
+++ b/node/internal/owner/load_test.go
@@ -15,10 +15,12 @@
 func TestSubmissionsAreInOrder(t *testing.T) {
 	is := is.New(t)
 	at := func(s int) time.Time { return time.Unix(1_800_000_000+int64(s), 0) }
-	past := []board.Accepted{{Team: "a", Sent: at(3)}, {Team: "b", Sent: at(1)}, {Team: "c"}}
+	accepted := map[string]board.Accepted{
+		"3": {Team: "a", Sent: at(3)}, "1": {Team: "b", Sent: at(1)}, "4": {Team: "c"}, "2": {Team: "d", Sent: at(2)},
+	}
 	jobs := []*model.Job{{ID: "2", Team: "d", Sent: at(2)}, {ID: "0", Team: "e", Sent: at(0)}}
 	teams := ""
-	for _, a := range submissions(past, jobs) {
+	for _, a := range submissions(accepted, jobs) {
 		teams += a.Team
 		is.Equal(a.Job != nil, a.Team >= "d")
 	}
--- a/node/internal/owner/news.go
+++ b/node/internal/owner/news.go
@@ -127,9 +127,6 @@
 		return
 	}
 	for _, j := range n.Jobs {
-		if e, known := t.owner.board.Job(j.ID); known && (e.Job == nil || e.Phase.Final()) {
-			continue // It has ended: its submission was repeated.
-		}
 		t.JobAccepted(j)
 	}
 	for _, id := range n.Cancelled {
--- a/node/internal/owner/news_test.go
+++ b/node/internal/owner/news_test.go
@@ -46,7 +46,7 @@
 		"new":         {loaded: true, known: true},
 		"not loaded":  {},
 		"on board":    {loaded: true, known: true, show: func(t *testing.T, b *board.Board) { show(t, b, board.AcceptKey(job.ID), board.Accepted{Job: job}) }},
-		"ended":       {loaded: true, show: func(t *testing.T, b *board.Board) { show(t, b, board.AcceptKey(job.ID), board.Accepted{}) }},
+		"ended":       {loaded: true, show: ended(job)},
 		"just ending": {loaded: true, show: ending(job)},
 	}
 	for name, tt := range tests {
@@ -64,6 +64,13 @@
 	}
 }
 
+func ended(job *model.Job) func(t *testing.T, b *board.Board) {
+	return func(t *testing.T, b *board.Board) {
+		show(t, b, board.AcceptKey(job.ID), board.Accepted{})
+		show(t, b, board.PhaseKey(job.ID), board.Phase{Phase: model.Done})
+	}
+}
+
 func ending(job *model.Job) func(t *testing.T, b *board.Board) {
 	return func(t *testing.T, b *board.Board) {
 		show(t, b, board.AcceptKey(job.ID), board.Accepted{Job: job})
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -9,6 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/balsamford/balsamford/coord/link"
 	"github.com/balsamford/balsamford/coord/timer"
@@ -56,6 +57,7 @@
 	gap    time.Duration // at which the board is followed; Run alone uses it
 	told   int64         // epoch of a later program that was told of; Run alone uses it
 	mute   int64         // version of its row at which an owner didn't answer; Run alone uses it
+	copied *copied       // nil while no copy of the submissions is kept; Run alone uses it
 
 	node   *link.Node    // nil before Mount
 	offers chan handover // ownership that its owner hands to this host
@@ -105,57 +107,64 @@
 // Run takes ownership whenever the cell has no live owner, until ctx ends.
 // Ownership is handed over then. It always returns nil.
 func (o *Owner) Run(ctx context.Context) error {
+	var g errgroup.Group
+	defer func() { _ = g.Wait() }() // It never fails.
 	for ctx.Err() == nil {
-		o.attend()
+		o.copySubmissions(ctx, &g, o.attend() || o.strong())
 		offer := o.await(ctx)
 		if ctx.Err() != nil || o.configs.Config() == nil {
 			continue
 		}
 		if offer != nil {
-			o.accept(ctx, offer)
+			o.accept(ctx, &g, offer)
 			continue
 		}
 		if row, version := o.board.Owner(); row.Process == o.process && !row.Resigned && row.Epoch > o.ruled {
-			o.begin(ctx, board.Owner{Epoch: row.Epoch - 1}, row, version) // The answer to a claim was lost.
+			o.begin(ctx, &g, board.Owner{Epoch: row.Epoch - 1}, row, version) // The answer to a claim was lost.
 			continue
 		}
 		row, version, ok := o.vacant()
 		if !ok {
 			continue
 		}
-		if !o.take(ctx, row, version) {
+		if !o.take(ctx, &g, row, version) {
 			_ = o.clock.Sleep(ctx, claimPause)
 		}
 	}
 	return nil
 }
 
-// attend has the board followed as closely as this host's part in the cell needs.
-func (o *Owner) attend() {
+// attend has the board followed as closely as this host's part in the cell needs. It
+// reports whether the host may have to take the cell over soon.
+func (o *Owner) attend() bool {
 	row, version := o.board.Owner()
+	next := version == 0 || row.Resigned || len(row.Successors) == 0 || slices.Contains(row.Successors, o.host)
 	gap := idleGap
-	if version == 0 || row.Resigned || len(row.Successors) == 0 || slices.Contains(row.Successors, o.host) {
+	if next {
 		gap = FollowGap
 	}
 	if gap != o.gap {
 		o.gap = gap
 		o.pacer.SetGap(gap)
 	}
+	return next
 }
 
 // take claims ownership and runs a term. It reports whether the claim succeeded.
-func (o *Owner) take(ctx context.Context, row board.Owner, version int64) bool {
+func (o *Owner) take(ctx context.Context, g *errgroup.Group, row board.Owner, version int64) bool {
 	claim, version, err := o.claim(row, version)
 	if err != nil {
 		o.logger.Info("ownership not taken", zap.Int64("epoch", claim.Epoch), zap.Error(err))
 		return false
 	}
-	o.begin(ctx, row, claim, version)
+	o.begin(ctx, g, row, claim, version)
 	return true
 }
 
 // begin runs a term.
-func (o *Owner) begin(ctx context.Context, before, claim board.Owner, version int64) {
+func (o *Owner) begin(ctx context.Context, g *errgroup.Group, before, claim board.Owner, version int64) {
+	o.copySubmissions(ctx, g, true)
+	o.copied.follower.SetGap(ownerGap)
 	o.ruled = claim.Epoch
 	o.owning.Store(true)
 	o.rule(ctx, before, claim, version)
@@ -221,7 +230,11 @@
 	if err != nil {
 		return next, 0, err
 	}
-	w := platform.Write{Conditions: []platform.Condition{ownerRow(version)}, Puts: []platform.Put{put}}
+	mark, err := board.Put(board.Submitted, board.Main, board.ClaimKey, next.Epoch)
+	if err != nil {
+		return next, 0, err
+	}
+	w := platform.Write{Conditions: []platform.Condition{ownerRow(version)}, Puts: []platform.Put{put, mark}}
 	got, err := o.store.Write(&w)
 	return next, got, err
 }
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -106,7 +106,7 @@
 	o.setTerm(t)
 	defer o.setTerm(nil)
 	g.Go(func() error {
-		if err := t.load(gctx, version); err != nil {
+		if err := t.load(gctx, version, o.copied); err != nil {
 			return err
 		}
 		return t.decide(gctx)
@@ -116,6 +116,8 @@
 	o.pacer.SetGap(ownerGap)
 	err := g.Wait()
 	o.board.Listen(nil)
+	o.copied.rows.Listen(nil)
+	o.copied.follower.SetGap(submissionsGap)
 	o.gap = 0 // It has to be set anew.
 	t.close()
 	o.logger.Info("ownership ended", zap.Int64("epoch", t.epoch), zap.NamedError("cause", context.Cause(ctx)), zap.Error(err))
