Take a team's share of submissions over the installation's window and with its slack

Change: the settings' window and slack; without them two seconds and none, as before. TestShareOfBurst.

--- a/node/internal/plan/excess.go
+++ b/node/internal/plan/excess.go
@@ -3,7 +3,8 @@
 import "time"
 
 const (
-	// excessBurst is how much of its rate a team may submit at once.
+	// excessBurst is how much of its rate a team may submit at once, unless the
+	// installation says how far rates may be exceeded.
 	excessBurst = 2 * time.Second
 	// excessRank is how many ranks work beyond a team's share waits behind: all
 	// that is in time goes first.
@@ -16,17 +17,17 @@
 	if team == "" || s.config == nil {
 		return false
 	}
-	return s.team(team).exceeds(s.config.Teams[team].Weight, sent)
+	weight := s.config.Teams[team].Weight
+	return s.team(team).exceeds(weight, weight*s.window.Seconds()+float64(s.slack), sent)
 }
 
 // exceeds reports whether a job that was accepted at sent goes beyond the team's
-// share, which is weight jobs a second. A team that sends many times its usual
+// share, which is weight jobs a second and at most most at once. A team that sends many times its usual
 // would otherwise take the room of the others' work.
-func (t *team) exceeds(weight float64, sent time.Time) bool {
+func (t *team) exceeds(weight, most float64, sent time.Time) bool {
 	if weight <= 0 {
 		return false
 	}
-	most := weight * excessBurst.Seconds()
 	if t.filled.IsZero() {
 		t.tokens = most
 	} else if d := sent.Sub(t.filled); d > 0 {
--- a/node/internal/plan/option.go
+++ b/node/internal/plan/option.go
@@ -25,3 +25,14 @@
 // known, until each executor has reported or the time has come: they may run on
 // an executor that hasn't.
 func WithSettle(until time.Time) Option { return func(s *State) { s.settle = until } }
+
+// WithShare sets over which time a team's rate of submissions is taken, and how many
+// jobs it may submit beyond that rate in such a time. Without it, it is excessBurst and
+// none.
+func WithShare(window time.Duration, slack int) Option {
+	return func(s *State) {
+		if window > 0 {
+			s.window, s.slack = window, slack
+		}
+	}
+}
--- a/node/internal/plan/policy_test.go
+++ b/node/internal/plan/policy_test.go
@@ -272,3 +272,31 @@
 		})
 	}
 }
+
+// How much of a burst is within a team's share is what the installation allows.
+func TestShareOfBurst(t *testing.T) {
+	tests := map[string]struct {
+		opts   []Option
+		within int // of weight 10
+	}{
+		"unknown":          {within: 20},
+		"window and slack": {opts: []Option{WithShare(5*time.Second, 20)}, within: 70},
+		"no slack":         {opts: []Option{WithShare(5*time.Second, 0)}, within: 50},
+		"no window":        {opts: []Option{WithShare(0, 20)}, within: 20},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(tt.opts...)
+			within := 0
+			for range 200 {
+				if !f.state.Submitted("t", epoch) {
+					within++
+				}
+			}
+			is.Equal(within, tt.within)
+			is.True(!f.state.Submitted("t", epoch.Add(100*time.Millisecond))) // The rate goes on.
+			is.True(f.state.Submitted("t", epoch.Add(100*time.Millisecond)))
+		})
+	}
+}
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -10,6 +10,8 @@
 type State struct {
 	config   *model.Config
 	far      float64
+	window   time.Duration // over which teams' rates of submissions are taken
+	slack    int           // jobs that a team may submit beyond its rate in that time
 	stopTime time.Duration // that stopping a run takes at most
 	base     int           // run numbers of this owner lie above it
 	settle   time.Time     // until when unknown runs may exist
@@ -36,7 +38,7 @@
 // New returns an empty State under config.
 func New(config *model.Config, opts ...Option) *State {
 	s := &State{
-		config: config, far: 1, stopTime: time.Second, jobs: make(map[string]*job), execs: make(map[string]*worker),
+		config: config, far: 1, window: excessBurst, stopTime: time.Second, jobs: make(map[string]*job), execs: make(map[string]*worker),
 		teams: make(map[string]*team), dirty: make(map[string]*job), ended: make(map[string]bool), slowness: make(map[string]float64), asking: make(map[model.StepID]question), barred: make(map[string]bool), turns: 1,
 	}
 	for _, opt := range opts {
