Delete submissions many at a time; learn ends that come together in one answer

Change: submissions of ended jobs are deleted each 5 s at least, by partition; 50 and 250 ms between answer and question. A deletion that failed is made up for when the job's state expires.

--- a/node/internal/owner/clean.go
+++ b/node/internal/owner/clean.go
@@ -15,6 +15,11 @@
 	overPerWrite = 20
 	// expirePerWrite bounds the jobs of which one write deletes the phase.
 	expirePerWrite = 20
+	// trimGap is the least time between two times that submissions of ended jobs are
+	// deleted: a partition has those of many jobs by then, in one write.
+	trimGap = 5 * time.Second
+	// tidyEntries is how many entries of a write one job takes at most.
+	tidyEntries = 3
 	// expireMargin is how much longer than asked for an ended job's state is kept.
 	expireMargin = 30 * time.Second
 )
@@ -55,44 +60,66 @@
 	t.tidy(ids, func(w *platform.Write, part, id string) {
 		w.Deletes = append(w.Deletes,
 			platform.Key{Table: board.Table, Part: part, Key: board.AcceptKey(id)},
-			platform.Key{Table: board.Table, Part: part, Key: board.CancelKey(id)})
+			platform.Key{Table: board.Table, Part: part, Key: board.CancelKey(id)},
+			platform.Key{Table: board.Submitted, Part: part, Key: id}) // It is there if trim's write failed.
 	})
 }
 
-// trim deletes what was submitted of jobs of which nothing runs any more.
+// trim notes that nothing runs any more of jobs, and deletes from time to time what was
+// submitted of such. What a term leaves the next one finds.
 func (t *term) trim(ids []string) {
-	t.tidy(ids, func(w *platform.Write, part, id string) {
-		e, ok := t.owner.board.Job(id)
-		if !ok || e.Job == nil {
-			w.Deletes = append(w.Deletes, platform.Key{Table: board.Submitted, Part: part, Key: id})
-			return
-		}
-		put, err := board.Put(board.Table, part, board.AcceptKey(id), board.Accepted{Queue: e.Queue, Team: e.Team, Sent: e.Job.Sent})
-		if err != nil {
-			t.owner.logger.Error("submission left on the board", zap.String("id", id), zap.Error(err))
-			return
-		}
-		w.Puts = append(w.Puts, put)
-	})
+	now := t.owner.clock.Now()
+	t.mu.Lock()
+	t.over = append(t.over, ids...)
+	due := now.Sub(t.trimmed) >= trimGap
+	if due {
+		ids, t.over, t.trimmed = t.over, nil, now
+	}
+	t.mu.Unlock()
+	if !due {
+		return
+	}
+	t.tidy(ids, t.addTrim)
+}
+
+// addTrim adds to a write what deletes the submission of a job.
+func (t *term) addTrim(w *platform.Write, part, id string) {
+	e, ok := t.owner.board.Job(id)
+	if !ok || e.Job == nil {
+		w.Deletes = append(w.Deletes, platform.Key{Table: board.Submitted, Part: part, Key: id})
+		return
+	}
+	put, err := board.Put(board.Table, part, board.AcceptKey(id), board.Accepted{Queue: e.Queue, Team: e.Team, Sent: e.Job.Sent})
+	if err != nil {
+		t.owner.logger.Error("submission left on the board", zap.String("id", id), zap.Error(err))
+		return
+	}
+	w.Puts = append(w.Puts, put)
 }
 
-// tidy writes to all partitions that have rows of jobs.
+// tidy writes to all partitions that have rows of jobs, many jobs in a write.
 func (t *term) tidy(ids []string, add func(w *platform.Write, part, id string)) {
 	writes := make(map[string]*platform.Write)
+	send := func(part string) {
+		if _, err := t.owner.store.Write(writes[part]); err != nil {
+			t.owner.logger.Info("rows of ended jobs not deleted", zap.String("part", part), zap.Int("rows", writes[part].Size()), zap.Error(err))
+		}
+		delete(writes, part)
+	}
 	for _, id := range ids {
 		for _, part := range t.owner.board.PartsOf(id) {
 			if writes[part] == nil {
 				writes[part] = &platform.Write{}
 			}
 			add(writes[part], part, id)
+			if writes[part].Size() > platform.MaxEntries-tidyEntries {
+				send(part)
+			}
 		}
 	}
 	for part, w := range writes {
-		if w.Size() == 0 {
-			continue
-		}
-		if _, err := t.owner.store.Write(w); err != nil {
-			t.owner.logger.Info("rows of ended jobs not deleted", zap.String("part", part), zap.Int("rows", w.Size()), zap.Error(err))
+		if w.Size() > 0 {
+			send(part)
 		}
 	}
 }
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -66,6 +66,8 @@
 	heirs     []string                 // hosts that take over first
 	loaded    bool                     // what was recorded is in the plan
 	ends      map[string]model.Phase   // of jobs whose end this term has recorded
+	over      []string                 // jobs of which nothing runs any more, whose submissions are still there
+	trimmed   time.Time                // when such submissions were last deleted
 }
 
 // sight is a write of the owner as the board shows it.
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -26,10 +26,10 @@
 	lossySpan = time.Second
 	// watchGap is the least time from an answer to the next question: ends that
 	// come shortly after one another are learned together.
-	watchGap = 150 * time.Millisecond
+	watchGap = 250 * time.Millisecond
 	// urgentGap takes the place of watchGap while urgent work runs there, whose
 	// latency objective is some hundred milliseconds.
-	urgentGap = 20 * time.Millisecond
+	urgentGap = 50 * time.Millisecond
 	// watchPause follows a call that failed.
 	watchPause = 200 * time.Millisecond
 	// notedWait is how long an executor isn't asked again while its last ends
