Record runs in the owner's own zone before they start, so that its cut holds nothing back

Change: starts on executors of the owner's zone wait for their record (10 to 30 ms); the owner's row names the zone once all of its executors are known; a successor doesn't wait for that zone. Records name runs that are being stopped and unwanted ones, too, and an unwanted run that is found again is stopped. Weighed: recording before all starts; it would hold work up for a second or more at each outage of the store until no successor can trust the record.

--- a/coord/model/progress.go
+++ b/coord/model/progress.go
@@ -17,5 +17,7 @@
 type Stage struct {
 	Done   []byte        `cbor:"1,keyasint,omitempty"` // one bit a task
 	Failed map[int][]int `cbor:"2,keyasint,omitempty"` // numbers of failed runs by task; of a gang under 0
-	Runs   map[int]Place `cbor:"3,keyasint,omitempty"` // by task, as far as known when it was written
+	Runs   map[int]Place `cbor:"3,keyasint,omitempty"` // by task, those that may be present
+	// Spares are other runs that may be present, which aren't wanted.
+	Spares map[int][]Place `cbor:"4,keyasint,omitempty"`
 }
--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -73,6 +73,8 @@
 	Unsteady bool          `cbor:"8,keyasint,omitempty"`
 	Written  time.Duration `cbor:"9,keyasint,omitempty"` // on the owner's clock since its machine started
 	Format   int           `cbor:"10,keyasint,omitempty"`
+	// Zone is the one, if any, on whose executors each run is recorded before it starts.
+	Zone string `cbor:"11,keyasint,omitempty"`
 }
 
 // Closed is the executors that the owner starts nothing on. All runs there are
--- a/node/internal/owner/decide.go
+++ b/node/internal/owner/decide.go
@@ -54,7 +54,7 @@
 		}
 	}
 	for _, s := range orders.Starts {
-		if a := t.agents[s.Executor]; a != nil {
+		if a := t.agents[s.Executor]; a != nil && !t.hold(a, s) {
 			a.give(order{start: &s})
 		}
 	}
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -38,6 +38,7 @@
 // Owner takes and keeps ownership of the cell. It may be used concurrently.
 type Owner struct {
 	host     string
+	zone     string
 	process  string
 	bounds   func() platform.Bounds
 	store    Store
@@ -76,6 +77,7 @@
 // Parts is what an Owner is built from.
 type Parts struct {
 	Host       string
+	Zone       string
 	Process    string                 // tells this process from others of the host
 	Bounds     func() platform.Bounds // in force; a term keeps those that it begins with
 	Store      Store
@@ -96,7 +98,7 @@
 		p.Registry = metrics.NewRegistry()
 	}
 	return &Owner{
-		host: p.Host, process: p.Process, bounds: p.Bounds, store: p.Store, ticks: p.StoreClock, clock: p.Clock, board: p.Board, pacer: p.Pacer, configs: p.Configs,
+		host: p.Host, zone: p.Zone, process: p.Process, bounds: p.Bounds, store: p.Store, ticks: p.StoreClock, clock: p.Clock, board: p.Board, pacer: p.Pacer, configs: p.Configs,
 		advisers: p.Advisers, connect: p.Connect, logger: p.Logger, counts: newCounts(p.Registry), offers: make(chan handover, 1), news: make(chan news, newsQueued),
 	}
 }
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -19,6 +19,8 @@
 	// recordGap is the least time between two writes, so that changes that come
 	// together share one.
 	recordGap = 30 * time.Millisecond
+	// heldGap takes its place while starts wait for the record.
+	heldGap = 10 * time.Millisecond
 	// patienceTimes its usual time an answer is waited for until the write is tried
 	// anew; leastPatience at least. Both writes have the same condition, so that
 	// only one of them is done.
@@ -86,7 +88,7 @@
 		if b.full() {
 			notify(t.record)
 		}
-		_ = t.owner.clock.Sleep(ctx, recordGap)
+		_ = t.owner.clock.Sleep(ctx, t.recordGap())
 	}
 }
 
@@ -95,6 +97,7 @@
 	changes []plan.Change
 	ends    map[*agent]int64 // the last end of each executor that is recorded with it
 	closed  *board.Closed    // nil if it is recorded as it is
+	zone    string           // on whose executors nothing runs then that isn't recorded; empty for none
 }
 
 func (b *batch) empty() bool { return len(b.changes) == 0 && b.closed == nil }
@@ -113,6 +116,9 @@
 	if b.full() {
 		return b
 	}
+	if t.plan.Known(t.owner.zone) {
+		b.zone = t.owner.zone
+	}
 	b.ends = make(map[*agent]int64)
 	for _, a := range t.agents {
 		if a.seen > a.kept {
@@ -135,6 +141,7 @@
 	for i := range b.changes {
 		c := &b.changes[i]
 		t.plan.Recorded(*c)
+		t.release(c, now)
 		if !c.Progress.Phase.Final() {
 			continue
 		}
@@ -159,6 +166,7 @@
 	next := r.row
 	r.attempt++
 	next.Seq, next.Authority, next.Successors = r.attempt, authorityFor(r.typical), r.term.successors()
+	next.Zone = b.zone
 	next.Unsteady, next.Written = r.term.entriesLapse(), r.term.owner.clock.Boot()
 	w := platform.Write{Conditions: []platform.Condition{ownerRow(r.version)}}
 	put, err := board.Put(board.Table, board.Main, board.OwnerKey, next)
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -66,6 +66,7 @@
 	heirs     []string                 // hosts that take over first
 	loaded    bool                     // what was recorded is in the plan
 	ends      map[string]model.Phase   // of jobs whose end this term has recorded
+	held      map[string][]plan.Start  // by job, starts that aren't recorded yet
 	over      []string                 // jobs of which nothing runs any more, whose submissions are still there
 	trimmed   time.Time                // when such submissions were last deleted
 }
@@ -92,7 +93,7 @@
 	g, gctx := errgroup.WithContext(ctx)
 	t := &term{
 		owner: o, epoch: claim.Epoch, began: now, bounds: o.bounds(), wake: make(chan struct{}, 1), record: make(chan struct{}, 1), seen: make(chan sight, sightsKept), end: end, group: g,
-		agents: make(map[string]*agent), lapseAt: make(map[string]time.Duration), lapseBy: make(map[string]time.Time), ends: make(map[string]model.Phase), confirmed: o.clock.Boot(), authority: claim.Authority, config: o.configs.Config(),
+		agents: make(map[string]*agent), lapseAt: make(map[string]time.Duration), lapseBy: make(map[string]time.Time), ends: make(map[string]model.Phase), held: make(map[string][]plan.Start), confirmed: o.clock.Boot(), authority: claim.Authority, config: o.configs.Config(),
 	}
 	t.settled = t.settleTime(before)
 	relist := now
@@ -102,7 +103,7 @@
 	if before.Epoch > 0 && !before.Resigned && before.Host != o.host {
 		t.quietUntil = o.clock.Boot() + boardTime // It may not have seen yet that it is succeeded.
 	}
-	t.plan = plan.New(t.config, plan.WithFar(t.bounds.Far), plan.WithStopTime(t.bounds.Stop+stopSlack), plan.WithBase(int(claim.Epoch-1)*runsPerEpoch), plan.WithSettle(now.Add(t.settled)), plan.WithRelist(relist),
+	t.plan = plan.New(t.config, plan.WithFar(t.bounds.Far), plan.WithStopTime(t.bounds.Stop+stopSlack), plan.WithBase(int(claim.Epoch-1)*runsPerEpoch), plan.WithSettle(now.Add(t.settled)), plan.WithRelist(relist), plan.WithRecorded(before.Zone),
 		plan.WithShare(t.bounds.ShareWindow, t.bounds.ShareSlack))
 	t.ctx = gctx
 	rec := &recorder{term: t, row: claim, version: version}
--- a/node/internal/plan/answers.go
+++ b/node/internal/plan/answers.go
@@ -59,6 +59,12 @@
 	}
 }
 
+// Wanted reports whether a start that wasn't sent yet is to be sent.
+func (s *State) Wanted(o *Start) bool {
+	r := s.find(o.Executor, o.Task, o.Number)
+	return r != nil && r.state == starting && !r.stage.occur.job.phase.Final()
+}
+
 // Unanswered notes that a start may or may not have happened.
 func (s *State) Unanswered(now time.Time, o Start) {
 	if r := s.find(o.Executor, o.Task, o.Number); r != nil && r.state == starting {
--- a/node/internal/plan/gang.go
+++ b/node/internal/plan/gang.go
@@ -14,7 +14,7 @@
 func (s *State) placeGang(st *stage, workers []*worker, now time.Time) {
 	n := len(st.tasks)
 	for i := range st.tasks {
-		if st.tasks[i].run != nil || st.tasks[i].spare > 0 {
+		if st.tasks[i].run != nil || len(st.tasks[i].spares) > 0 {
 			return // An earlier run isn't gone yet.
 		}
 	}
--- a/node/internal/plan/option.go
+++ b/node/internal/plan/option.go
@@ -36,3 +36,7 @@
 		}
 	}
 }
+
+// WithRecorded names a zone on whose executors the last owner recorded all runs before
+// it started them: what isn't recorded can't be present there.
+func WithRecorded(zone string) Option { return func(s *State) { s.recorded = zone } }
--- a/node/internal/plan/orders.go
+++ b/node/internal/plan/orders.go
@@ -14,6 +14,7 @@
 	Spec       string
 	Checkpoint string
 	Ticket     string
+	Version    int // of the job's progress from which on it names the run
 }
 
 // Stop orders the end of a run.
--- a/node/internal/plan/place.go
+++ b/node/internal/plan/place.go
@@ -162,6 +162,6 @@
 	text, _ := st.advice.allows(w.info.ID, now)
 	s.orders.Starts = append(s.orders.Starts, Start{
 		Task: st.name(i), Number: r.number, Executor: w.info.ID, Spec: st.occur.job.spec.Spec,
-		Checkpoint: st.checkpoint(i), Ticket: text,
+		Checkpoint: st.checkpoint(i), Ticket: text, Version: st.occur.job.version,
 	})
 }
--- /dev/null
+++ b/node/internal/plan/recorded_test.go
@@ -0,0 +1,77 @@
+package plan
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/balsamford/balsamford/coord/model"
+)
+
+// A zone where the last owner recorded each run before it started holds back nothing
+// but the tasks that were recorded there, even if none of its executors answers.
+func TestRecordedZoneHoldsBackItsOwnTasks(t *testing.T) {
+	onCut := &model.Progress{Phase: model.Running, Occurs: map[int]model.Occur{
+		0: {Stages: map[int]model.Stage{0: {Runs: map[int]model.Place{0: {Executor: "cut", Number: 1}}}}},
+	}}
+	tests := map[string]struct {
+		recorded string
+		progress *model.Progress
+		starts   int
+	}{
+		"no zone":                      {progress: &model.Progress{Phase: model.Running}},
+		"another zone":                 {recorded: "here", progress: &model.Progress{Phase: model.Running}},
+		"the zone that is cut off":     {recorded: "there", progress: &model.Progress{Phase: model.Running}, starts: 1},
+		"the task was recorded there":  {recorded: "there", progress: onCut},
+		"an unwanted run was recorded": {recorded: "there", progress: spareOn("cut")},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(WithSettle(epoch.Add(settle)), WithRecorded(tt.recorded))
+			f.state.SetExecutor(model.Executor{ID: "cut", Service: "s", Zone: "there", Room: whole})
+			f.ready("a")
+			f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: small}), tt.progress)
+			is.True(!f.state.Known("there"))
+			is.True(f.state.Known("elsewhere"))
+			is.Equal(len(f.state.Decide(epoch).Starts), tt.starts)
+		})
+	}
+}
+
+// spareOn is progress with an unwanted run on an executor.
+func spareOn(id string) *model.Progress {
+	return &model.Progress{Phase: model.Running, Occurs: map[int]model.Occur{
+		0: {Stages: map[int]model.Stage{0: {Spares: map[int][]model.Place{0: {{Executor: id, Number: 1}}}}}},
+	}}
+}
+
+// What is recorded names all runs that may be present: also those that are being
+// stopped, and those that aren't wanted.
+func TestAllPresentRunsAreRecorded(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.ready("a", "b")
+	f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: small}), nil)
+	starts := f.state.Decide(epoch).Starts
+	is.Equal(len(starts), 1)
+	first := starts[0]
+	f.confirm(epoch, starts)
+	stage := func() model.Stage { return f.state.Changes(1)[0].Progress.Occurs[0].Stages[0] }
+	is.Equal(stage().Runs[0], model.Place{Executor: first.Executor, Number: first.Number})
+	is.Equal(first.Version <= f.state.Changes(1)[0].Version, true)
+	f.state.stopRun(f.state.find(first.Executor, first.Task, first.Number), epoch)
+	is.Equal(stage().Runs[0].Executor, first.Executor)
+
+	other := map[string]string{"a": "b", "b": "a"}[first.Executor]
+	f.state.Reported(epoch, other, Report{Asked: epoch, Runs: []model.Run{{Task: first.Task, Number: 7}}})
+	is.Equal(stage().Spares[0], []model.Place{{Executor: other, Number: 7}})
+
+	restored := newFixture(WithSettle(epoch.Add(settle)))
+	restored.ready(first.Executor)
+	restored.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: small}), f.state.Changes(1)[0].Progress)
+	is.Equal(len(restored.state.stageOf(first.Task).tasks[0].spares), 1)
+	restored.executor(other)
+	restored.state.Reported(epoch, other, Report{Asked: epoch, Runs: []model.Run{{Task: first.Task, Number: 7}}})
+	is.Equal(restored.state.Decide(epoch).Stops, []Stop{{Task: first.Task, Number: 7, Executor: other}}) // It still isn't wanted.
+}
--- a/node/internal/plan/report.go
+++ b/node/internal/plan/report.go
@@ -68,6 +68,9 @@
 	if r.state == starting || r.state == inDoubt {
 		r.state = active
 	}
+	if r.spare && r.state == active {
+		s.stopRun(r, now)
+	}
 	if m.Percent != r.percent {
 		r.percent, r.moved = m.Percent, now
 	} else {
@@ -94,8 +97,7 @@
 	if j.phase.Final() || t.done || t.run != nil {
 		r := s.newRun(st, m.Task.Index, m.Number, w, active, now)
 		t.last = max(t.last, r.number)
-		t.spare++
-		r.spare = true
+		s.unwanted(r)
 		s.stopRun(r, now)
 		return r
 	}
--- a/node/internal/plan/restore.go
+++ b/node/internal/plan/restore.go
@@ -46,11 +46,27 @@
 		if i < 0 || i >= len(st.tasks) || st.tasks[i].done || st.tasks[i].run != nil {
 			continue
 		}
-		w := s.worker(place.Executor)
-		r := s.attachRun(st, i, place.Number, w, inDoubt, now)
+		r := s.attachRun(st, i, place.Number, s.worker(place.Executor), inDoubt, now)
 		r.restored = true
 		r.certain = now // The executor takes no order of an earlier owner once it has reported.
 	}
+	for i, places := range p.Spares {
+		if i < 0 || i >= len(st.tasks) {
+			continue
+		}
+		for _, place := range places {
+			r := s.newRun(st, i, place.Number, s.worker(place.Executor), inDoubt, now)
+			r.restored = true
+			r.certain = now
+			st.tasks[i].last = max(st.tasks[i].last, place.Number)
+			s.unwanted(r)
+		}
+	}
+}
+
+// place returns where the run is.
+func (r *run) place() model.Place {
+	return model.Place{Executor: r.on.info.ID, Number: r.number}
 }
 
 // Change is a job whose recorded progress is out of date.
@@ -154,11 +170,18 @@
 		if t.done {
 			p.Done[i/bitsPerByte] |= 1 << (i % bitsPerByte)
 		}
-		if t.run != nil && t.run.state != stopping {
+		if t.run != nil {
 			if p.Runs == nil {
 				p.Runs = make(map[int]model.Place)
 			}
-			p.Runs[i] = model.Place{Executor: t.run.on.info.ID, Number: t.run.number}
+			p.Runs[i] = t.run.place()
+			some = true
+		}
+		for _, r := range t.spares {
+			if p.Spares == nil {
+				p.Spares = make(map[int][]model.Place)
+			}
+			p.Spares[i] = append(p.Spares[i], r.place())
 			some = true
 		}
 		if len(t.failed) > 0 {
--- a/node/internal/plan/run.go
+++ b/node/internal/plan/run.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/balsamford/balsamford/coord/model"
@@ -67,8 +68,16 @@
 // release takes a task's wanted run away; it counts until it is known to be gone.
 func (s *State) release(r *run) {
 	r.stage.detach(r.index, r)
-	r.stage.tasks[r.index].spare++
+	s.unwanted(r)
+}
+
+// unwanted notes that a run isn't its task's wanted one: the task doesn't start while
+// it may be present.
+func (s *State) unwanted(r *run) {
+	t := &r.stage.tasks[r.index]
+	t.spares = append(t.spares, r)
 	r.spare = true
+	s.changed(r.stage.occur.job)
 }
 
 // count takes what a run needs from its executor's room and its team's limit.
@@ -108,7 +117,8 @@
 		r.on.urgent--
 	}
 	if r.spare {
-		r.stage.tasks[r.index].spare--
+		t := &r.stage.tasks[r.index]
+		t.spares = slices.DeleteFunc(t.spares, func(x *run) bool { return x == r })
 	}
 	r.stage.detach(r.index, r)
 }
--- a/node/internal/plan/worker.go
+++ b/node/internal/plan/worker.go
@@ -98,6 +98,20 @@
 // Complete notes that all executors that have an entry are known.
 func (s *State) Complete() { s.complete = true }
 
+// Known reports whether all executors of a zone have reported, or had been closed and
+// run what is recorded.
+func (s *State) Known(zone string) bool {
+	if !s.complete {
+		return false
+	}
+	for id, w := range s.execs {
+		if w.info.Zone == zone && !w.known && !s.closedBefore[id] {
+			return false
+		}
+	}
+	return true
+}
+
 // unsettled reports whether an executor of service may run what isn't known. One
 // that was closed, or that lacks an entry, got no new work of late, so that all its
 // runs are recorded.
@@ -109,7 +123,7 @@
 		return true
 	}
 	for id, w := range s.execs {
-		if w.known || s.closedBefore[id] {
+		if w.known || s.closedBefore[id] || s.recorded != "" && w.info.Zone == s.recorded {
 			continue
 		}
 		if w.info.Service == service || w.info.Service == "" && now.Before(s.relist) {
