--- a/node/internal/owner/authority_test.go
+++ b/node/internal/owner/authority_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/balsamford/balsamford/coord/model"
 	"github.com/balsamford/balsamford/coord/timer"
+	"github.com/balsamford/balsamford/node/internal/plan"
 	"github.com/balsamford/balsamford/platform"
 )
 
@@ -156,3 +157,33 @@
 	is.True(a.reported(clock.Now(), held, &platform.Report{Clock: time.Hour}))
 	is.Equal(a.answered, looked)
 }
+
+// A start that is held back since ownership isn't confirmed keeps no work from its
+// executor; one to an executor that doesn't answer does.
+func TestUnsentStarts(t *testing.T) {
+	tests := map[string]struct {
+		silent  bool
+		lease   time.Duration
+		passed  time.Duration // since ownership was confirmed
+		why     plan.Refusal
+		refused bool
+	}{
+		"confirmed":       {lease: leaseTime},
+		"not confirmed":   {lease: leaseTime, passed: leastAuthority + time.Millisecond, why: plan.RefusedLate, refused: true},
+		"silent executor": {silent: true, lease: leaseTime, why: plan.RefusedUnsent, refused: true},
+		"no lease":        {why: plan.RefusedUnsent, refused: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			clock := timer.New(timer.WithManual(time.Unix(1_800_000_000, 0)))
+			tm, _ := newTerm()
+			tm.owner.clock, tm.owner.pacer = clock, unconfirmed{}
+			tm.confirm(clock.Boot(), leastAuthority)
+			clock.Advance(tt.passed)
+			why, refused := tm.unsent(&agent{term: tm, silent: tt.silent}, tt.lease)
+			is.Equal(refused, tt.refused)
+			is.Equal(why, tt.why)
+		})
+	}
+}
--- a/node/internal/owner/execute.go
+++ b/node/internal/owner/execute.go
@@ -36,8 +36,8 @@
 	now := t.owner.clock.Now()
 	t.mu.Lock()
 	end := a.lease.extend(now, t.leaseLeft())
-	if a.silent || end == 0 || !t.mayStart() {
-		t.plan.Refused(now, *s, plan.RefusedUnsent)
+	if why, refused := t.unsent(a, end); refused {
+		t.plan.Refused(now, *s, why)
 		t.mu.Unlock()
 		return
 	}
@@ -47,6 +47,19 @@
 	}
 }
 
+// unsent reports whether the start of a run under a lease isn't to be sent, and why.
+// While this owner may start nothing, that doesn't speak against the executor. The
+// term's mu is held.
+func (t *term) unsent(a *agent, lease time.Duration) (plan.Refusal, bool) {
+	switch {
+	case a.silent || lease == 0:
+		return plan.RefusedUnsent, true
+	case !t.mayStart():
+		return plan.RefusedLate, true
+	}
+	return 0, false
+}
+
 // order sends the start of a run under a lease and takes the answer. It reports
 // whether there was none.
 func (a *agent) order(s *plan.Start, end time.Duration) bool {
