Extend leases for long only with a majority of executors; record runs that are gone

Executors leave at 6.6 s while the owner is lost. Its successor never reached them and waited 10.5 s, since a last owner without the store may extend leases for so long; then it handed over 0.1 s after it had given the runs up, their records still named them, and the next owner waited 6.5 s again. A run that is known to be gone is taken out of the record at once.

--- a/node/internal/owner/agent.go
+++ b/node/internal/owner/agent.go
@@ -123,5 +123,9 @@
 // leaseLeft returns for how long the lease may be extended now. The term's mu is
 // held.
 func (t *term) leaseLeft() time.Duration {
-	return min(leaseTime, t.bounds.Lease, t.confirmedAt()+t.bounds.Lease+unconfirmedTime-t.owner.clock.Boot())
+	left := t.confirmedAt() + t.bounds.Lease - t.owner.clock.Boot()
+	if left < leaseTime && t.followed() {
+		left += unconfirmedTime
+	}
+	return min(leaseTime, t.bounds.Lease, left)
 }
--- a/node/internal/owner/lease.go
+++ b/node/internal/owner/lease.go
@@ -8,8 +8,9 @@
 	// elsewhere soon.
 	leaseTime = 5 * time.Second
 	// unconfirmedTime is how long leases are extended while the store doesn't
-	// confirm ownership, beyond the longest lease. A successor waits as long for
-	// executors that it can't reach.
+	// confirm ownership, beyond the longest lease, as long as a majority of the executors
+	// follows the owner. A successor without one waits as long for executors that it
+	// can't reach.
 	unconfirmedTime = 4 * time.Second
 	// settleMargin covers the clocks' difference in rate over the longest wait.
 	settleMargin = 500 * time.Millisecond
--- a/node/internal/owner/serverrows.go
+++ b/node/internal/owner/serverrows.go
@@ -32,6 +32,7 @@
 	r.Change(rows)
 	t.mu.Lock()
 	t.plan.Complete()
+	t.listed = true
 	t.mu.Unlock()
 	notify(t.wake)
 }
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -66,6 +66,8 @@
 	heirs     []string                 // hosts that take over first
 	loaded    bool                     // what was recorded is in the plan
 	ends      map[string]model.Phase   // of jobs whose end this term has recorded
+	listed    bool                     // all executors that have an entry are known
+	settling  bool                     // a majority of them has answered this owner
 	held      map[string][]plan.Start  // by job, starts that aren't recorded yet
 	over      []string                 // jobs of which nothing runs any more, whose submissions are still there
 	trimmed   time.Time                // when such submissions were last deleted
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -174,6 +174,7 @@
 		t.owner.logger.Info("executor answers again", zap.String("executor", a.info.ID))
 	}
 	a.silent, a.heard, a.answered = false, true, max(a.answered, sent) // A held call may have been sent before a look.
+	t.taken(now)
 	delete(t.lapseAt, a.info.ID)
 	delete(t.lapseBy, a.info.ID)
 	t.plan.Reported(now, a.info.ID, plan.Report{Asked: asked, Runs: rep.Runs, Ends: a.fresh(rep.Ends), More: len(rep.Ends) >= fullList})
--- a/node/internal/plan/recorded_test.go
+++ b/node/internal/plan/recorded_test.go
@@ -75,3 +75,21 @@
 	restored.state.Reported(epoch, other, Report{Asked: epoch, Runs: []model.Run{{Task: first.Task, Number: 7}}})
 	is.Equal(restored.state.Decide(epoch).Stops, []Stop{{Task: first.Task, Number: 7, Executor: other}}) // It still isn't wanted.
 }
+
+// A run that is known to be gone isn't recorded any more, so that the next owner
+// doesn't wait for its executor.
+func TestGoneRunIsNotRecorded(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.ready("a")
+	f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: small, Lasting: true}), nil)
+	f.confirm(epoch, f.state.Decide(epoch).Starts)
+	for _, c := range f.state.Changes(9) {
+		f.state.Recorded(c)
+	}
+	is.Equal(len(f.state.Changes(9)), 0)
+	f.state.RemoveExecutor("a")
+	changes := f.state.Changes(9)
+	is.Equal(len(changes), 1)
+	is.Equal(len(changes[0].Progress.Occurs[0].Stages[0].Runs), 0)
+}
--- a/node/internal/plan/run.go
+++ b/node/internal/plan/run.go
@@ -121,6 +121,9 @@
 		t.spares = slices.DeleteFunc(t.spares, func(x *run) bool { return x == r })
 	}
 	r.stage.detach(r.index, r)
+	if !j.phase.Final() {
+		s.changed(j) // A successor must not wait for it.
+	}
 }
 
 // stopRun orders a run to stop.
