--- a/node/internal/owner/batch.go
+++ b/node/internal/owner/batch.go
@@ -67,6 +67,7 @@
 			t.owner.counts.ended(c, now)
 		}
 		t.ends[c.Job] = c.Progress.Phase
+		delete(t.sent, c.Job)
 	}
 	for a, seq := range b.ends {
 		a.kept = max(a.kept, min(seq, a.seen))
--- a/node/internal/owner/news_test.go
+++ b/node/internal/owner/news_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/balsamford/balsamford/coord/model"
 	"github.com/balsamford/balsamford/coord/timer"
@@ -18,7 +19,7 @@
 func newTerm() (*term, *board.Board) {
 	b := board.New(zap.NewNop())
 	o := New(Parts{Host: "h", Process: "p", Clock: timer.New(), Board: b, Logger: zap.NewNop()})
-	t := &term{owner: o, epoch: 1, plan: plan.New(nil), agents: make(map[string]*agent), ends: make(map[string]model.Phase), lapseAt: make(map[string]time.Duration), lapseBy: make(map[string]time.Time), wake: make(chan struct{}, 1)}
+	t := &term{owner: o, epoch: 1, plan: plan.New(nil), agents: make(map[string]*agent), ends: make(map[string]model.Phase), lapseAt: make(map[string]time.Duration), lapseBy: make(map[string]time.Time), sent: make(map[string]bool), group: &errgroup.Group{}, wake: make(chan struct{}, 1)}
 	o.setTerm(t)
 	return t, b
 }
@@ -78,6 +79,13 @@
 	}
 }
 
+// silentStore answers no write.
+type silentStore struct{ Store }
+
+func (silentStore) Write(*platform.Write) (int64, error) {
+	return 0, &platform.LostError{Call: "store write"}
+}
+
 // Clients are told that a job has ended only once that is recorded: a successor
 // could run it again otherwise.
 func TestStateTellsRecordedEnds(t *testing.T) {
@@ -94,6 +102,11 @@
 	tm.plan.SetExecutor(model.Executor{ID: "e"})
 	tm.plan.Reported(now, "e", plan.Report{Asked: now, Ends: []model.End{{Seq: 1, Task: model.Task{Job: job.ID}, Number: 1}}})
 	is.Equal(tm.state(job.ID).Phase, model.Running) // It has ended and isn't recorded.
-	(&recorder{term: tm}).keep(batch{changes: tm.plan.Changes(1)})
+	tm.owner.store = &silentStore{}
+	r := &recorder{term: tm}
+	b := batch{changes: tm.plan.Changes(1)}
+	is.True(r.write(b) != nil)
+	is.Equal(tm.state(job.ID).Known, false) // It may be recorded.
+	r.keep(b)
 	is.Equal(tm.state(job.ID).Phase, model.Done)
 }
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -118,6 +118,11 @@
 	over, expired := r.clean(&w)
 	r.term.mu.Lock()
 	r.term.limit(next.Authority)
+	for i := range b.changes {
+		if c := &b.changes[i]; c.Progress.Phase.Final() {
+			r.term.sent[c.Job] = true
+		}
+	}
 	r.term.mu.Unlock()
 	version, err := r.send(&w, next.Seq)
 	if err != nil {
--- a/node/internal/owner/recorder_test.go
+++ b/node/internal/owner/recorder_test.go
@@ -43,7 +43,7 @@
 	})
 	claim, version, err := o.claim(board.Owner{}, 0)
 	is.NoErr(err)
-	tm := &term{owner: o, epoch: claim.Epoch, group: &errgroup.Group{}, seen: make(chan sight, sightsKept), plan: plan.New(nil), end: func(error) {}}
+	tm := &term{owner: o, epoch: claim.Epoch, group: &errgroup.Group{}, seen: make(chan sight, sightsKept), sent: make(map[string]bool), plan: plan.New(nil), end: func(error) {}}
 	return &recorder{term: tm, row: claim, version: version}, f
 }
 
--- a/node/internal/owner/state.go
+++ b/node/internal/owner/state.go
@@ -53,18 +53,22 @@
 }
 
 // state returns what the term knows of a job. An end counts once it is recorded:
-// a successor must not run the job again after clients have been told.
+// a successor must not run the job again after clients have been told. While that is
+// under way only the store knows, and another host may tell of it already.
 func (t *term) state(id string) State {
 	t.mu.Lock()
 	queue, phase, known := t.plan.Phase(id)
 	if end, ok := t.ends[id]; ok {
 		phase = end
 	}
+	sent := t.sent[id]
 	t.mu.Unlock()
 	e, onBoard := t.owner.board.Job(id)
 	switch {
 	case onBoard && e.Phase.Final():
 		return State{Known: true, Queue: e.Queue, Phase: e.Phase}
+	case sent:
+		return State{}
 	case known:
 		return State{Known: true, Queue: queue, Phase: phase}
 	case onBoard:
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -69,6 +69,7 @@
 	listed    bool                     // all executors that have an entry are known
 	settling  bool                     // a majority of them has answered this owner
 	held      map[string][]plan.Start  // by job, starts that aren't recorded yet
+	sent      map[string]bool          // jobs whose end was sent to the store and isn't known to be recorded
 	over      []string                 // jobs of which nothing runs any more, whose submissions are still there
 	trimmed   time.Time                // when such submissions were last deleted
 }
@@ -95,7 +96,7 @@
 	g, gctx := errgroup.WithContext(ctx)
 	t := &term{
 		owner: o, epoch: claim.Epoch, began: now, bounds: o.bounds(), wake: make(chan struct{}, 1), record: make(chan struct{}, 1), seen: make(chan sight, sightsKept), end: end, group: g,
-		agents: make(map[string]*agent), lapseAt: make(map[string]time.Duration), lapseBy: make(map[string]time.Time), ends: make(map[string]model.Phase), held: make(map[string][]plan.Start), confirmed: o.clock.Boot(), authority: claim.Authority, config: o.configs.Config(),
+		agents: make(map[string]*agent), lapseAt: make(map[string]time.Duration), lapseBy: make(map[string]time.Time), ends: make(map[string]model.Phase), sent: make(map[string]bool), held: make(map[string][]plan.Start), confirmed: o.clock.Boot(), authority: claim.Authority, config: o.configs.Config(),
 	}
 	t.settled = t.settleTime(before)
 	relist := now
