Let work go to other zones while the owner's records aren't confirmed

Cause: on reading the change again: while the store is away, starts on executors of the owner's zone, a quarter of all, waited for their record until it came back; in a deployment of one zone all did. Change: without confirmation such executors get no new work and what waits is placed elsewhere; where all hosts are in one zone nothing waits. TestWorkAvoidsZoneWithoutRecords (failed before).

--- a/node/internal/owner/batch.go
+++ b/node/internal/owner/batch.go
@@ -34,8 +34,8 @@
 	if b.full() {
 		return b
 	}
-	if t.plan.Known(t.owner.zone) {
-		b.zone = t.owner.zone
+	if t.plan.Known(t.zone) {
+		b.zone = t.zone
 	}
 	b.ends = make(map[*agent]int64)
 	for _, a := range t.agents {
--- a/node/internal/owner/decide.go
+++ b/node/internal/owner/decide.go
@@ -42,6 +42,7 @@
 		t.plan.Configure(c)
 	}
 	t.pause(!t.mayStart())
+	t.avoidHeld(now)
 	t.plan.SetTurns(max(1, len(t.owner.board.Hosts())))
 	orders := t.plan.Decide(now)
 	var waits []plan.Wait
--- a/node/internal/owner/hold.go
+++ b/node/internal/owner/hold.go
@@ -11,10 +11,37 @@
 // executors of that zone. So a run on an executor of the owner's own zone is recorded
 // before it starts; in other zones that would only cost time.
 
+// heldZone returns the zone of this host if there are hosts in others that could succeed
+// it when the zone is cut off.
+func (o *Owner) heldZone() string {
+	for _, h := range o.board.Hosts() {
+		if o.zone != "" && h.Zone != o.zone {
+			return o.zone
+		}
+	}
+	return ""
+}
+
+// avoidHeld lets work go to other zones while records aren't confirmed, also what waits
+// for one. The term's mu is held.
+func (t *term) avoidHeld(now time.Time) {
+	if t.zone == "" || t.owner.clock.Boot()-t.confirmed <= t.authority {
+		t.plan.Avoid("")
+		return
+	}
+	t.plan.Avoid(t.zone)
+	for _, held := range t.held {
+		for _, s := range held {
+			t.plan.Refused(now, s, plan.RefusedLate)
+		}
+	}
+	clear(t.held)
+}
+
 // hold keeps a start back until it is recorded and reports whether it has to be. The
 // term's mu is held.
 func (t *term) hold(a *agent, s plan.Start) bool {
-	if t.owner.zone == "" || a.info.Zone != t.owner.zone {
+	if t.zone == "" || a.info.Zone != t.zone {
 		return false
 	}
 	t.held[s.Task.Job] = append(t.held[s.Task.Job], s)
--- a/node/internal/owner/hold_test.go
+++ b/node/internal/owner/hold_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/balsamford/balsamford/coord/model"
 	"github.com/balsamford/balsamford/coord/timer"
+	"github.com/balsamford/balsamford/node/internal/board"
 	"github.com/balsamford/balsamford/node/internal/plan"
 	"github.com/balsamford/balsamford/platform"
 )
@@ -32,7 +33,7 @@
 			is := is.New(t)
 			clock := timer.New(timer.WithManual(time.Unix(1_800_000_000, 0)))
 			tm, _ := newTerm()
-			tm.owner.clock, tm.owner.zone, tm.ctx = clock, "z", context.Background()
+			tm.owner.clock, tm.zone, tm.ctx = clock, "z", context.Background()
 			tm.owner.connect = func(string, string) Executor { return &follower{} }
 			tm.owner.pacer, tm.held = unconfirmed{}, make(map[string][]plan.Start)
 			tm.confirm(clock.Boot(), leastAuthority)
@@ -68,8 +69,63 @@
 func TestUnknownExecutorOfOwnZone(t *testing.T) {
 	is := is.New(t)
 	tm, _ := newTerm()
-	tm.owner.zone = "z"
+	tm.zone = "z"
 	tm.plan.Complete()
 	tm.plan.SetExecutor(model.Executor{ID: "e", Service: "s", Zone: "z"})
 	is.Equal((&recorder{term: tm}).collect().zone, "")
 }
+
+// While records aren't confirmed, work doesn't wait for its record: it goes to executors
+// of other zones. Where all hosts are in one zone nothing is held back.
+func TestWorkAvoidsZoneWithoutRecords(t *testing.T) {
+	job := &model.Job{ID: "0123456789abcdef", Queue: "q", Steps: []model.Step{{Count: 1, Need: model.Amount{CPU: 1}}}}
+	tests := map[string]struct {
+		zone   string // of the other host
+		passed time.Duration
+		held   int
+		orders map[string]int // by executor, which is named after its zone
+	}{
+		"confirmed":     {zone: "y", held: 1, orders: map[string]int{}},
+		"not confirmed": {zone: "y", passed: leastAuthority + time.Millisecond, orders: map[string]int{"y": 1}},
+		"one zone":      {zone: "z", orders: map[string]int{"z": 1}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			clock := timer.New(timer.WithManual(time.Unix(1_800_000_000, 0)))
+			tm, b := newTerm()
+			show(t, b, board.HostKey("other"), board.Host{Name: "other", Zone: tt.zone})
+			tm.owner.clock, tm.owner.zone, tm.ctx = clock, "z", context.Background()
+			tm.owner.connect = func(string, string) Executor { return &follower{} }
+			tm.owner.pacer, tm.held, tm.zone = unconfirmed{}, make(map[string][]plan.Start), tm.owner.heldZone()
+			tm.confirm(clock.Boot(), leastAuthority)
+			config := model.NewConfig(1, []model.Queue{{Name: "q", Service: "s", Attempts: 1}}, []model.Service{{Name: "s"}}, nil)
+			tm.plan = plan.New(config)
+			decide := func() {
+				tm.avoidHeld(clock.Now())
+				for _, s := range tm.plan.Decide(clock.Now()).Starts {
+					if a := tm.agents[s.Executor]; !tm.hold(a, s) {
+						a.give(order{start: &s})
+					}
+				}
+			}
+			add := func(id string) {
+				a := newAgent(tm, model.Executor{ID: id, Service: "s", Zone: id, Room: model.Amount{CPU: 9}})
+				tm.agents[id] = a
+				tm.plan.SetExecutor(a.info)
+				is.True(a.reported(clock.Now(), clock.Boot(), &platform.Report{Clock: time.Hour}))
+			}
+			add("z")
+			tm.plan.Complete()
+			tm.plan.AddJob(clock.Now(), job, nil)
+			decide()
+			add("y")
+			clock.Advance(tt.passed)
+			decide()
+			is.Equal(len(tm.held), tt.held)
+			for id, a := range tm.agents {
+				is.Equal(len(a.orders), tt.orders[id])
+			}
+		})
+	}
+}
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -68,6 +68,7 @@
 	ends      map[string]model.Phase   // of jobs whose end this term has recorded
 	listed    bool                     // all executors that have an entry are known
 	settling  bool                     // a majority of them has answered this owner
+	zone      string                   // in which each run is recorded before it starts; empty for none
 	held      map[string][]plan.Start  // by job, starts that aren't recorded yet
 	sent      map[string]bool          // jobs whose end was sent to the store and isn't known to be recorded
 	over      []string                 // jobs of which nothing runs any more, whose submissions are still there
@@ -98,7 +99,7 @@
 		owner: o, epoch: claim.Epoch, began: now, bounds: o.bounds(), wake: make(chan struct{}, 1), record: make(chan struct{}, 1), seen: make(chan sight, sightsKept), end: end, group: g,
 		agents: make(map[string]*agent), lapseAt: make(map[string]time.Duration), lapseBy: make(map[string]time.Time), ends: make(map[string]model.Phase), sent: make(map[string]bool), held: make(map[string][]plan.Start), confirmed: o.clock.Boot(), authority: claim.Authority, config: o.configs.Config(),
 	}
-	t.settled = t.settleTime(before)
+	t.settled, t.zone = t.settleTime(before), o.heldZone()
 	relist := now
 	if !o.recent(before) {
 		relist = now.Add(relistTime)
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -15,6 +15,7 @@
 	stopTime time.Duration // that stopping a run takes at most
 	base     int           // run numbers of this owner lie above it
 	settle   time.Time     // until when unknown runs may exist
+	avoided  string        // zone whose executors get no new work
 	recorded string        // zone on whose executors all runs of earlier owners are recorded
 	relist   time.Time     // until when an executor without an entry may have some
 	complete bool          // all executors that have an entry are known
