--- a/node/internal/front/submit.go
+++ b/node/internal/front/submit.go
@@ -120,7 +120,8 @@
 const showPeriod = 60 * time.Millisecond
 
 // Keep has rows created by this host unless the first, which is one of the board, is
-// there, which is success too. An answer that is lost doesn't matter once the board shows the row.
+// there, which is success too. An answer that is lost doesn't matter once the board shows
+// the row.
 // Errors are a *platform.RefusedError or *platform.DialError if it surely never will
 // be created, and an *UnknownError. It may be called concurrently.
 func (s *Service) Keep(id string, puts []platform.Put) error {
--- a/node/internal/owner/keep.go
+++ b/node/internal/owner/keep.go
@@ -75,8 +75,8 @@
 )
 
 // Keep has the owner's host create rows, the first of which is one of the board, unless
-// that is there. A slow store does the writes of a partition one after the other, each host's own ones
-// too; this way the rows of all hosts share them.
+// that is there. A slow store does the writes of a partition one after the other, each
+// host's own ones too; this way the rows of all hosts share them.
 func (o *Owner) Keep(id string, puts []platform.Put) Kept {
 	if o.current() != nil {
 		return NotAsked
