Wait until what a successor knows is complete up to its claim, whatever was read whole

A successor took its copy of the board or of the submissions for complete when the row of its claim was in it. When the table is read whole, partition by partition, that row is read last, and earlier partitions may lack jobs accepted just before. Change: a follower tells the version up to which it has heard of all changes, after a whole read the oldest of the partitions'; a successor waits for that. TestVersionAfterWholeRead.

--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -27,7 +27,8 @@
 	cancelPrefix = "cancel/"
 	// ClosedKey names the row of Progress that holds Closed.
 	ClosedKey = "closed"
-	// ClaimKey names the row of Submitted that is written with each claim of ownership.
+	// ClaimKey names the row of Submitted that is written with each claim of ownership, so
+	// that who follows the table hears at once that it is complete up to the claim.
 	ClaimKey = "claim"
 )
 
--- a/node/internal/board/submissions.go
+++ b/node/internal/board/submissions.go
@@ -23,7 +23,6 @@
 
 	mu       sync.Mutex // guards the fields below
 	jobs     map[string]*model.Job
-	claim    int64       // version of the newest claim of ownership that it has seen
 	listener JobListener // nil for none
 }
 
@@ -45,14 +44,6 @@
 	return out
 }
 
-// Claim returns the version of the newest claim of ownership that has been seen: all
-// jobs that were accepted before it are known.
-func (s *Submissions) Claim() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.claim
-}
-
 // Reset implements follow.Handler.
 func (s *Submissions) Reset(rows []platform.Row) {
 	s.mu.Lock()
@@ -73,8 +64,11 @@
 // apply takes one changed row. A job in two partitions is kept until one of its rows
 // is deleted, which is done to both.
 func (s *Submissions) apply(row platform.Row) error {
+	if row.Key == ClaimKey {
+		return nil
+	}
 	var j *model.Job
-	if row.Key != ClaimKey && !row.Deleted {
+	if !row.Deleted {
 		j = &model.Job{}
 		if err := Decode(row, j); err != nil {
 			return err
@@ -82,12 +76,9 @@
 	}
 	s.mu.Lock()
 	l := s.listener
-	switch {
-	case row.Key == ClaimKey:
-		s.claim = max(s.claim, row.Version)
-	case j == nil:
+	if j == nil {
 		delete(s.jobs, row.Key)
-	default:
+	} else {
 		s.jobs[row.Key] = j
 	}
 	s.mu.Unlock()
--- a/node/internal/board/submissions_test.go
+++ b/node/internal/board/submissions_test.go
@@ -20,8 +20,8 @@
 	return platform.Row{Table: put.Table, Part: put.Part, Key: put.Key, Value: put.Value, Version: version}
 }
 
-// A new owner knows from the claim's row that it has seen all submissions before it,
-// and hears of each later one.
+// A new owner has the submissions that there are, and hears of each later one; the row
+// of its claim is none.
 func TestSubmissions(t *testing.T) {
 	is := is.New(t)
 	s := NewSubmissions(zap.NewNop())
@@ -30,9 +30,7 @@
 	damaged := submitted(t, "c", 6)
 	damaged.Value = []byte("?")
 	s.Reset([]platform.Row{submitted(t, "a", 1), submitted(t, "b", 2)})
-	is.Equal(s.Claim(), int64(0))
 	s.Change([]platform.Row{gone, damaged, {Table: Submitted, Part: Main, Key: ClaimKey, Value: []byte{1}, Version: 7}})
-	is.Equal(s.Claim(), int64(7))
 	h := &heard{}
 	jobs := s.Listen(h)
 	is.Equal(len(jobs), 1)
--- a/node/internal/follow/follower.go
+++ b/node/internal/follow/follower.go
@@ -59,6 +59,7 @@
 	fresh     time.Time
 	confirmed time.Duration // fresh on the clock that includes suspensions
 	failing   bool          // the last call failed
+	version   int64         // of the store up to which the handler has heard of all changes
 }
 
 // Option changes how New makes a Follower.
@@ -127,10 +128,19 @@
 	return f.confirmed
 }
 
-func (f *Follower) confirm(at time.Time, boot time.Duration) {
+// Version returns the version of the store up to which the handler has heard of all
+// changes. After a whole read that is the oldest of the partitions' versions: rows of
+// later ones may have been among them, and others not. It may be called concurrently.
+func (f *Follower) Version() int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.fresh, f.confirmed, f.failing = at, boot, false
+	return f.version
+}
+
+func (f *Follower) confirm(at time.Time, boot time.Duration, version int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fresh, f.confirmed, f.failing, f.version = at, boot, false, version
 }
 
 // Failing reports whether the last call failed or the present one takes too
@@ -174,7 +184,7 @@
 			f.logger.Info("table is followed again", zap.String("table", f.table), zap.Int64("version", next))
 		}
 		version, read = max(version, next), true
-		f.confirm(asked, boot)
+		f.confirm(asked, boot, version)
 		f.rest(ctx, asked)
 	}
 	return nil
--- a/node/internal/follow/follower_test.go
+++ b/node/internal/follow/follower_test.go
@@ -1,12 +1,14 @@
 package follow
 
 import (
+	"context"
 	"strconv"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/platform"
@@ -56,3 +58,33 @@
 	is.Equal(len(h.rows), len(parts))
 	is.True(s.most <= readsAtOnce)
 }
+
+// partial is a store whose second partition is read before a change and its third after
+// one.
+type partial struct{ crowded }
+
+func (p *partial) Watch(string, int64, time.Duration) ([]platform.Row, int64, error) {
+	return []platform.Row{{Key: "missed"}}, 20, nil
+}
+
+// What was read whole is complete only up to the oldest version of its partitions, until
+// the changes after that have been heard.
+func TestVersionAfterWholeRead(t *testing.T) {
+	is := is.New(t)
+	clock := timer.New()
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &collector{}
+	f := New(&partial{}, clock, "t", []string{"3", "1", "9"}, h) // Read at versions 10, 8 and 16.
+	is.Equal(f.Version(), int64(0))
+	version, err := f.step(0, false)
+	is.NoErr(err)
+	f.confirm(clock.Now(), clock.Boot(), version)
+	is.Equal(f.Version(), int64(8))
+	var g errgroup.Group
+	g.Go(func() error { return f.Run(ctx) })
+	for end := time.Now().Add(10 * time.Second); f.Version() < 20 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	is.Equal(f.Version(), int64(20))
+	cancel()
+	is.NoErr(g.Wait())
+}
--- a/node/internal/owner/deps.go
+++ b/node/internal/owner/deps.go
@@ -27,6 +27,8 @@
 	// Confirmed returns when the board was last known to be complete, on the clock
 	// that includes suspensions.
 	Confirmed() time.Duration
+	// Version returns the version of the store up to which the board is complete.
+	Version() int64
 	// Failing reports whether the board can't be followed at present.
 	Failing() bool
 }
--- a/node/internal/owner/format_test.go
+++ b/node/internal/owner/format_test.go
@@ -17,6 +17,7 @@
 
 func (steadyPacer) SetGap(time.Duration)     {}
 func (steadyPacer) Confirmed() time.Duration { return 0 }
+func (steadyPacer) Version() int64           { return 0 }
 func (steadyPacer) Failing() bool            { return false }
 
 // While a cell is rolled from one program to the next, the later one takes it over
--- a/node/internal/owner/load.go
+++ b/node/internal/owner/load.go
@@ -35,15 +35,15 @@
 }
 
 // load takes over what earlier owners recorded and begins to deal with executors.
-// The board and the submissions have to show the term's first write, so that they show
-// all jobs that were accepted before: runs of unknown jobs are stopped.
+// The board and the submissions have to be complete up to the term's first write, so
+// that they show all jobs that were accepted before: runs of unknown jobs are stopped,
+// and jobs that come later haven't begun.
 func (t *term) load(ctx context.Context, version int64, copied *copied) error {
 	o := t.owner
 	var records map[string]*model.Progress
 	var closed board.Closed
 	for {
-		_, seen := o.board.Owner()
-		if seen >= version && copied.rows.Claim() >= version {
+		if o.pacer.Version() >= version && copied.follower.Version() >= version {
 			var err error
 			if records, err = t.readRecords(&closed); err == nil {
 				break
