Tell a cancelled job as cancelled as soon as the owner knows of it

A cancellation is stored before the owner hears of it, so that no successor can undo it. Change: the owner tells it at once. Conclusion: mended; other ends are told once they are recorded, as before.

--- a/node/internal/plan/job.go
+++ b/node/internal/plan/job.go
@@ -42,13 +42,14 @@
 }
 
 // Phase returns the queue of a job and how far it has come, and whether it is
-// known. An end may not be recorded yet: it is told as running.
+// known. An end may not be recorded yet: it is told as running, but for a cancellation,
+// which was stored before it came here.
 func (s *State) Phase(id string) (string, model.Phase, bool) {
 	j := s.jobs[id]
 	if j == nil {
 		return "", model.Queued, false
 	}
-	if j.phase.Final() {
+	if j.phase.Final() && j.phase != model.Cancelled {
 		return j.spec.Queue, model.Running, true
 	}
 	return j.spec.Queue, j.phase, true
