Move Settle from the options to the executors' state

Found on reading the change again: a method of State stood among the options. A pure move; go vet and the tests of plan pass, nothing else was run.

--- a/node/internal/plan/option.go
+++ b/node/internal/plan/option.go
@@ -21,13 +21,6 @@
 // store.
 func WithRelist(until time.Time) Option { return func(s *State) { s.relist = until } }
 
-// Settle brings the time of WithSettle forward.
-func (s *State) Settle(until time.Time) {
-	if until.Before(s.settle) {
-		s.settle = until
-	}
-}
-
 // WithSettle blocks tasks of jobs that were there before, of which no run is
 // known, until each executor has reported or the time has come: they may run on
 // an executor that hasn't.
--- a/node/internal/plan/worker.go
+++ b/node/internal/plan/worker.go
@@ -98,6 +98,13 @@
 // Complete notes that all executors that have an entry are known.
 func (s *State) Complete() { s.complete = true }
 
+// Settle brings the time of WithSettle forward.
+func (s *State) Settle(until time.Time) {
+	if until.Before(s.settle) {
+		s.settle = until
+	}
+}
+
 // Known reports whether all executors of a zone have reported, or had been closed and
 // run what is recorded.
 func (s *State) Known(zone string) bool {
