node: log slow store calls, count switches to forwarding, show the configuration's age

Now each call that takes half a second beyond its wait is logged, as is each forwarded call that fails, with the host and the time it took; the switch to forwarding says whether a direct call was tried before. New metrics: node.store.bypassed, node.config.version and node.config.age. No behaviour changes.

--- a/node/app.go
+++ b/node/app.go
@@ -107,6 +107,7 @@
 		follow.New(a.store, a.clock, platform.ConfigTable, []string{""}, a.configs, follow.WithGap(configGap), follow.WithLogger(logger)),
 		follow.New(a.store, a.clock, board.Table, board.Parts(), a.board, follow.WithGap(owner.FollowGap), follow.WithLogger(logger)),
 	}
+	a.registerConfigMetrics()
 	a.owner = owner.New(owner.Deps{
 		Host: s.Host, Zone: s.Zone, Process: a.process, Bounds: a.liveSettings.Bounds, Store: a.store, StoreClock: direct, Clock: a.clock, Board: a.board, Follower: a.followers[1], Configs: a.configs,
 		Advisers: advice.New(s.Host, a.node, adviser, a.clock, a.board),
@@ -121,6 +122,23 @@
 	return a, nil
 }
 
+// registerConfigMetrics registers the gauges of the configuration in force.
+func (a *app) registerConfigMetrics() {
+	_ = a.registry.Register("node.config.version", metrics.NewFunctionalGauge(func() int64 {
+		if c := a.configs.Config(); c != nil {
+			return c.Version
+		}
+		return 0
+	}))
+	_ = a.registry.Register("node.config.age", metrics.NewFunctionalGauge(func() int64 {
+		synced := a.followers[0].SyncedAt()
+		if synced.IsZero() {
+			return -1
+		}
+		return a.clock.Now().Sub(synced).Milliseconds()
+	}))
+}
+
 // run runs the components until a signal stops the process or one of them fails.
 func (a *app) run(ctx context.Context, signals <-chan os.Signal) error {
 	logCtx, endLog := context.WithCancel(context.WithoutCancel(ctx))
--- a/node/internal/relay/client.go
+++ b/node/internal/relay/client.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/balsamford/balsamford/coord/link"
 	"github.com/balsamford/balsamford/platform"
 )
@@ -26,6 +28,9 @@
 	forwardTimeout = 500 * time.Millisecond
 	// maxForwards is how many other hosts a call is forwarded to before it fails.
 	maxForwards = 2
+	// slowLogThreshold is the duration, beyond the wait of a long poll, from which a call
+	// is logged.
+	slowLogThreshold = 500 * time.Millisecond
 )
 
 // Client calls the store, directly or through another host. It may be used
@@ -68,6 +73,7 @@
 func (c *Client) call(req *request, wait time.Duration) ([]platform.Row, int64, error) {
 	direct := make(chan result, 1)
 	bypass := c.relay.bypassing()
+	defer c.logSlow(req, bypass, wait, c.relay.clock.Now())
 	var failure error
 	if !bypass {
 		c.startDirect(req, wait, direct)
@@ -86,7 +92,7 @@
 	}
 	resp, host := c.forward(req, wait, forwardLimit(failure))
 	if resp.final() {
-		c.relay.noteForwarded(host)
+		c.relay.noteForwarded(host, !bypass)
 		return resp.Rows, resp.Version, resp.error(req)
 	}
 	c.relay.noteUnreachable()
@@ -107,6 +113,16 @@
 	return nil, 0, failure
 }
 
+// logSlow logs a call that began at the given time if it took long.
+func (c *Client) logSlow(req *request, bypass bool, wait time.Duration, began time.Time) {
+	took := c.relay.clock.Now().Sub(began)
+	if took < wait+slowLogThreshold {
+		return
+	}
+	kind, table := req.describe()
+	c.relay.logger.Info("store call took long", zap.String("call", kind), zap.String("table", table), zap.Duration("took", took), zap.Bool("forwarded", bypass))
+}
+
 // startDirect starts a direct call and sends its result to direct.
 func (c *Client) startDirect(req *request, wait time.Duration, direct chan<- result) {
 	c.relay.spawn(func() {
@@ -180,7 +196,13 @@
 func (c *Client) forward(req *request, wait time.Duration, n int) (response, string) {
 	failed := response{Outcome: refused}
 	for _, h := range c.relay.forwardHosts(n) {
+		began := c.relay.clock.Now()
 		resp, err := c.relay.forwardTo(h, req, wait+forwardTimeout)
+		if err != nil || !resp.final() {
+			kind, table := req.describe()
+			c.relay.logger.Info("forwarded call failed", zap.String("call", kind), zap.String("table", table), zap.String("through", h.Name),
+				zap.Duration("took", c.relay.clock.Now().Sub(began)), zap.Error(err))
+		}
 		var dial *link.DialError
 		switch {
 		case err == nil && resp.final():
--- a/node/internal/relay/message.go
+++ b/node/internal/relay/message.go
@@ -15,6 +15,19 @@
 	Watch *watchRequest   `cbor:"3,keyasint,omitempty"`
 }
 
+// describe returns the kind of the call and, except for writes, the table.
+func (r *request) describe() (kind, table string) {
+	switch {
+	case r.Write != nil:
+		return "write", ""
+	case r.Read != nil:
+		return "read", r.Read.Table
+	case r.Watch != nil:
+		return "watch", r.Watch.Table
+	}
+	return "none", ""
+}
+
 type readRequest struct {
 	Table string `cbor:"1,keyasint"`
 	Part  string `cbor:"2,keyasint"`
--- a/node/internal/relay/relay.go
+++ b/node/internal/relay/relay.go
@@ -172,15 +172,17 @@
 	r.nextProbe = r.clock.Now().Add(r.probeInterval)
 }
 
-// noteForwarded notes that host made a call for this one, whose direct access failed.
-func (r *Relay) noteForwarded(host string) {
+// noteForwarded notes that host made a call for this one. Tried tells whether a direct
+// call was tried before.
+func (r *Relay) noteForwarded(host string, tried bool) {
 	r.counts.passed.Inc(1)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.failing {
 		r.failing, r.probeInterval = true, minProbeInterval
 		r.nextProbe = r.clock.Now().Add(r.probeInterval)
-		r.logger.Warn("direct access to the store failed, calls are forwarded", zap.String("through", host))
+		r.logger.Warn("direct access to the store failed, calls are forwarded", zap.String("through", host), zap.Bool("tried", tried))
+		r.counts.bypassed.Inc(1)
 	}
 	r.viaHost = host
 }
