--- a/node/internal/relay/relay_test.go
+++ b/node/internal/relay/relay_test.go
@@ -18,7 +18,11 @@
 	"github.com/balsamford/balsamford/platform"
 )
 
-// fakeStore is a Store whose calls return err, after hang is closed. It counts its calls.
+// hungCallTimeout is how long a call to a store that hangs waits for an answer.
+const hungCallTimeout = 1500 * time.Millisecond
+
+// fakeStore is a Store whose calls return err, after hang is closed or hungCallTimeout is
+// over. It counts its calls.
 type fakeStore struct {
 	mu    sync.Mutex // guards the fields below
 	err   error
@@ -43,10 +47,15 @@
 	s.calls++
 	err, hang := s.err, s.hang
 	s.mu.Unlock()
-	if hang != nil {
-		<-hang
+	if hang == nil {
+		return err
+	}
+	select {
+	case <-hang:
+		return err
+	case <-time.After(hungCallTimeout):
+		return &platform.LostError{}
 	}
-	return err
 }
 
 func (s *fakeStore) Write(*platform.Write) (int64, error) { return 7, s.call() }
@@ -67,6 +76,15 @@
 // startPair starts two hosts. It returns the first one's client, the store that this
 // client calls directly, and the store of the other host.
 func startPair(t *testing.T) (*Client, *fakeStore, *fakeStore) {
+	t.Helper()
+	c, direct, others := startHosts(t, 1)
+	return c, direct, others[0]
+}
+
+// startHosts starts a host and n others in its availability zone. It returns the first
+// one's client, the store that this client calls directly, and the stores of the others in
+// the order in which the first host finds them.
+func startHosts(t *testing.T, n int) (*Client, *fakeStore, []*fakeStore) {
 	t.Helper()
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -77,23 +95,25 @@
 	})
 	clock := timer.New()
 	g.Go(func() error { return clock.Run(ctx) })
-	direct, other := &fakeStore{}, &fakeStore{}
 	hosts := &hostList{}
-	var relays []*Relay
-	for name, s := range map[string]*fakeStore{"a": direct, "b": other} {
+	start := func(name string) (*Relay, *fakeStore) {
 		private, err := link.NewPrivate()
 		is.NoErr(err)
-		node := link.New(name, private)
+		node, s := link.New(name, private), &fakeStore{}
 		r := New(name, "z", node, clock, hosts, s, zap.NewNop(), metrics.NewRegistry())
 		is.NoErr(node.Listen("127.0.0.1:0"))
 		g.Go(func() error { return node.Run(ctx) })
 		g.Go(func() error { return r.Run(ctx) })
 		*hosts = append(*hosts, board.Host{Name: name, Zone: "z", Link: node.Address()})
-		if name == "a" {
-			relays = append(relays, r)
-		}
+		return r, s
 	}
-	return relays[0].Client(direct), direct, other
+	var others []*fakeStore
+	for i := range n {
+		_, s := start(string(rune('b' + i)))
+		others = append(others, s)
+	}
+	r, direct := start("a")
+	return r.Client(direct), direct, others
 }
 
 // failures returns the errors of a store that a host can't use directly.
@@ -209,3 +229,77 @@
 	is.Equal(direct.count(), 20)
 	is.True(other.count() < 10)
 }
+
+// applyTime is the time within which a confirmed configuration has to be in force.
+const applyTime = 2 * time.Second
+
+// pollWait is how long followers let the store hold a long poll.
+const pollWait = time.Second
+
+// hangStores makes the calls of stores hang until the test ends, as those of hosts that
+// are cut off do.
+func hangStores(t *testing.T, stores ...*fakeStore) {
+	t.Helper()
+	hang := make(chan struct{})
+	t.Cleanup(func() { close(hang) })
+	for _, s := range stores {
+		s.set(nil, hang)
+	}
+}
+
+// A host whose direct access works again gets a change in time, although the hosts that
+// its long poll was forwarded to no longer answer.
+func TestChangeIsLateBehindHungHosts(t *testing.T) {
+	is := is.New(t)
+	c, direct, others := startHosts(t, 2)
+	direct.set(&platform.RefusedError{Status: 503}, nil)
+	_, _, err := c.Read("t", "", "", "")
+	is.NoErr(err)
+	is.True(c.relay.bypassing())
+	time.Sleep(minProbeInterval)
+	hangStores(t, others...)
+	direct.set(nil, nil)
+	began := time.Now()
+	rows, _, err := c.Watch("t", 1, pollWait)
+	is.NoErr(err)
+	is.Equal(len(rows), 1)
+	is.True(time.Since(began) < applyTime)
+}
+
+// A host without direct access gets a change in time through the one host that answers.
+func TestChangeIsLateWithOneHostLeft(t *testing.T) {
+	is := is.New(t)
+	c, direct, others := startHosts(t, 4)
+	hangStores(t, append(others[:3:3], direct)...)
+	began := time.Now()
+	var rows []platform.Row
+	for len(rows) == 0 && time.Since(began) < applyTime {
+		rows, _, _ = c.Watch("t", 1, 0) // It fails until it gets to the right host.
+	}
+	is.Equal(len(rows), 1)
+	is.True(time.Since(began) < applyTime)
+}
+
+// A forwarded call that ends after direct access was restored is no evidence that it fails
+// again.
+func TestRestoredAccessIsTakenForFailed(t *testing.T) {
+	is := is.New(t)
+	c, direct, other := startPair(t)
+	direct.set(&platform.RefusedError{Status: 503}, nil)
+	_, _, err := c.Read("t", "", "", "")
+	is.NoErr(err)
+	time.Sleep(minProbeInterval - 100*time.Millisecond)
+	hang := make(chan struct{})
+	other.set(nil, hang)
+	direct.set(nil, nil)
+	var g errgroup.Group
+	g.Go(func() error {
+		_, err := c.Write(&platform.Write{})
+		return err
+	})
+	for end := time.Now().Add(10 * time.Second); c.relay.bypassing() && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	close(hang)
+	is.NoErr(g.Wait())
+	is.True(!c.relay.bypassing())
+}
