node/relay: judge direct access by the newest evidence only

Cause: each forwarded call that succeeded marked direct access as failed, even if no direct call had been tried and one had been answered meanwhile. With three followers of tables, one of them always had a forwarded long poll under way, so a restored host switched back within milliseconds, for up to 8.5 s. Fix: a switch needs a direct call that failed, or is overdue, after the last direct answer. A call that was only forwarded says nothing about direct access.

--- a/node/internal/relay/client.go
+++ b/node/internal/relay/client.go
@@ -73,8 +73,10 @@
 func (c *Client) call(req *request, wait time.Duration) ([]platform.Row, int64, error) {
 	direct := make(chan result, 1)
 	bypass := c.relay.bypassing()
-	defer c.logSlow(req, bypass, wait, c.relay.clock.Now())
+	began := c.relay.clock.Now()
+	defer c.logSlow(req, bypass, wait, began)
 	var failure error
+	var failedAt time.Time // when the direct call failed or became overdue, zero if there was none
 	if !bypass {
 		c.startDirect(req, wait, direct)
 		r, ok := c.awaitDirect(direct, wait+c.hedgeDelay(wait))
@@ -86,13 +88,14 @@
 		if ok && r.final() {
 			return r.Rows, r.Version, r.err
 		}
+		failedAt = began.Add(wait)
 		if ok {
-			failure = r.err
+			failure, failedAt = r.err, c.relay.clock.Now()
 		}
 	}
 	resp, host := c.forward(req, wait, forwardLimit(failure))
 	if resp.final() {
-		c.relay.noteForwarded(host, !bypass)
+		c.relay.noteForwarded(host, failedAt)
 		return resp.Rows, resp.Version, resp.error(req)
 	}
 	c.relay.noteUnreachable()
--- a/node/internal/relay/relay.go
+++ b/node/internal/relay/relay.go
@@ -50,6 +50,7 @@
 	mu             sync.Mutex    // guards the fields below
 	closed         bool          // no more goroutines may be started
 	failing        bool          // direct access failed while another host reached the store
+	answeredAt     time.Time     // when the store last decided a direct call
 	nextProbe      time.Time     // when direct access is probed again
 	probeInterval  time.Duration // between two probes
 	probing        bool          // a probe is under way
@@ -161,7 +162,7 @@
 		if r.failing {
 			r.logger.Info("direct access to the store restored", zap.String("through", r.viaHost))
 		}
-		r.failing, r.probeInterval, r.viaHost = false, 0, ""
+		r.failing, r.probeInterval, r.viaHost, r.answeredAt = false, 0, "", r.clock.Now()
 		return
 	}
 	if r.failing {
@@ -172,16 +173,20 @@
 	r.nextProbe = r.clock.Now().Add(r.probeInterval)
 }
 
-// noteForwarded notes that host made a call for this one. Tried tells whether a direct
-// call was tried before.
-func (r *Relay) noteForwarded(host string, tried bool) {
+// noteForwarded notes that host made a call for this one. FailedAt is when a direct call
+// failed before, or should have been answered; it is zero if there was none. Direct access
+// counts as failing only if no direct call was answered later.
+func (r *Relay) noteForwarded(host string, failedAt time.Time) {
 	r.counts.passed.Inc(1)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.failing {
+		if !failedAt.After(r.answeredAt) {
+			return
+		}
 		r.failing, r.probeInterval = true, minProbeInterval
 		r.nextProbe = r.clock.Now().Add(r.probeInterval)
-		r.logger.Warn("direct access to the store failed, calls are forwarded", zap.String("through", host), zap.Bool("tried", tried))
+		r.logger.Warn("direct access to the store failed, calls are forwarded", zap.String("through", host))
 		r.counts.bypassed.Inc(1)
 	}
 	r.viaHost = host
