node/relay: bound the time in which a change gets to a host, not each call

Cause: a long poll of a host without direct access was forwarded as a long poll, to two hosts one after the other, each for its wait and half a second. If both were cut off, the host asked the store directly 3 s later, although direct access had been restored at the start. The bounds of the single calls added up to more than the target. Fix: while direct access fails, a long poll is a series of polls that are answered at once, every 250 ms, and ends when direct access works again. Reads and polls go to the next host when one is overdue by the hedge delay, while the one before may still answer, and to four hosts at most. A direct long poll is hedged as soon as another call has shown that direct access fails. Writes are forwarded as before.

--- a/node/internal/relay/client.go
+++ b/node/internal/relay/client.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/balsamford/balsamford/coord/link"
 	"github.com/balsamford/balsamford/platform"
 )
 
@@ -23,11 +22,17 @@
 	slowThreshold = 80 * time.Millisecond
 	// averagedCalls is the number of calls over which a falling latency is averaged.
 	averagedCalls = 8
-	// forwardTimeout bounds a forwarded call, in addition to the time that the store
-	// may hold a long poll.
+	// forwardTimeout bounds a forwarded call.
 	forwardTimeout = 500 * time.Millisecond
-	// maxForwards is how many other hosts a call is forwarded to before it fails.
+	// maxForwards is how many other hosts a write is forwarded to before it fails, one
+	// after another.
 	maxForwards = 2
+	// maxReadForwards is the same for reads and polls, which don't wait for a host that
+	// doesn't answer before they try the next one.
+	maxReadForwards = 4
+	// forwardedPollInterval is the time between two polls that stand for a forwarded long
+	// poll.
+	forwardedPollInterval = 250 * time.Millisecond
 	// slowLogThreshold is the duration, beyond the wait of a long poll, from which a call
 	// is logged.
 	slowLogThreshold = 500 * time.Millisecond
@@ -69,9 +74,11 @@
 
 // call makes a call that the store may hold for up to wait. It calls the store directly
 // and, if that fails or takes too long, through other hosts; in the reverse order while
-// the relay bypasses direct access.
+// the relay bypasses direct access. A long poll may return without changes before wait is
+// over, when direct access fails or works again.
 func (c *Client) call(req *request, wait time.Duration) ([]platform.Row, int64, error) {
 	direct := make(chan result, 1)
+	changed := c.relay.accessChange()
 	bypass := c.relay.bypassing()
 	began := c.relay.clock.Now()
 	defer c.logSlow(req, bypass, wait, began)
@@ -79,7 +86,10 @@
 	var failedAt time.Time // when the direct call failed or became overdue, zero if there was none
 	if !bypass {
 		c.startDirect(req, wait, direct)
-		r, ok := c.awaitDirect(direct, wait+c.hedgeDelay(wait))
+		if wait == 0 {
+			changed = nil // The call is hedged soon enough.
+		}
+		r, ok := c.awaitDirect(direct, wait+c.hedgeDelay(wait), changed)
 		if !ok && req.Write != nil && c.relay.storeAnswers() {
 			// The store is slow. It runs the writes of a partition one at a time, so a
 			// hedged write would only add to the queue.
@@ -88,12 +98,14 @@
 		if ok && r.final() {
 			return r.Rows, r.Version, r.err
 		}
-		failedAt = began.Add(wait)
+		if due := began.Add(wait); c.relay.clock.Now().After(due) {
+			failedAt = due
+		}
 		if ok {
 			failure, failedAt = r.err, c.relay.clock.Now()
 		}
 	}
-	resp, host := c.forward(req, wait, forwardLimit(failure))
+	resp, host := c.forward(req, wait, bypass, failure)
 	if resp.final() {
 		c.relay.noteForwarded(host, failedAt)
 		return resp.Rows, resp.Version, resp.error(req)
@@ -140,18 +152,25 @@
 	})
 }
 
-// awaitDirect waits up to d for the result of a direct call. It returns false if there is
-// none by then.
-func (c *Client) awaitDirect(direct <-chan result, d time.Duration) (result, bool) {
-	timeout := make(chan struct{})
-	t := c.relay.clock.After(d, func() { close(timeout) })
-	defer t.Stop()
+// awaitDirect waits up to d, or until interrupt is closed, for the result of a direct call.
+// It returns false if there is none by then.
+func (c *Client) awaitDirect(direct <-chan result, d time.Duration, interrupt <-chan struct{}) (result, bool) {
+	overdue, stop := c.after(d)
+	defer stop()
 	select {
 	case r := <-direct:
 		return r, true
-	case <-timeout:
-		return result{}, false
+	case <-interrupt:
+	case <-overdue:
 	}
+	return result{}, false
+}
+
+// after returns a channel that is closed after d, unless stop is called before.
+func (c *Client) after(d time.Duration) (elapsed <-chan struct{}, stop func()) {
+	ch := make(chan struct{})
+	t := c.relay.clock.After(d, func() { close(ch) })
+	return ch, func() { t.Stop() }
 }
 
 // hedgeDelay returns how long after sending a direct call, beyond the wait of a long
@@ -181,38 +200,3 @@
 	defer c.mu.Unlock()
 	c.typicalLatency = max(d, c.typicalLatency+(d-c.typicalLatency)/averagedCalls)
 }
-
-// forwardLimit returns how many other hosts a call is forwarded to after the direct call
-// ended with failure, nil if it hasn't ended. If the store is overloaded, the call is
-// repeated only once.
-func forwardLimit(failure error) int {
-	var refused *platform.RefusedError
-	if errors.As(failure, &refused) && refused.Overload() {
-		return 1
-	}
-	return maxForwards
-}
-
-// forward makes the call through up to n other hosts, one after another, until one of them
-// has a final response. It returns that and the host's name. If none has one, the response
-// is refused if the store certainly did nothing, otherwise unknown.
-func (c *Client) forward(req *request, wait time.Duration, n int) (response, string) {
-	failed := response{Outcome: refused}
-	for _, h := range c.relay.forwardHosts(n) {
-		began := c.relay.clock.Now()
-		resp, err := c.relay.forwardTo(h, req, wait+forwardTimeout)
-		if err != nil || !resp.final() {
-			kind, table := req.describe()
-			c.relay.logger.Info("forwarded call failed", zap.String("call", kind), zap.String("table", table), zap.String("through", h.Name),
-				zap.Duration("took", c.relay.clock.Now().Sub(began)), zap.Error(err))
-		}
-		var dial *link.DialError
-		switch {
-		case err == nil && resp.final():
-			return resp, h.Name
-		case err == nil && resp.Outcome == unknown, err != nil && !errors.As(err, &dial):
-			failed.Outcome = unknown
-		}
-	}
-	return failed, ""
-}
--- a/node/internal/relay/relay.go
+++ b/node/internal/relay/relay.go
@@ -50,6 +50,7 @@
 	mu             sync.Mutex    // guards the fields below
 	closed         bool          // no more goroutines may be started
 	failing        bool          // direct access failed while another host reached the store
+	changed        chan struct{} // closed when failing changes
 	answeredAt     time.Time     // when the store last decided a direct call
 	nextProbe      time.Time     // when direct access is probed again
 	probeInterval  time.Duration // between two probes
@@ -62,7 +63,7 @@
 // hosts by node; direct is this host's own access to the store. New has to be called
 // before the node listens.
 func New(host, zone string, node *link.Node, clock *timer.Service, hosts Hosts, direct Store, logger *zap.Logger, registry metrics.Registry) *Relay {
-	r := &Relay{host: host, zone: zone, node: node, clock: clock, hosts: hosts, direct: direct, logger: logger, counts: newCounts(registry)}
+	r := &Relay{host: host, zone: zone, node: node, clock: clock, hosts: hosts, direct: direct, logger: logger, counts: newCounts(registry), changed: make(chan struct{})}
 	node.Handle(verb, link.HandlerFunc(r.serve))
 	return r
 }
@@ -121,6 +122,25 @@
 	return failing
 }
 
+// setFailing sets whether direct access fails and wakes those who wait for a change of it.
+// The relay's mu is held.
+func (r *Relay) setFailing(failing bool) {
+	if r.failing == failing {
+		return
+	}
+	r.failing = failing
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// accessChange returns a channel that is closed when direct access next fails or works
+// again.
+func (r *Relay) accessChange() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
 // readProbe reads one small row directly.
 func (r *Relay) readProbe() response {
 	return responseOf(r.direct.Read(board.Table, board.Main, board.OwnerKey, board.OwnerKey+"\x00"))
@@ -162,7 +182,8 @@
 		if r.failing {
 			r.logger.Info("direct access to the store restored", zap.String("through", r.viaHost))
 		}
-		r.failing, r.probeInterval, r.viaHost, r.answeredAt = false, 0, "", r.clock.Now()
+		r.setFailing(false)
+		r.probeInterval, r.viaHost, r.answeredAt = 0, "", r.clock.Now()
 		return
 	}
 	if r.failing {
@@ -184,7 +205,8 @@
 		if !failedAt.After(r.answeredAt) {
 			return
 		}
-		r.failing, r.probeInterval = true, minProbeInterval
+		r.setFailing(true)
+		r.probeInterval = minProbeInterval
 		r.nextProbe = r.clock.Now().Add(r.probeInterval)
 		r.logger.Warn("direct access to the store failed, calls are forwarded", zap.String("through", host))
 		r.counts.bypassed.Inc(1)
@@ -200,7 +222,8 @@
 	if r.failing {
 		r.logger.Warn("store unreachable through other hosts", zap.String("last", r.viaHost))
 	}
-	r.failing, r.viaHost, r.noForwardUntil = false, "", r.clock.Now().Add(forwardPause)
+	r.setFailing(false)
+	r.viaHost, r.noForwardUntil = "", r.clock.Now().Add(forwardPause)
 }
 
 // forwardHosts returns up to n hosts to forward a call to: first the one that served the
