node/relay: forward to hosts that failed last, and spread the tries over zones

Cause: the order in which hosts are tried to forward a call to didn't depend on whether they had answered. A host without direct access that found hosts first which no longer answer tried the same ones with each call and reported the store as away, though others reached it. Hosts of its own zone came first, and a zone is often lost as a whole. Evidence: TestHungHostsAreTriedFirstAgain, six hung hosts of seven, failed before: no answer in three calls, 4.5 s. Fix: hosts through which the last call failed come last, in the order of their failures; the others by turns from each zone. So a host that is lost costs each caller one try.

--- a/node/internal/relay/forward.go
+++ b/node/internal/relay/forward.go
@@ -122,6 +122,7 @@
 func (c *Client) forwardTo(h board.Host, req *request) response {
 	began := c.relay.clock.Now()
 	resp, err := c.relay.forwardTo(h, req, forwardTimeout)
+	c.relay.noteHost(h.Name, err == nil && resp.final())
 	if err == nil && resp.final() {
 		return resp
 	}
--- a/node/internal/relay/relay.go
+++ b/node/internal/relay/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -47,23 +46,24 @@
 	counts *counts
 	group  errgroup.Group
 
-	mu             sync.Mutex    // guards the fields below
-	closed         bool          // no more goroutines may be started
-	failing        bool          // direct access failed while another host reached the store
-	changed        chan struct{} // closed when failing changes
-	answeredAt     time.Time     // when the store last decided a direct call
-	nextProbe      time.Time     // when direct access is probed again
-	probeInterval  time.Duration // between two probes
-	probing        bool          // a probe is under way
-	viaHost        string        // host that last made a call for this one, empty for none
-	noForwardUntil time.Time     // no calls are forwarded before that
+	mu             sync.Mutex           // guards the fields below
+	closed         bool                 // no more goroutines may be started
+	failing        bool                 // direct access failed while another host reached the store
+	changed        chan struct{}        // closed when failing changes
+	answeredAt     time.Time            // when the store last decided a direct call
+	nextProbe      time.Time            // when direct access is probed again
+	probeInterval  time.Duration        // between two probes
+	probing        bool                 // a probe is under way
+	viaHost        string               // host that last made a call for this one, empty for none
+	noForwardUntil time.Time            // no calls are forwarded before that
+	failedHosts    map[string]time.Time // when the last call through a host failed, unless a later one didn't
 }
 
 // New returns a Relay of host in zone. It forwards its calls and serves those of other
 // hosts by node; direct is this host's own access to the store. New has to be called
 // before the node listens.
 func New(host, zone string, node *link.Node, clock *timer.Service, hosts Hosts, direct Store, logger *zap.Logger, registry metrics.Registry) *Relay {
-	r := &Relay{host: host, zone: zone, node: node, clock: clock, hosts: hosts, direct: direct, logger: logger, counts: newCounts(registry), changed: make(chan struct{})}
+	r := &Relay{host: host, zone: zone, node: node, clock: clock, hosts: hosts, direct: direct, logger: logger, counts: newCounts(registry), changed: make(chan struct{}), failedHosts: make(map[string]time.Time)}
 	node.Handle(verb, link.HandlerFunc(r.serve))
 	return r
 }
@@ -226,30 +226,6 @@
 	r.viaHost, r.noForwardUntil = "", r.clock.Now().Add(forwardPause)
 }
 
-// forwardHosts returns up to n hosts to forward a call to: first the one that served the
-// last call, then those in this host's zone, then others. Within these groups the order is
-// arbitrary. It returns none during a forwardPause.
-func (r *Relay) forwardHosts(n int) []board.Host {
-	r.mu.Lock()
-	last, noForwardUntil := r.viaHost, r.noForwardUntil
-	r.mu.Unlock()
-	if r.clock.Now().Before(noForwardUntil) {
-		return nil
-	}
-	hosts := slices.DeleteFunc(r.hosts.Hosts(), func(h board.Host) bool { return h.Name == r.host })
-	rank := func(h board.Host) int {
-		switch {
-		case h.Name == last:
-			return 0
-		case h.Zone == r.zone:
-			return 1
-		}
-		return 2
-	}
-	slices.SortStableFunc(hosts, func(a, b board.Host) int { return rank(a) - rank(b) })
-	return hosts[:min(n, len(hosts))]
-}
-
 // forwardTo has one host make a call. After a *link.DialError the request was not sent;
 // after any other error it may have been carried out.
 func (r *Relay) forwardTo(h board.Host, req *request, timeout time.Duration) (response, error) {
--- a/node/internal/relay/relay_test.go
+++ b/node/internal/relay/relay_test.go
@@ -280,6 +280,24 @@
 	is.True(time.Since(began) < applyTime)
 }
 
+// A host without direct access that finds hung hosts first gets to the one that answers.
+func TestHungHostsAreTriedFirstAgain(t *testing.T) {
+	is := is.New(t)
+	c, direct, others := startHosts(t, 7)
+	hangStores(t, append(others[:6:6], direct)...)
+	var rows []platform.Row
+	var err error
+	for range 3 { // Each call fails or excludes some hosts.
+		rows, _, err = c.Watch("t", 1, 0)
+	}
+	is.NoErr(err)
+	is.Equal(len(rows), 1)
+	c.relay.mu.Lock()
+	via := c.relay.viaHost
+	c.relay.mu.Unlock()
+	is.Equal(c.relay.forwardHosts(1)[0].Name, via)
+}
+
 // A forwarded call that ends after direct access was restored is no evidence that it fails
 // again.
 func TestRestoredAccessIsTakenForFailed(t *testing.T) {
