node/relay: hedge a direct long poll 0.3 s after its wait instead of 0.6 s

Cause: a host that loses direct access just after a poll of the configuration sends the next one 0.2 s later, into the void, and hedges it 1.6 s after that. If it finds hung hosts first, each costs 0.15 s, so that a change made just after the poll before comes up to 2.25 s late. The bound is 2 s. The sum is then 0.2 + 1 + 0.3 + 0.45 s. A store that is fifty times slower than usual still answers before, and the typical latency raises the delay when it is slower.

--- a/node/internal/relay/client.go
+++ b/node/internal/relay/client.go
@@ -16,8 +16,10 @@
 	hedgeFactor   = 4
 	minHedgeDelay = 150 * time.Millisecond
 	// minWatchHedgeDelay replaces minHedgeDelay for long polls, which don't count
-	// towards the typical latency.
-	minWatchHedgeDelay = 600 * time.Millisecond
+	// towards the typical latency. With the follower's gap, the wait of the poll and the
+	// tries of other hosts, it has to add up to less than the time in which a
+	// configuration has to be in force.
+	minWatchHedgeDelay = 300 * time.Millisecond
 	// slowThreshold is the typical latency above which the store counts as slow.
 	slowThreshold = 80 * time.Millisecond
 	// averagedCalls is the number of calls over which a falling latency is averaged.
--- a/node/internal/relay/relay_test.go
+++ b/node/internal/relay/relay_test.go
@@ -280,6 +280,22 @@
 	is.True(time.Since(began) < applyTime)
 }
 
+// followGap is the time that a follower of the configuration lets pass between two polls.
+const followGap = 200 * time.Millisecond
+
+// A host that loses direct access while a long poll is under way, and finds three hung
+// hosts first, gets a change in time that was made just after its poll before.
+func TestChangeIsLateWhenDirectAccessIsLost(t *testing.T) {
+	is := is.New(t)
+	c, direct, others := startHosts(t, 4)
+	hangStores(t, append(others[:3:3], direct)...)
+	began := time.Now()
+	rows, _, err := c.Watch("t", 1, pollWait)
+	is.NoErr(err)
+	is.Equal(len(rows), 1)
+	is.True(time.Since(began) < applyTime-followGap)
+}
+
 // A host without direct access that finds hung hosts first gets to the one that answers.
 func TestHungHostsAreTriedFirstAgain(t *testing.T) {
 	is := is.New(t)
