--- a/node/node_test.go
+++ b/node/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -121,3 +122,41 @@
 	is.NoErr(stopped.command.Wait())
 	is.Equal(len(r.judge.Violations()), 0)
 }
+
+// Entries of other writers in the table of executors neither end a process nor keep it from
+// using the executors.
+func TestOddExecutorEntriesStopWork(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 2)
+	r.await("an owner", startTime, func() bool { return r.owner() != nil })
+	const entry = `{"service":"` + fake.Service + `","addr":"%s","zone":"z","state":"ready","capacity":{"cpu":%s,"mem_mb":1000},"labels":%s,"born":%s}`
+	odd := map[string]string{
+		"nested":   fmt.Sprintf(entry, "127.0.0.1:9", "1", strings.Repeat("[", 20000)+strings.Repeat("]", 20000), "1"),
+		"overflow": fmt.Sprintf(entry, "127.0.0.1:9", "1e30", "[]", "1"),
+		"huge":     fmt.Sprintf(entry, "127.0.0.1:99999", "9223372036854775807", "[]", "9223372036854775807"),
+		"port":     fmt.Sprintf(entry, "127.0.0.1:99999", "32000", `["a","r1"]`, "1"),
+		"bytes":    "\x00\xff",
+	}
+	submit := func(n int) {
+		r.await("a submission to be accepted", doneTime, func() bool {
+			code, _ := r.call(r.hosts[0], http.MethodPost, fake.Queue+id(n), fake.Key, twoSteps)
+			return code == http.StatusOK
+		})
+	}
+	n := 0
+	for name, value := range odd {
+		r.store.Put("servers", name, []byte(value))
+		submit(n)
+		n++
+	}
+	is.NoErr(r.owner().command.Process.Kill()) // Its successor reads the whole table.
+	r.await("a new owner", doneTime, func() bool { return r.owner() != nil && r.isReady(r.owner()) })
+	h := r.owner()
+	for i := range n {
+		r.await("a job to be done", doneTime, func() bool {
+			_, body := r.call(h, http.MethodGet, fake.Queue+id(i), fake.Key, "")
+			return body == `{"state":"done"}`
+		})
+	}
+	is.Equal(len(r.judge.Violations()), 0)
+}
