node/relay: end a forwarded long poll when the host stops

Evidence: TestStopHangsInForwardedPoll fails without the new case: the poll hasn't ended 2 s later. Fix: the pause also ends with the relay.

--- a/node/internal/relay/forward.go
+++ b/node/internal/relay/forward.go
@@ -61,6 +61,8 @@
 		case <-changed:
 			stop()
 			return resp, host
+		case <-c.relay.done: // The clock may have stopped, too.
+			return resp, host
 		case <-elapsed:
 		}
 	}
--- a/node/internal/relay/relay.go
+++ b/node/internal/relay/relay.go
@@ -45,6 +45,7 @@
 	logger *zap.Logger
 	counts *counts
 	group  errgroup.Group
+	done   chan struct{} // closed when Run's context ends
 
 	mu             sync.Mutex           // guards the fields below
 	closed         bool                 // no more goroutines may be started
@@ -63,7 +64,7 @@
 // hosts by node; direct is this host's own access to the store. New has to be called
 // before the node listens.
 func New(host, zone string, node *link.Node, clock *timer.Service, hosts Hosts, direct Store, logger *zap.Logger, registry metrics.Registry) *Relay {
-	r := &Relay{host: host, zone: zone, node: node, clock: clock, hosts: hosts, direct: direct, logger: logger, counts: newCounts(registry), changed: make(chan struct{}), failedHosts: make(map[string]time.Time)}
+	r := &Relay{host: host, zone: zone, node: node, clock: clock, hosts: hosts, direct: direct, logger: logger, counts: newCounts(registry), done: make(chan struct{}), changed: make(chan struct{}), failedHosts: make(map[string]time.Time)}
 	node.Handle(verb, link.HandlerFunc(r.serve))
 	return r
 }
@@ -75,6 +76,7 @@
 	r.mu.Lock()
 	r.closed = true
 	r.mu.Unlock()
+	close(r.done)
 	return r.group.Wait()
 }
 
--- a/node/internal/relay/relay_test.go
+++ b/node/internal/relay/relay_test.go
@@ -27,6 +27,7 @@
 	mu    sync.Mutex // guards the fields below
 	err   error
 	hang  chan struct{} // calls block until it is closed, unless nil
+	quiet bool          // Watch returns no rows
 	calls int
 }
 
@@ -65,6 +66,12 @@
 }
 
 func (s *fakeStore) Watch(string, int64, time.Duration) ([]platform.Row, int64, error) {
+	s.mu.Lock()
+	quiet := s.quiet
+	s.mu.Unlock()
+	if quiet {
+		return nil, 8, s.call()
+	}
 	return []platform.Row{{Key: "k"}}, 8, s.call()
 }
 
@@ -85,9 +92,15 @@
 // one's client, the store that this client calls directly, and the stores of the others in
 // the order in which the first host finds them.
 func startHosts(t *testing.T, n int) (*Client, *fakeStore, []*fakeStore) {
+	t.Helper()
+	return startHostsUntil(context.Background(), t, n)
+}
+
+// startHostsUntil starts hosts as startHosts does. They stop when ctx ends.
+func startHostsUntil(ctx context.Context, t *testing.T, n int) (*Client, *fakeStore, []*fakeStore) {
 	t.Helper()
 	is := is.New(t)
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(ctx)
 	var g errgroup.Group
 	t.Cleanup(func() {
 		cancel()
@@ -337,3 +350,31 @@
 	is.NoErr(g.Wait())
 	is.True(!c.relay.bypassing())
 }
+
+// A forwarded long poll ends when the host stops, although its clock stops as well.
+func TestStopHangsInForwardedPoll(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	c, direct, others := startHostsUntil(ctx, t, 1)
+	direct.set(&platform.RefusedError{Status: 503}, nil)
+	others[0].quiet = true
+	_, _, err := c.Read("t", "", "", "")
+	is.NoErr(err)
+	polled, ended := others[0].count(), make(chan struct{})
+	var g errgroup.Group
+	g.Go(func() error {
+		defer close(ended)
+		_, _, err := c.Watch("t", 8, pollWait)
+		return err
+	})
+	for others[0].count() == polled {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(forwardedPollInterval / 5) // The poll is answered, and the next one waits.
+	cancel()
+	select {
+	case <-ended:
+	case <-time.After(2 * pollWait):
+		t.Fatal("the poll hasn't ended")
+	}
+}
