soak: check the configuration of calm hosts while others have faults

Now a host that has been calm for 3 s, as has the store, must not accept or refuse by a configuration that was replaced 2 s before, whatever the other hosts suffer.

SIGHUP came before the process had begun to run, where the default action ends it; the soak already spared it SIGTERM in that time. It now waits for both.

--- a/trial/internal/soak/harness.go
+++ b/trial/internal/soak/harness.go
@@ -21,8 +21,11 @@
 	executors []*executor
 	servers   []*httptest.Server // of the fakes
 
-	mu      sync.Mutex // guards version
-	version int        // of the newest configuration
+	storeCalm calm // faults of the store
+
+	mu        sync.Mutex  // guards the fields below
+	version   int         // of the newest configuration
+	published []time.Time // when each version was stored, from version 1 on
 }
 
 // executor is a fake executor and the proxy in front of it.
@@ -95,6 +98,7 @@
 	defer hs.mu.Unlock()
 	hs.version++
 	hs.store.Put("op", "config", fake.ConfigOf(hs.version, fake.Key, configKey(hs.version)))
+	hs.published = append(hs.published, time.Now())
 	return hs.version
 }
 
@@ -105,6 +109,18 @@
 	return hs.version
 }
 
+// requiredConfig returns the newest version of the configuration that was stored
+// configApplyTime or longer before t, 0 for none.
+func (hs *harness) requiredConfig(t time.Time) int {
+	hs.mu.Lock()
+	defer hs.mu.Unlock()
+	v := 0
+	for v < len(hs.published) && t.Sub(hs.published[v]) >= configApplyTime {
+		v++
+	}
+	return v
+}
+
 // endFaults ends all faults of the fakes and the proxies.
 func (hs *harness) endFaults() {
 	hs.store.SetDown(false)
--- a/trial/internal/soak/host.go
+++ b/trial/internal/soak/host.go
@@ -20,7 +20,7 @@
 	// gracePeriod is the maximum time from SIGTERM to the exit of a process.
 	gracePeriod = 6 * time.Second
 	// startupTime is the maximum time from the start of a process until it handles
-	// signals. An earlier SIGTERM would kill it at once.
+	// signals. An earlier SIGTERM or SIGHUP would kill it at once.
 	startupTime = 500 * time.Millisecond
 )
 
@@ -36,6 +36,7 @@
 	binary        string // path
 	adviser       string // address
 	storeProxy    *Proxy
+	calm          calm // faults of the process and of its connections to the store
 
 	mu            sync.Mutex // guards the fields below; held during a start, stop or pause
 	cmd           *exec.Cmd
@@ -105,16 +106,23 @@
 func (h *host) kill(pause time.Duration) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	_ = h.cmd.Process.Kill() // It may have exited already.
-	_ = h.cmd.Wait()
-	time.Sleep(pause)
-	return h.start()
+	var err error
+	h.calm.disturb(func() {
+		_ = h.cmd.Process.Kill() // It may have exited already.
+		_ = h.cmd.Wait()
+		time.Sleep(pause)
+		err = h.start()
+	})
+	return err
 }
 
+// awaitStartup waits until the process handles signals. The caller holds mu.
+func (h *host) awaitStartup() { time.Sleep(time.Until(h.startedAt.Add(startupTime))) }
+
 // terminate stops the process with SIGTERM and waits for its exit. It returns why the
 // shutdown wasn't graceful, or an empty string. The caller holds mu.
 func (h *host) terminate() string {
-	time.Sleep(time.Until(h.startedAt.Add(startupTime)))
+	h.awaitStartup()
 	if err := h.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		return "SIGTERM: " + err.Error()
 	}
@@ -134,20 +142,27 @@
 func (h *host) restart() (fault string, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	fault = h.terminate()
-	return fault, h.start()
+	h.calm.disturb(func() {
+		fault = h.terminate()
+		err = h.start()
+	})
+	return fault, err
 }
 
 // pause suspends the process for d.
 func (h *host) pause(d time.Duration) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if err := h.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
-		return err
-	}
-	time.Sleep(d)
-	h.startedAt = h.startedAt.Add(d) // The process may have been paused during its startup.
-	return h.cmd.Process.Signal(syscall.SIGCONT)
+	var err error
+	h.calm.disturb(func() {
+		if err = h.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+			return
+		}
+		time.Sleep(d)
+		h.startedAt = h.startedAt.Add(d) // The process may have been paused during its startup.
+		err = h.cmd.Process.Signal(syscall.SIGCONT)
+	})
+	return err
 }
 
 // reload changes the settings file. If signal is set, it also sends SIGHUP to the
@@ -159,6 +174,7 @@
 	if err := h.writeSettings(); err != nil || !signal {
 		return err
 	}
+	h.awaitStartup()
 	return h.cmd.Process.Signal(syscall.SIGHUP)
 }
 
--- a/trial/internal/soak/injector.go
+++ b/trial/internal/soak/injector.go
@@ -128,9 +128,11 @@
 	h, mode, d := in.randomHost(), in.randomMode(), in.randomDuration(300, 5000)
 	return func() {
 		in.harness.history.recordFault("store connections of %s: %v for %v", h.name, mode, d)
-		h.storeProxy.SetMode(mode)
-		time.Sleep(d)
-		h.storeProxy.SetMode(Pass)
+		h.calm.disturb(func() {
+			h.storeProxy.SetMode(mode)
+			time.Sleep(d)
+			h.storeProxy.SetMode(Pass)
+		})
 	}
 }
 
@@ -150,9 +152,11 @@
 	d := in.randomDuration(300, 4000)
 	return func() {
 		in.harness.history.recordFault("store is down for %v", d)
-		in.harness.store.SetDown(true)
-		time.Sleep(d)
-		in.harness.store.SetDown(false)
+		in.harness.storeCalm.disturb(func() {
+			in.harness.store.SetDown(true)
+			time.Sleep(d)
+			in.harness.store.SetDown(false)
+		})
 	}
 }
 
@@ -161,9 +165,11 @@
 	d, slow := in.randomDuration(500, 4000), in.randomDuration(50, 400)
 	return func() {
 		in.harness.history.recordFault("store delays writes by %v for %v", slow, d)
-		in.harness.store.SetSlow(slow)
-		time.Sleep(d)
-		in.harness.store.SetSlow(0)
+		in.harness.storeCalm.disturb(func() {
+			in.harness.store.SetSlow(slow)
+			time.Sleep(d)
+			in.harness.store.SetSlow(0)
+		})
 	}
 }
 
@@ -172,9 +178,11 @@
 	d := in.randomDuration(200, 1500)
 	return func() {
 		in.harness.history.recordFault("store drops responses for %v", d)
-		in.harness.store.SetLoseResponses(true)
-		time.Sleep(d)
-		in.harness.store.SetLoseResponses(false)
+		in.harness.storeCalm.disturb(func() {
+			in.harness.store.SetLoseResponses(true)
+			time.Sleep(d)
+			in.harness.store.SetLoseResponses(false)
+		})
 	}
 }
 
@@ -183,9 +191,11 @@
 	d, late := in.randomDuration(500, 4000), in.randomDuration(500, 4000)
 	return func() {
 		in.harness.history.recordFault("store executes some writes %v late for %v", late, d)
-		in.harness.store.SetLate(late)
-		time.Sleep(d)
-		in.harness.store.SetLate(0)
+		in.harness.storeCalm.disturb(func() {
+			in.harness.store.SetLate(late)
+			time.Sleep(d)
+			in.harness.store.SetLate(0)
+		})
 	}
 }
 
@@ -193,7 +203,7 @@
 func (in *injector) dropStoreHistory() func() {
 	return func() {
 		in.harness.history.recordFault("store drops its history")
-		in.harness.store.DropHistory()
+		in.harness.storeCalm.disturb(in.harness.store.DropHistory)
 	}
 }
 
--- a/trial/internal/soak/soak.go
+++ b/trial/internal/soak/soak.go
@@ -41,6 +41,10 @@
 	probePeriod = 300 * time.Millisecond
 	// heartbeatPeriod is the interval at which executors renew their entries.
 	heartbeatPeriod = time.Second
+	// configApplyTime is the maximum time until a new configuration is in force on a host
+	// that has been calm, with the store, for stabilityTime. Other hosts may have faults.
+	configApplyTime = 2 * time.Second
+	stabilityTime   = 3 * time.Second
 	// applyTimeout is the maximum time until a new configuration is in force on all
 	// hosts while there are no faults.
 	applyTimeout = 5 * time.Second
@@ -110,24 +114,46 @@
 	}
 }
 
-// probeConfigs finds out which version of the configuration each host has and records
-// it. It queries a job that doesn't exist with the API key of each of the last
-// versions: the host responds with status 410 if it accepts the key.
+// probeConfigs finds out which version of the configuration each host has, records it and
+// checks that it isn't too old. It queries a job that doesn't exist with the API key of each
+// of the last versions: the host responds with status 410 if it accepts the key, and with
+// 401 if it doesn't.
 func (c *client) probeConfigs() {
-	newest := c.harness.newestConfig()
+	hs := c.harness
+	newest := hs.newestConfig()
 	rec := &jobRecord{path: fake.Queue, job: &fake.Job{ID: "ffffffffffffffff"}}
-	for _, h := range c.harness.hosts {
+	for _, h := range hs.hosts {
 		incarnation := h.incarnation()
 		for v := newest; v > max(0, newest-3); v-- {
+			sentAt := time.Now()
 			code, _ := c.call(h, http.MethodGet, rec, configKey(v))
 			if code == http.StatusGone && incarnation == h.incarnation() {
-				c.harness.history.observeConfig(h.name, incarnation, v)
+				hs.history.observeConfig(h.name, incarnation, v)
+			}
+			refused := code == http.StatusUnauthorized && v == hs.newestConfig()
+			if refused || code == http.StatusGone {
+				c.checkConfigAge(h, sentAt, v, refused)
+			}
+			if code == http.StatusGone {
 				break
 			}
 		}
 	}
 }
 
+// checkConfigAge checks that a host was allowed to refuse the key of version, the newest one,
+// or else to accept it, when the request was sent.
+func (c *client) checkConfigAge(h *host, sentAt time.Time, version int, refused bool) {
+	hs := c.harness
+	required := hs.requiredConfig(sentAt)
+	if version > required || version == required && !refused {
+		return
+	}
+	if h.calm.atLeast(stabilityTime, sentAt) && hs.storeCalm.atLeast(stabilityTime, sentAt) {
+		hs.history.recordViolation("%s, key of configuration %d refused: %t, %v or longer after configuration %d was stored", h.name, version, refused, configApplyTime, required)
+	}
+}
+
 // verify waits until the system has recovered from the faults and checks that all
 // hosts are ready, all accepted jobs have ended correctly, and the newest
 // configuration is in force.
--- a/trial/internal/soak/soak_test.go
+++ b/trial/internal/soak/soak_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -69,6 +71,11 @@
 	r, err := Run(context.Background(), s)
 	if err != nil {
 		t.Errorf("seed %d: %v", seed, err)
+		var start *StartError
+		if errors.As(err, &start) {
+			log, _ := os.ReadFile(start.Log) // It may not exist.
+			t.Logf("%s", log[max(0, len(log)-4000):])
+		}
 		return
 	}
 	t.Logf("seed %d (%s): %d jobs accepted, %d runs, %d faults injected", seed, cause, r.Accepted, r.Starts, len(r.Faults))
