node/relay: end the forward pause although calls come during it

A host that the store turns away, while it serves others, kept its configuration and refused work for as long as requests came. Cause: after no other host reached the store, calls aren't forwarded for 0.3 s. A call in that time tried no host, but counted as one that no host could serve, and began the pause anew. Direct calls that are refused at once, as with 503, come more often than that on any host with clients. Evidence: TestForwardPauseNeverEnds failed before: no call was forwarded in 0.6 s although the other host reached the store. Fix: only hosts that were tried count, and a forwarded call that succeeds ends the pause.

--- a/node/internal/relay/client.go
+++ b/node/internal/relay/client.go
@@ -112,7 +112,6 @@
 		c.relay.noteForwarded(host, failedAt)
 		return resp.Rows, resp.Version, resp.error(req)
 	}
-	c.relay.noteUnreachable()
 	if bypass {
 		c.startDirect(req, wait, direct)
 	}
--- a/node/internal/relay/forward.go
+++ b/node/internal/relay/forward.go
@@ -71,14 +71,15 @@
 // forwardWrite makes a write through up to n other hosts, one after another, as forward
 // does.
 func (c *Client) forwardWrite(req *request, n int) (response, string) {
-	failed := response{Outcome: refused}
-	for _, h := range c.relay.forwardHosts(n) {
+	failed, hosts := response{Outcome: refused}, c.relay.forwardHosts(n)
+	for _, h := range hosts {
 		resp := c.forwardTo(h, req)
 		if resp.final() {
 			return resp, h.Name
 		}
 		failed.Outcome = max(failed.Outcome, resp.Outcome)
 	}
+	c.relay.noteUnreachable(len(hosts))
 	return failed, ""
 }
 
@@ -92,6 +93,7 @@
 // host is tried as soon as one fails or is overdue, while the ones before may still answer.
 func (c *Client) forwardRead(req *request, n int) (response, string) {
 	hosts := c.relay.forwardHosts(n)
+	tried := len(hosts)
 	responses := make(chan forwarded, len(hosts))
 	failed, pending := response{Outcome: refused}, 0
 	for len(hosts) > 0 || pending > 0 {
@@ -116,6 +118,7 @@
 		case <-overdue:
 		}
 	}
+	c.relay.noteUnreachable(tried)
 	return failed, ""
 }
 
--- a/node/internal/relay/relay.go
+++ b/node/internal/relay/relay.go
@@ -213,12 +213,16 @@
 		r.logger.Warn("direct access to the store failed, calls are forwarded", zap.String("through", host))
 		r.counts.bypassed.Inc(1)
 	}
-	r.viaHost = host
+	r.viaHost, r.noForwardUntil = host, time.Time{}
 }
 
-// noteUnreachable notes that no other host reached the store. Later calls are made
-// directly first again, since other hosts are no better.
-func (r *Relay) noteUnreachable() {
+// noteUnreachable notes that none of the other hosts tried reached the store. Later calls
+// are made directly first again, since other hosts are no better. If none were tried, that
+// says nothing.
+func (r *Relay) noteUnreachable(tried int) {
+	if tried == 0 {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.failing {
--- a/node/internal/relay/relay_test.go
+++ b/node/internal/relay/relay_test.go
@@ -327,6 +327,21 @@
 	is.Equal(c.relay.forwardHosts(1)[0].Name, via)
 }
 
+// The pause after no other host reached the store ends, although calls come during it.
+func TestForwardPauseNeverEnds(t *testing.T) {
+	is := is.New(t)
+	c, direct, other := startPair(t)
+	direct.set(&platform.RefusedError{Status: 503}, nil)
+	other.set(&platform.RefusedError{Status: 503}, nil)
+	_, _, err := c.Read("t", "", "", "")
+	is.True(err != nil)
+	other.set(nil, nil)
+	for end := time.Now().Add(2 * forwardPause); err != nil && time.Now().Before(end); time.Sleep(forwardPause / 10) {
+		_, _, err = c.Read("t", "", "", "")
+	}
+	is.NoErr(err)
+}
+
 // A forwarded call that ends after direct access was restored is no evidence that it fails
 // again.
 func TestRestoredAccessIsTakenForFailed(t *testing.T) {
