node/owner: answer for a job's state only while ownership is certain

An owner that goes on after a pause, or is cut from the store, answered from its own plan before it noticed that another host had taken over and recorded the end. Evidence: TestPausedOwnerShowsEndedJobAsRunning failed before. Fix: the state is unknown unless runs might start as far as ownership goes; the host then reads the store, as for other unknown states. In an outage of the store an owner goes on answering while all executors follow it.

--- a/node/internal/owner/authority.go
+++ b/node/internal/owner/authority.go
@@ -36,17 +36,19 @@
 // term's mu is held.
 func (t *term) limitAuthority(authority time.Duration) { t.authority = min(t.authority, authority) }
 
-// mayStart reports whether runs may start. They may for the authority after the last write,
-// and for boardAuthority after the board last confirmed ownership. Later they may only if
-// every executor has responded to this owner after the authority ended and within
-// maxProofAge: a successor may have reached an executor that this host can't reach, and
+// mayStart reports whether runs may start. The term's mu is held.
+func (t *term) mayStart() bool {
+	return !t.resigning && t.owner.clock.Boot() >= t.noStartUntil && t.certain()
+}
+
+// certain reports whether this host certainly still owns the cell. It does for the authority
+// after the last write, and for boardAuthority after the board last confirmed ownership. Later
+// it does only if every executor has responded to this owner after the authority ended and
+// within maxProofAge: a successor may have reached an executor that this host can't reach, and
 // started the same tasks there. Executors that had been silent for longer than the authority
 // at the last write don't count. The term's mu is held.
-func (t *term) mayStart() bool {
+func (t *term) certain() bool {
 	now := t.owner.clock.Boot()
-	if t.resigning || now < t.noStartUntil {
-		return false
-	}
 	if now-t.writeConfirmed <= t.authority || now-t.owner.boardFollower.SyncedBoot() <= boardAuthority {
 		return true
 	}
--- a/node/internal/owner/notification_test.go
+++ b/node/internal/owner/notification_test.go
@@ -92,6 +92,7 @@
 	is := is.New(t)
 	tm, _ := newTerm()
 	tm.loaded = true
+	tm.confirm(tm.owner.clock.Boot(), time.Minute)
 	job := &model.Job{ID: "0123456789abcdef", Queue: "q", Steps: []model.Step{{Count: 1}}}
 	is.Equal(tm.state(job.ID).Known, false)
 	_, known := tm.owner.State(job.ID)
@@ -110,3 +111,20 @@
 	r.markRecorded(b)
 	is.Equal(tm.state(job.ID).Phase, model.Done)
 }
+
+// An owner that was paused doesn't know the state of a job from its own plan, since another
+// host may have recorded the job's end meanwhile.
+func TestPausedOwnerShowsEndedJobAsRunning(t *testing.T) {
+	is := is.New(t)
+	clock := timer.New(timer.WithManual(time.Unix(1_800_000_000, 0)))
+	tm, _ := newTerm()
+	tm.loaded, tm.owner.clock, tm.owner.boardFollower = true, clock, unconfirmedBoard{}
+	tm.confirm(clock.Boot(), minAuthority)
+	job := &model.Job{ID: "0123456789abcdef", Queue: "q", Steps: []model.Step{{Count: 1}}}
+	tm.applyNotification(&notification{Jobs: []*model.Job{job}})
+	is.Equal(tm.state(job.ID), JobState{Known: true, Queue: "q", Phase: model.Queued})
+	clock.Advance(minAuthority + time.Millisecond)
+	is.Equal(tm.state(job.ID), JobState{})
+	tm.confirm(clock.Boot(), minAuthority)
+	is.True(tm.state(job.ID).Known)
+}
--- a/node/internal/owner/state.go
+++ b/node/internal/owner/state.go
@@ -56,20 +56,21 @@
 // state returns the term's state of a job. A final phase is returned only once it is
 // recorded, since a successor must not run the job again after clients have seen its
 // end. While the write of a job's end is in flight, only the store knows whether the
-// end is recorded, and other hosts may report it already; the state is unknown then.
+// end is recorded, and other hosts may report it already; the state is unknown then. It is
+// also unknown while another host may own the cell and have recorded the end.
 func (t *term) state(id string) JobState {
 	t.mu.Lock()
 	queue, phase, known := t.plan.Phase(id)
 	if end, ok := t.recordedEnds[id]; ok {
 		phase = end
 	}
-	sent := t.endsSent[id]
+	uncertain := t.endsSent[id] || !t.certain()
 	t.mu.Unlock()
 	e, onBoard := t.owner.board.Job(id)
 	switch {
 	case onBoard && e.Phase.Final():
 		return JobState{Known: true, Queue: e.Queue, Phase: e.Phase}
-	case sent:
+	case uncertain:
 		return JobState{}
 	case known:
 		return JobState{Known: true, Queue: queue, Phase: phase}
