node/owner: know no job's state before the records of earlier owners are read

A new owner answers for states as soon as it has the epoch. Until it has read the records, it answered from its board, which may lack what the owner before has recorded, and hosts took that for the newest state. Fix: the state is unknown then, and the asking host reads the store. An end that this term has recorded, or that the board shows, is still told.

--- a/node/internal/owner/notification_test.go
+++ b/node/internal/owner/notification_test.go
@@ -128,3 +128,19 @@
 	tm.confirm(clock.Boot(), minAuthority)
 	is.True(tm.state(job.ID).Known)
 }
+
+// A new owner doesn't know the state of a job before it has read the records, since its board
+// may lack the job's end.
+func TestNewOwnerShowsEndedJobAsQueued(t *testing.T) {
+	is := is.New(t)
+	tm, b := newTerm()
+	tm.confirm(tm.owner.clock.Boot(), time.Minute)
+	const id = "0123456789abcdef"
+	putRow(t, b, board.AcceptKey(id), board.Accepted{Queue: "q"})
+	is.Equal(tm.state(id), JobState{})
+	tm.loaded = true
+	is.Equal(tm.state(id), JobState{Known: true, Queue: "q", Phase: model.Queued})
+	putRow(t, b, board.PhaseKey(id), board.Phase{Phase: model.Done})
+	tm.loaded = false
+	is.Equal(tm.state(id).Phase, model.Done) // An end on the board is final.
+}
--- a/node/internal/owner/state.go
+++ b/node/internal/owner/state.go
@@ -57,25 +57,25 @@
 // recorded, since a successor must not run the job again after clients have seen its
 // end. While the write of a job's end is in flight, only the store knows whether the
 // end is recorded, and other hosts may report it already; the state is unknown then. It is
-// also unknown while another host may own the cell and have recorded the end.
+// also unknown while another host may own the cell and have recorded the end, and before
+// this term has read what earlier owners recorded.
 func (t *term) state(id string) JobState {
 	t.mu.Lock()
 	queue, phase, known := t.plan.Phase(id)
-	if end, ok := t.recordedEnds[id]; ok {
-		phase = end
-	}
-	uncertain := t.endsSent[id] || !t.certain()
+	end, ended := t.recordedEnds[id]
+	uncertain := !t.loaded || t.endsSent[id] || !t.certain()
 	t.mu.Unlock()
 	e, onBoard := t.owner.board.Job(id)
+	if !known && onBoard {
+		queue, phase, known = e.Queue, e.Phase, true
+	}
 	switch {
 	case onBoard && e.Phase.Final():
 		return JobState{Known: true, Queue: e.Queue, Phase: e.Phase}
-	case uncertain:
+	case ended && known:
+		return JobState{Known: true, Queue: queue, Phase: end}
+	case uncertain || !known:
 		return JobState{}
-	case known:
-		return JobState{Known: true, Queue: queue, Phase: phase}
-	case onBoard:
-		return JobState{Known: true, Queue: e.Queue, Phase: e.Phase}
 	}
-	return JobState{}
+	return JobState{Known: true, Queue: queue, Phase: phase}
 }
