soak: give the processes ports that nothing else takes

Cause: the soak took ports that were free for TCP at that moment from the range for outgoing connections, of which clients and proxies have hundreds, and didn't look at UDP, which hosts use among themselves. Fix: ports from below that range, each given out once and tried for both.

--- a/trial/internal/soak/harness.go
+++ b/trial/internal/soak/harness.go
@@ -63,7 +63,7 @@
 		if err != nil {
 			return hs, err
 		}
-		h, err := newHost(fmt.Sprintf("h%d", i), s.Dir, s.Binary, adviser, proxy)
+		h, err := newHost(fmt.Sprintf("h%d", i), s.Dir, s.Binary, adviser, proxy, s.Ports)
 		if err != nil {
 			return hs, err
 		}
--- a/trial/internal/soak/host.go
+++ b/trial/internal/soak/host.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -45,21 +44,12 @@
 	statusSeconds int       // setting: how long the state of an ended job can be queried
 }
 
-// freeAddress returns a loopback address with a currently unused port.
-func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return ln.Addr().String(), ln.Close()
-}
-
-// newHost returns a host with free addresses and writes its settings file to dir.
-func newHost(name, dir, binary, adviser string, storeProxy *Proxy) (*host, error) {
+// newHost returns a host with addresses from ports and writes its settings file to dir.
+func newHost(name, dir, binary, adviser string, storeProxy *Proxy, ports *ports) (*host, error) {
 	h := &host{name: name, settingsPath: filepath.Join(dir, name+".toml"), logPath: filepath.Join(dir, name+".log"), binary: binary, adviser: adviser, storeProxy: storeProxy, statusSeconds: 120}
 	for _, a := range []*string{&h.clientAddress, &h.readyAddress, &h.linkAddress} {
 		var err error
-		if *a, err = freeAddress(); err != nil {
+		if *a, err = ports.free(); err != nil {
 			return nil, err
 		}
 	}
--- a/trial/internal/soak/soak.go
+++ b/trial/internal/soak/soak.go
@@ -21,6 +21,7 @@
 	Hosts     int           // number of processes
 	Executors int           // number of fake executors
 	Clients   int           // number of clients
+	Ports     *ports        // for the processes; shared by soaks that run at the same time
 }
 
 // Report is the result of a soak.
--- a/trial/internal/soak/soak_test.go
+++ b/trial/internal/soak/soak_test.go
@@ -58,16 +58,17 @@
 	}
 	var g errgroup.Group
 	g.SetLimit(*maxParallel)
+	free := newPorts(os.Getpid())
 	for seed, cause := range causes {
-		g.Go(func() error { runSeed(t, binary, seed, cause); return nil })
+		g.Go(func() error { runSeed(t, binary, free, seed, cause); return nil })
 	}
 	_ = g.Wait() // Its goroutines return no errors.
 }
 
-// runSeed runs a soak with one seed. cause says why the seed was selected.
-func runSeed(t *testing.T, binary string, seed uint64, cause string) {
+// runSeed runs a soak with one seed, with ports from free. cause says why the seed was selected.
+func runSeed(t *testing.T, binary string, free *ports, seed uint64, cause string) {
 	t.Helper()
-	s := Settings{Binary: binary, Dir: t.TempDir(), Seed: seed, FaultTime: *faultTime, Hosts: 3, Executors: 6, Clients: 4}
+	s := Settings{Binary: binary, Dir: t.TempDir(), Seed: seed, FaultTime: *faultTime, Hosts: 3, Executors: 6, Clients: 4, Ports: free}
 	r, err := Run(context.Background(), s)
 	if err != nil {
 		t.Errorf("seed %d: %v", seed, err)
