node/relay: try the next host after 0.1 s instead of 0.15 s

Cause: gap, wait, hedge and three tries add up to 1.95 s of the 2 s, so 0.05 s was left for the host's own work and the network. The bound is the target's and stays.

Fix: a host that is asked to make a call is overdue after 0.1 s. It answers in some milliseconds, and a store fifty times slower than usual raises the delay.

--- a/node/internal/relay/client.go
+++ b/node/internal/relay/client.go
@@ -20,6 +20,8 @@
 	// tries of other hosts, it has to add up to less than the time in which a
 	// configuration has to be in force.
 	minWatchHedgeDelay = 300 * time.Millisecond
+	// minForwardHedgeDelay replaces minHedgeDelay for calls that another host makes.
+	minForwardHedgeDelay = 100 * time.Millisecond
 	// slowThreshold is the typical latency above which the store counts as slow.
 	slowThreshold = 80 * time.Millisecond
 	// averagedCalls is the number of calls over which a falling latency is averaged.
@@ -88,10 +90,11 @@
 	var failedAt time.Time // when the direct call failed or became overdue, zero if there was none
 	if !bypass {
 		c.startDirect(req, wait, direct)
+		delay := minWatchHedgeDelay
 		if wait == 0 {
-			changed = nil // The call is hedged soon enough.
+			delay, changed = minHedgeDelay, nil // The call is hedged soon enough.
 		}
-		r, ok := c.awaitDirect(direct, wait+c.hedgeDelay(wait), changed)
+		r, ok := c.awaitDirect(direct, wait+c.hedgeDelay(delay), changed)
 		if !ok && req.Write != nil && c.relay.storeAnswers() {
 			// The store is slow. It runs the writes of a partition one at a time, so a
 			// hedged write would only add to the queue.
@@ -174,16 +177,12 @@
 	return ch, func() { t.Stop() }
 }
 
-// hedgeDelay returns how long after sending a direct call, beyond the wait of a long
-// poll, the call is also forwarded.
-func (c *Client) hedgeDelay(wait time.Duration) time.Duration {
+// hedgeDelay returns how long after a call should have been answered it is hedged. That is
+// least, or more while calls typically take long.
+func (c *Client) hedgeDelay(least time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	minDelay := minHedgeDelay
-	if wait > 0 {
-		minDelay = minWatchHedgeDelay
-	}
-	return max(minDelay, hedgeFactor*c.typicalLatency)
+	return max(least, hedgeFactor*c.typicalLatency)
 }
 
 // Slow reports whether the typical latency of direct calls is many times the normal one.
--- a/node/internal/relay/forward.go
+++ b/node/internal/relay/forward.go
@@ -103,7 +103,7 @@
 			pending++
 			c.relay.spawn(func() { responses <- forwarded{response: c.forwardTo(h, req), host: h.Name} })
 		}
-		overdue, stop := c.after(c.hedgeDelay(0))
+		overdue, stop := c.after(c.hedgeDelay(minForwardHedgeDelay))
 		if len(hosts) == 0 {
 			overdue = nil
 		}
