node/front: refuse rows that are still queued when the process stops

Cause: a writer's loop ended with its context and left queued rows without an outcome. The handlers of their clients waited for it forever, since the timer service ends, too, and the server waits for its handlers: the process didn't exit until it was killed, and clients got no answer.

Change: rows that are queued at the end are refused, which is true, and later ones aren't queued. No further transaction begins once the context has ended.

TestQueuedRowsAreRefusedAtStop failed before (no outcome within 5 s) and passes.

--- a/node/internal/front/writer.go
+++ b/node/internal/front/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 
 	"go.uber.org/zap"
 
@@ -41,6 +42,9 @@
 	store  Store
 	logger *zap.Logger
 	items  chan *item
+
+	mu     sync.Mutex // guards closed
+	closed bool       // run has ended or ends now; nothing more is queued
 }
 
 func newWriter(store Store, logger *zap.Logger) *writer {
@@ -50,9 +54,14 @@
 // enqueue queues rows to be created. The item's done channel receives the outcome: nil if
 // the rows were created or the first one existed already, a *platform.RefusedError or
 // *platform.DialError if they will certainly not be created, or an *UnknownOutcomeError.
-// Enqueue itself returns a *platform.RefusedError if the queue is full.
+// Enqueue itself returns a *platform.RefusedError if the queue is full or run has ended.
 func (w *writer) enqueue(puts []platform.Put) (*item, error) {
 	it := &item{puts: puts, done: make(chan error, 1)}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
+		return nil, &platform.RefusedError{Call: "queue write"}
+	}
 	select {
 	case w.items <- it:
 		return it, nil
@@ -61,10 +70,11 @@
 	}
 }
 
-// run writes queued items until ctx ends.
+// run writes queued items until ctx ends. Items that haven't been written then are refused.
 func (w *writer) run(ctx context.Context) error {
+	defer w.close()
 	var batch []*item
-	for {
+	for ctx.Err() == nil {
 		if len(batch) == 0 {
 			select {
 			case <-ctx.Done():
@@ -76,6 +86,30 @@
 		batch = w.addQueued(batch)
 		batch = w.write(batch)
 	}
+	refuse(batch)
+	return nil
+}
+
+// refuse ends items that will not be written.
+func refuse(items []*item) {
+	for _, it := range items {
+		it.done <- &platform.RefusedError{Call: "queue write"}
+	}
+}
+
+// close refuses all queued items and those that are enqueued later.
+func (w *writer) close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed = true
+	for {
+		select {
+		case it := <-w.items:
+			refuse([]*item{it})
+		default:
+			return
+		}
+	}
 }
 
 // addQueued adds the queued items to batch, up to maxItemsPerWrite.
