node/owner: bound the resignation of an owner that stops

Cause: each of three attempts waited up to a second for the write and then for a read of up to 1.5 s; with a store that doesn't answer they took 6.0 s in TestResignationIsBoundedWhileStoreIsSilent, the whole grace time of the process.

Change: all attempts together take 1.5 s. The write may still be applied; no run starts after it either way, and other hosts take over without it a little later.

The test failed before with 6.0 s and takes 1.5 s now.

--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -36,6 +36,9 @@
 	// resignAttempts is how often an owner that stops tries to resign. A response may be
 	// lost, and the next attempt then learns the outcome.
 	resignAttempts = 3
+	// resignTimeout bounds all attempts together. While the store doesn't answer, other
+	// hosts take over later without a resignation, and the process has to exit in time.
+	resignTimeout = 1500 * time.Millisecond
 	// writeBackoff is the pause after a failed write.
 	writeBackoff = 50 * time.Millisecond
 )
@@ -50,6 +53,7 @@
 	typical   time.Duration // smoothed duration of a write
 	timeout   time.Duration // how long to wait for the next response; raised to minWriteTimeout if less
 	undeleted []string      // ended jobs whose progress rows a failed write should have deleted
+	giveUp    chan struct{} // closed when a resignation has taken too long; nil before one begins
 }
 
 // run writes changes and heartbeats until the term ends.
@@ -174,6 +178,8 @@
 		case res := <-done:
 			r.observeLatency(t.owner.clock.Now().Sub(sentAt))
 			return res.version, res.err
+		case <-r.giveUp:
+			return 0, &WriteTimeoutError{Waited: t.owner.clock.Now().Sub(sentAt)}
 		case <-late:
 			late = nil
 			t.group.Go(func() error { slow <- t.storeIsSlow(); return nil })
@@ -282,8 +288,16 @@
 	t.mu.Lock()
 	t.resigning = true
 	t.mu.Unlock()
+	giveUp := make(chan struct{})
+	timeout := t.owner.clock.After(resignTimeout, func() { close(giveUp) })
+	defer timeout.Stop()
+	r.giveUp = giveUp
+	began := t.owner.clock.Now()
 	var err error
 	for range resignAttempts {
+		if t.owner.clock.Now().Sub(began) >= resignTimeout {
+			break
+		}
 		r.row.Resigned = true
 		if err = r.write(r.collect()); err == nil {
 			t.owner.offer(r.row, r.version)
--- a/node/internal/owner/recorder_test.go
+++ b/node/internal/owner/recorder_test.go
@@ -118,3 +118,28 @@
 	is.True(errors.As(r.write(batch{}), &lost))
 	is.Equal(lost.Host, "h2")
 }
+
+// silentStore is a Store whose calls get no response.
+type silentStore struct{ Store }
+
+func (silentStore) Write(*platform.Write) (int64, error) {
+	time.Sleep(storeTimeout)
+	return 0, &platform.LostError{}
+}
+
+func (silentStore) Read(_, _, _, _ string) ([]platform.Row, int64, error) {
+	time.Sleep(storeTimeout)
+	return nil, 0, &platform.LostError{}
+}
+
+// An owner that stops while the store doesn't answer gives up its resignation in time for
+// the process to exit.
+func TestResignationIsBoundedWhileStoreIsSilent(t *testing.T) {
+	is := is.New(t)
+	r, _ := newRecorder(t)
+	r.term.owner.store = silentStore{}
+	began := time.Now()
+	r.resign()
+	is.True(time.Since(began) < resignTimeout+storeTimeout/4)
+	is.True(r.term.resigning) // No run starts, whatever became of the write.
+}
