node: exit within the grace time while the store is silent

Cause: three more waits added up beyond the grace time. The host's row was deleted in the loop that watches the time, which a silent store held up; calls to the store were forwarded to two more hosts after the process had begun to end; and the probe that tells a slow store from a lost write waited on the timer service, which had ended.

Change: the row is deleted beside the loop, no calls are forwarded and no probe is waited for once the process ends.

--- a/node/app.go
+++ b/node/app.go
@@ -170,7 +170,7 @@
 	g.Go(func() error { return a.owner.SendNotifications(ctx) })
 	g.Go(func() error {
 		a.awaitStop(ctx, signals)
-		a.stop(ctx, resign)
+		a.drain(ctx, g, resign)
 		cancel()
 		return nil
 	})
@@ -197,10 +197,10 @@
 	}
 }
 
-// stop drains the host: it hands over ownership, unregisters the host, and keeps serving
-// until all requests are answered, but for minDrainTime at least. It gives up when only
-// stopMargin of the grace period is left, or when ctx ends.
-func (a *app) stop(ctx context.Context, resign context.CancelFunc) {
+// drain hands over ownership, unregisters the host, and keeps serving until all requests
+// are answered, but for minDrainTime at least. It gives up when only stopMargin of the
+// grace period is left, or when ctx ends. What may take longer runs in g.
+func (a *app) drain(ctx context.Context, g *errgroup.Group, resign context.CancelFunc) {
 	began := a.clock.Now()
 	a.stopping.Store(true)
 	a.server.DisableKeepAlive()
@@ -210,7 +210,7 @@
 	for a.clock.Now().Before(end) && ctx.Err() == nil {
 		if registered && !a.owner.Owning() {
 			registered = false
-			a.unregister()
+			g.Go(func() error { a.unregister(); return nil }) // The store may take longer than there is time.
 		}
 		if a.clock.Now().Sub(began) >= minDrainTime && a.server.Active() == 0 && !a.owner.Owning() {
 			return
--- a/node/internal/relay/hosts.go
+++ b/node/internal/relay/hosts.go
@@ -13,12 +13,13 @@
 // failed come last, that with the latest failure at the very end. Of the others, the host
 // that served the last call comes first, then one of each availability zone in turn, this
 // host's own first, since hosts of a zone are often lost together. It returns none during
-// a forwardPause.
+// a forwardPause, nor after the context of Run has ended: the process then waits for the
+// calls under way.
 func (r *Relay) forwardHosts(n int) []board.Host {
 	hosts := slices.DeleteFunc(r.hosts.Hosts(), func(h board.Host) bool { return h.Name == r.host })
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.clock.Now().Before(r.noForwardUntil) {
+	if r.closed || r.clock.Now().Before(r.noForwardUntil) {
 		return nil
 	}
 	maps.DeleteFunc(r.failedHosts, func(name string, _ time.Time) bool {
--- a/node/internal/relay/relay.go
+++ b/node/internal/relay/relay.go
@@ -164,6 +164,8 @@
 		return ok
 	case <-timeout:
 		return false
+	case <-r.done: // The clock may have stopped, too.
+		return false
 	}
 }
 
