--- a/trial/internal/soak/host.go
+++ b/trial/internal/soak/host.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net/http"
@@ -21,6 +22,8 @@
 	// startupTime is the maximum time from the start of a process until it handles
 	// signals. An earlier SIGTERM or SIGHUP would kill it at once.
 	startupTime = 500 * time.Millisecond
+	// dumpTime is how long a process that didn't exit in time may take to dump its goroutines.
+	dumpTime = time.Second
 )
 
 // host is a process under test and its proxy to the store. The soak signals only
@@ -116,10 +119,12 @@
 	if err := h.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		return "SIGTERM: " + err.Error()
 	}
-	late := time.AfterFunc(gracePeriod, func() { _ = h.cmd.Process.Kill() })
+	late := time.AfterFunc(gracePeriod, func() { _ = h.cmd.Process.Signal(syscall.SIGQUIT) })
+	killed := time.AfterFunc(gracePeriod+dumpTime, func() { _ = h.cmd.Process.Kill() })
 	err := h.cmd.Wait()
+	killed.Stop()
 	if !late.Stop() {
-		return fmt.Sprintf("the process didn't exit within %v of SIGTERM", gracePeriod)
+		return fmt.Sprintf("the process didn't exit within %v of SIGTERM; its goroutines:\n%s", gracePeriod, h.goroutines())
 	}
 	if err != nil {
 		return "the process exited with " + err.Error()
@@ -127,6 +132,20 @@
 	return ""
 }
 
+// goroutines returns the last goroutine dump in the log, empty if there is none. The runtime
+// writes one on SIGQUIT.
+func (h *host) goroutines() string {
+	text, err := os.ReadFile(h.logPath)
+	if err != nil {
+		return err.Error()
+	}
+	at := bytes.LastIndex(text, []byte("SIGQUIT: quit"))
+	if at < 0 {
+		return ""
+	}
+	return string(text[at:])
+}
+
 // restart stops the process with SIGTERM and starts it again. fault says why the
 // shutdown wasn't graceful.
 func (h *host) restart() (fault string, err error) {
