node/owner: don't send a queued start once the plan has given the run up

Cause: orders to an executor wait in a queue. When the executor was silent until its leases had expired, the plan gave up the queued run and started its task elsewhere; if the executor answered again before the queue was empty, the old start was sent as well, and the task ran twice. A start of a cancelled job was sent, too.

Change: whether the run is still wanted is checked under the term's lock when the order leaves the queue. Starts held back for their record were checked already.

TestQueuedStartIsDroppedOnceObsolete failed before in both obsolete cases, sent one start instead of none.

--- a/node/internal/owner/execute.go
+++ b/node/internal/owner/execute.go
@@ -36,6 +36,11 @@
 	t := sess.term
 	now := t.owner.clock.Now()
 	t.mu.Lock()
+	if !t.plan.StillWanted(s) { // The plan gave the run up while the order was queued.
+		t.plan.Refused(now, *s, plan.RefusedNumber)
+		t.mu.Unlock()
+		return
+	}
 	end := sess.lease.extend(now, t.leaseExtension())
 	if why, refused := t.checkStart(sess, end); refused {
 		t.plan.Refused(now, *s, why)
