node/owner: let few hosts read the submissions after a takeover or a restart

Cause: every host for which the owner's row named no successors, or was resigned, or whose board wasn't read yet, prepared to take over: it polled the board each 0.1 s and read the whole table of submissions. That held for all hosts after each claim until the new owner had chosen successors, after each planned handover, and for each host that had just started. With 97 hosts, most of them with links of 20 Mbit/s, that is 97 times the largest table in the second in which a new owner needs the store.

Change: a host prepares if it is among the first three to take over by the order that takeovers use, once its board is read. A claim keeps the successors of the row before.

TestFewHostsCopySubmissions failed before in three of six cases (97 of 97 hosts copied), TestClaimKeepsSuccessors too. TestSubmissionsAreCopiedBySuccessors has its board read now, as a host's is; its cases are unchanged.

--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -139,10 +139,14 @@
 }
 
 // updateBoardGap sets how often the board is polled: often if this host may have to
-// take over soon. It reports whether that is the case.
+// take over soon. It reports whether that is the case. Until the board is read, no host
+// knows that, and all of them may have just started.
 func (o *Owner) updateBoardGap() bool {
+	if !o.board.Ready() {
+		return false
+	}
 	row, version := o.board.Owner()
-	mayTakeOver := version == 0 || row.Resigned || len(row.Successors) == 0 || slices.Contains(row.Successors, o.host)
+	mayTakeOver := version == 0 || o.rank(row) < maxSuccessors
 	gap := idleGap
 	if mayTakeOver {
 		gap = FollowGap
@@ -233,7 +237,8 @@
 // claim writes a row that makes this host the owner, provided that the owner's row
 // still has the given version. It returns the new row and its version.
 func (o *Owner) claim(row board.Owner, version int64) (board.Owner, int64, error) {
-	next := board.Owner{Host: o.host, Process: o.process, Epoch: row.Epoch + 1, Authority: minAuthority, Format: board.Format}
+	successors := slices.DeleteFunc(slices.Clone(row.Successors), func(name string) bool { return name == o.host })
+	next := board.Owner{Host: o.host, Process: o.process, Epoch: row.Epoch + 1, Authority: minAuthority, Successors: successors, Format: board.Format}
 	ownerPut, err := board.Put(board.Table, board.Main, board.OwnerKey, next)
 	if err != nil {
 		return next, 0, err
--- a/node/internal/owner/submissionscopy_test.go
+++ b/node/internal/owner/submissionscopy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -52,6 +53,7 @@
 			b, store := board.New(zap.NewNop()), &readTables{read: make(map[string]bool)}
 			clock := timer.New(timer.WithManual(time.Unix(1_800_000_000, 0)))
 			o := New(Deps{Host: "h", Process: "p", Clock: clock, Board: b, Store: store, Follower: workingFollower{}, Logger: zap.NewNop()})
+			b.Reset(nil) // It is read.
 			putRow(t, b, board.HostKey("h"), board.Host{Name: "h", Power: tt.power})
 			putRow(t, b, board.HostKey("other"), board.Host{Name: "other", Power: 400})
 			putRow(t, b, board.OwnerKey, board.Owner{Host: "owner", Epoch: 1, Successors: tt.successors})
@@ -77,3 +79,67 @@
 		})
 	}
 }
+
+// After a takeover, a resignation or a restart of all hosts, only the hosts that take over
+// first read the submissions. If all did, their reads would exceed the weak hosts' links.
+func TestFewHostsCopySubmissions(t *testing.T) {
+	const hosts, strong = 97, 5
+	name := func(i int) string { return "h" + strconv.Itoa(i) }
+	tests := map[string]struct {
+		owner    *board.Owner // nil for none
+		unread   bool         // the board isn't read yet
+		most     int
+		standbys []string // that copy, among others
+	}{
+		"board not read":                 {unread: true},
+		"owner without successors":       {owner: &board.Owner{Host: "gone", Epoch: 7}, most: strong},
+		"owner resigned":                 {owner: &board.Owner{Host: "gone", Epoch: 7, Resigned: true, Successors: []string{name(90)}}, most: strong + 1, standbys: []string{name(90)}},
+		"successors are less powerful":   {owner: &board.Owner{Host: "gone", Epoch: 7, Successors: []string{name(90), name(91), name(92)}}, most: strong + 3, standbys: []string{name(90), name(92)}},
+		"successors are most powerful":   {owner: &board.Owner{Host: "gone", Epoch: 7, Successors: []string{name(0), name(1), name(2)}}, most: strong, standbys: []string{name(0), name(4)}},
+		"new deployment, hosts register": {most: hosts},
+	}
+	for caseName, tt := range tests {
+		t.Run(caseName, func(t *testing.T) {
+			is := is.New(t)
+			b := board.New(zap.NewNop())
+			if !tt.unread {
+				b.Reset(nil)
+			}
+			for i := range hosts {
+				power := 192
+				if i < strong {
+					power = 800
+				}
+				if !tt.unread {
+					putRow(t, b, board.HostKey(name(i)), board.Host{Name: name(i), Power: power})
+				}
+			}
+			if tt.owner != nil {
+				putRow(t, b, board.OwnerKey, tt.owner)
+			}
+			copies := make(map[string]bool)
+			for i := range hosts {
+				o := New(Deps{Host: name(i), Process: "p", Clock: timer.New(timer.WithManual(time.Unix(1_800_000_000, 0))), Board: b, Follower: workingFollower{}, Logger: zap.NewNop()})
+				if o.updateBoardGap() || o.mostPowerful() {
+					copies[name(i)] = true
+				}
+			}
+			is.True(len(copies) <= tt.most)
+			for _, s := range tt.standbys {
+				is.True(copies[s])
+			}
+		})
+	}
+}
+
+// A claim names the remaining successors of the last owner, so that there are some before
+// the new owner has chosen its own.
+func TestClaimKeepsSuccessors(t *testing.T) {
+	is := is.New(t)
+	r, _ := newRecorder(t)
+	row := r.row
+	row.Successors = []string{"h", "a", "b"}
+	next, _, err := r.term.owner.claim(row, r.version)
+	is.NoErr(err)
+	is.Equal(next.Successors, []string{"a", "b"})
+}
