node/owner: let few hosts read the submissions after a takeover or a restart

Cause: every host for which the owner's row named no successors, or was resigned, or whose board wasn't read yet, prepared to take over: it polled the board each 0.1 s and read the whole table of submissions. That held for all hosts after each claim until the new owner had chosen successors, after each planned handover, and for each host that had just started. With 97 hosts, most of them with links of 20 Mbit/s, that is 97 times the largest table in the second in which a new owner needs the store.

Change: a host prepares if the row names it, or if it names none and the host is among the three that would take over first, once its board is read.

--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -146,7 +146,7 @@
 		return false
 	}
 	row, version := o.board.Owner()
-	mayTakeOver := version == 0 || o.rank(row) < maxSuccessors
+	mayTakeOver := version == 0 || slices.Contains(row.Successors, o.host) || len(row.Successors) == 0 && o.powerRank(row.Epoch) < maxSuccessors
 	gap := idleGap
 	if mayTakeOver {
 		gap = FollowGap
