node/owner: hand the cell over to a more powerful host, and away from an overloaded one

Nothing noticed an owner that can't keep up.

Change: successors tell in their replies to probes whether they could take over at once. An owner whose first successor has more processor time resigns in its favour, after a second at the least, and only while the store confirms its ownership. The decision loop measures by how much it falls behind; an owner that does so for long hands over to a host as powerful as itself, at most each 20 s.

--- a/node/internal/owner/decide.go
+++ b/node/internal/owner/decide.go
@@ -32,6 +32,9 @@
 		case <-t.wakeDecider:
 		}
 		t.decideOnce()
+		t.mu.Lock()
+		t.lag.observe(t.owner.clock.Now())
+		t.mu.Unlock()
 		_ = t.owner.clock.Sleep(ctx, minDecideInterval)
 	}
 }
--- a/node/internal/owner/errors.go
+++ b/node/internal/owner/errors.go
@@ -17,6 +17,16 @@
 // Error implements error.
 func (e *StopError) Error() string { return "process is stopping" }
 
+// HandoverError is the cause of a term's end when a host that is better suited takes the cell
+// over.
+type HandoverError struct {
+	Host   string // the better host
+	Reason string
+}
+
+// Error implements error.
+func (e *HandoverError) Error() string { return "handing over to host " + e.Host + ": " + e.Reason }
+
 // NoOwnerError reports that no request was sent, because no owner is known or the
 // owner is not responding.
 type NoOwnerError struct {
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -55,11 +55,15 @@
 
 	owning              atomic.Bool
 	awaitingOffer       atomic.Bool      // awaitOffer is waiting, so an offer can be accepted
+	prepared            atomic.Bool      // this host has all it needs to take over at once
 	lastEpoch           int64            // epoch of the last term of this process; used by Run only
 	boardGap            time.Duration    // poll interval set on boardFollower, 0 if unknown; used by Run only
 	warnedEpoch         int64            // epoch for which warnNewerFormat has logged; used by Run only
 	unresponsiveVersion int64            // row version at which the owner didn't respond to a probe; used by Run only
 	submissions         *submissionsCopy // nil while this host keeps no copy; used by Run only
+	// nextOverloadHandover is the boot time before which the cell isn't handed over because
+	// of overload; used by updateSuccessors only.
+	nextOverloadHandover time.Duration
 
 	node          *link.Node        // nil before Mount
 	offers        chan handover     // offers of ownership from a resigning owner
@@ -115,6 +119,7 @@
 	defer func() { _ = g.Wait() }() // It never fails.
 	for ctx.Err() == nil {
 		o.copySubmissions(ctx, &g, o.updateBoardGap() || o.mostPowerful())
+		o.prepared.Store(o.submissions.synced() && !o.boardFollower.Failing())
 		offer := o.awaitOffer(ctx)
 		if ctx.Err() != nil || o.configs.Config() == nil {
 			continue
--- a/node/internal/owner/probe.go
+++ b/node/internal/owner/probe.go
@@ -38,7 +38,8 @@
 
 // probeReply is the response to a probe.
 type probeReply struct {
-	Yields bool `cbor:"1,keyasint"` // the term of that epoch has ended or ends now
+	Yields   bool `cbor:"1,keyasint"`           // the term of that epoch has ended or ends now
+	Prepared bool `cbor:"2,keyasint,omitempty"` // the host could take over at once
 }
 
 // ownerStatus is what a probe found out about an owner that has stopped writing.
@@ -59,7 +60,7 @@
 		if err := s.Recv(&p); err != nil {
 			return err
 		}
-		return s.Send(&probeReply{Yields: o.yields(p.Epoch)})
+		return s.Send(&probeReply{Yields: o.yields(p.Epoch), Prepared: o.prepared.Load()})
 	}))
 	node.Handle(offerVerb, link.HandlerFunc(o.serveOffer))
 	node.Handle(notifyVerb, link.HandlerFunc(o.serveNotification))
--- a/node/internal/owner/submissionscopy.go
+++ b/node/internal/owner/submissionscopy.go
@@ -28,6 +28,11 @@
 	cancel   context.CancelFunc
 }
 
+// synced reports whether the copy, nil for none, is complete and is kept up to date.
+func (c *submissionsCopy) synced() bool {
+	return c != nil && c.follower.Version() > 0 && !c.follower.Failing()
+}
+
 // mostPowerful reports whether no host has more processor time than this one. The most
 // powerful hosts rank first after the successors. They keep a copy of the submissions in
 // advance, since reading all of them takes long and fails while a partition of the store
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -53,6 +53,7 @@
 
 	mu                sync.Mutex // guards the fields below
 	plan              *plan.State
+	lag               lagMeter // of the decision loop
 	sessions          map[string]*session
 	config            *model.Config
 	lastOutageEnd     time.Time                // when the last store outage ended, judged by the changes of entries
--- a/node/rig_test.go
+++ b/node/rig_test.go
@@ -41,12 +41,20 @@
 	front   string // address for clients
 	ready   string // address for readiness checks
 	path    string // of the settings file
+	cpu     int    // thousandths of a core that it may use according to its settings, 0 for none
 	command *exec.Cmd
 }
 
 // newRig builds the program, starts the fake platform and n hosts, and waits until the
 // hosts are ready.
 func newRig(t *testing.T, n int) *rig {
+	t.Helper()
+	return newRigWithCPU(t, make([]int, n))
+}
+
+// newRigWithCPU is newRig with a host for each of cpus, which may use so many thousandths of a
+// core according to its settings.
+func newRigWithCPU(t *testing.T, cpus []int) *rig {
 	t.Helper()
 	r := &rig{t: t, store: fake.NewStore(), judge: fake.NewChecker(), client: http.Client{Timeout: 3 * time.Second}}
 	dir := t.TempDir()
@@ -63,8 +71,8 @@
 		r.executors = append(r.executors, e)
 		r.store.Put("servers", id, e.Entry(fake.Service, r.serve(e)))
 	}
-	for i := range n {
-		h := &host{name: fmt.Sprintf("h%d", i), front: address(t), ready: address(t)}
+	for i, cpu := range cpus {
+		h := &host{name: fmt.Sprintf("h%d", i), front: address(t), ready: address(t), cpu: cpu}
 		h.path = filepath.Join(dir, h.name+".toml")
 		if err := os.WriteFile(h.path, []byte(r.settings(h)), 0o600); err != nil {
 			t.Fatal(err)
@@ -98,7 +106,7 @@
 
 func (r *rig) settings(h *host) string {
 	r.t.Helper()
-	f := fake.Settings{Host: h.name, Ingress: h.front, Ready: h.ready, Link: address(r.t), Store: r.urls[0], Adviser: r.urls[1], Grace: 6, Status: 120}
+	f := fake.Settings{Host: h.name, Ingress: h.front, Ready: h.ready, Link: address(r.t), Store: r.urls[0], Adviser: r.urls[1], Grace: 6, Status: 120, CPU: h.cpu}
 	text, err := f.Text()
 	if err != nil {
 		r.t.Fatal(err)
