node/plan: let the cost of a decision follow what starts, not what waits

Cause: each round of decisions looked at each executor for each waiting stage, scored and sorted all that fitted, and drafted a request to the adviser for each stage without one.

--- a/node/internal/plan/advice.go
+++ b/node/internal/plan/advice.go
@@ -37,6 +37,9 @@
 	// up to longRequestWait for free capacity.
 	minLongRequestStarts = 4
 	longRequestWait      = 1500 * time.Millisecond
+	// draftInterval is the least time between two drafts of a stage's request if the first
+	// one wasn't sent.
+	draftInterval = 100 * time.Millisecond
 )
 
 // pendingRequest is a request to the adviser without an answer.
@@ -57,13 +60,7 @@
 	if !long {
 		return true
 	}
-	n := 0
-	for _, q := range s.pendingAdvice {
-		if q.long {
-			n++
-		}
-	}
-	return n < max(1, s.adviceSlots-max(1, s.adviceSlots/quickSlotDivisor))
+	return s.longRequests < max(1, s.adviceSlots-max(1, s.adviceSlots/quickSlotDivisor))
 }
 
 // expireAdviceRequests drops the requests that count as lost.
@@ -79,6 +76,13 @@
 type advice struct {
 	tickets     map[string]ticket // by executor; tickets expire, but whether one is allowed never changes
 	requestedAt time.Time         // when the pending request was ordered; zero for none
+	nextDraft   time.Time         // no request is drafted before that, unless executors have come or gone
+	draftedFor  int               // number of executors when nextDraft was set
+}
+
+// delayDraft notes that a request that was drafted for the executors of p wasn't sent.
+func (a *advice) delayDraft(p *pool, now time.Time) {
+	a.nextDraft, a.draftedFor = now.Add(draftInterval), len(p.executors)
 }
 
 // ticket is the adviser's answer for one executor.
@@ -92,7 +96,12 @@
 // and the ticket valid.
 func (a *advice) validTicket(id string, now time.Time) (string, bool) {
 	t := a.tickets[id]
-	return t.text, t.allowed && t.until.After(now.Add(ticketMargin))
+	return t.text, t.usable(now)
+}
+
+// usable reports whether the executor is allowed and the ticket valid.
+func (t *ticket) usable(now time.Time) bool {
+	return t.allowed && t.until.After(now.Add(ticketMargin))
 }
 
 // expire invalidates a ticket that the executor refused.
@@ -105,7 +114,7 @@
 // AdviceReceived stores the adviser's answer. The request named the executors in named;
 // tickets has a ticket, valid until until, for each of them that may run the step.
 func (s *State) AdviceReceived(step model.StepID, named []string, tickets map[string]string, until time.Time) {
-	delete(s.pendingAdvice, step)
+	s.removeRequest(step)
 	st := s.stageOf(model.Task{Job: step.Job, Occur: step.Occur, Step: step.Step})
 	if st == nil {
 		return
@@ -120,9 +129,17 @@
 	}
 }
 
+// removeRequest removes a request that is no longer pending.
+func (s *State) removeRequest(step model.StepID) {
+	if s.pendingAdvice[step].long {
+		s.longRequests--
+	}
+	delete(s.pendingAdvice, step)
+}
+
 // AdviceFailed notes that a request failed.
 func (s *State) AdviceFailed(step model.StepID) {
-	delete(s.pendingAdvice, step)
+	s.removeRequest(step)
 	if st := s.stageOf(model.Task{Job: step.Job, Occur: step.Occur, Step: step.Step}); st != nil {
 		st.advice.requestedAt = time.Time{}
 	}
@@ -132,8 +149,8 @@
 // free. It names executors with free capacity: first those that are known to be
 // allowed but whose tickets have expired, then as many others as the waiting tasks
 // seem to need.
-func (s *State) requestAdvice(st *stage, executors []*executor, now time.Time) {
-	if !st.advice.requestedAt.IsZero() {
+func (s *State) requestAdvice(st *stage, p *pool, now time.Time) {
+	if !st.advice.requestedAt.IsZero() || now.Before(st.advice.nextDraft) && len(p.executors) == st.advice.draftedFor {
 		return
 	}
 	q := &st.occur.job.queue
@@ -141,15 +158,20 @@
 	if !s.adviceSlotFree(long) {
 		return
 	}
-	draft := s.draftRequest(st, executors, now)
+	draft := s.draftRequest(st, p, now)
 	if len(draft.executors) == 0 {
+		st.advice.delayDraft(p, now)
 		return
 	}
 	if long && draft.someFull && draft.expectedStarts < float64(min(st.waiting, minLongRequestStarts)) && now.Sub(st.readySince) < longRequestWait {
+		st.advice.delayDraft(p, now)
 		return
 	}
 	st.advice.requestedAt = now
 	estimate := q.Decide + time.Duration(len(draft.executors))*q.Each
+	if long {
+		s.longRequests++
+	}
 	s.pendingAdvice[st.id()] = pendingRequest{long: long, until: now.Add(estimate + lostRequestGrace)}
 	s.orders.AdviceRequests = append(s.orders.AdviceRequests, AdviceRequest{Step: st.id(), Executors: draft.executors, EstimatedTime: estimate})
 }
@@ -163,27 +185,33 @@
 
 // draftRequest returns the request for a stage. It leaves out executors with a valid
 // ticket, those that aren't allowed, and those without free capacity.
-func (s *State) draftRequest(st *stage, executors []*executor, now time.Time) requestDraft {
+func (s *State) draftRequest(st *stage, p *pool, now time.Time) requestDraft {
 	perTask := st.spec.Room()
 	var d requestDraft
+	if !p.mayFit(perTask) {
+		return d
+	}
 	var allowed, unasked []fit
 	covered := 0
-	for _, e := range executors {
+	for _, e := range p.executors {
+		full := !perTask.Fits(e.free())
+		if full && d.someFull {
+			continue
+		}
 		t, answered := st.advice.tickets[e.info.ID]
 		if answered && !t.allowed {
 			continue
 		}
 		n := e.capacityFor(st, perTask)
-		_, valid := st.advice.validTicket(e.info.ID, now)
 		switch {
 		case n == 0:
 			d.someFull = true
-		case valid:
+		case t.usable(now):
 			covered += n
 		case answered:
-			allowed = append(allowed, fit{executor: e, tasks: n, score: s.slowdown(e)})
+			allowed = append(allowed, fit{executor: e, tasks: n, score: e.relativeTime})
 		default:
-			unasked = append(unasked, fit{executor: e, tasks: n, score: s.slowdown(e)})
+			unasked = append(unasked, fit{executor: e, tasks: n, score: e.relativeTime})
 		}
 	}
 	better := func(a, b fit) int {
@@ -195,11 +223,11 @@
 		return cmp.Compare(b.tasks, a.tasks)
 	}
 	if !st.spec.Lasting {
-		zoneRanks := st.rankZones(slices.Concat(allowed, unasked), st.waiting)
+		all := slices.Concat(allowed, unasked)
+		st.rankZones(all, st.waiting)
+		allowed, unasked = all[:len(allowed)], all[len(allowed):]
 		withinZone := better
-		better = func(a, b fit) int {
-			return cmp.Or(cmp.Compare(zoneRanks[a.executor.info.Zone], zoneRanks[b.executor.info.Zone]), withinZone(a, b))
-		}
+		better = func(a, b fit) int { return cmp.Or(a.zoneRank-b.zoneRank, withinZone(a, b)) }
 	}
 	slices.SortFunc(allowed, better)
 	slices.SortFunc(unasked, better)
--- a/node/internal/plan/decide.go
+++ b/node/internal/plan/decide.go
@@ -9,10 +9,17 @@
 // again. It is longer than a call and a stop usually take.
 const stopRetryDelay = 1500 * time.Millisecond
 
+// sweepInterval is the least time between two sweeps. What they look for isn't urgent.
+const sweepInterval = 100 * time.Millisecond
+
 // Decide returns the orders that are due at now. The caller carries out each of them
 // once.
 func (s *State) Decide(now time.Time) Orders {
-	s.sweep(now)
+	s.decision++
+	if !now.Before(s.nextSweep) {
+		s.nextSweep = now.Add(sweepInterval)
+		s.sweep(now)
+	}
 	s.expireAdviceRequests(now)
 	var waiting []waitingStage
 	if !s.paused {
@@ -76,15 +83,7 @@
 			}
 		}
 	}
-	slices.SortFunc(out, func(a, b waitingStage) int {
-		if a.urgency.before(b.urgency) {
-			return -1
-		}
-		if b.urgency.before(a.urgency) {
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(out, func(a, b waitingStage) int { return a.urgency.compare(b.urgency) })
 	return out
 }
 
--- a/node/internal/plan/executor.go
+++ b/node/internal/plan/executor.go
@@ -21,6 +21,10 @@
 	backoffUntil   time.Time // before then it gets no new work
 	lastReport     time.Time
 	lastPaceChange time.Time
+	changed        bool    // it is in State.changed
+	zone           int     // number of its zone
+	pooledIn       int     // last decision in which it accepted new work
+	relativeTime   float64 // how long tasks take on its kind of hardware, during that decision
 }
 
 // free returns the unused capacity.
@@ -49,7 +53,27 @@
 
 // SetExecutor adds an executor or updates its registration.
 func (s *State) SetExecutor(info model.Executor) {
-	s.executor(info.ID).info = info
+	e := s.executor(info.ID)
+	e.info, e.zone = info, s.zone(info.Zone)
+	s.markChanged(e)
+}
+
+// zone returns the number of a zone.
+func (s *State) zone(name string) int {
+	n, ok := s.zones[name]
+	if !ok {
+		n = len(s.zones)
+		s.zones[name] = n
+	}
+	return n
+}
+
+// markChanged notes that the runs on an executor have changed or that it has reported.
+func (s *State) markChanged(e *executor) {
+	if !e.changed {
+		e.changed = true
+		s.changed = append(s.changed, e)
+	}
 }
 
 // executor returns an executor and creates it if necessary: a recorded run may be on
@@ -57,7 +81,7 @@
 func (s *State) executor(id string) *executor {
 	e := s.executors[id]
 	if e == nil {
-		e = &executor{info: model.Executor{ID: id}, runs: make(map[runKey]*run)}
+		e = &executor{info: model.Executor{ID: id}, zone: s.zone(""), runs: make(map[runKey]*run)}
 		s.executors[id] = e
 	}
 	return e
--- a/node/internal/plan/gang.go
+++ b/node/internal/plan/gang.go
@@ -1,7 +1,7 @@
 package plan
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -11,7 +11,7 @@
 const sameRackWait = 2 * time.Second
 
 // placeGang starts all tasks of a gang or none.
-func (s *State) placeGang(st *stage, executors []*executor, now time.Time) {
+func (s *State) placeGang(st *stage, p *pool, now time.Time) {
 	n := len(st.tasks)
 	for i := range st.tasks {
 		if st.tasks[i].run != nil || len(st.tasks[i].unwanted) > 0 {
@@ -20,14 +20,14 @@
 	}
 	var selected []*executor
 	if st.spec.SameRack {
-		selected = s.selectRack(st, executors, n, now)
+		selected = s.selectRack(st, p, n, now)
 	}
 	if len(selected) < n && (!st.spec.SameRack || now.Sub(st.readySince) > sameRackWait) {
-		selected = s.selectExecutors(st, executors, n, now)
+		selected = s.selectExecutors(st, p, n, now)
 	}
 	if len(selected) < n {
 		if st.occur.job.queue.Advised {
-			s.requestAdvice(st, executors, now)
+			s.requestAdvice(st, p, now)
 		}
 		return
 	}
@@ -39,17 +39,12 @@
 
 // selectRack returns executors for n tasks on the first rack, by name, with capacity
 // for all of them. It returns nil if there is none.
-func (s *State) selectRack(st *stage, executors []*executor, n int, now time.Time) []*executor {
-	racks := make(map[string][]*executor)
-	for _, e := range executors {
-		racks[e.info.Rack] = append(racks[e.info.Rack], e)
+func (s *State) selectRack(st *stage, p *pool, n int, now time.Time) []*executor {
+	if !p.mayFit(st.spec.Room()) {
+		return nil
 	}
-	names := make([]string, 0, len(racks))
-	for name := range racks {
-		names = append(names, name)
-	}
-	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(a, b) })
-	for _, name := range names {
+	racks := p.racks()
+	for _, name := range slices.Sorted(maps.Keys(racks)) {
 		if selected := s.selectExecutors(st, racks[name], n, now); len(selected) == n {
 			return selected
 		}
--- a/node/internal/plan/pace.go
+++ b/node/internal/plan/pace.go
@@ -16,8 +16,10 @@
 // task comes near its target, and speeds them up again when it is well below. Beside
 // serving tasks, a pace changes at most once for each report.
 func (s *State) adjustPaces(now time.Time) {
-	for _, e := range s.executors {
-		e.servingRuns = 0
+	changed := s.changed
+	s.changed = nil
+	for _, e := range changed {
+		e.changed, e.servingRuns = false, 0
 		slowDown, speedUp, fresh := false, true, false
 		for _, r := range e.runs {
 			target := r.stage.spec.Target
--- a/node/internal/plan/place.go
+++ b/node/internal/plan/place.go
@@ -15,11 +15,11 @@
 		st.noteBlocked(blockedByLimit, now)
 		return
 	}
-	executors := s.suitable(st, p)
+	p = p.withLabel(st.spec.Label)
 	if st.spec.Gang {
-		s.placeGang(st, executors, now)
+		s.placeGang(st, p, now)
 	} else {
-		s.placeEach(st, executors, n, now)
+		s.placeEach(st, p, n, now)
 	}
 	switch {
 	case st.waiting == 0:
@@ -34,10 +34,10 @@
 }
 
 // placeEach starts up to n tasks, each on any executor with free capacity.
-func (s *State) placeEach(st *stage, executors []*executor, n int, now time.Time) {
-	selected := s.selectExecutors(st, executors, n, now)
+func (s *State) placeEach(st *stage, p *pool, n int, now time.Time) {
+	selected := s.selectExecutors(st, p, n, now)
 	if len(selected) < n && st.occur.job.queue.Advised {
-		s.requestAdvice(st, executors, now)
+		s.requestAdvice(st, p, now)
 	}
 	i := 0
 	for _, e := range selected {
@@ -51,52 +51,24 @@
 	}
 }
 
-// suitable returns the executors that have the label that the stage requires. It
-// ignores the adviser.
-func (s *State) suitable(st *stage, p *pool) []*executor {
-	if st.spec.Label == "" {
-		return p.executors
-	}
-	out := make([]*executor, 0, len(p.executors))
-	for _, e := range p.executors {
-		if e.info.Has(st.spec.Label) {
-			out = append(out, e)
-		}
-	}
-	return out
-}
-
 // fit is an executor with the number of tasks of a stage that fit on it.
 type fit struct {
 	executor *executor
 	tasks    int
 	score    float64 // lower is better
+	zoneRank int     // of the executor's zone, lower is better
 }
 
 // selectExecutors returns an executor for each of up to n tasks.
-func (s *State) selectExecutors(st *stage, executors []*executor, n int, now time.Time) []*executor {
-	perTask := st.spec.Room()
-	fits := make([]fit, 0, len(executors))
-	for _, e := range executors {
-		k := e.capacityFor(st, perTask)
-		if k == 0 {
-			continue
-		}
-		if st.occur.job.queue.Advised {
-			if _, ok := st.advice.validTicket(e.info.ID, now); !ok {
-				continue
-			}
-		}
-		fits = append(fits, fit{executor: e, tasks: k, score: s.score(st, e)})
+func (s *State) selectExecutors(st *stage, p *pool, n int, now time.Time) []*executor {
+	fits := s.findFits(st, p, now)
+	if len(fits) == 0 {
+		return nil
 	}
-	var zoneRanks map[string]int
 	if !st.spec.Lasting {
-		zoneRanks = st.rankZones(fits, n)
+		st.rankZones(fits, n)
 	}
-	slices.SortFunc(fits, func(a, b fit) int {
-		return cmp.Or(cmp.Compare(zoneRanks[a.executor.info.Zone], zoneRanks[b.executor.info.Zone]), cmp.Compare(a.score, b.score),
-			cmp.Compare(a.executor.info.ID, b.executor.info.ID))
-	})
+	fits = firstFits(fits, n)
 	out := make([]*executor, 0, n)
 	for _, ft := range fits {
 		for range ft.tasks {
@@ -109,6 +81,77 @@
 	return out
 }
 
+// findFits returns the executors of the pool on which tasks of a stage may start now, in no
+// order.
+func (s *State) findFits(st *stage, p *pool, now time.Time) []fit {
+	perTask := st.spec.Room()
+	if !p.mayFit(perTask) {
+		return nil
+	}
+	var fits []fit
+	if st.occur.job.queue.Advised && len(st.advice.tickets) < len(p.executors) {
+		for id := range st.advice.tickets {
+			e := s.executors[id]
+			if e == nil || !p.has(e) {
+				continue
+			}
+			if _, ok := st.advice.validTicket(id, now); !ok {
+				continue
+			}
+			if k := e.capacityFor(st, perTask); k > 0 {
+				fits = append(fits, fit{executor: e, tasks: k, score: s.score(st, e)})
+			}
+		}
+		return fits
+	}
+	room := false
+	for _, e := range p.executors {
+		if !perTask.Fits(e.free()) {
+			continue
+		}
+		room = true
+		if st.occur.job.queue.Advised {
+			if _, ok := st.advice.validTicket(e.info.ID, now); !ok {
+				continue
+			}
+		}
+		if k := e.capacityFor(st, perTask); k > 0 {
+			fits = append(fits, fit{executor: e, tasks: k, score: s.score(st, e)})
+		}
+	}
+	if !room {
+		p.noteUnfit(perTask)
+	}
+	return fits
+}
+
+// compareFits orders executors for a stage, the best first.
+func compareFits(a, b fit) int {
+	return cmp.Or(a.zoneRank-b.zoneRank, cmp.Compare(a.score, b.score), cmp.Compare(a.executor.info.ID, b.executor.info.ID))
+}
+
+// fewFits is the number of executors up to which insertion is faster than sorting.
+const fewFits = 24
+
+// firstFits returns the best executors for n tasks, in order. Usually few tasks start and
+// many executors fit.
+func firstFits(fits []fit, n int) []fit {
+	if n > fewFits || len(fits) <= fewFits {
+		slices.SortFunc(fits, compareFits)
+		return fits
+	}
+	best := make([]fit, 0, n+1)
+	for _, f := range fits {
+		if len(best) == n && compareFits(f, best[n-1]) > 0 {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(best, f, compareFits)
+		best = slices.Insert(best, at, f)
+		best = best[:min(n, len(best))]
+	}
+	return best
+}
+
 // Penalties in an executor's score, as fractions of its processors.
 const (
 	remotePenalty   = 10.0 // away from the data, times remoteSlowdown
@@ -129,7 +172,7 @@
 		}
 	} else {
 		score = float64(left.CPU) / math.Max(1, float64(e.info.Room.CPU))
-		penalty := speedPenalty * (s.slowdown(e) - 1)
+		penalty := speedPenalty * (e.relativeTime - 1)
 		if st.urgent() {
 			score += penalty
 		} else {
--- a/node/internal/plan/report.go
+++ b/node/internal/plan/report.go
@@ -23,6 +23,7 @@
 		return
 	}
 	e.runsKnown, e.silent, e.lastReport = true, false, now
+	s.markChanged(e)
 	for _, end := range rep.Ends {
 		s.runEnded(now, e, end)
 	}
--- a/node/internal/plan/run.go
+++ b/node/internal/plan/run.go
@@ -84,6 +84,7 @@
 
 // addRun adds a run to the usage of its executor and its team.
 func (s *State) addRun(r *run) {
+	s.markChanged(r.executor)
 	r.executor.runs[r.key()] = r
 	r.executor.used = r.executor.used.Add(r.reserved)
 	if r.stage.spec.Filler {
@@ -105,6 +106,7 @@
 	if r.executor.runs[r.key()] != r {
 		return
 	}
+	s.markChanged(r.executor)
 	delete(r.executor.runs, r.key())
 	r.executor.used = r.executor.used.Sub(r.reserved)
 	if r.stage.spec.Filler {
--- a/node/internal/plan/stage.go
+++ b/node/internal/plan/stage.go
@@ -22,6 +22,7 @@
 	lastBlocked  time.Time       // when tasks were last found unable to start; zero if all have started
 	blockCause   blockCause      // why they couldn't
 	advice       advice
+	path         time.Duration // what remainingPath returns, 0 before its first call
 }
 
 func newStage(o *occurrence, index int) *stage {
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -9,6 +9,8 @@
 // State holds the jobs, executors and teams that decisions are based on.
 type State struct {
 	config         *model.Config // current configuration, or nil
+	decision       int           // number of decisions
+	nextSweep      time.Time     // when sweep is due again
 	remoteSlowdown float64       // factor for a task away from its data
 	// A team's burst is what its rate yields in quotaWindow, and quotaSlack jobs
 	// more.
@@ -23,10 +25,13 @@
 	executorsListed    bool          // all registered executors are known
 	jobs               map[string]*job
 	executors          map[string]*executor
+	zones              map[string]int // numbers of the executors' zones, by name
+	changed            []*executor    // executors with changed runs or a new report since the last decision
 	teams              map[string]*team
 	dirty              map[string]*job                 // jobs with progress that isn't recorded yet
 	ended              map[string]bool                 // jobs whose end is recorded and whose rows still exist
 	pendingAdvice      map[model.StepID]pendingRequest // requests to the adviser without an answer
+	longRequests       int                             // of these, long ones
 	paused             bool                            // no run may start
 	adviceSlots        int                             // maximum number of pending requests to the adviser
 	slowdowns          map[string]float64              // learned, by kind of hardware
@@ -44,7 +49,7 @@
 // New returns an empty State with the given configuration, which may be nil.
 func New(config *model.Config, opts ...Option) *State {
 	s := &State{
-		config: config, remoteSlowdown: 1, quotaWindow: defaultQuotaWindow, maxStopTime: time.Second, jobs: make(map[string]*job), executors: make(map[string]*executor),
+		config: config, remoteSlowdown: 1, quotaWindow: defaultQuotaWindow, maxStopTime: time.Second, jobs: make(map[string]*job), executors: make(map[string]*executor), zones: make(map[string]int),
 		teams: make(map[string]*team), dirty: make(map[string]*job), ended: make(map[string]bool), slowdowns: make(map[string]float64), pendingAdvice: make(map[model.StepID]pendingRequest), maybeClosed: make(map[string]bool), adviceSlots: 1,
 	}
 	for _, opt := range opts {
--- a/node/internal/plan/urgency.go
+++ b/node/internal/plan/urgency.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -20,11 +21,9 @@
 	latestStart time.Time
 }
 
-func (u urgency) before(v urgency) bool {
-	if u.rank != v.rank {
-		return u.rank < v.rank
-	}
-	return u.latestStart.Before(v.latestStart)
+// compare returns a negative number if u goes before v.
+func (u urgency) compare(v urgency) int {
+	return cmp.Or(cmp.Compare(u.rank, v.rank), u.latestStart.Compare(v.latestStart))
 }
 
 // urgency returns the stage's place in the order of waiting stages.
@@ -77,6 +76,9 @@
 // remainingPath returns the longest path from the start of this stage to the end of
 // the occurrence, by the estimates of the steps.
 func (st *stage) remainingPath() time.Duration {
+	if st.path > 0 {
+		return st.path
+	}
 	steps := st.occur.job.spec.Steps
 	ends := make([]time.Duration, len(steps))
 	longest := time.Duration(0)
@@ -98,5 +100,6 @@
 		}
 		longest = max(longest, ends[i])
 	}
+	st.path = longest
 	return longest
 }
--- a/node/internal/plan/zones.go
+++ b/node/internal/plan/zones.go
@@ -1,7 +1,7 @@
 package plan
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,45 +11,75 @@
 // affect it. If steps were spread over all zones, the loss of any zone would affect
 // nearly every step.
 
-// rankZones returns the rank of each zone for n more tasks of a stage; fits says how
-// many fit on which executor. Zones with capacity for all n come first, and among
-// these those with the most runs of the stage. Ties are broken in an order that
-// differs from step to step.
-func (st *stage) rankZones(fits []fit, n int) map[string]int {
-	capacity := make(map[string]int)
-	for _, f := range fits {
-		capacity[f.executor.info.Zone] += f.tasks
-	}
-	zones := slices.Sorted(maps.Keys(capacity))
+// zoneUse is what rankZones knows of a zone.
+type zoneUse struct {
+	name     string
+	number   int
+	capacity int // tasks of the stage that fit
+	runs     int // current runs of the stage
+	rotated  int // position in an order that differs from step to step
+}
+
+// rankZones sets the ranks of the executors' zones in fits, for n more tasks of the stage.
+// Zones with capacity for all n come first, and among these those with the most runs of the
+// stage. Ties are broken in an order that differs from step to step.
+func (st *stage) rankZones(fits []fit, n int) {
+	zones := zonesOf(fits)
 	if len(zones) < 2 {
-		return nil
+		return
 	}
-	runs := st.runsByZone()
-	first := int(xxhash.Sum64String(st.occur.job.spec.ID)+uint64(st.index)) % len(zones)
-	if first < 0 {
-		first += len(zones)
+	for i := range st.tasks {
+		if r := st.tasks[i].run; r != nil {
+			if z := findZone(zones, r.executor.zone); z != nil {
+				z.runs++
+			}
+		}
 	}
-	rotated := make(map[string]int, len(zones))
-	for i, z := range zones {
-		rotated[z] = (i - first + len(zones)) % len(zones)
+	slices.SortFunc(zones, func(a, b zoneUse) int { return cmp.Compare(a.name, b.name) })
+	first := int((xxhash.Sum64String(st.occur.job.spec.ID) + uint64(st.index)) % uint64(len(zones)))
+	for i := range zones {
+		zones[i].rotated = (i - first + len(zones)) % len(zones)
 	}
-	slices.SortFunc(zones, func(a, b string) int {
-		if d := fitsAll(capacity[b], n) - fitsAll(capacity[a], n); d != 0 {
+	slices.SortFunc(zones, func(a, b zoneUse) int {
+		if d := fitsAll(b.capacity, n) - fitsAll(a.capacity, n); d != 0 {
 			return d
 		}
-		if runs[a] != runs[b] {
-			return runs[b] - runs[a]
+		if a.runs != b.runs {
+			return b.runs - a.runs
 		}
-		if fitsAll(capacity[a], n) == 0 && capacity[a] != capacity[b] {
-			return capacity[b] - capacity[a] // Use as few zones as possible.
+		if fitsAll(a.capacity, n) == 0 && a.capacity != b.capacity {
+			return b.capacity - a.capacity // Use as few zones as possible.
 		}
-		return rotated[a] - rotated[b]
+		return a.rotated - b.rotated
 	})
-	ranks := make(map[string]int, len(zones))
-	for i, z := range zones {
-		ranks[z] = i
+	for i := range fits {
+		fits[i].zoneRank = slices.IndexFunc(zones, func(z zoneUse) bool { return z.number == fits[i].executor.zone })
+	}
+}
+
+// zonesOf returns the zones of executors with their capacity.
+func zonesOf(fits []fit) []zoneUse {
+	var zones []zoneUse
+	for i := range fits {
+		e := fits[i].executor
+		z := findZone(zones, e.zone)
+		if z == nil {
+			zones = append(zones, zoneUse{name: e.info.Zone, number: e.zone})
+			z = &zones[len(zones)-1]
+		}
+		z.capacity += fits[i].tasks
 	}
-	return ranks
+	return zones
+}
+
+// findZone returns the zone with a number, or nil.
+func findZone(zones []zoneUse, number int) *zoneUse {
+	for i := range zones {
+		if zones[i].number == number {
+			return &zones[i]
+		}
+	}
+	return nil
 }
 
 // fitsAll returns 1 if capacity suffices for n tasks, and 0 otherwise.
@@ -59,14 +89,3 @@
 	}
 	return 0
 }
-
-// runsByZone returns the number of the stage's current runs in each zone.
-func (st *stage) runsByZone() map[string]int {
-	out := make(map[string]int)
-	for i := range st.tasks {
-		if r := st.tasks[i].run; r != nil {
-			out[r.executor.info.Zone]++
-		}
-	}
-	return out
-}
