node/owner: record more changes in a write, and ends of jobs first

Cause: a write held 48 changes, half of what the store takes, since each change was counted as two rows; most have one. The next write then waited 30 ms although more was to be recorded. Ends that executors list are acknowledged only when nothing is left, so under load executors repeated up to 500 ends in each report, and which jobs were shown as done was up to chance.

Change: a write holds as many rows as the store allows, jobs that have ended first; after a full one the next comes after 10 ms.

--- a/node/internal/owner/batch.go
+++ b/node/internal/owner/batch.go
@@ -6,14 +6,14 @@
 	"github.com/balsamford/balsamford/platform"
 )
 
-// maxChangesPerWrite keeps a write within the store's limit of entries. A change takes
-// up to two rows; the row of closed executors, the owner's row and its condition take
-// three entries.
-const maxChangesPerWrite = (platform.MaxEntries - 3) / 2
+// maxChangeRows keeps a write within the store's limit of entries: the row of closed
+// executors, the owner's row and its condition take three.
+const maxChangeRows = platform.MaxEntries - 3
 
 // batch is the content of one write.
 type batch struct {
 	changes        []plan.Change
+	partial        bool               // there are more changes than one write can hold
 	ends           map[*session]int64 // sequence number of the last end that this write covers, by executor
 	closed         *board.Closed      // nil if the recorded row is up to date
 	writeAheadZone string             // zone in which every run is recorded as of this write, may be empty
@@ -21,8 +21,18 @@
 
 func (b *batch) empty() bool { return len(b.changes) == 0 && b.closed == nil }
 
-// full reports whether there may be more changes to record.
-func (b *batch) full() bool { return len(b.changes) == maxChangesPerWrite }
+// addChanges adds the changes that fit in one write.
+func (b *batch) addChanges(changes []plan.Change) {
+	rows := 0
+	for i := range changes {
+		rows += changes[i].Rows()
+		if rows > maxChangeRows {
+			b.changes, b.partial = changes[:i], true
+			return
+		}
+	}
+	b.changes = changes
+}
 
 // collect returns the next batch. It includes ends and closed executors only if it
 // includes all changes, since the record of an end or a closed executor implies that
@@ -31,8 +41,9 @@
 	t := r.term
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	b := batch{changes: t.plan.Changes(maxChangesPerWrite)}
-	if b.full() {
+	var b batch
+	b.addChanges(t.plan.Changes(maxChangeRows + 1))
+	if b.partial {
 		return b
 	}
 	if t.plan.ZoneRunsKnown(t.writeAheadZone) {
--- a/node/internal/owner/hold.go
+++ b/node/internal/owner/hold.go
@@ -72,12 +72,13 @@
 	}
 }
 
-// writeInterval returns the least time until the next write.
-func (t *term) writeInterval() time.Duration {
+// writeInterval returns the least time until the next write. More is set if the last one
+// couldn't hold all changes.
+func (t *term) writeInterval(more bool) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.heldStarts) > 0 {
-		return heldWriteInterval
+	if more || len(t.heldStarts) > 0 {
+		return urgentWriteInterval
 	}
 	return minWriteInterval
 }
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -19,8 +19,10 @@
 	// minWriteInterval is the least time between two writes, so that changes in quick
 	// succession share one write.
 	minWriteInterval = 30 * time.Millisecond
-	// heldWriteInterval replaces minWriteInterval while starts wait for their record.
-	heldWriteInterval = 10 * time.Millisecond
+	// urgentWriteInterval replaces minWriteInterval while starts wait for their record, or
+	// there are more changes than one write can hold. Executors repeat their ends until
+	// nothing is left to record.
+	urgentWriteInterval = 10 * time.Millisecond
 	// A write times out after writeTimeoutFactor times the typical write duration, but not
 	// before minWriteTimeout, and is then retried. Both attempts have the same condition, so
 	// that at most one of them is applied.
@@ -87,10 +89,10 @@
 		last = now
 		t.confirm(sentBoot, r.row.Authority)
 		r.markRecorded(b)
-		if b.full() {
+		if b.partial {
 			signal(t.wakeRecorder)
 		}
-		_ = t.owner.clock.Sleep(ctx, t.writeInterval())
+		_ = t.owner.clock.Sleep(ctx, t.writeInterval(b.partial))
 	}
 }
 
--- a/node/internal/plan/restore.go
+++ b/node/internal/plan/restore.go
@@ -84,14 +84,33 @@
 	Version      int           // of the progress
 }
 
-// Changes returns up to n jobs whose progress has to be recorded. The caller passes
-// each to Recorded once it is stored.
+// Rows returns the number of rows that record the change.
+func (c *Change) Rows() int {
+	if c.PhaseChanged {
+		return 2 // The progress and the phase.
+	}
+	return 1
+}
+
+// Changes returns up to n jobs whose progress has to be recorded, first those that have
+// ended, since clients wait for their ends. The caller passes each to Recorded once it is
+// stored.
 func (s *State) Changes(n int) []Change {
 	out := make([]Change, 0, min(n, len(s.dirty)))
+	out = s.appendChanges(out, n, true)
+	return s.appendChanges(out, n, false)
+}
+
+// appendChanges appends to out, up to a length of n, the changes of jobs that have or haven't
+// ended.
+func (s *State) appendChanges(out []Change, n int, ended bool) []Change {
 	for id, j := range s.dirty {
 		if len(out) == n {
 			break
 		}
+		if j.phase.Final() != ended {
+			continue
+		}
 		out = append(out, Change{Job: id, Queue: j.spec.Queue, Progress: j.progress(), Delay: j.delay, Sent: j.spec.Sent, Objective: j.objective(), OverQuota: j.overQuota, PhaseChanged: j.phase != j.recorded, Version: j.version})
 	}
 	return out
