--- a/node/internal/owner/decide.go
+++ b/node/internal/owner/decide.go
@@ -50,11 +50,13 @@
 	t.avoidUnconfirmedZone(now)
 	t.plan.SetAdviceSlots(max(1, len(t.owner.board.Hosts())))
 	orders := t.plan.Decide(now)
+	t.longestDecision = max(t.longestDecision, t.owner.clock.Now().Sub(now))
 	var waits []plan.Wait
 	if now.Sub(t.waitsLogged) > waitsInterval {
 		t.waitsLogged = now
 		waits = t.plan.LongWaits(now)
 		t.updateGauges()
+		t.logLoad()
 		for _, sess := range t.sessions {
 			sess.retire(now)
 		}
@@ -89,6 +91,13 @@
 	signal(t.wakeRecorder)
 }
 
+// logLoad logs how well this host keeps up with the cell. The term's mu is held.
+func (t *term) logLoad() {
+	t.owner.logger.Info("owner load", zap.Int64("epoch", t.epoch), zap.Int("jobs", t.plan.Jobs()), zap.Int("waiting", t.plan.Waiting()), zap.Int("unrecorded", t.plan.Unrecorded()),
+		zap.Duration("lag", t.lag.smoothed), zap.Duration("decision", t.longestDecision), zap.Duration("confirmed", t.owner.clock.Boot()-t.writeConfirmed))
+	t.longestDecision = 0
+}
+
 // logWait logs why a stage is waiting.
 func (t *term) logWait(w *plan.Wait, now time.Time) {
 	t.owner.logger.Info("step waits", zap.String("id", w.Step.Job), zap.Int("occur", w.Step.Occur), zap.Int("step", w.Step.Step),
--- a/node/internal/owner/ownermetrics.go
+++ b/node/internal/owner/ownermetrics.go
@@ -18,6 +18,7 @@
 	silent       metrics.Gauge   // executors that don't respond
 	waiting      metrics.Gauge   // tasks that are ready but have no run
 	paused       metrics.Gauge   // 1 while no run may start, since ownership isn't confirmed
+	lag          metrics.Gauge   // by how much the decision loop falls behind, in milliseconds
 	starts       metrics.Counter // starts confirmed by executors
 	failed       metrics.Counter // starts that failed or whose outcome is unknown
 	lost         metrics.Counter // runs that neither finished nor were stopped by an order
@@ -32,7 +33,7 @@
 	gauge := func(name string) metrics.Gauge { return metrics.GetOrRegisterGauge("node.owner."+name, r) }
 	return &ownerMetrics{
 		epoch: gauge("epoch"), terms: counter("terms"), executors: gauge("executors"), silent: gauge("silent"), waiting: gauge("waiting"),
-		paused: gauge("paused"), starts: counter("starts"), failed: counter("failed"), lost: counter("lost"),
+		paused: gauge("paused"), lag: gauge("lag"), starts: counter("starts"), failed: counter("failed"), lost: counter("lost"),
 		ends: map[model.Phase]metrics.Counter{
 			model.Done:      metrics.GetOrRegisterCounter("node.job.done", r),
 			model.Failed:    metrics.GetOrRegisterCounter("node.job.failed", r),
@@ -68,6 +69,7 @@
 	c.executors.Update(int64(len(t.sessions)))
 	c.silent.Update(int64(silent))
 	c.waiting.Update(int64(t.plan.Waiting()))
+	c.lag.Update(t.lag.smoothed.Milliseconds())
 	c.paused.Update(0)
 	if t.paused {
 		c.paused.Update(1)
@@ -76,7 +78,7 @@
 
 // reset zeroes the gauges that only an owner maintains.
 func (c *ownerMetrics) reset() {
-	for _, g := range []metrics.Gauge{c.executors, c.silent, c.waiting, c.paused} {
+	for _, g := range []metrics.Gauge{c.executors, c.silent, c.waiting, c.paused, c.lag} {
 		g.Update(0)
 	}
 }
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -53,7 +53,8 @@
 
 	mu                sync.Mutex // guards the fields below
 	plan              *plan.State
-	lag               lagMeter // of the decision loop
+	lag               lagMeter      // of the decision loop
+	longestDecision   time.Duration // since logLoad was last called
 	sessions          map[string]*session
 	config            *model.Config
 	lastOutageEnd     time.Time                // when the last store outage ended, judged by the changes of entries
--- a/node/internal/plan/waits.go
+++ b/node/internal/plan/waits.go
@@ -29,6 +29,12 @@
 	AdvicePending bool // a request to the adviser is pending
 }
 
+// Jobs returns the number of jobs that haven't ended or may have runs.
+func (s *State) Jobs() int { return len(s.jobs) }
+
+// Unrecorded returns the number of jobs whose progress has to be recorded.
+func (s *State) Unrecorded() int { return len(s.dirty) }
+
 // Waiting returns the number of tasks that are ready to run and have no run.
 func (s *State) Waiting() int {
 	n := 0
