coord, node: a message that makes a handler panic fails its own call

Report of another operator: one malformed message took a whole process down. It could here: no handler of calls between hosts or of clients' requests caught a panic, and a notification with a null in its list of jobs makes the owner panic.

Change: the stream or the request fails, with the stack in the log; the outcome of a client's request then is unknown (504 on the platform), never "not run". Nulls in notifications are passed over.

--- a/coord/httpd/conn.go
+++ b/coord/httpd/conn.go
@@ -9,6 +9,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
 )
 
 // refusalLinger is how long a refused connection stays open while its input is
@@ -198,10 +199,25 @@
 // of the handlers group.
 func (s *Server) runHandler(x *Exchange) {
 	s.counts.requests.Inc(1)
-	s.handler.Serve(x)
+	s.serve(x)
 	x.complete()
 }
 
+// serve calls the handler. One that panics fails this request alone: what it did
+// until then isn't known.
+func (s *Server) serve(x *Exchange) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		s.logger.Error("handler panicked", zap.Any("cause", cause), zap.ByteString("path", x.request.URI().Path()), zap.Stack("stack"))
+		x.CloseAfter()
+		x.Answer(fasthttp.StatusInternalServerError, "application/json", outcomeBody("unknown", "error", "the request failed"))
+	}()
+	s.handler.Serve(x)
+}
+
 // afterResponse continues with the next request, or closes the connection if
 // closeAfter is set or no complete request is left after the input limit was
 // exceeded.
--- a/coord/httpd/refusal.go
+++ b/coord/httpd/refusal.go
@@ -20,8 +20,10 @@
 	Detail  string `json:"detail"`  // text for people
 }
 
-func refusalBody(reason, text string) []byte {
-	body, err := json.Marshal(Refusal{Outcome: "notrun", Reason: reason, Detail: text})
+func refusalBody(reason, text string) []byte { return outcomeBody("notrun", reason, text) }
+
+func outcomeBody(outcome, reason, text string) []byte {
+	body, err := json.Marshal(Refusal{Outcome: outcome, Reason: reason, Detail: text})
 	if err != nil {
 		return nil
 	}
--- a/coord/link/errors.go
+++ b/coord/link/errors.go
@@ -9,6 +9,17 @@
 // Error implements error.
 func (e *RemoteError) Error() string { return "peer: " + e.Code + ": " + e.Text }
 
+// PanicError reports a handler that panicked. Its peer gets a *RemoteError with the code
+// "error".
+type PanicError struct {
+	Verb  string
+	Cause any
+	Stack []byte // of the goroutine
+}
+
+// Error implements error.
+func (e *PanicError) Error() string { return "handler of " + e.Verb + " panicked" }
+
 // DialError reports that no connection or stream could be opened, or no address
 // bound. No message was sent.
 type DialError struct {
--- a/coord/link/node.go
+++ b/coord/link/node.go
@@ -5,10 +5,12 @@
 	"crypto/tls"
 	"errors"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/quic-go/quic-go"
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -31,6 +33,7 @@
 	streamWindow uint64
 	connWindow   uint64
 	reset        *quic.StatelessResetKey // nil for none
+	logger       *zap.Logger
 	handlers     map[string]Handler
 	transport    *quic.Transport
 	listener     *quic.Listener
@@ -54,7 +57,7 @@
 	n := &Node{
 		name: name, tls: t, gate: openGate{}, idle: defaultIdle,
 		streamWindow: defaultStreamWindow, connWindow: defaultConnWindow,
-		handlers: make(map[string]Handler), peers: make(map[string]*peer),
+		logger: zap.NewNop(), handlers: make(map[string]Handler), peers: make(map[string]*peer),
 	}
 	for _, opt := range opts {
 		opt(n)
@@ -199,6 +202,17 @@
 	_ = conn.CloseWithError(0, "")
 }
 
+// callHandler calls a handler. One that panics, as on a malformed message, fails its stream
+// alone; the error is a *PanicError then.
+func callHandler(ctx context.Context, h Handler, s *Stream) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = &PanicError{Verb: s.verb, Cause: cause, Stack: debug.Stack()}
+		}
+	}()
+	return h.Handle(ctx, s)
+}
+
 // serveStream reads the verb of a new stream and calls its handler.
 func (n *Node) serveStream(ctx context.Context, conn *quic.Conn, qs *quic.Stream) {
 	s := &Stream{quic: qs}
@@ -225,7 +239,11 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, cancel)
 	defer stop()
-	if err := handler.Handle(connCtx, s); err != nil {
+	if err := callHandler(connCtx, handler, s); err != nil {
+		var panicked *PanicError
+		if errors.As(err, &panicked) {
+			n.logger.Error("handler panicked", zap.String("verb", s.verb), zap.String("from", s.from), zap.Any("cause", panicked.Cause), zap.ByteString("stack", panicked.Stack))
+		}
 		var remote *RemoteError
 		if !errors.As(err, &remote) {
 			remote = &RemoteError{Code: "error", Text: err.Error()}
--- a/coord/link/option.go
+++ b/coord/link/option.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/quic-go/quic-go"
+	"go.uber.org/zap"
 )
 
 // Option changes how New makes a Node.
@@ -27,6 +28,11 @@
 	}
 }
 
+// WithLogger sets the logger for handlers that panic. The default discards all messages.
+func WithLogger(l *zap.Logger) Option {
+	return func(n *Node) { n.logger = l }
+}
+
 // WithIdle sets how long a connection may go without any packet before it is
 // considered lost. Keepalives are sent twice in that time. The default is 3
 // seconds. It bounds the handshake too.
--- a/node/app.go
+++ b/node/app.go
@@ -93,7 +93,7 @@
 	}
 	a.configs = config.New(logger)
 	a.board = board.New(logger)
-	a.node = link.New(s.Host, private, link.WithResetSecret(s.Host))
+	a.node = link.New(s.Host, private, link.WithResetSecret(s.Host), link.WithLogger(logger))
 	direct := platform.NewStore(s.Store, storeTimeout, platform.WithClock(a.clock))
 	a.relay = relay.New(s.Host, s.Zone, a.node, a.clock, a.board, direct, logger, registry)
 	a.store = a.relay.Client(direct)
--- a/node/internal/front/front.go
+++ b/node/internal/front/front.go
@@ -95,8 +95,15 @@
 	version  int64  // of the configuration that authorize used
 }
 
-// Serve implements httpd.Handler.
+// Serve implements httpd.Handler. A request that makes it panic is answered like one whose
+// outcome is unknown.
 func (s *Service) Serve(x *httpd.Exchange) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.logger.Error("request panicked", zap.ByteString("path", x.Request().URI().Path()), zap.Any("cause", cause), zap.Stack("stack"))
+			s.reject(x, fasthttp.StatusGatewayTimeout, "not known whether it was stored")
+		}
+	}()
 	r, ok := s.authorize(x)
 	if !ok {
 		return
--- a/node/internal/owner/notification.go
+++ b/node/internal/owner/notification.go
@@ -131,7 +131,9 @@
 		return
 	}
 	for _, j := range n.Jobs {
-		t.JobAccepted(j)
+		if j != nil { // A null in a malformed message.
+			t.JobAccepted(j)
+		}
 	}
 	for _, id := range n.Cancelled {
 		t.JobCancelled(id)
