node/feed: one host of each zone follows the board at the store

Change: the host of a zone with most processor time follows the store and keeps recent changes; the others of the zone poll it and ask the store only if it doesn't reply, lacks changes or is behind by more than 1.5 s. What a fed host knows counts from when its feeder knew it. Hosts that may own the cell soon, and the owner, ask the store as before. Two hosts beside the owner and its successors keep a copy of the submissions, before all of the most powerful did.

--- a/node/app.go
+++ b/node/app.go
@@ -22,6 +22,7 @@
 	"github.com/balsamford/balsamford/node/internal/advice"
 	"github.com/balsamford/balsamford/node/internal/board"
 	"github.com/balsamford/balsamford/node/internal/config"
+	"github.com/balsamford/balsamford/node/internal/feed"
 	"github.com/balsamford/balsamford/node/internal/follow"
 	"github.com/balsamford/balsamford/node/internal/front"
 	"github.com/balsamford/balsamford/node/internal/owner"
@@ -103,13 +104,15 @@
 		clientStore.SetAddress(s.Store)
 		adviser.SetAddress(s.Adviser)
 	})
+	boardFeed := feed.New(s.Host, s.Zone, a.node, a.clock, a.board)
 	a.followers = []*follow.Follower{
 		follow.New(a.store, a.clock, platform.ConfigTable, []string{""}, a.configs, follow.WithGap(configGap), follow.WithLogger(logger)),
-		follow.New(a.store, a.clock, board.Table, board.Parts(), a.board, follow.WithGap(owner.FollowGap), follow.WithLogger(logger)),
+		follow.New(a.store, a.clock, board.Table, board.Parts(), a.board, follow.WithGap(owner.FollowGap), follow.WithFeed(boardFeed), follow.WithRecent(boardFeed.Feeding), follow.WithLogger(logger)),
 	}
+	boardFeed.Offer(board.Table, a.followers[1])
 	a.registerConfigMetrics()
 	a.owner = owner.New(owner.Deps{
-		Host: s.Host, Zone: s.Zone, Process: a.process, Bounds: a.liveSettings.Bounds, Store: a.store, StoreClock: direct, Clock: a.clock, Board: a.board, Follower: a.followers[1], Configs: a.configs,
+		Host: s.Host, Zone: s.Zone, Process: a.process, Bounds: a.liveSettings.Bounds, Store: a.store, StoreClock: direct, Clock: a.clock, Board: a.board, Follower: a.followers[1], Feeding: boardFeed.Feeding, Configs: a.configs,
 		Advisers: advice.New(s.Host, a.node, adviser, a.clock, a.board),
 		Connect:  func(id, address string) owner.Executor { return platform.NewExecutor(id, address) },
 		Logger:   logger, Registry: registry,
--- /dev/null
+++ b/node/internal/follow/feed_test.go
@@ -0,0 +1,80 @@
+package follow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/balsamford/balsamford/coord/timer"
+	"github.com/balsamford/balsamford/platform"
+)
+
+// oldFeed is a Feed without changes that was complete a while ago.
+type oldFeed struct{ age time.Duration }
+
+func (f oldFeed) Changes(_ string, after int64) ([]platform.Row, int64, time.Duration, error) {
+	return nil, after, f.age, nil
+}
+
+// What came from a feed counts as known since the feeder knew it, not since it was asked for:
+// the owner's authority and the readiness of hosts go by that time. It is never passed on.
+func TestAgeOfFedChanges(t *testing.T) {
+	is := is.New(t)
+	clock := timer.New(timer.WithManual(time.Unix(1_800_000_000, 0)))
+	clock.Advance(time.Hour)
+	const age = 700 * time.Millisecond
+	f := New(&hungStore{}, clock, "t", []string{""}, &collector{}, WithGap(FeedGap), WithFeed(oldFeed{age: age}), WithRecent(func() bool { return true }))
+	f.markSynced(clock.Now(), clock.Boot(), 0, 5)
+	_, _, _, ok := f.Changes(5)
+	is.True(ok)
+	clock.Advance(FeedGap)
+	next, got, err := f.poll(5, true)
+	is.NoErr(err)
+	f.markSynced(clock.Now(), clock.Boot(), got, next)
+	is.Equal(f.SyncedBoot(), clock.Boot()-age)
+	is.Equal(f.SyncedAt(), clock.Now().Add(-age))
+	is.True(!f.Failing())
+	_, _, _, ok = f.Changes(5)
+	is.True(!ok)
+	clock.Advance(f.pollWait + f.gap + overdueAfter + time.Millisecond)
+	is.True(f.Failing())
+}
+
+// Changes are passed on only if none is missing.
+func TestRecentChangesAreComplete(t *testing.T) {
+	rows := func(from, to int64) []platform.Row {
+		var out []platform.Row
+		for v := from; v <= to; v++ {
+			out = append(out, platform.Row{Version: v})
+		}
+		return out
+	}
+	tests := map[string]struct {
+		added    []platform.Row // after a whole read at version 10
+		after    int64
+		complete bool
+		want     int // changes
+	}{
+		"from the whole read on":   {added: rows(11, 20), after: 10, complete: true, want: 10},
+		"later":                    {added: rows(11, 20), after: 15, complete: true, want: 5},
+		"nothing new":              {added: rows(11, 20), after: 20, complete: true},
+		"before the whole read":    {added: rows(11, 20), after: 9},
+		"more than are kept":       {added: rows(11, 20+maxRecent), after: 11},
+		"the last of so many":      {added: rows(11, 20+maxRecent), after: 20, complete: true, want: maxRecent},
+		"repeated after the read":  {added: append(rows(8, 10), rows(11, 12)...), after: 10, complete: true, want: 2},
+		"before any kept change":   {after: 10, complete: true},
+		"before the version known": {after: 3},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var r recent
+			r.reset(10)
+			r.add(tt.added)
+			got, ok := r.after(tt.after)
+			is.Equal(ok, tt.complete)
+			is.Equal(len(got), tt.want)
+		})
+	}
+}
--- a/node/internal/follow/follower.go
+++ b/node/internal/follow/follower.go
@@ -44,9 +44,18 @@
 	Change(rows []platform.Row)
 }
 
+// Feed provides changes of a table from another host, as feed.Feed does.
+type Feed interface {
+	// Changes returns the changes after a version and the version up to which they are
+	// complete. Age is how long before the call that was known, at most.
+	Changes(table string, after int64) (rows []platform.Row, version int64, age time.Duration, err error)
+}
+
 // Follower watches one table and passes its rows to a Handler.
 type Follower struct {
 	store      Store
+	feed       Feed        // nil for none
+	keepRecent func() bool // reports whether to keep changes for other hosts; nil for never
 	clock      *timer.Service
 	table      string
 	parts      []string
@@ -60,7 +69,9 @@
 	syncedAt   time.Time     // when the last successful call was sent
 	syncedBoot time.Duration // syncedAt as time since boot, suspensions included
 	failing    bool          // the last call failed
+	feedAge    time.Duration // how old the last changes were when they came from the feed, 0 from the store
 	version    int64         // store version up to which the handler has all changes
+	recent     recent        // changes for other hosts
 }
 
 // Option changes how New makes a Follower.
@@ -73,6 +84,17 @@
 // WithLogger sets the logger. The default discards all messages.
 func WithLogger(l *zap.Logger) Option { return func(f *Follower) { f.logger = l } }
 
+// FeedGap is the least gap with which a Follower takes changes from a feed. With a shorter one
+// it needs them as soon as the store has them.
+const FeedGap = time.Second
+
+// WithFeed makes the Follower take changes from a feed, while it has any and the gap is at
+// least FeedGap. Whole tables are read from the store.
+func WithFeed(feed Feed) Option { return func(f *Follower) { f.feed = feed } }
+
+// WithRecent makes the Follower keep recent changes for Changes while wanted returns true.
+func WithRecent(wanted func() bool) Option { return func(f *Follower) { f.keepRecent = wanted } }
+
 // New returns a Follower that passes the rows of table to h. Parts are all partitions of
 // the table.
 func New(store Store, clock *timer.Service, table string, parts []string, h Handler, opts ...Option) *Follower {
@@ -144,10 +166,27 @@
 
 // markSynced notes that the handler has all changes up to version, by a call that was
 // sent at sentAt, which is sentBoot on the clock that includes suspensions.
-func (f *Follower) markSynced(sentAt time.Time, sentBoot time.Duration, version int64) {
+// Changes that came from a feed were age old then.
+func (f *Follower) markSynced(sentAt time.Time, sentBoot, age time.Duration, version int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.syncedAt, f.syncedBoot, f.failing, f.version = sentAt, sentBoot, false, version
+	if sentBoot-age < f.syncedBoot {
+		age = sentBoot - f.syncedBoot // What was known before still holds.
+	}
+	f.syncedAt, f.syncedBoot, f.feedAge, f.failing, f.version = sentAt.Add(-age), sentBoot-age, age, false, version
+}
+
+// Changes returns the changes after a version, for other hosts, the version up to which they
+// are complete, and how long ago that was known. It returns false if it doesn't have them all
+// or the table can't be followed. It may be called concurrently.
+func (f *Follower) Changes(after int64) (rows []platform.Row, version int64, age time.Duration, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failing || f.syncedBoot == 0 || f.feedAge > 0 || after > f.version {
+		return nil, 0, 0, false
+	}
+	rows, ok = f.recent.after(after)
+	return rows, f.version, f.clock.Boot() - f.syncedBoot, ok
 }
 
 // Failing reports whether the last call failed or the answer to the current one is
@@ -155,7 +194,7 @@
 func (f *Follower) Failing() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.failing || f.clock.Now().Sub(f.syncedAt) > f.pollWait+f.gap+overdueAfter
+	return f.failing || f.clock.Now().Sub(f.syncedAt) > f.pollWait+f.gap+f.feedAge+overdueAfter
 }
 
 func (f *Follower) markFailed() {
@@ -170,7 +209,7 @@
 	version, read, outage := int64(0), false, false
 	for ctx.Err() == nil {
 		sentAt, sentBoot := f.clock.Now(), f.clock.Boot()
-		next, err := f.poll(version, read)
+		next, age, err := f.poll(version, read)
 		if err != nil {
 			f.markFailed()
 			var history *platform.HistoryError
@@ -191,27 +230,57 @@
 			f.logger.Info("table is followed again", zap.String("table", f.table), zap.Int64("version", next))
 		}
 		version, read = max(version, next), true
-		f.markSynced(sentAt, sentBoot, version)
+		f.markSynced(sentAt, sentBoot, age, version)
 		f.waitGap(ctx, sentAt)
 	}
 	return nil
 }
 
 // poll passes the rows of the whole table to the handler, or, if it has been read, the
-// changes after version. It returns the version to continue from.
-func (f *Follower) poll(version int64, read bool) (int64, error) {
+// changes after version. It returns the version to continue from, and how old the changes
+// were when poll was called if they came from the feed.
+func (f *Follower) poll(version int64, read bool) (next int64, age time.Duration, err error) {
 	if !read {
 		rows, next, err := f.readAll()
 		if err == nil {
+			f.keep(nil, next, true)
 			f.handler.Reset(rows)
 		}
-		return next, err
+		return next, 0, err
 	}
-	rows, next, err := f.store.Watch(f.table, version, f.pollWait)
+	rows, next, age, err := f.changes(version)
 	if err == nil && len(rows) > 0 {
+		f.keep(rows, next, false)
 		f.handler.Change(rows)
 	}
-	return next, err
+	return next, age, err
+}
+
+// keep keeps changes up to version for other hosts. All is set after a read of the whole
+// table.
+func (f *Follower) keep(rows []platform.Row, version int64, all bool) {
+	wanted := f.keepRecent != nil && f.keepRecent()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !wanted || all {
+		f.recent.reset(version)
+		return
+	}
+	f.recent.add(rows)
+}
+
+// changes returns the changes after version from the feed or, if it has none, the store.
+func (f *Follower) changes(version int64) (rows []platform.Row, next int64, age time.Duration, err error) {
+	f.mu.Lock()
+	fromFeed := f.feed != nil && f.gap >= FeedGap
+	f.mu.Unlock()
+	if fromFeed {
+		if rows, next, age, err = f.feed.Changes(f.table, version); err == nil {
+			return rows, next, age, nil
+		}
+	}
+	rows, next, err = f.store.Watch(f.table, version, f.pollWait)
+	return rows, next, 0, err
 }
 
 // readAll reads all partitions, up to maxConcurrentReads at the same time. The version is
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -47,6 +47,7 @@
 	clock         *timer.Service
 	board         *board.Board
 	boardFollower BoardFollower
+	feeding       func() bool // may be nil
 	configs       Configs
 	advisers      Advisers
 	connect       func(id, address string) Executor
@@ -91,6 +92,7 @@
 	Clock      *timer.Service
 	Board      *board.Board
 	Follower   BoardFollower // keeps Board up to date
+	Feeding    func() bool   // reports whether other hosts get the board's changes from this one; nil for never
 	Configs    Configs
 	Advisers   Advisers
 	Connect    func(id, address string) Executor
@@ -104,7 +106,7 @@
 		p.Registry = metrics.NewRegistry()
 	}
 	return &Owner{
-		host: p.Host, zone: p.Zone, process: p.Process, bounds: p.Bounds, store: p.Store, storeClock: p.StoreClock, clock: p.Clock, board: p.Board, boardFollower: p.Follower, configs: p.Configs,
+		host: p.Host, zone: p.Zone, process: p.Process, bounds: p.Bounds, store: p.Store, storeClock: p.StoreClock, clock: p.Clock, board: p.Board, boardFollower: p.Follower, feeding: p.Feeding, configs: p.Configs,
 		advisers: p.Advisers, connect: p.Connect, logger: p.Logger, metrics: newOwnerMetrics(p.Registry), offers: make(chan handover, 1), notifications: make(chan notification, notificationQueueSize),
 	}
 }
@@ -153,8 +155,11 @@
 	row, version := o.board.Owner()
 	mayTakeOver := version == 0 || slices.Contains(row.Successors, o.host) || len(row.Successors) == 0 && o.powerRank(row.Epoch) < maxSuccessors
 	gap := idleGap
-	if mayTakeOver {
+	switch {
+	case mayTakeOver:
 		gap = FollowGap
+	case o.feeding != nil && o.feeding():
+		gap = feederGap
 	}
 	if gap != o.boardGap {
 		o.boardGap = gap
--- a/node/internal/owner/submissionscopy.go
+++ b/node/internal/owner/submissionscopy.go
@@ -33,13 +33,21 @@
 	return c != nil && c.follower.Version() > 0 && !c.follower.Failing()
 }
 
-// mostPowerful reports whether no host has more processor time than this one. The most
-// powerful hosts rank first after the successors. They keep a copy of the submissions in
-// advance, since reading all of them takes long and fails while a partition of the store
-// is unavailable.
+// spareCopies is how many hosts keep a copy of the submissions beside the owner and its
+// successors. Each copy costs as much as all clients' submissions do.
+const spareCopies = 2
+
+// mostPowerful reports whether this host is one of spareCopies hosts than which none has more
+// processor time. The most powerful hosts rank first after the successors. Some of them keep a
+// copy of the submissions in advance, since reading all of them takes long and fails while a
+// partition of the store is unavailable.
 func (o *Owner) mostPowerful() bool {
 	self, ok := o.board.Host(o.host)
-	return ok && !slices.ContainsFunc(o.board.Hosts(), func(h board.Host) bool { return h.Power > self.Power })
+	if !ok || slices.ContainsFunc(o.board.Hosts(), func(h board.Host) bool { return h.Power > self.Power }) {
+		return false
+	}
+	const anyEpoch = 0 // The same hosts keep the copies from owner to owner.
+	return o.powerRank(anyEpoch) < spareCopies
 }
 
 // copySubmissions starts or stops keeping a copy of the submissions.
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -22,6 +22,9 @@
 	// They query the owner for newer state, and may report counts that are two seconds
 	// old.
 	idleGap = 1500 * time.Millisecond
+	// feederGap is the least time between two polls of the board on a host from which other
+	// hosts of its zone get the changes.
+	feederGap = 300 * time.Millisecond
 	// ownerGap is the least time between two polls of the board on the owner.
 	ownerGap = 50 * time.Millisecond
 	// runNumbersPerEpoch is how far each epoch raises the run numbers, so that a new
