--- a/node/internal/relay/forward.go
+++ b/node/internal/relay/forward.go
@@ -132,8 +132,8 @@
 		return resp
 	}
 	kind, table := req.describe()
-	c.relay.logger.Info("forwarded call failed", zap.String("call", kind), zap.String("table", table), zap.String("through", h.Name),
-		zap.Duration("took", c.relay.clock.Now().Sub(began)), zap.Error(err))
+	now := c.relay.clock.Now()
+	c.relay.failures.note(h.Name, now, zap.String("call", kind), zap.String("table", table), zap.Duration("took", now.Sub(began)), zap.Error(err))
 	var dial *link.DialError
 	switch {
 	case err == nil:
--- a/node/internal/relay/relay.go
+++ b/node/internal/relay/relay.go
@@ -43,9 +43,11 @@
 	hosts  Hosts
 	direct Store
 	logger *zap.Logger
-	counts *counts
-	group  errgroup.Group
-	done   chan struct{} // closed when Run's context ends
+	// failures logs forwarded calls that failed.
+	failures failureLog
+	counts   *counts
+	group    errgroup.Group
+	done     chan struct{} // closed when Run's context ends
 
 	mu             sync.Mutex           // guards the fields below
 	closed         bool                 // no more goroutines may be started
@@ -64,7 +66,7 @@
 // hosts by node; direct is this host's own access to the store. New has to be called
 // before the node listens.
 func New(host, zone string, node *link.Node, clock *timer.Service, hosts Hosts, direct Store, logger *zap.Logger, registry metrics.Registry) *Relay {
-	r := &Relay{host: host, zone: zone, node: node, clock: clock, hosts: hosts, direct: direct, logger: logger, counts: newCounts(registry), done: make(chan struct{}), changed: make(chan struct{}), failedHosts: make(map[string]time.Time)}
+	r := &Relay{host: host, zone: zone, node: node, clock: clock, hosts: hosts, direct: direct, logger: logger, failures: failureLog{logger: logger, entries: make(map[string]*failureEntry)}, counts: newCounts(registry), done: make(chan struct{}), changed: make(chan struct{}), failedHosts: make(map[string]time.Time)}
 	node.Handle(verb, link.HandlerFunc(r.serve))
 	return r
 }
