node/plan: start copies of tasks that may run twice at a time

Cause: steps that allow copies ran once at a time. A successor also held such tasks back until it knew every run.

Change: 0.3 s after an executor stopped answering, copies of its tasks start; and of a task that takes 1.6 times as long as most others of its step, while nothing waits. The first to finish counts, the other runs are stopped. Gangs and lasting tasks have none.

--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -213,7 +213,7 @@
 		return
 	}
 	sess.silent = true
-	sess.term.plan.Silent(sess.info.ID)
+	sess.term.plan.Silent(sess.term.owner.clock.Now(), sess.info.ID)
 	sess.term.owner.logger.Info("executor doesn't answer", zap.String("executor", sess.info.ID), zap.Error(err))
 }
 
--- a/node/internal/plan/answers.go
+++ b/node/internal/plan/answers.go
@@ -106,6 +106,16 @@
 		if r := st.tasks[i].run; r != nil && r.state != stopping {
 			s.stopRun(r, now)
 		}
+		s.stopSpares(st, i, now)
+	}
+}
+
+// stopSpares stops the runs of task i that might have finished before its copy.
+func (s *State) stopSpares(st *stage, i int, now time.Time) {
+	for _, r := range st.tasks[i].unwanted {
+		if r.spare && r.state != stopping {
+			s.stopRun(r, now)
+		}
 	}
 }
 
--- a/node/internal/plan/closed_test.go
+++ b/node/internal/plan/closed_test.go
@@ -90,7 +90,7 @@
 				f.state.AddJob(now, f.job(fmt.Sprintf("j%d", i), model.Step{Count: 2, Need: oneCore}), nil)
 				f.confirm(now, f.state.Decide(now).Starts)
 			case "silent":
-				f.state.Silent(id)
+				f.state.Silent(epoch, id)
 			case "answers":
 				rep := Report{RequestedAt: now}
 				for _, r := range f.state.executors[id].runs {
@@ -170,7 +170,7 @@
 		f.addExecutor(id)
 	}
 	for _, id := range []string{"a", "before", "silent"} {
-		f.state.Silent(id)
+		f.state.Silent(epoch, id)
 	}
 	closed, unverified, differs := f.state.Closed()
 	is.Equal(closed, []string{"a", "before", "silent"})
--- a/node/internal/plan/decide.go
+++ b/node/internal/plan/decide.go
@@ -19,6 +19,7 @@
 	if !now.Before(s.nextSweep) {
 		s.nextSweep = now.Add(sweepInterval)
 		s.sweep(now)
+		s.startCopies(now)
 	}
 	s.expireAdviceRequests(now)
 	var waiting []waitingStage
@@ -26,6 +27,7 @@
 		waiting = s.waitingStages(now)
 	}
 	pools := make(map[string]*pool)
+	s.backlogged = false
 	for _, c := range waiting {
 		service := c.stage.occur.job.queue.Service
 		p := pools[service]
@@ -34,6 +36,7 @@
 			pools[service] = p
 		}
 		s.placeStage(c.stage, p, now)
+		s.backlogged = s.backlogged || c.stage.waiting > 0
 	}
 	s.adjustPaces(now)
 	out := s.orders
@@ -62,18 +65,17 @@
 		for k, due := j.nextDue(now); due; k, due = j.nextDue(now) {
 			j.occurrence(k)
 		}
+		copiesOnly := false
 		if j.inherited && !now.After(s.settleDeadline) {
 			service := j.queue.Service
 			if _, ok := unsettled[service]; !ok {
 				unsettled[service] = s.unsettled(service, now)
 			}
-			if unsettled[service] {
-				continue
-			}
+			copiesOnly = unsettled[service] // A run that isn't known yet doesn't keep a copy from starting.
 		}
 		for _, o := range j.occurs {
 			for _, st := range o.stages {
-				if st.waiting == 0 || !o.ready(st) {
+				if st.waiting == 0 || !o.ready(st) || copiesOnly && !st.mayCopy() {
 					continue
 				}
 				if st.readySince.IsZero() {
--- a/node/internal/plan/ends.go
+++ b/node/internal/plan/ends.go
@@ -58,6 +58,7 @@
 		if r := st.tasks[index].run; r != nil {
 			s.stopRun(r, now) // The task needs no other run.
 		}
+		s.stopSpares(st, index, now)
 	}
 	s.markRunning(o.job)
 	s.markDirty(o.job)
--- a/node/internal/plan/executor.go
+++ b/node/internal/plan/executor.go
@@ -11,6 +11,7 @@
 	info           model.Executor
 	runsKnown      bool         // it can't have runs that this owner doesn't know; required for new work
 	silent         bool         // it doesn't answer
+	silentSince    time.Time    // when it was found not to answer
 	used           model.Amount // capacity that the runs take
 	fillerCPU      int64        // CPU need of fillers, which use idle CPU only
 	runs           map[runKey]*run
@@ -89,9 +90,9 @@
 
 // Silent notes that an executor doesn't answer. It gets no new work until its next
 // report; its runs continue to count.
-func (s *State) Silent(id string) {
-	if e := s.executors[id]; e != nil {
-		e.silent = true
+func (s *State) Silent(now time.Time, id string) {
+	if e := s.executors[id]; e != nil && !e.silent {
+		e.silent, e.silentSince = true, now
 	}
 }
 
--- a/node/internal/plan/place.go
+++ b/node/internal/plan/place.go
@@ -41,7 +41,7 @@
 	}
 	i := 0
 	for _, e := range selected {
-		for i < len(st.tasks) && !st.tasks[i].startable() {
+		for i < len(st.tasks) && !st.tasks[i].startable(st.mayCopy()) {
 			i++
 		}
 		if i == len(st.tasks) {
@@ -155,7 +155,7 @@
 // Penalties in an executor's score, as fractions of its processors.
 const (
 	remotePenalty   = 10.0 // away from the data, times remoteSlowdown
-	failedOnPenalty = 20.0 // a run of the step has failed there: the fault may be the executor's
+	failedOnPenalty = 20.0 // a run of the step has failed or was slow there: the fault may be the executor's
 	servingPenalty  = 5.0  // for a filler, beside a task that serves users
 )
 
@@ -179,7 +179,7 @@
 			score -= penalty // Leave the faster ones to urgent work.
 		}
 	}
-	if st.failedOn[e.info.ID] && e.failureStreak > 0 { // No run has succeeded there since.
+	if st.slowOn[e.info.ID] || st.failedOn[e.info.ID] && e.failureStreak > 0 { // No run has succeeded there since.
 		score += failedOnPenalty
 	}
 	if st.spec.Rack != "" && !e.info.Has(st.spec.Rack) {
--- a/node/internal/plan/report.go
+++ b/node/internal/plan/report.go
@@ -69,7 +69,7 @@
 	if r.state == starting || r.state == inDoubt {
 		r.state = active
 	}
-	if r.unwanted && r.state == active {
+	if r.unwanted && r.state == active && (!r.spare || r.stage.tasks[r.index].done || r.stage.occur.job.phase.Final()) {
 		s.stopRun(r, now)
 	}
 	if reported.Percent != r.percent {
--- a/node/internal/plan/run.go
+++ b/node/internal/plan/run.go
@@ -31,6 +31,7 @@
 	startedAt     time.Time    // when it was ordered or first known; if in doubt, since when
 	confirmedAt   time.Time    // when the executor confirmed its start or stop; zero if it hasn't
 	unwanted      bool         // it isn't the current run of its task
+	spare         bool         // it is unwanted because a copy may start, and may still finish first
 	restored      bool         // known only from a record
 	seen          bool         // the executor has confirmed that it exists; its end will be reported
 	stopOrderedAt time.Time
--- a/node/internal/plan/stage.go
+++ b/node/internal/plan/stage.go
@@ -17,6 +17,7 @@
 	readySince   time.Time       // when it was first found ready to start
 	lastLogged   time.Time       // when its wait was last returned by LongWaits
 	failedOn     map[string]bool // executors on which a run of it has failed
+	slowOn       map[string]bool // executors on which a run of it was far behind the others
 	totalRunTime time.Duration   // of timedRuns
 	timedRuns    int             // completed runs that learnSlowdown took into account
 	lastBlocked  time.Time       // when tasks were last found unable to start; zero if all have started
@@ -40,6 +41,14 @@
 	return model.Task{Job: st.occur.job.spec.ID, Occur: st.occur.number, Step: st.index, Index: i}
 }
 
+// noteSlow notes that a run of the stage is far behind the others on an executor.
+func (st *stage) noteSlow(e *executor) {
+	if st.slowOn == nil {
+		st.slowOn = make(map[string]bool)
+	}
+	st.slowOn[e.info.ID] = true
+}
+
 // finishTask marks task i as done. It returns false if the task was done already.
 func (st *stage) finishTask(i int) bool {
 	t := &st.tasks[i]
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -32,6 +32,7 @@
 	ended              map[string]bool                 // jobs whose end is recorded and whose rows still exist
 	pendingAdvice      map[model.StepID]pendingRequest // requests to the adviser without an answer
 	longRequests       int                             // of these, long ones
+	backlogged         bool                            // the last decision left tasks waiting
 	paused             bool                            // no run may start
 	adviceSlots        int                             // maximum number of pending requests to the adviser
 	slowdowns          map[string]float64              // learned, by kind of hardware
--- a/node/internal/plan/task.go
+++ b/node/internal/plan/task.go
@@ -12,8 +12,11 @@
 	unwanted   []*run // other runs that may still exist
 }
 
-// startable reports whether a new run of the task may start.
-func (t *task) startable() bool { return !t.done && t.run == nil && len(t.unwanted) == 0 }
+// startable reports whether a new run of the task may start. Beside other runs only a copy
+// may.
+func (t *task) startable(copies bool) bool {
+	return !t.done && t.run == nil && (copies || len(t.unwanted) == 0)
+}
 
 // addFailure records a failed run and reports whether it was new.
 func (t *task) addFailure(number int) bool {
