node/follow: notice a silent store through a feed as soon as without one

While the store was silent, hosts went on by what a feeder had known up to 1.5 s before, and then waited for a long poll of their own.

Change: a feeder holds its polls for 0.3 s, what it knows counts for 0.8 s, and a host that isn't served polls the store without waiting.

--- a/node/internal/feed/feed.go
+++ b/node/internal/feed/feed.go
@@ -23,8 +23,9 @@
 	// avoidTime is how long a feeder isn't polled after it didn't provide changes.
 	avoidTime = 2 * time.Second
 	// maxAge is the greatest age of usable changes. It covers a long poll of the feeder
-	// without changes, and its gap.
-	maxAge = 1500 * time.Millisecond
+	// without changes, and its gap. While the store is silent, hosts find out by themselves
+	// that soon.
+	maxAge = 800 * time.Millisecond
 )
 
 // Hosts lists the registered hosts.
--- a/node/internal/follow/feed_test.go
+++ b/node/internal/follow/feed_test.go
@@ -41,10 +41,57 @@
 	is.Equal(f.SyncedAt(), clock.Now().Add(-age))
 	is.True(!f.Failing())
 	is.True(!provides(f, 5))
-	clock.Advance(f.pollWait + f.gap + overdueAfter + time.Millisecond)
+	clock.Advance(f.gap + overdueAfter)
+	is.True(!f.Failing())
+	clock.Advance(time.Millisecond)
 	is.True(f.Failing())
 }
 
+// noFeed is a Feed that never provides changes.
+type noFeed struct{}
+
+func (noFeed) Changes(string, int64) ([]platform.Row, int64, time.Duration, error) {
+	return nil, 0, 0, &platform.RefusedError{}
+}
+
+// waitStore is a Store that records how long it may hold a watch.
+type waitStore struct {
+	Store
+	wait time.Duration
+}
+
+func (s *waitStore) Watch(_ string, after int64, wait time.Duration) ([]platform.Row, int64, error) {
+	s.wait = wait
+	return nil, after, nil
+}
+
+// When the store goes silent, a host must notice about as soon with a feed as without. A feeder
+// therefore asks the store often, and a host that its feeder doesn't serve asks the store at
+// once.
+func TestSilentStoreIsNoticedThroughFeed(t *testing.T) {
+	feeding := func() bool { return true }
+	tests := map[string]struct {
+		gap  time.Duration
+		opts []Option
+		wait time.Duration
+	}{
+		"no feed":                 {gap: FeedGap, wait: defaultPollWait},
+		"feeder":                  {gap: FeedGap / 4, opts: []Option{WithFeed(noFeed{}), WithRecent(feeding)}, wait: feederPollWait},
+		"feed provides nothing":   {gap: FeedGap, opts: []Option{WithFeed(noFeed{})}},
+		"host that may take over": {gap: FeedGap / 4, opts: []Option{WithFeed(noFeed{})}, wait: defaultPollWait},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store := &waitStore{wait: -1}
+			f := New(store, timer.New(), "t", []string{""}, &collector{}, append(tt.opts, WithGap(tt.gap))...)
+			_, _, err := f.poll(7, true)
+			is.NoErr(err)
+			is.Equal(store.wait, tt.wait)
+		})
+	}
+}
+
 // Changes are passed on only if none is missing.
 func TestRecentChangesAreComplete(t *testing.T) {
 	rows := func(from, to int64) []platform.Row {
--- a/node/internal/follow/follower.go
+++ b/node/internal/follow/follower.go
@@ -84,6 +84,10 @@
 // WithLogger sets the logger. The default discards all messages.
 func WithLogger(l *zap.Logger) Option { return func(f *Follower) { f.logger = l } }
 
+// feederPollWait replaces defaultPollWait while other hosts depend on the changes: they learn of
+// an outage of the store from how old its last answer is.
+const feederPollWait = 300 * time.Millisecond
+
 // FeedGap is the least gap with which a Follower takes changes from a feed. With a shorter one
 // it needs them as soon as the store has them.
 const FeedGap = time.Second
@@ -194,7 +198,11 @@
 func (f *Follower) Failing() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.failing || f.clock.Now().Sub(f.syncedAt) > f.pollWait+f.gap+f.feedAge+overdueAfter
+	heldUp := f.pollWait
+	if f.feedAge > 0 {
+		heldUp = f.feedAge // A feeder replies at once.
+	}
+	return f.failing || f.clock.Now().Sub(f.syncedAt) > heldUp+f.gap+overdueAfter
 }
 
 func (f *Follower) markFailed() {
@@ -274,12 +282,17 @@
 	f.mu.Lock()
 	fromFeed := f.feed != nil && f.gap >= FeedGap
 	f.mu.Unlock()
-	if fromFeed {
+	wait := f.pollWait
+	switch {
+	case fromFeed:
 		if rows, next, age, err = f.feed.Changes(f.table, version); err == nil {
 			return rows, next, age, nil
 		}
+		wait = 0 // What the feed said last is old already.
+	case f.keepRecent != nil && f.keepRecent():
+		wait = feederPollWait
 	}
-	rows, next, err = f.store.Watch(f.table, version, f.pollWait)
+	rows, next, err = f.store.Watch(f.table, version, wait)
 	return rows, next, 0, err
 }
 
