node/owner: keep the runs of an executor that goes on under another address

Cause: an entry with another address counted as another life of the executor, even if it named the same one. Its runs were taken for gone and started elsewhere while they ran on: TWICE.

Change: a later birth alone is another life. With the same one the session is opened again with what was known of leases, runs and ends.

--- a/node/internal/owner/executorentries.go
+++ b/node/internal/owner/executorentries.go
@@ -74,6 +74,10 @@
 		t.owner.logger.Warn("skipping executor: entry not decoded", zap.Error(err))
 		return
 	}
+	if sess != nil && sess.info.Address != info.Address && !info.Born.IsZero() && info.Born.Equal(sess.born) {
+		t.owner.logger.Info("executor has a new address", zap.String("executor", info.ID), zap.String("address", info.Address))
+		sess = sess.reconnect(info)
+	}
 	if sess != nil && (sess.info.Address != info.Address || (!info.Born.IsZero() && info.Born.After(sess.born))) {
 		t.owner.logger.Info("executor has a new incarnation", zap.String("executor", info.ID), zap.Time("born", info.Born))
 		sess.close()
--- a/node/internal/owner/session.go
+++ b/node/internal/owner/session.go
@@ -62,6 +62,36 @@
 	sess.term.group.Go(func() error { sess.execute(); return nil })
 }
 
+// reconnect replaces the session of an executor that goes on under another address, with all
+// that is known of its runs, and returns the new one. The term's mu is held.
+func (sess *session) reconnect(info model.Executor) *session {
+	t := sess.term
+	next := newSession(t, info)
+	next.born, next.lease, next.silent, next.hasReported = sess.born, sess.lease, sess.silent, sess.hasReported
+	next.reportClock, next.lastResponse = sess.reportClock, sess.lastResponse
+	next.takenSeq, next.recordedSeq = sess.takenSeq, sess.recordedSeq
+	next.hasEntry, next.retired, next.unlistedSince = sess.hasEntry, sess.retired, sess.unlistedSince
+	sess.close()
+	sess.refuseQueued()
+	t.sessions[info.ID] = next
+	next.run()
+	return next
+}
+
+// refuseQueued gives the starts that are still queued back to the plan. The term's mu is held.
+func (sess *session) refuseQueued() {
+	for {
+		select {
+		case o := <-sess.orders:
+			if o.start != nil {
+				sess.term.plan.Refused(sess.term.owner.clock.Now(), *o.start, plan.RefusedUnsent)
+			}
+		default:
+			return
+		}
+	}
+}
+
 // close stops the session. The term's mu is held.
 func (sess *session) close() {
 	sess.cancel()
--- a/node/restart_test.go
+++ b/node/restart_test.go
@@ -61,5 +61,8 @@
 	}
 	is.True(done > 0)
 	is.Equal(starts.Load(), before)
+	for _, v := range r.judge.Violations() {
+		t.Log(v)
+	}
 	is.Equal(len(r.judge.Violations()), 0)
 }
