node: wait for executors that a successor can't know after an outage

Cause: while the store loses answers, the owner can record nothing for seconds but goes on starting runs, as all executors follow it. An executor whose own heartbeats are lost, too, loses its entry. A successor then knows neither the runs nor the executor, takes all runs for known and starts the tasks again: TWICE. It waited for executors without entries only if runs on them were recorded.

Change: if the last owner wrote nothing for 1.2 s, or entries were incomplete, jobs of earlier owners start nothing without a known run until executors would have registered again (2.5 s). After a loss of power the age of the owner's row is told by the date, since the clock since boot starts again.

TestUnknownExecutorHoldsBackTasksAfterOutage failed before.

--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -78,7 +78,9 @@
 	// since the store was unavailable a short time ago.
 	ExecutorsMayBeMissing bool          `cbor:"8,keyasint,omitempty"`
 	Written               time.Duration `cbor:"9,keyasint,omitempty"` // time of the write, since the boot of the owner's machine
-	Format                int           `cbor:"10,keyasint,omitempty"`
+	// Date is the same as Written by the machine's date, which goes on when it loses power.
+	Date   time.Time `cbor:"12,keyasint,omitempty"`
+	Format int       `cbor:"10,keyasint,omitempty"`
 	// WriteAheadZone is the owner's zone if, as of this write, all runs on executors there
 	// are recorded, since the owner records each run there before it starts it. It is empty
 	// for no zone.
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -103,7 +103,7 @@
 	r.attempt++
 	next.Seq, next.Authority, next.Successors = r.attempt, authorityFor(r.typical), r.term.successors()
 	next.WriteAheadZone = b.writeAheadZone
-	next.ExecutorsMayBeMissing, next.Written = r.term.executorsMayBeMissing(), r.term.owner.clock.Boot()
+	next.ExecutorsMayBeMissing, next.Written, next.Date = r.term.executorsMayBeMissing(), r.term.owner.clock.Boot(), r.term.owner.clock.Now()
 	w := platform.Write{Conditions: []platform.Condition{ownerRowCondition(r.version)}}
 	put, err := board.Put(board.Table, board.Main, board.OwnerKey, next)
 	if err != nil {
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -34,6 +34,10 @@
 	// minEntryTTL is a lower bound for how long an executor's entry lasts without
 	// renewal. An entry lasts three heartbeats of at least one second.
 	minEntryTTL = 2500 * time.Millisecond
+	// maxUnwritten is how long the last owner may have written nothing before a takeover for
+	// executors' entries still to count as complete. After a longer time its host was alive and
+	// couldn't write, or the store was away, and entries may have expired since.
+	maxUnwritten = 1200 * time.Millisecond
 	// stopReportDelay is how long after its stop time a stopped run's end may take to
 	// appear in a report.
 	stopReportDelay = 300 * time.Millisecond
@@ -148,12 +152,12 @@
 		return false
 	}
 	if row.Host == o.host { // This process may have started after the write and not have seen it.
-		age := o.clock.Boot() - row.Written
-		return row.Written > 0 && age >= 0 && age < minEntryTTL
+		age, sinceDate := o.clock.Boot()-row.Written, o.clock.Now().Sub(row.Date)
+		return row.Written > 0 && (age >= 0 && age < minEntryTTL || sinceDate >= 0 && sinceDate < minEntryTTL)
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return !o.rowSeen.IsZero() && o.clock.Now().Sub(o.rowSeen) < minEntryTTL
+	return !o.rowSeen.IsZero() && o.clock.Now().Sub(o.rowSeen) < maxUnwritten
 }
 
 func (o *Owner) setTerm(t *term) {
--- a/node/internal/plan/executor.go
+++ b/node/internal/plan/executor.go
@@ -155,14 +155,14 @@
 	if !now.Before(s.settleDeadline) {
 		return false
 	}
-	if !s.executorsListed {
-		return true
+	if !s.executorsListed || now.Before(s.reregisterUntil) {
+		return true // There may be executors that aren't known at all.
 	}
 	for id, e := range s.executors {
 		if e.runsKnown || s.inheritedClosed[id] || s.writeAheadZone != "" && e.info.Zone == s.writeAheadZone {
 			continue
 		}
-		if e.info.Service == service || e.info.Service == "" && now.Before(s.reregisterUntil) {
+		if e.info.Service == service {
 			return true
 		}
 	}
--- a/node/internal/plan/option.go
+++ b/node/internal/plan/option.go
@@ -17,9 +17,9 @@
 // numbered above those of earlier owners. The default is 0.
 func WithRunNumberBase(n int) Option { return func(s *State) { s.runNumberBase = n } }
 
-// WithReregisterDeadline sets the time until which an executor that has recorded runs
-// but isn't registered may also have unrecorded runs: its registration may have
-// expired during an outage of the store and not be renewed yet.
+// WithReregisterDeadline sets the time until which an executor that isn't registered may
+// have unrecorded runs: its registration may have expired during an outage of the store,
+// while the last owner could record nothing, and not be renewed yet.
 func WithReregisterDeadline(until time.Time) Option {
 	return func(s *State) { s.reregisterUntil = until }
 }
--- a/node/internal/plan/settle_test.go
+++ b/node/internal/plan/settle_test.go
@@ -42,6 +42,32 @@
 	}
 }
 
+// The store loses answers. The last owner can record nothing for seconds, and the registration
+// of an executor that runs its tasks expires. The successor then knows neither the runs nor
+// the executor, and must wait until it would have registered again.
+func TestUnknownExecutorHoldsBackTasksAfterOutage(t *testing.T) {
+	const reregister = 2 * time.Second
+	tests := map[string]struct {
+		reregister, at time.Duration
+		starts         int
+	}{
+		"registrations didn't expire":    {at: time.Millisecond, starts: 1},
+		"registrations may have expired": {reregister: reregister, at: reregister - time.Millisecond},
+		"it would have registered again": {reregister: reregister, at: reregister, starts: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(WithSettleDeadline(epoch.Add(settleTime)), WithReregisterDeadline(epoch.Add(tt.reregister)))
+			f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: oneCore}), &model.Progress{Phase: model.Running})
+			f.addReady("a")
+			f.state.AddJob(epoch, f.job("new", model.Step{Count: 1, Need: oneCore}), nil)
+			starts := f.state.Decide(epoch.Add(tt.at)).Starts
+			is.Equal(len(starts), tt.starts+1) // A new job has no runs that aren't known.
+		})
+	}
+}
+
 // An executor that isn't registered any more blocks only the tasks that were recorded
 // on it, since it got no new work after that. If registrations may have expired
 // during an outage of the store, it blocks all tasks until it would have registered
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -21,7 +21,7 @@
 	settleDeadline     time.Time     // after it no unknown run can exist
 	avoidedZone        string        // executors there get no new work; empty for no zone
 	writeAheadZone     string        // the previous owner recorded runs there before it started them
-	reregisterUntil    time.Time     // until then an executor that isn't registered may have unrecorded runs
+	reregisterUntil    time.Time     // until then executors that aren't registered may have unrecorded runs
 	executorsListed    bool          // all registered executors are known
 	jobs               map[string]*job
 	executors          map[string]*executor
