node: give the processes of tests ports that nothing else takes

Its log says why: "listen on 127.0.0.1:35215: address already in use"; the port had been free a moment before. Each process has a random loopback address now, as the tests of coord/httpd do.

--- a/node/rig_test.go
+++ b/node/rig_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -93,10 +95,12 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
-// address returns a loopback address with a port that is currently free.
+// address returns a free port on a random loopback address. On 127.0.0.1 another test's
+// connection could take the port before the process listens.
 func address(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	part := func() string { return strconv.Itoa(1 + rand.IntN(250)) }
+	ln, err := net.Listen("tcp", "127."+part()+"."+part()+"."+part()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
