--- a/node/internal/follow/follower.go
+++ b/node/internal/follow/follower.go
@@ -44,13 +44,6 @@
 	Change(rows []platform.Row)
 }
 
-// Feed provides changes of a table from another host, as feed.Feed does.
-type Feed interface {
-	// Changes returns the changes after a version and the version up to which they are
-	// complete. Age is how long before the call that was known, at most.
-	Changes(table string, after int64) (rows []platform.Row, version int64, age time.Duration, err error)
-}
-
 // Follower watches one table and passes its rows to a Handler.
 type Follower struct {
 	store      Store
@@ -84,21 +77,6 @@
 // WithLogger sets the logger. The default discards all messages.
 func WithLogger(l *zap.Logger) Option { return func(f *Follower) { f.logger = l } }
 
-// feederPollWait replaces defaultPollWait while other hosts depend on the changes: they learn of
-// an outage of the store from how old its last answer is.
-const feederPollWait = 300 * time.Millisecond
-
-// FeedGap is the least gap with which a Follower takes changes from a feed. With a shorter one
-// it needs them as soon as the store has them.
-const FeedGap = time.Second
-
-// WithFeed makes the Follower take changes from a feed, while it has any and the gap is at
-// least FeedGap. Whole tables are read from the store.
-func WithFeed(feed Feed) Option { return func(f *Follower) { f.feed = feed } }
-
-// WithRecent makes the Follower keep recent changes for Changes while wanted returns true.
-func WithRecent(wanted func() bool) Option { return func(f *Follower) { f.keepRecent = wanted } }
-
 // New returns a Follower that passes the rows of table to h. Parts are all partitions of
 // the table.
 func New(store Store, clock *timer.Service, table string, parts []string, h Handler, opts ...Option) *Follower {
@@ -180,19 +158,6 @@
 	f.syncedAt, f.syncedBoot, f.feedAge, f.failing, f.version = sentAt.Add(-age), sentBoot-age, age, false, version
 }
 
-// Changes returns the changes after a version, for other hosts, the version up to which they
-// are complete, and how long ago that was known. It returns false if it doesn't have them all
-// or the table can't be followed. It may be called concurrently.
-func (f *Follower) Changes(after int64) (rows []platform.Row, version int64, age time.Duration, ok bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.failing || f.syncedBoot == 0 || f.feedAge > 0 || after > f.version {
-		return nil, 0, 0, false
-	}
-	rows, ok = f.recent.after(after)
-	return rows, f.version, f.clock.Boot() - f.syncedBoot, ok
-}
-
 // Failing reports whether the last call failed or the answer to the current one is
 // overdue. It may be called concurrently.
 func (f *Follower) Failing() bool {
@@ -264,38 +229,6 @@
 	return next, age, err
 }
 
-// keep keeps changes up to version for other hosts. All is set after a read of the whole
-// table.
-func (f *Follower) keep(rows []platform.Row, version int64, all bool) {
-	wanted := f.keepRecent != nil && f.keepRecent()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !wanted || all {
-		f.recent.reset(version)
-		return
-	}
-	f.recent.add(rows)
-}
-
-// changes returns the changes after version from the feed or, if it has none, the store.
-func (f *Follower) changes(version int64) (rows []platform.Row, next int64, age time.Duration, err error) {
-	f.mu.Lock()
-	fromFeed := f.feed != nil && f.gap >= FeedGap
-	f.mu.Unlock()
-	wait := f.pollWait
-	switch {
-	case fromFeed:
-		if rows, next, age, err = f.feed.Changes(f.table, version); err == nil {
-			return rows, next, age, nil
-		}
-		wait = 0 // What the feed said last is old already.
-	case f.keepRecent != nil && f.keepRecent():
-		wait = feederPollWait
-	}
-	rows, next, err = f.store.Watch(f.table, version, wait)
-	return rows, next, 0, err
-}
-
 // readAll reads all partitions, up to maxConcurrentReads at the same time. The version is
 // the lowest at which one of them was read: a watch from there misses no change, and
 // repeats some in order. After the first error no further partition is read.
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -35,12 +35,6 @@
 	// latencySmoothing is the number of writes over which the typical duration is
 	// averaged.
 	latencySmoothing = 8
-	// resignAttempts is how often an owner that stops tries to resign. A response may be
-	// lost, and the next attempt then learns the outcome.
-	resignAttempts = 3
-	// resignTimeout bounds all attempts together. While the store doesn't answer, other
-	// hosts take over later without a resignation, and the process has to exit in time.
-	resignTimeout = 1500 * time.Millisecond
 	// writeBackoff is the pause after a failed write.
 	writeBackoff = 50 * time.Millisecond
 )
@@ -270,41 +264,3 @@
 	}
 	return &OwnershipLostError{Epoch: r.row.Epoch}
 }
-
-// finish resigns when the process stops. A term that ended because ownership was lost or
-// given up has nothing to hand over.
-func (r *recorder) finish(ctx context.Context) error {
-	cause := context.Cause(ctx)
-	var lost *OwnershipLostError
-	var yield *YieldError
-	if !errors.As(cause, &lost) && !errors.As(cause, &yield) {
-		r.resign()
-	}
-	return cause
-}
-
-// resign records that this host gives up ownership, and offers it to the successors. No
-// run starts from then on.
-func (r *recorder) resign() {
-	t := r.term
-	t.mu.Lock()
-	t.resigning = true
-	t.mu.Unlock()
-	giveUp := make(chan struct{})
-	timeout := t.owner.clock.After(resignTimeout, func() { close(giveUp) })
-	defer timeout.Stop()
-	r.giveUp = giveUp
-	began := t.owner.clock.Now()
-	var err error
-	for range resignAttempts {
-		if t.owner.clock.Now().Sub(began) >= resignTimeout {
-			break
-		}
-		r.row.Resigned = true
-		if err = r.write(r.collect()); err == nil {
-			t.owner.offer(r.row, r.version)
-			return
-		}
-	}
-	t.owner.logger.Warn("ownership not handed over", zap.Int64("epoch", t.epoch), zap.Error(err))
-}
