node/plan: a start without an answer may reach an executor's new life

Cause: when an executor had restarted, all runs on it were taken for gone and their tasks started elsewhere. A start that was on its way, over a delayed connection, then reached the new life and ran there, too: TWICE. Entries and reports of a new life were handled so on as well.

Change: runs that the old life had confirmed are gone; one whose start has no answer stays in doubt until the new life has refused it for good.

TestStartMayReachNewIncarnation fails with RemoveRuns, which was called before.

--- a/node/internal/owner/executorentries.go
+++ b/node/internal/owner/executorentries.go
@@ -81,7 +81,8 @@
 	if sess != nil && (sess.info.Address != info.Address || (!info.Born.IsZero() && info.Born.After(sess.born))) {
 		t.owner.logger.Info("executor has a new incarnation", zap.String("executor", info.ID), zap.Time("born", info.Born))
 		sess.close()
-		t.plan.RemoveExecutor(info.ID)
+		sess.refuseQueued()
+		t.plan.NewIncarnation(now, info.ID)
 		sess = nil
 	}
 	if sess == nil {
--- a/node/internal/owner/executorentries_test.go
+++ b/node/internal/owner/executorentries_test.go
@@ -36,14 +36,17 @@
 			tm.plan = plan.New(model.NewConfig(1, []model.Queue{{Name: "q", Service: fake.Service, Attempts: 2}}, []model.Service{{Name: fake.Service}}, nil))
 			lives := fake.NewExecutor("e", fake.NewChecker())
 			entries := &executorEntries{term: tm}
-			report := func() {
+			report := func(runs ...model.Run) {
 				sess := tm.sessions["e"]
-				is.True(sess.handleReport(clock.Now(), clock.Boot(), &platform.Report{Clock: time.Hour, Born: sess.born, Ends: []model.End{{Seq: 7}}}))
+				is.True(sess.handleReport(clock.Now(), clock.Boot(), &platform.Report{Clock: time.Hour, Born: sess.born, Runs: runs, Ends: []model.End{{Seq: 7}}}))
 			}
 			entries.Reset([]platform.Row{{Key: "e", Value: lives.Entry(fake.Service, "127.0.0.1:1")}})
 			report()
 			tm.plan.AddJob(clock.Now(), &model.Job{ID: "0123456789abcdef", Queue: "q", Steps: []model.Step{{Count: 1, Need: model.Amount{CPU: 1}}}}, nil)
-			is.Equal(len(tm.plan.Decide(clock.Now()).Starts), 1)
+			starts := tm.plan.Decide(clock.Now()).Starts
+			is.Equal(len(starts), 1)
+			tm.plan.Started(clock.Now(), starts[0])
+			clock.Advance(time.Millisecond)
 			if tt.restart {
 				time.Sleep(5 * time.Millisecond) // Lives differ by the millisecond of their start.
 				lives.Restart()
@@ -51,7 +54,11 @@
 			entries.Change([]platform.Row{{Key: "e", Value: lives.Entry(fake.Service, "127.0.0.1:2")}})
 			is.Equal(tm.sessions["e"].info.Address, "127.0.0.1:2")
 			is.Equal(tm.sessions["e"].takenSeq == 7, !tt.restart)
-			report()
+			if tt.restart {
+				report()
+			} else {
+				report(model.Run{Task: starts[0].Task, Number: starts[0].Number})
+			}
 			is.Equal(len(tm.plan.Decide(clock.Now()).Starts), tt.restarts)
 			cancel()
 			close(executor.released)
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -159,7 +159,7 @@
 	if !rep.Born.IsZero() && rep.Born.After(sess.born) {
 		if !sess.born.IsZero() {
 			t.owner.logger.Info("executor has a new incarnation", zap.String("executor", sess.info.ID), zap.Time("born", rep.Born))
-			t.plan.RemoveRuns(sess.info.ID)
+			t.plan.NewIncarnation(now, sess.info.ID)
 			sess.takenSeq, sess.recordedSeq, sess.reportClock, sess.lease = 0, 0, 0, lease{}
 		}
 		sess.born = rep.Born
--- a/node/internal/plan/executor.go
+++ b/node/internal/plan/executor.go
@@ -108,6 +108,23 @@
 	}
 }
 
+// NewIncarnation notes that an executor has begun another life: all runs that it had confirmed
+// are gone. A start without an answer may still reach the new life, so its run stays in doubt.
+func (s *State) NewIncarnation(now time.Time, id string) {
+	e := s.executors[id]
+	if e == nil {
+		return
+	}
+	for _, r := range e.runs {
+		if r.seen || r.restored || (r.state != starting && r.state != inDoubt) {
+			s.removeRun(r)
+			continue
+		}
+		r.state, r.startedAt = inDoubt, now
+	}
+	e.runsKnown = false
+}
+
 // RemoveExecutor removes an executor whose runs are all gone.
 func (s *State) RemoveExecutor(id string) {
 	s.RemoveRuns(id)
--- a/node/internal/plan/settle_test.go
+++ b/node/internal/plan/settle_test.go
@@ -103,3 +103,43 @@
 		})
 	}
 }
+
+// An executor restarts while a start is on its way to it. The start may reach the new life, so
+// the task must not start elsewhere before that is ruled out. Runs that the executor had
+// confirmed are gone with its old life.
+func TestStartMayReachNewIncarnation(t *testing.T) {
+	tests := map[string]struct {
+		confirmed bool
+		restarts  int // of the task, at once
+	}{
+		"no answer to the start": {},
+		"the run was confirmed":  {confirmed: true, restarts: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			f.addReady("a")
+			f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: oneCore}), nil)
+			starts := f.state.Decide(epoch).Starts
+			is.Equal(len(starts), 1)
+			if tt.confirmed {
+				f.confirm(epoch, starts)
+			}
+			f.addReady("b")
+			now := epoch.Add(time.Second)
+			f.state.NewIncarnation(now, "a")
+			is.Equal(len(f.state.Decide(now).Starts), tt.restarts)
+			if tt.confirmed {
+				return
+			}
+			// The new life doesn't list the run: it is stopped, so that it can't begin any more.
+			f.state.Reported(now.Add(time.Second), "a", Report{RequestedAt: now.Add(time.Second)})
+			stops := f.state.Decide(now.Add(time.Second)).Stops
+			is.Equal(len(stops), 1)
+			is.True(f.state.Stopped(now.Add(time.Second), stops[0]))
+			f.state.Reported(now.Add(2*time.Second), "a", Report{RequestedAt: now.Add(2 * time.Second)})
+			is.Equal(len(f.state.Decide(now.Add(2*time.Second)).Starts), 1)
+		})
+	}
+}
