node/plan: tell by the next report what runs in an executor's new life

Cause: a new life is found out some time after it began. Runs whose start had been answered were taken for gone with the old life, although the new one may have answered; such a run ended as done there, and its task started again.

Change: nothing is taken for gone at once. The next report that is requested, which is asked for immediately, lists what runs or has ended in the new life; the rest is gone.

TestStartMayReachNewIncarnation has the case, which started the task at once before.

--- a/node/internal/owner/executorentries_test.go
+++ b/node/internal/owner/executorentries_test.go
@@ -54,6 +54,7 @@
 			entries.Change([]platform.Row{{Key: "e", Value: lives.Entry(fake.Service, "127.0.0.1:2")}})
 			is.Equal(tm.sessions["e"].info.Address, "127.0.0.1:2")
 			is.Equal(tm.sessions["e"].takenSeq == 7, !tt.restart)
+			clock.Advance(time.Millisecond)
 			if tt.restart {
 				report()
 			} else {
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -160,6 +160,7 @@
 		if !sess.born.IsZero() {
 			t.owner.logger.Info("executor has a new incarnation", zap.String("executor", sess.info.ID), zap.Time("born", rep.Born))
 			t.plan.NewIncarnation(now, sess.info.ID)
+			signal(sess.pollRequested)
 			sess.takenSeq, sess.recordedSeq, sess.reportClock, sess.lease = 0, 0, 0, lease{}
 		}
 		sess.born = rep.Born
--- a/node/internal/plan/executor.go
+++ b/node/internal/plan/executor.go
@@ -108,19 +108,20 @@
 	}
 }
 
-// NewIncarnation notes that an executor has begun another life: all runs that it had confirmed
-// are gone. A start without an answer may still reach the new life, so its run stays in doubt.
+// NewIncarnation notes at now that an executor has begun another life. That is found out some
+// time later, so that a run may have started in the new life already, and a start without an
+// answer may still reach it. The next report that is requested tells which runs are gone.
 func (s *State) NewIncarnation(now time.Time, id string) {
 	e := s.executors[id]
 	if e == nil {
 		return
 	}
 	for _, r := range e.runs {
-		if r.seen || r.restored || (r.state != starting && r.state != inDoubt) {
-			s.removeRun(r)
+		if !r.seen && !r.restored && (r.state == starting || r.state == inDoubt) {
+			r.state, r.startedAt = inDoubt, now
 			continue
 		}
-		r.state, r.startedAt = inDoubt, now
+		r.seen, r.confirmedAt = false, now
 	}
 	e.runsKnown = false
 }
--- a/node/internal/plan/settle_test.go
+++ b/node/internal/plan/settle_test.go
@@ -104,16 +104,19 @@
 	}
 }
 
-// An executor restarts while a start is on its way to it. The start may reach the new life, so
-// the task must not start elsewhere before that is ruled out. Runs that the executor had
-// confirmed are gone with its old life.
+// An executor restarts, which its owner finds out later. A run may have started and ended in
+// the new life by then, and a start that is on its way may still reach it. The task must not
+// start elsewhere before a report of the new life has shown that it doesn't run.
 func TestStartMayReachNewIncarnation(t *testing.T) {
 	tests := map[string]struct {
-		confirmed bool
-		restarts  int // of the task, at once
+		confirmed bool // the start was answered
+		done      bool // the run has ended as done in the new life
+		starts    int  // of the task after the next report
+		stops     int
 	}{
-		"no answer to the start": {},
-		"the run was confirmed":  {confirmed: true, restarts: 1},
+		"no answer to the start":           {stops: 1},
+		"the run was in the old life":      {confirmed: true, starts: 1},
+		"the run has ended in the new one": {confirmed: true, done: true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -129,17 +132,23 @@
 			f.addReady("b")
 			now := epoch.Add(time.Second)
 			f.state.NewIncarnation(now, "a")
-			is.Equal(len(f.state.Decide(now).Starts), tt.restarts)
-			if tt.confirmed {
+			is.Equal(len(f.state.Decide(now).Starts), 0)
+			now = now.Add(time.Second)
+			rep := Report{RequestedAt: now}
+			if tt.done {
+				rep.Ends = []model.End{{Seq: 1, Task: starts[0].Task, Number: starts[0].Number, Outcome: model.RunDone}}
+			}
+			f.state.Reported(now, "a", rep)
+			orders := f.state.Decide(now)
+			is.Equal(len(orders.Starts), tt.starts)
+			is.Equal(len(orders.Stops), tt.stops)
+			if tt.stops == 0 {
 				return
 			}
-			// The new life doesn't list the run: it is stopped, so that it can't begin any more.
-			f.state.Reported(now.Add(time.Second), "a", Report{RequestedAt: now.Add(time.Second)})
-			stops := f.state.Decide(now.Add(time.Second)).Stops
-			is.Equal(len(stops), 1)
-			is.True(f.state.Stopped(now.Add(time.Second), stops[0]))
-			f.state.Reported(now.Add(2*time.Second), "a", Report{RequestedAt: now.Add(2 * time.Second)})
-			is.Equal(len(f.state.Decide(now.Add(2*time.Second)).Starts), 1)
+			is.True(f.state.Stopped(now, orders.Stops[0])) // It can't begin any more.
+			now = now.Add(time.Second)
+			f.state.Reported(now, "a", Report{RequestedAt: now})
+			is.Equal(len(f.state.Decide(now).Starts), 1)
 		})
 	}
 }
