node/owner: wait for the lease of a start that may reach a silent new life

Cause: an executor that restarted and didn't answer was compared with the time of the takeover, long past, so that the runs in doubt on it were given up at the next failed poll.

Change: until the longest lease of a start that was on its way has ended, such an executor counts as one that may run it.

TestSilentNewIncarnationMayRunStarts failed before.

--- a/node/internal/owner/executorentries.go
+++ b/node/internal/owner/executorentries.go
@@ -59,6 +59,7 @@
 	defer t.mu.Unlock()
 	sess := t.sessions[row.Key]
 	now := t.owner.clock.Now()
+	var doubtUntil time.Time
 	if now.Sub(t.lastEntryChange) > storeDownAfter {
 		t.lastOutageEnd = now
 	}
@@ -83,10 +84,12 @@
 		sess.close()
 		sess.refuseQueued()
 		t.plan.NewIncarnation(now, info.ID)
+		doubtUntil = now.Add(orderTimeout + time.Duration(float64(t.bounds.Lease)/minClockRate) + settleMargin)
 		sess = nil
 	}
 	if sess == nil {
 		sess = newSession(t, info)
+		sess.doubtUntil = doubtUntil
 		t.sessions[info.ID] = sess
 		t.plan.SetExecutor(info)
 		sess.run()
--- a/node/internal/owner/executorentries_test.go
+++ b/node/internal/owner/executorentries_test.go
@@ -67,3 +67,46 @@
 		})
 	}
 }
+
+// An executor restarts long after the takeover, and its new life doesn't answer at first. A start
+// that was on its way may run there until the longest lease has ended, so its task must not
+// start elsewhere before that.
+func TestSilentNewIncarnationMayRunStarts(t *testing.T) {
+	tests := map[string]struct {
+		silence  time.Duration
+		restarts int // of the task
+	}{
+		"within the longest lease": {silence: time.Second},
+		"after it":                 {silence: 10 * time.Second, restarts: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			clock := timer.New(timer.WithManual(time.Now()))
+			ctx, cancel := context.WithCancel(context.Background())
+			tm, _ := newTerm()
+			tm.owner.clock, tm.owner.boardFollower, tm.ctx = clock, unconfirmedBoard{}, ctx
+			tm.bounds.Lease, tm.began = 6*time.Second, clock.Now().Add(-time.Hour)
+			executor := &blockingExecutor{polled: make(chan struct{}, 1), released: make(chan struct{})}
+			tm.owner.connect = func(string, string) Executor { return executor }
+			tm.plan = plan.New(model.NewConfig(1, []model.Queue{{Name: "q", Service: fake.Service, Attempts: 2}}, []model.Service{{Name: fake.Service}}, nil))
+			lives := fake.NewExecutor("e", fake.NewChecker())
+			entries := &executorEntries{term: tm}
+			entries.Reset([]platform.Row{{Key: "e", Value: lives.Entry(fake.Service, "127.0.0.1:1")}})
+			is.True(tm.sessions["e"].handleReport(clock.Now(), clock.Boot(), &platform.Report{Clock: time.Hour}))
+			tm.plan.AddJob(clock.Now(), &model.Job{ID: "0123456789abcdef", Queue: "q", Steps: []model.Step{{Count: 1, Need: model.Amount{CPU: 1}}}}, nil)
+			is.Equal(len(tm.plan.Decide(clock.Now()).Starts), 1) // Without an answer.
+			time.Sleep(5 * time.Millisecond)                     // Lives differ by the millisecond of their start.
+			lives.Restart()
+			entries.Change([]platform.Row{{Key: "e", Value: lives.Entry(fake.Service, "127.0.0.1:1")}})
+			tm.plan.SetExecutor(model.Executor{ID: "other", Service: fake.Service, Room: model.Amount{CPU: 9}})
+			tm.plan.Reported(clock.Now(), "other", plan.Report{RequestedAt: clock.Now()})
+			clock.Advance(tt.silence)
+			is.True(tm.sessions["e"].handleFailure(&platform.LostError{}))
+			is.Equal(len(tm.plan.Decide(clock.Now()).Starts), tt.restarts)
+			cancel()
+			close(executor.released)
+			_ = tm.group.Wait()
+		})
+	}
+}
--- a/node/internal/owner/session.go
+++ b/node/internal/owner/session.go
@@ -41,6 +41,7 @@
 	retired       bool          // it gets no new work, since it has no entry
 	silent        bool          // it didn't respond to the last call
 	hasReported   bool          // it has reported to this owner
+	doubtUntil    time.Time     // until then a run of an order to its last incarnation may exist on it
 	reportClock   time.Duration // time of the newest report, on the executor's clock
 	lastResponse  time.Duration // boot time at which the last successful poll was sent
 	takenSeq      int64         // sequence number of the last end that was given to the plan
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -231,7 +231,7 @@
 		return false
 	}
 	sess.markSilent(err)
-	lapsed := sess.lease.expired(now) || (!sess.hasReported && now.After(t.leaseEndTime(sess.info.ID)))
+	lapsed := sess.lease.expired(now) || (!sess.hasReported && now.After(t.leaseEndTime(sess.info.ID)) && now.After(sess.doubtUntil))
 	if lapsed {
 		t.plan.RemoveRuns(sess.info.ID)
 		t.plan.MarkRunsKnown(sess.info.ID)
