--- a/trial/internal/soak/soak_test.go
+++ b/trial/internal/soak/soak_test.go
@@ -23,11 +23,12 @@
 // regressions returns the seeds that once found a violation, with its cause.
 func regressions() map[uint64]string {
 	return map[uint64]string{
-		3:   "a host that was paused while it owned the cell doesn't know an accepted job",
-		8:   "a host that can't reach the owner shows a job as queued after it has failed",
-		303: "SIGTERM was sent to a process that had been paused during its startup",
-		304: "leases at a fake executor lapsed only at the next call",
-		312: "a recorded end was reported late; an owner without any report from the executor closed it",
+		3:    "a host that was paused while it owned the cell doesn't know an accepted job",
+		8:    "a host that can't reach the owner shows a job as queued after it has failed",
+		303:  "SIGTERM was sent to a process that had been paused during its startup",
+		304:  "leases at a fake executor lapsed only at the next call",
+		312:  "a recorded end was reported late; an owner without any report from the executor closed it",
+		4032: "a start reached the new life of an executor, or a run ended there, before the owner knew of it",
 	}
 }
 
