--- a/node/internal/plan/place.go
+++ b/node/internal/plan/place.go
@@ -179,7 +179,8 @@
 			score -= penalty // Leave the faster ones to urgent work.
 		}
 	}
-	if st.slowOn[e.info.ID] || st.failedOn[e.info.ID] && e.failureStreak > 0 { // No run has succeeded there since.
+	failedOn := st.failedOn[e.info.ID] && e.failureStreak > 0 // No run has succeeded there since.
+	if failedOn || st.slowOn[e.info.ID] {
 		score += failedOnPenalty
 	}
 	if st.spec.Rack != "" && !e.info.Has(st.spec.Rack) {
