--- a/review/standin/store_test.go
+++ b/review/standin/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -42,6 +43,7 @@
 	parts   map[string]*sync.Mutex // a partition runs one transaction at a time
 	tooBig  map[string]int         // transactions refused for their size, by the key of the largest row
 	down    bool                   // all calls are answered with 503
+	lost    float64                // share of the writes that get no answer, and are done 1 to 6 s later
 	beats   map[string]time.Time   // by executor, when its entry was last written
 }
 
@@ -49,6 +51,13 @@
 	return &store{rows: map[rowKey]row{}, changed: make(chan struct{}), began: time.Now(), parts: map[string]*sync.Mutex{}, tooBig: map[string]int{}, beats: map[string]time.Time{}}
 }
 
+// loseAnswers sets the share of writes that get no answer and are done later.
+func (s *store) loseAnswers(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = share
+}
+
 // setDown makes the store unavailable, or available again.
 func (s *store) setDown(down bool) {
 	s.mu.Lock()
@@ -200,6 +209,14 @@
 		s.parts[part] = turn
 	}
 	s.mu.Unlock()
+	s.mu.Lock()
+	lost := rand.Float64() < s.lost
+	s.mu.Unlock()
+	if lost {
+		time.AfterFunc(time.Second+rand.N(5*time.Second), func() { _, _, _ = s.commit(&tx) })
+		<-r.Context().Done() // The connection delivers nothing further.
+		return
+	}
 	turn.Lock()
 	time.Sleep(txTime)
 	current, version, done := s.commit(&tx)
