review: case 2 is the service that closes after a restart

Cause: a pace isn't recorded; a successor takes a paused run over as one at full pace, counts it as stalled and closes its executor for new work.

Change: review/2 has this case in place of long tasks, whose check stays in the stand-ins: it needs tasks longer than any that the site file draws.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 test -x target/review-standin || exit 2
 test -x target/node || exit 2
-REVIEW_CASE=long REVIEW_CASE_DIR=review/2 exec target/review-standin
+REVIEW_CASE=pace REVIEW_CASE_DIR=review/2 exec target/review-standin
