--- a/review/standin/executor_test.go
+++ b/review/standin/executor_test.go
@@ -177,7 +177,12 @@
 	for e.rig.store.isDown() {
 		time.Sleep(20 * time.Millisecond)
 	}
-	time.Sleep(rand.N(maxReturn))
+	// Half of them come back soon, the others only just in time.
+	delay := rand.N(maxReturn / 4)
+	if rand.IntN(2) == 0 {
+		delay = maxReturn - delay
+	}
+	time.Sleep(delay)
 	e.mu.Lock()
 	e.away = false
 	up := e.up
--- a/review/standin/lapse_test.go
+++ b/review/standin/lapse_test.go
@@ -17,8 +17,8 @@
 		route{"sets", "/sets/", 1, 2})
 	time.Sleep(4 * time.Second)
 	// The first step of each job ends while the store is down; its second step starts then.
-	for i := range 4 {
-		r.submit(fmt.Sprintf("/sets/%016x", 0xb00+i), key1, `{"spec":"set","steps":[{"count":1,"cpu":4000,"mem_mb":512,"est_ms":2600},{"count":24,"cpu":4000,"mem_mb":512,"est_ms":12000,"max_per_server":1,"after":[0]}]}`)
+	for i := range 8 {
+		r.submit(fmt.Sprintf("/sets/%016x", 0xb00+i), key1, `{"spec":"set","steps":[{"count":1,"cpu":20000,"mem_mb":512,"est_ms":2600},{"count":24,"cpu":2000,"mem_mb":512,"est_ms":12000,"max_per_server":1,"after":[0]}]}`)
 	}
 	time.Sleep(300 * time.Millisecond)
 	if r.trouble {
--- a/review/standin/rig_test.go
+++ b/review/standin/rig_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -541,18 +542,25 @@
 
 // play runs a case within its time and ends its processes.
 func play(run func() (int, string)) (code int) {
-	signals := time.AfterFunc(115*time.Second, func() {
+	giveUp := func(why string) {
 		if current != nil {
-			current.note("verdict: the case takes too long")
+			current.note("verdict: %s", why)
 			for _, n := range current.nodes {
-				if n.command != nil {
+				if n.command != nil && n.command.Process != nil {
 					_ = n.command.Process.Kill()
 				}
 			}
 		}
 		os.Exit(failed)
-	})
-	defer signals.Stop()
+	}
+	timeout := time.AfterFunc(115*time.Second, func() { giveUp("the case takes too long") })
+	defer timeout.Stop()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stop
+		giveUp("the case was stopped")
+	}()
 	defer func() {
 		if cause := recover(); cause != nil {
 			a, ok := cause.(abort)
