--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# A queue's hint comes and goes while jobs of it start. About 95 s.
+# A route is replaced by one with another name; later the owner's host is restarted. About 45 s.
 # Exit status: 1 the rule was broken, 0 it held, 2 the case couldn't run. TROUBLE=0 leaves the
 # disruption out. Build first: the deploy file's build, then review/build.sh.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/node ] && [ -x target/review-check ] || { echo "target/node or target/review-check is missing" >&2; exit 2; }
-export CASE=hint RECORD=review/4/record.txt NODE=target/node
+export CASE=route RECORD=review/4/record.txt NODE=target/node
 exec target/review-check
