owner: count executors without new work, by reason

Cause: `step waits` says how many executors are usable, and nothing says why the others aren't.

Change: plan.State gives the first reason for which an executor gets no new work, and decisions use the same function. `usable` of `step waits` leaves out executors of an avoided zone now, as decisions do.

--- a/node/internal/owner/decide.go
+++ b/node/internal/owner/decide.go
@@ -55,8 +55,9 @@
 	if now.Sub(t.waitsLogged) > waitsInterval {
 		t.waitsLogged = now
 		waits = t.plan.LongWaits(now)
-		t.updateGauges()
-		t.logLoad()
+		excluded := t.plan.CountExclusions(now)
+		t.updateGauges(excluded)
+		t.logLoad(excluded)
 		for _, sess := range t.sessions {
 			sess.retire(now)
 		}
@@ -91,10 +92,16 @@
 	signal(t.wakeRecorder)
 }
 
-// logLoad logs how well this host keeps up with the cell. The term's mu is held.
-func (t *term) logLoad() {
+// logLoad logs how well this host keeps up with the cell, and how many executors get no new
+// work, by reason. The term's mu is held.
+func (t *term) logLoad(excluded map[plan.Exclusion]int) {
+	reasons := make(map[string]int, len(excluded))
+	for x, n := range excluded {
+		reasons[x.String()] = n
+	}
 	t.owner.logger.Info("owner load", zap.Int64("epoch", t.epoch), zap.Int("jobs", t.plan.Jobs()), zap.Int("waiting", t.plan.Waiting()), zap.Int("unrecorded", t.plan.Unrecorded()),
-		zap.Duration("lag", t.lag.smoothed), zap.Duration("decision", t.longestDecision), zap.Duration("confirmed", t.owner.clock.Boot()-t.writeConfirmed))
+		zap.Duration("lag", t.lag.smoothed), zap.Duration("decision", t.longestDecision), zap.Duration("confirmed", t.owner.clock.Boot()-t.writeConfirmed),
+		zap.Int("executors", len(t.sessions)), zap.Any("excluded", reasons))
 	t.longestDecision = 0
 }
 
--- a/node/internal/owner/ownermetrics.go
+++ b/node/internal/owner/ownermetrics.go
@@ -12,16 +12,17 @@
 
 // ownerMetrics holds the metrics of an Owner.
 type ownerMetrics struct {
-	epoch        metrics.Gauge   // of the current or last term
-	terms        metrics.Counter // terms of this host
-	executors    metrics.Gauge   // executors known to the owner
-	silent       metrics.Gauge   // executors that don't respond
-	waiting      metrics.Gauge   // tasks that are ready but have no run
-	paused       metrics.Gauge   // 1 while no run may start, since ownership isn't confirmed
-	lag          metrics.Gauge   // by how much the decision loop falls behind, in milliseconds
-	starts       metrics.Counter // starts confirmed by executors
-	failed       metrics.Counter // starts that failed or whose outcome is unknown
-	lost         metrics.Counter // runs that neither finished nor were stopped by an order
+	epoch        metrics.Gauge                    // of the current or last term
+	terms        metrics.Counter                  // terms of this host
+	executors    metrics.Gauge                    // executors known to the owner
+	silent       metrics.Gauge                    // executors that don't respond
+	excluded     map[plan.Exclusion]metrics.Gauge // executors that get no new work, by reason
+	waiting      metrics.Gauge                    // tasks that are ready but have no run
+	paused       metrics.Gauge                    // 1 while no run may start, since ownership isn't confirmed
+	lag          metrics.Gauge                    // by how much the decision loop falls behind, in milliseconds
+	starts       metrics.Counter                  // starts confirmed by executors
+	failed       metrics.Counter                  // starts that failed or whose outcome is unknown
+	lost         metrics.Counter                  // runs that neither finished nor were stopped by an order
 	ends         map[model.Phase]metrics.Counter
 	late         metrics.Counter // jobs that finished after their latency objective
 	jobLatency   *meter.Latency  // from a job's acceptance until its end is recorded
@@ -31,8 +32,12 @@
 func newOwnerMetrics(r metrics.Registry) *ownerMetrics {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("node.owner."+name, r) }
 	gauge := func(name string) metrics.Gauge { return metrics.GetOrRegisterGauge("node.owner."+name, r) }
+	excluded := make(map[plan.Exclusion]metrics.Gauge)
+	for _, x := range plan.Exclusions() {
+		excluded[x] = gauge("excluded." + x.String())
+	}
 	return &ownerMetrics{
-		epoch: gauge("epoch"), terms: counter("terms"), executors: gauge("executors"), silent: gauge("silent"), waiting: gauge("waiting"),
+		epoch: gauge("epoch"), terms: counter("terms"), executors: gauge("executors"), silent: gauge("silent"), excluded: excluded, waiting: gauge("waiting"),
 		paused: gauge("paused"), lag: gauge("lag"), starts: counter("starts"), failed: counter("failed"), lost: counter("lost"),
 		ends: map[model.Phase]metrics.Counter{
 			model.Done:      metrics.GetOrRegisterCounter("node.job.done", r),
@@ -57,8 +62,9 @@
 	}
 }
 
-// updateGauges updates the gauges. It is called every waitsInterval. The term's mu is held.
-func (t *term) updateGauges() {
+// updateGauges updates the gauges. excluded is the number of executors that get no new work,
+// by reason. updateGauges is called every waitsInterval. The term's mu is held.
+func (t *term) updateGauges(excluded map[plan.Exclusion]int) {
 	c := t.owner.metrics
 	silent := 0
 	for _, sess := range t.sessions {
@@ -68,6 +74,9 @@
 	}
 	c.executors.Update(int64(len(t.sessions)))
 	c.silent.Update(int64(silent))
+	for x, g := range c.excluded {
+		g.Update(int64(excluded[x]))
+	}
 	c.waiting.Update(int64(t.plan.Waiting()))
 	c.lag.Update(t.lag.smoothed.Milliseconds())
 	c.paused.Update(0)
@@ -81,4 +90,7 @@
 	for _, g := range []metrics.Gauge{c.executors, c.silent, c.waiting, c.paused, c.lag} {
 		g.Update(0)
 	}
+	for _, g := range c.excluded {
+		g.Update(0)
+	}
 }
--- a/node/internal/plan/executor.go
+++ b/node/internal/plan/executor.go
@@ -31,19 +31,13 @@
 // free returns the unused capacity.
 func (e *executor) free() model.Amount { return e.info.Room.Sub(e.used) }
 
-// acceptsWork reports whether new work may start on the executor, unless a record
-// names it as closed.
-func (e *executor) acceptsWork(now time.Time) bool {
-	return e.runsKnown && !e.excluded() && !now.Before(e.backoffUntil)
-}
-
 // excluded reports whether the executor gets no new work until its state changes: it
 // doesn't answer, is draining or isn't registered.
 func (e *executor) excluded() bool { return e.silent || e.info.Draining || e.info.Service == "" }
 
 // schedulable reports whether new work may start on an executor.
 func (s *State) schedulable(e *executor, now time.Time) bool {
-	return e.acceptsWork(now) && !s.maybeClosed[e.info.ID]
+	return s.exclusion(e, now) == NotExcluded
 }
 
 // HasUrgentRuns reports whether runs of urgent work may exist on an executor.
--- a/node/internal/plan/pool.go
+++ b/node/internal/plan/pool.go
@@ -29,7 +29,7 @@
 func (s *State) newPool(service string, now time.Time) *pool {
 	p := &pool{service: service, decision: s.decision, byLabel: make(map[string]*pool)}
 	for _, e := range s.executors {
-		if e.info.Service == service && s.schedulable(e, now) && (s.avoidedZone == "" || e.info.Zone != s.avoidedZone) {
+		if e.info.Service == service && s.schedulable(e, now) {
 			e.pooledIn, e.relativeTime = s.decision, s.slowdown(e)
 			p.executors = append(p.executors, e)
 		}
