plan: executors got no new work after an unanswered record

Cause: an executor that doesn't answer is recorded as closed, and gets new work again only once the stored record doesn't name it. If the write of the record gets no answer and the executor answers again before the next one, the list equals the last confirmed one. So nothing is written that would show what the store has, and the executor stays excluded.

Change: a record that was sent and not confirmed leaves the stored one in doubt, and the list is written again until a write is confirmed. A write that comes late can't undo that, since its condition fails by then.

Evidence: TestUnansweredRecordExcludesExecutors and the property TestExclusionEndsWithTheOutage fail before (the property after 8 cases: "executors are excluded without a fault: map[closed:1]") and pass now.

--- a/node/internal/plan/closed.go
+++ b/node/internal/plan/closed.go
@@ -10,8 +10,8 @@
 // can't reach it then knows that all runs on it are recorded. So an executor may get
 // new work again only once the stored record doesn't name it any more.
 
-// Closed returns the executors that are excluded from new work, and whether that
-// differs from what was recorded last. unverified lists those of them that may have
+// Closed returns the executors that are excluded from new work, and whether they have to be
+// recorded: the stored record differs or, since a write got no answer, may differ. unverified lists those of them that may have
 // unrecorded runs: they haven't reported to this owner, and an earlier owner may have
 // started runs there that it couldn't record. Both lists are sorted.
 func (s *State) Closed() (closed, unverified []string, differs bool) {
@@ -26,13 +26,15 @@
 	}
 	slices.Sort(closed)
 	slices.Sort(unverified)
-	return closed, unverified, !slices.Equal(closed, s.recordedClosed) || !slices.Equal(unverified, s.recordedUnverified)
+	differs = s.closedInDoubt || !slices.Equal(closed, s.recordedClosed) || !slices.Equal(unverified, s.recordedUnverified)
+	return closed, unverified, differs
 }
 
 // RecordingClosed notes that a record that names ids is about to be written. Since
 // the write may succeed without an answer, the stored record may name them from now
-// on.
+// on, until ClosedRecorded is called for a later one.
 func (s *State) RecordingClosed(ids []string) {
+	s.closedInDoubt = true
 	for _, id := range ids {
 		s.maybeClosed[id] = true
 	}
@@ -41,9 +43,11 @@
 // ClosedRecorded notes that the stored record names ids as closed, unverified among
 // them, and no others.
 func (s *State) ClosedRecorded(ids, unverified []string) {
-	s.recordedClosed, s.recordedUnverified = ids, unverified
+	s.recordedClosed, s.recordedUnverified, s.closedInDoubt = ids, unverified, false
 	s.maybeClosed = make(map[string]bool, len(ids))
-	s.RecordingClosed(ids)
+	for _, id := range ids {
+		s.maybeClosed[id] = true
+	}
 }
 
 // RestoreClosed applies the record of an earlier owner. For some of the executors,
--- a/node/internal/plan/closed_test.go
+++ b/node/internal/plan/closed_test.go
@@ -184,3 +184,81 @@
 	is.Equal(len(unverified), 0)
 	is.True(differs)
 }
+
+// Executors were excluded from new work for the rest of a term after a record that names
+// them as closed got no answer: once they answered again, the list was as recorded last, and
+// nothing was written that would have shown that the store doesn't name them.
+func TestUnansweredRecordExcludesExecutors(t *testing.T) {
+	tests := map[string]struct {
+		before []string // closed according to the last confirmed record
+	}{
+		"first record":           {},
+		"another one was closed": {before: []string{"b"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			f.addReady("a", "b")
+			for _, id := range tt.before {
+				f.state.Silent(epoch, id)
+			}
+			f.state.ClosedRecorded(tt.before, nil)
+			f.state.Silent(epoch, "a")
+			closed, _, differs := f.state.Closed()
+			is.True(differs)
+			f.state.RecordingClosed(closed) // The write gets no answer.
+			f.state.Reported(epoch, "a", Report{RequestedAt: epoch})
+			is.Equal(f.state.CountExclusions(epoch)[Closed], 1)
+			closed, unverified, differs := f.state.Closed()
+			is.Equal(closed, tt.before)
+			is.True(differs) // The stored record may name "a".
+			f.state.RecordingClosed(closed)
+			f.state.ClosedRecorded(closed, unverified)
+			is.Equal(f.state.CountExclusions(epoch)[Closed], 0)
+			_, _, differs = f.state.Closed()
+			is.True(!differs)
+		})
+	}
+}
+
+// Executors stop answering and answer again, and records are lost or succeed without an
+// answer. Once all executors answer and records are confirmed, all executors get new work.
+func TestExclusionEndsWithTheOutage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := []string{"a", "b", "c"}
+		f := newFixture()
+		f.addReady(ids...)
+		if rapid.Bool().Draw(t, "inherited") {
+			f.state.RestoreClosed([]string{"a", "c"}, []string{"c"}, nil)
+		}
+		record := func(confirmed bool) {
+			closed, unverified, differs := f.state.Closed()
+			if !differs {
+				return
+			}
+			f.state.RecordingClosed(closed)
+			if confirmed {
+				f.state.ClosedRecorded(closed, unverified)
+			}
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			id := rapid.SampledFrom(ids).Draw(t, "executor")
+			switch rapid.SampledFrom([]string{"silent", "answers", "write"}).Draw(t, "event") {
+			case "silent":
+				f.state.Silent(epoch, id)
+			case "answers":
+				f.state.Reported(epoch, id, Report{RequestedAt: epoch})
+			case "write":
+				record(rapid.Bool().Draw(t, "confirmed"))
+			}
+		}
+		for _, id := range ids {
+			f.state.Reported(epoch, id, Report{RequestedAt: epoch})
+		}
+		record(true)
+		if n := f.state.CountExclusions(epoch); len(n) > 0 {
+			t.Fatalf("executors are excluded without a fault: %v", n)
+		}
+	})
+}
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -39,6 +39,7 @@
 	recordedClosed     []string                        // executors that the last record names as closed, sorted
 	recordedUnverified []string                        // of these, executors that may have unrecorded runs, sorted
 	maybeClosed        map[string]bool                 // executors that the stored record may name as closed
+	closedInDoubt      bool                            // a record was written without an answer, so that the last one may not be the stored one
 	// inheritedClosed has the executors that the previous owner recorded as closed,
 	// except those that may have unrecorded runs.
 	inheritedClosed map[string]bool
