owner: log by what evidence runs of a silent executor are given up

The successor may have given that run up because the executor's own lease ended, because the last owner recorded when it would, or because the longest wait was over; the logs didn't tell these apart, nor what had been recorded.

Evidence: TestLapsesAreCountedByBasis, TestMetricsPage.

--- a/node/internal/owner/batch.go
+++ b/node/internal/owner/batch.go
@@ -58,6 +58,7 @@
 	if ids, unverified, differ := t.plan.Closed(); differ {
 		t.plan.RecordingClosed(ids)
 		b.closed = &board.Closed{Executors: ids, Unverified: unverified, LeaseEnds: t.leaseEnds(ids, t.owner.clock.Now())}
+		t.logClosed(ids, unverified, b.closed.LeaseEnds)
 	}
 	return b
 }
--- a/node/internal/owner/decide.go
+++ b/node/internal/owner/decide.go
@@ -86,6 +86,9 @@
 			zap.Int("index", s.Task.Index), zap.Int("run", s.Number), zap.String("executor", s.Executor), zap.Int("percent", s.Percent),
 			zap.Duration("for", s.For), zap.Bool("stopped", s.Stopped), zap.Int64("epoch", t.epoch))
 	}
+	for _, x := range orders.Expired {
+		t.noteExpiry(x)
+	}
 	for _, a := range orders.AdviceRequests {
 		t.group.Go(func() error { t.askAdviser(a); return nil })
 	}
--- /dev/null
+++ b/node/internal/owner/lapse.go
@@ -0,0 +1,75 @@
+package owner
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/balsamford/balsamford/node/internal/plan"
+)
+
+// basis says how an owner knows that all leases of an executor that doesn't respond have
+// ended.
+type basis string
+
+const (
+	byLease  basis = "lease"  // its own leases have ended on the executor's clock
+	byRecord basis = "record" // the last owner recorded when they end
+	bySettle basis = "settle" // earlier owners can't have granted longer ones
+)
+
+// leasesEnded reports whether all leases of an executor that doesn't respond have ended, and
+// how that is known. The term's mu is held.
+func (sess *session) leasesEnded(now time.Time) (basis, bool) {
+	t := sess.term
+	if sess.lease.expired(now) {
+		return byLease, true
+	}
+	ended := !sess.hasReported && now.After(t.leaseEndTime(sess.info.ID)) && now.After(sess.doubtUntil)
+	return t.leaseEndBasis(sess.info.ID), ended
+}
+
+// leaseEndBasis returns how leaseEndTime is known. The term's mu is held.
+func (t *term) leaseEndBasis(id string) basis {
+	if _, ok := t.leaseEndHostTime[id]; ok {
+		return byRecord
+	}
+	return bySettle
+}
+
+// noteLapse logs and counts, once until the next response, that the leases of the executor
+// have ended. The term's mu is held.
+func (sess *session) noteLapse(by basis) {
+	if sess.lapsed {
+		return
+	}
+	sess.lapsed = true
+	sess.term.noteLapse(sess.info.ID, by, sess.term.plan.RunsOn(sess.info.ID))
+}
+
+// noteExpiry does the same for an executor that was never registered.
+func (t *term) noteExpiry(x plan.Expiry) {
+	by := bySettle
+	if x.Recorded {
+		by = byRecord
+	}
+	t.noteLapse(x.Executor, by, x.Runs)
+}
+
+func (t *term) noteLapse(executor string, by basis, runs int) {
+	t.owner.metrics.lapsed[by].Inc(1)
+	t.owner.logger.Info("executor's leases have ended", zap.String("executor", executor), zap.String("basis", string(by)),
+		zap.Int("runs", runs), zap.Int64("epoch", t.epoch))
+}
+
+// logClosed logs a record of closed executors that is about to be written. The term's mu is
+// held.
+func (t *term) logClosed(closed, unverified []string, ends map[string]time.Duration) {
+	_, latest, _ := t.owner.storeTime()
+	remaining := make(map[string]string, len(ends))
+	for id, at := range ends {
+		remaining[id] = (at - latest).Round(time.Millisecond).String()
+	}
+	t.owner.logger.Info("recording closed executors", zap.Int64("epoch", t.epoch), zap.Strings("executors", closed), zap.Strings("unverified", unverified),
+		zap.Any("leases", remaining))
+}
--- a/node/internal/owner/ownermetrics.go
+++ b/node/internal/owner/ownermetrics.go
@@ -23,6 +23,7 @@
 	starts       metrics.Counter                  // starts confirmed by executors
 	failed       metrics.Counter                  // starts that failed or whose outcome is unknown
 	lost         metrics.Counter                  // runs that neither finished nor were stopped by an order
+	lapsed       map[basis]metrics.Counter        // executors whose leases ended while they didn't respond
 	ends         map[model.Phase]metrics.Counter
 	late         metrics.Counter // jobs that finished after their latency objective
 	jobLatency   *meter.Latency  // from a job's acceptance until its end is recorded
@@ -39,6 +40,9 @@
 	return &ownerMetrics{
 		epoch: gauge("epoch"), terms: counter("terms"), executors: gauge("executors"), silent: gauge("silent"), excluded: excluded, waiting: gauge("waiting"),
 		paused: gauge("paused"), lag: gauge("lag"), starts: counter("starts"), failed: counter("failed"), lost: counter("lost"),
+		lapsed: map[basis]metrics.Counter{
+			byLease: counter("lapsed.lease"), byRecord: counter("lapsed.record"), bySettle: counter("lapsed.settle"),
+		},
 		ends: map[model.Phase]metrics.Counter{
 			model.Done:      metrics.GetOrRegisterCounter("node.job.done", r),
 			model.Failed:    metrics.GetOrRegisterCounter("node.job.failed", r),
--- a/node/internal/owner/session.go
+++ b/node/internal/owner/session.go
@@ -40,6 +40,7 @@
 	unlistedSince time.Time     // when the entry was found missing
 	retired       bool          // it gets no new work, since it has no entry
 	silent        bool          // it didn't respond to the last call
+	lapsed        bool          // its leases have ended since its last response
 	hasReported   bool          // it has reported to this owner
 	doubtUntil    time.Time     // until then a run of an order to its last incarnation may exist on it
 	reportClock   time.Duration // time of the newest report, on the executor's clock
@@ -69,7 +70,7 @@
 	t := sess.term
 	next := newSession(t, info)
 	next.born, next.lease, next.silent, next.hasReported = sess.born, sess.lease, sess.silent, sess.hasReported
-	next.reportClock, next.lastResponse = sess.reportClock, sess.lastResponse
+	next.reportClock, next.lastResponse, next.lapsed = sess.reportClock, sess.lastResponse, sess.lapsed
 	next.takenSeq, next.recordedSeq = sess.takenSeq, sess.recordedSeq
 	next.hasEntry, next.retired, next.unlistedSince = sess.hasEntry, sess.retired, sess.unlistedSince
 	sess.close()
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -174,6 +174,7 @@
 	if sess.silent {
 		t.owner.logger.Info("executor answers again", zap.String("executor", sess.info.ID))
 	}
+	sess.lapsed = false
 	sess.silent, sess.hasReported, sess.lastResponse = false, true, max(sess.lastResponse, sentBoot) // A long poll may have been sent before a poll by pollNow that has already returned.
 	t.shortenSettle(now)
 	delete(t.leaseEndStoreTime, sess.info.ID)
@@ -231,8 +232,9 @@
 		return false
 	}
 	sess.markSilent(err)
-	lapsed := sess.lease.expired(now) || (!sess.hasReported && now.After(t.leaseEndTime(sess.info.ID)) && now.After(sess.doubtUntil))
+	basis, lapsed := sess.leasesEnded(now)
 	if lapsed {
+		sess.noteLapse(basis)
 		t.plan.RemoveRuns(sess.info.ID)
 		t.plan.MarkRunsKnown(sess.info.ID)
 		signal(t.wakeDecider)
--- a/node/internal/plan/decide.go
+++ b/node/internal/plan/decide.go
@@ -95,6 +95,8 @@
 func (s *State) sweep(now time.Time) {
 	for id, e := range s.executors {
 		if e.info.Service == "" && now.After(s.leaseEnd(id)) {
+			_, recorded := s.leaseEnds[id]
+			s.orders.Expired = append(s.orders.Expired, Expiry{Executor: id, Runs: len(e.runs), Recorded: recorded})
 			s.RemoveExecutor(id) // It was never registered.
 			continue
 		}
--- a/node/internal/plan/executor.go
+++ b/node/internal/plan/executor.go
@@ -46,6 +46,14 @@
 	return e != nil && e.urgentRuns > 0
 }
 
+// RunsOn returns the number of runs that may exist on an executor.
+func (s *State) RunsOn(id string) int {
+	if e := s.executors[id]; e != nil {
+		return len(e.runs)
+	}
+	return 0
+}
+
 // SetExecutor adds an executor or updates its registration.
 func (s *State) SetExecutor(info model.Executor) {
 	e := s.executor(info.ID)
--- a/node/internal/plan/orders.go
+++ b/node/internal/plan/orders.go
@@ -45,5 +45,14 @@
 	Stops          []Stop
 	Paces          []Pace
 	AdviceRequests []AdviceRequest
-	Stalls         []Stall // to be logged
+	Stalls         []Stall  // to be logged
+	Expired        []Expiry // to be logged
+}
+
+// Expiry describes an executor without an entry whose leases have ended. The runs that were
+// recorded on it are given up.
+type Expiry struct {
+	Executor string
+	Runs     int  // that were recorded on it
+	Recorded bool // the last owner recorded when its leases end
 }
