owner: a lease outlasted the end that was recorded for it

Cause: an owner that doesn't reach an executor records when its leases will have ended, and a successor that doesn't reach it either gives its runs up then. If the executor answers the first owner again, that owner extended its leases at once. Only a later record withdraws the recorded end, and an owner that is cut off together with the executor can't write it. The same holds for an end that an earlier owner recorded and for one whose write got no answer.

Change: the owner keeps, by executor, the earliest end that the stored record may name, inherited ones included, and bounds each lease by it, in polls and in starts, until a record without it is confirmed. The recorded end also allows for the greatest difference in clock rates. The metric `node.owner.bounded` counts such executors. An executor that was silent for a moment right before an outage loses its runs at the recorded end, five seconds later, where they went on before.

Evidence: the property TestLeaseOutlastsRecordedEnd fails before, with and without an inherited record ("a lease ends in 5s, and according to the record all have ended in 1.98s"), and passes 3,000 cases now.

--- a/node/internal/owner/batch.go
+++ b/node/internal/owner/batch.go
@@ -58,6 +58,7 @@
 	if ids, unverified, differ := t.plan.Closed(); differ {
 		t.plan.RecordingClosed(ids)
 		b.closed = &board.Closed{Executors: ids, Unverified: unverified, LeaseEnds: t.leaseEnds(ids, t.owner.clock.Now())}
+		t.recordingLeaseEnds(b.closed.LeaseEnds)
 		t.logClosed(ids, unverified, b.closed.LeaseEnds)
 	}
 	return b
@@ -88,6 +89,7 @@
 	}
 	if b.closed != nil {
 		t.plan.ClosedRecorded(b.closed.Executors, b.closed.Unverified)
+		t.leaseEndsRecorded(b.closed.LeaseEnds)
 		signal(t.wakeDecider)
 	}
 }
--- a/node/internal/owner/execute.go
+++ b/node/internal/owner/execute.go
@@ -41,7 +41,7 @@
 		t.mu.Unlock()
 		return
 	}
-	end := sess.lease.extend(now, t.leaseExtension())
+	end := sess.extendLease(now)
 	if why, refused := t.checkStart(sess, end); refused {
 		t.plan.Refused(now, *s, why)
 		t.mu.Unlock()
--- a/node/internal/owner/lease.go
+++ b/node/internal/owner/lease.go
@@ -55,6 +55,13 @@
 	return end
 }
 
+// maxExtension returns the longest duration for which a lease may be granted so that it has
+// expired within the given time, even if the executor's clock is slow.
+func (l *lease) maxExtension(now time.Time, within time.Duration) time.Duration {
+	sinceRead := now.Sub(l.clockReadAt)
+	return time.Duration(float64(within+sinceRead)*minClockRate) - sinceRead - expiryMargin
+}
+
 // remaining returns how long until every lease that was sent has expired, even if the
 // executor's clock is slow.
 func (l *lease) remaining(now time.Time) time.Duration {
--- a/node/internal/owner/ownermetrics.go
+++ b/node/internal/owner/ownermetrics.go
@@ -17,6 +17,7 @@
 	executors    metrics.Gauge                    // executors known to the owner
 	silent       metrics.Gauge                    // executors that don't respond
 	excluded     map[plan.Exclusion]metrics.Gauge // executors that get no new work, by reason
+	bounded      metrics.Gauge                    // executors whose leases end by a recorded time though they respond
 	waiting      metrics.Gauge                    // tasks that are ready but have no run
 	paused       metrics.Gauge                    // 1 while no run may start, since ownership isn't confirmed
 	lag          metrics.Gauge                    // by how much the decision loop falls behind, in milliseconds
@@ -38,7 +39,7 @@
 		excluded[x] = gauge("excluded." + x.String())
 	}
 	return &ownerMetrics{
-		epoch: gauge("epoch"), terms: counter("terms"), executors: gauge("executors"), silent: gauge("silent"), excluded: excluded, waiting: gauge("waiting"),
+		epoch: gauge("epoch"), terms: counter("terms"), executors: gauge("executors"), silent: gauge("silent"), excluded: excluded, bounded: gauge("bounded"), waiting: gauge("waiting"),
 		paused: gauge("paused"), lag: gauge("lag"), starts: counter("starts"), failed: counter("failed"), lost: counter("lost"),
 		lapsed: map[basis]metrics.Counter{
 			byLease: counter("lapsed.lease"), byRecord: counter("lapsed.record"), bySettle: counter("lapsed.settle"),
@@ -70,14 +71,19 @@
 // by reason. updateGauges is called every waitsInterval. The term's mu is held.
 func (t *term) updateGauges(excluded map[plan.Exclusion]int) {
 	c := t.owner.metrics
-	silent := 0
-	for _, sess := range t.sessions {
-		if sess.silent {
+	silent, bounded := 0, 0
+	for id, sess := range t.sessions {
+		_, recorded := t.recordedLeaseEnds[id]
+		switch {
+		case sess.silent:
 			silent++
+		case recorded:
+			bounded++
 		}
 	}
 	c.executors.Update(int64(len(t.sessions)))
 	c.silent.Update(int64(silent))
+	c.bounded.Update(int64(bounded))
 	for x, g := range c.excluded {
 		g.Update(int64(excluded[x]))
 	}
@@ -91,7 +97,7 @@
 
 // reset zeroes the gauges that only an owner maintains.
 func (c *ownerMetrics) reset() {
-	for _, g := range []metrics.Gauge{c.executors, c.silent, c.waiting, c.paused, c.lag} {
+	for _, g := range []metrics.Gauge{c.executors, c.silent, c.bounded, c.waiting, c.paused, c.lag} {
 		g.Update(0)
 	}
 	for _, g := range c.excluded {
--- a/node/internal/owner/session.go
+++ b/node/internal/owner/session.go
@@ -164,3 +164,16 @@
 	}
 	return min(leaseDuration, t.bounds.Lease, extension)
 }
+
+// extendLease grants a lease from now and returns its end on the executor's clock, zero for
+// none. A successor trusts the end that is recorded for the leases of an executor that didn't
+// respond. So even if the executor responds again, its leases end before that until the stored
+// record doesn't name it any more. The term's mu is held.
+func (sess *session) extendLease(now time.Time) time.Duration {
+	t := sess.term
+	extension := t.leaseExtension()
+	if at, recorded := t.recordedLeaseEnds[sess.info.ID]; recorded {
+		extension = min(extension, sess.lease.maxExtension(now, t.untilStoreTime(at)))
+	}
+	return sess.lease.extend(now, extension)
+}
--- a/node/internal/owner/storetime.go
+++ b/node/internal/owner/storetime.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"maps"
 	"time"
 
 	"github.com/balsamford/balsamford/node/internal/board"
@@ -26,6 +27,16 @@
 	return earliest, latest, true
 }
 
+// untilStoreTime returns the least time until the store's clock may show at. It isn't positive
+// if that time may have passed or the store's clock was never read.
+func (t *term) untilStoreTime(at time.Duration) time.Duration {
+	_, latest, ok := t.owner.storeTime()
+	if !ok {
+		return 0
+	}
+	return time.Duration(float64(at-latest) / (1 + maxClockDrift))
+}
+
 // leaseEnds returns, for each closed executor that doesn't respond, the store time by
 // which all its leases have ended. A time, once determined, doesn't change unless the
 // executor responds again. The term's mu is held.
@@ -48,15 +59,34 @@
 		case sess != nil && sess.hasReported:
 			remaining = sess.lease.remaining(now)
 		}
-		t.leaseEndStoreTime[id] = latest + max(0, remaining)
+		t.leaseEndStoreTime[id] = latest + time.Duration(float64(max(0, remaining))*(1+maxClockDrift))
 		out[id] = t.leaseEndStoreTime[id]
 	}
 	return out
 }
 
+// recordingLeaseEnds notes that a record that names ends of leases is about to be written. The
+// write may succeed without a response. The term's mu is held.
+func (t *term) recordingLeaseEnds(ends map[string]time.Duration) {
+	for id, at := range ends {
+		if earlier, ok := t.recordedLeaseEnds[id]; ok {
+			at = min(at, earlier)
+		}
+		t.recordedLeaseEnds[id] = at
+	}
+}
+
+// leaseEndsRecorded notes that the stored record names ends and no others. The term's mu is
+// held.
+func (t *term) leaseEndsRecorded(ends map[string]time.Duration) {
+	clear(t.recordedLeaseEnds)
+	maps.Copy(t.recordedLeaseEnds, ends)
+}
+
 // restoreClosed restores which executors the last owner had closed, and when their
 // leases end. The term's mu is held.
 func (t *term) restoreClosed(closed board.Closed, now time.Time) {
+	t.leaseEndsRecorded(closed.LeaseEnds)
 	if earliest, _, ok := t.owner.storeTime(); ok {
 		t.restoreLeaseEnds(closed.LeaseEnds, earliest, now)
 	}
--- a/node/internal/owner/storetime_test.go
+++ b/node/internal/owner/storetime_test.go
@@ -58,3 +58,100 @@
 		}
 	})
 }
+
+// driftingStore is a store with a clock that runs at a rate of its own, and the last record of
+// closed executors.
+type driftingStore struct {
+	rate    float64
+	host    *timer.Service
+	began   time.Duration
+	reading platform.ClockReading
+	closed  board.Closed
+}
+
+// now returns the time on the store's clock.
+func (s *driftingStore) now() time.Duration {
+	return time.Hour + time.Duration(float64(s.host.Boot()-s.began)*s.rate)
+}
+
+// call advances the host's clock by the duration of a call, which reads the store's clock.
+func (s *driftingStore) call(took time.Duration) {
+	sent := s.host.Boot()
+	at := s.now()
+	s.host.Advance(took)
+	s.reading = platform.ClockReading{Now: at, Sent: sent, Received: s.host.Boot()}
+}
+
+func (s *driftingStore) ClockReading() (platform.ClockReading, bool) { return s.reading, true }
+
+// A successor that doesn't reach an executor started its tasks again while they were at work:
+// an owner that reached the executor again extended its lease beyond the end that it had
+// recorded, and was cut off before it could write another record. While a record that names an
+// end may be in the store, all leases end before it.
+func TestLeaseOutlastsRecordedEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const step = 300 * time.Millisecond
+		tm, clock, sessions := newTermWithExecutors(1)
+		sess := sessions[0]
+		id := sess.info.ID
+		store := &driftingStore{rate: rapid.Float64Range(1-maxClockDrift, 1+maxClockDrift).Draw(t, "store's rate"), host: clock, began: clock.Boot()}
+		tm.owner.storeClock = store
+		began, rate := clock.Boot(), rapid.Float64Range(minClockRate, 1).Draw(t, "executor's rate")
+		executorNow := func() time.Duration {
+			return 2*time.Hour + time.Duration(float64(clock.Boot()-began)*rate)
+		}
+		granted := time.Duration(0) // latest end of a lease of this owner, on the executor's clock
+		store.call(time.Millisecond)
+		if rapid.Bool().Draw(t, "inherited") {
+			store.closed = board.Closed{Executors: []string{id}, LeaseEnds: map[string]time.Duration{id: store.now() + 2*time.Second}}
+			tm.restoreClosed(store.closed, clock.Now())
+		}
+		tm.confirm(clock.Boot(), minAuthority)
+		r := &recorder{term: tm}
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			clock.Advance(time.Duration(rapid.Int64Range(0, int64(step)).Draw(t, "pause")))
+			switch rapid.SampledFrom([]string{"answer", "answer", "silence", "write"}).Draw(t, "event") {
+			case "answer":
+				if !sess.silent {
+					granted = max(granted, sess.extendLease(clock.Now()))
+				}
+				sess.handleReport(clock.Now(), clock.Boot(), &platform.Report{Clock: executorNow()})
+			case "silence":
+				sess.handleFailure(&platform.LostError{})
+			case "write":
+				b := r.collect()
+				sent := clock.Boot()
+				outcome := rapid.SampledFrom([]string{"confirmed", "applied", "lost"}).Draw(t, "outcome")
+				took := time.Duration(rapid.Int64Range(0, int64(step)).Draw(t, "took"))
+				if outcome == "lost" {
+					clock.Advance(took)
+					continue
+				}
+				store.call(took)
+				if b.closed != nil {
+					store.closed = *b.closed
+				}
+				if outcome == "confirmed" {
+					tm.confirm(sent, minAuthority)
+					r.markRecorded(b)
+				}
+			}
+			at, recorded := store.closed.LeaseEnds[id]
+			if !recorded || granted <= executorNow() {
+				continue
+			}
+			left := time.Duration(float64(granted-executorNow()) / rate)
+			if trusted := time.Duration(float64(at-store.now()) / store.rate); left > trusted {
+				t.Fatalf("a lease ends in %v, and according to the record all have ended in %v", left, trusted)
+			}
+		}
+		// Once the executor answers and records are confirmed, its lease isn't bounded any more.
+		sess.handleReport(clock.Now(), clock.Boot(), &platform.Report{Clock: executorNow()})
+		store.call(time.Millisecond)
+		tm.confirm(clock.Boot(), minAuthority)
+		r.markRecorded(r.collect())
+		if end := sess.extendLease(clock.Now()); end < executorNow()+leaseDuration-time.Millisecond {
+			t.Fatalf("lease of %v in place of %v", end-executorNow(), leaseDuration)
+		}
+	})
+}
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -57,7 +57,7 @@
 		}
 		o := platform.WatchOrder{Fence: t.epoch, Wait: wait}
 		if !sess.silent { // A silent executor's lease must expire, and it may be a new incarnation, whose ends are unknown.
-			o.LeaseEnd, o.Acked = sess.lease.extend(now, t.leaseExtension()), sess.recordedSeq
+			o.LeaseEnd, o.Acked = sess.extendLease(now), sess.recordedSeq
 		}
 		t.mu.Unlock()
 		rep, err := sess.client.Watch(o)
