owner: log on what a successor bases its wait for executors

Whether it took the last owner's row for new, or believed that the row says that all executors have entries, or waited and not long enough, the logs didn't tell.

Change: `ownership taken` says how long the row hadn't changed as seen by this host, whether executors may lack entries according to it, and for how long jobs without known runs wait.

Evidence: the package's tests pass; no decision changes.

--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -105,7 +105,6 @@
 	o.metrics.epoch.Update(claim.Epoch)
 	o.metrics.terms.Inc(1)
 	defer o.metrics.reset()
-	o.logger.Info("ownership taken", zap.Int64("epoch", claim.Epoch), zap.String("from", before.Host), zap.Bool("resigned", before.Resigned))
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	g, gctx := errgroup.WithContext(ctx)
@@ -118,6 +117,8 @@
 	if !o.ownedRecently(before) {
 		reregisterBy = now.Add(reregisterGrace)
 	}
+	o.logger.Info("ownership taken", zap.Int64("epoch", claim.Epoch), zap.String("from", before.Host), zap.Bool("resigned", before.Resigned),
+		zap.Duration("seen", o.sinceRowSeen()), zap.Bool("incomplete", before.ExecutorsMayBeMissing), zap.Duration("grace", reregisterBy.Sub(now)))
 	if before.Epoch > 0 && !before.Resigned && before.Host != o.host {
 		t.noStartUntil = o.clock.Boot() + boardAuthority // That owner may not have seen the takeover yet.
 	}
@@ -156,9 +157,18 @@
 		age, sinceDate := o.clock.Boot()-row.Written, o.clock.Now().Sub(row.Date)
 		return row.Written > 0 && (age >= 0 && age < minEntryTTL || sinceDate >= 0 && sinceDate < minEntryTTL)
 	}
+	o.mu.Lock()
+	seen := !o.rowSeen.IsZero()
+	o.mu.Unlock()
+	return seen && o.sinceRowSeen() < maxUnwritten
+}
+
+// sinceRowSeen returns how long ago this host last saw the owner's row change, or failed to
+// follow it.
+func (o *Owner) sinceRowSeen() time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return !o.rowSeen.IsZero() && o.clock.Now().Sub(o.rowSeen) < maxUnwritten
+	return o.clock.Now().Sub(o.rowSeen)
 }
 
 func (o *Owner) setTerm(t *term) {
