owner: the line on closed executors names new leases alone

Cause: it listed all closed executors and their leases with each record; while a zone is cut off that is a third of them, some twenty times. Change: numbers, and the leases that are named for the first time. Evidence: the package's tests pass.

--- a/node/internal/owner/batch.go
+++ b/node/internal/owner/batch.go
@@ -58,8 +58,8 @@
 	if ids, unverified, differ := t.plan.Closed(); differ {
 		t.plan.RecordingClosed(ids)
 		b.closed = &board.Closed{Executors: ids, Unverified: unverified, LeaseEnds: t.leaseEnds(ids, t.owner.clock.Now())}
+		t.logClosed(b.closed)
 		t.recordingLeaseEnds(b.closed.LeaseEnds)
-		t.logClosed(ids, unverified, b.closed.LeaseEnds)
 	}
 	return b
 }
--- a/node/internal/owner/lapse.go
+++ b/node/internal/owner/lapse.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/balsamford/balsamford/node/internal/board"
 	"github.com/balsamford/balsamford/node/internal/plan"
 )
 
@@ -62,14 +63,16 @@
 		zap.Int("runs", runs), zap.Int64("epoch", t.epoch))
 }
 
-// logClosed logs a record of closed executors that is about to be written. The term's mu is
-// held.
-func (t *term) logClosed(closed, unverified []string, ends map[string]time.Duration) {
+// logClosed logs that a record of closed executors is about to be written, and the remaining
+// times of the leases that it names for the first time. The term's mu is held.
+func (t *term) logClosed(c *board.Closed) {
 	_, latest, _ := t.owner.storeTime()
-	remaining := make(map[string]string, len(ends))
-	for id, at := range ends {
-		remaining[id] = (at - latest).Round(time.Millisecond).String()
+	named := make(map[string]string)
+	for id, at := range c.LeaseEnds {
+		if _, ok := t.recordedLeaseEnds[id]; !ok {
+			named[id] = (at - latest).Round(time.Millisecond).String()
+		}
 	}
-	t.owner.logger.Info("recording closed executors", zap.Int64("epoch", t.epoch), zap.Strings("executors", closed), zap.Strings("unverified", unverified),
-		zap.Any("leases", remaining))
+	t.owner.logger.Info("recording closed executors", zap.Int64("epoch", t.epoch), zap.Int("executors", len(c.Executors)),
+		zap.Int("unverified", len(c.Unverified)), zap.Int("leases", len(c.LeaseEnds)), zap.Any("named", named))
 }
