owner: after an outage the owner's old row counted as new

The owner went on starting tasks while the store was down, entries of executors expired meanwhile, and the owner lost power half a second before the store's return. Its successor started tasks again on the executors that still had entries.

Cause: a successor waits 2.5 s for executors to register again if the last owner couldn't write for a while. It took the age of the owner's row from when it had last seen the row change, and a host that can't follow the board sets that to the present. So the row of a 4.5 s outage counted as 0.7 s old: `ownership taken` said seen 718 ms, incomplete false, grace 0 s, with 21 of 48 executors listed. Two related paths: the age on the same host came from clocks that stop or jump when it loses power; and the flag in the row that entries may be missing was false in the first writes after an outage, before any entry had changed, in the first writes of a new owner, and in a row that only claims ownership.

Change: the row has the earliest time that the store's clock may have shown at the write, in place of two times of the owner's machine. Any host tells the age from that. A row without it counts as old. The flag is also set while no entry has changed for 1.2 s. The wait applies from 1.5 s of age, in which the third successor of a lost owner has claimed the cell (it was 1.2 s from when the change was seen, which is later than the write), and on the same host from 2 s, two heartbeats of a second (it was 2.5 s).

--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -76,11 +76,12 @@
 	Successors []string      `cbor:"7,keyasint,omitempty"` // hosts preferred for a takeover, in this order
 	// ExecutorsMayBeMissing reports that live executors may be missing from the executor table,
 	// since the store was unavailable a short time ago.
-	ExecutorsMayBeMissing bool          `cbor:"8,keyasint,omitempty"`
-	Written               time.Duration `cbor:"9,keyasint,omitempty"` // time of the write, since the boot of the owner's machine
-	// Date is the same as Written by the machine's date, which goes on when it loses power.
-	Date   time.Time `cbor:"12,keyasint,omitempty"`
-	Format int       `cbor:"10,keyasint,omitempty"`
+	ExecutorsMayBeMissing bool `cbor:"8,keyasint,omitempty"`
+	// StoreTime is the earliest time that the store's clock may have shown when the write was
+	// sent, zero if that isn't known. The age of the row follows from it on any host, however
+	// long that host couldn't read the row. Keys 9 and 12 had times on the owner's clocks.
+	StoreTime time.Duration `cbor:"13,keyasint,omitempty"`
+	Format    int           `cbor:"10,keyasint,omitempty"`
 	// WriteAheadZone is the owner's zone if, as of this write, all runs on executors there
 	// are recorded, since the owner records each run there before it starts it. It is empty
 	// for no zone.
--- a/node/internal/owner/executorentries.go
+++ b/node/internal/owner/executorentries.go
@@ -38,12 +38,14 @@
 	signal(t.wakeDecider)
 }
 
-// executorsMayBeMissing reports whether live executors may lack entries, because the store was
-// unavailable until a moment ago.
+// executorsMayBeMissing reports whether live executors may lack entries, because the store is
+// unavailable, as far as entries show, or was so until a moment ago. While no entry changes,
+// that isn't known: the first write after an outage precedes the first changed entry.
 func (t *term) executorsMayBeMissing() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.executorsMayBeMissingAt(t.owner.clock.Now())
+	now := t.owner.clock.Now()
+	return now.Sub(t.lastEntryChange) > storeDownAfter || t.executorsMayBeMissingAt(now)
 }
 
 // Change implements follow.Handler.
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -97,7 +97,8 @@
 	r.attempt++
 	next.Seq, next.Authority, next.Successors = r.attempt, authorityFor(r.typical), r.term.successors()
 	next.WriteAheadZone = b.writeAheadZone
-	next.ExecutorsMayBeMissing, next.Written, next.Date = r.term.executorsMayBeMissing(), r.term.owner.clock.Boot(), r.term.owner.clock.Now()
+	next.ExecutorsMayBeMissing = r.term.executorsMayBeMissing()
+	next.StoreTime, _, _ = r.term.owner.storeTime()
 	w := platform.Write{Conditions: []platform.Condition{ownerRowCondition(r.version)}}
 	put, err := board.Put(board.Table, board.Main, board.OwnerKey, next)
 	if err != nil {
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -31,13 +31,15 @@
 	// owner's runs have higher numbers than runs of earlier owners that it doesn't
 	// know of.
 	runNumbersPerEpoch = 64
-	// minEntryTTL is a lower bound for how long an executor's entry lasts without
-	// renewal. An entry lasts three heartbeats of at least one second.
-	minEntryTTL = 2500 * time.Millisecond
+	// minEntryTTL is the least time for which entries are present after the store has failed. An
+	// entry lasts three heartbeats of at least one second, the last of which may be one heartbeat
+	// old by then.
+	minEntryTTL = 2 * time.Second
 	// maxUnwritten is how long the last owner may have written nothing before a takeover for
-	// executors' entries still to count as complete. After a longer time its host was alive and
-	// couldn't write, or the store was away, and entries may have expired since.
-	maxUnwritten = 1200 * time.Millisecond
+	// executors' entries still to count as complete. The last successor of an owner that is lost
+	// claims within it. After a longer time the owner was alive and couldn't write, or the store
+	// was away, and entries may have expired since.
+	maxUnwritten = 1500 * time.Millisecond
 	// stopReportDelay is how long after its stop time a stopped run's end may take to
 	// appear in a report.
 	stopReportDelay = 300 * time.Millisecond
@@ -117,8 +119,9 @@
 	if !o.ownedRecently(before) {
 		reregisterBy = now.Add(reregisterGrace)
 	}
+	age, _ := o.rowAge(before)
 	o.logger.Info("ownership taken", zap.Int64("epoch", claim.Epoch), zap.String("from", before.Host), zap.Bool("resigned", before.Resigned),
-		zap.Duration("seen", o.sinceRowSeen()), zap.Bool("incomplete", before.ExecutorsMayBeMissing), zap.Duration("grace", reregisterBy.Sub(now)))
+		zap.Duration("age", age), zap.Bool("incomplete", before.ExecutorsMayBeMissing), zap.Duration("grace", reregisterBy.Sub(now)))
 	if before.Epoch > 0 && !before.Resigned && before.Host != o.host {
 		t.noStartUntil = o.clock.Boot() + boardAuthority // That owner may not have seen the takeover yet.
 	}
@@ -148,27 +151,27 @@
 
 // ownedRecently reports whether the owner of row wrote it a moment ago, while
 // executors' entries were complete. If so, an executor without an entry didn't lose
-// it in a store outage, and that owner gave it no new work.
+// it in a store outage, and that owner gave it no new work. A row that only claims ownership
+// says nothing about entries.
 func (o *Owner) ownedRecently(row board.Owner) bool {
-	if row.ExecutorsMayBeMissing {
+	age, known := o.rowAge(row)
+	if !known || row.ExecutorsMayBeMissing {
 		return false
 	}
-	if row.Host == o.host { // This process may have started after the write and not have seen it.
-		age, sinceDate := o.clock.Boot()-row.Written, o.clock.Now().Sub(row.Date)
-		return row.Written > 0 && (age >= 0 && age < minEntryTTL || sinceDate >= 0 && sinceDate < minEntryTTL)
+	if row.Host == o.host { // This host restarted, and the store may have been available until then.
+		return age < minEntryTTL
 	}
-	o.mu.Lock()
-	seen := !o.rowSeen.IsZero()
-	o.mu.Unlock()
-	return seen && o.sinceRowSeen() < maxUnwritten
+	return age < maxUnwritten
 }
 
-// sinceRowSeen returns how long ago this host last saw the owner's row change, or failed to
-// follow it.
-func (o *Owner) sinceRowSeen() time.Duration {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.clock.Now().Sub(o.rowSeen)
+// rowAge returns the greatest time that may have passed since the owner's row was written, and
+// false if that isn't known.
+func (o *Owner) rowAge(row board.Owner) (time.Duration, bool) {
+	_, latest, ok := o.storeTime()
+	if !ok || row.StoreTime == 0 {
+		return 0, false
+	}
+	return latest - row.StoreTime, true
 }
 
 func (o *Owner) setTerm(t *term) {
