front: log why a job is answered as unknown

Whether the job isn't on the board, isn't in the store, or is taken for another queue's didn't show; nor how many jobs a new owner has whose queue is gone.

Evidence: the packages' tests pass; no answer changes.

--- a/node/internal/front/query.go
+++ b/node/internal/front/query.go
@@ -38,6 +38,8 @@
 		}
 	}
 	if !known || job.Queue != r.queue.Name {
+		s.logger.Info("no such job", zap.String("id", r.id), zap.String("queue", r.queue.Name), zap.Bool("known", known),
+			zap.String("accepted", job.Queue), zap.Int64("version", r.version))
 		s.reject(r.exchange, fasthttp.StatusGone, "no such job")
 		return job, false
 	}
--- a/node/internal/owner/load.go
+++ b/node/internal/owner/load.go
@@ -80,7 +80,7 @@
 	t.restoreClosed(closed, now)
 	t.loaded = true
 	o.logger.Info("records read", zap.Int64("epoch", t.epoch), zap.Int("jobs", len(jobs)), zap.Int("records", len(records)), zap.Int("cancelled", len(cancelled)),
-		zap.Int("closed", len(closed.Executors)))
+		zap.Int("closed", len(closed.Executors)), zap.Int("unconfigured", t.plan.Unconfigured()))
 	entries := follow.New(o.store, o.clock, platform.ExecutorTable, []string{""}, &executorEntries{term: t}, follow.WithGap(entriesGap), follow.WithLogger(o.logger))
 	t.group.Go(func() error { return entries.Run(ctx) })
 	return nil
--- a/node/internal/plan/job.go
+++ b/node/internal/plan/job.go
@@ -65,6 +65,21 @@
 	}
 }
 
+// Unconfigured returns the number of jobs that haven't ended and whose queue the configuration
+// lacks.
+func (s *State) Unconfigured() int {
+	n := 0
+	for _, j := range s.jobs {
+		if s.config == nil || j.phase.Final() {
+			continue
+		}
+		if _, ok := s.config.Queues[j.spec.Queue]; !ok {
+			n++
+		}
+	}
+	return n
+}
+
 // maxAttempts returns how many failed runs of a task make the job fail.
 func (j *job) maxAttempts() int { return max(1, j.queue.Attempts) }
 
