front, plan: jobs were lost when their queue was renamed or removed

Cause: a job was bound to its queue by the queue's name alone. The front compared the name with that of the queue at the request's address (`no such job` says known true, accepted r-nony, queue r-renamed). In the plan a job kept its settings in the memory of the owner; a successor looked the name up in the configuration and had neither service nor attempts (`records read` says unconfigured 1, `step waits` usable 0).

Change: a job's submission holds the settings of its queue and the limit of its team at acceptance. They hold for it while the configuration lacks the queue or the team; a queue of the name in the configuration still goes first, so that operators can move waiting work. The acceptance row holds the queue's address: a job belongs to a queue of that address or that name, in questions, cancellations and the number of waiting jobs, which was too low after a change of name. A team that was removed had no limit; its jobs keep the one they were accepted under. Rows of earlier programs lack these fields and are treated as before.

--- a/coord/model/job.go
+++ b/coord/model/job.go
@@ -13,6 +13,25 @@
 	First time.Time     `cbor:"7,keyasint,omitempty"` // when the first occurrence is due
 	Every time.Duration `cbor:"8,keyasint,omitempty"` // time between occurrences
 	Sent  time.Time     `cbor:"9,keyasint,omitempty"` // when it was accepted, by the accepting host's clock
+	// Terms are what it was accepted under, nil if it was accepted by a program that didn't
+	// store them.
+	Terms *Terms `cbor:"10,keyasint,omitempty"`
+}
+
+// Terms are the settings under which a job was accepted. They hold for it while the
+// configuration lacks its queue or its team, since these may be removed before it has ended.
+type Terms struct {
+	Queue Queue  `cbor:"1,keyasint"`
+	Limit Amount `cbor:"2,keyasint"` // of its team
+}
+
+// Address returns the host name and the path prefix at which the job was submitted; both are
+// empty if they weren't stored.
+func (j *Job) Address() (host, prefix string) {
+	if j.Terms == nil {
+		return "", ""
+	}
+	return j.Terms.Queue.Host, j.Terms.Queue.Prefix
 }
 
 // Occurrences returns the number of times that the steps run.
--- a/node/internal/board/apply.go
+++ b/node/internal/board/apply.go
@@ -51,7 +51,10 @@
 // still queued. The caller holds mu.
 func (b *Board) addPending(id string, n int) {
 	if j, ok := b.jobs[id]; ok && b.phases[id].Phase == model.Queued {
-		b.pending[j.Queue] += n
+		a := j.accepter()
+		if b.pending[a] += n; b.pending[a] == 0 {
+			delete(b.pending, a) // Queues that are gone leave nothing behind.
+		}
 	}
 }
 
--- a/node/internal/board/board.go
+++ b/node/internal/board/board.go
@@ -18,6 +18,9 @@
 	Cancelled bool // its team has requested cancellation
 }
 
+// In reports whether the job belongs to a queue.
+func (s *JobState) In(q *model.Queue) bool { return s.in(q) }
+
 // Listener receives the changes that the owner acts on. Its methods must not block.
 type Listener interface {
 	JobListener // for jobs whose submission is in the board row itself
@@ -38,9 +41,9 @@
 	phases       map[string]Phase
 	parts        map[string][]string // partitions that have an acceptance row, by job
 	cancelled    map[string]bool
-	pending      map[string]int // accepted jobs that are still queued, by queue
-	listener     Listener       // nil for none
-	ready        bool           // the table has been read at least once
+	pending      map[accepter]int // accepted jobs that are still queued
+	listener     Listener         // nil for none
+	ready        bool             // the table has been read at least once
 }
 
 // New returns an empty Board.
@@ -53,7 +56,7 @@
 func (b *Board) clear() {
 	b.hosts, b.jobs, b.phases = make(map[string]Host), make(map[string]Accepted), make(map[string]Phase)
 	b.parts = make(map[string][]string)
-	b.cancelled, b.pending = make(map[string]bool), make(map[string]int)
+	b.cancelled, b.pending = make(map[string]bool), make(map[accepter]int)
 }
 
 // Listen sets the listener for later changes, nil for none. It returns the present
@@ -123,10 +126,16 @@
 }
 
 // Pending returns the number of accepted jobs of a queue that are still queued.
-func (b *Board) Pending(queue string) int {
+func (b *Board) Pending(q *model.Queue) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.pending[queue]
+	n := 0
+	for a, pending := range b.pending {
+		if q.Owns(a.name, a.host, a.prefix) {
+			n += pending
+		}
+	}
+	return n
 }
 
 // Ended returns the IDs of up to n jobs that ended before a time in Unix seconds:
--- a/node/internal/board/board_test.go
+++ b/node/internal/board/board_test.go
@@ -74,14 +74,14 @@
 	second := first
 	first.Part, second.Part = PartOf("j", 0), PartOf("j", 1)
 	b.Change([]platform.Row{first, second, first})
-	is.Equal(b.Pending("q"), 1)
+	is.Equal(b.Pending(&model.Queue{Name: "q"}), 1)
 	is.Equal(len(b.PartsOf("j")), 2)
 	first.Deleted = true
 	b.Change([]platform.Row{first})
-	is.Equal(b.Pending("q"), 1)
+	is.Equal(b.Pending(&model.Queue{Name: "q"}), 1)
 	second.Deleted = true
 	b.Change([]platform.Row{second})
-	is.Equal(b.Pending("q"), 0)
+	is.Equal(b.Pending(&model.Queue{Name: "q"}), 0)
 	_, ok := b.Job("j")
 	is.True(!ok)
 }
@@ -118,8 +118,27 @@
 	})
 	least := jobs
 	for !stop.Load() {
-		least = min(least, b.Pending("q"))
+		least = min(least, b.Pending(&model.Queue{Name: "q"}))
 	}
 	is.NoErr(g.Wait())
 	is.Equal(least, jobs)
 }
+
+// After a queue got another name, the number of its waiting jobs left out those that it had
+// accepted before.
+func TestRenamedQueueHidesWaitingJobs(t *testing.T) {
+	is := is.New(t)
+	b := New(zap.NewNop())
+	before := &model.Queue{Name: "before", Host: "h", Prefix: "/p/"}
+	renamed := &model.Queue{Name: "renamed", Host: "h", Prefix: "/p/"}
+	other := &model.Queue{Name: "other", Host: "h", Prefix: "/o/"}
+	accept := func(id string, q *model.Queue) platform.Row {
+		return row(t, AcceptKey(id), 1, AcceptedJob(&model.Job{ID: id, Queue: q.Name, Terms: &model.Terms{Queue: *q}}))
+	}
+	b.Reset([]platform.Row{accept("a", before), accept("b", renamed), accept("c", other)})
+	is.Equal(b.Pending(renamed), 2)
+	is.Equal(b.Pending(other), 1)
+	b.Change([]platform.Row{row(t, PhaseKey("a"), 2, Phase{Phase: model.Running})})
+	is.Equal(b.Pending(renamed), 1)
+	is.Equal(len(b.pending), 2) // The former name is gone.
+}
--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -116,8 +116,27 @@
 	Team  string     `cbor:"2,keyasint,omitempty"`
 	Job   *model.Job `cbor:"3,keyasint,omitempty"` // nil if it is in the table Submitted, or the job has ended
 	Sent  time.Time  `cbor:"4,keyasint,omitempty"` // time of acceptance, if Job is nil
+	// Host and Prefix are the address of the queue at the time of acceptance. They are empty in
+	// rows of earlier programs.
+	Host   string `cbor:"5,keyasint,omitempty"`
+	Prefix string `cbor:"6,keyasint,omitempty"`
 }
 
+// AcceptedJob returns the acceptance row of a job whose submission is stored elsewhere or isn't
+// needed any more.
+func AcceptedJob(j *model.Job) Accepted {
+	host, prefix := j.Address()
+	return Accepted{Queue: j.Queue, Team: j.Team, Sent: j.Sent, Host: host, Prefix: prefix}
+}
+
+// in reports whether the job belongs to a queue.
+func (a *Accepted) in(q *model.Queue) bool { return q.Owns(a.Queue, a.Host, a.Prefix) }
+
+// accepter identifies a queue at the time when it accepted a job.
+type accepter struct{ name, host, prefix string }
+
+func (a *Accepted) accepter() accepter { return accepter{a.Queue, a.Host, a.Prefix} }
+
 // Phase is a job's phase row. A job without one is queued.
 type Phase struct {
 	Phase model.Phase `cbor:"1,keyasint"`
--- a/node/internal/board/rows_test.go
+++ b/node/internal/board/rows_test.go
@@ -22,3 +22,20 @@
 	is.Equal(got.Job.Sent.Sub(job.Sent).Abs() < time.Millisecond, true)
 	is.Equal(got.Job.First.Sub(job.First).Abs() < time.Millisecond, true)
 }
+
+// What a job was accepted under lasts over any change of owner.
+func TestTermsAreStored(t *testing.T) {
+	is := is.New(t)
+	terms := &model.Terms{
+		Queue: model.Queue{
+			Host: "h", Prefix: "/p/", Service: "s", Priority: 2, Attempts: 3, Stretch: 1.5, Slack: 250 * time.Millisecond,
+			Advised: true, Decide: 400 * time.Millisecond, Each: 500 * time.Microsecond, Valid: 2 * time.Second,
+		},
+		Limit: model.Amount{CPU: 1000, Memory: 100, Accel: 1},
+	}
+	put, err := Put(Submitted, "jobs0", "j", &model.Job{ID: "j", Queue: "q", Terms: terms})
+	is.NoErr(err)
+	var job model.Job
+	is.NoErr(Decode(platform.Row{Value: put.Value}, &job))
+	is.Equal(job.Terms, terms)
+}
--- a/node/internal/front/front.go
+++ b/node/internal/front/front.go
@@ -90,9 +90,10 @@
 type request struct {
 	exchange *httpd.Exchange
 	queue    model.Queue
-	team     string // empty if the key is missing or unknown, in an open queue
-	id       string // of a job; empty for the queue itself
-	version  int64  // of the configuration that authorize used
+	team     string       // empty if the key is missing or unknown, in an open queue
+	limit    model.Amount // of the team
+	id       string       // of a job; empty for the queue itself
+	version  int64        // of the configuration that authorize used
 }
 
 // Serve implements httpd.Handler. A request that makes it panic is answered like one whose
@@ -151,7 +152,7 @@
 		s.reject(x, fasthttp.StatusUnauthorized, "unknown key")
 		return nil, false
 	}
-	return &request{exchange: x, queue: queue, team: team, id: strings.Trim(path[len(queue.Prefix):], "/"), version: config.Version}, true
+	return &request{exchange: x, queue: queue, team: team, limit: config.Teams[team].Limit, id: strings.Trim(path[len(queue.Prefix):], "/"), version: config.Version}, true
 }
 
 // hostname returns the value of a Host header without the port.
--- a/node/internal/front/query.go
+++ b/node/internal/front/query.go
@@ -15,7 +15,7 @@
 		s.unavailable(r.exchange, "the number isn't known")
 		return
 	}
-	r.exchange.Answer(fasthttp.StatusOK, jsonType, platform.PendingBody(s.board.Pending(r.queue.Name)))
+	r.exchange.Answer(fasthttp.StatusOK, jsonType, platform.PendingBody(s.board.Pending(&r.queue)))
 }
 
 // lookup returns the state of the requested job, if it belongs to the request's queue.
@@ -25,7 +25,8 @@
 	current := known && job.Phase.Final()
 	if !current {
 		if st, ok := s.ownerClient.State(r.id); ok {
-			job.Queue, job.Phase, known, current = st.Queue, st.Phase, true, true
+			job.Queue, job.Host, job.Prefix = st.Queue, st.Host, st.Prefix
+			job.Phase, known, current = st.Phase, true, true
 		}
 	}
 	if !current {
@@ -37,7 +38,7 @@
 			return job, false
 		}
 	}
-	if !known || job.Queue != r.queue.Name {
+	if !known || !job.In(&r.queue) {
 		s.logger.Info("no such job", zap.String("id", r.id), zap.String("queue", r.queue.Name), zap.Bool("known", known),
 			zap.String("accepted", job.Queue), zap.Int64("version", r.version))
 		s.reject(r.exchange, fasthttp.StatusGone, "no such job")
--- a/node/internal/front/submit.go
+++ b/node/internal/front/submit.go
@@ -26,6 +26,7 @@
 		return
 	}
 	job.ID, job.Queue, job.Team, job.Sent = r.id, r.queue.Name, r.team, s.clock.Now()
+	job.Terms = &model.Terms{Queue: r.queue, Limit: r.limit}
 	s.storeAndAnswer(r, board.AcceptKey(r.id), s.rowValues(job), func() { s.ownerClient.Submitted(job) })
 }
 
@@ -33,7 +34,7 @@
 // submission. If the owner's format is earlier than board.SplitFormat, or there is no
 // owner, the acceptance row holds the submission.
 func (s *Service) rowValues(job *model.Job) []any {
-	a := board.Accepted{Queue: job.Queue, Team: job.Team, Sent: job.Sent}
+	a := board.AcceptedJob(job)
 	if o, _ := s.board.Owner(); o.Format < board.SplitFormat {
 		a.Job = job
 		return []any{a}
--- a/node/internal/owner/clean.go
+++ b/node/internal/owner/clean.go
@@ -90,7 +90,7 @@
 		w.Deletes = append(w.Deletes, platform.Key{Table: board.Submitted, Part: part, Key: id})
 		return
 	}
-	put, err := board.Put(board.Table, part, board.AcceptKey(id), board.Accepted{Queue: e.Queue, Team: e.Team, Sent: e.Job.Sent})
+	put, err := board.Put(board.Table, part, board.AcceptKey(id), board.AcceptedJob(e.Job))
 	if err != nil {
 		t.owner.logger.Error("submission not deleted", zap.String("id", id), zap.Error(err))
 		return
--- a/node/internal/owner/state.go
+++ b/node/internal/owner/state.go
@@ -6,6 +6,7 @@
 
 	"github.com/balsamford/balsamford/coord/link"
 	"github.com/balsamford/balsamford/coord/model"
+	"github.com/balsamford/balsamford/node/internal/board"
 )
 
 const (
@@ -25,6 +26,9 @@
 	Known bool        `cbor:"1,keyasint"`
 	Queue string      `cbor:"2,keyasint,omitempty"`
 	Phase model.Phase `cbor:"3,keyasint,omitempty"` // if final, it is recorded in the store
+	// Host and Prefix are the address of the queue when it accepted the job, empty if unknown.
+	Host   string `cbor:"4,keyasint,omitempty"`
+	Prefix string `cbor:"5,keyasint,omitempty"`
 }
 
 // State returns the owner's state of a job. It returns false if the owner can't be
@@ -61,21 +65,24 @@
 // this term has read what earlier owners recorded.
 func (t *term) state(id string) JobState {
 	t.mu.Lock()
-	queue, phase, known := t.plan.Phase(id)
+	spec, phase, known := t.plan.Phase(id)
 	end, ended := t.recordedEnds[id]
 	uncertain := !t.loaded || t.endsSent[id] || !t.certain()
 	t.mu.Unlock()
 	e, onBoard := t.owner.board.Job(id)
-	if !known && onBoard {
-		queue, phase, known = e.Queue, e.Phase, true
+	if known {
+		e.Accepted = board.AcceptedJob(spec)
+	} else if onBoard {
+		phase, known = e.Phase, true
 	}
+	state := JobState{Known: true, Queue: e.Queue, Phase: phase, Host: e.Host, Prefix: e.Prefix}
 	switch {
 	case onBoard && e.Phase.Final():
-		return JobState{Known: true, Queue: e.Queue, Phase: e.Phase}
+		state.Phase = e.Phase
 	case ended && known:
-		return JobState{Known: true, Queue: queue, Phase: end}
+		state.Phase = end
 	case uncertain || !known:
 		return JobState{}
 	}
-	return JobState{Known: true, Queue: queue, Phase: phase}
+	return state
 }
--- a/node/internal/plan/job.go
+++ b/node/internal/plan/job.go
@@ -31,6 +31,10 @@
 	}
 	j := &job{spec: spec, inherited: progress != nil, occurs: make(map[int]*occurrence), finished: make(map[int]bool)}
 	j.criticalPath = criticalPath(spec.Steps)
+	if spec.Terms != nil {
+		j.queue = spec.Terms.Queue
+		j.queue.Name = spec.Queue
+	}
 	j.updateQueue(s.config)
 	j.overQuota = s.ChargeQuota(spec.Team, spec.Sent)
 	if progress != nil {
@@ -41,21 +45,22 @@
 	return true
 }
 
-// Phase returns the queue and the phase of a job, and whether the job is known. A job
+// Phase returns a job and its phase, and whether the job is known. A job
 // whose end may not be recorded yet is returned as running. A cancelled one is
 // returned as such, since a cancellation is stored before it gets here.
-func (s *State) Phase(id string) (string, model.Phase, bool) {
+func (s *State) Phase(id string) (*model.Job, model.Phase, bool) {
 	j := s.jobs[id]
 	if j == nil {
-		return "", model.Queued, false
+		return nil, model.Queued, false
 	}
 	if j.phase.Final() && j.phase != model.Cancelled {
-		return j.spec.Queue, model.Running, true
+		return j.spec, model.Running, true
 	}
-	return j.spec.Queue, j.phase, true
+	return j.spec, j.phase, true
 }
 
-// updateQueue copies the settings of the job's queue from config, if they are there.
+// updateQueue copies the settings of the job's queue from config, if they are there. The job
+// keeps those that it had if its queue has been removed.
 func (j *job) updateQueue(config *model.Config) {
 	if config == nil {
 		return
--- a/node/internal/plan/reserve.go
+++ b/node/internal/plan/reserve.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/balsamford/balsamford/coord/model"
 )
 
 const (
@@ -27,12 +25,8 @@
 // CPU that the team's urgent work needed recently is reserved for it: otherwise other
 // work of the team could fill the limit, and urgent work would wait for that to end.
 func (s *State) headroom(st *stage, now time.Time) int {
-	name := st.occur.job.spec.Team
-	limit := model.Amount{}
-	if s.config != nil {
-		limit = s.config.Teams[name].Limit
-	}
-	t := s.team(name)
+	spec := st.occur.job.spec
+	limit, t := s.limit(spec), s.team(spec.Team)
 	if limit.CPU > 0 {
 		if st.urgent() {
 			t.recordUrgentDemand(t.urgentCPU+st.spec.Need.CPU*int64(st.waiting), now)
--- a/node/internal/plan/team.go
+++ b/node/internal/plan/team.go
@@ -17,6 +17,20 @@
 	refilledAt time.Time // when tokens were last added
 }
 
+// limit returns what the running tasks of a job's team may take. Under a configuration without
+// the team it is the limit under which the job was accepted.
+func (s *State) limit(spec *model.Job) model.Amount {
+	if s.config != nil {
+		if t, ok := s.config.Teams[spec.Team]; ok {
+			return t.Limit
+		}
+	}
+	if spec.Terms != nil {
+		return spec.Terms.Limit
+	}
+	return model.Amount{}
+}
+
 // headroom returns how many tasks with the given need fit under limit, at most n. A
 // limit of 0 is no limit.
 func (t *team) headroom(need, limit model.Amount, n int) int {
--- a/node/internal/plan/waits.go
+++ b/node/internal/plan/waits.go
@@ -102,7 +102,7 @@
 	switch {
 	case j.inherited && s.unsettled(j.queue.Service, now):
 		w.Reason = "unsettled"
-	case s.team(j.spec.Team).headroom(st.spec.Need, s.config.Teams[j.spec.Team].Limit, 1) == 0:
+	case s.team(j.spec.Team).headroom(st.spec.Need, s.limit(j.spec), 1) == 0:
 		w.Reason = "limit"
 	case j.queue.Advised && w.Allowed < w.Usable && w.WithCapacity == 0:
 		w.Reason = "advice"
