--- a/node/internal/owner/ownermetrics.go
+++ b/node/internal/owner/ownermetrics.go
@@ -36,13 +36,15 @@
 	gauge := func(name string) metrics.Gauge { return metrics.GetOrRegisterGauge("node.owner."+name, r) }
 	excluded := make(map[plan.Exclusion]metrics.Gauge)
 	for _, x := range plan.Exclusions() {
-		excluded[x] = gauge("excluded." + x.String())
+		excluded[x] = metrics.GetOrRegisterGauge("node.owner.excluded."+x.String(), r)
 	}
 	return &ownerMetrics{
 		epoch: gauge("epoch"), terms: counter("terms"), executors: gauge("executors"), silent: gauge("silent"), excluded: excluded, bounded: gauge("bounded"), waiting: gauge("waiting"),
 		paused: gauge("paused"), lag: gauge("lag"), starts: counter("starts"), failed: counter("failed"), lost: counter("lost"),
 		lapsed: map[basis]metrics.Counter{
-			byLease: counter("lapsed.lease"), byRecord: counter("lapsed.record"), bySettle: counter("lapsed.settle"),
+			byLease:  metrics.GetOrRegisterCounter("node.owner.lapsed.lease", r),
+			byRecord: metrics.GetOrRegisterCounter("node.owner.lapsed.record", r),
+			bySettle: metrics.GetOrRegisterCounter("node.owner.lapsed.settle", r),
 		},
 		ends: map[model.Phase]metrics.Counter{
 			model.Done:      metrics.GetOrRegisterCounter("node.job.done", r),
