owner: executors counted as listed by time, not by an answer of the store

The wait ended by time alone. If the store failed again meanwhile, the successor could go on by the proof that all executors that it knows follow it, and started tasks that ran on executors that it hadn't seen. Its row said besides that all runs in its zone are recorded, before such executors could have come back.

Change: the plan knows as of when the executors are listed, which is the last answer of the store to the follower of their table, and takes them for complete once that is after the wait.

Evidence: TestSecondOutageHidesMissingExecutors and the new case "the list is older" of TestUnknownExecutorHoldsBackTasksAfterOutage fail with the old condition in place and pass now. Tests that set the time of a decision set that of the list, too.

--- a/node/internal/owner/decide.go
+++ b/node/internal/owner/decide.go
@@ -46,6 +46,7 @@
 		t.config = c
 		t.plan.Configure(c)
 	}
+	t.noteExecutorsListed()
 	t.setPaused(!t.mayStart())
 	t.avoidUnconfirmedZone(now)
 	t.plan.SetAdviceSlots(max(1, len(t.owner.board.Hosts())))
--- a/node/internal/owner/execute_test.go
+++ b/node/internal/owner/execute_test.go
@@ -51,7 +51,7 @@
 			sess := newSession(tm, model.Executor{ID: "e", Service: "s", Room: model.Amount{CPU: 9}})
 			tm.sessions["e"] = sess
 			tm.plan.SetExecutor(sess.info)
-			tm.plan.AllExecutorsListed()
+			tm.plan.AllExecutorsListed(tm.owner.clock.Now())
 			is.True(sess.handleReport(clock.Now(), clock.Boot(), &platform.Report{Clock: time.Hour}))
 			tm.plan.AddJob(clock.Now(), job, nil)
 			starts := tm.plan.Decide(clock.Now()).Starts
--- a/node/internal/owner/executorentries.go
+++ b/node/internal/owner/executorentries.go
@@ -32,7 +32,7 @@
 	t.mu.Unlock()
 	r.Change(rows)
 	t.mu.Lock()
-	t.plan.AllExecutorsListed()
+	t.plan.AllExecutorsListed(t.began) // The table was read later.
 	t.entriesLoaded = true
 	t.mu.Unlock()
 	signal(t.wakeDecider)
--- a/node/internal/owner/hold_test.go
+++ b/node/internal/owner/hold_test.go
@@ -42,7 +42,7 @@
 			sess := newSession(tm, model.Executor{ID: "e", Service: "s", Zone: tt.zone, Room: model.Amount{CPU: 9}})
 			tm.sessions["e"] = sess
 			tm.plan.SetExecutor(sess.info)
-			tm.plan.AllExecutorsListed()
+			tm.plan.AllExecutorsListed(tm.owner.clock.Now())
 			is.True(sess.handleReport(clock.Now(), clock.Boot(), &platform.Report{Clock: time.Hour}))
 			tm.plan.AddJob(clock.Now(), job, nil)
 			for _, s := range tm.plan.Decide(clock.Now()).Starts {
@@ -71,7 +71,7 @@
 	is := is.New(t)
 	tm, _ := newTerm()
 	tm.writeAheadZone = "z"
-	tm.plan.AllExecutorsListed()
+	tm.plan.AllExecutorsListed(tm.owner.clock.Now())
 	tm.plan.SetExecutor(model.Executor{ID: "e", Service: "s", Zone: "z"})
 	is.Equal((&recorder{term: tm}).collect().writeAheadZone, "")
 }
@@ -117,7 +117,7 @@
 				is.True(sess.handleReport(clock.Now(), clock.Boot(), &platform.Report{Clock: time.Hour}))
 			}
 			add("z")
-			tm.plan.AllExecutorsListed()
+			tm.plan.AllExecutorsListed(tm.owner.clock.Now())
 			tm.plan.AddJob(clock.Now(), job, nil)
 			decide()
 			add("y")
--- a/node/internal/owner/load.go
+++ b/node/internal/owner/load.go
@@ -82,10 +82,27 @@
 	o.logger.Info("records read", zap.Int64("epoch", t.epoch), zap.Int("jobs", len(jobs)), zap.Int("records", len(records)), zap.Int("cancelled", len(cancelled)),
 		zap.Int("closed", len(closed.Executors)), zap.Int("unconfigured", t.plan.Unconfigured()))
 	entries := follow.New(o.store, o.clock, platform.ExecutorTable, []string{""}, &executorEntries{term: t}, follow.WithGap(entriesGap), follow.WithLogger(o.logger))
+	t.entries = entries
 	t.group.Go(func() error { return entries.Run(ctx) })
 	return nil
 }
 
+// syncState tells up to when a table's changes have been received; follow.Follower implements
+// it.
+type syncState interface {
+	SyncedAt() time.Time
+}
+
+// noteExecutorsListed tells the plan how old the list of executors is. The term's mu is held.
+func (t *term) noteExecutorsListed() {
+	if !t.entriesLoaded || t.entries == nil {
+		return
+	}
+	if at := t.entries.SyncedAt(); at.After(t.began) {
+		t.plan.AllExecutorsListed(at)
+	}
+}
+
 // submissionsInOrder returns the accepted jobs in order of acceptance, since teams' quotas
 // depend on the order. Jobs that have ended have a nil Job.
 func submissionsInOrder(accepted map[string]board.Accepted, jobs []*model.Job) []board.Accepted {
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -82,6 +82,7 @@
 	loaded            bool                     // the plan contains the state recorded by earlier owners
 	recordedEnds      map[string]model.Phase   // final phases that this term has recorded, by job
 	entriesLoaded     bool                     // the executor table has been read
+	entries           syncState                // of the executor table; nil before it is followed
 	settleShortened   bool                     // settleTime was shortened, since a majority has responded
 	writeAheadZone    string                   // zone in which runs are recorded before they start, may be empty
 	heldStarts        map[string][]plan.Start  // starts that wait for their record, by job
--- a/node/internal/owner/term_test.go
+++ b/node/internal/owner/term_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/node/internal/board"
+	"github.com/balsamford/balsamford/node/internal/plan"
 	"github.com/balsamford/balsamford/platform"
 )
 
@@ -77,3 +78,32 @@
 		})
 	}
 }
+
+// listAge is a followed table that is up to date as of a time.
+type listAge struct{ at time.Time }
+
+func (l listAge) SyncedAt() time.Time { return l.at }
+
+// The store failed again right after a takeover, and its executors that hadn't registered again
+// by then counted as gone once the time for it was over, though no answer of the store had
+// shown that.
+func TestSecondOutageHidesMissingExecutors(t *testing.T) {
+	tests := map[string]struct {
+		synced   time.Duration // since the beginning of the term
+		complete bool
+	}{
+		"store failed again":         {synced: time.Second},
+		"store answered long enough": {synced: reregisterGrace, complete: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tm, clock, _ := newTermWithExecutors(0)
+			tm.plan = plan.New(nil, plan.WithSettleDeadline(tm.began.Add(time.Minute)), plan.WithReregisterDeadline(tm.began.Add(reregisterGrace)))
+			tm.entries = listAge{at: tm.began.Add(tt.synced)}
+			clock.Advance(2 * reregisterGrace)
+			tm.noteExecutorsListed()
+			is.Equal(tm.plan.ZoneRunsKnown("z"), tt.complete)
+		})
+	}
+}
--- a/node/internal/plan/adopt_test.go
+++ b/node/internal/plan/adopt_test.go
@@ -29,7 +29,7 @@
 			f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: oneCore}), recorded)
 			f.addExecutor("a")
 			f.addExecutor("b")
-			f.state.AllExecutorsListed()
+			f.state.AllExecutorsListed(epoch)
 			reports := map[string]Report{"a": failed, "b": present}
 			for _, id := range tt.order {
 				f.state.Reported(epoch.Add(time.Second), id, reports[id])
--- a/node/internal/plan/decide_bench_test.go
+++ b/node/internal/plan/decide_bench_test.go
@@ -34,7 +34,7 @@
 		})
 		s.Reported(epoch, fmt.Sprintf("e%04d", i), Report{RequestedAt: epoch})
 	}
-	s.AllExecutorsListed()
+	s.AllExecutorsListed(epoch)
 	const perExecutor = 4 // tasks that run on an executor on average
 	for n := 0; n < waiting+perExecutor*executors; {
 		n += b.submit(queues[b.jobs%len(queues)])
--- a/node/internal/plan/executor.go
+++ b/node/internal/plan/executor.go
@@ -142,9 +142,16 @@
 	}
 }
 
-// AllExecutorsListed notes that SetExecutor has been called for all registered
-// executors.
-func (s *State) AllExecutorsListed() { s.executorsListed = true }
+// AllExecutorsListed notes that SetExecutor has been called for all executors that were
+// registered at asOf or later.
+func (s *State) AllExecutorsListed(asOf time.Time) { s.executorsListed, s.listedAsOf = true, asOf }
+
+// executorsComplete reports whether all executors are known that may have unrecorded runs. The
+// list is as old as the last answer of the store: while the store doesn't answer, executors that
+// register again stay unknown.
+func (s *State) executorsComplete() bool {
+	return s.executorsListed && !s.listedAsOf.Before(s.reregisterUntil)
+}
 
 // AdvanceSettleDeadline replaces the time given to WithSettleDeadline by until, if
 // until is earlier.
@@ -157,7 +164,7 @@
 // ZoneRunsKnown reports whether all runs on the executors of a zone are known: each has
 // reported, or was recorded as closed with all its runs.
 func (s *State) ZoneRunsKnown(zone string) bool {
-	if !s.executorsListed {
+	if !s.executorsComplete() {
 		return false
 	}
 	for id, e := range s.executors {
@@ -175,8 +182,8 @@
 	if !now.Before(s.settleDeadline) {
 		return false
 	}
-	if !s.executorsListed || now.Before(s.reregisterUntil) {
-		return true // There may be executors that aren't known at all.
+	if !s.executorsComplete() {
+		return true
 	}
 	for id, e := range s.executors {
 		if e.runsKnown || s.inheritedClosed[id] || s.writeAheadZone != "" && e.info.Zone == s.writeAheadZone {
--- a/node/internal/plan/fixture_test.go
+++ b/node/internal/plan/fixture_test.go
@@ -61,7 +61,7 @@
 		f.addExecutor(id)
 		f.state.Reported(epoch, id, Report{RequestedAt: epoch})
 	}
-	f.state.AllExecutorsListed()
+	f.state.AllExecutorsListed(epoch)
 }
 
 // confirm confirms starts.
--- a/node/internal/plan/settle_test.go
+++ b/node/internal/plan/settle_test.go
@@ -32,7 +32,7 @@
 			f.addExecutor("a")
 			if tt.listed {
 				f.addExecutor("b")
-				f.state.AllExecutorsListed()
+				f.state.AllExecutorsListed(epoch)
 			}
 			for _, id := range tt.reports {
 				f.state.Reported(epoch, id, Report{RequestedAt: epoch})
@@ -49,11 +49,13 @@
 	const reregister = 2 * time.Second
 	tests := map[string]struct {
 		reregister, at time.Duration
+		listed         time.Duration // as of which the executors are listed
 		starts         int
 	}{
 		"registrations didn't expire":    {at: time.Millisecond, starts: 1},
-		"registrations may have expired": {reregister: reregister, at: reregister - time.Millisecond},
-		"it would have registered again": {reregister: reregister, at: reregister, starts: 1},
+		"registrations may have expired": {reregister: reregister, at: reregister - time.Millisecond, listed: reregister - time.Millisecond},
+		"it would have registered again": {reregister: reregister, at: reregister, listed: reregister, starts: 1},
+		"the list is older":              {reregister: reregister, at: 2 * reregister, listed: reregister - time.Millisecond},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -61,6 +63,7 @@
 			f := newFixture(WithSettleDeadline(epoch.Add(settleTime)), WithReregisterDeadline(epoch.Add(tt.reregister)))
 			f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: oneCore}), &model.Progress{Phase: model.Running})
 			f.addReady("a")
+			f.state.AllExecutorsListed(epoch.Add(tt.listed))
 			f.state.AddJob(epoch, f.job("new", model.Step{Count: 1, Need: oneCore}), nil)
 			starts := f.state.Decide(epoch.Add(tt.at)).Starts
 			is.Equal(len(starts), tt.starts+1) // A new job has no runs that aren't known.
@@ -94,6 +97,7 @@
 			f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: oneCore}), runOnGone)
 			f.state.AddJob(epoch, f.job("other", model.Step{Count: 1, Need: oneCore}), &model.Progress{})
 			f.addReady("a")
+			f.state.AllExecutorsListed(epoch.Add(tt.at))
 			var got []string
 			for _, s := range f.state.Decide(epoch.Add(tt.at)).Starts {
 				got = append(got, s.Task.Job)
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -22,7 +22,8 @@
 	avoidedZone        string        // executors there get no new work; empty for no zone
 	writeAheadZone     string        // the previous owner recorded runs there before it started them
 	reregisterUntil    time.Time     // until then executors that aren't registered may have unrecorded runs
-	executorsListed    bool          // all registered executors are known
+	executorsListed    bool          // all executors that were registered at listedAsOf are known
+	listedAsOf         time.Time
 	jobs               map[string]*job
 	executors          map[string]*executor
 	zones              map[string]int // numbers of the executors' zones, by name
--- a/node/internal/plan/zones_test.go
+++ b/node/internal/plan/zones_test.go
@@ -18,7 +18,7 @@
 			f.state.Reported(epoch, id, Report{RequestedAt: epoch})
 		}
 	}
-	f.state.AllExecutorsListed()
+	f.state.AllExecutorsListed(epoch)
 }
 
 // A zone is lost while steps of about ten tasks run. If each step is in one zone,
