owner: a deletion without an answer blocked an ID that was used again

The owner forgets an ended job once the write that deletes its phase row is confirmed. If the answer was lost, the board didn't list the row any more, no later write deleted it again, and the owner kept the ID: a job that was submitted with it after `status_s` was accepted and never ran in that term.

Change: the recorder keeps the jobs whose rows a failed write may have deleted, and forgets them after a later write once the board doesn't show them.

Evidence: TestLostDeletionBlocksReusedID fails without it and passes now.

--- a/node/internal/board/board.go
+++ b/node/internal/board/board.go
@@ -118,6 +118,14 @@
 	return JobState{Accepted: j, Phase: b.phases[id].Phase, Cancelled: b.cancelled[id]}, ok
 }
 
+// HasPhase reports whether a job has a phase row.
+func (b *Board) HasPhase(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, ok := b.phases[id]
+	return ok
+}
+
 // PartsOf returns the partitions that have an acceptance row of a job.
 func (b *Board) PartsOf(id string) []string {
 	b.mu.Lock()
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -44,12 +45,13 @@
 type recorder struct {
 	term      *term
 	row       board.Owner
-	version   int64         // of the owner's row
-	attempt   int64         // sequence number of the last attempted write
-	typical   time.Duration // smoothed duration of a write
-	timeout   time.Duration // how long to wait for the next response; raised to minWriteTimeout if less
-	undeleted []string      // ended jobs whose progress rows a failed write should have deleted
-	giveUp    chan struct{} // closed when a resignation has taken too long; nil before one begins
+	version   int64           // of the owner's row
+	attempt   int64           // sequence number of the last attempted write
+	typical   time.Duration   // smoothed duration of a write
+	timeout   time.Duration   // how long to wait for the next response; raised to minWriteTimeout if less
+	undeleted []string        // ended jobs whose progress rows a failed write should have deleted
+	expiring  map[string]bool // ended jobs whose phase rows a failed write may have deleted; nil for none
+	giveUp    chan struct{}   // closed when a resignation has taken too long; nil before one begins
 }
 
 // run writes changes and heartbeats until the term ends.
@@ -131,6 +133,7 @@
 		if len(finished) > 0 {
 			r.undeleted = finished
 		}
+		r.noteExpiring(expired)
 		return r.resolveFailure(err)
 	}
 	if len(finished) > 0 {
@@ -143,13 +146,36 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, id := range expired {
+	for _, id := range slices.Concat(expired, r.takeExpired()) {
 		t.plan.RowsDeleted(id)
 		delete(t.recordedEnds, id)
 	}
 	return nil
 }
 
+// takeExpired removes and returns the jobs whose phase rows an earlier write has deleted, though
+// it got no response: the board doesn't show them any more. The others are deleted again.
+func (r *recorder) takeExpired() []string {
+	var gone []string
+	for id := range r.expiring {
+		if !r.term.owner.board.HasPhase(id) {
+			gone = append(gone, id)
+			delete(r.expiring, id)
+		}
+	}
+	return gone
+}
+
+// noteExpiring notes that a failed write may have deleted the phase rows of jobs.
+func (r *recorder) noteExpiring(ids []string) {
+	if r.expiring == nil {
+		r.expiring = make(map[string]bool)
+	}
+	for _, id := range ids {
+		r.expiring[id] = true
+	}
+}
+
 // send sends a write to the store and returns the version of the owner's row. The
 // response may be lost; the write is also known to be applied once the board shows its
 // sequence number. A *WriteTimeoutError means that the outcome is unknown.
--- a/node/internal/owner/recorder_test.go
+++ b/node/internal/owner/recorder_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/balsamford/balsamford/coord/model"
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/node/internal/board"
 	"github.com/balsamford/balsamford/node/internal/plan"
@@ -143,3 +144,31 @@
 	is.True(time.Since(began) < resignTimeout+storeTimeout/4)
 	is.True(r.term.resigning) // No run starts, whatever became of the write.
 }
+
+// A job was submitted with the ID of one that had ended long ago, and never ran: the response to
+// the write that deleted the rows of the earlier one had been lost, and the owner went on taking
+// the job for that one.
+func TestLostDeletionBlocksReusedID(t *testing.T) {
+	is := is.New(t)
+	r, fakeStore := newRecorder(t)
+	tm := r.term
+	job := &model.Job{ID: "0123456789abcdef", Queue: "q", Steps: []model.Step{{Count: 1}}}
+	now := tm.owner.clock.Now()
+	is.True(tm.plan.AddJob(now, job, nil))
+	is.True(tm.plan.Cancel(now, job.ID))
+	for _, c := range tm.plan.Changes(1) {
+		tm.plan.Recorded(c)
+	}
+	tm.plan.Decide(now.Add(time.Minute)) // Forgets the job.
+	is.True(!tm.plan.AddJob(now, job, nil))
+	putRow(t, tm.owner.board, board.PhaseKey(job.ID), board.Phase{Phase: model.Cancelled, Ended: 1})
+
+	fakeStore.SetLoseResponses(true)
+	is.True(r.write(batch{}) != nil)
+	fakeStore.SetLoseResponses(false)
+	tm.owner.board.Change([]platform.Row{{Table: board.Table, Part: board.Main, Key: board.PhaseKey(job.ID), Deleted: true}})
+	for range 2 { // The first one learns of the write without a response.
+		_ = r.write(batch{})
+	}
+	is.True(tm.plan.AddJob(now, job, nil))
+}
