model: say which fields of a queue are stored with jobs

Cause: read as a newcomer, "stored beside it" explains nothing, and the board had the same method twice. Change: comments; Accepted.In replaces two methods. Evidence: the packages' tests pass.

--- a/coord/model/queue.go
+++ b/coord/model/queue.go
@@ -3,9 +3,10 @@
 import "time"
 
 // Queue is the configuration of a queue, to which jobs of one kind are
-// submitted.
+// submitted. It is stored with each job that the queue accepts, as part of the job's Terms,
+// without the fields that only matter for requests.
 type Queue struct {
-	Name     string `cbor:"-"`                    // stored beside it
+	Name     string `cbor:"-"`                    // stored as the Queue of the job
 	Host     string `cbor:"1,keyasint,omitempty"` // host name of the submitting requests
 	Prefix   string `cbor:"2,keyasint,omitempty"` // path prefix of the submitting requests
 	Service  string `cbor:"3,keyasint,omitempty"` // name of the service whose executors run the tasks
@@ -15,8 +16,8 @@
 	// longest chain of steps, plus Slack.
 	Stretch float64       `cbor:"6,keyasint,omitempty"`
 	Slack   time.Duration `cbor:"7,keyasint,omitempty"`
-	Timeout time.Duration `cbor:"-"` // of one request; not stored with jobs
-	Open    bool          `cbor:"-"` // no key is needed; not stored with jobs
+	Timeout time.Duration `cbor:"-"` // of one request
+	Open    bool          `cbor:"-"` // no key is needed
 	// If Advised is true, an adviser has to be queried for the executors that
 	// may run a step. A query takes Decide, plus Each for each executor that it
 	// names. The ticket that it returns expires after Valid.
--- a/node/internal/board/board.go
+++ b/node/internal/board/board.go
@@ -18,9 +18,6 @@
 	Cancelled bool // its team has requested cancellation
 }
 
-// In reports whether the job belongs to a queue.
-func (s *JobState) In(q *model.Queue) bool { return s.in(q) }
-
 // Listener receives the changes that the owner acts on. Its methods must not block.
 type Listener interface {
 	JobListener // for jobs whose submission is in the board row itself
--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -129,10 +129,10 @@
 	return Accepted{Queue: j.Queue, Team: j.Team, Sent: j.Sent, Host: host, Prefix: prefix}
 }
 
-// in reports whether the job belongs to a queue.
-func (a *Accepted) in(q *model.Queue) bool { return q.Owns(a.Queue, a.Host, a.Prefix) }
+// In reports whether the job belongs to a queue.
+func (a *Accepted) In(q *model.Queue) bool { return q.Owns(a.Queue, a.Host, a.Prefix) }
 
-// accepter identifies a queue at the time when it accepted a job.
+// accepter identifies a queue by its name and its address when it accepted a job.
 type accepter struct{ name, host, prefix string }
 
 func (a *Accepted) accepter() accepter { return accepter{a.Queue, a.Host, a.Prefix} }
