plan, owner: comments that a newcomer reads wrongly

Cause: read once more, AllExecutorsListed promised executors that registered later, and two comments had to be read twice.

--- a/node/internal/owner/executorentries.go
+++ b/node/internal/owner/executorentries.go
@@ -38,9 +38,9 @@
 	signal(t.wakeDecider)
 }
 
-// executorsMayBeMissing reports whether live executors may lack entries, because the store is
-// unavailable, as far as entries show, or was so until a moment ago. While no entry changes,
-// that isn't known: the first write after an outage precedes the first changed entry.
+// executorsMayBeMissing reports whether live executors may lack entries, because the store was
+// unavailable until a moment ago or no entry has changed for a while. The second covers the
+// first writes after an outage, which come before any entry has changed.
 func (t *term) executorsMayBeMissing() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/node/internal/plan/closed.go
+++ b/node/internal/plan/closed.go
@@ -10,8 +10,8 @@
 // can't reach it then knows that all runs on it are recorded. So an executor may get
 // new work again only once the stored record doesn't name it any more.
 
-// Closed returns the executors that are excluded from new work, and whether they have to be
-// recorded: the stored record differs or, since a write got no answer, may differ. unverified lists those of them that may have
+// Closed returns the executors that are excluded from new work, and whether the stored record
+// differs or, after a write without an answer, may differ. unverified lists those that may have
 // unrecorded runs: they haven't reported to this owner, and an earlier owner may have
 // started runs there that it couldn't record. Both lists are sorted.
 func (s *State) Closed() (closed, unverified []string, differs bool) {
--- a/node/internal/plan/executor.go
+++ b/node/internal/plan/executor.go
@@ -143,7 +143,7 @@
 }
 
 // AllExecutorsListed notes that SetExecutor has been called for all executors that were
-// registered at asOf or later.
+// registered at asOf. Those that registered later may be missing.
 func (s *State) AllExecutorsListed(asOf time.Time) { s.executorsListed, s.listedAsOf = true, asOf }
 
 // executorsComplete reports whether all executors are known that may have unrecorded runs. The
