--- a/trial/internal/soak/harness.go
+++ b/trial/internal/soak/harness.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/balsamford/balsamford/platform/fake"
@@ -30,9 +31,10 @@
 
 // executor is a fake executor and the proxy in front of it.
 type executor struct {
-	id    string
-	fake  *fake.Executor
-	proxy *Proxy
+	id      string
+	fake    *fake.Executor
+	proxy   *Proxy
+	expired atomic.Bool // its entry has expired and isn't renewed
 }
 
 // slowClockRate is the clock rate of every other executor, relative to real time.
@@ -82,8 +84,12 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
-// register writes the executor's entry to the store. Executors do so periodically.
+// register writes the executor's entry to the store, unless it has expired. Executors do so
+// periodically.
 func (hs *harness) register(e *executor) {
+	if e.expired.Load() {
+		return
+	}
 	hs.store.Put("servers", e.id, e.fake.Entry(fake.Service, e.proxy.Address()))
 }
 
@@ -91,13 +97,16 @@
 // configuration.
 func configKey(version int) string { return fmt.Sprintf("key-of-version-%d", version) }
 
+// queueNames is the number of names that a queue has in turn.
+const queueNames = 3
+
 // publishConfig writes the next version of the configuration to the store and returns
-// the version.
+// the version. A queue that has jobs gets another name with each version.
 func (hs *harness) publishConfig() int {
 	hs.mu.Lock()
 	defer hs.mu.Unlock()
 	hs.version++
-	hs.store.Put("op", "config", fake.ConfigOf(hs.version, fake.Key, configKey(hs.version)))
+	hs.store.Put("op", "config", fake.RenamedConfig(hs.version, fmt.Sprintf("%s-%d", fake.QueueName, hs.version%queueNames), fake.Key, configKey(hs.version)))
 	hs.published = append(hs.published, time.Now())
 	return hs.version
 }
@@ -132,6 +141,7 @@
 	}
 	for _, e := range hs.executors {
 		e.proxy.SetMode(Pass)
+		e.expired.Store(false)
 		e.fake.SetFailing(false)
 		e.fake.SetLate(0)
 	}
