owner: count refused starts by reason, and log on what they were decided

A start without a ticket may have been ordered before this host had the configuration that requires one, or after it had one that doesn't; or a ticket may have expired on the way. The logs of a start that failed didn't tell these apart.

Change: "start failed" tells whether the start carried a ticket, and the version of the configuration that it was decided by. node.owner.refused.* count starts that are known not to have happened, by reason; all of them now pass through term.refuse.

No other behaviour changes.

--- a/node/internal/owner/execute.go
+++ b/node/internal/owner/execute.go
@@ -37,13 +37,13 @@
 	now := t.owner.clock.Now()
 	t.mu.Lock()
 	if !t.plan.StillWanted(s) { // The plan gave the run up while the order was queued.
-		t.plan.Refused(now, *s, plan.RefusedNumber)
+		t.refuse(now, *s, plan.RefusedNumber)
 		t.mu.Unlock()
 		return
 	}
 	end := sess.extendLease(now)
 	if why, refused := t.checkStart(sess, end); refused {
-		t.plan.Refused(now, *s, why)
+		t.refuse(now, *s, why)
 		t.mu.Unlock()
 		return
 	}
@@ -83,7 +83,8 @@
 	}
 	t.owner.metrics.failed.Inc(1)
 	t.owner.logger.Info("start failed", zap.String("id", s.Task.Job), zap.Int("step", s.Task.Step), zap.Int("index", s.Task.Index),
-		zap.Int("run", s.Number), zap.String("executor", s.Executor), zap.Int64("epoch", t.epoch), zap.Error(err))
+		zap.Int("run", s.Number), zap.String("executor", s.Executor), zap.Bool("ticket", s.Ticket != ""), zap.Int64("version", t.configVersion()),
+		zap.Int64("epoch", t.epoch), zap.Error(err))
 	defer signal(t.wakeDecider)
 	var refusal *platform.OrderError
 	var refused *platform.RefusedError
@@ -93,9 +94,9 @@
 	case errors.As(err, &refusal):
 		t.applyRefusal(s, refusal.Reason)
 	case errors.As(err, &refused):
-		t.plan.Refused(now, *s, plan.RefusedBusy)
+		t.refuse(now, *s, plan.RefusedBusy)
 	case errors.As(err, &dial):
-		t.plan.Refused(now, *s, plan.RefusedUnsent)
+		t.refuse(now, *s, plan.RefusedUnsent)
 	case errors.As(err, &other):
 		sess.dropIncarnation()
 	default:
@@ -105,22 +106,38 @@
 	return false
 }
 
+// configVersion returns the version of the configuration that decisions are based on, 0 for
+// none. The term's mu is held.
+func (t *term) configVersion() int64 {
+	if t.config == nil {
+		return 0
+	}
+	return t.config.Version
+}
+
+// refuse counts a start that is known not to have happened and notes it in the plan. The
+// term's mu is held.
+func (t *term) refuse(now time.Time, s plan.Start, why plan.Refusal) {
+	t.owner.metrics.refused[why].Inc(1)
+	t.plan.Refused(now, s, why)
+}
+
 // applyRefusal gives an executor's refusal to the plan. The term's mu is held.
 func (t *term) applyRefusal(s *plan.Start, why platform.Reason) {
 	now := t.owner.clock.Now()
 	switch why {
 	case platform.NoRoom:
-		t.plan.Refused(now, *s, plan.RefusedRoom)
+		t.refuse(now, *s, plan.RefusedRoom)
 	case platform.BadTicket:
-		t.plan.Refused(now, *s, plan.RefusedTicket)
+		t.refuse(now, *s, plan.RefusedTicket)
 	case platform.Stale:
-		t.plan.Refused(now, *s, plan.RefusedNumber)
+		t.refuse(now, *s, plan.RefusedNumber)
 	case platform.Expired:
-		t.plan.Refused(now, *s, plan.RefusedLate)
+		t.refuse(now, *s, plan.RefusedLate)
 	case platform.Fenced:
-		t.plan.Refused(now, *s, plan.RefusedUnsent)
+		t.refuse(now, *s, plan.RefusedUnsent)
 	default:
-		t.plan.Refused(now, *s, plan.RefusedBusy)
+		t.refuse(now, *s, plan.RefusedBusy)
 	}
 }
 
--- a/node/internal/owner/hold.go
+++ b/node/internal/owner/hold.go
@@ -32,7 +32,7 @@
 	t.plan.AvoidZone(t.writeAheadZone)
 	for _, held := range t.heldStarts {
 		for _, s := range held {
-			t.plan.Refused(now, s, plan.RefusedLate)
+			t.refuse(now, s, plan.RefusedLate)
 		}
 	}
 	clear(t.heldStarts)
@@ -64,7 +64,7 @@
 		case sess != nil && t.plan.StillWanted(&s):
 			sess.enqueue(order{start: &s})
 		default:
-			t.plan.Refused(now, s, plan.RefusedNumber)
+			t.refuse(now, s, plan.RefusedNumber)
 		}
 	}
 	if len(rest) > 0 {
--- a/node/internal/owner/ownermetrics.go
+++ b/node/internal/owner/ownermetrics.go
@@ -23,6 +23,7 @@
 	lag          metrics.Gauge                    // by how much the decision loop falls behind, in milliseconds
 	starts       metrics.Counter                  // starts confirmed by executors
 	failed       metrics.Counter                  // starts that failed or whose outcome is unknown
+	refused      map[plan.Refusal]metrics.Counter // starts that are known not to have happened, by reason
 	lost         metrics.Counter                  // runs that neither finished nor were stopped by an order
 	lapsed       map[basis]metrics.Counter        // executors whose leases ended while they didn't respond
 	ends         map[model.Phase]metrics.Counter
@@ -38,9 +39,13 @@
 	for _, x := range plan.Exclusions() {
 		excluded[x] = metrics.GetOrRegisterGauge("node.owner.excluded."+x.String(), r)
 	}
+	refused := make(map[plan.Refusal]metrics.Counter)
+	for _, why := range plan.Refusals() {
+		refused[why] = metrics.GetOrRegisterCounter("node.owner.refused."+why.String(), r)
+	}
 	return &ownerMetrics{
 		epoch: gauge("epoch"), terms: counter("terms"), executors: gauge("executors"), silent: gauge("silent"), excluded: excluded, bounded: gauge("bounded"), waiting: gauge("waiting"),
-		paused: gauge("paused"), lag: gauge("lag"), starts: counter("starts"), failed: counter("failed"), lost: counter("lost"),
+		paused: gauge("paused"), lag: gauge("lag"), starts: counter("starts"), failed: counter("failed"), refused: refused, lost: counter("lost"),
 		lapsed: map[basis]metrics.Counter{
 			byLease:  metrics.GetOrRegisterCounter("node.owner.lapsed.lease", r),
 			byRecord: metrics.GetOrRegisterCounter("node.owner.lapsed.record", r),
--- a/node/internal/owner/session.go
+++ b/node/internal/owner/session.go
@@ -86,7 +86,7 @@
 		select {
 		case o := <-sess.orders:
 			if o.start != nil {
-				sess.term.plan.Refused(sess.term.owner.clock.Now(), *o.start, plan.RefusedUnsent)
+				sess.term.refuse(sess.term.owner.clock.Now(), *o.start, plan.RefusedUnsent)
 			}
 		default:
 			return
@@ -150,7 +150,7 @@
 	case sess.orders <- o:
 	default:
 		if o.start != nil {
-			sess.term.plan.Refused(sess.term.owner.clock.Now(), *o.start, plan.RefusedUnsent)
+			sess.term.refuse(sess.term.owner.clock.Now(), *o.start, plan.RefusedUnsent)
 		}
 	}
 }
--- a/node/internal/plan/answers.go
+++ b/node/internal/plan/answers.go
@@ -27,19 +27,6 @@
 	}
 }
 
-// Refusal is the reason for which a start is known not to have happened.
-type Refusal int
-
-// The reasons for which a start is refused.
-const (
-	RefusedBusy   Refusal = iota // the executor is unhealthy
-	RefusedRoom                  // the executor lacks capacity
-	RefusedTicket                // the executor didn't accept the ticket
-	RefusedNumber                // the run's number is too low for the executor, or the run isn't needed any more
-	RefusedLate                  // the lease had ended, or the owner may not start runs now
-	RefusedUnsent                // the order wasn't sent, or the executor follows another owner
-)
-
 // Refused notes that a start is known not to have happened. The task may start
 // elsewhere.
 func (s *State) Refused(now time.Time, o Start, why Refusal) {
