owner: log the configuration that a start was decided by, not the newest one

The line before gave the version in force when the start failed.

Change: an ordered start carries the version that it was decided by.

Measured: go test ./node/internal/plan ./node/internal/owner passes.

--- a/node/internal/owner/execute.go
+++ b/node/internal/owner/execute.go
@@ -83,7 +83,7 @@
 	}
 	t.owner.metrics.failed.Inc(1)
 	t.owner.logger.Info("start failed", zap.String("id", s.Task.Job), zap.Int("step", s.Task.Step), zap.Int("index", s.Task.Index),
-		zap.Int("run", s.Number), zap.String("executor", s.Executor), zap.Bool("ticket", s.Ticket != ""), zap.Int64("version", t.configVersion()),
+		zap.Int("run", s.Number), zap.String("executor", s.Executor), zap.Bool("ticket", s.Ticket != ""), zap.Int64("version", s.Config),
 		zap.Int64("epoch", t.epoch), zap.Error(err))
 	defer signal(t.wakeDecider)
 	var refusal *platform.OrderError
@@ -106,15 +106,6 @@
 	return false
 }
 
-// configVersion returns the version of the configuration that decisions are based on, 0 for
-// none. The term's mu is held.
-func (t *term) configVersion() int64 {
-	if t.config == nil {
-		return 0
-	}
-	return t.config.Version
-}
-
 // refuse counts a start that is known not to have happened and notes it in the plan. The
 // term's mu is held.
 func (t *term) refuse(now time.Time, s plan.Start, why plan.Refusal) {
--- a/node/internal/plan/orders.go
+++ b/node/internal/plan/orders.go
@@ -14,7 +14,8 @@
 	Spec       string
 	Checkpoint string
 	Ticket     string
-	Version    int // version of the job's progress that first includes the run
+	Version    int   // version of the job's progress that first includes the run
+	Config     int64 // version of the configuration that it was decided by, 0 for none
 }
 
 // Stop orders a run to stop.
--- a/node/internal/plan/place.go
+++ b/node/internal/plan/place.go
@@ -207,6 +207,6 @@
 	text, _ := st.advice.validTicket(e.info.ID, now)
 	s.orders.Starts = append(s.orders.Starts, Start{
 		Task: st.taskID(i), Number: r.number, Executor: e.info.ID, Spec: st.occur.job.spec.Spec,
-		Checkpoint: st.checkpoint(i), Ticket: text, Version: st.occur.job.version,
+		Checkpoint: st.checkpoint(i), Ticket: text, Version: st.occur.job.version, Config: s.configVersion(),
 	})
 }
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -70,6 +70,14 @@
 	}
 }
 
+// configVersion returns the version of the configuration, 0 for none.
+func (s *State) configVersion() int64 {
+	if s.config == nil {
+		return 0
+	}
+	return s.config.Version
+}
+
 // team returns the usage of a team and creates it if necessary.
 func (s *State) team(name string) *team {
 	t := s.teams[name]
