plan: a start refused for want of a ticket ended the process

Cause: the plan kept tickets only for steps whose queue was advised when they were placed, and took it for granted that a ticket is refused only there. A start that was decided before the hint reaches the executor after it. Its refusal was written into the tickets of a step that had none: a nil map. With tickets for other executors it was written all the same, as an executor that isn't allowed, which the step never asked the adviser about again. And nothing kept the owner from ordering the same start again with each decision, until it had the configuration that the executor had.

Change: a refusal invalidates the ticket that the start carried, nothing else. A refusal of a start without a ticket says that the executor has another configuration; all steps of the queue then need tickets, for a second or until the next configuration.

Tests, which failed before: TestTicketRequiredBeforeHintEndsProcess (with the write into a nil map), TestRefusedTicketBarsExecutor, TestUnadvisedStartIsRefusedWithoutPause, TestRequiredTicketIsRequested, TestNewConfigurationRevokesRequiredTickets, TestLateRefusalDropsNewerTicket.

--- a/node/internal/plan/advice.go
+++ b/node/internal/plan/advice.go
@@ -74,7 +74,7 @@
 
 // advice holds the adviser's answers for a stage.
 type advice struct {
-	tickets     map[string]ticket // by executor; tickets expire, but whether one is allowed never changes
+	tickets     map[string]ticket // by executor that the adviser has been asked about; tickets expire, but whether one is allowed doesn't change while the queue is advised
 	requestedAt time.Time         // when the pending request was ordered; zero for none
 	nextDraft   time.Time         // no request is drafted before that, unless executors have come or gone
 	draftedFor  int               // number of executors when nextDraft was set
@@ -104,9 +104,13 @@
 	return t.allowed && t.until.After(now.Add(ticketMargin))
 }
 
-// expire invalidates a ticket that the executor refused.
-func (a *advice) expire(id string) {
-	t := a.tickets[id]
+// expire invalidates the ticket text, which an executor refused. The executor stays allowed.
+// Without that ticket nothing is known of it, and a newer one may be valid.
+func (a *advice) expire(id, text string) {
+	t, ok := a.tickets[id]
+	if !ok || t.text != text {
+		return
+	}
 	t.until = time.Time{}
 	a.tickets[id] = t
 }
--- /dev/null
+++ b/node/internal/plan/advice_test.go
@@ -0,0 +1,156 @@
+package plan
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/balsamford/balsamford/coord/model"
+)
+
+// setHint replaces the configuration by one in which the queue "urgent" is advised or not.
+func (f *fixture) setHint(advised bool) {
+	changed := slices.Clone(queues)
+	changed[0].Advised = advised
+	if advised {
+		changed[0].Decide, changed[0].Each, changed[0].Valid = 20*time.Millisecond, time.Millisecond/2, 2*time.Second
+	}
+	f.config = model.NewConfig(f.config.Version+1, changed, []model.Service{{Name: "s"}}, []model.Team{{Name: "t", Weight: 10}})
+	f.state.Configure(f.config)
+}
+
+// allow answers requests: all executors that they name are allowed, with a ticket until until.
+func (f *fixture) allow(requests []AdviceRequest, until time.Time) {
+	for _, q := range requests {
+		tickets := make(map[string]string)
+		for _, id := range q.Executors {
+			tickets[id] = "ticket"
+		}
+		f.state.AdviceReceived(q.Step, q.Executors, tickets, until)
+	}
+}
+
+// A start was ordered before its queue was advised, and reached an executor that required a
+// ticket already. The process ended with a write into a nil map. Without that write, the
+// executor must not count as one that isn't allowed: the step would never ask for it again.
+func TestTicketRequiredBeforeHintEndsProcess(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.addReady("a")
+	f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: oneCore}), nil)
+	starts := f.state.Decide(epoch).Starts
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Ticket, "")
+	f.setHint(true)
+	f.state.Refused(epoch, starts[0], RefusedTicket)
+	requests := f.state.Decide(epoch).AdviceRequests
+	is.Equal(len(requests), 1)
+	is.Equal(requests[0].Executors, []string{"a"})
+	f.allow(requests, epoch.Add(time.Second))
+	starts = f.state.Decide(epoch).Starts
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Ticket, "ticket")
+}
+
+// An executor that no request had named refused a start for want of a ticket. It counted as one
+// that isn't allowed, so that the step never asked for it.
+func TestRefusedTicketBarsExecutor(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.setHint(true)
+	f.addReady("a")
+	f.state.AddJob(epoch, f.job("j", model.Step{Count: 2, Need: oneCore, Spread: 1}), nil)
+	f.allow(f.state.Decide(epoch).AdviceRequests, epoch.Add(time.Minute))
+	is.Equal(len(f.state.Decide(epoch).Starts), 1)
+	f.setHint(false)
+	f.addReady("b")
+	starts := f.state.Decide(epoch).Starts
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Executor, "b")
+	f.setHint(true)
+	f.state.Refused(epoch, starts[0], RefusedTicket)
+	requests := f.state.Decide(epoch).AdviceRequests
+	is.Equal(len(requests), 1)
+	is.Equal(requests[0].Executors, []string{"b"})
+}
+
+// Executors require tickets for a queue that isn't advised by the configuration here, since they
+// have another one. The start was ordered again with each decision. Instead, the queue counts as
+// advised for a while, also for its other steps.
+func TestUnadvisedStartIsRefusedWithoutPause(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.addReady("a", "b")
+	f.state.SetAdviceSlots(4)
+	for n := range 3 {
+		f.state.AddJob(epoch, f.job(fmt.Sprintf("j%d", n), model.Step{Count: 2, Need: oneCore}), nil)
+	}
+	refused := 0
+	for now := epoch; now.Before(epoch.Add(time.Second)); now = now.Add(10 * time.Millisecond) {
+		for _, o := range f.state.Decide(now).Starts {
+			refused++
+			f.state.Refused(now, o, RefusedTicket)
+		}
+	}
+	is.Equal(refused, 6) // Each task once.
+	f.state.AddJob(epoch, f.job("other", model.Step{Count: 1, Need: oneCore}), nil)
+	f.state.AddJob(epoch, &model.Job{ID: "bulk", Queue: "bulk", Team: "t", Steps: []model.Step{{Count: 1, Need: oneCore}}, Sent: epoch}, nil)
+	orders := f.state.Decide(epoch.Add(ticketsRequiredFor / 2))
+	is.Equal(len(orders.Starts), 1)
+	is.Equal(orders.Starts[0].Task.Job, "bulk")
+	f.state.expireAdviceRequests(epoch.Add(time.Minute))
+	later := f.state.Decide(epoch.Add(time.Minute)).Starts // The executors may have the other configuration by now.
+	is.Equal(len(later), 7)
+}
+
+// While executors require tickets for a queue that isn't advised here, its steps go on with
+// tickets.
+func TestRequiredTicketIsRequested(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.addReady("a")
+	f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: oneCore}), nil)
+	f.state.Refused(epoch, f.state.Decide(epoch).Starts[0], RefusedTicket)
+	requests := f.state.Decide(epoch).AdviceRequests
+	is.Equal(len(requests), 1)
+	f.allow(requests, epoch.Add(time.Second))
+	starts := f.state.Decide(epoch).Starts
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Ticket, "ticket")
+}
+
+// A new configuration ends the time for which a queue counts as advised, since it may be the one
+// that the executors have.
+func TestNewConfigurationRevokesRequiredTickets(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.addReady("a")
+	f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: oneCore}), nil)
+	f.state.Refused(epoch, f.state.Decide(epoch).Starts[0], RefusedTicket)
+	is.Equal(len(f.state.Decide(epoch).Starts), 0)
+	f.setHint(false)
+	is.Equal(len(f.state.Decide(epoch).Starts), 1)
+}
+
+// A ticket was refused after a newer one had come for the same executor. The newer one was
+// dropped, too.
+func TestLateRefusalDropsNewerTicket(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.setHint(true)
+	f.addReady("a")
+	f.state.AddJob(epoch, f.job("j", model.Step{Count: 2, Need: oneCore}), nil)
+	requests := f.state.Decide(epoch).AdviceRequests
+	f.state.AdviceReceived(requests[0].Step, requests[0].Executors, map[string]string{"a": "old"}, epoch.Add(time.Second))
+	starts := f.state.Decide(epoch).Starts
+	is.Equal(len(starts), 2)
+	f.state.AdviceReceived(requests[0].Step, requests[0].Executors, map[string]string{"a": "new"}, epoch.Add(time.Second))
+	f.state.Refused(epoch, starts[0], RefusedTicket)
+	orders := f.state.Decide(epoch)
+	is.Equal(len(orders.AdviceRequests), 0)
+	is.Equal(len(orders.Starts), 1)
+	is.Equal(orders.Starts[0].Ticket, "new")
+}
--- a/node/internal/plan/answers.go
+++ b/node/internal/plan/answers.go
@@ -40,7 +40,10 @@
 	case RefusedRoom:
 		r.executor.backoffUntil = now.Add(noCapacityBackoff)
 	case RefusedTicket:
-		r.stage.advice.expire(o.Executor)
+		r.stage.advice.expire(o.Executor, o.Ticket)
+		if o.Ticket == "" {
+			s.requireTickets(r.stage.occur.job, now)
+		}
 	case RefusedNumber, RefusedLate:
 	}
 	s.removeRun(r)
--- a/node/internal/plan/gang.go
+++ b/node/internal/plan/gang.go
@@ -26,7 +26,7 @@
 		selected = s.selectExecutors(st, p, n, now)
 	}
 	if len(selected) < n {
-		if st.occur.job.queue.Advised {
+		if s.advised(st.occur.job, now) {
 			s.requestAdvice(st, p, now)
 		}
 		return
--- a/node/internal/plan/place.go
+++ b/node/internal/plan/place.go
@@ -26,7 +26,7 @@
 		st.lastBlocked = time.Time{}
 	case n < st.waiting:
 		st.noteBlocked(blockedByLimit, now)
-	case j.queue.Advised && !st.advice.requestedAt.IsZero():
+	case s.advised(j, now) && !st.advice.requestedAt.IsZero():
 		st.noteBlocked(blockedByAdvice, now)
 	default:
 		st.noteBlocked(blockedByCapacity, now)
@@ -36,7 +36,7 @@
 // placeEach starts up to n tasks, each on any executor with free capacity.
 func (s *State) placeEach(st *stage, p *pool, n int, now time.Time) {
 	selected := s.selectExecutors(st, p, n, now)
-	if len(selected) < n && st.occur.job.queue.Advised {
+	if len(selected) < n && s.advised(st.occur.job, now) {
 		s.requestAdvice(st, p, now)
 	}
 	i := 0
@@ -89,7 +89,8 @@
 		return nil
 	}
 	var fits []fit
-	if st.occur.job.queue.Advised && len(st.advice.tickets) < len(p.executors) {
+	advised := s.advised(st.occur.job, now)
+	if advised && len(st.advice.tickets) < len(p.executors) {
 		for id := range st.advice.tickets {
 			e := s.executors[id]
 			if e == nil || !p.has(e) {
@@ -110,7 +111,7 @@
 			continue
 		}
 		room = true
-		if st.occur.job.queue.Advised {
+		if advised {
 			if _, ok := st.advice.validTicket(e.info.ID, now); !ok {
 				continue
 			}
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -33,6 +33,7 @@
 	ended              map[string]bool                 // jobs whose end is recorded and whose rows still exist
 	pendingAdvice      map[model.StepID]pendingRequest // requests to the adviser without an answer
 	longRequests       int                             // of these, long ones
+	ticketsRequired    map[string]time.Time            // by queue, until when its starts need tickets though it isn't advised
 	backlogged         bool                            // the last decision left tasks waiting
 	paused             bool                            // no run may start
 	adviceSlots        int                             // maximum number of pending requests to the adviser
@@ -53,7 +54,7 @@
 func New(config *model.Config, opts ...Option) *State {
 	s := &State{
 		config: config, remoteSlowdown: 1, quotaWindow: defaultQuotaWindow, maxStopTime: time.Second, jobs: make(map[string]*job), executors: make(map[string]*executor), zones: make(map[string]int),
-		teams: make(map[string]*team), dirty: make(map[string]*job), ended: make(map[string]bool), slowdowns: make(map[string]float64), pendingAdvice: make(map[model.StepID]pendingRequest), maybeClosed: make(map[string]bool), adviceSlots: 1,
+		teams: make(map[string]*team), dirty: make(map[string]*job), ended: make(map[string]bool), slowdowns: make(map[string]float64), pendingAdvice: make(map[model.StepID]pendingRequest), ticketsRequired: make(map[string]time.Time), maybeClosed: make(map[string]bool), adviceSlots: 1,
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -65,6 +66,7 @@
 // of their queue.
 func (s *State) Configure(config *model.Config) {
 	s.config = config
+	clear(s.ticketsRequired) // It may be the configuration that the executors have.
 	for _, j := range s.jobs {
 		j.updateQueue(config)
 	}
--- a/node/internal/plan/waits.go
+++ b/node/internal/plan/waits.go
@@ -83,13 +83,13 @@
 	st.lastLogged = now
 	j := st.occur.job
 	w := Wait{Step: st.id(), Waiting: st.waiting, Since: st.readySince, OverQuota: j.overQuota, AdvicePending: !st.advice.requestedAt.IsZero(), Reason: "room"}
-	perTask := st.spec.Room()
+	perTask, advised := st.spec.Room(), s.advised(j, now)
 	for _, e := range s.executors {
 		if e.info.Service != j.queue.Service || !s.schedulable(e, now) {
 			continue
 		}
 		w.Usable++
-		if j.queue.Advised {
+		if advised {
 			if _, ok := st.advice.validTicket(e.info.ID, now); !ok {
 				continue
 			}
@@ -104,7 +104,7 @@
 		w.Reason = "unsettled"
 	case s.team(j.spec.Team).headroom(st.spec.Need, s.limit(j.spec), 1) == 0:
 		w.Reason = "limit"
-	case j.queue.Advised && w.Allowed < w.Usable && w.WithCapacity == 0:
+	case advised && w.Allowed < w.Usable && w.WithCapacity == 0:
 		w.Reason = "advice"
 	}
 	return w, true
