plan: an answer of the adviser outlived the hint that it was given under

What callers would see: a step of a queue whose hint goes and comes back waits for ever.

Cause: the plan kept for good which executors the adviser hadn't allowed. That doesn't change while the queue has a hint. But an adviser that has the version without the hint may allow none, and its answer may come before this host has that version, while it has it, or after the next one has come.

Change: when a hint comes or goes, what the adviser has said against executors is dropped, also in the answer to a request that was ordered before.

Test: TestAnswerOutlivesHint, whose three cases failed before.

Remains: if this host never has the version without the hint, since the next one came too soon, it doesn't know that the hint was gone.

--- a/node/internal/plan/advice.go
+++ b/node/internal/plan/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -76,6 +77,7 @@
 type advice struct {
 	tickets     map[string]ticket // by executor that the adviser has been asked about; tickets expire, but whether one is allowed doesn't change while the queue is advised
 	requestedAt time.Time         // when the pending request was ordered; zero for none
+	hintChanged bool              // since the pending request was ordered, the queue's hint has come or gone
 	nextDraft   time.Time         // no request is drafted before that, unless executors have come or gone
 	draftedFor  int               // number of executors when nextDraft was set
 }
@@ -115,6 +117,17 @@
 	a.tickets[id] = t
 }
 
+// hintChanged notes that the hint of the job's queue has come or gone. Executors that weren't
+// allowed may be so now, since without a hint the adviser may allow none.
+func (j *job) hintChanged() {
+	for _, o := range j.occurs {
+		for _, st := range o.stages {
+			st.advice.hintChanged = true
+			maps.DeleteFunc(st.advice.tickets, func(_ string, t ticket) bool { return !t.allowed })
+		}
+	}
+}
+
 // AdviceReceived stores the adviser's answer. The request named the executors in named;
 // tickets has a ticket, valid until until, for each of them that may run the step.
 func (s *State) AdviceReceived(step model.StepID, named []string, tickets map[string]string, until time.Time) {
@@ -123,12 +136,16 @@
 	if st == nil {
 		return
 	}
-	st.advice.requestedAt = time.Time{}
+	hintChanged := st.advice.hintChanged
+	st.advice.requestedAt, st.advice.hintChanged = time.Time{}, false
 	if st.advice.tickets == nil {
 		st.advice.tickets = make(map[string]ticket, len(named))
 	}
 	for _, id := range named {
 		text, ok := tickets[id]
+		if !ok && hintChanged {
+			continue // The adviser may have answered without a hint.
+		}
 		st.advice.tickets[id] = ticket{allowed: ok, text: text, until: until}
 	}
 }
@@ -171,7 +188,7 @@
 		st.advice.delayDraft(p, now)
 		return
 	}
-	st.advice.requestedAt = now
+	st.advice.requestedAt, st.advice.hintChanged = now, false
 	estimate := q.Decide + time.Duration(len(draft.executors))*q.Each
 	if long {
 		s.longRequests++
--- a/node/internal/plan/advice_test.go
+++ b/node/internal/plan/advice_test.go
@@ -154,3 +154,31 @@
 	is.Equal(len(orders.Starts), 1)
 	is.Equal(orders.Starts[0].Ticket, "new")
 }
+
+// The adviser allowed no executor while its configuration had no hint for the queue. The answer
+// outlived the hint, so that the step waited for ever after the hint had come back.
+func TestAnswerOutlivesHint(t *testing.T) {
+	tests := map[string]func(f *fixture, received func()){
+		"answered before the hint went": func(f *fixture, received func()) { received(); f.setHint(false) },
+		"answered after the hint went":  func(f *fixture, received func()) { f.setHint(false); received() },
+		"answered after the hint came back": func(f *fixture, received func()) {
+			f.setHint(false)
+			f.setHint(true)
+			received()
+		},
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			f.setHint(true)
+			f.addReady("a")
+			f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: oneCore}), nil)
+			requests := f.state.Decide(epoch).AdviceRequests
+			is.Equal(len(requests), 1)
+			change(f, func() { f.state.AdviceReceived(requests[0].Step, requests[0].Executors, nil, epoch.Add(time.Second)) })
+			f.setHint(true)
+			is.Equal(len(f.state.Decide(epoch.Add(time.Second)).AdviceRequests), 1)
+		})
+	}
+}
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -68,7 +68,11 @@
 	s.config = config
 	clear(s.ticketsRequired) // It may be the configuration that the executors have.
 	for _, j := range s.jobs {
+		advised := j.queue.Advised
 		j.updateQueue(config)
+		if j.queue.Advised != advised {
+			j.hintChanged()
+		}
 	}
 }
 
