plan: requests to the adviser were repeated without pause

What callers would see: an adviser that is busy with requests that fail, or with tickets that are refused.

Cause: a step asked again with the next decision after a request had failed, or after an executor had refused the ticket that it was given. With an adviser that fails at once, or an executor that refuses all tickets, that is each 10 ms.

Change: a step pauses 100 ms after a request that failed. It names an executor that refused a ticket again after 100 ms, and others at once.

--- a/node/internal/owner/decide.go
+++ b/node/internal/owner/decide.go
@@ -122,7 +122,7 @@
 	now := t.owner.clock.Now()
 	t.mu.Lock()
 	if err != nil {
-		t.plan.AdviceFailed(a.Step)
+		t.plan.AdviceFailed(now, a.Step)
 	} else {
 		t.plan.AdviceReceived(a.Step, a.Executors, advice.Tickets, now.Add(advice.Valid))
 	}
--- a/node/internal/plan/advice.go
+++ b/node/internal/plan/advice.go
@@ -41,6 +41,9 @@
 	// draftInterval is the least time between two drafts of a stage's request if the first
 	// one wasn't sent.
 	draftInterval = 100 * time.Millisecond
+	// failedRequestBackoff is how long a stage sends no request after one has failed, and
+	// names no executor that has refused its ticket.
+	failedRequestBackoff = 100 * time.Millisecond
 )
 
 // pendingRequest is a request to the adviser without an answer.
@@ -68,7 +71,7 @@
 func (s *State) expireAdviceRequests(now time.Time) {
 	for id, q := range s.pendingAdvice {
 		if now.After(q.until) {
-			s.AdviceFailed(id)
+			s.AdviceFailed(now, id)
 		}
 	}
 }
@@ -78,6 +81,7 @@
 	tickets     map[string]ticket // by executor that the adviser has been asked about; tickets expire, but whether one is allowed doesn't change while the queue is advised
 	requestedAt time.Time         // when the pending request was ordered; zero for none
 	hintChanged bool              // since the pending request was ordered, the queue's hint has come or gone
+	nextRequest time.Time         // no request is sent before that, since the last one failed
 	nextDraft   time.Time         // no request is drafted before that, unless executors have come or gone
 	draftedFor  int               // number of executors when nextDraft was set
 }
@@ -89,9 +93,10 @@
 
 // ticket is the adviser's answer for one executor.
 type ticket struct {
-	allowed bool
-	text    string
-	until   time.Time
+	allowed     bool
+	text        string
+	until       time.Time
+	nextRequest time.Time // no request names the executor before that, since it has refused the ticket
 }
 
 // validTicket returns the ticket for an executor, and whether the executor is allowed
@@ -108,12 +113,12 @@
 
 // expire invalidates the ticket text, which an executor refused. The executor stays allowed.
 // Without that ticket nothing is known of it, and a newer one may be valid.
-func (a *advice) expire(id, text string) {
+func (a *advice) expire(id, text string, now time.Time) {
 	t, ok := a.tickets[id]
 	if !ok || t.text != text {
 		return
 	}
-	t.until = time.Time{}
+	t.until, t.nextRequest = time.Time{}, now.Add(failedRequestBackoff)
 	a.tickets[id] = t
 }
 
@@ -159,10 +164,10 @@
 }
 
 // AdviceFailed notes that a request failed.
-func (s *State) AdviceFailed(step model.StepID) {
+func (s *State) AdviceFailed(now time.Time, step model.StepID) {
 	s.removeRequest(step)
 	if st := s.stageOf(model.Task{Job: step.Job, Occur: step.Occur, Step: step.Step}); st != nil {
-		st.advice.requestedAt = time.Time{}
+		st.advice.requestedAt, st.advice.nextRequest = time.Time{}, now.Add(failedRequestBackoff)
 	}
 }
 
@@ -171,7 +176,7 @@
 // allowed but whose tickets have expired, then as many others as the waiting tasks
 // seem to need.
 func (s *State) requestAdvice(st *stage, p *pool, now time.Time) {
-	if !st.advice.requestedAt.IsZero() || now.Before(st.advice.nextDraft) && len(p.executors) == st.advice.draftedFor {
+	if !st.advice.requestedAt.IsZero() || now.Before(st.advice.nextRequest) || now.Before(st.advice.nextDraft) && len(p.executors) == st.advice.draftedFor {
 		return
 	}
 	q := &st.occur.job.queue
@@ -220,7 +225,7 @@
 			continue
 		}
 		t, answered := st.advice.tickets[e.info.ID]
-		if answered && !t.allowed {
+		if answered && !t.allowed || now.Before(t.nextRequest) {
 			continue
 		}
 		n := e.capacityFor(st, perTask)
--- a/node/internal/plan/advice_test.go
+++ b/node/internal/plan/advice_test.go
@@ -182,3 +182,41 @@
 		})
 	}
 }
+
+// An executor refuses each ticket. Requests and starts followed one another without pause.
+func TestRefusedTicketIsRequestedWithoutPause(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.setHint(true)
+	f.addReady("a")
+	f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: oneCore}), nil)
+	refused := 0
+	for now := epoch; now.Before(epoch.Add(time.Second)); now = now.Add(10 * time.Millisecond) {
+		orders := f.state.Decide(now)
+		for _, o := range orders.Starts {
+			refused++
+			f.state.Refused(now, o, RefusedTicket)
+		}
+		f.allow(orders.AdviceRequests, now.Add(time.Second))
+	}
+	is.True(refused > 1)
+	is.True(refused <= int(time.Second/failedRequestBackoff))
+}
+
+// The adviser failed at once. The request was repeated with each decision.
+func TestFailedRequestIsRepeatedWithoutPause(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.setHint(true)
+	f.addReady("a")
+	f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: oneCore}), nil)
+	failed := 0
+	for now := epoch; now.Before(epoch.Add(time.Second)); now = now.Add(10 * time.Millisecond) {
+		for _, q := range f.state.Decide(now).AdviceRequests {
+			failed++
+			f.state.AdviceFailed(now, q.Step)
+		}
+	}
+	is.True(failed > 1)
+	is.True(failed <= int(time.Second/failedRequestBackoff))
+}
--- a/node/internal/plan/answers.go
+++ b/node/internal/plan/answers.go
@@ -40,7 +40,7 @@
 	case RefusedRoom:
 		r.executor.backoffUntil = now.Add(noCapacityBackoff)
 	case RefusedTicket:
-		r.stage.advice.expire(o.Executor, o.Ticket)
+		r.stage.advice.expire(o.Executor, o.Ticket, now)
 		if o.Ticket == "" {
 			s.requireTickets(r.stage.occur.job, now)
 		}
