plan: starts were sent without the ticket that they need by now

Cause: a start may be queued for its executor, or held back until it is recorded, when the configuration with the hint comes into force. It was checked when it left the queue, but only for whether its run is still the current one.

Change: a start without a ticket is given back to the plan if its queue is advised by then.

--- a/node/internal/owner/hold.go
+++ b/node/internal/owner/hold.go
@@ -61,7 +61,7 @@
 		switch sess := t.sessions[s.Executor]; {
 		case s.Version > c.Version:
 			rest = append(rest, s)
-		case sess != nil && t.plan.StillWanted(&s):
+		case sess != nil && t.plan.StillWanted(now, &s):
 			sess.enqueue(order{start: &s})
 		default:
 			t.refuse(now, s, plan.RefusedNumber)
--- a/node/internal/plan/advice_test.go
+++ b/node/internal/plan/advice_test.go
@@ -220,3 +220,21 @@
 	is.True(failed > 1)
 	is.True(failed <= int(time.Second/failedRequestBackoff))
 }
+
+// A start was queued, or held back for its record, when its queue became advised. It was sent
+// without a ticket all the same, to be refused.
+func TestQueuedStartLacksTicket(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.addReady("a")
+	f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: oneCore}), nil)
+	start := f.state.Decide(epoch).Starts[0]
+	is.True(f.state.StillWanted(epoch, &start))
+	f.setHint(true)
+	is.True(!f.state.StillWanted(epoch, &start))
+	f.state.Refused(epoch, start, RefusedNumber) // As the owner does.
+	f.allow(f.state.Decide(epoch).AdviceRequests, epoch.Add(time.Second))
+	starts := f.state.Decide(epoch).Starts
+	is.Equal(len(starts), 1)
+	is.True(f.state.StillWanted(epoch, &starts[0]))
+}
--- a/node/internal/plan/answers.go
+++ b/node/internal/plan/answers.go
@@ -53,9 +53,13 @@
 }
 
 // StillWanted reports whether a start that hasn't been sent yet should still be sent.
-func (s *State) StillWanted(o *Start) bool {
+func (s *State) StillWanted(now time.Time, o *Start) bool {
 	r := s.find(o.Executor, o.Task, o.Number)
-	return r != nil && r.state == starting && !r.stage.occur.job.phase.Final()
+	if r == nil || r.state != starting {
+		return false
+	}
+	j := r.stage.occur.job
+	return !j.phase.Final() && (o.Ticket != "" || !s.advised(j, now))
 }
 
 // Unanswered notes that the outcome of a start is unknown.
