plan: draw changes of a hint at random

A property: hints come and go on the owner and on executors, requests are answered, denied, lost or fail. Afterwards each task starts within the bound, and starts without a ticket are refused at most once for each task, change and second.

--- a/node/internal/plan/advice_test.go
+++ b/node/internal/plan/advice_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/balsamford/balsamford/coord/model"
 )
@@ -238,3 +239,80 @@
 	is.Equal(len(starts), 1)
 	is.True(f.state.StillWanted(epoch, &starts[0]))
 }
+
+// Hints come and go at any time, executors and the adviser have them sooner or later than the
+// owner, and requests fail. Afterwards all tasks start within a bounded time, and until then
+// starts without a ticket are refused a bounded number of times.
+func TestHintChangesStopSteps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFixture()
+		f.addReady("a", "b", "c")
+		f.state.SetAdviceSlots(2)
+		now, required := epoch, false
+		tasks, left, refused, changes := 0, 0, 0, 0
+		var requests []AdviceRequest
+		carryOut := func(orders Orders) {
+			for _, o := range orders.Starts {
+				if required && o.Ticket == "" {
+					refused++
+					f.state.Refused(now, o, RefusedTicket)
+					continue
+				}
+				left--
+				f.state.Started(now, o)
+			}
+			requests = append(requests, orders.AdviceRequests...)
+		}
+		for i := range rapid.IntRange(1, 60).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "pause")) * time.Millisecond)
+			switch rapid.SampledFrom([]string{"job", "owner's hint", "executors' hint", "allow", "deny", "fail", "lose"}).Draw(t, "event") {
+			case "job":
+				n := rapid.IntRange(1, 4).Draw(t, "tasks")
+				tasks, left = tasks+n, left+n
+				f.state.AddJob(now, f.job(fmt.Sprintf("j%d", i), model.Step{Count: n, Need: oneCore}), nil)
+			case "owner's hint":
+				changes++
+				f.setHint(rapid.Bool().Draw(t, "advised"))
+			case "executors' hint":
+				changes++
+				required = rapid.Bool().Draw(t, "required")
+			case "allow":
+				f.allow(requests, now.Add(time.Second))
+				requests = nil
+			case "deny": // The adviser has no hint for the queue.
+				if required {
+					continue
+				}
+				for _, q := range requests {
+					f.state.AdviceReceived(q.Step, q.Executors, nil, now.Add(time.Second))
+				}
+				requests = nil
+			case "fail":
+				for _, q := range requests {
+					f.state.AdviceFailed(now, q.Step)
+				}
+				requests = nil
+			case "lose":
+				requests = nil
+			}
+			carryOut(f.state.Decide(now))
+		}
+		required = true
+		f.setHint(false)
+		f.setHint(true)
+		for end := now.Add(lostRequestGrace + 2*time.Second); now.Before(end) && left > 0; now = now.Add(10 * time.Millisecond) {
+			f.allow(requests, now.Add(time.Second))
+			requests = nil
+			carryOut(f.state.Decide(now))
+		}
+		if left > 0 {
+			t.Fatalf("%d of %d tasks haven't started", left, tasks)
+		}
+		// A change, or the end of a time for which tickets counted as required, may lead to a
+		// refusal of each task.
+		periods := changes + 2 + int(now.Sub(epoch)/ticketsRequiredFor)
+		if most := tasks * periods; refused > most {
+			t.Fatalf("%d starts without a ticket were refused, at most %d may be", refused, most)
+		}
+	})
+}
