node, trial/soak: executors require tickets as the newest configuration says

No test had executors that refuse a start without a ticket, and no configuration gave or took a hint.

Change: the fake adviser keeps the tickets that it gave, and fake executors check them. The soak's configurations give a hint to a queue with jobs and take it back; a new kind of fault publishes several in quick succession, by random numbers of its own. A process that has ended by itself when the soak kills it is a violation now; before, it wasn't noticed.

--- a/node/rig_test.go
+++ b/node/rig_test.go
@@ -32,6 +32,7 @@
 	store     *fake.Store
 	judge     *fake.Checker
 	executors []*fake.Executor
+	adviser   *fake.Adviser
 	hosts     []*host
 	urls      [3]string // addresses of the store and the adviser
 	client    http.Client
@@ -58,18 +59,19 @@
 // core according to its settings.
 func newRigWithCPU(t *testing.T, cpus []int) *rig {
 	t.Helper()
-	r := &rig{t: t, store: fake.NewStore(), judge: fake.NewChecker(), client: http.Client{Timeout: 3 * time.Second}}
+	r := &rig{t: t, store: fake.NewStore(), adviser: fake.NewAdviser(), judge: fake.NewChecker(), client: http.Client{Timeout: 3 * time.Second}}
 	dir := t.TempDir()
 	r.binary = filepath.Join(dir, "node")
 	if out, err := exec.Command("go", "build", "-o", r.binary, ".").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
 	r.urls[0] = r.serve(r.store)
-	r.urls[1] = r.serve(fake.Adviser{})
+	r.urls[1] = r.serve(r.adviser)
 	r.store.Put("op", "config", fake.Config())
 	for i := range executorCount {
 		id := fmt.Sprintf("i-%d", i)
 		e := fake.NewExecutor(id, r.judge)
+		e.UseAdviser(r.adviser)
 		r.executors = append(r.executors, e)
 		r.store.Put("servers", id, e.Entry(fake.Service, r.serve(e)))
 	}
--- a/trial/internal/soak/harness.go
+++ b/trial/internal/soak/harness.go
@@ -16,6 +16,7 @@
 type harness struct {
 	seed      uint64
 	store     *fake.Store
+	adviser   *fake.Adviser
 	checker   *fake.Checker
 	history   *history
 	hosts     []*host
@@ -43,13 +44,14 @@
 // newHarness starts the fake platform and the processes. If it fails, the caller has
 // to close the returned harness all the same.
 func newHarness(s *Settings) (*harness, error) {
-	hs := &harness{seed: s.Seed, store: fake.NewStore(), checker: fake.NewChecker(), history: newHistory()}
+	hs := &harness{seed: s.Seed, store: fake.NewStore(), adviser: fake.NewAdviser(), checker: fake.NewChecker(), history: newHistory()}
 	hs.checker.SetLimit(fake.Team, fake.TeamLimit)
 	hs.publishConfig()
-	storeAddress, adviser := hs.serve(hs.store), hs.serve(fake.Adviser{})
+	storeAddress, adviser := hs.serve(hs.store), hs.serve(hs.adviser)
 	for i := range s.Executors {
 		e := &executor{id: fmt.Sprintf("i-%d", i)}
 		e.fake = fake.NewExecutor(e.id, hs.checker)
+		e.fake.UseAdviser(hs.adviser)
 		if i%2 == 1 {
 			e.fake.SetClockRate(slowClockRate)
 		}
@@ -97,16 +99,28 @@
 // configuration.
 func configKey(version int) string { return fmt.Sprintf("key-of-version-%d", version) }
 
-// queueNames is the number of names that a queue has in turn.
-const queueNames = 3
+const (
+	// queueNames is the number of names that a queue has in turn.
+	queueNames = 3
+	// hintPeriod is the number of versions after which a queue has a hint again, for half of
+	// them.
+	hintPeriod = 4
+)
 
 // publishConfig writes the next version of the configuration to the store and returns
-// the version. A queue that has jobs gets another name with each version.
+// the version. A queue that has jobs gets another name with each version, and a hint comes
+// and goes. Executors require tickets as the newest version says.
 func (hs *harness) publishConfig() int {
 	hs.mu.Lock()
 	defer hs.mu.Unlock()
 	hs.version++
-	hs.store.Put("op", "config", fake.RenamedConfig(hs.version, fmt.Sprintf("%s-%d", fake.QueueName, hs.version%queueNames), fake.Key, configKey(hs.version)))
+	name, hinted := fmt.Sprintf("%s-%d", fake.QueueName, hs.version%queueNames), hs.version%hintPeriod < hintPeriod/2
+	text := fake.RenamedConfig(hs.version, name, fake.Key, configKey(hs.version))
+	if hinted {
+		text = fake.HintedConfig(hs.version, name, fake.Key, configKey(hs.version))
+	}
+	hs.store.Put("op", "config", text)
+	hs.adviser.Require(hinted)
 	hs.published = append(hs.published, time.Now())
 	return hs.version
 }
--- a/trial/internal/soak/host.go
+++ b/trial/internal/soak/host.go
@@ -95,18 +95,30 @@
 	return h.start()
 }
 
-// kill kills the process and starts it again after a pause.
-func (h *host) kill(pause time.Duration) error {
+// kill kills the process and starts it again after a pause. fault says that it had ended by
+// itself before, and how.
+func (h *host) kill(pause time.Duration) (fault string, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var err error
 	h.calm.disturb(func() {
 		_ = h.cmd.Process.Kill() // It may have exited already.
-		_ = h.cmd.Wait()
+		if ended := h.cmd.Wait(); h.cmd.ProcessState.Exited() {
+			fault = fmt.Sprintf("the process ended by itself: %v; its log ends with:\n%s", ended, h.lastOutput())
+		}
 		time.Sleep(pause)
 		err = h.start()
 	})
-	return err
+	return fault, err
+}
+
+// lastOutput returns the end of the log.
+func (h *host) lastOutput() string {
+	const most = 4000 // bytes
+	text, err := os.ReadFile(h.logPath)
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[max(0, len(text)-most):])
 }
 
 // awaitStartup waits until the process handles signals. The caller holds mu.
--- a/trial/internal/soak/injector.go
+++ b/trial/internal/soak/injector.go
@@ -22,6 +22,7 @@
 	return []*injector{
 		{harness: hs, rand: newRand(seed, 0), kinds: faultKinds(), least: 100, most: 1200},
 		{harness: hs, rand: newRand(seed, 1), kinds: []faultKind{(*injector).expireEntries}, least: 2000, most: 9000},
+		{harness: hs, rand: newRand(seed, 2), kinds: []faultKind{(*injector).stormConfig}, least: 2000, most: 9000},
 	}
 }
 
@@ -86,10 +87,19 @@
 	h, pause := in.randomHost(), in.randomDuration(0, 1500)
 	return func() {
 		in.harness.history.recordFault("%s is killed for %v", h.name, pause)
-		in.recordError("start", h.kill(pause))
+		in.kill(h, pause)
 	}
 }
 
+// kill kills a process and starts it again after a pause.
+func (in *injector) kill(h *host, pause time.Duration) {
+	fault, err := h.kill(pause)
+	if fault != "" {
+		in.harness.history.recordViolation("%s: %s", h.name, fault)
+	}
+	in.recordError("start", err)
+}
+
 // pauseHost suspends a process for a while.
 func (in *injector) pauseHost() func() {
 	h, d := in.randomHost(), in.randomDuration(200, 4000)
@@ -129,9 +139,9 @@
 		in.harness.history.recordFault("all hosts are killed for %v", pause)
 		var g errgroup.Group
 		for _, h := range in.harness.hosts {
-			g.Go(func() error { return h.kill(pause) })
+			g.Go(func() error { in.kill(h, pause); return nil })
 		}
-		in.recordError("start", g.Wait())
+		_ = g.Wait() // Its functions return no errors.
 	}
 }
 
@@ -196,7 +206,7 @@
 				e.expired.Store(true)
 				in.harness.store.Put("servers", e.id, nil)
 			}
-			g.Go(func() error { return h.kill(dark) })
+			g.Go(func() error { in.kill(h, dark); return nil })
 			time.Sleep(beforeReturn)
 			in.harness.store.SetDown(false)
 		})
@@ -208,7 +218,7 @@
 				return nil
 			})
 		}
-		in.recordError("start", g.Wait())
+		_ = g.Wait() // Its functions return no errors.
 	}
 }
 
@@ -295,3 +305,18 @@
 func (in *injector) publishConfig() func() {
 	return func() { in.harness.history.recordFault("configuration %d is published", in.harness.publishConfig()) }
 }
+
+// stormPause is the time between two versions of a series.
+const stormPause = 330 * time.Millisecond
+
+// stormConfig publishes new versions of the configuration in quick succession.
+func (in *injector) stormConfig() func() {
+	n := 2 + in.rand.IntN(10)
+	return func() {
+		in.harness.history.recordFault("%d configurations are published, one each %v", n, stormPause)
+		for range n {
+			in.harness.publishConfig()
+			time.Sleep(stormPause)
+		}
+	}
+}
