plan: a run that was recorded twice took its capacity twice

What callers would see: an executor with less room than it has, until the owner changes.

Cause: a place that a record has both as a run and as a spare one, or twice, was counted twice and given back once.

Change: what is known already isn't restored again.

--- a/node/internal/plan/restore.go
+++ b/node/internal/plan/restore.go
@@ -57,6 +57,9 @@
 			continue
 		}
 		for _, place := range places {
+			if s.find(place.Executor, st.taskID(i), place.Number) != nil {
+				continue // It would take the executor's capacity twice.
+			}
 			r := s.newRun(st, i, place.Number, s.executor(place.Executor), inDoubt, now)
 			r.restored = true
 			r.confirmedAt = now
