plan: starts carried tickets that had expired

What callers would see: the tasks of a step that had tickets once are refused over and over while executors require tickets and this host has a configuration without the hint.

Cause: a start of a queue that isn't advised took along whatever ticket the step had, also an expired one. The refusal then wasn't taken for that of a start without a ticket, so that the queue didn't count as advised, and the start was ordered again at once.

Change: a start carries a ticket only if it is valid. Any refusal for a ticket makes the queue count as advised for a while; an advised queue is so already.

Test: TestExpiredTicketIsSent (failed before).

--- a/node/internal/owner/execute.go
+++ b/node/internal/owner/execute.go
@@ -36,7 +36,7 @@
 	t := sess.term
 	now := t.owner.clock.Now()
 	t.mu.Lock()
-	if !t.plan.StillWanted(now, s) { // The order was queued, or held back, and is obsolete.
+	if !t.plan.StillWanted(now, s) { // It has become obsolete in the queue.
 		t.refuse(now, *s, plan.RefusedNumber)
 		t.mu.Unlock()
 		return
--- a/node/internal/plan/advice.go
+++ b/node/internal/plan/advice.go
@@ -76,9 +76,10 @@
 	}
 }
 
-// advice holds the adviser's answers for a stage.
+// advice holds the adviser's answers for a stage. Tickets expire, but as long as the queue is
+// advised, executors that are allowed stay so, and the others are never allowed.
 type advice struct {
-	tickets     map[string]ticket // by executor that the adviser has been asked about; tickets expire, but whether one is allowed doesn't change while the queue is advised
+	tickets     map[string]ticket // by executor that the adviser has answered for
 	requestedAt time.Time         // when the pending request was ordered; zero for none
 	hintChanged bool              // since the pending request was ordered, the queue's hint has come or gone
 	nextRequest time.Time         // no request is sent before that, since the last one failed
@@ -99,11 +100,14 @@
 	nextRequest time.Time // no request names the executor before that, since it has refused the ticket
 }
 
-// validTicket returns the ticket for an executor, and whether the executor is allowed
-// and the ticket valid.
+// validTicket returns the ticket for an executor, and false if the executor isn't allowed or
+// the ticket isn't valid.
 func (a *advice) validTicket(id string, now time.Time) (string, bool) {
 	t := a.tickets[id]
-	return t.text, t.usable(now)
+	if !t.usable(now) {
+		return "", false
+	}
+	return t.text, true
 }
 
 // usable reports whether the executor is allowed and the ticket valid.
@@ -111,8 +115,8 @@
 	return t.allowed && t.until.After(now.Add(ticketMargin))
 }
 
-// expire invalidates the ticket text, which an executor refused. The executor stays allowed.
-// Without that ticket nothing is known of it, and a newer one may be valid.
+// expire invalidates a ticket that its executor refused. It does nothing if the stage has
+// another one by now, or none: a refusal doesn't tell whether the executor is allowed.
 func (a *advice) expire(id, text string, now time.Time) {
 	t, ok := a.tickets[id]
 	if !ok || t.text != text {
--- a/node/internal/plan/advice_test.go
+++ b/node/internal/plan/advice_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -107,6 +108,28 @@
 	is.Equal(len(later), 7)
 }
 
+// A step had a ticket from the time when its queue was advised. Its starts went on to carry the
+// ticket after it had expired, and the refusals didn't count as those of starts without one.
+func TestExpiredTicketIsSent(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.setHint(true)
+	f.addReady("a")
+	f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: oneCore}), nil)
+	f.allow(f.state.Decide(epoch).AdviceRequests, epoch.Add(time.Second))
+	f.setHint(false)
+	refused := 0
+	began := epoch.Add(time.Minute)
+	for now := began; now.Before(began.Add(ticketsRequiredFor)); now = now.Add(10 * time.Millisecond) {
+		for _, o := range f.state.Decide(now).Starts {
+			refused++
+			is.Equal(o.Ticket, "")
+			f.state.Refused(now, o, RefusedTicket)
+		}
+	}
+	is.Equal(refused, 1)
+}
+
 // While executors require tickets for a queue that isn't advised here, its steps go on with
 // tickets.
 func TestRequiredTicketIsRequested(t *testing.T) {
@@ -251,9 +274,22 @@
 		now, required := epoch, false
 		tasks, left, refused, changes := 0, 0, 0, 0
 		var requests []AdviceRequest
+		// allow answers requests with tickets that have the time in them until which they are valid.
+		allow := func() {
+			for _, q := range requests {
+				until := now.Add(300 * time.Millisecond)
+				tickets := make(map[string]string)
+				for _, id := range q.Executors {
+					tickets[id] = strconv.FormatInt(until.UnixMilli(), 10)
+				}
+				f.state.AdviceReceived(q.Step, q.Executors, tickets, until)
+			}
+			requests = nil
+		}
 		carryOut := func(orders Orders) {
 			for _, o := range orders.Starts {
-				if required && o.Ticket == "" {
+				until, err := strconv.ParseInt(o.Ticket, 10, 64)
+				if required && (err != nil || now.UnixMilli() > until) {
 					refused++
 					f.state.Refused(now, o, RefusedTicket)
 					continue
@@ -277,8 +313,7 @@
 				changes++
 				required = rapid.Bool().Draw(t, "required")
 			case "allow":
-				f.allow(requests, now.Add(time.Second))
-				requests = nil
+				allow()
 			case "deny": // The adviser has no hint for the queue.
 				if required {
 					continue
@@ -301,8 +336,7 @@
 		f.setHint(false)
 		f.setHint(true)
 		for end := now.Add(lostRequestGrace + 2*time.Second); now.Before(end) && left > 0; now = now.Add(10 * time.Millisecond) {
-			f.allow(requests, now.Add(time.Second))
-			requests = nil
+			allow()
 			carryOut(f.state.Decide(now))
 		}
 		if left > 0 {
--- a/node/internal/plan/answers.go
+++ b/node/internal/plan/answers.go
@@ -41,9 +41,7 @@
 		r.executor.backoffUntil = now.Add(noCapacityBackoff)
 	case RefusedTicket:
 		r.stage.advice.expire(o.Executor, o.Ticket, now)
-		if o.Ticket == "" {
-			s.requireTickets(r.stage.occur.job, now)
-		}
+		s.requireTickets(r.stage.occur.job, now)
 	case RefusedNumber, RefusedLate:
 	}
 	s.removeRun(r)
--- a/node/internal/plan/required.go
+++ b/node/internal/plan/required.go
@@ -9,7 +9,8 @@
 // Executors get a configuration earlier or later than this host. So they may require tickets
 // for a queue that isn't advised here. Further starts without a ticket would be refused, too.
 
-// requireTickets notes that an executor refused a start of a job that had no ticket.
+// requireTickets notes that an executor refused a start of a job for want of a ticket, or for
+// an invalid one.
 func (s *State) requireTickets(j *job, now time.Time) {
 	s.ticketsRequired[j.spec.Queue] = now.Add(ticketsRequiredFor)
 }
