plan: an answer of the adviser outlived the removal of its queue

What callers would see: a step waits for ever after its queue, which has a hint, was removed and added again. Found when the change was read once more, by test only.

Cause: a job keeps the settings of a queue that the configuration lacks, its hint among them. So the removal didn't count as a hint that goes, and what an adviser without the queue had said against executors stayed.

Change: whether a hint has come or gone is told by the configurations, not by the job.

--- a/node/internal/plan/advice_test.go
+++ b/node/internal/plan/advice_test.go
@@ -185,6 +185,14 @@
 	tests := map[string]func(f *fixture, received func()){
 		"answered before the hint went": func(f *fixture, received func()) { received(); f.setHint(false) },
 		"answered after the hint went":  func(f *fixture, received func()) { f.setHint(false); received() },
+		"answered while the queue was removed": func(f *fixture, received func()) {
+			f.state.Configure(model.NewConfig(f.config.Version+1, nil, nil, nil))
+			received()
+		},
+		"answered before the queue was removed": func(f *fixture, received func()) {
+			received()
+			f.state.Configure(model.NewConfig(f.config.Version+1, nil, nil, nil))
+		},
 		"answered after the hint came back": func(f *fixture, received func()) {
 			f.setHint(false)
 			f.setHint(true)
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -65,17 +65,22 @@
 // Configure replaces the configuration. Jobs whose queue it lacks keep the settings
 // of their queue.
 func (s *State) Configure(config *model.Config) {
+	old := s.config
 	s.config = config
 	clear(s.ticketsRequired) // It may be the configuration that the executors have.
 	for _, j := range s.jobs {
-		advised := j.queue.Advised
 		j.updateQueue(config)
-		if j.queue.Advised != advised {
+		if hasHint(config, j.spec.Queue) != hasHint(old, j.spec.Queue) {
 			j.hintChanged()
 		}
 	}
 }
 
+// hasHint reports whether a queue is advised by a configuration, which may lack it or be nil.
+func hasHint(config *model.Config, queue string) bool {
+	return config != nil && config.Queues[queue].Advised
+}
+
 // configVersion returns the version of the configuration, 0 for none.
 func (s *State) configVersion() int64 {
 	if s.config == nil {
