plan: a denial outlived the time for which tickets were required

What callers would see: a step whose queue got another name and a hint at once waits for ever, if the adviser was asked before it had that version.

Cause: executors may require tickets for a queue that has no hint here, then or ever. What the adviser denied in that time was dropped only when a hint came or went here.

Change: each time that tickets count as required anew, what the adviser has said against executors is dropped, for all steps of the queue. In between it stands, so that a step asks once.

Test: TestDenialOutlivesRequiredTickets (failed before).

--- a/node/internal/plan/advice_test.go
+++ b/node/internal/plan/advice_test.go
@@ -215,6 +215,36 @@
 	}
 }
 
+// Executors required tickets for a queue that isn't advised here, and the adviser, which didn't
+// have their configuration yet, allowed none. The step never asked it again.
+func TestDenialOutlivesRequiredTickets(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.addReady("a")
+	f.state.SetAdviceSlots(4)
+	for _, id := range []string{"j", "other"} {
+		f.state.AddJob(epoch, f.job(id, model.Step{Count: 1, Need: oneCore}), nil)
+	}
+	for _, o := range f.state.Decide(epoch).Starts {
+		f.state.Refused(epoch, o, RefusedTicket)
+	}
+	denied := 0
+	for now := epoch; now.Before(epoch.Add(ticketsRequiredFor)); now = now.Add(10 * time.Millisecond) {
+		for _, q := range f.state.Decide(now).AdviceRequests {
+			denied++
+			f.state.AdviceReceived(q.Step, q.Executors, nil, now.Add(time.Second))
+		}
+	}
+	is.Equal(denied, 2) // Each step asks once in that time.
+	later := epoch.Add(ticketsRequiredFor)
+	starts := f.state.Decide(later).Starts
+	is.Equal(len(starts), 2)
+	for _, o := range starts {
+		f.state.Refused(later, o, RefusedTicket)
+	}
+	is.Equal(len(f.state.Decide(later.Add(draftInterval)).AdviceRequests), 2)
+}
+
 // An executor refuses each ticket. Requests and starts followed one another without pause.
 func TestRefusedTicketIsRequestedWithoutPause(t *testing.T) {
 	is := is.New(t)
--- a/node/internal/plan/required.go
+++ b/node/internal/plan/required.go
@@ -10,8 +10,15 @@
 // for a queue that isn't advised here. Further starts without a ticket would be refused, too.
 
 // requireTickets notes that an executor refused a start of a job for want of a ticket, or for
-// an invalid one.
+// an invalid one. If that is news, the queue's hint may have come since the adviser answered.
 func (s *State) requireTickets(j *job, now time.Time) {
+	if !s.advised(j, now) {
+		for _, other := range s.jobs {
+			if other.spec.Queue == j.spec.Queue {
+				other.hintChanged()
+			}
+		}
+	}
 	s.ticketsRequired[j.spec.Queue] = now.Add(ticketsRequiredFor)
 }
 
