balsam, trial, placer: tests of other packages took a process's port

Cause: a cell of processes took its ports on 127.0.0.1 and bound them later, the platform's after four programs had been built. At the same time trial/internal/whole (269 s in that run) took ports for its processes from a range that contains the other one. Nothing told them apart.

Change: each cell has a random loopback address of its own, as in the tests of node and entry. The test certificates name it. The same for the deployments of trial/cell and the links of the placers' tests, which chose ports in the same way.

Which process took port 21455 isn't known, since the logs don't have it; the run wasn't reproduced. TestZoneCutOff and the tests of trial/cell and placer/internal/daemon passed.

--- a/balsam/cell_test.go
+++ b/balsam/cell_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -39,6 +40,7 @@
 type processCell struct {
 	t             *testing.T
 	dir           string
+	ip            net.IP // of all its processes
 	platform      string
 	zonePlatforms map[string]string // address by zone; each can be cut off separately
 	placer        string
@@ -63,10 +65,17 @@
 	portCount = 10_000
 )
 
-// freeAddress returns a loopback address whose port is free.
+// newLoopbackIP returns a random loopback address. On 127.0.0.1 the processes of other
+// packages' tests could take a port between its choice and its server's bind.
+func newLoopbackIP() net.IP {
+	part := func() byte { return byte(1 + rand.IntN(250)) }
+	return net.IPv4(127, part(), part(), part())
+}
+
+// freeAddress returns an address of the cell whose port is free.
 func (c *processCell) freeAddress(network string) string {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		address := net.JoinHostPort(c.ip.String(), strconv.Itoa(firstPort+rand.IntN(portCount)))
 		if c.used[address] || !canBind(network, address) {
 			continue
 		}
@@ -105,7 +114,7 @@
 func newProcessCell(t *testing.T, perZone int, programs ...string) *processCell {
 	t.Helper()
 	is := is.New(t)
-	c := &processCell{t: t, dir: t.TempDir(), used: make(map[string]bool)}
+	c := &processCell{t: t, dir: t.TempDir(), ip: newLoopbackIP(), used: make(map[string]bool)}
 	c.platform, c.zonePlatforms = c.freeAddress("tcp"), make(map[string]string)
 	var zoneAddresses []string
 	for i := range testZones {
@@ -117,7 +126,7 @@
 		t.Log(string(out))
 		is.NoErr(err)
 	}
-	_, err := link.IssueFiles(c.dir)
+	_, err := link.IssueFiles(c.dir, c.ip)
 	is.NoErr(err)
 	c.writeFile("platform.toml", fmt.Sprintf("role = \"platform\"\nname = \"platform\"\nlisten = %q\ndoors = [\"%s\"]\n", c.platform, strings.Join(zoneAddresses, "\", \"")))
 	c.start("standin", "platform")
--- a/balsam/command_test.go
+++ b/balsam/command_test.go
@@ -313,7 +313,7 @@
 func (c *processCell) testRotation(t *testing.T) {
 	is := is.New(t)
 	next := t.TempDir()
-	_, err := link.IssueFiles(next)
+	_, err := link.IssueFiles(next, c.ip)
 	is.NoErr(err)
 	load := func(path string) string {
 		data, err := os.ReadFile(path)
--- a/coord/link/issue.go
+++ b/coord/link/issue.go
@@ -19,9 +19,10 @@
 
 // IssueFiles writes cert.pem, key.pem and authority.pem into dir: a new
 // authority, and one certificate for all processes of a test or a demo. The
-// certificate is valid for the server address 127.0.0.1. It returns Certs loaded
-// from the files. The error is a *TLSError or a *certs.InvalidError.
-func IssueFiles(dir string) (*Certs, error) {
+// certificate is valid for the server address 127.0.0.1 and for those in servers. It
+// returns Certs loaded from the files. The error is a *TLSError or a
+// *certs.InvalidError.
+func IssueFiles(dir string, servers ...net.IP) (*Certs, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return nil, &TLSError{Path: dir, Err: err}
@@ -35,7 +36,7 @@
 		IsCA:                  true,
 		BasicConstraintsValid: true,
 		KeyUsage:              x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
-		IPAddresses:           []net.IP{net.IPv4(127, 0, 0, 1)},
+		IPAddresses:           append([]net.IP{net.IPv4(127, 0, 0, 1)}, servers...),
 		ExtKeyUsage:           []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 	}
 	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
--- a/placer/internal/daemon/daemon_test.go
+++ b/placer/internal/daemon/daemon_test.go
@@ -99,22 +99,15 @@
 	return ln.Addr().String()
 }
 
-// freeUDP returns an unused address. Its port is below the kernel's ephemeral
-// range, since a client could otherwise get the port before the placer does.
+// freeUDP returns an unused port of a random loopback address. On 127.0.0.1 another
+// test's process could get the port before the placer does.
 func freeUDP(t *testing.T) string {
 	t.Helper()
-	const lowest, ports, tries = 10000, 20000, 100
-	for range tries {
-		address := fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(ports))
-		c, err := net.ListenPacket("udp", address)
-		if err != nil {
-			continue
-		}
-		_ = c.Close()
-		return address
-	}
-	t.Fatal("no free port was found")
-	return ""
+	part := func() byte { return byte(1 + rand.IntN(250)) }
+	c, err := net.ListenPacket("udp", net.JoinHostPort(net.IPv4(127, part(), part(), part()).String(), "0"))
+	is.New(t).NoErr(err)
+	defer func() { _ = c.Close() }()
+	return c.LocalAddr().String()
 }
 
 func (z *zone) addEndpoint(name string, kind point.Kind, rack string, capacity wire.Needs, more ...engine.Option) *engine.Endpoint {
--- a/trial/cell/plan.go
+++ b/trial/cell/plan.go
@@ -14,7 +14,7 @@
 }
 
 func newPlan(spec Spec) (*plan, error) {
-	ports := new(portAllocator)
+	ports := newPortAllocator()
 	p := &plan{spec: spec}
 	err := p.allocate(ports)
 	if closeErr := ports.release(); err == nil {
--- a/trial/cell/portallocator.go
+++ b/trial/cell/portallocator.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// loopback is the IP address of all processes.
-	loopback = "127.0.0.1"
 	// Ports are chosen below the range that the kernel uses for outgoing
 	// connections, since such a connection could take a port before its process
 	// binds it.
@@ -23,9 +21,17 @@
 // portAllocator allocates free ports. All stay bound until release, so that no
 // port is allocated twice.
 type portAllocator struct {
+	ip    net.IP
 	bound []io.Closer
 }
 
+// newPortAllocator returns a portAllocator for a random loopback address. On 127.0.0.1
+// another deployment could take a port between its release and its process's bind.
+func newPortAllocator() *portAllocator {
+	part := func() byte { return byte(1 + rand.IntN(250)) } //nolint:gosec // Any address will do.
+	return &portAllocator{ip: net.IPv4(127, part(), part(), part())}
+}
+
 // tcp returns a free TCP address.
 func (p *portAllocator) tcp() (string, error) {
 	return p.allocate(func(address string) (io.Closer, net.Addr, error) {
@@ -59,7 +65,7 @@
 			c io.Closer
 			a net.Addr
 		)
-		if c, a, err = bind(net.JoinHostPort(loopback, strconv.Itoa(port))); err == nil {
+		if c, a, err = bind(net.JoinHostPort(p.ip.String(), strconv.Itoa(port))); err == nil {
 			p.bound = append(p.bound, c)
 			return a.String(), nil
 		}
