plan: a late answer of the adviser ended the request sent in its place

A request whose host is booked counts as lost after its estimate and 3 s, but may be answered up to a second later. Its answer, or its failure, then ended the request that had been ordered in its place: one more was pending than there are slots, and the newer one no longer stood for the hint's changes. So a denial from before a hint was stored as one under it, and the step never asked again.

Change: a request carries the decision that it was ordered in, and so does what is stored of its answer. Only the pending request is ended by its answer. An answer to an earlier one is used where no newer one has come, and its denials only if the hint hasn't changed since that decision.

Evidence: TestLateAnswerEndsNewerRequest, answer and failure, fails on ("1 != 0", a request beside the pending one; "0 != 1", a denial that stays). Calls in tests pass the request in place of its parts; no check changed.

--- a/node/internal/owner/decide.go
+++ b/node/internal/owner/decide.go
@@ -122,9 +122,9 @@
 	now := t.owner.clock.Now()
 	t.mu.Lock()
 	if err != nil {
-		t.plan.AdviceFailed(now, a.Step)
+		t.plan.AdviceFailed(now, a)
 	} else {
-		t.plan.AdviceReceived(a.Step, a.Executors, advice.Tickets, now.Add(advice.Valid))
+		t.plan.AdviceReceived(a, advice.Tickets, now.Add(advice.Valid))
 	}
 	t.mu.Unlock()
 	if err != nil {
--- a/node/internal/plan/advice.go
+++ b/node/internal/plan/advice.go
@@ -48,8 +48,9 @@
 
 // pendingRequest is a request to the adviser without an answer.
 type pendingRequest struct {
-	long  bool
-	until time.Time // when it counts as lost
+	decision int // in which it was ordered
+	long     bool
+	until    time.Time // when it counts as lost
 }
 
 // SetAdviceSlots sets the number of requests that may be pending at the adviser at a
@@ -71,7 +72,7 @@
 func (s *State) expireAdviceRequests(now time.Time) {
 	for id, q := range s.pendingAdvice {
 		if now.After(q.until) {
-			s.AdviceFailed(now, id)
+			s.AdviceFailed(now, AdviceRequest{Step: id, decision: q.decision})
 		}
 	}
 }
@@ -79,12 +80,12 @@
 // advice holds the adviser's answers for a stage. Tickets expire, but as long as the queue is
 // advised, executors that are allowed stay so, and the others are never allowed.
 type advice struct {
-	tickets     map[string]ticket // by executor that the adviser has answered for
-	requestedAt time.Time         // when the pending request was ordered; zero for none
-	hintChanged bool              // since the pending request was ordered, the queue's hint has come or gone
-	nextRequest time.Time         // no request is sent before that, since the last one failed
-	nextDraft   time.Time         // no request is drafted before that, unless executors have come or gone
-	draftedFor  int               // number of executors when nextDraft was set
+	tickets       map[string]ticket // by executor that the adviser has answered for
+	requestedAt   time.Time         // when the pending request was ordered; zero for none
+	hintChangedIn int               // last decision before the queue's hint has come or gone
+	nextRequest   time.Time         // no request is sent before that, since the last one failed
+	nextDraft     time.Time         // no request is drafted before that, unless executors have come or gone
+	draftedFor    int               // number of executors when nextDraft was set
 }
 
 // delayDraft notes that a request that was drafted for the executors of p wasn't sent.
@@ -94,6 +95,7 @@
 
 // ticket is the adviser's answer for one executor.
 type ticket struct {
+	decision    int // in which the request was ordered
 	allowed     bool
 	text        string
 	until       time.Time
@@ -102,8 +104,8 @@
 
 // validTicket returns the ticket for an executor, and false if the executor isn't allowed or
 // the ticket isn't valid.
-func (a *advice) validTicket(id string, now time.Time) (string, bool) {
-	t := a.tickets[id]
+func (a *advice) validTicket(e *executor, now time.Time) (string, bool) {
+	t := a.tickets[e.info.ID]
 	if !t.usable(now) {
 		return "", false
 	}
@@ -128,49 +130,60 @@
 
 // hintChanged notes that the hint of the job's queue has come or gone. Executors that weren't
 // allowed may be so now, since without a hint the adviser may allow none.
-func (j *job) hintChanged() {
+func (s *State) hintChanged(j *job) {
 	for _, o := range j.occurs {
 		for _, st := range o.stages {
-			st.advice.hintChanged = true
+			st.advice.hintChangedIn = s.decision
 			maps.DeleteFunc(st.advice.tickets, func(_ string, t ticket) bool { return !t.allowed })
 		}
 	}
 }
 
-// AdviceReceived stores the adviser's answer. The request named the executors in named;
-// tickets has a ticket, valid until until, for each of them that may run the step.
-func (s *State) AdviceReceived(step model.StepID, named []string, tickets map[string]string, until time.Time) {
-	s.removeRequest(step)
-	st := s.stageOf(model.Task{Job: step.Job, Occur: step.Occur, Step: step.Step})
+// AdviceReceived stores the adviser's answer to q: tickets has a ticket, valid until until, for
+// each of the executors named that may run the step.
+func (s *State) AdviceReceived(q AdviceRequest, tickets map[string]string, until time.Time) {
+	st := s.stageOf(model.Task{Job: q.Step.Job, Occur: q.Step.Occur, Step: q.Step.Step})
+	if s.removeRequest(q) && st != nil {
+		st.advice.requestedAt = time.Time{}
+	}
 	if st == nil {
 		return
 	}
-	hintChanged := st.advice.hintChanged
-	st.advice.requestedAt, st.advice.hintChanged = time.Time{}, false
 	if st.advice.tickets == nil {
-		st.advice.tickets = make(map[string]ticket, len(named))
+		st.advice.tickets = make(map[string]ticket, len(q.Executors))
 	}
-	for _, id := range named {
+	for _, id := range q.Executors {
+		if st.advice.tickets[id].decision > q.decision {
+			continue // The request counted as lost, and a later one was answered.
+		}
 		text, ok := tickets[id]
-		if !ok && hintChanged {
+		if !ok && q.decision <= st.advice.hintChangedIn {
 			continue // The adviser may have answered without a hint.
 		}
-		st.advice.tickets[id] = ticket{allowed: ok, text: text, until: until}
+		st.advice.tickets[id] = ticket{decision: q.decision, allowed: ok, text: text, until: until}
 	}
 }
 
-// removeRequest removes a request that is no longer pending.
-func (s *State) removeRequest(step model.StepID) {
-	if s.pendingAdvice[step].long {
+// removeRequest removes a request that is no longer pending. It returns false if the request
+// counts as lost already.
+func (s *State) removeRequest(q AdviceRequest) bool {
+	p, ok := s.pendingAdvice[q.Step]
+	if !ok || p.decision != q.decision {
+		return false
+	}
+	if p.long {
 		s.longRequests--
 	}
-	delete(s.pendingAdvice, step)
+	delete(s.pendingAdvice, q.Step)
+	return true
 }
 
-// AdviceFailed notes that a request failed.
-func (s *State) AdviceFailed(now time.Time, step model.StepID) {
-	s.removeRequest(step)
-	if st := s.stageOf(model.Task{Job: step.Job, Occur: step.Occur, Step: step.Step}); st != nil {
+// AdviceFailed notes that q failed.
+func (s *State) AdviceFailed(now time.Time, q AdviceRequest) {
+	if !s.removeRequest(q) {
+		return
+	}
+	if st := s.stageOf(model.Task{Job: q.Step.Job, Occur: q.Step.Occur, Step: q.Step.Step}); st != nil {
 		st.advice.requestedAt, st.advice.nextRequest = time.Time{}, now.Add(failedRequestBackoff)
 	}
 }
@@ -197,13 +210,13 @@
 		st.advice.delayDraft(p, now)
 		return
 	}
-	st.advice.requestedAt, st.advice.hintChanged = now, false
+	st.advice.requestedAt = now
 	estimate := q.Decide + time.Duration(len(draft.executors))*q.Each
 	if long {
 		s.longRequests++
 	}
-	s.pendingAdvice[st.id()] = pendingRequest{long: long, until: now.Add(estimate + lostRequestGrace)}
-	s.orders.AdviceRequests = append(s.orders.AdviceRequests, AdviceRequest{Step: st.id(), Executors: draft.executors, EstimatedTime: estimate})
+	s.pendingAdvice[st.id()] = pendingRequest{decision: s.decision, long: long, until: now.Add(estimate + lostRequestGrace)}
+	s.orders.AdviceRequests = append(s.orders.AdviceRequests, AdviceRequest{Step: st.id(), Executors: draft.executors, EstimatedTime: estimate, decision: s.decision})
 }
 
 // requestDraft is a request that may be sent.
--- a/node/internal/plan/advice_test.go
+++ b/node/internal/plan/advice_test.go
@@ -31,7 +31,7 @@
 		for _, id := range q.Executors {
 			tickets[id] = "ticket"
 		}
-		f.state.AdviceReceived(q.Step, q.Executors, tickets, until)
+		f.state.AdviceReceived(q, tickets, until)
 	}
 }
 
@@ -168,10 +168,10 @@
 	f.addReady("a")
 	f.state.AddJob(epoch, f.job("j", model.Step{Count: 2, Need: oneCore}), nil)
 	requests := f.state.Decide(epoch).AdviceRequests
-	f.state.AdviceReceived(requests[0].Step, requests[0].Executors, map[string]string{"a": "old"}, epoch.Add(time.Second))
+	f.state.AdviceReceived(requests[0], map[string]string{"a": "old"}, epoch.Add(time.Second))
 	starts := f.state.Decide(epoch).Starts
 	is.Equal(len(starts), 2)
-	f.state.AdviceReceived(requests[0].Step, requests[0].Executors, map[string]string{"a": "new"}, epoch.Add(time.Second))
+	f.state.AdviceReceived(requests[0], map[string]string{"a": "new"}, epoch.Add(time.Second))
 	f.state.Refused(epoch, starts[0], RefusedTicket)
 	orders := f.state.Decide(epoch)
 	is.Equal(len(orders.AdviceRequests), 0)
@@ -208,7 +208,7 @@
 			f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: oneCore}), nil)
 			requests := f.state.Decide(epoch).AdviceRequests
 			is.Equal(len(requests), 1)
-			change(f, func() { f.state.AdviceReceived(requests[0].Step, requests[0].Executors, nil, epoch.Add(time.Second)) })
+			change(f, func() { f.state.AdviceReceived(requests[0], nil, epoch.Add(time.Second)) })
 			f.setHint(true)
 			is.Equal(len(f.state.Decide(epoch.Add(time.Second)).AdviceRequests), 1)
 		})
@@ -232,7 +232,7 @@
 	for now := epoch; now.Before(epoch.Add(ticketsRequiredFor)); now = now.Add(10 * time.Millisecond) {
 		for _, q := range f.state.Decide(now).AdviceRequests {
 			denied++
-			f.state.AdviceReceived(q.Step, q.Executors, nil, now.Add(time.Second))
+			f.state.AdviceReceived(q, nil, now.Add(time.Second))
 		}
 	}
 	is.Equal(denied, 2) // Each step asks once in that time.
@@ -276,7 +276,7 @@
 	for now := epoch; now.Before(epoch.Add(time.Second)); now = now.Add(10 * time.Millisecond) {
 		for _, q := range f.state.Decide(now).AdviceRequests {
 			failed++
-			f.state.AdviceFailed(now, q.Step)
+			f.state.AdviceFailed(now, q)
 		}
 	}
 	is.True(failed > 1)
@@ -320,7 +320,7 @@
 				for _, id := range q.Executors {
 					tickets[id] = strconv.FormatInt(until.UnixMilli(), 10)
 				}
-				f.state.AdviceReceived(q.Step, q.Executors, tickets, until)
+				f.state.AdviceReceived(q, tickets, until)
 			}
 			requests = nil
 		}
@@ -357,12 +357,12 @@
 					continue
 				}
 				for _, q := range requests {
-					f.state.AdviceReceived(q.Step, q.Executors, nil, now.Add(time.Second))
+					f.state.AdviceReceived(q, nil, now.Add(time.Second))
 				}
 				requests = nil
 			case "fail":
 				for _, q := range requests {
-					f.state.AdviceFailed(now, q.Step)
+					f.state.AdviceFailed(now, q)
 				}
 				requests = nil
 			case "lose":
@@ -388,3 +388,35 @@
 		}
 	})
 }
+
+// The answer to a request that counted as lost came after all. It ended the request that had been
+// sent in its place, so that more requests were pending than there are slots, and its denial of
+// the time before a hint was stored for good.
+func TestLateAnswerEndsNewerRequest(t *testing.T) {
+	tests := map[string]func(f *fixture, q AdviceRequest, now time.Time){
+		"answer":  func(f *fixture, q AdviceRequest, now time.Time) { f.state.AdviceReceived(q, nil, now.Add(time.Second)) },
+		"failure": func(f *fixture, q AdviceRequest, now time.Time) { f.state.AdviceFailed(now, q) },
+	}
+	for name, late := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			f.setHint(true)
+			f.addReady("a")
+			f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: oneCore}), nil)
+			first := f.state.Decide(epoch).AdviceRequests[0]
+			f.setHint(false)
+			f.setHint(true)
+			now := epoch.Add(time.Minute)
+			f.state.expireAdviceRequests(now)
+			now = now.Add(failedRequestBackoff)
+			second := f.state.Decide(now).AdviceRequests
+			is.Equal(len(second), 1)
+			late(f, first, now)
+			now = now.Add(failedRequestBackoff)
+			is.Equal(len(f.state.Decide(now).AdviceRequests), 0) // One is pending.
+			f.state.AdviceFailed(now, second[0])
+			is.Equal(len(f.state.Decide(now.Add(failedRequestBackoff)).AdviceRequests), 1) // The executor isn't denied.
+		})
+	}
+}
--- a/node/internal/plan/decide_bench_test.go
+++ b/node/internal/plan/decide_bench_test.go
@@ -73,7 +73,7 @@
 				tickets[id] = "ticket"
 			}
 		}
-		s.AdviceReceived(q.Step, q.Executors, tickets, b.now.Add(2*time.Second))
+		s.AdviceReceived(q, tickets, b.now.Add(2*time.Second))
 	}
 }
 
--- a/node/internal/plan/odd_test.go
+++ b/node/internal/plan/odd_test.go
@@ -118,9 +118,10 @@
 				f.state.Reported(now, oddExecutor(t), oddReport(t, now))
 			case "advice":
 				for _, q := range requests {
-					f.state.AdviceReceived(q.Step, append(q.Executors, "unknown"), map[string]string{"a": "x", "unknown": "y"}, now)
+					q.Executors = append(q.Executors, "unknown")
+					f.state.AdviceReceived(q, map[string]string{"a": "x", "unknown": "y"}, now)
 				}
-				f.state.AdviceFailed(now, oddTask(t).StepID())
+				f.state.AdviceFailed(now, AdviceRequest{Step: oddTask(t).StepID(), decision: rapid.IntRange(0, 40).Draw(t, "decision")})
 				requests = nil
 			case "closed":
 				f.state.RecordingClosed([]string{oddExecutor(t)})
--- a/node/internal/plan/orders.go
+++ b/node/internal/plan/orders.go
@@ -38,6 +38,7 @@
 	Step          model.StepID
 	Executors     []string
 	EstimatedTime time.Duration // expected time until the answer
+	decision      int           // in which it was ordered
 }
 
 // Orders holds what a caller of Decide has to carry out.
--- a/node/internal/plan/place.go
+++ b/node/internal/plan/place.go
@@ -96,7 +96,7 @@
 			if e == nil || !p.has(e) {
 				continue
 			}
-			if _, ok := st.advice.validTicket(id, now); !ok {
+			if _, ok := st.advice.validTicket(e, now); !ok {
 				continue
 			}
 			if k := e.capacityFor(st, perTask); k > 0 {
@@ -112,7 +112,7 @@
 		}
 		room = true
 		if advised {
-			if _, ok := st.advice.validTicket(e.info.ID, now); !ok {
+			if _, ok := st.advice.validTicket(e, now); !ok {
 				continue
 			}
 		}
@@ -205,7 +205,7 @@
 func (s *State) start(st *stage, i, number int, e *executor, now time.Time) {
 	r := s.attachRun(st, i, number, e, starting, now)
 	s.markRunning(st.occur.job)
-	text, _ := st.advice.validTicket(e.info.ID, now)
+	text, _ := st.advice.validTicket(e, now)
 	s.orders.Starts = append(s.orders.Starts, Start{
 		Task: st.taskID(i), Number: r.number, Executor: e.info.ID, Spec: st.occur.job.spec.Spec,
 		Checkpoint: st.checkpoint(i), Ticket: text, Version: st.occur.job.version, Config: s.configVersion(),
--- a/node/internal/plan/required.go
+++ b/node/internal/plan/required.go
@@ -15,7 +15,7 @@
 	if !s.advised(j, now) {
 		for _, other := range s.jobs {
 			if other.spec.Queue == j.spec.Queue {
-				other.hintChanged()
+				s.hintChanged(other)
 			}
 		}
 	}
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -71,7 +71,7 @@
 	for _, j := range s.jobs {
 		j.updateQueue(config)
 		if hasHint(config, j.spec.Queue) != hasHint(old, j.spec.Queue) {
-			j.hintChanged()
+			s.hintChanged(j)
 		}
 	}
 }
--- a/node/internal/plan/waits.go
+++ b/node/internal/plan/waits.go
@@ -90,7 +90,7 @@
 		}
 		w.Usable++
 		if advised {
-			if _, ok := st.advice.validTicket(e.info.ID, now); !ok {
+			if _, ok := st.advice.validTicket(e, now); !ok {
 				continue
 			}
 		}
