plan: an answer of the adviser outlived its executor's life

A ticket is valid during one life of its executor. What a step kept of the adviser's answers stood by the executor's ID, so that after a new start under the same ID a start carried a ticket of the life before and was refused, and an executor that had been denied in its earlier life, perhaps of another kind, was never asked about again.

Change: an executor knows the last decision before its present life was found out. Answers to requests that were ordered until then don't count, neither stored ones nor those yet to come.

Evidence: TestAnswerOutlivesExecutor, seven cases: tickets and denials, stored and late, after a new incarnation and after an entry that went and came back.

--- a/node/internal/plan/advice.go
+++ b/node/internal/plan/advice.go
@@ -78,7 +78,7 @@
 }
 
 // advice holds the adviser's answers for a stage. Tickets expire, but as long as the queue is
-// advised, executors that are allowed stay so, and the others are never allowed.
+// advised, executors that are allowed stay so for their life, and the others are never allowed.
 type advice struct {
 	tickets       map[string]ticket // by executor that the adviser has answered for
 	requestedAt   time.Time         // when the pending request was ordered; zero for none
@@ -102,10 +102,19 @@
 	nextRequest time.Time // no request names the executor before that, since it has refused the ticket
 }
 
+// ticketFor returns the answer for the present life of an executor, and false if there is none.
+func (a *advice) ticketFor(e *executor) (ticket, bool) {
+	t, ok := a.tickets[e.info.ID]
+	if !ok || t.decision <= e.bornIn {
+		return ticket{}, false
+	}
+	return t, true
+}
+
 // validTicket returns the ticket for an executor, and false if the executor isn't allowed or
 // the ticket isn't valid.
 func (a *advice) validTicket(e *executor, now time.Time) (string, bool) {
-	t := a.tickets[e.info.ID]
+	t, _ := a.ticketFor(e)
 	if !t.usable(now) {
 		return "", false
 	}
@@ -153,6 +162,10 @@
 		st.advice.tickets = make(map[string]ticket, len(q.Executors))
 	}
 	for _, id := range q.Executors {
+		e := s.executors[id]
+		if e == nil || q.decision <= e.bornIn {
+			continue // The answer is about an earlier life.
+		}
 		if st.advice.tickets[id].decision > q.decision {
 			continue // The request counted as lost, and a later one was answered.
 		}
@@ -241,7 +254,7 @@
 		if full && d.someFull {
 			continue
 		}
-		t, answered := st.advice.tickets[e.info.ID]
+		t, answered := st.advice.ticketFor(e)
 		if answered && !t.allowed || now.Before(t.nextRequest) {
 			continue
 		}
--- a/node/internal/plan/advice_test.go
+++ b/node/internal/plan/advice_test.go
@@ -389,6 +389,49 @@
 	})
 }
 
+// An executor started again under its ID. What the adviser had said of its earlier life was used
+// for the next: a start carried a ticket that had become invalid, or a step never asked about it.
+func TestAnswerOutlivesExecutor(t *testing.T) {
+	tests := map[string]struct {
+		tickets map[string]string
+		again   func(f *fixture)
+		late    bool // the answer comes after the start
+	}{
+		"ticket":                 {tickets: map[string]string{"a": "old"}, again: func(f *fixture) { f.state.NewIncarnation(epoch, "a") }},
+		"ticket, late":           {tickets: map[string]string{"a": "old"}, again: func(f *fixture) { f.state.NewIncarnation(epoch, "a") }, late: true},
+		"ticket, entry is back":  {tickets: map[string]string{"a": "old"}, again: func(f *fixture) { f.state.RemoveExecutor("a") }},
+		"denial":                 {again: func(f *fixture) { f.state.NewIncarnation(epoch, "a") }},
+		"denial, late":           {again: func(f *fixture) { f.state.NewIncarnation(epoch, "a") }, late: true},
+		"denial, entry is back":  {again: func(f *fixture) { f.state.RemoveExecutor("a") }},
+		"denial, late, not back": {again: func(f *fixture) { f.state.RemoveExecutor("a"); f.state.Decide(epoch) }, late: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			f.setHint(true)
+			f.addReady("a")
+			f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: oneCore}), nil)
+			q := f.state.Decide(epoch).AdviceRequests[0]
+			if !tt.late {
+				f.state.AdviceReceived(q, tt.tickets, epoch.Add(time.Minute))
+			}
+			tt.again(f)
+			if tt.late {
+				f.state.AdviceReceived(q, tt.tickets, epoch.Add(time.Minute))
+			}
+			f.addReady("a")
+			orders := f.state.Decide(epoch.Add(draftInterval))
+			is.Equal(len(orders.Starts), 0)
+			is.Equal(len(orders.AdviceRequests), 1)
+			f.state.AdviceReceived(orders.AdviceRequests[0], map[string]string{"a": "new"}, epoch.Add(time.Minute))
+			starts := f.state.Decide(epoch.Add(draftInterval)).Starts
+			is.Equal(len(starts), 1)
+			is.Equal(starts[0].Ticket, "new")
+		})
+	}
+}
+
 // The answer to a request that counted as lost came after all. It ended the request that had been
 // sent in its place, so that more requests were pending than there are slots, and its denial of
 // the time before a hint was stored for good.
--- a/node/internal/plan/executor.go
+++ b/node/internal/plan/executor.go
@@ -9,6 +9,7 @@
 // executor holds an executor's registration and the runs that may exist on it.
 type executor struct {
 	info           model.Executor
+	bornIn         int          // last decision before its present life was found out
 	runsKnown      bool         // it can't have runs that this owner doesn't know; required for new work
 	silent         bool         // it doesn't answer
 	silentSince    time.Time    // when it was found not to answer
@@ -84,7 +85,7 @@
 func (s *State) executor(id string) *executor {
 	e := s.executors[id]
 	if e == nil {
-		e = &executor{info: model.Executor{ID: id}, zone: s.zone(""), runs: make(map[runKey]*run)}
+		e = &executor{info: model.Executor{ID: id}, bornIn: s.decision, zone: s.zone(""), runs: make(map[runKey]*run)}
 		s.executors[id] = e
 	}
 	return e
@@ -125,7 +126,7 @@
 		}
 		r.seen, r.confirmedAt = false, now
 	}
-	e.runsKnown = false
+	e.runsKnown, e.bornIn = false, s.decision
 }
 
 // RemoveExecutor removes an executor whose runs are all gone.
