plan: tickets of a short validity were never used

Tickets that are valid for up to 150 ms, the time that is kept for a start's way to its executor, counted as expired when they came. The step asked for them again at once, without pause, and never started. The validity comes with each version of the configuration and with each answer. Not seen by callers; found by reading what the answers of the adviser leave in memory.

Change: the margin is at most half of the validity, and an executor that was answered for isn't named again for 100 ms. AdviceReceived takes the validity in place of its end.

Evidence: TestShortTicketIsNeverUsed and TestExpiredTicketIsRequestedWithoutPause (three cases) fail on: no start, and 100 requests in a second. Calls in tests pass the validity; no check changed.

--- a/node/internal/owner/decide.go
+++ b/node/internal/owner/decide.go
@@ -124,7 +124,7 @@
 	if err != nil {
 		t.plan.AdviceFailed(now, a)
 	} else {
-		t.plan.AdviceReceived(a, advice.Tickets, now.Add(advice.Valid))
+		t.plan.AdviceReceived(now, a, advice.Tickets, advice.Valid)
 	}
 	t.mu.Unlock()
 	if err != nil {
--- a/node/internal/plan/advice.go
+++ b/node/internal/plan/advice.go
@@ -15,7 +15,8 @@
 	// some dozen tasks fits on them.
 	maxExecutorsPerRequest = 30
 	// ticketMargin is the least remaining validity of a ticket when a start is
-	// ordered. It covers the time until the order reaches the executor.
+	// ordered, but at most half of the validity. It covers the time until the order
+	// reaches the executor.
 	ticketMargin = 150 * time.Millisecond
 	// lostRequestGrace is how long after the expected time of its answer a request
 	// counts as lost.
@@ -42,7 +43,7 @@
 	// one wasn't sent.
 	draftInterval = 100 * time.Millisecond
 	// failedRequestBackoff is how long a stage sends no request after one has failed, and
-	// names no executor that has refused its ticket.
+	// names no executor that was answered for or has refused its ticket.
 	failedRequestBackoff = 100 * time.Millisecond
 )
 
@@ -98,8 +99,8 @@
 	decision    int // in which the request was ordered
 	allowed     bool
 	text        string
-	until       time.Time
-	nextRequest time.Time // no request names the executor before that, since it has refused the ticket
+	usableUntil time.Time
+	nextRequest time.Time // no request names the executor before that, since it was answered for or has refused the ticket
 }
 
 // ticketFor returns the answer for the present life of an executor, and false if there is none.
@@ -123,7 +124,7 @@
 
 // usable reports whether the executor is allowed and the ticket valid.
 func (t *ticket) usable(now time.Time) bool {
-	return t.allowed && t.until.After(now.Add(ticketMargin))
+	return t.allowed && t.usableUntil.After(now)
 }
 
 // expire invalidates a ticket that its executor refused. It does nothing if the stage has
@@ -133,7 +134,7 @@
 	if !ok || t.text != text {
 		return
 	}
-	t.until, t.nextRequest = time.Time{}, now.Add(failedRequestBackoff)
+	t.usableUntil, t.nextRequest = time.Time{}, now.Add(failedRequestBackoff)
 	a.tickets[id] = t
 }
 
@@ -148,9 +149,9 @@
 	}
 }
 
-// AdviceReceived stores the adviser's answer to q: tickets has a ticket, valid until until, for
-// each of the executors named that may run the step.
-func (s *State) AdviceReceived(q AdviceRequest, tickets map[string]string, until time.Time) {
+// AdviceReceived stores the adviser's answer to q: tickets has a ticket for each of the
+// executors named that may run the step. The tickets are valid from now on for the time valid.
+func (s *State) AdviceReceived(now time.Time, q AdviceRequest, tickets map[string]string, valid time.Duration) {
 	st := s.stageOf(model.Task{Job: q.Step.Job, Occur: q.Step.Occur, Step: q.Step.Step})
 	if s.removeRequest(q) && st != nil {
 		st.advice.requestedAt = time.Time{}
@@ -161,6 +162,7 @@
 	if st.advice.tickets == nil {
 		st.advice.tickets = make(map[string]ticket, len(q.Executors))
 	}
+	usableUntil, nextRequest := now.Add(valid-min(ticketMargin, valid/2)), now.Add(failedRequestBackoff)
 	for _, id := range q.Executors {
 		e := s.executors[id]
 		if e == nil || q.decision <= e.bornIn {
@@ -173,7 +175,7 @@
 		if !ok && q.decision <= st.advice.hintChangedIn {
 			continue // The adviser may have answered without a hint.
 		}
-		st.advice.tickets[id] = ticket{decision: q.decision, allowed: ok, text: text, until: until}
+		st.advice.tickets[id] = ticket{decision: q.decision, allowed: ok, text: text, usableUntil: usableUntil, nextRequest: nextRequest}
 	}
 }
 
--- a/node/internal/plan/advice_test.go
+++ b/node/internal/plan/advice_test.go
@@ -31,7 +31,7 @@
 		for _, id := range q.Executors {
 			tickets[id] = "ticket"
 		}
-		f.state.AdviceReceived(q, tickets, until)
+		f.state.AdviceReceived(epoch, q, tickets, until.Sub(epoch))
 	}
 }
 
@@ -168,10 +168,10 @@
 	f.addReady("a")
 	f.state.AddJob(epoch, f.job("j", model.Step{Count: 2, Need: oneCore}), nil)
 	requests := f.state.Decide(epoch).AdviceRequests
-	f.state.AdviceReceived(requests[0], map[string]string{"a": "old"}, epoch.Add(time.Second))
+	f.state.AdviceReceived(epoch, requests[0], map[string]string{"a": "old"}, time.Second)
 	starts := f.state.Decide(epoch).Starts
 	is.Equal(len(starts), 2)
-	f.state.AdviceReceived(requests[0], map[string]string{"a": "new"}, epoch.Add(time.Second))
+	f.state.AdviceReceived(epoch, requests[0], map[string]string{"a": "new"}, time.Second)
 	f.state.Refused(epoch, starts[0], RefusedTicket)
 	orders := f.state.Decide(epoch)
 	is.Equal(len(orders.AdviceRequests), 0)
@@ -208,7 +208,7 @@
 			f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: oneCore}), nil)
 			requests := f.state.Decide(epoch).AdviceRequests
 			is.Equal(len(requests), 1)
-			change(f, func() { f.state.AdviceReceived(requests[0], nil, epoch.Add(time.Second)) })
+			change(f, func() { f.state.AdviceReceived(epoch, requests[0], nil, time.Second) })
 			f.setHint(true)
 			is.Equal(len(f.state.Decide(epoch.Add(time.Second)).AdviceRequests), 1)
 		})
@@ -232,7 +232,7 @@
 	for now := epoch; now.Before(epoch.Add(ticketsRequiredFor)); now = now.Add(10 * time.Millisecond) {
 		for _, q := range f.state.Decide(now).AdviceRequests {
 			denied++
-			f.state.AdviceReceived(q, nil, now.Add(time.Second))
+			f.state.AdviceReceived(now, q, nil, time.Second)
 		}
 	}
 	is.Equal(denied, 2) // Each step asks once in that time.
@@ -315,12 +315,12 @@
 		// allow answers requests with tickets that have the time in them until which they are valid.
 		allow := func() {
 			for _, q := range requests {
-				until := now.Add(300 * time.Millisecond)
+				const valid = 300 * time.Millisecond
 				tickets := make(map[string]string)
 				for _, id := range q.Executors {
-					tickets[id] = strconv.FormatInt(until.UnixMilli(), 10)
+					tickets[id] = strconv.FormatInt(now.Add(valid).UnixMilli(), 10)
 				}
-				f.state.AdviceReceived(q, tickets, until)
+				f.state.AdviceReceived(now, q, tickets, valid)
 			}
 			requests = nil
 		}
@@ -357,7 +357,7 @@
 					continue
 				}
 				for _, q := range requests {
-					f.state.AdviceReceived(q, nil, now.Add(time.Second))
+					f.state.AdviceReceived(now, q, nil, time.Second)
 				}
 				requests = nil
 			case "fail":
@@ -414,17 +414,17 @@
 			f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: oneCore}), nil)
 			q := f.state.Decide(epoch).AdviceRequests[0]
 			if !tt.late {
-				f.state.AdviceReceived(q, tt.tickets, epoch.Add(time.Minute))
+				f.state.AdviceReceived(epoch, q, tt.tickets, time.Minute)
 			}
 			tt.again(f)
 			if tt.late {
-				f.state.AdviceReceived(q, tt.tickets, epoch.Add(time.Minute))
+				f.state.AdviceReceived(epoch, q, tt.tickets, time.Minute)
 			}
 			f.addReady("a")
 			orders := f.state.Decide(epoch.Add(draftInterval))
 			is.Equal(len(orders.Starts), 0)
 			is.Equal(len(orders.AdviceRequests), 1)
-			f.state.AdviceReceived(orders.AdviceRequests[0], map[string]string{"a": "new"}, epoch.Add(time.Minute))
+			f.state.AdviceReceived(epoch, orders.AdviceRequests[0], map[string]string{"a": "new"}, time.Minute)
 			starts := f.state.Decide(epoch.Add(draftInterval)).Starts
 			is.Equal(len(starts), 1)
 			is.Equal(starts[0].Ticket, "new")
@@ -437,7 +437,7 @@
 // the time before a hint was stored for good.
 func TestLateAnswerEndsNewerRequest(t *testing.T) {
 	tests := map[string]func(f *fixture, q AdviceRequest, now time.Time){
-		"answer":  func(f *fixture, q AdviceRequest, now time.Time) { f.state.AdviceReceived(q, nil, now.Add(time.Second)) },
+		"answer":  func(f *fixture, q AdviceRequest, now time.Time) { f.state.AdviceReceived(now, q, nil, time.Second) },
 		"failure": func(f *fixture, q AdviceRequest, now time.Time) { f.state.AdviceFailed(now, q) },
 	}
 	for name, late := range tests {
@@ -463,3 +463,41 @@
 		})
 	}
 }
+
+// Tickets are valid for less time than a start's margin. The step asked for them again and again
+// and never started.
+func TestShortTicketIsNeverUsed(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.setHint(true)
+	f.addReady("a")
+	f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: oneCore}), nil)
+	q := f.state.Decide(epoch).AdviceRequests[0]
+	f.state.AdviceReceived(epoch, q, map[string]string{"a": "ticket"}, ticketMargin/2)
+	starts := f.state.Decide(epoch).Starts
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Ticket, "ticket")
+}
+
+// Tickets were no longer valid when they came. Requests followed one another without pause.
+func TestExpiredTicketIsRequestedWithoutPause(t *testing.T) {
+	tests := map[string]time.Duration{"at once": 0, "negative": -time.Second, "before the next decision": time.Millisecond}
+	for name, valid := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			f.setHint(true)
+			f.addReady("a")
+			f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: oneCore}), nil)
+			requests := 0
+			for now := epoch; now.Before(epoch.Add(time.Second)); now = now.Add(10 * time.Millisecond) {
+				for _, q := range f.state.Decide(now).AdviceRequests {
+					requests++
+					f.state.AdviceReceived(now, q, map[string]string{"a": "ticket"}, valid)
+				}
+			}
+			is.True(requests > 1)
+			is.True(requests <= int(time.Second/failedRequestBackoff))
+		})
+	}
+}
--- a/node/internal/plan/decide_bench_test.go
+++ b/node/internal/plan/decide_bench_test.go
@@ -73,7 +73,7 @@
 				tickets[id] = "ticket"
 			}
 		}
-		s.AdviceReceived(q, tickets, b.now.Add(2*time.Second))
+		s.AdviceReceived(b.now, q, tickets, 2*time.Second)
 	}
 }
 
--- a/node/internal/plan/odd_test.go
+++ b/node/internal/plan/odd_test.go
@@ -119,7 +119,7 @@
 			case "advice":
 				for _, q := range requests {
 					q.Executors = append(q.Executors, "unknown")
-					f.state.AdviceReceived(q, map[string]string{"a": "x", "unknown": "y"}, now)
+					f.state.AdviceReceived(now, q, map[string]string{"a": "x", "unknown": "y"}, time.Duration(rapid.IntRange(-1, 1).Draw(t, "valid"))*time.Second)
 				}
 				f.state.AdviceFailed(now, AdviceRequest{Step: oddTask(t).StepID(), decision: rapid.IntRange(0, 40).Draw(t, "decision")})
 				requests = nil
--- a/node/internal/plan/policy_test.go
+++ b/node/internal/plan/policy_test.go
@@ -58,7 +58,7 @@
 	requests = f.state.Decide(epoch).AdviceRequests
 	is.Equal(len(requests), 1)
 	is.Equal(requests[0].Step.Job, "quick")
-	f.state.AdviceReceived(requests[0], map[string]string{"b": "ticket"}, epoch.Add(time.Second))
+	f.state.AdviceReceived(epoch, requests[0], map[string]string{"b": "ticket"}, time.Second)
 	starts := f.state.Decide(epoch).Starts
 	is.Equal(len(starts), 1)
 	is.Equal(starts[0].Executor, "b")
@@ -75,7 +75,7 @@
 	j.Queue = "quick"
 	f.state.AddJob(epoch, j, nil)
 	first := f.state.Decide(epoch).AdviceRequests[0]
-	f.state.AdviceReceived(first, map[string]string{"a": "ticket"}, epoch.Add(time.Second))
+	f.state.AdviceReceived(epoch, first, map[string]string{"a": "ticket"}, time.Second)
 	is.Equal(len(f.state.Decide(epoch).Starts), 1)
 	f.addReady("b")
 	requests := f.state.Decide(epoch).AdviceRequests
