plan: a denial of the adviser stood for the whole life of its executor

The step's executors counted as denied for ever, and it waited for ever. Not seen by callers.

Change: if a stage's tasks have no executor because of denials, even if all others were idle, it asks about the denied ones again every 10 s. While an allowed executor is only full, denials stand.

Evidence: TestDenialIsNeverReviewed, three cases (all denied, too few for a gang, the other one too small), fails on the commit before: no task starts in 30 s. TestDenialStandsWhileAllowedExecutorsAreFull holds before and after.

--- a/node/internal/plan/advice.go
+++ b/node/internal/plan/advice.go
@@ -45,6 +45,9 @@
 	// failedRequestBackoff is how long a stage sends no request after one has failed, and
 	// names no executor that was answered for or has refused its ticket.
 	failedRequestBackoff = 100 * time.Millisecond
+	// denialReviewInterval is how long a stage whose tasks have no executor because of
+	// denials waits until it asks about these executors again.
+	denialReviewInterval = 10 * time.Second
 )
 
 // pendingRequest is a request to the adviser without an answer.
@@ -79,7 +82,8 @@
 }
 
 // advice holds the adviser's answers for a stage. Tickets expire, but as long as the queue is
-// advised, executors that are allowed stay so for their life, and the others are never allowed.
+// advised, executors that are allowed stay so for their life, and the others aren't asked about
+// again unless the stage can't run without them.
 type advice struct {
 	tickets       map[string]ticket // by executor that the adviser has answered for
 	requestedAt   time.Time         // when the pending request was ordered; zero for none
@@ -87,6 +91,7 @@
 	nextRequest   time.Time         // no request is sent before that, since the last one failed
 	nextDraft     time.Time         // no request is drafted before that, unless executors have come or gone
 	draftedFor    int               // number of executors when nextDraft was set
+	nextReview    time.Time         // denials stand until then
 }
 
 // delayDraft notes that a request that was drafted for the executors of p wasn't sent.
@@ -162,6 +167,7 @@
 	if st.advice.tickets == nil {
 		st.advice.tickets = make(map[string]ticket, len(q.Executors))
 	}
+	st.advice.nextReview = now.Add(denialReviewInterval)
 	usableUntil, nextRequest := now.Add(valid-min(ticketMargin, valid/2)), now.Add(failedRequestBackoff)
 	for _, id := range q.Executors {
 		e := s.executors[id]
@@ -217,6 +223,9 @@
 		return
 	}
 	draft := s.draftRequest(st, p, now)
+	if len(draft.executors) == 0 && st.reviewDenials(p, now) {
+		draft = s.draftRequest(st, p, now)
+	}
 	if len(draft.executors) == 0 {
 		st.advice.delayDraft(p, now)
 		return
@@ -306,13 +315,53 @@
 	return d
 }
 
+// reviewDenials forgets the denials for executors of p if they have stood for a while and the
+// other executors couldn't hold the stage even if they were idle. The adviser may have had
+// another configuration than this host. It reports whether there were any.
+func (st *stage) reviewDenials(p *pool, now time.Time) bool {
+	if len(st.advice.tickets) == 0 || now.Before(st.advice.nextReview) {
+		return false
+	}
+	tasks := 1
+	if st.spec.Gang {
+		tasks = len(st.tasks)
+	}
+	denied := 0
+	for _, e := range p.executors {
+		if t, answered := st.advice.ticketFor(e); answered && !t.allowed {
+			denied++
+		} else {
+			tasks -= e.idleCapacityFor(st)
+		}
+	}
+	if denied == 0 || tasks <= 0 {
+		return false
+	}
+	maps.DeleteFunc(st.advice.tickets, func(_ string, t ticket) bool { return !t.allowed })
+	st.advice.nextReview = now.Add(denialReviewInterval)
+	return true
+}
+
+// idleCapacityFor returns how many tasks of the stage would fit on the executor if it were idle.
+func (e *executor) idleCapacityFor(st *stage) int {
+	n := len(st.tasks)
+	if st.spec.Spread > 0 {
+		n = min(n, st.spec.Spread)
+	}
+	return fitting(n, st.spec.Room(), e.info.Room)
+}
+
 // capacityFor returns how many more tasks of the stage fit on the executor.
 func (e *executor) capacityFor(st *stage, perTask model.Amount) int {
 	n := st.waiting
 	if st.spec.Spread > 0 {
 		n = min(n, st.spec.Spread-e.runsOf(st))
 	}
-	free := e.free()
+	return fitting(n, perTask, e.free())
+}
+
+// fitting returns how many of n tasks fit into a free capacity.
+func fitting(n int, perTask, free model.Amount) int {
 	if perTask.CPU > 0 {
 		n = min(n, int(free.CPU/perTask.CPU))
 	}
--- a/node/internal/plan/advice_test.go
+++ b/node/internal/plan/advice_test.go
@@ -501,3 +501,65 @@
 		})
 	}
 }
+
+// The adviser denied executors while it had another configuration than the owner, which never saw
+// that the hint had been gone. The step waited for ever.
+func TestDenialIsNeverReviewed(t *testing.T) {
+	tests := map[string]struct {
+		step    model.Step
+		allowed map[string]string // in the first answer
+	}{
+		"all executors denied":  {step: model.Step{Count: 1, Need: oneCore}},
+		"too few for the gang":  {step: model.Step{Count: 2, Need: fullExecutor, Gang: true}, allowed: map[string]string{"a": "ticket"}},
+		"the other one is weak": {step: model.Step{Count: 1, Need: fullExecutor}, allowed: map[string]string{"weak": "ticket"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			f.setHint(true)
+			f.addReady("a", "b")
+			f.state.SetExecutor(model.Executor{ID: "weak", Service: "s", Address: "weak", Room: oneCore.Sub(model.Amount{CPU: 1}), Kind: "a", Rack: "r1", Labels: []string{"a", "r1"}})
+			f.state.Reported(epoch, "weak", Report{RequestedAt: epoch})
+			f.state.AddJob(epoch, f.job("j", tt.step), nil)
+			answers, started := 0, 0
+			for now := epoch; now.Before(epoch.Add(3 * denialReviewInterval)); now = now.Add(10 * time.Millisecond) {
+				orders := f.state.Decide(now)
+				started += len(orders.Starts)
+				f.confirm(now, orders.Starts)
+				for _, q := range orders.AdviceRequests {
+					answers++
+					tickets := tt.allowed
+					if answers > 2 { // The adviser has the owner's configuration now.
+						tickets = map[string]string{"a": "ticket", "b": "ticket"}
+					}
+					f.state.AdviceReceived(now, q, tickets, time.Minute)
+				}
+				if now.Equal(epoch.Add(denialReviewInterval / 2)) {
+					is.Equal(answers, 1) // A denial stands for a while.
+				}
+			}
+			is.Equal(started, tt.step.Count)
+			is.Equal(answers, 3)
+		})
+	}
+}
+
+// The executors that are allowed are full. Those that were denied aren't asked about again.
+func TestDenialStandsWhileAllowedExecutorsAreFull(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.setHint(true)
+	f.addReady("a", "b")
+	f.state.AddJob(epoch, f.job("first", model.Step{Count: 1, Need: fullExecutor}), nil)
+	f.state.AdviceReceived(epoch, f.state.Decide(epoch).AdviceRequests[0], map[string]string{"a": "ticket"}, time.Minute)
+	f.confirm(epoch, f.state.Decide(epoch).Starts)
+	f.state.AddJob(epoch, f.job("second", model.Step{Count: 2, Need: oneCore}), nil)
+	f.state.AdviceReceived(epoch, f.state.Decide(epoch).AdviceRequests[0], nil, time.Minute)
+	is.Equal(f.state.executors["b"].used, model.Amount{})
+	for now := epoch; now.Before(epoch.Add(3 * denialReviewInterval)); now = now.Add(10 * time.Millisecond) {
+		for _, q := range f.state.Decide(now).AdviceRequests {
+			is.Equal(q.Executors, []string{"a"})
+		}
+	}
+}
