board, owner: jobs and phases from the store and from hosts weren't checked

Jobs were checked when they were submitted, and never again: a damaged row, or a message with a step that depends on one that doesn't exist, ended the owner's process in criticalPath, and then that of each successor. A row with an unknown phase ended each host's process that was asked for the job's state.

Change: what is decoded from a row is checked, for all readers of rows; so are the jobs and the states that other hosts send. A row that fails is skipped and logged like one that can't be decoded.

--- a/coord/model/job.go
+++ b/coord/model/job.go
@@ -1,6 +1,9 @@
 package model
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Job is a submitted piece of work.
 type Job struct {
@@ -25,6 +28,42 @@
 	Limit Amount `cbor:"2,keyasint"` // of its team
 }
 
+// MaxTasks is the largest number of tasks of a job's steps together.
+const MaxTasks = 100_000
+
+// Check returns an *InvalidJobError if the job can't be scheduled: a step has no tasks, the
+// steps together have more than MaxTasks, or a step depends on one that isn't before it.
+func (j *Job) Check() error {
+	tasks := 0
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		if s.Count < 1 || s.Count > MaxTasks-tasks {
+			return &InvalidJobError{ID: j.ID, Text: "a step has no tasks, or the job has more than " + strconv.Itoa(MaxTasks)}
+		}
+		tasks += s.Count
+		for _, a := range s.After {
+			if a < 0 || a >= i {
+				return &InvalidJobError{ID: j.ID, Text: "a step depends on a step that doesn't come before it"}
+			}
+		}
+	}
+	return nil
+}
+
+// InvalidJobError reports a job that can't be scheduled.
+type InvalidJobError struct {
+	ID   string // empty if the job has none yet
+	Text string
+}
+
+// Error implements error.
+func (e *InvalidJobError) Error() string {
+	if e.ID == "" {
+		return "job: " + e.Text
+	}
+	return "job " + e.ID + ": " + e.Text
+}
+
 // Address returns the host name and the path prefix at which the job was submitted; both are
 // empty if they weren't stored.
 func (j *Job) Address() (host, prefix string) {
--- a/coord/model/phase.go
+++ b/coord/model/phase.go
@@ -1,5 +1,7 @@
 package model
 
+import "strconv"
+
 // Phase is the lifecycle state of a job.
 type Phase int
 
@@ -29,5 +31,19 @@
 	return "unknown"
 }
 
+// Check returns an *UnknownPhaseError for a value that isn't a phase.
+func (p Phase) Check() error {
+	if p < Queued || p > Cancelled {
+		return &UnknownPhaseError{Phase: p}
+	}
+	return nil
+}
+
+// UnknownPhaseError reports a value that isn't a phase.
+type UnknownPhaseError struct{ Phase Phase }
+
+// Error implements error.
+func (e *UnknownPhaseError) Error() string { return "unknown phase " + strconv.Itoa(int(e.Phase)) }
+
 // Final reports whether the job has ended.
 func (p Phase) Final() bool { return p >= Done }
--- a/coord/model/progress.go
+++ b/coord/model/progress.go
@@ -7,6 +7,9 @@
 	Occurs map[int]Occur `cbor:"2,keyasint,omitempty"` // by occurrence number; finished ones have no stages
 }
 
+// Check returns an *UnknownPhaseError if the record was damaged.
+func (p *Progress) Check() error { return p.Phase.Check() }
+
 // Occur is the progress of one occurrence of a job.
 type Occur struct {
 	Done   bool          `cbor:"1,keyasint,omitempty"`
--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -137,12 +137,23 @@
 
 func (a *Accepted) accepter() accepter { return accepter{a.Queue, a.Host, a.Prefix} }
 
+// Check returns an *model.InvalidJobError if the row has a job that can't be scheduled.
+func (a *Accepted) Check() error {
+	if a.Job == nil {
+		return nil
+	}
+	return a.Job.Check()
+}
+
 // Phase is a job's phase row. A job without one is queued.
 type Phase struct {
 	Phase model.Phase `cbor:"1,keyasint"`
 	Ended int64       `cbor:"2,keyasint,omitempty"` // Unix seconds
 }
 
+// Check returns an *model.UnknownPhaseError if the row was damaged.
+func (p *Phase) Check() error { return p.Phase.Check() }
+
 // encodeMode returns the encoder for row values. It keeps the fractions of a second of
 // times, which the library truncates by default.
 func encodeMode() (cbor.EncMode, error) { return cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode() }
@@ -161,11 +172,17 @@
 	return platform.Put{Table: table, Part: part, Key: key, Value: data}, nil
 }
 
-// Decode decodes the value of a row into v. The error is a *DecodeError.
+// Decode decodes the value of a row into v and checks it, if it has a method Check. The error
+// is a *DecodeError.
 func Decode(row platform.Row, v any) error {
 	if err := cbor.Unmarshal(row.Value, v); err != nil {
 		return &DecodeError{Table: row.Table, Key: row.Key, Err: err}
 	}
+	if c, ok := v.(interface{ Check() error }); ok {
+		if err := c.Check(); err != nil {
+			return &DecodeError{Table: row.Table, Key: row.Key, Err: err}
+		}
+	}
 	return nil
 }
 
--- a/node/internal/board/rows_test.go
+++ b/node/internal/board/rows_test.go
@@ -1,10 +1,12 @@
 package board
 
 import (
+	"errors"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
 	"github.com/balsamford/balsamford/coord/model"
 	"github.com/balsamford/balsamford/platform"
@@ -39,3 +41,26 @@
 	is.NoErr(Decode(platform.Row{Value: put.Value}, &job))
 	is.Equal(job.Terms, terms)
 }
+
+// A row with a phase that doesn't exist ended the processes that answered for its job.
+func TestUnknownPhaseEndsProcess(t *testing.T) {
+	tests := map[string]struct{ row, into any }{
+		"phase":           {row: &Phase{Phase: 5}, into: new(Phase)},
+		"negative phase":  {row: &Phase{Phase: -1}, into: new(Phase)},
+		"record":          {row: &model.Progress{Phase: 5}, into: new(model.Progress)},
+		"negative record": {row: &model.Progress{Phase: -1}, into: new(model.Progress)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			put, err := Put(Table, Main, PhaseKey("j"), tt.row)
+			is.NoErr(err)
+			row := platform.Row{Table: put.Table, Key: put.Key, Value: put.Value}
+			var damaged *DecodeError
+			is.True(errors.As(Decode(row, tt.into), &damaged))
+			b := New(zap.NewNop())
+			b.Change([]platform.Row{row})
+			is.NoErr(b.phases["j"].Phase.Check()) // PhaseBody has a text for each phase.
+		})
+	}
+}
--- a/node/internal/owner/notification.go
+++ b/node/internal/owner/notification.go
@@ -131,9 +131,14 @@
 		return
 	}
 	for _, j := range n.Jobs {
-		if j != nil { // A null in a malformed message.
-			t.JobAccepted(j)
+		if j == nil { // A null in a malformed message.
+			continue
 		}
+		if err := j.Check(); err != nil {
+			t.owner.logger.Warn("skipping notification of a job", zap.String("id", j.ID), zap.Error(err))
+			continue
+		}
+		t.JobAccepted(j)
 	}
 	for _, id := range n.Cancelled {
 		t.JobCancelled(id)
--- a/node/internal/owner/state.go
+++ b/node/internal/owner/state.go
@@ -41,7 +41,7 @@
 	}
 	var s JobState
 	err := o.callOwner(context.Background(), stateVerb, stateTimeout, &stateRequest{ID: id}, &s)
-	return s, err == nil && s.Known
+	return s, err == nil && s.Known && s.Phase.Check() == nil
 }
 
 // serveState handles state requests from other hosts.
