platform: times beyond a duration's range had the wrong sign

Found by looking for what messages and the configuration leave in memory; not seen by callers. An interval times its occurrence overflowed on both, and so did the nanoseconds of a start after 2262 in its row.

--- a/coord/model/job.go
+++ b/coord/model/job.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"math"
 	"strconv"
 	"time"
 )
@@ -82,5 +83,8 @@
 	if j.Times == 0 {
 		return time.Time{}
 	}
+	if j.Every > 0 && time.Duration(k) > math.MaxInt64/j.Every {
+		return j.First.Add(math.MaxInt64)
+	}
 	return j.First.Add(time.Duration(k) * j.Every)
 }
