model: a job's negative need added to the room of its executors

Found by reading; not seen by callers. A submission with a negative cpu, mem_mb or gpu was accepted, and a run of it lowered what its executor had in use, so that others were started beyond what the executor has.

Change: model.Job.Check rejects it, at submission with 400 and in rows.

--- a/coord/model/job.go
+++ b/coord/model/job.go
@@ -33,7 +33,8 @@
 const MaxTasks = 100_000
 
 // Check returns an *InvalidJobError if the job can't be scheduled: a step has no tasks, the
-// steps together have more than MaxTasks, or a step depends on one that isn't before it.
+// steps together have more than MaxTasks, a task needs less than nothing, or a step depends on
+// one that isn't before it.
 func (j *Job) Check() error {
 	tasks := 0
 	for i := range j.Steps {
@@ -42,6 +43,9 @@
 			return &InvalidJobError{ID: j.ID, Text: "a step has no tasks, or the job has more than " + strconv.Itoa(MaxTasks)}
 		}
 		tasks += s.Count
+		if s.Need.CPU < 0 || s.Need.Memory < 0 || s.Need.Accel < 0 {
+			return &InvalidJobError{ID: j.ID, Text: "a task has a negative need"}
+		}
 		for _, a := range s.After {
 			if a < 0 || a >= i {
 				return &InvalidJobError{ID: j.ID, Text: "a step depends on a step that doesn't come before it"}
