plan: a job with many times stopped all hosts

Nothing of any job starts any more; each host that becomes the owner takes a whole core and answers nothing, one after the other.

Cause: each decision looked through all occurrences from the first for each one that is due, in the square of their number and with the term's lock held; all that were due began at once, with stages and tasks of their own; and the record named each that had finished, so that it outgrew a row.

Change: occurrences begin in order, so that a job knows the next one, and only while fewer than 500 of its tasks are open; tasks that last don't count once they run. The record has the open ones and the number of the next. Records of earlier programs are read as before; format 3 keeps an earlier program from taking over, since it would begin the earlier occurrences again. An executor's report begins an occurrence only if it is due within a minute: an odd one could begin any number of them.

--- a/coord/model/progress.go
+++ b/coord/model/progress.go
@@ -5,6 +5,9 @@
 type Progress struct {
 	Phase  Phase         `cbor:"1,keyasint,omitempty"`
 	Occurs map[int]Occur `cbor:"2,keyasint,omitempty"` // by occurrence number; finished ones have no stages
+	// Next is the number of the first occurrence that may not have begun. Earlier ones that
+	// aren't in Occurs have finished.
+	Next int `cbor:"3,keyasint,omitempty"`
 }
 
 // Check returns an *UnknownPhaseError if the record was damaged.
--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -55,7 +55,10 @@
 // so that an older program can read newer rows. It doesn't take ownership of a cell whose
 // rows have a newer format, since rewriting them would drop the fields that it doesn't
 // know.
-const Format = 2
+const Format = 3
+
+// The number of a record's next occurrence came with format 3: owners with an earlier one would
+// begin the occurrences before it again.
 
 // SplitFormat is the first format that keeps submissions in the table Submitted. Owners
 // with an earlier format expect them in the acceptance rows of the board.
--- a/node/internal/plan/decide.go
+++ b/node/internal/plan/decide.go
@@ -62,9 +62,7 @@
 		if j.phase.Final() {
 			continue
 		}
-		for k, due := j.nextDue(now); due; k, due = j.nextDue(now) {
-			j.occurrence(k)
-		}
+		j.beginDue(now)
 		copiesOnly := false
 		if j.inherited && !now.After(s.settleDeadline) {
 			service := j.queue.Service
--- a/node/internal/plan/ends.go
+++ b/node/internal/plan/ends.go
@@ -8,7 +8,7 @@
 
 // runEnded handles the end of a run that an executor reported.
 func (s *State) runEnded(now time.Time, e *executor, end model.End) {
-	st := s.stageOf(end.Task)
+	st := s.reportedStage(now, end.Task)
 	if r := e.runs[runKey{task: end.Task, number: end.Number}]; r != nil {
 		if end.Outcome == model.RunDone {
 			s.learnSlowdown(r.stage, e, now.Sub(r.startedAt))
@@ -65,12 +65,11 @@
 	if !o.done() {
 		return
 	}
-	o.job.finished[o.number] = true
-	if len(o.job.finished) == o.job.spec.Occurrences() {
+	if o.job.isLast(o) {
 		s.endJob(o.job, model.Done, now)
 		return
 	}
-	delete(o.job.occurs, o.number)
+	o.job.finish(o)
 }
 
 // taskFailed counts a failed run, which may make the job fail. Lasting tasks are
--- a/node/internal/plan/job.go
+++ b/node/internal/plan/job.go
@@ -13,8 +13,9 @@
 	inherited    bool // an earlier owner had it; there may be runs of it that this owner doesn't know
 	phase        model.Phase
 	recorded     model.Phase         // phase that was recorded last; model.Queued without a record
-	occurs       map[int]*occurrence // started and unfinished occurrences, by number
-	finished     map[int]bool        // occurrences, by number
+	occurs       map[int]*occurrence // begun and unfinished occurrences, by number
+	next         int                 // first occurrence that hasn't begun
+	ahead        map[int]bool        // later occurrences that have finished already, by number
 	delay        Delay
 	overQuota    bool          // it exceeds its team's submission quota
 	runCount     int           // runs that may exist on executors
@@ -29,7 +30,7 @@
 	if s.jobs[spec.ID] != nil || s.ended[spec.ID] {
 		return false
 	}
-	j := &job{spec: spec, inherited: progress != nil, occurs: make(map[int]*occurrence), finished: make(map[int]bool)}
+	j := &job{spec: spec, inherited: progress != nil, occurs: make(map[int]*occurrence), ahead: make(map[int]bool)}
 	j.criticalPath = criticalPath(spec.Steps)
 	if spec.Terms != nil {
 		j.queue = spec.Terms.Queue
@@ -39,7 +40,7 @@
 	j.overQuota = s.ChargeQuota(spec.Team, spec.Sent)
 	if progress != nil {
 		j.phase, j.recorded = progress.Phase, progress.Phase // A job that has ended stays until its last runs are gone.
-		s.restore(j, progress, now)
+		s.restoreOccurrences(j, progress, now)
 	}
 	s.jobs[spec.ID] = j
 	return true
@@ -88,31 +89,6 @@
 // maxAttempts returns how many failed runs of a task make the job fail.
 func (j *job) maxAttempts() int { return max(1, j.queue.Attempts) }
 
-// occurrence returns occurrence k and starts it if necessary. It returns nil if the
-// occurrence has finished or doesn't exist.
-func (j *job) occurrence(k int) *occurrence {
-	if j.finished[k] || k < 0 || k >= j.spec.Occurrences() {
-		return nil
-	}
-	o := j.occurs[k]
-	if o == nil {
-		o = newOccurrence(j, k)
-		j.occurs[k] = o
-	}
-	return o
-}
-
-// nextDue returns the next occurrence that hasn't started, and whether it is due.
-func (j *job) nextDue(now time.Time) (int, bool) {
-	for k := range j.spec.Occurrences() {
-		if j.finished[k] || j.occurs[k] != nil {
-			continue
-		}
-		return k, !j.spec.Due(k).After(now)
-	}
-	return 0, false
-}
-
 // markDirty notes that the job's progress has changed and has to be recorded.
 func (s *State) markDirty(j *job) {
 	j.version++
--- a/node/internal/plan/occurrence.go
+++ b/node/internal/plan/occurrence.go
@@ -1,5 +1,21 @@
 package plan
 
+import (
+	"time"
+
+	"github.com/balsamford/balsamford/coord/model"
+)
+
+const (
+	// maxOpenTasks is the number of a job's unfinished tasks from which no further
+	// occurrence of it begins. Otherwise a job that is due many times would fill the memory
+	// of its owner, its record and each decision.
+	maxOpenTasks = 500
+	// dueTolerance is by how much an occurrence may run before it is due by this host's
+	// clock: an owner with another clock began it.
+	dueTolerance = time.Minute
+)
+
 // occurrence is one execution of a job's steps.
 type occurrence struct {
 	job    *job
@@ -34,3 +50,95 @@
 	}
 	return true
 }
+
+// openTasks returns the number of unfinished tasks. Those that last don't count once they run.
+func (o *occurrence) openTasks() int {
+	n := 0
+	for _, st := range o.stages {
+		if st.spec.Lasting {
+			n += st.waiting
+		} else {
+			n += st.unfinished
+		}
+	}
+	return n
+}
+
+// beginDue begins the occurrences of the job that are due, in order, as long as it has few open
+// tasks.
+func (j *job) beginDue(now time.Time) {
+	if j.next >= j.spec.Occurrences() {
+		return
+	}
+	open := 0
+	for _, o := range j.occurs {
+		open += o.openTasks()
+	}
+	for j.skipBegun(); j.next < j.spec.Occurrences() && open < maxOpenTasks && !j.spec.Due(j.next).After(now); j.skipBegun() {
+		open += j.begin(j.next).openTasks()
+	}
+}
+
+// skipBegun advances next past the occurrences that have begun.
+func (j *job) skipBegun() {
+	for j.occurs[j.next] != nil || j.ahead[j.next] {
+		delete(j.ahead, j.next)
+		j.next++
+	}
+}
+
+// begin begins occurrence k, which must not have begun.
+func (j *job) begin(k int) *occurrence {
+	o := newOccurrence(j, k)
+	j.occurs[k] = o
+	return o
+}
+
+// beginReported returns occurrence k, of which an executor has or had a run. An earlier owner
+// may have begun it and not have recorded that. It returns nil if the occurrence has finished,
+// doesn't exist, or isn't due for long.
+func (j *job) beginReported(k int, now time.Time) *occurrence {
+	if o := j.occurs[k]; o != nil {
+		return o
+	}
+	if k < j.next || k >= j.spec.Occurrences() || j.ahead[k] || j.spec.Due(k).After(now.Add(dueTolerance)) {
+		return nil
+	}
+	return j.begin(k)
+}
+
+// isLast reports whether all other occurrences than an open one have finished.
+func (j *job) isLast(o *occurrence) bool {
+	j.skipBegun()
+	return j.next >= j.spec.Occurrences() && len(j.occurs) == 1 && j.occurs[o.number] == o
+}
+
+// finish notes that the tasks of an open occurrence are done.
+func (j *job) finish(o *occurrence) {
+	delete(j.occurs, o.number)
+	if o.number >= j.next {
+		j.ahead[o.number] = true
+	}
+}
+
+// restoreOccurrences applies the recorded progress of the job's occurrences. Records of earlier
+// programs have no Next, and name all that have finished.
+func (s *State) restoreOccurrences(j *job, p *model.Progress, now time.Time) {
+	j.next = min(max(0, p.Next), j.spec.Occurrences())
+	for k, po := range p.Occurs {
+		if k < 0 || k >= j.spec.Occurrences() {
+			continue
+		}
+		if po.Done {
+			j.ahead[k] = true
+			continue
+		}
+		o := j.begin(k)
+		for i, ps := range po.Stages {
+			if i >= 0 && i < len(o.stages) {
+				s.restoreStage(o.stages[i], ps, now)
+			}
+		}
+	}
+	j.skipBegun()
+}
--- a/node/internal/plan/report.go
+++ b/node/internal/plan/report.go
@@ -85,7 +85,7 @@
 // started. It stops the run if its job has ended, its task is done, or the task has
 // another current run.
 func (s *State) adopt(now time.Time, e *executor, reported *model.Run) *run {
-	st := s.stageOf(reported.Task)
+	st := s.reportedStage(now, reported.Task)
 	if st == nil { // Its needs are unknown, so that no other run may start beside it.
 		e.backoffUntil = now.Add(unknownRunBackoff)
 		s.orders.Stops = append(s.orders.Stops, Stop{Task: reported.Task, Number: reported.Number, Executor: e.info.ID})
@@ -112,22 +112,41 @@
 const unknownRunBackoff = 3 * time.Second
 
 // stageOf returns the stage of a task, or nil if the task is unknown or its
-// occurrence has finished.
+// occurrence isn't open.
 func (s *State) stageOf(t model.Task) *stage {
-	j := s.jobs[t.Job]
-	if j == nil || t.Step < 0 || t.Step >= len(j.spec.Steps) {
+	j := s.jobWith(t)
+	if j == nil || j.occurs[t.Occur] == nil {
 		return nil
 	}
-	if t.Index < 0 || t.Index >= j.spec.Steps[t.Step].Count {
+	return j.occurs[t.Occur].stages[t.Step]
+}
+
+// reportedStage returns the stage of a task of which an executor reports a run or its end. It
+// returns nil if the task is unknown or its occurrence has finished.
+func (s *State) reportedStage(now time.Time, t model.Task) *stage {
+	j := s.jobWith(t)
+	if j == nil {
 		return nil
 	}
-	o := j.occurrence(t.Occur)
+	o := j.beginReported(t.Occur, now)
 	if o == nil {
 		return nil
 	}
 	return o.stages[t.Step]
 }
 
+// jobWith returns the job that has a task with the step and the index of t, or nil.
+func (s *State) jobWith(t model.Task) *job {
+	j := s.jobs[t.Job]
+	if j == nil || t.Step < 0 || t.Step >= len(j.spec.Steps) {
+		return nil
+	}
+	if t.Index < 0 || t.Index >= j.spec.Steps[t.Step].Count {
+		return nil
+	}
+	return j
+}
+
 // markRunning moves a queued job to the running phase.
 func (s *State) markRunning(j *job) {
 	if j.phase == model.Queued {
--- a/node/internal/plan/restore.go
+++ b/node/internal/plan/restore.go
@@ -8,26 +8,6 @@
 
 const bitsPerByte = 8
 
-// restore applies the recorded progress of a job. Recorded runs occupy capacity until
-// their executors have reported or can't run them any more.
-func (s *State) restore(j *job, p *model.Progress, now time.Time) {
-	for k, po := range p.Occurs {
-		if po.Done {
-			j.finished[k] = true
-			continue
-		}
-		o := j.occurrence(k)
-		if o == nil {
-			continue
-		}
-		for i, ps := range po.Stages {
-			if i >= 0 && i < len(o.stages) {
-				s.restoreStage(o.stages[i], ps, now)
-			}
-		}
-	}
-}
-
 // restoreStage applies the recorded progress of a stage. Its recorded runs, of which
 // Spares are the unwanted ones, are in doubt until their executors have reported.
 func (s *State) restoreStage(st *stage, p model.Stage, now time.Time) {
@@ -162,8 +142,12 @@
 	if j.phase.Final() {
 		return p
 	}
-	p.Occurs = make(map[int]model.Occur, len(j.occurs)+len(j.finished))
-	for k := range j.finished {
+	recurs := j.spec.Times > 0
+	if recurs {
+		p.Next = j.next
+	}
+	p.Occurs = make(map[int]model.Occur, len(j.occurs)+len(j.ahead))
+	for k := range j.ahead {
 		p.Occurs[k] = model.Occur{Done: true}
 	}
 	for k, o := range j.occurs {
@@ -176,7 +160,7 @@
 				po.Stages[i] = ps
 			}
 		}
-		if po.Stages != nil {
+		if po.Stages != nil || recurs && k < j.next {
 			p.Occurs[k] = po
 		}
 	}
