plan, owner, front: a wide job stopped all records of the cell

The store refuses the owner's writes from then on; nothing is recorded for anyone, and ownership changes each two seconds.

Cause: the progress of a job is one row, of some 20 bytes for each run, and nothing kept it below the store's limit of a row. Its write was repeated with the same rows, those of all others among them. The same was open for what clients submit (long names) and for transactions as a whole: both writers counted entries, not bytes.

Change: a job has no more runs at a time than its record can hold, by an upper bound of its size; failures of tasks that are done leave the record. What needs its runs at the same time, a gang or tasks that last, is rejected at submission with the limit named, as is a submission larger than a row. Both writers bound the bytes of a transaction. A record that is too large all the same, since runs of an earlier owner were found, is left out, logged and counted (node.owner.oversize).

--- a/node/internal/front/front.go
+++ b/node/internal/front/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"strconv"
 	"strings"
 	"time"
@@ -63,13 +64,24 @@
 	writers     map[string]*writer // by partition
 	logger      *zap.Logger
 	counts      *counts
+	rowSize     func() int // largest size of a row, in bytes
 }
 
+// Option configures a Service that New returns.
+type Option func(*Service)
+
+// WithRowSize sets a function that returns the largest size of a row of the store, in bytes. The
+// default returns platform.DefaultRowSize.
+func WithRowSize(f func() int) Option { return func(s *Service) { s.rowSize = f } }
+
 // New returns a Service. Submissions and cancellations are stored only while Run runs.
-func New(clock *timer.Service, configs Configs, b *board.Board, store Store, health Health, ownerClient OwnerClient, logger *zap.Logger, registry metrics.Registry) *Service {
+func New(clock *timer.Service, configs Configs, b *board.Board, store Store, health Health, ownerClient OwnerClient, logger *zap.Logger, registry metrics.Registry, opts ...Option) *Service {
 	s := &Service{
 		clock: clock, configs: configs, board: b, store: store, health: health, ownerClient: ownerClient, writers: make(map[string]*writer), logger: logger,
-		counts: newCounts(registry),
+		counts: newCounts(registry), rowSize: func() int { return platform.DefaultRowSize },
+	}
+	for _, opt := range opts {
+		opt(s)
 	}
 	for _, part := range board.JobParts() {
 		s.writers[part] = newWriter(store, logger)
@@ -164,7 +176,13 @@
 // reject answers a request with an error, and counts it as refused.
 func (s *Service) reject(x *httpd.Exchange, code int, text string) {
 	s.counts.refused.Inc(1)
-	x.Answer(code, jsonType, []byte(`{"error":"`+text+`"}`))
+	body, err := json.Marshal(struct {
+		Error string `json:"error"`
+	}{text})
+	if err != nil {
+		body = nil // Unreachable: encoding a struct with one string can't fail.
+	}
+	x.Answer(code, jsonType, body)
 }
 
 // unavailable rejects a request with 503. The request must not have had an effect, nor get
--- a/node/internal/front/submit.go
+++ b/node/internal/front/submit.go
@@ -22,7 +22,12 @@
 	job, err := platform.ParseJob(r.exchange.Request().Body())
 	if err != nil {
 		s.logger.Info("job not understood", zap.String("id", r.id), zap.Error(err))
-		s.reject(r.exchange, fasthttp.StatusBadRequest, "not a job")
+		s.reject(r.exchange, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
+	if err := job.CheckRecord(s.rowSize()); err != nil {
+		s.logger.Info("job is too large", zap.String("id", r.id), zap.Error(err))
+		s.reject(r.exchange, fasthttp.StatusBadRequest, err.Error())
 		return
 	}
 	job.ID, job.Queue, job.Team, job.Sent = r.id, r.queue.Name, r.team, s.clock.Now()
@@ -67,6 +72,16 @@
 	return out, nil
 }
 
+// checkSize returns a *RowSizeError if a value is larger than a row may be.
+func checkSize(rows []platform.Put, most int) error {
+	for i := range rows {
+		if n := len(rows[i].Value); n > most {
+			return &RowSizeError{Size: n, Most: most}
+		}
+	}
+	return nil
+}
+
 // storeAndAnswer stores a row of the board, and the submission if there is a second value,
 // and answers the client. It succeeds without a write if the row of the board exists
 // already. If the store is slow, the owner's host writes the rows and notes them, provided
@@ -85,8 +100,12 @@
 			break
 		}
 		rows, err := encodeRows(r.id, board.PartOf(r.id, attempt), key, values)
+		if err == nil {
+			err = checkSize(rows, s.rowSize())
+		}
 		if err != nil {
-			s.reject(r.exchange, fasthttp.StatusBadRequest, "not a job")
+			s.logger.Info("job is too large", zap.String("id", r.id), zap.Error(err))
+			s.reject(r.exchange, fasthttp.StatusBadRequest, err.Error())
 			return
 		}
 		if s.store.Slow() {
--- a/node/internal/front/writer.go
+++ b/node/internal/front/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 
 	"go.uber.org/zap"
@@ -16,6 +17,8 @@
 	maxEntriesPerItem = 3
 	// maxItemsPerWrite keeps a transaction within the store's limit of entries.
 	maxItemsPerWrite = platform.MaxEntries / maxEntriesPerItem
+	// maxItemSize is the largest size of an item, so that each fits in a transaction.
+	maxItemSize = platform.MaxPutSize
 	// maxQueuedItems bounds the queue of a partition.
 	maxQueuedItems = 1024
 )
@@ -35,6 +38,15 @@
 	done chan error // receives the outcome once; has room for it
 }
 
+// size returns an upper bound of what the item takes in a transaction, in bytes.
+func (it *item) size() int {
+	n := 0
+	for i := range it.puts {
+		n += platform.PutSize(len(it.puts[i].Value))
+	}
+	return n
+}
+
 // writer creates rows in one partition. It runs one transaction at a time and puts all
 // items that are queued by then into the next, so that more clients lead to larger
 // transactions, not to more of them.
@@ -42,6 +54,7 @@
 	store  Store
 	logger *zap.Logger
 	items  chan *item
+	next   *item // taken from items and left for the next transaction, or nil; used by run only
 
 	mu     sync.Mutex // guards closed
 	closed bool       // run has ended or ends now; nothing more is queued
@@ -57,6 +70,9 @@
 // Enqueue itself returns a *platform.RefusedError if the queue is full or run has ended.
 func (w *writer) enqueue(puts []platform.Put) (*item, error) {
 	it := &item{puts: puts, done: make(chan error, 1)}
+	if it.size() > maxItemSize {
+		return nil, &platform.RefusedError{Call: "queue write", Status: http.StatusRequestEntityTooLarge}
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.closed {
@@ -73,9 +89,14 @@
 // run writes queued items until ctx ends. Items that haven't been written then are refused.
 func (w *writer) run(ctx context.Context) error {
 	defer w.close()
+	defer func() {
+		if w.next != nil {
+			refuse([]*item{w.next})
+		}
+	}()
 	var batch []*item
 	for ctx.Err() == nil {
-		if len(batch) == 0 {
+		if len(batch) == 0 && w.next == nil {
 			select {
 			case <-ctx.Done():
 				return nil
@@ -112,15 +133,26 @@
 	}
 }
 
-// addQueued adds the queued items to batch, up to maxItemsPerWrite.
+// addQueued adds the queued items to batch, as many as fit in a transaction.
 func (w *writer) addQueued(batch []*item) []*item {
+	size := 0
+	for _, it := range batch {
+		size += it.size()
+	}
 	for len(batch) < maxItemsPerWrite {
-		select {
-		case it := <-w.items:
-			batch = append(batch, it)
-		default:
+		it := w.next
+		if it == nil {
+			select {
+			case it = <-w.items:
+			default:
+				return batch
+			}
+		}
+		if size += it.size(); size > platform.MaxPutSize {
+			w.next = it
 			return batch
 		}
+		batch, w.next = append(batch, it), nil
 	}
 	return batch
 }
--- a/node/internal/owner/batch.go
+++ b/node/internal/owner/batch.go
@@ -1,11 +1,16 @@
 package owner
 
 import (
+	"go.uber.org/zap"
+
 	"github.com/balsamford/balsamford/node/internal/board"
 	"github.com/balsamford/balsamford/node/internal/plan"
 	"github.com/balsamford/balsamford/platform"
 )
 
+// phaseSize is an upper bound of the size of a phase row, in bytes.
+const phaseSize = 32
+
 // maxChangeRows keeps a write within the store's limit of entries: the row of closed
 // executors, the owner's row and its condition take three.
 const maxChangeRows = platform.MaxEntries - 3
@@ -14,6 +19,7 @@
 type batch struct {
 	changes        []plan.Change
 	partial        bool               // there are more changes than one write can hold
+	oversize       []string           // jobs whose records are larger than a row may be, left out
 	ends           map[*session]int64 // sequence number of the last end that this write covers, by executor
 	closed         *board.Closed      // nil if the recorded row is up to date
 	writeAheadZone string             // zone in which every run is recorded as of this write, may be empty
@@ -21,17 +27,43 @@
 
 func (b *batch) empty() bool { return len(b.changes) == 0 && b.closed == nil }
 
-// addChanges adds the changes that fit in one write.
-func (b *batch) addChanges(changes []plan.Change) {
-	rows := 0
+// addChanges adds the changes that fit in one write, and whose records fit in a row of rowSize
+// bytes.
+func (b *batch) addChanges(changes []plan.Change, rowSize int) {
+	rows, size := 0, 2*platform.PutSize(rowSize) // Of the owner's row and that of closed executors.
+	b.changes = changes[:0]
 	for i := range changes {
-		rows += changes[i].Rows()
-		if rows > maxChangeRows {
-			b.changes, b.partial = changes[:i], true
+		c := &changes[i]
+		if c.Size > rowSize && recordSize(c) > rowSize { // The first is an upper bound.
+			b.oversize = append(b.oversize, c.Job)
+			continue
+		}
+		rows += c.Rows()
+		size += platform.PutSize(min(c.Size, rowSize)) + (c.Rows()-1)*platform.PutSize(phaseSize)
+		if rows > maxChangeRows || size > platform.MaxPutSize {
+			b.partial = true
 			return
 		}
+		b.changes = append(b.changes, *c)
+	}
+}
+
+// recordSize returns the size of the record of a change, in bytes.
+func recordSize(c *plan.Change) int {
+	put, err := board.Put(board.Progress, board.Main, c.Job, c.Progress)
+	if err != nil {
+		return 0 // The write fails with this error.
+	}
+	return len(put.Value)
+}
+
+// noteOversize logs and counts the records that were left out for their size. The term's mu is
+// held.
+func (t *term) noteOversize(jobs []string) {
+	t.owner.metrics.oversize.Update(int64(len(jobs)))
+	for _, id := range jobs {
+		t.owner.logger.Error("record is too large", zap.String("id", id), zap.Int("most", t.bounds.RowSize), zap.Int64("epoch", t.epoch))
 	}
-	b.changes = changes
 }
 
 // collect returns the next batch. It includes ends and closed executors only if it
@@ -42,8 +74,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var b batch
-	b.addChanges(t.plan.Changes(maxChangeRows + 1))
-	if b.partial {
+	b.addChanges(t.plan.Changes(maxChangeRows+1), t.rowSize())
+	t.noteOversize(b.oversize)
+	if b.partial || len(b.oversize) > 0 {
 		return b
 	}
 	if t.plan.ZoneRunsKnown(t.writeAheadZone) {
--- a/node/internal/owner/batch_test.go
+++ b/node/internal/owner/batch_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
 	"github.com/balsamford/balsamford/coord/model"
 	"github.com/balsamford/balsamford/coord/timer"
@@ -61,3 +62,52 @@
 		})
 	}
 }
+
+// Changes that together exceed the store's limit of a transaction were put in one write, and
+// nothing was recorded for anyone. A record that is too large for a row is left out.
+func TestLargeRecordHoldsUpOthers(t *testing.T) {
+	tests := map[string]struct {
+		rowSize  int
+		jobs     int
+		runs     int // of each job
+		changes  int // in the first write, at least
+		oversize int
+		partial  bool
+	}{
+		"small":             {rowSize: platform.DefaultRowSize, jobs: 10, runs: 5, changes: 10},
+		"large together":    {rowSize: platform.DefaultRowSize, jobs: 40, runs: 1500, changes: 5, partial: true},
+		"too large for one": {rowSize: 4096, jobs: 3, runs: 1500, oversize: 3},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			clock := timer.New()
+			tm, _ := newTerm()
+			tm.plan, tm.bounds.RowSize, tm.owner.logger = plan.New(nil), tt.rowSize, zap.NewNop()
+			tm.plan.SetExecutor(model.Executor{ID: "e", Service: "s"})
+			var rep plan.Report
+			for i := range tt.jobs {
+				id := fmt.Sprintf("%016x", i)
+				tm.plan.AddJob(clock.Now(), &model.Job{ID: id, Queue: "q", Steps: []model.Step{{Count: tt.runs}}}, &model.Progress{})
+				for n := range tt.runs {
+					rep.Runs = append(rep.Runs, model.Run{Task: model.Task{Job: id, Index: n}, Number: 1})
+				}
+			}
+			tm.plan.Reported(clock.Now(), "e", rep)
+			b := (&recorder{term: tm}).collect()
+			is.True(len(b.changes) >= tt.changes)
+			is.Equal(len(b.oversize), tt.oversize)
+			is.Equal(b.partial, tt.partial)
+			w := platform.Write{}
+			size := 0
+			for _, c := range b.changes {
+				is.NoErr((&recorder{term: tm}).addChange(&w, c))
+			}
+			for _, p := range w.Puts {
+				is.True(len(p.Value) <= tt.rowSize)
+				size += platform.PutSize(len(p.Value))
+			}
+			is.True(size <= platform.MaxPutSize)
+		})
+	}
+}
--- a/node/internal/owner/ownermetrics.go
+++ b/node/internal/owner/ownermetrics.go
@@ -24,6 +24,7 @@
 	starts       metrics.Counter                  // starts confirmed by executors
 	failed       metrics.Counter                  // starts that failed or whose outcome is unknown
 	refused      map[plan.Refusal]metrics.Counter // starts that are known not to have happened, by reason
+	oversize     metrics.Gauge                    // records that are larger than a row may be
 	lost         metrics.Counter                  // runs that neither finished nor were stopped by an order
 	lapsed       map[basis]metrics.Counter        // executors whose leases ended while they didn't respond
 	ends         map[model.Phase]metrics.Counter
@@ -45,7 +46,7 @@
 	}
 	return &ownerMetrics{
 		epoch: gauge("epoch"), terms: counter("terms"), executors: gauge("executors"), silent: gauge("silent"), excluded: excluded, bounded: gauge("bounded"), waiting: gauge("waiting"),
-		paused: gauge("paused"), lag: gauge("lag"), starts: counter("starts"), failed: counter("failed"), refused: refused, lost: counter("lost"),
+		paused: gauge("paused"), lag: gauge("lag"), starts: counter("starts"), failed: counter("failed"), refused: refused, oversize: gauge("oversize"), lost: counter("lost"),
 		lapsed: map[basis]metrics.Counter{
 			byLease:  metrics.GetOrRegisterCounter("node.owner.lapsed.lease", r),
 			byRecord: metrics.GetOrRegisterCounter("node.owner.lapsed.record", r),
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -97,6 +97,14 @@
 	version int64 // of the owner's row
 }
 
+// rowSize returns the largest size of a row, in bytes.
+func (t *term) rowSize() int {
+	if t.bounds.RowSize > 0 {
+		return t.bounds.RowSize
+	}
+	return platform.DefaultRowSize
+}
+
 // observedWritesQueued bounds the observed writes that the recorder hasn't read. The
 // recorder has one write in flight at a time.
 const observedWritesQueued = 4
@@ -126,7 +134,7 @@
 	if before.Epoch > 0 && !before.Resigned && before.Host != o.host {
 		t.noStartUntil = o.clock.Boot() + boardAuthority // That owner may not have seen the takeover yet.
 	}
-	t.plan = plan.New(t.config, plan.WithRemoteSlowdown(t.bounds.Far), plan.WithStopTime(t.bounds.Stop+stopReportDelay), plan.WithRunNumberBase(int(claim.Epoch-1)*runNumbersPerEpoch), plan.WithSettleDeadline(now.Add(t.settleTime)), plan.WithReregisterDeadline(reregisterBy), plan.WithWriteAheadZone(before.WriteAheadZone),
+	t.plan = plan.New(t.config, plan.WithRemoteSlowdown(t.bounds.Far), plan.WithStopTime(t.bounds.Stop+stopReportDelay), plan.WithRunNumberBase(int(claim.Epoch-1)*runNumbersPerEpoch), plan.WithSettleDeadline(now.Add(t.settleTime)), plan.WithReregisterDeadline(reregisterBy), plan.WithWriteAheadZone(before.WriteAheadZone), plan.WithRecordSize(t.rowSize()),
 		plan.WithQuota(t.bounds.ShareWindow, t.bounds.ShareSlack))
 	t.ctx = gctx
 	rec := &recorder{term: t, row: claim, version: version}
--- a/node/internal/plan/decide.go
+++ b/node/internal/plan/decide.go
@@ -62,7 +62,7 @@
 		if j.phase.Final() {
 			continue
 		}
-		j.beginDue(now)
+		j.beginDue(now, s.recordSize)
 		copiesOnly := false
 		if j.inherited && !now.After(s.settleDeadline) {
 			service := j.queue.Service
--- a/node/internal/plan/ends.go
+++ b/node/internal/plan/ends.go
@@ -83,7 +83,7 @@
 		i = 0
 	}
 	t := &st.tasks[i]
-	if t.done || !t.addFailure(end.Number) {
+	if t.done || !st.addFailure(i, end.Number) {
 		return
 	}
 	j := st.occur.job
--- a/node/internal/plan/executor.go
+++ b/node/internal/plan/executor.go
@@ -85,6 +85,7 @@
 func (s *State) executor(id string) *executor {
 	e := s.executors[id]
 	if e == nil {
+		s.longestID = max(s.longestID, len(id))
 		e = &executor{info: model.Executor{ID: id}, bornIn: s.decision, zone: s.zone(""), runs: make(map[runKey]*run)}
 		s.executors[id] = e
 	}
--- a/node/internal/plan/job.go
+++ b/node/internal/plan/job.go
@@ -19,6 +19,8 @@
 	delay        Delay
 	overQuota    bool          // it exceeds its team's submission quota
 	runCount     int           // runs that may exist on executors
+	failures     int           // failed runs of tasks that aren't done
+	occurSize    int           // of an occurrence without runs in the record, in bytes
 	version      int           // increases with each change of the progress
 	criticalPath time.Duration // longest path through the steps, by their estimates
 }
@@ -31,7 +33,7 @@
 		return false
 	}
 	j := &job{spec: spec, inherited: progress != nil, occurs: make(map[int]*occurrence), ahead: make(map[int]bool)}
-	j.criticalPath = criticalPath(spec.Steps)
+	j.criticalPath, j.occurSize = criticalPath(spec.Steps), spec.OccurrenceSize()
 	if spec.Terms != nil {
 		j.queue = spec.Terms.Queue
 		j.queue.Name = spec.Queue
--- a/node/internal/plan/occurrence.go
+++ b/node/internal/plan/occurrence.go
@@ -65,8 +65,8 @@
 }
 
 // beginDue begins the occurrences of the job that are due, in order, as long as it has few open
-// tasks.
-func (j *job) beginDue(now time.Time) {
+// tasks, and the open ones take up to half of a record of recordSize.
+func (j *job) beginDue(now time.Time, recordSize int) {
 	if j.next >= j.spec.Occurrences() {
 		return
 	}
@@ -74,7 +74,7 @@
 	for _, o := range j.occurs {
 		open += o.openTasks()
 	}
-	for j.skipBegun(); j.next < j.spec.Occurrences() && open < maxOpenTasks && !j.spec.Due(j.next).After(now); j.skipBegun() {
+	for j.skipBegun(); j.next < j.spec.Occurrences() && open < maxOpenTasks && (recordSize == 0 || len(j.occurs) == 0 || (len(j.occurs)+1)*j.occurSize <= recordSize/2) && !j.spec.Due(j.next).After(now); j.skipBegun() {
 		open += j.begin(j.next).openTasks()
 	}
 }
--- a/node/internal/plan/option.go
+++ b/node/internal/plan/option.go
@@ -17,6 +17,10 @@
 // numbered above those of earlier owners. The default is 0.
 func WithRunNumberBase(n int) Option { return func(s *State) { s.runNumberBase = n } }
 
+// WithRecordSize sets the largest size of a job's record, in bytes. A job has no more runs at a
+// time than its record can hold. The default is 0, for no limit.
+func WithRecordSize(n int) Option { return func(s *State) { s.recordSize = n } }
+
 // WithReregisterDeadline sets the time until which an executor that isn't registered may
 // have unrecorded runs: its registration may have expired during an outage of the store,
 // while the last owner could record nothing, and not be renewed yet.
--- a/node/internal/plan/reserve.go
+++ b/node/internal/plan/reserve.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/balsamford/balsamford/coord/model"
 )
 
 const (
@@ -38,6 +40,11 @@
 	return t.headroom(st.spec.Need, limit, st.waiting)
 }
 
+// recordableRuns returns how many more runs of a job its record can hold.
+func (s *State) recordableRuns(j *job) int {
+	return max(0, model.MaxRuns(s.recordSize, len(j.occurs)*j.occurSize, j.failures, s.longestID)-j.runCount)
+}
+
 // recordUrgentDemand records the CPU that a team's urgent work has and waits for.
 func (t *team) recordUrgentDemand(cpu int64, now time.Time) {
 	t.urgentPeak = max(t.expectedUrgent(now), cpu)
--- a/node/internal/plan/restore.go
+++ b/node/internal/plan/restore.go
@@ -21,7 +21,7 @@
 			continue
 		}
 		for _, n := range numbers {
-			st.tasks[i].addFailure(n)
+			st.addFailure(i, n)
 		}
 	}
 	for i, place := range p.Runs {
@@ -65,6 +65,7 @@
 	OverQuota    bool          // the job exceeds its team's submission quota
 	PhaseChanged bool          // the phase differs from the one recorded last
 	Version      int           // of the progress
+	Size         int           // upper bound of the size of the encoded Progress, in bytes
 }
 
 // Rows returns the number of rows that record the change.
@@ -94,11 +95,19 @@
 		if j.phase.Final() != ended {
 			continue
 		}
-		out = append(out, Change{Job: id, Queue: j.spec.Queue, Progress: j.progress(), Delay: j.delay, Sent: j.spec.Sent, Objective: j.objective(), OverQuota: j.overQuota, PhaseChanged: j.phase != j.recorded, Version: j.version})
+		out = append(out, Change{Job: id, Queue: j.spec.Queue, Progress: j.progress(), Delay: j.delay, Sent: j.spec.Sent, Objective: j.objective(), OverQuota: j.overQuota, PhaseChanged: j.phase != j.recorded, Version: j.version, Size: s.recordBound(j)})
 	}
 	return out
 }
 
+// recordBound returns an upper bound of the size of a job's record, in bytes.
+func (s *State) recordBound(j *job) int {
+	if j.phase.Final() {
+		return model.RecordSize(0, 0, 0, 0)
+	}
+	return model.RecordSize((len(j.occurs)+len(j.ahead))*j.occurSize, j.failures, j.runCount, s.longestID)
+}
+
 // Recorded notes that c is stored. The job stays out of date if its progress has
 // changed since.
 func (s *State) Recorded(c Change) {
@@ -193,7 +202,7 @@
 			p.Spares[i] = append(p.Spares[i], r.place())
 			nonEmpty = true
 		}
-		if len(t.failedRuns) > 0 {
+		if len(t.failedRuns) > 0 && !t.done {
 			if p.Failed == nil {
 				p.Failed = make(map[int][]int)
 			}
--- a/node/internal/plan/stage.go
+++ b/node/internal/plan/stage.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/balsamford/balsamford/coord/model"
@@ -56,6 +57,7 @@
 		return false
 	}
 	t.done = true
+	st.occur.job.failures -= len(t.failedRuns)
 	st.unfinished--
 	if t.run == nil {
 		st.waiting--
@@ -63,6 +65,20 @@
 	return true
 }
 
+// addFailure records a failed run of task i and reports whether it was new.
+func (st *stage) addFailure(i, number int) bool {
+	t := &st.tasks[i]
+	if slices.Contains(t.failedRuns, number) {
+		return false
+	}
+	t.failedRuns = append(t.failedRuns, number)
+	t.lastNumber = max(t.lastNumber, number)
+	if !t.done {
+		st.occur.job.failures++
+	}
+	return true
+}
+
 // attach makes r the current run of task i.
 func (st *stage) attach(i int, r *run) {
 	t := &st.tasks[i]
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -18,6 +18,8 @@
 	quotaSlack         int
 	maxStopTime        time.Duration // longest time that a run takes to stop
 	runNumberBase      int           // new runs are numbered above it
+	recordSize         int           // largest size of a job's record in bytes, 0 for no limit
+	longestID          int           // of the executors seen, in bytes
 	settleDeadline     time.Time     // after it no unknown run can exist
 	avoidedZone        string        // executors there get no new work; empty for no zone
 	writeAheadZone     string        // the previous owner recorded runs there before it started them
--- a/node/internal/plan/task.go
+++ b/node/internal/plan/task.go
@@ -1,7 +1,5 @@
 package plan
 
-import "slices"
-
 // task is one task of a stage.
 type task struct {
 	done       bool
@@ -17,13 +15,3 @@
 func (t *task) startable(copies bool) bool {
 	return !t.done && t.run == nil && (copies || len(t.unwanted) == 0)
 }
-
-// addFailure records a failed run and reports whether it was new.
-func (t *task) addFailure(number int) bool {
-	if slices.Contains(t.failedRuns, number) {
-		return false
-	}
-	t.failedRuns = append(t.failedRuns, number)
-	t.lastNumber = max(t.lastNumber, number)
-	return true
-}
