plan: executors with a task of hours got no new work

Cause: executors report progress in whole percents, and a run whose percent stood still for 1.2 s counted as stalled. A task of two hours stands at a percent for 72 s, so that its executor got no new work for 3 s, again and again; a task that saves checkpoints was stopped as often and started elsewhere.

Change: the time after which a run counts as stalled follows from its own progress, before that from its estimate, and doubles each time. An executor on which other runs go on isn't taken for frozen.

--- a/node/internal/plan/ends.go
+++ b/node/internal/plan/ends.go
@@ -26,6 +26,7 @@
 	switch end.Outcome {
 	case model.RunDone:
 		e.noteSuccess()
+		e.progressedAt = now
 		if !st.spec.Lasting {
 			s.taskDone(st, end.Task.Index, now)
 		}
--- a/node/internal/plan/executor.go
+++ b/node/internal/plan/executor.go
@@ -22,6 +22,7 @@
 	lastFailedJob  string    // job of the last failure
 	backoffUntil   time.Time // before then it gets no new work
 	lastReport     time.Time
+	progressedAt   time.Time // when a run on it last made progress or was done
 	lastPaceChange time.Time
 	changed        bool    // it is in State.changed
 	zone           int     // number of its zone
--- a/node/internal/plan/pace.go
+++ b/node/internal/plan/pace.go
@@ -4,6 +4,8 @@
 
 const (
 	fullPace = 100 // percent
+	// fullPercent is the progress of a task that is done.
+	fullPercent = 100
 	// paceStep is the change of pace at a time, in percent.
 	paceStep = 50
 	// Fillers slow down when a tail latency beside them is above slowDownRatio of its
--- a/node/internal/plan/report.go
+++ b/node/internal/plan/report.go
@@ -72,8 +72,12 @@
 	if r.unwanted && r.state == active && (!r.spare || r.stage.tasks[r.index].done || r.stage.occur.job.phase.Final()) {
 		s.stopRun(r, now)
 	}
+	if r.firstReport.IsZero() {
+		r.firstPercent, r.firstReport = reported.Percent, now
+	}
 	if reported.Percent != r.percent {
-		r.percent, r.progressedAt = reported.Percent, now
+		r.percent, r.progressedAt, r.progressTime = reported.Percent, now, now.Sub(r.firstReport)
+		e.progressedAt = now
 	} else {
 		s.checkStall(r, requestedAt, now)
 	}
--- a/node/internal/plan/run.go
+++ b/node/internal/plan/run.go
@@ -35,10 +35,13 @@
 	restored      bool         // known only from a record
 	seen          bool         // the executor has confirmed that it exists; its end will be reported
 	stopOrderedAt time.Time
-	percent       int       // progress
-	progressedAt  time.Time // when percent last changed
-	gauge         int64     // tail latency in ms, if the step has a latency target
-	pace          int       // percent
+	percent       int           // progress
+	firstPercent  int           // progress in the first report of it
+	firstReport   time.Time     // when that came; zero for none
+	progressTime  time.Duration // from then until percent last changed
+	progressedAt  time.Time     // when percent last changed, or the run was last found stalled
+	gauge         int64         // tail latency in ms, if the step has a latency target
+	pace          int           // percent
 }
 
 // runKey identifies a run.
--- a/node/internal/plan/stall.go
+++ b/node/internal/plan/stall.go
@@ -3,9 +3,14 @@
 import "time"
 
 const (
-	// stallAfter is how long a run may make no progress before it counts as stalled:
-	// twice the longest restore from a checkpoint.
+	// stallAfter is how long a run may at least make no progress before it counts as
+	// stalled: twice the longest restore from a checkpoint.
 	stallAfter = 1200 * time.Millisecond
+	// stallPercents is the number of percents that a run should have made meanwhile, since
+	// executors report whole ones.
+	stallPercents = 3
+	// maxStallDoublings bounds the doublings of that time.
+	maxStallDoublings = 10
 	// stallBackoff is how long an executor gets no new work after a run on it was
 	// found stalled. Each further stalled run extends it.
 	stallBackoff = 3 * time.Second
@@ -14,6 +19,9 @@
 // An executor may answer while everything that runs on it is frozen for some seconds.
 // Urgent work is then stopped and started elsewhere, and so is work that saves
 // checkpoints; the rest waits.
+//
+// A run of hours stands at a percent for minutes, whatever its estimate says. So the time after
+// which it counts as stalled follows its own progress, and doubles each time that it made none.
 
 // Stall describes a run that made no progress.
 type Stall struct {
@@ -27,10 +35,13 @@
 // requestedAt.
 func (s *State) checkStall(r *run, requestedAt, now time.Time) {
 	spec := r.stage.spec
-	if spec.Lasting || spec.Gang || r.state != active || r.pace < fullPace || requestedAt.Sub(r.progressedAt) < stallAfter {
+	if spec.Lasting || spec.Gang || r.state != active || r.pace < fullPace || requestedAt.Sub(r.progressedAt) < r.stallTime() {
 		return
 	}
-	r.executor.backoffUntil = now.Add(stallBackoff)
+	if requestedAt.Sub(r.executor.progressedAt) >= stallAfter { // Otherwise the executor isn't frozen.
+		r.executor.backoffUntil = now.Add(stallBackoff)
+	}
+	r.stage.tasks[r.index].stalls++
 	stop := r.stage.urgent() || spec.Checkpoints
 	s.orders.Stalls = append(s.orders.Stalls, Stall{
 		Stop:    Stop{Task: r.stage.taskID(r.index), Number: r.number, Executor: r.executor.info.ID},
@@ -40,5 +51,14 @@
 		s.stopRun(r, now)
 		return
 	}
-	r.progressedAt = now // Check it again after another stallAfter.
+	r.progressedAt = now // Check it again after another stallTime.
+}
+
+// stallTime returns how long the run may make no progress before it counts as stalled.
+func (r *run) stallTime() time.Duration {
+	perPercent := r.stage.spec.Estimate / fullPercent
+	if made := r.percent - r.firstPercent; made > 0 {
+		perPercent = r.progressTime / time.Duration(made)
+	}
+	return max(stallAfter, stallPercents*perPercent) << min(r.stage.tasks[r.index].stalls, maxStallDoublings)
 }
--- a/node/internal/plan/task.go
+++ b/node/internal/plan/task.go
@@ -5,6 +5,7 @@
 	done       bool
 	lastNumber int   // highest number of its runs
 	failedRuns []int // numbers
+	stalls     int   // how often a run of it was found stalled
 	checkpoint string
 	run        *run   // current run, or nil
 	unwanted   []*run // other runs that may still exist
