plan: fillers paused by an earlier owner barred their executors

Cause: a pace isn't recorded nor reported, and the new owner took that of a run it adopts for full. It saw no reason to change it, and the run, which made no progress, counted as stalled for as long as it was paused. The same holds for an owner whose order to pace got no answer.

Change: the pace of a run that an earlier owner started, or whose order failed, is in doubt. It is ordered anew with the next report, at half of full pace or as the tails beside it require, and the run doesn't count as stalled before that.

--- a/node/internal/owner/execute.go
+++ b/node/internal/owner/execute.go
@@ -169,6 +169,9 @@
 	t := sess.term
 	if _, err := sess.client.Pace(platform.PaceOrder{Task: p.Task, Number: p.Number, Percent: p.Percent, Fence: t.epoch}, orderTimeout); err != nil {
 		t.owner.logger.Info("pace failed", zap.String("id", p.Task.Job), zap.Int("percent", p.Percent), zap.String("executor", p.Executor), zap.Error(err))
+		t.mu.Lock()
+		t.plan.PaceFailed(*p)
+		t.mu.Unlock()
 	}
 }
 
--- a/node/internal/plan/pace.go
+++ b/node/internal/plan/pace.go
@@ -43,6 +43,14 @@
 	}
 }
 
+// PaceFailed notes that an order wasn't confirmed. It is repeated, according to what the
+// executor reports by then.
+func (s *State) PaceFailed(p Pace) {
+	if r := s.find(p.Executor, p.Task, p.Number); r != nil {
+		r.paceInDoubt = true
+	}
+}
+
 // paceFillers changes the pace of the fillers on an executor by one step.
 func (s *State) paceFillers(e *executor, slowDown, speedUp bool, now time.Time) {
 	for _, r := range e.runs {
@@ -50,16 +58,19 @@
 			continue
 		}
 		pace := r.pace
+		if r.paceInDoubt {
+			pace = paceStep // Work and harm are bounded until reports tell more.
+		}
 		switch {
 		case slowDown:
 			pace = max(0, pace-paceStep)
 		case speedUp:
 			pace = min(fullPace, pace+paceStep)
 		}
-		if pace == r.pace {
+		if pace == r.pace && !r.paceInDoubt {
 			continue
 		}
-		r.pace = pace
+		r.pace, r.paceInDoubt = pace, false
 		e.lastPaceChange = now
 		s.orders.Paces = append(s.orders.Paces, Pace{Task: r.stage.taskID(r.index), Number: r.number, Executor: e.info.ID, Percent: pace})
 	}
--- a/node/internal/plan/report.go
+++ b/node/internal/plan/report.go
@@ -102,13 +102,16 @@
 	}
 	if j.phase.Final() || t.done || t.run != nil {
 		r := s.newRun(st, reported.Task.Index, reported.Number, e, active, now)
+		r.paceInDoubt = true
 		t.lastNumber = max(t.lastNumber, r.number)
 		s.markUnwanted(r)
 		s.stopRun(r, now)
 		return r
 	}
 	s.markRunning(j)
-	return s.attachRun(st, reported.Task.Index, reported.Number, e, active, now)
+	r := s.attachRun(st, reported.Task.Index, reported.Number, e, active, now)
+	r.paceInDoubt = true
+	return r
 }
 
 // unknownRunBackoff is how long an executor gets no new work after it reported a run
--- a/node/internal/plan/restore.go
+++ b/node/internal/plan/restore.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		r := s.attachRun(st, i, place.Number, s.executor(place.Executor), inDoubt, now)
-		r.restored = true
+		r.restored, r.paceInDoubt = true, true
 		r.confirmedAt = now // Once it has reported to this owner, the executor accepts no order of an earlier one.
 	}
 	for i, places := range p.Spares {
@@ -41,7 +41,7 @@
 				continue // It would take the executor's capacity twice.
 			}
 			r := s.newRun(st, i, place.Number, s.executor(place.Executor), inDoubt, now)
-			r.restored = true
+			r.restored, r.paceInDoubt = true, true
 			r.confirmedAt = now
 			st.tasks[i].lastNumber = max(st.tasks[i].lastNumber, place.Number)
 			s.markUnwanted(r)
--- a/node/internal/plan/run.go
+++ b/node/internal/plan/run.go
@@ -42,6 +42,7 @@
 	progressedAt  time.Time     // when percent last changed, or the run was last found stalled
 	gauge         int64         // tail latency in ms, if the step has a latency target
 	pace          int           // percent
+	paceInDoubt   bool          // the executor may have another one: an earlier owner started the run, or an order failed
 }
 
 // runKey identifies a run.
--- a/node/internal/plan/stall.go
+++ b/node/internal/plan/stall.go
@@ -35,7 +35,7 @@
 // requestedAt.
 func (s *State) checkStall(r *run, requestedAt, now time.Time) {
 	spec := r.stage.spec
-	if spec.Lasting || spec.Gang || r.state != active || r.pace < fullPace || requestedAt.Sub(r.progressedAt) < r.stallTime() {
+	if spec.Lasting || spec.Gang || r.state != active || r.pace < fullPace || r.stage.spec.Filler && r.paceInDoubt || requestedAt.Sub(r.progressedAt) < r.stallTime() {
 		return
 	}
 	if requestedAt.Sub(r.executor.progressedAt) >= stallAfter { // Otherwise the executor isn't frozen.
