owner: an executor's new life kept the labels of the one before

Cause: if a poll reaches the new life before its entry is read, the entry brings no news: only a change of state, capacity or service was passed on to the plan, which kept the labels, the rack and the kind.

Change: any change of what tasks find at an executor is passed on. While the entry is of an earlier life than the reports, the executor gets no new work, and starts that were queued are taken back.

Evidence: TestNewIncarnationKeepsOldLabels; on the commit before its two cases with the poll first fail. The test's executor answers Poll now, by waiting, like Watch.

--- a/coord/model/executor.go
+++ b/coord/model/executor.go
@@ -1,6 +1,9 @@
 package model
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Executor is one incarnation of a machine that runs tasks, as it describes
 // itself.
@@ -18,6 +21,13 @@
 	Remaining time.Duration // when draining: the least time until it stops
 }
 
+// SameOffer reports whether tasks find the same at the executor as at another one: its service,
+// place, kind, labels and room, and whether it accepts new work.
+func (e *Executor) SameOffer(other *Executor) bool {
+	return e.Service == other.Service && e.Zone == other.Zone && e.Kind == other.Kind && e.Rack == other.Rack &&
+		e.Room == other.Room && e.Draining == other.Draining && slices.Equal(e.Labels, other.Labels)
+}
+
 // Has reports whether the executor carries a label.
 func (e *Executor) Has(label string) bool {
 	for _, l := range e.Labels {
--- a/node/internal/owner/executorentries_test.go
+++ b/node/internal/owner/executorentries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -110,3 +111,63 @@
 		})
 	}
 }
+
+// An executor began another life as another kind, and a poll reached that life before its entry
+// was read. The owner kept the labels of the earlier one, so that tasks started without the label
+// that they require.
+func TestNewIncarnationKeepsOldLabels(t *testing.T) {
+	tests := map[string]struct {
+		entryFirst bool
+		late       bool // the earlier entry is read once more after the poll
+	}{
+		"poll first":             {},
+		"poll first, late entry": {late: true},
+		"entry first":            {entryFirst: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			clock := timer.New(timer.WithManual(time.Now()))
+			ctx, cancel := context.WithCancel(context.Background())
+			tm, _ := newTerm()
+			tm.owner.clock, tm.owner.boardFollower, tm.ctx = clock, unconfirmedBoard{}, ctx
+			executor := &blockingExecutor{polled: make(chan struct{}, 1), released: make(chan struct{})}
+			tm.owner.connect = func(string, string) Executor { return executor }
+			tm.plan = plan.New(model.NewConfig(1, []model.Queue{{Name: "q", Service: fake.Service, Attempts: 2}}, []model.Service{{Name: fake.Service}}, nil))
+			first := time.UnixMilli(1_800_000_000_000)
+			entry := func(born time.Time, kind string) []platform.Row {
+				value := fmt.Sprintf(`{"service":%q,"addr":"127.0.0.1:1","zone":"z","state":"ready","capacity":{"cpu":16000,"mem_mb":32768},"labels":[%q,"r1"],"born":%d}`, fake.Service, kind, born.UnixMilli())
+				return []platform.Row{{Key: "e", Value: []byte(value)}}
+			}
+			report := func(born time.Time) {
+				clock.Advance(10 * time.Millisecond)
+				is.True(tm.sessions["e"].handleReport(clock.Now(), clock.Boot(), &platform.Report{Clock: time.Hour, Born: born}))
+			}
+			entries := &executorEntries{term: tm}
+			entries.Reset(entry(first, "a"))
+			report(first)
+			second := first.Add(time.Minute)
+			if tt.entryFirst {
+				entries.Change(entry(second, "b"))
+			}
+			report(second)
+			report(second)
+			if tt.late {
+				entries.Change(entry(first, "a"))
+			}
+			for i, kind := range []string{"a", "b"} {
+				tm.plan.AddJob(clock.Now(), &model.Job{ID: fmt.Sprintf("%016x", i), Queue: "q", Steps: []model.Step{{Count: 1, Label: kind, Need: model.Amount{CPU: 1}}}}, nil)
+			}
+			if !tt.entryFirst {
+				is.Equal(len(tm.plan.Decide(clock.Now()).Starts), 0) // Its kind isn't known.
+				entries.Change(entry(second, "b"))
+			}
+			starts := tm.plan.Decide(clock.Now()).Starts
+			is.Equal(len(starts), 1)
+			is.Equal(starts[0].Task.Job, fmt.Sprintf("%016x", 1))
+			cancel()
+			close(executor.released)
+			_ = tm.group.Wait()
+		})
+	}
+}
--- a/node/internal/owner/handover_test.go
+++ b/node/internal/owner/handover_test.go
@@ -35,6 +35,11 @@
 	return nil, &platform.LostError{Call: "watch"}
 }
 
+func (e *blockingExecutor) Poll(platform.WatchOrder) (*platform.Report, error) {
+	<-e.released
+	return nil, &platform.LostError{Call: "poll"}
+}
+
 func (e *blockingExecutor) Close() {}
 
 // A process that stops resigns at once, without waiting for the long polls that executors
--- a/node/internal/owner/session.go
+++ b/node/internal/owner/session.go
@@ -39,6 +39,7 @@
 	hasEntry      bool          // the executor has an entry in the executor table
 	unlistedSince time.Time     // when the entry was found missing
 	retired       bool          // it gets no new work, since it has no entry
+	outdated      bool          // it gets no new work, since its entry is of an earlier life
 	silent        bool          // it didn't respond to the last call
 	lapsed        bool          // its leases have ended since its last response
 	hasReported   bool          // it has reported to this owner
@@ -106,11 +107,37 @@
 func (sess *session) updateEntry(info model.Executor) bool {
 	old := sess.info
 	sess.info = info
-	changed := !sess.hasEntry || old.Draining != info.Draining || old.Room != info.Room || old.Service != info.Service
-	sess.hasEntry, sess.retired = true, false
+	if sess.outdated && !info.Born.IsZero() && info.Born.Before(sess.born) {
+		return false // It is an entry of the earlier life.
+	}
+	changed := !sess.hasEntry || sess.outdated || !old.SameOffer(&info)
+	sess.hasEntry, sess.retired, sess.outdated = true, false, false
 	return changed
 }
 
+// beginLife notes that a report shows a later life than the entry, if there was an earlier one.
+// The executor may be of another kind now, so it gets no new work until its entry is of that
+// life. The term's mu is held.
+func (sess *session) beginLife(born time.Time) {
+	t := sess.term
+	if sess.born.IsZero() {
+		sess.born = born
+		return
+	}
+	t.owner.logger.Info("executor has a new incarnation", zap.String("executor", sess.info.ID), zap.Time("born", born))
+	sess.refuseQueued()
+	t.plan.NewIncarnation(t.owner.clock.Now(), sess.info.ID)
+	signal(sess.pollRequested)
+	sess.born, sess.takenSeq, sess.recordedSeq, sess.reportClock, sess.lease = born, 0, 0, 0, lease{}
+	if sess.info.Born.IsZero() || !sess.info.Born.Before(born) {
+		return
+	}
+	sess.outdated = true
+	info := sess.info
+	info.Draining = true
+	t.plan.SetExecutor(info)
+}
+
 // markUnlisted records that the executor has no entry. The term's mu is held.
 func (sess *session) markUnlisted() {
 	if sess.hasEntry {
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -157,13 +157,7 @@
 		return false
 	}
 	if !rep.Born.IsZero() && rep.Born.After(sess.born) {
-		if !sess.born.IsZero() {
-			t.owner.logger.Info("executor has a new incarnation", zap.String("executor", sess.info.ID), zap.Time("born", rep.Born))
-			t.plan.NewIncarnation(now, sess.info.ID)
-			signal(sess.pollRequested)
-			sess.takenSeq, sess.recordedSeq, sess.reportClock, sess.lease = 0, 0, 0, lease{}
-		}
-		sess.born = rep.Born
+		sess.beginLife(rep.Born)
 	}
 	if rep.Clock < sess.reportClock {
 		return true // A newer report was handled first.
