plan: a job counted as begun once a start was ordered

Cause: a job became running when its first start was ordered, and stayed so if that start came to nothing.

Change: it becomes running with the first start that an executor confirms, by its answer, a report or an end.

Evidence: TestOrderedStartCountsAsBegun, seven cases; on the commit before those of an ordered, a refused and an unanswered start fail.

--- a/node/internal/plan/answers.go
+++ b/node/internal/plan/answers.go
@@ -24,6 +24,7 @@
 		if r.state == starting || r.state == inDoubt {
 			r.state = active
 		}
+		s.markRunning(r.stage.occur.job)
 	}
 }
 
--- a/node/internal/plan/policy_test.go
+++ b/node/internal/plan/policy_test.go
@@ -302,3 +302,36 @@
 		})
 	}
 }
+
+// A job counted as begun once a start of it was ordered, also if that came to nothing. So the
+// number of waiting jobs was too low.
+func TestOrderedStartCountsAsBegun(t *testing.T) {
+	tests := map[string]struct {
+		answer func(f *fixture, o Start)
+		phase  model.Phase
+	}{
+		"ordered":          {answer: func(*fixture, Start) {}},
+		"refused":          {answer: func(f *fixture, o Start) { f.state.Refused(epoch, o, RefusedBusy) }},
+		"without answer":   {answer: func(f *fixture, o Start) { f.state.Unanswered(epoch, o) }},
+		"confirmed":        {answer: func(f *fixture, o Start) { f.state.Started(epoch, o) }, phase: model.Running},
+		"reported":         {answer: func(f *fixture, o Start) { f.state.Unanswered(epoch, o); f.report(o) }, phase: model.Running},
+		"reported at once": {answer: func(f *fixture, o Start) { f.report(o) }, phase: model.Running},
+		"ended":            {answer: func(f *fixture, o Start) { f.end(epoch, o, model.RunDone) }, phase: model.Running},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			f.addReady("a")
+			f.state.AddJob(epoch, f.job("j", model.Step{Count: 1, Need: oneCore}, model.Step{Count: 1, Need: oneCore, After: []int{0}}), nil)
+			tt.answer(f, f.state.Decide(epoch).Starts[0])
+			_, phase, _ := f.state.Phase("j")
+			is.Equal(phase, tt.phase)
+		})
+	}
+}
+
+// report reports a run.
+func (f *fixture) report(o Start) {
+	f.state.Reported(epoch, o.Executor, Report{RequestedAt: epoch, Runs: []model.Run{{Task: o.Task, Number: o.Number}}})
+}
--- a/node/internal/plan/report.go
+++ b/node/internal/plan/report.go
@@ -62,6 +62,7 @@
 			return
 		}
 	}
+	s.markRunning(r.stage.occur.job)
 	r.seen, r.restored = true, false
 	if r.confirmedAt.IsZero() {
 		r.confirmedAt = now
@@ -108,7 +109,6 @@
 		s.stopRun(r, now)
 		return r
 	}
-	s.markRunning(j)
 	r := s.attachRun(st, reported.Task.Index, reported.Number, e, active, now)
 	r.paceInDoubt = true
 	return r
