owner: a late failure of a closed session hit the one in its place

A session that is replaced, since its executor has another address or life, may have calls in flight. Their failure closed the new session, or made its executor silent, or counted its runs as gone, so that their tasks could start a second time.

Change: what happens to a closed session changes nothing of the executor.

--- a/node/internal/owner/execute.go
+++ b/node/internal/owner/execute.go
@@ -177,6 +177,9 @@
 
 // dropIncarnation removes an executor whose incarnation has ended. The term's mu is held.
 func (sess *session) dropIncarnation() {
+	if sess.closed() {
+		return
+	}
 	t := sess.term
 	t.owner.logger.Info("executor incarnation ended", zap.String("executor", sess.info.ID))
 	sess.close()
--- a/node/internal/owner/executorentries_test.go
+++ b/node/internal/owner/executorentries_test.go
@@ -171,3 +171,49 @@
 		})
 	}
 }
+
+// A call of a session that had been replaced failed later. Its failure closed the session that
+// had taken its place, or made the executor silent and its runs count as gone.
+func TestLateFailureClosesNewSession(t *testing.T) {
+	tests := map[string]func(old *session){
+		"poll finds another life":  func(old *session) { old.handleFailure(&platform.IncarnationError{}) },
+		"poll fails":               func(old *session) { old.handleFailure(&platform.LostError{}) },
+		"start finds another life": func(old *session) { old.dropIncarnation() },
+		"closed again":             func(old *session) { old.close() },
+		"poll for an order fails":  func(old *session) { old.markSilent(&platform.LostError{}) },
+	}
+	for name, fail := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			clock := timer.New(timer.WithManual(time.Now()))
+			ctx, cancel := context.WithCancel(context.Background())
+			tm, _ := newTerm()
+			tm.owner.clock, tm.owner.boardFollower, tm.ctx = clock, unconfirmedBoard{}, ctx
+			executor := &blockingExecutor{polled: make(chan struct{}, 1), released: make(chan struct{})}
+			tm.owner.connect = func(string, string) Executor { return executor }
+			tm.plan = plan.New(model.NewConfig(1, []model.Queue{{Name: "q", Service: fake.Service, Attempts: 2}}, []model.Service{{Name: fake.Service}}, nil))
+			lives := fake.NewExecutor("e", fake.NewChecker())
+			entries := &executorEntries{term: tm}
+			entries.Reset([]platform.Row{{Key: "e", Value: lives.Entry(fake.Service, "127.0.0.1:1")}})
+			old := tm.sessions["e"]
+			time.Sleep(5 * time.Millisecond) // Lives differ by the millisecond of their start.
+			lives.Restart()
+			entries.Change([]platform.Row{{Key: "e", Value: lives.Entry(fake.Service, "127.0.0.1:1")}})
+			next := tm.sessions["e"]
+			is.True(next != old)
+			is.True(next.handleReport(clock.Now(), clock.Boot(), &platform.Report{Clock: time.Hour, Born: next.born}))
+			tm.plan.AddJob(clock.Now(), &model.Job{ID: "0123456789abcdef", Queue: "q", Steps: []model.Step{{Count: 1, Need: model.Amount{CPU: 1}}}}, nil)
+			starts := tm.plan.Decide(clock.Now()).Starts
+			is.Equal(len(starts), 1)
+			tm.plan.Started(clock.Now(), starts[0])
+			clock.Advance(time.Minute)
+			fail(old)
+			is.Equal(tm.sessions["e"], next)
+			is.Equal(tm.plan.RunsOn("e"), 1)
+			is.Equal(len(tm.plan.CountExclusions(clock.Now())), 0)
+			cancel()
+			close(executor.released)
+			_ = tm.group.Wait()
+		})
+	}
+}
--- a/node/internal/owner/session.go
+++ b/node/internal/owner/session.go
@@ -99,9 +99,15 @@
 func (sess *session) close() {
 	sess.cancel()
 	sess.client.Close()
-	delete(sess.term.sessions, sess.info.ID)
+	if sess.term.sessions[sess.info.ID] == sess {
+		delete(sess.term.sessions, sess.info.ID)
+	}
 }
 
+// closed reports whether the session is closed. Calls that were in flight then may still fail,
+// which says nothing of a session that has taken its place.
+func (sess *session) closed() bool { return sess.ctx.Err() != nil }
+
 // updateEntry stores a changed entry and reports whether the change matters to the
 // plan. The term's mu is held.
 func (sess *session) updateEntry(info model.Executor) bool {
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -153,7 +153,7 @@
 	now := t.owner.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if sess.ctx.Err() != nil {
+	if sess.closed() {
 		return false
 	}
 	if !rep.Born.IsZero() && rep.Born.After(sess.born) {
@@ -205,7 +205,7 @@
 
 // markSilent records that the executor didn't respond. The term's mu is held.
 func (sess *session) markSilent(err error) {
-	if sess.silent {
+	if sess.silent || sess.closed() {
 		return
 	}
 	sess.silent = true
@@ -214,12 +214,16 @@
 }
 
 // handleFailure handles a failed poll. It returns false if polling must end, because the
-// incarnation has ended or the executor has no entry and its leases have expired.
+// session is closed, the incarnation has ended, or the executor has no entry and its leases
+// have expired.
 func (sess *session) handleFailure(err error) bool {
 	t := sess.term
 	now := t.owner.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if sess.closed() {
+		return false
+	}
 	var other *platform.IncarnationError
 	if errors.As(err, &other) {
 		sess.dropIncarnation()
