board: a takeover could read a part of the submissions

When the submissions are read anew, the copy was emptied and then filled row by row; a host that took over in between had a part of the jobs, and the others stood still.

Change: the copy is replaced at once, and the listener told afterwards.

--- a/node/internal/board/submissions.go
+++ b/node/internal/board/submissions.go
@@ -1,6 +1,8 @@
 package board
 
 import (
+	"maps"
+	"slices"
 	"sync"
 
 	"go.uber.org/zap"
@@ -44,12 +46,22 @@
 	return out
 }
 
-// Reset implements follow.Handler.
+// Reset implements follow.Handler. It replaces the jobs at once, so that a host that takes over
+// meanwhile never reads a part of them.
 func (s *Submissions) Reset(rows []platform.Row) {
+	fresh := NewSubmissions(s.logger)
+	fresh.Change(rows)
 	s.mu.Lock()
-	s.jobs = make(map[string]*model.Job, len(rows))
+	s.jobs = fresh.jobs
+	l := s.listener
+	jobs := slices.Collect(maps.Values(fresh.jobs))
 	s.mu.Unlock()
-	s.Change(rows)
+	if l == nil {
+		return
+	}
+	for _, j := range jobs {
+		l.JobAccepted(j)
+	}
 }
 
 // Change implements follow.Handler.
--- a/node/internal/board/submissions_test.go
+++ b/node/internal/board/submissions_test.go
@@ -42,3 +42,28 @@
 	is.Equal(l.accepted, []string{"d", "e"})
 	is.Equal(len(s.Listen(nil)), 1)
 }
+
+// readingListener reads all submissions whenever it receives one.
+type readingListener struct {
+	submissions *Submissions
+	least       int // of the submissions read
+}
+
+func (l *readingListener) JobAccepted(*model.Job) {
+	l.submissions.mu.Lock()
+	defer l.submissions.mu.Unlock()
+	l.least = min(l.least, len(l.submissions.jobs))
+}
+
+// While the submissions were read anew, a host that took over read a part of them, and the others'
+// jobs stood still until their next change.
+func TestResetShowsPartOfSubmissions(t *testing.T) {
+	is := is.New(t)
+	s := NewSubmissions(zap.NewNop())
+	rows := []platform.Row{submissionRow(t, "a", 1), submissionRow(t, "b", 2), submissionRow(t, "c", 3)}
+	s.Reset(rows)
+	l := &readingListener{submissions: s, least: len(rows)}
+	s.Listen(l)
+	s.Reset(rows)
+	is.Equal(l.least, len(rows))
+}
