owner, plan: an executor that moved with its new life stayed excluded

Evidence: the case "poll first, moved" of TestNewIncarnationKeepsOldLabels and TestGangOutgrowsRecord; the first fails without the change ("0 != 1"), the second was not run without it.

--- a/coord/model/record.go
+++ b/coord/model/record.go
@@ -5,22 +5,24 @@
 	"math"
 )
 
-// Upper bounds of what the parts of an encoded Progress take, in bytes.
+// FinishedSize is an upper bound of what a finished occurrence takes in an encoded Progress that
+// names it, in bytes.
+const FinishedSize = 24
+
+// Upper bounds of what the other parts take.
 const (
 	recordHeadSize = 64
-	occurrenceSize = 24
 	stageSize      = 40 // beside the bits of the tasks that are done
 	runSize        = 24 // beside the executor's ID
 	failureSize    = 20
 	tasksPerByte   = 8
 	typicalIDSize  = 32 // of an executor
-	noLimit        = math.MaxInt
 )
 
 // OccurrenceSize returns an upper bound of what an occurrence of the job without runs and
 // failures takes in its encoded Progress, in bytes.
 func (j *Job) OccurrenceSize() int {
-	n := occurrenceSize
+	n := FinishedSize
 	for i := range j.Steps {
 		n += stageSize + j.Steps[i].Count/tasksPerByte
 	}
--- a/node/internal/owner/executorentries_test.go
+++ b/node/internal/owner/executorentries_test.go
@@ -119,9 +119,11 @@
 	tests := map[string]struct {
 		entryFirst bool
 		late       bool // the earlier entry is read once more after the poll
+		moved      bool // the later life has another address
 	}{
 		"poll first":             {},
 		"poll first, late entry": {late: true},
+		"poll first, moved":      {moved: true},
 		"entry first":            {entryFirst: true},
 	}
 	for name, tt := range tests {
@@ -135,8 +137,9 @@
 			tm.owner.connect = func(string, string) Executor { return executor }
 			tm.plan = plan.New(model.NewConfig(1, []model.Queue{{Name: "q", Service: fake.Service, Attempts: 2}}, []model.Service{{Name: fake.Service}}, nil))
 			first := time.UnixMilli(1_800_000_000_000)
+			port := 1
 			entry := func(born time.Time, kind string) []platform.Row {
-				value := fmt.Sprintf(`{"service":%q,"addr":"127.0.0.1:1","zone":"z","state":"ready","capacity":{"cpu":16000,"mem_mb":32768},"labels":[%q,"r1"],"born":%d}`, fake.Service, kind, born.UnixMilli())
+				value := fmt.Sprintf(`{"service":%q,"addr":"127.0.0.1:%d","zone":"z","state":"ready","capacity":{"cpu":16000,"mem_mb":32768},"labels":[%q,"r1"],"born":%d}`, fake.Service, port, kind, born.UnixMilli())
 				return []platform.Row{{Key: "e", Value: []byte(value)}}
 			}
 			report := func(born time.Time) {
@@ -160,6 +163,9 @@
 			}
 			if !tt.entryFirst {
 				is.Equal(len(tm.plan.Decide(clock.Now()).Starts), 0) // Its kind isn't known.
+				if tt.moved {
+					port = 2
+				}
 				entries.Change(entry(second, "b"))
 			}
 			starts := tm.plan.Decide(clock.Now()).Starts
--- a/node/internal/owner/session.go
+++ b/node/internal/owner/session.go
@@ -70,10 +70,12 @@
 func (sess *session) reconnect(info model.Executor) *session {
 	t := sess.term
 	next := newSession(t, info)
+	next.info = sess.info // What else has changed is for updateEntry.
+	next.info.Address = info.Address
 	next.born, next.lease, next.silent, next.hasReported = sess.born, sess.lease, sess.silent, sess.hasReported
 	next.reportClock, next.lastResponse, next.lapsed = sess.reportClock, sess.lastResponse, sess.lapsed
 	next.takenSeq, next.recordedSeq = sess.takenSeq, sess.recordedSeq
-	next.hasEntry, next.retired, next.unlistedSince = sess.hasEntry, sess.retired, sess.unlistedSince
+	next.hasEntry, next.retired, next.outdated, next.unlistedSince = sess.hasEntry, sess.retired, sess.outdated, sess.unlistedSince
 	sess.close()
 	sess.refuseQueued()
 	t.sessions[info.ID] = next
--- a/node/internal/plan/occurrence.go
+++ b/node/internal/plan/occurrence.go
@@ -74,11 +74,22 @@
 	for _, o := range j.occurs {
 		open += o.openTasks()
 	}
-	for j.skipBegun(); j.next < j.spec.Occurrences() && open < maxOpenTasks && (recordSize == 0 || len(j.occurs) == 0 || (len(j.occurs)+1)*j.occurSize <= recordSize/2) && !j.spec.Due(j.next).After(now); j.skipBegun() {
+	for {
+		j.skipBegun()
+		full := open >= maxOpenTasks || recordSize > 0 && len(j.occurs) > 0 && (len(j.occurs)+1)*j.occurSize > recordSize/2
+		if full || j.next >= j.spec.Occurrences() || j.spec.Due(j.next).After(now) {
+			return
+		}
 		open += j.begin(j.next).openTasks()
 	}
 }
 
+// recordedOccurrences returns an upper bound of what the occurrences without runs and failures
+// take in the job's record, in bytes.
+func (j *job) recordedOccurrences() int {
+	return len(j.occurs)*j.occurSize + len(j.ahead)*model.FinishedSize
+}
+
 // skipBegun advances next past the occurrences that have begun.
 func (j *job) skipBegun() {
 	for j.occurs[j.next] != nil || j.ahead[j.next] {
--- a/node/internal/plan/place.go
+++ b/node/internal/plan/place.go
@@ -10,7 +10,7 @@
 // placeStage starts as many tasks of a stage as possible.
 func (s *State) placeStage(st *stage, p *pool, now time.Time) {
 	j := st.occur.job
-	n := min(s.headroom(st, now), s.recordableRuns(j))
+	n := min(s.headroom(st, now), s.recordableRuns(st))
 	if n == 0 || (st.spec.Gang && n < len(st.tasks)) {
 		st.noteBlocked(blockedByLimit, now)
 		return
--- a/node/internal/plan/record_test.go
+++ b/node/internal/plan/record_test.go
@@ -100,6 +100,18 @@
 	return starts[0].Executor
 }
 
+// The IDs of executors are longer than expected, so that a gang doesn't fit in its job's record.
+// It starts all the same, and never waits for ever.
+func TestGangOutgrowsRecord(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(WithRecordSize(4096))
+	f.addReady(strings.Repeat("x", 200))
+	j := f.job("j", model.Step{Count: 60, Need: model.Amount{CPU: 1}, Gang: true})
+	is.NoErr(j.CheckRecord(4096))
+	f.state.AddJob(epoch, j, nil)
+	is.Equal(len(f.state.Decide(epoch).Starts), 60)
+}
+
 // A job that needs more runs at the same time than can be recorded is rejected at submission,
 // with the limit.
 func TestTooManyRunsAreAccepted(t *testing.T) {
--- a/node/internal/plan/reserve.go
+++ b/node/internal/plan/reserve.go
@@ -40,9 +40,18 @@
 	return t.headroom(st.spec.Need, limit, st.waiting)
 }
 
-// recordableRuns returns how many more runs of a job its record can hold.
-func (s *State) recordableRuns(j *job) int {
-	return max(0, model.MaxRuns(s.recordSize, len(j.occurs)*j.occurSize, j.failures, s.longestID)-j.runCount)
+// recordableRuns returns how many more runs of a stage's job the job's record can hold. If the job
+// has none, that is at least what the stage needs to start, so that it never waits for ever.
+func (s *State) recordableRuns(st *stage) int {
+	j := st.occur.job
+	n := model.MaxRuns(s.recordSize, j.recordedOccurrences(), j.failures, s.longestID) - j.runCount
+	switch {
+	case j.runCount > 0:
+		return max(0, n)
+	case st.spec.Gang:
+		return max(len(st.tasks), n)
+	}
+	return max(1, n)
 }
 
 // recordUrgentDemand records the CPU that a team's urgent work has and waits for.
--- a/node/internal/plan/restore.go
+++ b/node/internal/plan/restore.go
@@ -105,7 +105,7 @@
 	if j.phase.Final() {
 		return model.RecordSize(0, 0, 0, 0)
 	}
-	return model.RecordSize((len(j.occurs)+len(j.ahead))*j.occurSize, j.failures, j.runCount, s.longestID)
+	return model.RecordSize(j.recordedOccurrences(), j.failures, j.runCount, s.longestID)
 }
 
 // Recorded notes that c is stored. The job stays out of date if its progress has
