plan: renewed tickets put off the review of denials for ever

Found on reading once more; not seen by callers. Each answer of the adviser moved the time of the next review, also one that only renewed tickets. A gang with too few allowed executors, whose tickets are renewed every two seconds, never asked about the denied ones again and waited for ever.

Change: the time runs from the first denial since the last review, or since the hint came or went.

Evidence: TestRenewedTicketsPutOffReview fails on ("0 != 2", no start in 20 s).

--- a/node/internal/plan/advice.go
+++ b/node/internal/plan/advice.go
@@ -91,7 +91,7 @@
 	nextRequest   time.Time         // no request is sent before that, since the last one failed
 	nextDraft     time.Time         // no request is drafted before that, unless executors have come or gone
 	draftedFor    int               // number of executors when nextDraft was set
-	nextReview    time.Time         // denials stand until then
+	reviewAt      time.Time         // denials stand until then; zero if there are none
 }
 
 // delayDraft notes that a request that was drafted for the executors of p wasn't sent.
@@ -143,13 +143,19 @@
 	a.tickets[id] = t
 }
 
+// forgetDenials forgets which executors weren't allowed.
+func (a *advice) forgetDenials() {
+	maps.DeleteFunc(a.tickets, func(_ string, t ticket) bool { return !t.allowed })
+	a.reviewAt = time.Time{}
+}
+
 // hintChanged notes that the hint of the job's queue has come or gone. Executors that weren't
 // allowed may be so now, since without a hint the adviser may allow none.
 func (s *State) hintChanged(j *job) {
 	for _, o := range j.occurs {
 		for _, st := range o.stages {
 			st.advice.hintChangedIn = s.decision
-			maps.DeleteFunc(st.advice.tickets, func(_ string, t ticket) bool { return !t.allowed })
+			st.advice.forgetDenials()
 		}
 	}
 }
@@ -167,7 +173,6 @@
 	if st.advice.tickets == nil {
 		st.advice.tickets = make(map[string]ticket, len(q.Executors))
 	}
-	st.advice.nextReview = now.Add(denialReviewInterval)
 	usableUntil, nextRequest := now.Add(valid-min(ticketMargin, valid/2)), now.Add(failedRequestBackoff)
 	for _, id := range q.Executors {
 		e := s.executors[id]
@@ -181,6 +186,9 @@
 		if !ok && q.decision <= st.advice.hintChangedIn {
 			continue // The adviser may have answered without a hint.
 		}
+		if !ok && st.advice.reviewAt.IsZero() {
+			st.advice.reviewAt = now.Add(denialReviewInterval)
+		}
 		st.advice.tickets[id] = ticket{decision: q.decision, allowed: ok, text: text, usableUntil: usableUntil, nextRequest: nextRequest}
 	}
 }
@@ -319,7 +327,7 @@
 // other executors couldn't hold the stage even if they were idle. The adviser may have had
 // another configuration than this host. It reports whether there were any.
 func (st *stage) reviewDenials(p *pool, now time.Time) bool {
-	if len(st.advice.tickets) == 0 || now.Before(st.advice.nextReview) {
+	if st.advice.reviewAt.IsZero() || now.Before(st.advice.reviewAt) {
 		return false
 	}
 	tasks := 1
@@ -337,8 +345,7 @@
 	if denied == 0 || tasks <= 0 {
 		return false
 	}
-	maps.DeleteFunc(st.advice.tickets, func(_ string, t ticket) bool { return !t.allowed })
-	st.advice.nextReview = now.Add(denialReviewInterval)
+	st.advice.forgetDenials()
 	return true
 }
 
--- a/node/internal/plan/advice_test.go
+++ b/node/internal/plan/advice_test.go
@@ -546,7 +546,7 @@
 }
 
 // The executors that are allowed are full. Those that were denied aren't asked about again.
-func TestDenialStandsWhileAllowedExecutorsAreFull(t *testing.T) {
+func TestDenialIsReviewedWhileAllowedExecutorsAreFull(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
 	f.setHint(true)
@@ -563,3 +563,31 @@
 		}
 	}
 }
+
+// The tickets of a gang's few allowed executors were renewed every two seconds. Each answer put off
+// the review of the denials, so that the gang waited for ever.
+func TestRenewedTicketsPutOffReview(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.setHint(true)
+	f.addReady("a", "b")
+	f.state.AddJob(epoch, f.job("j", model.Step{Count: 2, Need: fullExecutor, Gang: true}), nil)
+	started, named := 0, 0
+	for now := epoch; now.Before(epoch.Add(2 * denialReviewInterval)); now = now.Add(10 * time.Millisecond) {
+		orders := f.state.Decide(now)
+		started += len(orders.Starts)
+		f.confirm(now, orders.Starts)
+		for _, q := range orders.AdviceRequests {
+			tickets := map[string]string{"a": "ticket"}
+			if now.After(epoch) { // The adviser has the owner's configuration now.
+				tickets["b"] = "ticket"
+			}
+			if slices.Contains(q.Executors, "b") {
+				named++
+			}
+			f.state.AdviceReceived(now, q, tickets, 2*time.Second)
+		}
+	}
+	is.Equal(started, 2)
+	is.Equal(named, 2) // A denial stands for a while.
+}
