owner: a record of an executor's earlier life acknowledged ends of the next

A fact that outlived its life: a write in flight notes up to which end an executor's ends are covered. Ends are numbered anew in each life, and the session goes on when a poll finds the next one. So a write that began before acknowledged ends of the new life that it doesn't hold, and with the owner they were lost.

Change: the batch has the life with the number. Besides, the line and the gauge of records that are left out for their size change only when others are, not with each write.

Evidence: TestRecordOfEarlierLifeAcknowledgesEnds fails on ("3 != 0", three ends acknowledged). The line was not tested.

--- a/node/internal/owner/batch.go
+++ b/node/internal/owner/batch.go
@@ -1,6 +1,9 @@
 package owner
 
 import (
+	"slices"
+	"time"
+
 	"go.uber.org/zap"
 
 	"github.com/balsamford/balsamford/node/internal/board"
@@ -18,11 +21,17 @@
 // batch is the content of one write.
 type batch struct {
 	changes        []plan.Change
-	partial        bool               // there are more changes than one write can hold
-	oversize       []string           // jobs whose records are larger than a row may be, left out
-	ends           map[*session]int64 // sequence number of the last end that this write covers, by executor
-	closed         *board.Closed      // nil if the recorded row is up to date
-	writeAheadZone string             // zone in which every run is recorded as of this write, may be empty
+	partial        bool                 // there are more changes than one write can hold
+	oversize       []string             // jobs whose records are larger than a row may be, left out
+	ends           map[*session]lastEnd // that this write covers, by executor
+	closed         *board.Closed        // nil if the recorded row is up to date
+	writeAheadZone string               // zone in which every run is recorded as of this write, may be empty
+}
+
+// lastEnd is the last end of an executor that was given to the plan.
+type lastEnd struct {
+	born time.Time // the executor's life, in which ends are numbered
+	seq  int64
 }
 
 func (b *batch) empty() bool { return len(b.changes) == 0 && b.closed == nil }
@@ -57,12 +66,17 @@
 	return len(put.Value)
 }
 
-// noteOversize logs and counts the records that were left out for their size. The term's mu is
-// held.
+// noteOversize counts the records that were left out for their size, and logs them when others
+// are. The term's mu is held.
 func (t *term) noteOversize(jobs []string) {
+	slices.Sort(jobs)
+	if slices.Equal(jobs, t.oversize) {
+		return
+	}
+	t.oversize = jobs
 	t.owner.metrics.oversize.Update(int64(len(jobs)))
 	for _, id := range jobs {
-		t.owner.logger.Error("record is too large", zap.String("id", id), zap.Int("most", t.bounds.RowSize), zap.Int64("epoch", t.epoch))
+		t.owner.logger.Error("record is too large", zap.String("id", id), zap.Int("most", t.rowSize()), zap.Int64("epoch", t.epoch))
 	}
 }
 
@@ -82,10 +96,10 @@
 	if t.plan.ZoneRunsKnown(t.writeAheadZone) {
 		b.writeAheadZone = t.writeAheadZone
 	}
-	b.ends = make(map[*session]int64)
+	b.ends = make(map[*session]lastEnd)
 	for _, sess := range t.sessions {
 		if sess.takenSeq > sess.recordedSeq {
-			b.ends[sess] = sess.takenSeq
+			b.ends[sess] = lastEnd{born: sess.born, seq: sess.takenSeq}
 		}
 	}
 	if ids, unverified, differ := t.plan.Closed(); differ {
@@ -116,8 +130,10 @@
 		t.recordedEnds[c.Job] = c.Progress.Phase
 		delete(t.endsSent, c.Job)
 	}
-	for sess, seq := range b.ends {
-		sess.recordedSeq = max(sess.recordedSeq, min(seq, sess.takenSeq))
+	for sess, end := range b.ends {
+		if end.born.Equal(sess.born) {
+			sess.recordedSeq = max(sess.recordedSeq, min(end.seq, sess.takenSeq))
+		}
 		signal(sess.recorded)
 	}
 	if b.closed != nil {
--- a/node/internal/owner/batch_test.go
+++ b/node/internal/owner/batch_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
@@ -111,3 +112,32 @@
 		})
 	}
 }
+
+// A record was written while its executor began another life. The numbers of ends start anew
+// there, so that ends which weren't recorded were acknowledged, and lost with the owner.
+func TestRecordOfEarlierLifeAcknowledgesEnds(t *testing.T) {
+	tests := map[string]struct {
+		restart  bool
+		recorded int64
+	}{
+		"same life":    {recorded: 7},
+		"another life": {restart: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tm, _, sessions := newTermWithExecutors(1)
+			sess, r := sessions[0], &recorder{term: tm}
+			sess.born = time.Unix(1_800_000_000, 0)
+			sess.takenSeq = 7
+			b := r.collect()
+			if tt.restart {
+				tm.owner.logger = zap.NewNop()
+				sess.beginLife(sess.born.Add(time.Minute))
+				sess.takenSeq = 3
+			}
+			r.markRecorded(b)
+			is.Equal(sess.recordedSeq, tt.recorded)
+		})
+	}
+}
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -80,6 +80,7 @@
 	authority         time.Duration            // how long runs may start after writeConfirmed
 	successorHosts    []string                 // hosts that should take over, in order
 	loaded            bool                     // the plan contains the state recorded by earlier owners
+	oversize          []string                 // jobs whose records were left out last for their size, sorted
 	unaccepted        map[string]time.Time     // when cancellations of jobs that aren't accepted were first seen, by job
 	recordedEnds      map[string]model.Phase   // final phases that this term has recorded, by job
 	entriesLoaded     bool                     // the executor table has been read
