--- a/node/internal/front/submit.go
+++ b/node/internal/front/submit.go
@@ -85,8 +85,8 @@
 }
 
 // storeAndAnswer stores a row of the board, and the submission if there is a second value,
-// and answers the client, by answer if it has succeeded. It succeeds without a write if the row of the board exists
-// already. If the store is slow, the owner's host writes the rows and notes them, provided
+// and answers the client, by answer if it has succeeded. It succeeds without a write if the
+// row of the board exists already. If the store is slow, the owner's host writes the rows and notes them, provided
 // that it can be reached. If this host wrote them, storeAndAnswer calls notify, which
 // notifies the owner, after the answer.
 func (s *Service) storeAndAnswer(r *request, key string, values []any, answer func(*request), notify func()) {
--- a/node/internal/owner/ownermetrics.go
+++ b/node/internal/owner/ownermetrics.go
@@ -105,7 +105,7 @@
 
 // reset zeroes the gauges that only an owner maintains.
 func (c *ownerMetrics) reset() {
-	for _, g := range []metrics.Gauge{c.executors, c.silent, c.bounded, c.waiting, c.paused, c.lag} {
+	for _, g := range []metrics.Gauge{c.executors, c.silent, c.bounded, c.waiting, c.paused, c.lag, c.oversize} {
 		g.Update(0)
 	}
 	for _, g := range c.excluded {
