--- a/review/rig/rig_test.go
+++ b/review/rig/rig_test.go
@@ -255,6 +255,7 @@
 	seq     int64
 	changed chan struct{}
 	cut     bool // it doesn't reach the store
+	garble  bool // another writer overwrites its entry right after each heartbeat
 	beat    time.Time
 	listed  bool
 	beats   int
@@ -293,10 +294,13 @@
 		case e.cut && e.listed && now.Sub(e.beat) >= entryTTL:
 			e.listed, remove = false, true
 		}
-		data := e.entry()
+		data, garble := e.entry(), e.garble
 		e.mu.Unlock()
 		if write {
 			e.store.set("servers", e.id, data)
+			if garble {
+				e.store.set("servers", e.id, []byte("{\"service\":7"))
+			}
 		}
 		if remove {
 			e.store.set("servers", e.id, nil)
