review: case 7, work is lost after an executor started again

Cause: a report of an executor's earlier life that arrives after one of its present life is taken for the newest, and later ones are ignored. Nothing is fixed.

--- a/review/rig/rig_test.go
+++ b/review/rig/rig_test.go
@@ -239,10 +239,12 @@
 
 type executor struct {
 	id, zone, addr string
+	labels         []string
 	judge          *judge
 	rec            *record
 	store          *store
 	onStart        func(e *executor) // called when a run has begun
+	onHold         func()            // called when a call begins that waits for an end
 
 	mu      sync.Mutex
 	born    time.Time
@@ -271,7 +273,7 @@
 func (e *executor) entry() []byte {
 	data, _ := json.Marshal(map[string]any{
 		"service": "poster", "addr": e.addr, "zone": e.zone, "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
-		"capacity": map[string]int{"cpu": 8000, "mem_mb": 32768, "gpu": 0}, "labels": []string{"a", "rack-" + e.zone}, "born": e.born.UnixMilli(), "seq": e.beats,
+		"capacity": map[string]int{"cpu": 8000, "mem_mb": 32768, "gpu": 0}, "labels": append([]string{"a", "rack-" + e.zone}, e.labels...), "born": e.born.UnixMilli(), "seq": e.beats,
 	})
 	return data
 }
@@ -414,6 +416,9 @@
 			e.judge.mu.Unlock()
 			e.ends = e.ends[1:]
 		}
+		if o.Wait >= 500 && e.onHold != nil {
+			e.onHold()
+		}
 		until := time.Now().Add(time.Duration(o.Wait) * time.Millisecond)
 		for len(e.ends) == 0 && time.Now().Before(until) {
 			changed := e.changed
