--- a/review/rig/main_test.go
+++ b/review/rig/main_test.go
@@ -29,7 +29,7 @@
 		os.Exit(failed)
 	}
 	rec := &record{f: f}
-	scenario := map[string]func(*record, bool) (int, error){"unlisted": unlisted, "unreadable": unreadable, "overtaken": overtaken}[os.Args[1]]
+	scenario := map[string]func(*record, bool) (int, error){"unlisted": unlisted, "unreadable": unreadable, "overtaken": overtaken, "acked": acked}[os.Args[1]]
 	if scenario == nil {
 		os.Exit(failed)
 	}
