owner: log acknowledgements and reports that cross an executor's lives

Callers saw tasks run twice; the logs couldn't tell whether an acknowledgement reached another life of its executor, a report came late, or a run was unknown to a successor.

A poll now keeps the life for which it was sent. Warnings and counters (node.owner.crossed, vanished, doubled) show an acknowledgement that another life took, a confirmed run that is in neither list, and a run found beside another run of its task. Nothing else changes.

--- a/node/internal/owner/decide.go
+++ b/node/internal/owner/decide.go
@@ -88,6 +88,7 @@
 			zap.Int("index", s.Task.Index), zap.Int("run", s.Number), zap.String("executor", s.Executor), zap.Int("percent", s.Percent),
 			zap.Duration("for", s.For), zap.Bool("stopped", s.Stopped), zap.Int64("epoch", t.epoch))
 	}
+	t.logAnomalies(&orders)
 	for _, x := range orders.Expired {
 		t.noteExpiry(x)
 	}
@@ -97,6 +98,21 @@
 	signal(t.wakeRecorder)
 }
 
+// logAnomalies logs and counts the runs that executors lost, and those found beside others.
+func (t *term) logAnomalies(orders *plan.Orders) {
+	for _, v := range orders.Vanished {
+		t.owner.metrics.vanished.Inc(1)
+		t.owner.logger.Warn("run has vanished", zap.String("id", v.Task.Job), zap.Int("occur", v.Task.Occur), zap.Int("step", v.Task.Step),
+			zap.Int("index", v.Task.Index), zap.Int("run", v.Number), zap.String("executor", v.Executor), zap.Duration("for", v.For), zap.Int64("epoch", t.epoch))
+	}
+	for _, d := range orders.Duplicates {
+		t.owner.metrics.doubled.Inc(1)
+		t.owner.logger.Warn("task has another run", zap.String("id", d.Task.Job), zap.Int("occur", d.Task.Occur), zap.Int("step", d.Task.Step),
+			zap.Int("index", d.Task.Index), zap.Int("run", d.Number), zap.String("executor", d.Executor), zap.Bool("done", d.Done),
+			zap.Int("other", d.Other.Number), zap.String("on", d.Other.Executor), zap.Int64("epoch", t.epoch))
+	}
+}
+
 // logLoad logs how well this host keeps up with the cell, and how many executors get no new
 // work, by reason. The term's mu is held.
 func (t *term) logLoad(excluded map[plan.Exclusion]int) {
--- a/node/internal/owner/execute.go
+++ b/node/internal/owner/execute.go
@@ -154,6 +154,7 @@
 	now, sentBoot := t.owner.clock.Now(), t.owner.clock.Boot()
 	t.mu.Lock()
 	o := platform.WatchOrder{Fence: t.epoch, Acked: sess.recordedSeq}
+	p := poll{sentAt: now, sentBoot: sentBoot, born: sess.born, acked: o.Acked}
 	t.mu.Unlock()
 	rep, err := sess.client.Poll(o)
 	if err != nil { // The executor gets no new work until a poll succeeds.
@@ -162,7 +163,7 @@
 		t.mu.Unlock()
 		return
 	}
-	sess.handleReport(now, sentBoot, rep)
+	sess.handleReport(p, rep)
 }
 
 func (sess *session) pace(p *plan.Pace) {
--- a/node/internal/owner/ownermetrics.go
+++ b/node/internal/owner/ownermetrics.go
@@ -26,6 +26,9 @@
 	refused      map[plan.Refusal]metrics.Counter // starts that are known not to have happened, by reason
 	oversize     metrics.Gauge                    // records that are larger than a row may be
 	lost         metrics.Counter                  // runs that neither finished nor were stopped by an order
+	crossed      metrics.Counter                  // acknowledgements that another life of an executor took
+	vanished     metrics.Counter                  // runs that an executor had confirmed and listed no more
+	doubled      metrics.Counter                  // runs of tasks that were done or ran elsewhere
 	lapsed       map[basis]metrics.Counter        // executors whose leases ended while they didn't respond
 	ends         map[model.Phase]metrics.Counter
 	late         metrics.Counter // jobs that finished after their latency objective
@@ -47,6 +50,7 @@
 	return &ownerMetrics{
 		epoch: gauge("epoch"), terms: counter("terms"), executors: gauge("executors"), silent: gauge("silent"), excluded: excluded, bounded: gauge("bounded"), waiting: gauge("waiting"),
 		paused: gauge("paused"), lag: gauge("lag"), starts: counter("starts"), failed: counter("failed"), refused: refused, oversize: gauge("oversize"), lost: counter("lost"),
+		crossed: counter("crossed"), vanished: counter("vanished"), doubled: counter("doubled"),
 		lapsed: map[basis]metrics.Counter{
 			byLease:  metrics.GetOrRegisterCounter("node.owner.lapsed.lease", r),
 			byRecord: metrics.GetOrRegisterCounter("node.owner.lapsed.record", r),
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -55,6 +55,7 @@
 		if now.Before(t.lossyUntil) && t.plan.HasUrgentRuns(sess.info.ID) {
 			wait = min(wait, lossyWait)
 		}
+		p := poll{sentAt: now, sentBoot: sentBoot, born: sess.born}
 		o := platform.WatchOrder{Fence: t.epoch, Wait: wait}
 		if !sess.silent { // A silent executor's lease must expire, and it may be a new incarnation, whose ends are unknown.
 			o.LeaseEnd, o.Acked = sess.extendLease(now), sess.recordedSeq
@@ -79,8 +80,9 @@
 		if o.LeaseEnd == 0 {
 			wait = 0
 		}
+		p.acked = o.Acked
 		respondedAt := t.owner.clock.Now()
-		if !sess.handleReport(now, sentBoot, rep) {
+		if !sess.handleReport(p, rep) {
 			return
 		}
 		sess.awaitRecord()
@@ -146,9 +148,34 @@
 	}
 }
 
-// handleReport gives a report to the plan. sentAt and sentBoot are the local time and the
-// boot time at which the poll was sent. It returns false if the session is closed.
-func (sess *session) handleReport(sentAt time.Time, sentBoot time.Duration, rep *platform.Report) bool {
+// poll describes a poll that was sent.
+type poll struct {
+	sentAt   time.Time
+	sentBoot time.Duration // boot time at which it was sent
+	born     time.Time     // the executor's life as known then
+	acked    int64         // last end that it acknowledged, in that life
+}
+
+// logAnswer logs what the answer to a poll shows of the executor's life, if it isn't the life
+// for which the poll was sent. The term's mu is held.
+func (sess *session) logAnswer(p poll, rep *platform.Report) {
+	switch {
+	case rep.Born.IsZero() || p.born.IsZero() || rep.Born.Equal(p.born):
+		return
+	case p.acked > 0:
+		sess.term.owner.metrics.crossed.Inc(1)
+		sess.term.owner.logger.Warn("another life of the executor took an acknowledgement", zap.String("executor", sess.info.ID), zap.Time("sent", p.born),
+			zap.Time("taken", rep.Born), zap.Int64("acked", p.acked), zap.Int("ends", len(rep.Ends)), zap.Int64("epoch", sess.term.epoch))
+	}
+	if rep.Born.Before(sess.born) {
+		sess.term.owner.logger.Info("late report of an earlier life", zap.String("executor", sess.info.ID), zap.Time("life", rep.Born),
+			zap.Time("born", sess.born), zap.Duration("clock", rep.Clock), zap.Int("ends", len(rep.Ends)), zap.Int64("epoch", sess.term.epoch))
+	}
+}
+
+// handleReport gives the report that answered a poll to the plan. It returns false if the
+// session is closed.
+func (sess *session) handleReport(p poll, rep *platform.Report) bool {
 	t := sess.term
 	now := t.owner.clock.Now()
 	t.mu.Lock()
@@ -156,6 +183,7 @@
 	if sess.closed() {
 		return false
 	}
+	sess.logAnswer(p, rep)
 	if !rep.Born.IsZero() && rep.Born.After(sess.born) {
 		sess.beginLife(rep.Born)
 	}
@@ -169,11 +197,11 @@
 		t.owner.logger.Info("executor answers again", zap.String("executor", sess.info.ID))
 	}
 	sess.lapsed = false
-	sess.silent, sess.hasReported, sess.lastResponse = false, true, max(sess.lastResponse, sentBoot) // A long poll may have been sent before a poll by pollNow that has already returned.
+	sess.silent, sess.hasReported, sess.lastResponse = false, true, max(sess.lastResponse, p.sentBoot) // A long poll may have been sent before a poll by pollNow that has already returned.
 	t.shortenSettle(now)
 	delete(t.leaseEndStoreTime, sess.info.ID)
 	delete(t.leaseEndHostTime, sess.info.ID)
-	t.plan.Reported(now, sess.info.ID, plan.Report{RequestedAt: sentAt, Runs: rep.Runs, Ends: sess.newEnds(rep.Ends), More: len(rep.Ends) >= maxEndsListed})
+	t.plan.Reported(now, sess.info.ID, plan.Report{RequestedAt: p.sentAt, Runs: rep.Runs, Ends: sess.newEnds(rep.Ends), More: len(rep.Ends) >= maxEndsListed})
 	signal(t.wakeDecider)
 	signal(t.wakeRecorder)
 	return true
--- a/node/internal/plan/orders.go
+++ b/node/internal/plan/orders.go
@@ -47,8 +47,25 @@
 	Stops          []Stop
 	Paces          []Pace
 	AdviceRequests []AdviceRequest
-	Stalls         []Stall  // to be logged
-	Expired        []Expiry // to be logged
+	Stalls         []Stall     // to be logged
+	Expired        []Expiry    // to be logged
+	Vanished       []Vanished  // to be logged
+	Duplicates     []Duplicate // to be logged
+}
+
+// Vanished describes a run that an executor had confirmed, and that it lists neither as running
+// nor as ended.
+type Vanished struct {
+	Stop
+	For time.Duration // since it was confirmed
+}
+
+// Duplicate describes a run that was found on an executor although its task is done or has
+// another run. It is stopped.
+type Duplicate struct {
+	Stop
+	Done  bool
+	Other model.Place // of the other run, zero for none
 }
 
 // Expiry describes an executor without an entry whose leases have ended. The runs that were
--- a/node/internal/plan/report.go
+++ b/node/internal/plan/report.go
@@ -43,6 +43,11 @@
 		case r.state == stopping && r.seen && !rep.RequestedAt.After(r.confirmedAt.Add(s.maxStopTime)):
 			// Its end will be reported.
 		case !r.confirmedAt.IsZero() && rep.RequestedAt.After(r.confirmedAt):
+			if r.seen && r.state != stopping {
+				s.orders.Vanished = append(s.orders.Vanished, Vanished{
+					Stop: Stop{Task: r.stage.taskID(r.index), Number: r.number, Executor: e.info.ID}, For: now.Sub(r.confirmedAt),
+				})
+			}
 			s.removeRun(r)
 			if r.stage.spec.Gang {
 				s.stopRuns(r.stage, now)
@@ -102,6 +107,7 @@
 		s.supersede(t.run) // The record is older than this run.
 	}
 	if j.phase.Final() || t.done || t.run != nil {
+		s.noteDuplicate(t, Stop{Task: reported.Task, Number: reported.Number, Executor: e.info.ID})
 		r := s.newRun(st, reported.Task.Index, reported.Number, e, active, now)
 		r.paceInDoubt = true
 		t.lastNumber = max(t.lastNumber, r.number)
@@ -114,6 +120,17 @@
 	return r
 }
 
+// noteDuplicate notes that a task has a run though it is done or has another one.
+func (s *State) noteDuplicate(t *task, found Stop) {
+	d := Duplicate{Stop: found, Done: t.done}
+	if t.run != nil {
+		d.Other = t.run.place()
+	}
+	if d.Done || t.run != nil {
+		s.orders.Duplicates = append(s.orders.Duplicates, d)
+	}
+}
+
 // unknownRunBackoff is how long an executor gets no new work after it reported a run
 // of an unknown task. Each report of one extends it.
 const unknownRunBackoff = 3 * time.Second
