owner: a successor didn't know executors without an entry

The owner now lists each executor in the store (rows used/N of table progress) before it gets work there, and until it can't have runs. A successor opens sessions for those without an entry, gives them no new work, and starts nothing of their service until they have answered, were recorded as closed, or their leases have ended. An entry that can't be read expires after the time for which it would have been valid; before, the owner ignored it for ever.

--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
@@ -27,12 +28,25 @@
 	cancelPrefix = "cancel/"
 	// ClosedKey is the key of the row of table Progress that holds a Closed.
 	ClosedKey = "closed"
+	// usedPrefix begins the keys of the rows of table Progress that hold a Used each.
+	usedPrefix = "used/"
 	// ClaimKey is the key of a row of table Submitted that each claim of ownership
 	// rewrites, so that a host that watches the table learns at once when its copy is
 	// complete up to the claim.
 	ClaimKey = "claim"
 )
 
+// UsedKey returns the key of the row of table Progress that holds the nth Used.
+func UsedKey(n int) string { return usedPrefix + strconv.Itoa(n) }
+
+// UsedNumber returns the number of the Used that the row with a key holds, and false if the row
+// doesn't hold one.
+func UsedNumber(key string) (int, bool) {
+	text, ok := suffix(key, usedPrefix)
+	n, err := strconv.Atoi(text)
+	return n, ok && err == nil && n >= 0
+}
+
 // AcceptKey returns the key of a job's acceptance row. A job is accepted once that row
 // is stored.
 func AcceptKey(id string) string { return acceptPrefix + id }
@@ -61,7 +75,7 @@
 // begin the occurrences before it again.
 
 // With format 4 owners send executors fencing tokens that are larger than an epoch: executors refuse
-// the calls of owners with an earlier format after that.
+// the calls of owners with an earlier format after that. They don't write the rows of type Used either.
 
 // SplitFormat is the first format that keeps submissions in the table Submitted. Owners
 // with an earlier format expect them in the acceptance rows of the board.
@@ -107,6 +121,20 @@
 	LeaseEnds map[string]time.Duration `cbor:"2,keyasint,omitempty"`
 }
 
+// Used lists executors on which the owner may start work, by ID. An executor is listed in a row
+// before its first run starts, and until it can't have runs any more. So a successor knows each
+// executor that an earlier owner may have used, also one without an entry of its own.
+type Used struct {
+	Executors map[string]UsedExecutor `cbor:"1,keyasint,omitempty"`
+}
+
+// UsedExecutor is what a successor needs to ask an executor for its runs.
+type UsedExecutor struct {
+	Service string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"`
+	Zone    string `cbor:"3,keyasint,omitempty"`
+}
+
 // Host is the row by which a host registers.
 type Host struct {
 	Name    string `cbor:"1,keyasint"`
--- a/node/internal/owner/batch.go
+++ b/node/internal/owner/batch.go
@@ -24,6 +24,7 @@
 	partial        bool                 // there are more changes than one write can hold
 	oversize       []string             // jobs whose records are larger than a row may be, left out
 	ends           map[*session]lastEnd // that this write covers, by executor
+	used           []usedPut            // rows of used executors
 	closed         *board.Closed        // nil if the recorded row is up to date
 	writeAheadZone string               // zone in which every run is recorded as of this write, may be empty
 }
@@ -34,12 +35,13 @@
 	seq  int64
 }
 
-func (b *batch) empty() bool { return len(b.changes) == 0 && b.closed == nil }
+func (b *batch) empty() bool { return len(b.changes) == 0 && len(b.used) == 0 && b.closed == nil }
 
 // addChanges adds the changes that fit in one write, and whose records fit in a row of rowSize
 // bytes.
 func (b *batch) addChanges(changes []plan.Change, rowSize int) {
-	rows, size := 0, 2*platform.PutSize(rowSize) // Of the owner's row and that of closed executors.
+	rows, size := len(b.used), 2*platform.PutSize(rowSize) // Of the owner's row and that of closed executors.
+	size += len(b.used) * platform.PutSize(min(usedRowSize, rowSize))
 	b.changes = changes[:0]
 	for i := range changes {
 		c := &changes[i]
@@ -87,7 +89,7 @@
 	t := r.term
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var b batch
+	b := batch{used: t.updateUsed(maxUsedRows)}
 	b.addChanges(t.plan.Changes(maxChangeRows+1), t.rowSize())
 	t.noteOversize(b.oversize)
 	if b.partial || len(b.oversize) > 0 {
@@ -130,12 +132,16 @@
 		t.recordedEnds[c.Job] = c.Progress.Phase
 		delete(t.endsSent, c.Job)
 	}
+	t.usedWritten(b.used)
 	for sess, end := range b.ends {
 		if end.born.Equal(sess.born) {
 			sess.recordedSeq = max(sess.recordedSeq, min(end.seq, sess.takenSeq))
 		}
 		signal(sess.recorded)
 	}
+	if len(b.used) > 0 {
+		signal(t.wakeDecider)
+	}
 	if b.closed != nil {
 		t.plan.ClosedRecorded(b.closed.Executors, b.closed.Unverified)
 		t.leaseEndsRecorded(b.closed.LeaseEnds)
--- a/node/internal/owner/decide.go
+++ b/node/internal/owner/decide.go
@@ -61,6 +61,7 @@
 		t.updateGauges(excluded)
 		t.logLoad(excluded)
 		for _, sess := range t.sessions {
+			sess.expireEntry(now)
 			sess.retire(now)
 		}
 	}
--- a/node/internal/owner/executorentries.go
+++ b/node/internal/owner/executorentries.go
@@ -32,6 +32,9 @@
 	t.mu.Unlock()
 	r.Change(rows)
 	t.mu.Lock()
+	if !t.entriesLoaded {
+		t.addUnlisted()
+	}
 	t.plan.AllExecutorsListed(t.began) // The table was read later.
 	t.entriesLoaded = true
 	t.mu.Unlock()
@@ -75,13 +78,16 @@
 	info, err := platform.ParseExecutor(row.Key, row.Value)
 	if err != nil {
 		t.owner.logger.Warn("skipping executor: entry not decoded", zap.Error(err))
+		if sess != nil {
+			sess.noteUnreadable(now)
+		}
 		return
 	}
 	if sess != nil && sess.info.Address != info.Address && !info.Born.IsZero() && info.Born.Equal(sess.born) {
 		t.owner.logger.Info("executor has a new address", zap.String("executor", info.ID), zap.String("address", info.Address))
 		sess = sess.reconnect(info)
 	}
-	if sess != nil && (sess.info.Address != info.Address || (!info.Born.IsZero() && info.Born.After(sess.born))) {
+	if sess != nil && (sess.info.Address != info.Address || !sess.born.IsZero() && info.Born.After(sess.born)) {
 		t.owner.logger.Info("executor has a new incarnation", zap.String("executor", info.ID), zap.Time("born", info.Born))
 		sess.close()
 		sess.refuseQueued()
@@ -94,6 +100,7 @@
 		sess.doubtUntil = doubtUntil
 		t.sessions[info.ID] = sess
 		t.plan.SetExecutor(info)
+		t.noteUsed(sess)
 		sess.run()
 		return
 	}
@@ -101,4 +108,5 @@
 		t.plan.SetExecutor(info)
 		signal(t.wakeDecider)
 	}
+	t.noteUsed(sess)
 }
--- a/node/internal/owner/executorentries_test.go
+++ b/node/internal/owner/executorentries_test.go
@@ -42,6 +42,7 @@
 				is.True(sess.handleReport(pollAt(sess, clock.Now(), clock.Boot()), &platform.Report{Clock: time.Hour, Born: sess.born, Runs: runs, Ends: []model.End{{Seq: 7}}}))
 			}
 			entries.Reset([]platform.Row{{Key: "e", Value: lives.Entry(fake.Service, "127.0.0.1:1")}})
+			recordUsed(tm)
 			report()
 			tm.plan.AddJob(clock.Now(), &model.Job{ID: "0123456789abcdef", Queue: "q", Steps: []model.Step{{Count: 1, Need: model.Amount{CPU: 1}}}}, nil)
 			starts := tm.plan.Decide(clock.Now()).Starts
@@ -53,6 +54,7 @@
 				lives.Restart()
 			}
 			entries.Change([]platform.Row{{Key: "e", Value: lives.Entry(fake.Service, "127.0.0.1:2")}})
+			recordUsed(tm)
 			is.Equal(tm.sessions["e"].info.Address, "127.0.0.1:2")
 			is.Equal(tm.sessions["e"].takenSeq == 7, !tt.restart)
 			clock.Advance(time.Millisecond)
@@ -94,12 +96,14 @@
 			lives := fake.NewExecutor("e", fake.NewChecker())
 			entries := &executorEntries{term: tm}
 			entries.Reset([]platform.Row{{Key: "e", Value: lives.Entry(fake.Service, "127.0.0.1:1")}})
+			recordUsed(tm)
 			is.True(tm.sessions["e"].handleReport(pollAt(tm.sessions["e"], clock.Now(), clock.Boot()), &platform.Report{Clock: time.Hour}))
 			tm.plan.AddJob(clock.Now(), &model.Job{ID: "0123456789abcdef", Queue: "q", Steps: []model.Step{{Count: 1, Need: model.Amount{CPU: 1}}}}, nil)
 			is.Equal(len(tm.plan.Decide(clock.Now()).Starts), 1) // Without an answer.
 			time.Sleep(5 * time.Millisecond)                     // Lives differ by the millisecond of their start.
 			lives.Restart()
 			entries.Change([]platform.Row{{Key: "e", Value: lives.Entry(fake.Service, "127.0.0.1:1")}})
+			recordUsed(tm)
 			tm.plan.SetExecutor(model.Executor{ID: "other", Service: fake.Service, Room: model.Amount{CPU: 9}})
 			tm.plan.Reported(clock.Now(), "other", plan.Report{RequestedAt: clock.Now()})
 			clock.Advance(tt.silence)
@@ -148,15 +152,18 @@
 			}
 			entries := &executorEntries{term: tm}
 			entries.Reset(entry(first, "a"))
+			recordUsed(tm)
 			report(first)
 			second := first.Add(time.Minute)
 			if tt.entryFirst {
 				entries.Change(entry(second, "b"))
+				recordUsed(tm)
 			}
 			report(second)
 			report(second)
 			if tt.late {
 				entries.Change(entry(first, "a"))
+				recordUsed(tm)
 			}
 			for i, kind := range []string{"a", "b"} {
 				tm.plan.AddJob(clock.Now(), &model.Job{ID: fmt.Sprintf("%016x", i), Queue: "q", Steps: []model.Step{{Count: 1, Label: kind, Need: model.Amount{CPU: 1}}}}, nil)
@@ -167,6 +174,7 @@
 					port = 2
 				}
 				entries.Change(entry(second, "b"))
+				recordUsed(tm)
 			}
 			starts := tm.plan.Decide(clock.Now()).Starts
 			is.Equal(len(starts), 1)
@@ -201,10 +209,12 @@
 			lives := fake.NewExecutor("e", fake.NewChecker())
 			entries := &executorEntries{term: tm}
 			entries.Reset([]platform.Row{{Key: "e", Value: lives.Entry(fake.Service, "127.0.0.1:1")}})
+			recordUsed(tm)
 			old := tm.sessions["e"]
 			time.Sleep(5 * time.Millisecond) // Lives differ by the millisecond of their start.
 			lives.Restart()
 			entries.Change([]platform.Row{{Key: "e", Value: lives.Entry(fake.Service, "127.0.0.1:1")}})
+			recordUsed(tm)
 			next := tm.sessions["e"]
 			is.True(next != old)
 			is.True(next.handleReport(pollAt(next, clock.Now(), clock.Boot()), &platform.Report{Clock: time.Hour, Born: next.born}))
--- a/node/internal/owner/load.go
+++ b/node/internal/owner/load.go
@@ -43,10 +43,11 @@
 	o := t.owner
 	var records map[string]*model.Progress
 	var closed board.Closed
+	used := make(map[int]board.Used)
 	for {
 		if o.boardFollower.Version() >= version && submissions.follower.Version() >= version {
 			var err error
-			if records, err = t.readRecords(&closed); err == nil {
+			if records, err = t.readRecords(&closed, used); err == nil {
 				break
 			}
 			o.logger.Warn("reading records failed", zap.Int64("epoch", t.epoch), zap.Error(err))
@@ -78,6 +79,9 @@
 		t.plan.Cancel(now, id)
 	}
 	t.restoreClosed(closed, now)
+	for n, row := range used {
+		t.used.restore(n, row.Executors)
+	}
 	t.loaded = true
 	o.logger.Info("records read", zap.Int64("epoch", t.epoch), zap.Int("jobs", len(jobs)), zap.Int("records", len(records)), zap.Int("cancelled", len(cancelled)),
 		zap.Int("closed", len(closed.Executors)), zap.Int("unconfigured", t.plan.Unconfigured()))
@@ -120,10 +124,10 @@
 	return out
 }
 
-// readRecords reads the phases and the progress of all jobs, and the closed executors. The
+// readRecords reads the phases and the progress of all jobs, and the closed and the used executors. The
 // progress row of an ended job may be deleted before the job's other rows; its phase is used
 // then.
-func (t *term) readRecords(closed *board.Closed) (map[string]*model.Progress, error) {
+func (t *term) readRecords(closed *board.Closed, used map[int]board.Used) (map[string]*model.Progress, error) {
 	store := t.owner.store
 	rows, _, err := store.Read(board.Progress, board.Main, "", "")
 	if err != nil {
@@ -141,6 +145,15 @@
 			}
 			continue
 		}
+		if n, ok := board.UsedNumber(row.Key); ok {
+			var u board.Used
+			if err := board.Decode(row, &u); err != nil {
+				t.owner.logger.Error("skipping used executors: row not decoded", zap.Error(err))
+				continue
+			}
+			used[n] = u
+			continue
+		}
 		p := &model.Progress{}
 		if err := board.Decode(row, p); err != nil {
 			t.owner.logger.Error("skipping progress: row not decoded", zap.Error(err))
--- a/node/internal/owner/notification_test.go
+++ b/node/internal/owner/notification_test.go
@@ -19,11 +19,14 @@
 func newTerm() (*term, *board.Board) {
 	b := board.New(zap.NewNop())
 	o := New(Deps{Host: "h", Process: "p", Clock: timer.New(), Board: b, Logger: zap.NewNop()})
-	t := &term{owner: o, epoch: 1, plan: plan.New(nil), sessions: make(map[string]*session), fences: make(map[string]int64), recordedEnds: make(map[string]model.Phase), leaseEndStoreTime: make(map[string]time.Duration), leaseEndHostTime: make(map[string]time.Time), recordedLeaseEnds: make(map[string]time.Duration), endsSent: make(map[string]bool), group: &errgroup.Group{}, wakeDecider: make(chan struct{}, 1)}
+	t := &term{owner: o, epoch: 1, plan: plan.New(nil), sessions: make(map[string]*session), used: newUsedExecutors(), fences: make(map[string]int64), recordedEnds: make(map[string]model.Phase), leaseEndStoreTime: make(map[string]time.Duration), leaseEndHostTime: make(map[string]time.Time), recordedLeaseEnds: make(map[string]time.Duration), endsSent: make(map[string]bool), group: &errgroup.Group{}, wakeDecider: make(chan struct{}, 1), wakeRecorder: make(chan struct{}, 1)}
 	o.setTerm(t)
 	return t, b
 }
 
+// recordUsed stores the record of used executors.
+func recordUsed(tm *term) { tm.usedWritten(tm.updateUsed(maxUsedRows)) }
+
 // pollAt returns a poll of a session that is sent at the given time, which is sentBoot in boot time.
 func pollAt(sess *session, sentAt time.Time, sentBoot time.Duration) poll {
 	return poll{sentAt: sentAt, sentBoot: sentBoot, born: sess.born, token: sess.fence.token}
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -112,6 +112,9 @@
 			return err
 		}
 	}
+	if err := addUsed(&w, b.used); err != nil {
+		return err
+	}
 	if b.closed != nil {
 		put, err := board.Put(board.Progress, board.Main, board.ClosedKey, b.closed)
 		if err != nil {
--- a/node/internal/owner/session.go
+++ b/node/internal/owner/session.go
@@ -17,6 +17,8 @@
 	// orderTimeout bounds one order. A round trip takes a few milliseconds, and later
 	// polls show the outcome of an order that got no response.
 	orderTimeout = 150 * time.Millisecond
+	// entryTTL is how long an entry is valid at least after its executor has written it.
+	entryTTL = 3 * time.Second
 	// reregisterGrace is how long after a store outage executors may take to renew entries
 	// that expired during the outage.
 	reregisterGrace = 2500 * time.Millisecond
@@ -41,6 +43,7 @@
 	lease         lease
 	hasEntry      bool          // the executor has an entry in the executor table
 	unlistedSince time.Time     // when the entry was found missing
+	unreadable    time.Time     // since when its entry can't be read; zero if it can
 	retired       bool          // it gets no new work, since it has no entry
 	outdated      bool          // it gets no new work, since its entry is of an earlier life
 	silent        bool          // it didn't respond to the last call
@@ -81,7 +84,7 @@
 	next.born, next.lease, next.silent, next.hasReported = sess.born, sess.lease, sess.silent, sess.hasReported
 	next.reportClock, next.lastResponse, next.lapsed = sess.reportClock, sess.lastResponse, sess.lapsed
 	next.takenSeq, next.recordedSeq, next.ackedSeq = sess.takenSeq, sess.recordedSeq, sess.ackedSeq
-	next.hasEntry, next.retired, next.outdated, next.unlistedSince = sess.hasEntry, sess.retired, sess.outdated, sess.unlistedSince
+	next.hasEntry, next.retired, next.outdated, next.unlistedSince, next.unreadable = sess.hasEntry, sess.retired, sess.outdated, sess.unlistedSince, sess.unreadable
 	sess.close()
 	sess.refuseQueued()
 	t.sessions[info.ID] = next
@@ -107,6 +110,7 @@
 func (sess *session) close() {
 	sess.cancel()
 	sess.client.Close()
+	sess.term.used.stale = true
 	if sess.term.sessions[sess.info.ID] == sess {
 		delete(sess.term.sessions, sess.info.ID)
 	}
@@ -125,7 +129,7 @@
 		return false // It is an entry of the earlier life.
 	}
 	changed := !sess.hasEntry || sess.outdated || !old.SameOffer(&info)
-	sess.hasEntry, sess.retired, sess.outdated = true, false, false
+	sess.hasEntry, sess.retired, sess.outdated, sess.unreadable = true, false, false, time.Time{}
 	return changed
 }
 
@@ -164,6 +168,22 @@
 	}
 }
 
+// noteUnreadable notes at now that another writer has overwritten the executor's entry with one that
+// can't be read. The executor's own entry holds for as long as it would have been valid: the executor
+// has usually written it again by then. The term's mu is held.
+func (sess *session) noteUnreadable(now time.Time) {
+	if sess.unreadable.IsZero() {
+		sess.unreadable = now
+	}
+}
+
+// expireEntry treats an entry that couldn't be read for entryTTL as missing. The term's mu is held.
+func (sess *session) expireEntry(now time.Time) {
+	if !sess.unreadable.IsZero() && now.Sub(sess.unreadable) > entryTTL {
+		sess.markUnlisted()
+	}
+}
+
 // executorsMayBeMissingAt reports whether live executors may lack entries, because the store
 // was unavailable until a moment ago. The term's mu is held.
 func (t *term) executorsMayBeMissingAt(now time.Time) bool {
--- a/node/internal/plan/exclusion.go
+++ b/node/internal/plan/exclusion.go
@@ -12,6 +12,7 @@
 	Draining               // it is draining, or has lost its entry
 	Unresponsive           // it doesn't answer
 	Unreported             // it may have runs that this owner doesn't know
+	Unrecorded             // a successor wouldn't know of it
 	Closed                 // the stored record may name it as closed
 	BackedOff              // it refused a start, or runs on it failed or made no progress
 	ZoneAvoided            // runs in its zone can't be recorded before they start
@@ -19,7 +20,7 @@
 
 // Exclusions lists all reasons for an exclusion.
 func Exclusions() []Exclusion {
-	return []Exclusion{Unregistered, Draining, Unresponsive, Unreported, Closed, BackedOff, ZoneAvoided}
+	return []Exclusion{Unregistered, Draining, Unresponsive, Unreported, Unrecorded, Closed, BackedOff, ZoneAvoided}
 }
 
 // String returns the reason's name, such as "draining".
@@ -35,6 +36,8 @@
 		return "silent"
 	case Unreported:
 		return "unreported"
+	case Unrecorded:
+		return "unrecorded"
 	case Closed:
 		return "closed"
 	case BackedOff:
@@ -56,6 +59,8 @@
 		return Unresponsive
 	case !e.runsKnown:
 		return Unreported
+	case e.unrecorded:
+		return Unrecorded
 	case s.maybeClosed[e.info.ID]:
 		return Closed
 	case now.Before(e.backoffUntil):
--- a/node/internal/plan/executor.go
+++ b/node/internal/plan/executor.go
@@ -10,6 +10,7 @@
 type executor struct {
 	info           model.Executor
 	bornIn         int          // last decision before its present life was found out
+	unrecorded     bool         // a successor wouldn't know of it
 	runsKnown      bool         // it can't have runs that this owner doesn't know; required for new work
 	silent         bool         // it doesn't answer
 	silentSince    time.Time    // when it was found not to answer
@@ -63,6 +64,14 @@
 	s.markChanged(e)
 }
 
+// SetUnrecorded notes whether the record that shows an executor to a successor isn't stored. The
+// executor gets no new work until it is.
+func (s *State) SetUnrecorded(id string, unrecorded bool) {
+	if e := s.executors[id]; e != nil {
+		e.unrecorded = unrecorded
+	}
+}
+
 // zone returns the number of a zone.
 func (s *State) zone(name string) int {
 	n, ok := s.zones[name]
--- a/node/outage_test.go
+++ b/node/outage_test.go
@@ -18,8 +18,18 @@
 // Tasks ran twice after an outage of the store: the owner went on starting them, executors'
 // entries expired meanwhile, and the owner was lost right before the store's return. Its
 // successor took the owner's row for new, though it was as old as the outage, and started the
-// tasks again without waiting for the executors to register again.
+// tasks again without waiting for the executors to register again. It did the same two seconds
+// later if they didn't, since they couldn't reach the store.
 func TestExpiredEntriesHideRunsAfterOutage(t *testing.T) {
+	tests := map[string]bool{"entries come back": true, "entries stay away": false}
+	for name, back := range tests {
+		t.Run(name, func(t *testing.T) { testExpiredEntries(t, back) })
+	}
+}
+
+// testExpiredEntries plays an outage in which entries expire, and come back after it or don't.
+func testExpiredEntries(t *testing.T, back bool) {
+	t.Helper()
 	const (
 		taskTime  = 4 * time.Second
 		heartbeat = 500 * time.Millisecond
@@ -79,6 +89,9 @@
 	r.store.SetDown(false)
 	stopKept := renew(kept)
 	time.Sleep(2 * time.Second) // Entries that expired in an outage are back two seconds after it.
+	if !back {
+		expired = nil
+	}
 	stopExpired := renew(expired)
 	r.await("the job to be done", doneTime, func() bool {
 		for _, h := range r.hosts {
