plan: half of the adviser's time stayed idle with two hosts left

Slots are now reserved only until 2 s after the last short request, and by an owner that can't know of one yet.

The case is not done: jobs need more long requests than two hosts have time for, and new ones are accepted all the same. TestShortRequestsPassLongOnes holds as it was.

--- a/node/internal/plan/advice.go
+++ b/node/internal/plan/advice.go
@@ -25,6 +25,8 @@
 	// quickSlotDivisor sets the slots that are reserved for short requests: one in
 	// quickSlotDivisor, and at least one.
 	quickSlotDivisor = 4
+	// reservationTime is how long after the last short request slots stay reserved.
+	reservationTime = 2 * time.Second
 	// expectedAllowedShare is the fraction of executors without an earlier answer
 	// that the adviser is expected to allow.
 	expectedAllowedShare = 0.4
@@ -59,12 +61,16 @@
 // time: one for each host that can send them.
 func (s *State) SetAdviceSlots(n int) { s.adviceSlots = n }
 
-// adviceSlotFree reports whether another request may be sent.
-func (s *State) adviceSlotFree(long bool) bool {
+// adviceSlotFree reports whether another request may be sent. Slots are reserved for short requests
+// only while there are some, or a new owner can't know.
+func (s *State) adviceSlotFree(long bool, now time.Time) bool {
+	if !long || s.shortRequestAt.IsZero() {
+		s.shortRequestAt = now
+	}
 	if len(s.pendingAdvice) >= s.adviceSlots {
 		return false
 	}
-	if !long {
+	if !long || now.Sub(s.shortRequestAt) > reservationTime {
 		return true
 	}
 	return s.longRequests < max(1, s.adviceSlots-max(1, s.adviceSlots/quickSlotDivisor))
--- a/node/internal/plan/advice_test.go
+++ b/node/internal/plan/advice_test.go
@@ -245,6 +245,35 @@
 	is.Equal(len(f.state.Decide(later.Add(draftInterval)).AdviceRequests), 2)
 }
 
+// With two hosts left, half of the adviser's time was kept for short requests though there were none,
+// and jobs that needed long ones never ran.
+func TestReservedSlotStaysIdle(t *testing.T) {
+	tests := map[string]struct {
+		passed   time.Duration // since the last short request
+		requests int
+	}{
+		"short requests before":   {passed: reservationTime, requests: 1},
+		"no short requests since": {passed: reservationTime + time.Millisecond, requests: 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			f.addReady("a", "b")
+			f.state.SetAdviceSlots(2)
+			f.state.AddJob(epoch, &model.Job{ID: "short", Queue: "quick", Team: "t", Steps: []model.Step{{Count: 1, Need: oneCore}}, Sent: epoch}, nil)
+			requests := f.state.Decide(epoch).AdviceRequests
+			is.Equal(len(requests), 1)
+			f.allow(requests, epoch.Add(time.Second))
+			is.Equal(len(f.state.Decide(epoch).Starts), 1)
+			for _, id := range []string{"long", "longer"} {
+				f.state.AddJob(epoch, &model.Job{ID: id, Queue: "advised", Team: "t", Steps: []model.Step{{Count: 1, Need: oneCore}}, Sent: epoch}, nil)
+			}
+			is.Equal(len(f.state.Decide(epoch.Add(tt.passed)).AdviceRequests), tt.requests)
+		})
+	}
+}
+
 // An executor refuses each ticket. Requests and starts followed one another without pause.
 func TestRefusedTicketIsRequestedWithoutPause(t *testing.T) {
 	is := is.New(t)
--- a/node/internal/plan/request.go
+++ b/node/internal/plan/request.go
@@ -18,7 +18,7 @@
 	}
 	q := &st.occur.job.queue
 	long := q.Decide > longRequestTime
-	if !s.adviceSlotFree(long) {
+	if !s.adviceSlotFree(long, now) {
 		return
 	}
 	draft := s.draftRequest(st, p, now)
