soak: calls that cross restarts of executors, and executors without an entry

The soak restarted executors at once and lost what was on its way, and its entries expired only with the store. Two injectors with random numbers of their own stall connections over a restart, so that calls of the earlier life reach the next one, and take the entries of some executors away while a host is killed or paused. The proxy has a mode that keeps data and forwards it later.

--- a/trial/internal/soak/injector.go
+++ b/trial/internal/soak/injector.go
@@ -23,6 +23,8 @@
 		{harness: hs, rand: newRand(seed, 0), kinds: faultKinds(), least: 100, most: 1200},
 		{harness: hs, rand: newRand(seed, 1), kinds: []faultKind{(*injector).expireEntries}, least: 2000, most: 9000},
 		{harness: hs, rand: newRand(seed, 2), kinds: []faultKind{(*injector).stormConfig}, least: 2000, most: 9000},
+		{harness: hs, rand: newRand(seed, 3), kinds: []faultKind{(*injector).stallRestart}, least: 500, most: 4000},
+		{harness: hs, rand: newRand(seed, 4), kinds: []faultKind{(*injector).isolateExecutors}, least: 2000, most: 9000},
 	}
 }
 
--- a/trial/internal/soak/proxy.go
+++ b/trial/internal/soak/proxy.go
@@ -21,6 +21,7 @@
 	Reset                     // reset open and new connections
 	Blackhole                 // drop all data but keep connections open
 	DropResponses             // forward requests and drop responses
+	Stall                     // keep all data and forward it later, also that of callers who have given up
 )
 
 // delay is by how much Delay delays each chunk of data.
@@ -28,7 +29,7 @@
 
 // String returns the mode's name.
 func (m Mode) String() string {
-	return [...]string{"pass", "delay", "reset", "silence", "one way"}[m]
+	return [...]string{"pass", "delay", "reset", "silence", "one way", "stall"}[m]
 }
 
 // Proxy forwards TCP connections to a target and injects faults according to its
@@ -148,6 +149,8 @@
 		case m == Delay:
 			time.Sleep(delay)
 			return true
+		case m == Stall:
+			<-changed
 		case m == Blackhole, m == DropResponses && responses:
 			<-changed
 			return false // Data received before the change is lost.
--- a/trial/internal/soak/proxy_test.go
+++ b/trial/internal/soak/proxy_test.go
@@ -19,7 +19,7 @@
 		broken   bool // the connection fails
 	}{
 		"pass": {mode: Pass, responds: true}, "delay": {mode: Delay, responds: true}, "reset": {mode: Reset, broken: true},
-		"blackhole": {mode: Blackhole}, "drop responses": {mode: DropResponses},
+		"blackhole": {mode: Blackhole}, "drop responses": {mode: DropResponses}, "stall": {mode: Stall},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
