owner: a closed session extended the lease of an executor's next life

A session that was closed for the next life while a poll was on its way repeated the poll.

A closed session sends nothing more, and raises no token.

TestClosedSessionExtendsLease failed before (2 polls of 1).

--- a/node/internal/owner/authority_test.go
+++ b/node/internal/owner/authority_test.go
@@ -180,7 +180,7 @@
 			tm.owner.clock, tm.owner.boardFollower = clock, unconfirmedBoard{}
 			tm.confirm(clock.Boot(), minAuthority)
 			clock.Advance(tt.passed)
-			why, refused := tm.checkStart(&session{term: tm, silent: tt.silent}, tt.lease)
+			why, refused := tm.checkStart(&session{term: tm, silent: tt.silent, ctx: context.Background()}, tt.lease)
 			is.Equal(refused, tt.refused)
 			is.Equal(why, tt.why)
 		})
--- a/node/internal/owner/execute.go
+++ b/node/internal/owner/execute.go
@@ -13,7 +13,7 @@
 // execute sends queued orders to the executor, one after another, until the session is
 // closed.
 func (sess *session) execute() {
-	for {
+	for !sess.closed() { // A select may choose an order though the session is closed.
 		select {
 		case <-sess.ctx.Done():
 			return
@@ -79,7 +79,7 @@
 // starts are paused, the refusal doesn't count against the executor. The term's mu is held.
 func (t *term) checkStart(sess *session, lease time.Duration) (plan.Refusal, bool) {
 	switch {
-	case sess.silent || lease == 0:
+	case sess.silent || lease == 0 || sess.closed():
 		return plan.RefusedUnsent, true
 	case !t.mayStart():
 		return plan.RefusedLate, true
--- a/node/internal/owner/life.go
+++ b/node/internal/owner/life.go
@@ -64,7 +64,9 @@
 	}
 	sess.term.mu.Lock()
 	defer sess.term.mu.Unlock()
-	sess.doubtLife()
+	if !sess.closed() { // Otherwise another session has a higher token.
+		sess.doubtLife()
+	}
 }
 
 // proveLife notes that the known life of the executor has answered a poll. The term's mu is held.
--- a/node/internal/owner/life_test.go
+++ b/node/internal/owner/life_test.go
@@ -410,3 +410,46 @@
 		})
 	}
 }
+
+// interruptedExecutor calls interrupt during each poll, which gets no response.
+type interruptedExecutor struct {
+	Executor
+	polls     []platform.WatchOrder
+	interrupt func()
+}
+
+func (e *interruptedExecutor) Watch(o platform.WatchOrder) (*platform.Report, error) {
+	e.polls = append(e.polls, o)
+	e.interrupt()
+	return nil, &platform.LostError{Call: "watch"}
+}
+
+func (*interruptedExecutor) Close() {}
+
+// A session was closed for an executor's next life while a poll was on its way. The poll was
+// repeated, and extended the lease of the next life beyond what its session knew; its tasks started
+// elsewhere while they ran. A closed session sends nothing more, and its tokens stay below those of
+// the next one.
+func TestClosedSessionExtendsLease(t *testing.T) {
+	is := is.New(t)
+	tm, clock, _ := newLifeTerm(1)
+	old := tm.sessions["e"]
+	e := &interruptedExecutor{}
+	old.client = e
+	is.True(old.handleReport(pollAt(old, clock.Now(), clock.Boot()), &platform.Report{Clock: time.Hour, Born: old.born}))
+	var next *session
+	e.interrupt = func() {
+		tm.mu.Lock()
+		defer tm.mu.Unlock()
+		old.close()
+		next = newSession(tm, old.info)
+		tm.sessions["e"] = next
+	}
+	old.watch()
+	is.Equal(len(e.polls), 1)
+	is.True(e.polls[0].LeaseEnd > 0)
+	is.Equal(next.fence.token, tm.epoch*callsPerEpoch+tm.fences["e"]) // The highest one.
+	is.True(next.fence.token > old.fence.token)
+	old.enqueue(order{stop: &plan.Stop{Executor: "e"}})
+	old.execute() // It returns without a call.
+}
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -80,7 +80,7 @@
 func (sess *session) exchange(wait time.Duration) (poll, *platform.Report, error) {
 	p := sess.nextPoll(wait)
 	rep, err := sess.client.Watch(p.order())
-	if sess.noteOutcome(err); !noResponse(err) {
+	if sess.noteOutcome(err); !noResponse(err) || sess.closed() {
 		return p, rep, err
 	}
 	p = sess.nextPoll(0)
