owner: bounds of the new rows, and starts refused for a token of this session

A row of used executors could exceed a small row_bytes, and then hold up all records: its bound follows the store's. A start that is refused since the executor has executed a later call of the same session didn't happen, and says nothing against the executor: no pause of 1 s.

TestRecordedExecutorsAreStored draws small rows as well.

--- a/node/internal/owner/execute.go
+++ b/node/internal/owner/execute.go
@@ -72,7 +72,7 @@
 		t.plan.Unanswered(t.owner.clock.Now(), *s) // The next report tells whether the run is of the present life.
 		return true
 	}
-	return sess.applyStart(s, clock, err)
+	return sess.applyStart(s, fence, clock, err)
 }
 
 // checkStart reports whether a run must not be started under the given lease, and why. If
@@ -87,9 +87,9 @@
 	return 0, false
 }
 
-// applyStart gives the outcome of a start to the plan. It reports whether the outcome is unknown,
-// since no response came. The term's mu is held.
-func (sess *session) applyStart(s *plan.Start, clock time.Duration, err error) bool {
+// applyStart gives the outcome of a start that was sent with the given fence to the plan. It reports
+// whether the outcome is unknown, since no response came. The term's mu is held.
+func (sess *session) applyStart(s *plan.Start, sent fence, clock time.Duration, err error) bool {
 	t := sess.term
 	now := t.owner.clock.Now()
 	if err == nil {
@@ -108,6 +108,8 @@
 	var dial *platform.DialError
 	var other *platform.IncarnationError
 	switch {
+	case isFenced(err) && sent.token < sess.fence.token: // The executor has executed a later call of this session.
+		t.refuse(now, *s, plan.RefusedLate)
 	case errors.As(err, &refusal):
 		t.applyRefusal(s, refusal.Reason)
 	case errors.As(err, &refused):
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -125,8 +125,9 @@
 	g, gctx := errgroup.WithContext(ctx)
 	t := &term{
 		owner: o, epoch: claim.Epoch, began: now, bounds: o.bounds(), wakeDecider: make(chan struct{}, 1), wakeRecorder: make(chan struct{}, 1), observedWrites: make(chan observedWrite, observedWritesQueued), cancel: end, group: g,
-		sessions: make(map[string]*session), used: newUsedExecutors(), fences: make(map[string]int64), leaseEndStoreTime: make(map[string]time.Duration), leaseEndHostTime: make(map[string]time.Time), recordedLeaseEnds: make(map[string]time.Duration), recordedEnds: make(map[string]model.Phase), endsSent: make(map[string]bool), heldStarts: make(map[string][]plan.Start), writeConfirmed: o.clock.Boot(), authority: claim.Authority, config: o.configs.Config(),
+		sessions: make(map[string]*session), fences: make(map[string]int64), leaseEndStoreTime: make(map[string]time.Duration), leaseEndHostTime: make(map[string]time.Time), recordedLeaseEnds: make(map[string]time.Duration), recordedEnds: make(map[string]model.Phase), endsSent: make(map[string]bool), heldStarts: make(map[string][]plan.Start), writeConfirmed: o.clock.Boot(), authority: claim.Authority, config: o.configs.Config(),
 	}
+	t.used = newUsedExecutors(t.rowSize())
 	t.settleTime, t.writeAheadZone = t.initialSettleTime(before), o.writeAheadZone()
 	reregisterBy := now
 	if !o.ownedRecently(before) {
--- a/node/internal/owner/usedexecutors.go
+++ b/node/internal/owner/usedexecutors.go
@@ -19,6 +19,8 @@
 	// usedRowSize bounds the encoded size of a row of used executors. Each executor that joins or
 	// leaves rewrites one row.
 	usedRowSize = 4096
+	// usedRowOverhead is more than the encoded size of a row without executors.
+	usedRowOverhead = 16
 	// usedOverhead is more than the encoded size of an executor beyond that of its texts.
 	usedOverhead = 16
 	// maxUsedRows is the most rows of used executors in one write.
@@ -27,6 +29,7 @@
 
 // usedExecutors is the record of used executors. The term's mu guards it.
 type usedExecutors struct {
+	most    int  // size of a row
 	stale   bool // the sessions have changed since set was called
 	rows    map[int]*usedRow
 	rowOf   map[string]int                // by executor
@@ -47,8 +50,9 @@
 	executors map[string]board.UsedExecutor
 }
 
-func newUsedExecutors() *usedExecutors {
-	return &usedExecutors{rows: make(map[int]*usedRow), rowOf: make(map[string]int), leaving: make(map[string]int), stored: make(map[string]board.UsedExecutor)}
+// newUsedExecutors returns an empty record, given the largest size of a row of the store.
+func newUsedExecutors(rowSize int) *usedExecutors {
+	return &usedExecutors{most: min(usedRowSize, rowSize-usedRowOverhead), rows: make(map[int]*usedRow), rowOf: make(map[string]int), leaving: make(map[string]int), stored: make(map[string]board.UsedExecutor)}
 }
 
 // usedRecord returns what is recorded of an executor.
@@ -84,7 +88,7 @@
 			continue
 		}
 		size := usedSize(id, x)
-		if size > usedRowSize {
+		if size > u.most {
 			oversize = append(oversize, id)
 			continue
 		}
@@ -110,7 +114,7 @@
 // rowFor returns the number of a row with room for an executor. A successor wouldn't know which of
 // two rows holds, so there is no such row while another row in the store may still list the executor.
 func (u *usedExecutors) rowFor(id string, size int) (int, bool) {
-	hasRoom := func(number int) bool { return u.rows[number] == nil || u.rows[number].size+size <= usedRowSize }
+	hasRoom := func(number int) bool { return u.rows[number] == nil || u.rows[number].size+size <= u.most }
 	if number, ok := u.leaving[id]; ok {
 		return number, hasRoom(number)
 	}
@@ -184,7 +188,7 @@
 		wanted[id] = usedRecord(&sess.info)
 	}
 	for _, id := range t.used.set(wanted) {
-		t.owner.logger.Error("executor's record is too large", zap.String("executor", id), zap.Int("most", usedRowSize))
+		t.owner.logger.Error("executor's record is too large", zap.String("executor", id), zap.Int("most", t.used.most))
 	}
 	return t.used.changed(n)
 }
--- a/node/internal/owner/usedexecutors_test.go
+++ b/node/internal/owner/usedexecutors_test.go
@@ -24,7 +24,8 @@
 // response, and a successor then knows it. No row grows beyond its bound.
 func TestRecordedExecutorsAreStored(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		u := newUsedExecutors()
+		rowSize := rapid.SampledFrom([]int{400, platform.DefaultRowSize}).Draw(t, "size of a row")
+		u := newUsedExecutors(rowSize)
 		store := make(map[int]map[string]board.UsedExecutor)
 		known := func(id string) (board.UsedExecutor, bool) {
 			for _, row := range store {
@@ -47,7 +48,7 @@
 			outcome := rapid.SampledFrom([]string{"written", "written", "lost", "response lost"}).Draw(t, "outcome")
 			for _, p := range puts {
 				row, err := board.Put(board.Progress, board.Main, board.UsedKey(p.number), board.Used{Executors: p.executors})
-				if err != nil || len(row.Value) > usedRowSize+usedOverhead {
+				if err != nil || len(row.Value) > rowSize {
 					t.Fatalf("row of %d bytes, %v", len(row.Value), err)
 				}
 				if outcome != "lost" {
@@ -72,7 +73,7 @@
 				}
 			}
 			if rapid.IntRange(0, 9).Draw(t, "takeover") == 0 {
-				u = newUsedExecutors()
+				u = newUsedExecutors(rowSize)
 				for n, row := range store {
 					u.restore(n, row)
 				}
@@ -84,7 +85,7 @@
 // A row that a single executor fills, or more than fills.
 func TestOversizeUsedExecutor(t *testing.T) {
 	is := is.New(t)
-	u := newUsedExecutors()
+	u := newUsedExecutors(platform.DefaultRowSize)
 	long := board.UsedExecutor{Service: string(make([]byte, usedRowSize))}
 	is.Equal(u.set(map[string]board.UsedExecutor{"long": long, "short": {Service: "s"}}), []string{"long"})
 	puts := u.changed(maxUsedRows)
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -193,10 +193,10 @@
 // logAnswer logs what the answer to a poll shows of the executor's life, if it isn't the life
 // for which the poll was sent. The term's mu is held.
 func (sess *session) logAnswer(p poll, rep *platform.Report) {
-	switch {
-	case rep.Born.IsZero() || p.born.IsZero() || rep.Born.Equal(p.born):
+	if rep.Born.IsZero() || p.born.IsZero() || rep.Born.Equal(p.born) {
 		return
-	case p.acked > 0:
+	}
+	if p.acked > 0 {
 		sess.term.owner.metrics.crossed.Inc(1)
 		sess.term.owner.logger.Warn("another life of the executor took an acknowledgement", zap.String("executor", sess.info.ID), zap.Time("sent", p.born),
 			zap.Time("taken", rep.Born), zap.Int64("acked", p.acked), zap.Int("ends", len(rep.Ends)), zap.Int64("epoch", sess.term.epoch))
