owner: leases of a silent next life never ended

A report or an answer that showed the next life of an executor emptied the session's lease, but left it as one that had reported. If the executor was silent from then on, its runs were never given up, so that their tasks never started elsewhere; and the record of closed executors told a successor that its leases had ended at once, so that it would have started them too early. The latter held before as well for a next life that was found by its entry, and an end recorded for the earlier life stayed in force for the next.

What is known of leases now ends with the life: until the next report they count as the longest one that a call on its way may bring (doubtLease), for the lapse and for the record. A session that moves to another address keeps that time.

--- a/node/internal/owner/executorentries.go
+++ b/node/internal/owner/executorentries.go
@@ -63,8 +63,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	sess := t.sessions[row.Key]
-	now := t.owner.clock.Now()
-	var doubtUntil time.Time
+	now, reborn := t.owner.clock.Now(), false
 	if now.Sub(t.lastEntryChange) > storeDownAfter {
 		t.lastOutageEnd = now
 	}
@@ -92,12 +91,13 @@
 		sess.close()
 		sess.refuseQueued()
 		t.plan.NewIncarnation(now, info.ID)
-		doubtUntil = now.Add(orderTimeout + time.Duration(float64(t.bounds.Lease)/minClockRate) + settleMargin)
-		sess = nil
+		reborn, sess = true, nil
 	}
 	if sess == nil {
 		sess = newSession(t, info)
-		sess.doubtUntil = doubtUntil
+		if reborn {
+			sess.doubtLease(now)
+		}
 		t.sessions[info.ID] = sess
 		t.plan.SetExecutor(info)
 		t.noteUsed(sess)
--- a/node/internal/owner/lapse.go
+++ b/node/internal/owner/lapse.go
@@ -26,10 +26,30 @@
 	if sess.lease.expired(now) {
 		return byLease, true
 	}
-	ended := !sess.hasReported && now.After(t.leaseEndTime(sess.info.ID)) && now.After(sess.doubtUntil)
+	ended := !sess.lease.known() && now.After(sess.unknownLeaseEnd())
 	return t.leaseEndBasis(sess.info.ID), ended
 }
 
+// unknownLeaseEnd returns when all leases of an executor whose clock isn't known have ended. The
+// term's mu is held.
+func (sess *session) unknownLeaseEnd() time.Time {
+	end := sess.term.leaseEndTime(sess.info.ID)
+	if sess.doubtUntil.After(end) {
+		return sess.doubtUntil
+	}
+	return end
+}
+
+// doubtLease notes at now that the executor has begun another life, which may execute calls that
+// were meant for the earlier one. Nothing that is known of leases holds for it. The term's mu is held.
+func (sess *session) doubtLease(now time.Time) {
+	t := sess.term
+	sess.lease = lease{}
+	sess.doubtUntil = now.Add(orderTimeout + time.Duration(float64(t.bounds.Lease)/minClockRate) + settleMargin)
+	delete(t.leaseEndStoreTime, sess.info.ID)
+	delete(t.leaseEndHostTime, sess.info.ID)
+}
+
 // leaseEndBasis returns how leaseEndTime is known. The term's mu is held.
 func (t *term) leaseEndBasis(id string) basis {
 	if _, ok := t.leaseEndHostTime[id]; ok {
--- a/node/internal/owner/lease.go
+++ b/node/internal/owner/lease.go
@@ -33,7 +33,7 @@
 // earlier owner has just granted a lease of the longest duration. Earlier owners can't
 // extend leases after this response.
 func (l *lease) assumeEarlierLease(clock, longest time.Duration) {
-	if l.clockReadAt.IsZero() {
+	if !l.known() {
 		l.latestEnd = clock + longest
 	}
 }
@@ -46,10 +46,13 @@
 	}
 }
 
+// known reports whether the executor's clock was read.
+func (l *lease) known() bool { return !l.clockReadAt.IsZero() }
+
 // precedes reports whether a reading of the clock, from an answer to a call that was sent at
 // sentAt, is lower than the executor's clock was by then. It is of another life in that case.
 func (l *lease) precedes(clock time.Duration, sentAt time.Time) bool {
-	if l.clockReadAt.IsZero() || clock <= 0 || sentAt.Before(l.clockReadAt) {
+	if !l.known() || clock <= 0 || sentAt.Before(l.clockReadAt) {
 		return false
 	}
 	return clock+clockResolution < l.clock+time.Duration(float64(sentAt.Sub(l.clockReadAt))*minClockRate)
@@ -58,7 +61,7 @@
 // extend grants a lease of d from now and returns its end on the executor's clock, or
 // zero if d isn't positive or the executor's clock isn't known.
 func (l *lease) extend(now time.Time, d time.Duration) time.Duration {
-	if l.clockReadAt.IsZero() || d <= 0 {
+	if !l.known() || d <= 0 {
 		return 0
 	}
 	end := (l.clock + now.Sub(l.clockReadAt) + d).Truncate(time.Millisecond)
@@ -76,7 +79,7 @@
 // remaining returns how long until every lease that was sent has expired, even if the
 // executor's clock is slow.
 func (l *lease) remaining(now time.Time) time.Duration {
-	if l.clockReadAt.IsZero() {
+	if !l.known() {
 		return 0
 	}
 	end := l.clockReadAt.Add(time.Duration(float64(l.latestEnd+expiryMargin-l.clock) / minClockRate))
@@ -86,7 +89,7 @@
 // expired reports whether every lease that was sent has expired, even if the executor's
 // clock is slow. It is false if the executor's clock isn't known.
 func (l *lease) expired(now time.Time) bool {
-	if l.clockReadAt.IsZero() {
+	if !l.known() {
 		return false
 	}
 	minClock := l.clock + time.Duration(float64(now.Sub(l.clockReadAt))*minClockRate)
--- a/node/internal/owner/life.go
+++ b/node/internal/owner/life.go
@@ -33,7 +33,7 @@
 type fence struct {
 	token    int64 // sent with each call
 	life     int64 // token of the first call to the present life
-	unproved int64 // the life isn't certain until a poll with this token, or a higher one, is answered
+	unproved int64 // the life is in doubt until a poll with this token or a higher one is answered; 0 if it isn't
 	acked    bool  // an acknowledgement was sent under token
 }
 
@@ -109,6 +109,7 @@
 	sess.term.owner.logger.Info("answer of another life of the executor", zap.String("executor", sess.info.ID), zap.Duration("clock", clock),
 		zap.Duration("before", sess.lease.clock), zap.Int64("epoch", sess.term.epoch))
 	sess.doubtLife()
+	sess.doubtLease(sess.term.owner.clock.Now())
 	signal(sess.pollRequested)
 	return true
 }
--- a/node/internal/owner/life_test.go
+++ b/node/internal/owner/life_test.go
@@ -202,7 +202,7 @@
 	return tm, clock, e
 }
 
-// poll sends a poll as watch does, and handles its answer.
+// pollOnce sends a poll as watch does, and handles its answer.
 func (sess *session) pollOnce() {
 	if p, rep, err := sess.exchange(0); err == nil {
 		sess.handleReport(p, rep)
@@ -453,3 +453,55 @@
 	old.enqueue(order{stop: &plan.Stop{Executor: "e"}})
 	old.execute() // It returns without a call.
 }
+
+// An executor showed another life and didn't answer again. Its leases counted as never ended, so that
+// its tasks never started elsewhere, and a successor was told that they had ended at once.
+func TestSilentNextLifeNeverLapses(t *testing.T) {
+	silent := func() string { return "lost" }
+	found := map[string]func(e *modelExecutor, sess *session){
+		"by a report": func(e *modelExecutor, sess *session) {
+			sess.pollOnce()
+			e.fate = silent
+		},
+		"by the answer to a start": func(e *modelExecutor, sess *session) {
+			e.fate = func() string {
+				e.fate = silent
+				return "answered"
+			}
+			sess.decideStarts(1)
+		},
+	}
+	tests := map[string]struct {
+		silence time.Duration
+		lapsed  bool
+	}{
+		"within the longest lease": {silence: modelLease},
+		"after it":                 {silence: modelLease + 2*time.Second, lapsed: true},
+	}
+	for how, find := range found {
+		for name, tt := range tests {
+			t.Run(how+", "+name, func(t *testing.T) {
+				is := is.New(t)
+				tm, clock, e := newLifeTerm(9)
+				sess := tm.sessions["e"]
+				store := &driftingStore{rate: 1, host: clock, began: clock.Boot()}
+				tm.owner.storeClock = store
+				sess.pollOnce()
+				sess.decideStarts(3)
+				clock.Advance(longestPoll)
+				sess.pollOnce()
+				e.restart()
+				clock.Advance(time.Millisecond)
+				find(e, sess)
+				sess.pollOnce()
+				sess.handleFailure(&platform.LostError{})
+				is.True(sess.silent)
+				store.call(time.Millisecond)
+				is.True(tm.leaseEnds([]string{"e"}, clock.Now())["e"] > store.now()+modelLease)
+				clock.Advance(tt.silence)
+				sess.handleFailure(&platform.LostError{})
+				is.Equal(tm.plan.RunsOn("e") == 0, tt.lapsed)
+			})
+		}
+	}
+}
--- a/node/internal/owner/session.go
+++ b/node/internal/owner/session.go
@@ -49,7 +49,7 @@
 	silent        bool          // it didn't respond to the last call
 	lapsed        bool          // its leases have ended since its last response
 	hasReported   bool          // it has reported to this owner
-	doubtUntil    time.Time     // until then a run of an order to its last incarnation may exist on it
+	doubtUntil    time.Time     // until then a lease of an order to its last incarnation may last
 	reportClock   time.Duration // time of the newest report, on the executor's clock
 	lastResponse  time.Duration // boot time at which the last successful poll was sent
 	takenSeq      int64         // sequence number of the last end that was given to the plan
@@ -82,7 +82,7 @@
 	next.info = sess.info // What else has changed is for updateEntry.
 	next.info.Address = info.Address
 	next.born, next.lease, next.silent, next.hasReported = sess.born, sess.lease, sess.silent, sess.hasReported
-	next.reportClock, next.lastResponse, next.lapsed = sess.reportClock, sess.lastResponse, sess.lapsed
+	next.reportClock, next.lastResponse, next.lapsed, next.doubtUntil = sess.reportClock, sess.lastResponse, sess.lapsed, sess.doubtUntil
 	next.takenSeq, next.recordedSeq, next.ackedSeq = sess.takenSeq, sess.recordedSeq, sess.ackedSeq
 	next.hasEntry, next.retired, next.outdated, next.unlistedSince, next.unreadable = sess.hasEntry, sess.retired, sess.outdated, sess.unlistedSince, sess.unreadable
 	sess.close()
@@ -134,9 +134,9 @@
 }
 
 // beginLife notes that a report shows a later life than the known one, and returns false if no
-// life was known. Its report of runs is of no use, since calls to the earlier life may have been
-// executed after it. The executor may be of another kind now, so it gets no new work until its entry is of that
-// life. The term's mu is held.
+// life was known. The report of the runs doesn't count, since a call to the earlier life may be
+// executed after it. The executor may be of another kind now, so it gets no new work until its
+// entry is of that life. The term's mu is held.
 func (sess *session) beginLife(born time.Time) bool {
 	t := sess.term
 	if sess.born.IsZero() {
@@ -148,7 +148,8 @@
 	t.plan.NewIncarnation(t.owner.clock.Now(), sess.info.ID)
 	sess.beginLifeFence()
 	signal(sess.pollRequested)
-	sess.born, sess.takenSeq, sess.recordedSeq, sess.ackedSeq, sess.reportClock, sess.lease = born, 0, 0, 0, 0, lease{}
+	sess.born, sess.takenSeq, sess.recordedSeq, sess.ackedSeq, sess.reportClock = born, 0, 0, 0, 0
+	sess.doubtLease(t.owner.clock.Now())
 	if sess.info.Born.IsZero() || !sess.info.Born.Before(born) {
 		return true
 	}
--- a/node/internal/owner/storetime.go
+++ b/node/internal/owner/storetime.go
@@ -56,8 +56,10 @@
 		switch {
 		case sess != nil && !sess.silent:
 			continue // Its leases may still be extended.
-		case sess != nil && sess.hasReported:
+		case sess != nil && sess.lease.known():
 			remaining = sess.lease.remaining(now)
+		case sess != nil:
+			remaining = sess.unknownLeaseEnd().Sub(now)
 		}
 		t.leaseEndStoreTime[id] = latest + time.Duration(float64(max(0, remaining))*(1+maxClockDrift))
 		out[id] = t.leaseEndStoreTime[id]
