--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -87,7 +87,7 @@
 type Owner struct {
 	Host     string `cbor:"1,keyasint"`
 	Process  string `cbor:"2,keyasint"` // distinguishes successive processes of one host
-	Epoch    int64  `cbor:"3,keyasint"` // fencing token
+	Epoch    int64  `cbor:"3,keyasint"` // upper part of fencing tokens
 	Seq      int64  `cbor:"4,keyasint"` // sequence number of the owner's write
 	Resigned bool   `cbor:"5,keyasint,omitempty"`
 	// Authority is how long after this write the owner may start work without writing
--- a/node/internal/owner/usedexecutors.go
+++ b/node/internal/owner/usedexecutors.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"go.uber.org/zap"
 
@@ -29,12 +30,13 @@
 
 // usedExecutors is the record of used executors. The term's mu guards it.
 type usedExecutors struct {
-	most    int  // size of a row
-	stale   bool // the sessions have changed since set was called
-	rows    map[int]*usedRow
-	rowOf   map[string]int                // by executor
-	leaving map[string]int                // by executor that was removed, the row that may still list it in the store
-	stored  map[string]board.UsedExecutor // by executor, what the store certainly has
+	most     int      // size of a row
+	stale    bool     // the sessions may have changed since set was called
+	oversize []string // executors that are left out for the size of their record, sorted
+	rows     map[int]*usedRow
+	rowOf    map[string]int                // by executor
+	leaving  map[string]int                // by executor that was removed, the row that may still list it in the store
+	stored   map[string]board.UsedExecutor // by executor, what the store certainly has
 }
 
 // usedRow is one row of the record.
@@ -187,8 +189,11 @@
 	for id, sess := range t.sessions {
 		wanted[id] = usedRecord(&sess.info)
 	}
-	for _, id := range t.used.set(wanted) {
-		t.owner.logger.Error("executor's record is too large", zap.String("executor", id), zap.Int("most", t.used.most))
+	oversize := t.used.set(wanted)
+	slices.Sort(oversize)
+	if !slices.Equal(oversize, t.used.oversize) {
+		t.used.oversize = oversize
+		t.owner.logger.Error("records of executors are too large", zap.Strings("executors", oversize), zap.Int("most", t.used.most), zap.Int64("epoch", t.epoch))
 	}
 	return t.used.changed(n)
 }
--- a/node/internal/owner/usedexecutors_test.go
+++ b/node/internal/owner/usedexecutors_test.go
@@ -22,7 +22,7 @@
 
 // An executor counts as recorded only if the store lists it, whatever writes get lost or no
 // response, and a successor then knows it. No row grows beyond its bound.
-func TestRecordedExecutorsAreStored(t *testing.T) {
+func TestRecordedExecutorIsNotStored(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rowSize := rapid.SampledFrom([]int{400, platform.DefaultRowSize}).Draw(t, "size of a row")
 		u := newUsedExecutors(rowSize)
@@ -83,7 +83,7 @@
 }
 
 // A row that a single executor fills, or more than fills.
-func TestOversizeUsedExecutor(t *testing.T) {
+func TestOversizeRecordBlocksOthers(t *testing.T) {
 	is := is.New(t)
 	u := newUsedExecutors(platform.DefaultRowSize)
 	long := board.UsedExecutor{Service: string(make([]byte, usedRowSize))}
@@ -96,7 +96,7 @@
 
 // Tasks ran twice after executors had lost their entries and the owner had gone on using them: its
 // successor took executors without an entry, or with one that can't be read, for idle.
-func TestSuccessorKnowsUnlistedExecutors(t *testing.T) {
+func TestSuccessorMissesUnlistedExecutors(t *testing.T) {
 	listed := fake.NewExecutor("e", fake.NewChecker()).Entry(fake.Service, "127.0.0.1:1")
 	tests := map[string]struct {
 		entry   []byte // nil for none
@@ -149,7 +149,7 @@
 
 // An executor gets no work before a successor would know it: not before its record is stored, and
 // not under another address than the one that is recorded.
-func TestNoWorkBeforeRecord(t *testing.T) {
+func TestWorkBeforeRecord(t *testing.T) {
 	is := is.New(t)
 	clock := timer.New(timer.WithManual(time.Now()))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -174,7 +174,7 @@
 
 // An entry that another writer has overwritten holds for as long as it would have been valid. Then
 // the executor gets no new work until it has an entry again.
-func TestUnreadableEntryExpires(t *testing.T) {
+func TestUnreadableEntryNeverExpires(t *testing.T) {
 	is := is.New(t)
 	clock := timer.New(timer.WithManual(time.Now()))
 	ctx, cancel := context.WithCancel(context.Background())
--- a/node/internal/plan/advice.go
+++ b/node/internal/plan/advice.go
@@ -62,9 +62,9 @@
 func (s *State) SetAdviceSlots(n int) { s.adviceSlots = n }
 
 // adviceSlotFree reports whether another request may be sent. Slots are reserved for short requests
-// only while there are some, or a new owner can't know.
+// until reservationTime after the last one, or after the first call.
 func (s *State) adviceSlotFree(long bool, now time.Time) bool {
-	if !long || s.shortRequestAt.IsZero() {
+	if s.shortRequestAt.IsZero() {
 		s.shortRequestAt = now
 	}
 	if len(s.pendingAdvice) >= s.adviceSlots {
--- a/node/internal/plan/advice_test.go
+++ b/node/internal/plan/advice_test.go
@@ -250,10 +250,12 @@
 func TestReservedSlotStaysIdle(t *testing.T) {
 	tests := map[string]struct {
 		passed   time.Duration // since the last short request
+		stuck    bool          // a short step waits that has no executor to ask about
 		requests int
 	}{
 		"short requests before":   {passed: reservationTime, requests: 1},
 		"no short requests since": {passed: reservationTime + time.Millisecond, requests: 2},
+		"a short step is stuck":   {passed: reservationTime + time.Millisecond, stuck: true, requests: 2},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -266,6 +268,9 @@
 			is.Equal(len(requests), 1)
 			f.allow(requests, epoch.Add(time.Second))
 			is.Equal(len(f.state.Decide(epoch).Starts), 1)
+			if tt.stuck {
+				f.state.AddJob(epoch, &model.Job{ID: "stuck", Queue: "quick", Team: "t", Steps: []model.Step{{Count: 1, Need: fullExecutor.Add(oneCore)}}, Sent: epoch}, nil)
+			}
 			for _, id := range []string{"long", "longer"} {
 				f.state.AddJob(epoch, &model.Job{ID: id, Queue: "advised", Team: "t", Steps: []model.Step{{Count: 1, Need: oneCore}}, Sent: epoch}, nil)
 			}
--- a/node/internal/plan/request.go
+++ b/node/internal/plan/request.go
@@ -37,6 +37,8 @@
 	estimate := q.Decide + time.Duration(len(draft.executors))*q.Each
 	if long {
 		s.longRequests++
+	} else {
+		s.shortRequestAt = now
 	}
 	s.pendingAdvice[st.id()] = pendingRequest{decision: s.decision, long: long, until: now.Add(estimate + lostRequestGrace)}
 	s.orders.AdviceRequests = append(s.orders.AdviceRequests, AdviceRequest{Step: st.id(), Executors: draft.executors, EstimatedTime: estimate, decision: s.decision})
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -35,7 +35,7 @@
 	ended              map[string]bool                 // jobs whose end is recorded and whose rows still exist
 	pendingAdvice      map[model.StepID]pendingRequest // requests to the adviser without an answer
 	longRequests       int                             // of these, long ones
-	shortRequestAt     time.Time                       // when a short one was last to be sent
+	shortRequestAt     time.Time                       // when a short one was last ordered
 	ticketsRequired    map[string]time.Time            // by queue, until when its starts need tickets though it isn't advised
 	backlogged         bool                            // the last decision left tasks waiting
 	paused             bool                            // no run may start
