--- a/node/internal/plan/answers.go
+++ b/node/internal/plan/answers.go
@@ -43,7 +43,7 @@
 	case RefusedTicket:
 		r.stage.advice.expire(o.Executor, o.Ticket, now)
 		s.requireTickets(r.stage.occur.job, now)
-	case RefusedNumber, RefusedLate:
+	case RefusedNumber, RefusedLate, RefusedEvacuated:
 	}
 	s.removeRun(r)
 	if r.stage.spec.Gang {
--- a/node/internal/plan/exclusion.go
+++ b/node/internal/plan/exclusion.go
@@ -16,11 +16,12 @@
 	Closed                 // the stored record may name it as closed
 	BackedOff              // it refused a start, or runs on it failed or made no progress
 	ZoneAvoided            // runs in its zone can't be recorded before they start
+	Evacuated              // its zone is being evacuated
 )
 
 // Exclusions lists all reasons for an exclusion.
 func Exclusions() []Exclusion {
-	return []Exclusion{Unregistered, Draining, Unresponsive, Unreported, Unrecorded, Closed, BackedOff, ZoneAvoided}
+	return []Exclusion{Unregistered, Draining, Unresponsive, Unreported, Unrecorded, Closed, BackedOff, ZoneAvoided, Evacuated}
 }
 
 // String returns the reason's name, such as "draining".
@@ -44,6 +45,8 @@
 		return "backoff"
 	case ZoneAvoided:
 		return "zone"
+	case Evacuated:
+		return "evacuated"
 	}
 	return "unknown"
 }
@@ -67,6 +70,8 @@
 		return BackedOff
 	case s.avoidedZone != "" && e.info.Zone == s.avoidedZone:
 		return ZoneAvoided
+	case s.evacuated[e.info.Zone]:
+		return Evacuated
 	}
 	return NotExcluded
 }
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -16,15 +16,16 @@
 	// more.
 	quotaWindow        time.Duration
 	quotaSlack         int
-	maxStopTime        time.Duration // longest time that a run takes to stop
-	runNumberBase      int           // new runs are numbered above it
-	recordSize         int           // largest size of a job's record in bytes, 0 for no limit
-	longestID          int           // of the executors seen, in bytes
-	settleDeadline     time.Time     // after it no unknown run can exist
-	avoidedZone        string        // executors there get no new work; empty for no zone
-	writeAheadZone     string        // the previous owner recorded runs there before it started them
-	reregisterUntil    time.Time     // until then executors that aren't registered may have unrecorded runs
-	executorsListed    bool          // all executors that were registered at listedAsOf are known
+	maxStopTime        time.Duration   // longest time that a run takes to stop
+	runNumberBase      int             // new runs are numbered above it
+	recordSize         int             // largest size of a job's record in bytes, 0 for no limit
+	longestID          int             // of the executors seen, in bytes
+	settleDeadline     time.Time       // after it no unknown run can exist
+	avoidedZone        string          // executors there get no new work; empty for no zone
+	evacuated          map[string]bool // zones that are being evacuated; executors there get no new work
+	writeAheadZone     string          // the previous owner recorded runs there before it started them
+	reregisterUntil    time.Time       // until then executors that aren't registered may have unrecorded runs
+	executorsListed    bool            // all executors that were registered at listedAsOf are known
 	listedAsOf         time.Time
 	jobs               map[string]*job
 	executors          map[string]*executor
