node: hosts that lost the store stay ready for four seconds

Cause: hosts of a zone that is cut off from the store refuse all submissions, and the balancer sends its clients to other zones only when all of its hosts are unready: 4 s until they say so, and two missed checks. The sign for a lost store could not be used for it: it went by the age of the data, which reaches two long polls on a table that doesn't change, so that it came and went each second. Change: a table is failing when the last call failed or the answer to the current one is overdue, by when that call was sent; a failing table that is 1.2 s old makes the host unready.

--- a/node/app.go
+++ b/node/app.go
@@ -39,6 +39,10 @@
 	// maxSyncAge is how far the board and the configuration may lag behind the store
 	// while the host is ready: it covers two failed long polls.
 	maxSyncAge = 4 * time.Second
+	// maxFailingAge replaces maxSyncAge while calls to the store fail: one lost long poll doesn't make the
+	// host unready. In a zone that is cut off all hosts refuse submissions, and the balancer sends clients to
+	// other zones only when all of them are unready.
+	maxFailingAge = 1200 * time.Millisecond
 	// minDrainTime is how long a stopping host keeps serving clients while it reports that
 	// it isn't ready. The balancer needs that time to send them to other hosts.
 	minDrainTime = 3 * time.Second
@@ -259,7 +263,8 @@
 		return "the board isn't read yet"
 	}
 	for _, f := range a.followers {
-		if a.clock.Now().Sub(f.SyncedAt()) > maxSyncAge {
+		age := a.clock.Now().Sub(f.SyncedAt())
+		if age > maxSyncAge || f.Failing() && age > maxFailingAge {
 			return "the store doesn't answer"
 		}
 	}
--- a/node/internal/follow/follower.go
+++ b/node/internal/follow/follower.go
@@ -63,6 +63,9 @@
 	syncedBoot time.Duration // syncedAt as time since boot, suspensions included
 	failing    bool          // the last call failed
 	feedAge    time.Duration // how old the last changes were when they came from the feed, 0 from the store
+	callAt     time.Time     // when the current call was sent or, between calls, the last one succeeded
+	calling    bool          // a call is under way
+	callWait   time.Duration // how long the current call may be held up
 	version    int64         // store version up to which the handler has all changes
 	recent     recent        // changes for other hosts
 }
@@ -156,18 +159,26 @@
 		age = sentBoot - f.syncedBoot // What was known before still holds.
 	}
 	f.syncedAt, f.syncedBoot, f.feedAge, f.failing, f.version = sentAt.Add(-age), sentBoot-age, age, false, version
+	f.callAt, f.calling = f.clock.Now(), false
 }
 
-// Failing reports whether the last call failed or the answer to the current one is
-// overdue. It may be called concurrently.
+// Failing reports whether the last call failed, the answer to the current one is overdue, or no
+// call has succeeded yet. It may be called concurrently.
 func (f *Follower) Failing() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	heldUp := f.pollWait
-	if f.feedAge > 0 {
-		heldUp = f.feedAge // A feeder replies at once.
+	heldUp := f.gap
+	if f.calling {
+		heldUp = f.callWait
 	}
-	return f.failing || f.clock.Now().Sub(f.syncedAt) > heldUp+f.gap+overdueAfter
+	return f.failing || f.syncedBoot == 0 || f.clock.Now().Sub(f.callAt) > heldUp+overdueAfter
+}
+
+// callSent notes that a call is sent now that may be held up for wait.
+func (f *Follower) callSent(wait time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.callAt, f.calling, f.callWait = f.clock.Now(), true, wait
 }
 
 func (f *Follower) markFailed() {
@@ -214,6 +225,7 @@
 // were when poll was called if they came from the feed.
 func (f *Follower) poll(version int64, read bool) (next int64, age time.Duration, err error) {
 	if !read {
+		f.callSent(0)
 		rows, next, err := f.readAll()
 		if err == nil {
 			f.keep(nil, next, true)
--- a/node/internal/follow/passing.go
+++ b/node/internal/follow/passing.go
@@ -62,6 +62,7 @@
 	wait := f.pollWait
 	switch {
 	case fromFeed:
+		f.callSent(0)
 		if rows, next, age, err = f.feed.Changes(f.table, version); err == nil {
 			return rows, next, age, nil
 		}
@@ -69,6 +70,7 @@
 	case f.keepRecent != nil && f.keepRecent():
 		wait = feederPollWait
 	}
+	f.callSent(wait)
 	rows, next, err = f.store.Watch(f.table, version, wait)
 	return rows, next, 0, err
 }
