--- a/node/app.go
+++ b/node/app.go
@@ -92,7 +92,7 @@
 		startSettings: s, process: strconv.Itoa(os.Getpid()) + "." + strconv.FormatInt(time.Now().UnixNano(), 36), logger: logger,
 		clock: timer.New(), registry: registry, logWriter: logWriter,
 	}
-	a.configs = config.New(logger)
+	a.configs = config.New(logger, config.WithRegistry(registry))
 	a.board = board.New(logger)
 	a.node = link.New(s.Host, private, link.WithResetSecret(s.Host), link.WithLogger(logger))
 	direct := platform.NewStore(s.Store, storeTimeout, platform.WithClock(a.clock))
