owner: nothing starts in a zone that is being evacuated

Cause: an evacuation holds under any owner, also for orders that wait in queues, and for an owner whose copy of the operators' table is old. Change: the zones are given to the plan before each decision and checked again before a start is sent (refusal 'evacuated'). With evacuate_ms, starts are held back while the copy was confirmed more than half of it (1 s at least) before ownership was. The owner polls the operators' table with a wait of 0.3 s in place of 1 s, so that its copy is usually 0.3 to 0.6 s old. A zone without executors is logged and counted (node.owner.zones.unknown). Tests: newTerm has a configuration, startCounter can lose its answer, TestSilentStoreIsNoticedThroughFeed has one more row. Measured: tests of owner, follow and config pass; without each of the two checks, without SetEvacuated, and with an unreadable row that ends an evacuation at Reset, the new tests fail.

--- a/node/app.go
+++ b/node/app.go
@@ -106,13 +106,13 @@
 	})
 	boardFeed := feed.New(s.Host, s.Zone, a.node, a.clock, a.board)
 	a.followers = []*follow.Follower{
-		follow.New(a.store, a.clock, platform.ConfigTable, []string{""}, a.configs, follow.WithGap(configGap), follow.WithLogger(logger)),
+		follow.New(a.store, a.clock, platform.ConfigTable, []string{""}, a.configs, follow.WithGap(configGap), follow.WithShortWait(func() bool { return a.owner.Owning() }), follow.WithLogger(logger)),
 		follow.New(a.store, a.clock, board.Table, board.Parts(), a.board, follow.WithGap(owner.FollowGap), follow.WithFeed(boardFeed), follow.WithRecent(boardFeed.Feeding), follow.WithLogger(logger)),
 	}
 	boardFeed.Offer(board.Table, a.followers[1])
 	a.registerConfigMetrics()
 	a.owner = owner.New(owner.Deps{
-		Host: s.Host, Zone: s.Zone, Process: a.process, Bounds: a.liveSettings.Bounds, Store: a.store, StoreClock: direct, Clock: a.clock, Board: a.board, Follower: a.followers[1], Feeding: boardFeed.Feeding, Configs: a.configs,
+		Host: s.Host, Zone: s.Zone, Process: a.process, Bounds: a.liveSettings.Bounds, Store: a.store, StoreClock: direct, Clock: a.clock, Board: a.board, Follower: a.followers[1], Feeding: boardFeed.Feeding, Configs: a.configs, Operators: a.followers[0],
 		Advisers: advice.New(s.Host, a.node, adviser, a.clock, a.board),
 		Connect:  func(id, address string) owner.Executor { return platform.NewExecutor(id, address) },
 		Logger:   logger, Registry: registry,
--- a/node/internal/follow/feed_test.go
+++ b/node/internal/follow/feed_test.go
@@ -76,8 +76,9 @@
 		wait time.Duration
 	}{
 		"no feed":                 {gap: FeedGap, wait: defaultPollWait},
-		"feeder":                  {gap: FeedGap / 4, opts: []Option{WithFeed(noFeed{}), WithRecent(feeding)}, wait: feederPollWait},
+		"feeder":                  {gap: FeedGap / 4, opts: []Option{WithFeed(noFeed{}), WithRecent(feeding)}, wait: shortPollWait},
 		"feed provides nothing":   {gap: FeedGap, opts: []Option{WithFeed(noFeed{})}},
+		"recent copy is needed":   {gap: FeedGap / 4, opts: []Option{WithShortWait(feeding)}, wait: shortPollWait},
 		"host that may take over": {gap: FeedGap / 4, opts: []Option{WithFeed(noFeed{})}, wait: defaultPollWait},
 	}
 	for name, tt := range tests {
--- a/node/internal/follow/follower.go
+++ b/node/internal/follow/follower.go
@@ -49,6 +49,7 @@
 	store      Store
 	feed       Feed        // nil for none
 	keepRecent func() bool // reports whether to keep changes for other hosts; nil for never
+	shortWait  func() bool // reports whether the store may hold a poll for shortPollWait only; nil for never
 	clock      *timer.Service
 	table      string
 	parts      []string
@@ -74,6 +75,10 @@
 // within that time are received together.
 func WithGap(d time.Duration) Option { return func(f *Follower) { f.gap = d } }
 
+// WithShortWait makes polls wait for changes for shortPollWait only while wanted returns true, so
+// that SyncedBoot is recent.
+func WithShortWait(wanted func() bool) Option { return func(f *Follower) { f.shortWait = wanted } }
+
 // WithLogger sets the logger. The default discards all messages.
 func WithLogger(l *zap.Logger) Option { return func(f *Follower) { f.logger = l } }
 
--- a/node/internal/follow/passing.go
+++ b/node/internal/follow/passing.go
@@ -13,9 +13,10 @@
 	Changes(table string, after int64) (rows []platform.Row, version int64, age time.Duration, err error)
 }
 
-// feederPollWait replaces defaultPollWait while other hosts depend on the changes: they learn of
-// an outage of the store from how old its last answer is.
-const feederPollWait = 300 * time.Millisecond
+// shortPollWait replaces defaultPollWait while it matters how old the store's last answer is: other
+// hosts depend on the changes and learn of an outage of the store from its age, or WithShortWait
+// asks for it.
+const shortPollWait = 300 * time.Millisecond
 
 // FeedGap is the least gap with which a Follower takes changes from a feed. With a shorter one
 // it needs them as soon as the store has them.
@@ -66,8 +67,8 @@
 			return rows, next, age, nil
 		}
 		wait = 0 // What the feed said last is old already.
-	case f.keepRecent != nil && f.keepRecent():
-		wait = feederPollWait
+	case f.keepRecent != nil && f.keepRecent(), f.shortWait != nil && f.shortWait():
+		wait = shortPollWait
 	}
 	rows, next, err = f.store.Watch(f.table, version, wait)
 	return rows, next, 0, err
--- a/node/internal/owner/authority.go
+++ b/node/internal/owner/authority.go
@@ -38,7 +38,7 @@
 
 // mayStart reports whether runs may start. The term's mu is held.
 func (t *term) mayStart() bool {
-	return !t.resigning && t.owner.clock.Boot() >= t.noStartUntil && t.certain()
+	return !t.resigning && t.owner.clock.Boot() >= t.noStartUntil && t.certain() && !t.evacuationsOutdated()
 }
 
 // certain reports whether this host certainly still owns the cell. It does for the authority
@@ -72,7 +72,7 @@
 			}
 		}
 		t.owner.logger.Info("starts", zap.Bool("paused", paused), zap.Int64("epoch", t.epoch), zap.Duration("confirmed", t.owner.clock.Boot()-t.writeConfirmed),
-			zap.Int("executors", len(t.sessions)), zap.Int("silent", silent))
+			zap.Int("executors", len(t.sessions)), zap.Int("silent", silent), zap.Bool("outdated", t.evacuationsOutdated()))
 		if paused {
 			t.requestPolls()
 		}
--- a/node/internal/owner/decide.go
+++ b/node/internal/owner/decide.go
@@ -46,6 +46,7 @@
 		t.config = c
 		t.plan.Configure(c)
 	}
+	t.applyEvacuations()
 	t.noteExecutorsListed()
 	t.setPaused(!t.mayStart())
 	t.avoidUnconfirmedZone(now)
@@ -60,6 +61,7 @@
 		t.expireCancellations(now)
 		t.updateGauges(excluded)
 		t.logLoad(excluded)
+		t.noteUnknownZones()
 		for _, sess := range t.sessions {
 			sess.expireEntry(now)
 			sess.retire(now)
--- a/node/internal/owner/deps.go
+++ b/node/internal/owner/deps.go
@@ -33,10 +33,19 @@
 	Failing() bool
 }
 
-// Configs provides the configuration in force.
+// Configs provides what operators have stored.
 type Configs interface {
 	// Config returns the newest configuration, nil if there is none yet.
 	Config() *model.Config
+	// Evacuations returns the zones that are being evacuated, in order. The slice must not be
+	// changed.
+	Evacuations() []string
+}
+
+// TableFollower keeps this host's copy of a table up to date; follow.Follower implements it.
+type TableFollower interface {
+	// SyncedBoot returns when the copy was last known to be complete, in boot time.
+	SyncedBoot() time.Duration
 }
 
 // Advisers queries the placement adviser, from this host or through another one.
--- a/node/internal/owner/execute.go
+++ b/node/internal/owner/execute.go
@@ -76,11 +76,14 @@
 }
 
 // checkStart reports whether a run must not be started under the given lease, and why. If
-// starts are paused, the refusal doesn't count against the executor. The term's mu is held.
+// starts are paused or the executor's zone is being evacuated, the refusal doesn't count against
+// the executor. The term's mu is held.
 func (t *term) checkStart(sess *session, lease time.Duration) (plan.Refusal, bool) {
 	switch {
 	case sess.silent || lease == 0 || sess.closed():
 		return plan.RefusedUnsent, true
+	case t.owner.evacuating(sess.info.Zone): // Since the decision.
+		return plan.RefusedEvacuated, true
 	case !t.mayStart():
 		return plan.RefusedLate, true
 	}
--- a/node/internal/owner/execute_test.go
+++ b/node/internal/owner/execute_test.go
@@ -17,10 +17,14 @@
 type startCounter struct {
 	Executor
 	starts int
+	lost   bool // starts get no answer
 }
 
 func (e *startCounter) Start(platform.StartOrder, time.Duration) (time.Duration, error) {
 	e.starts++
+	if e.lost {
+		return 0, &platform.LostError{Call: "start"}
+	}
 	return time.Hour, nil
 }
 
--- a/node/internal/owner/notification_test.go
+++ b/node/internal/owner/notification_test.go
@@ -11,6 +11,7 @@
 	"github.com/balsamford/balsamford/coord/model"
 	"github.com/balsamford/balsamford/coord/timer"
 	"github.com/balsamford/balsamford/node/internal/board"
+	"github.com/balsamford/balsamford/node/internal/config"
 	"github.com/balsamford/balsamford/node/internal/plan"
 	"github.com/balsamford/balsamford/platform"
 )
@@ -18,7 +19,7 @@
 // newTerm returns a term that has loaded nothing, and its host's board.
 func newTerm() (*term, *board.Board) {
 	b := board.New(zap.NewNop())
-	o := New(Deps{Host: "h", Process: "p", Clock: timer.New(), Board: b, Logger: zap.NewNop()})
+	o := New(Deps{Host: "h", Process: "p", Clock: timer.New(), Board: b, Configs: config.New(zap.NewNop()), Logger: zap.NewNop()})
 	t := &term{owner: o, epoch: 1, plan: plan.New(nil), sessions: make(map[string]*session), used: newUsedExecutors(platform.DefaultRowSize), fences: make(map[string]int64), recordedEnds: make(map[string]model.Phase), leaseEndStoreTime: make(map[string]time.Duration), leaseEndHostTime: make(map[string]time.Time), recordedLeaseEnds: make(map[string]time.Duration), endsSent: make(map[string]bool), group: &errgroup.Group{}, wakeDecider: make(chan struct{}, 1), wakeRecorder: make(chan struct{}, 1)}
 	o.setTerm(t)
 	return t, b
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -49,6 +49,7 @@
 	boardFollower BoardFollower
 	feeding       func() bool // may be nil
 	configs       Configs
+	operators     TableFollower // may be nil
 	advisers      Advisers
 	connect       func(id, address string) Executor
 	logger        *zap.Logger
@@ -94,6 +95,7 @@
 	Follower   BoardFollower // keeps Board up to date
 	Feeding    func() bool   // reports whether other hosts get the board's changes from this one; nil for never
 	Configs    Configs
+	Operators  TableFollower // keeps Configs up to date; nil if it always is
 	Advisers   Advisers
 	Connect    func(id, address string) Executor
 	Logger     *zap.Logger
@@ -106,7 +108,7 @@
 		p.Registry = metrics.NewRegistry()
 	}
 	return &Owner{
-		host: p.Host, zone: p.Zone, process: p.Process, bounds: p.Bounds, store: p.Store, storeClock: p.StoreClock, clock: p.Clock, board: p.Board, boardFollower: p.Follower, feeding: p.Feeding, configs: p.Configs,
+		host: p.Host, zone: p.Zone, process: p.Process, bounds: p.Bounds, store: p.Store, storeClock: p.StoreClock, clock: p.Clock, board: p.Board, boardFollower: p.Follower, feeding: p.Feeding, configs: p.Configs, operators: p.Operators,
 		advisers: p.Advisers, connect: p.Connect, logger: p.Logger, metrics: newOwnerMetrics(p.Registry), offers: make(chan handover, 1), notifications: make(chan notification, notificationQueueSize),
 	}
 }
--- a/node/internal/owner/ownermetrics.go
+++ b/node/internal/owner/ownermetrics.go
@@ -18,6 +18,7 @@
 	silent       metrics.Gauge                    // executors that don't respond
 	excluded     map[plan.Exclusion]metrics.Gauge // executors that get no new work, by reason
 	bounded      metrics.Gauge                    // executors whose leases end by a recorded time though they respond
+	unknownZones metrics.Counter                  // evacuated zones in which no executor was known
 	waiting      metrics.Gauge                    // tasks that are ready but have no run
 	paused       metrics.Gauge                    // 1 while no run may start, since ownership isn't confirmed
 	lag          metrics.Gauge                    // by how much the decision loop falls behind, in milliseconds
@@ -48,7 +49,7 @@
 		refused[why] = metrics.GetOrRegisterCounter("node.owner.refused."+why.String(), r)
 	}
 	return &ownerMetrics{
-		epoch: gauge("epoch"), terms: counter("terms"), executors: gauge("executors"), silent: gauge("silent"), excluded: excluded, bounded: gauge("bounded"), waiting: gauge("waiting"),
+		epoch: gauge("epoch"), terms: counter("terms"), executors: gauge("executors"), silent: gauge("silent"), excluded: excluded, bounded: gauge("bounded"), waiting: gauge("waiting"), unknownZones: metrics.GetOrRegisterCounter("node.owner.zones.unknown", r),
 		paused: gauge("paused"), lag: gauge("lag"), starts: counter("starts"), failed: counter("failed"), refused: refused, oversize: gauge("oversize"), lost: counter("lost"),
 		crossed: counter("crossed"), vanished: counter("vanished"), doubled: counter("doubled"),
 		lapsed: map[basis]metrics.Counter{
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -89,6 +89,8 @@
 	entries           syncState                // of the executor table; nil before it is followed
 	settleShortened   bool                     // settleTime was shortened, since a majority has responded
 	writeAheadZone    string                   // zone in which runs are recorded before they start, may be empty
+	evacuated         []string                 // zones that are being evacuated, as the plan knows
+	unknownZones      map[string]bool          // those of them in which no executor is known
 	heldStarts        map[string][]plan.Start  // starts that wait for their record, by job
 	endsSent          map[string]bool          // jobs whose end was sent to the store with unknown outcome so far
 	untrimmed         []string                 // ended jobs without runs whose submissions aren't deleted yet
