--- a/node/rig_test.go
+++ b/node/rig_test.go
@@ -112,7 +112,7 @@
 
 func (r *rig) settings(h *host) string {
 	r.t.Helper()
-	f := fake.Settings{Host: h.name, Ingress: h.front, Ready: h.ready, Link: address(r.t), Store: r.urls[0], Adviser: r.urls[1], Grace: 6, Status: 120, CPU: h.cpu}
+	f := fake.Settings{Host: h.name, Ingress: h.front, Ready: h.ready, Link: address(r.t), Store: r.urls[0], Adviser: r.urls[1], Grace: 6, Status: 120, Bound: 5000, CPU: h.cpu}
 	text, err := f.Text()
 	if err != nil {
 		r.t.Fatal(err)
@@ -163,6 +163,15 @@
 	return nil
 }
 
+// epoch returns the epoch of the cell's owner according to the store, 0 if there is none.
+func (r *rig) epoch() int64 {
+	var o board.Owner
+	if err := board.Decode(row(r.store.Get(board.Table, board.Main, board.OwnerKey)), &o); err != nil {
+		return 0
+	}
+	return o.Epoch
+}
+
 // call sends a request to a host and returns the status and the body of the answer. If
 // there is no answer, it returns status 0 and the error's text.
 func (r *rig) call(h *host, method, path, key, body string) (int, string) {
