--- a/node/app.go
+++ b/node/app.go
@@ -96,7 +96,7 @@
 		startSettings: s, process: strconv.Itoa(os.Getpid()) + "." + strconv.FormatInt(time.Now().UnixNano(), 36), logger: logger,
 		clock: timer.New(), registry: registry, logWriter: logWriter,
 	}
-	a.configs = config.New(logger)
+	a.configs = config.New(logger, config.WithRegistry(registry))
 	a.board = board.New(logger)
 	a.node = link.New(s.Host, private, link.WithResetSecret(s.Host), link.WithLogger(logger))
 	direct := platform.NewStore(s.Store, storeTimeout, platform.WithClock(a.clock))
@@ -110,13 +110,13 @@
 	})
 	boardFeed := feed.New(s.Host, s.Zone, a.node, a.clock, a.board)
 	a.followers = []*follow.Follower{
-		follow.New(a.store, a.clock, platform.ConfigTable, []string{""}, a.configs, follow.WithGap(configGap), follow.WithLogger(logger)),
+		follow.New(a.store, a.clock, platform.ConfigTable, []string{""}, a.configs, follow.WithGap(configGap), follow.WithShortWait(func() bool { return a.owner.Owning() }), follow.WithLogger(logger)),
 		follow.New(a.store, a.clock, board.Table, board.Parts(), a.board, follow.WithGap(owner.FollowGap), follow.WithFeed(boardFeed), follow.WithRecent(boardFeed.Feeding), follow.WithLogger(logger)),
 	}
 	boardFeed.Offer(board.Table, a.followers[1])
 	a.registerConfigMetrics()
 	a.owner = owner.New(owner.Deps{
-		Host: s.Host, Zone: s.Zone, Process: a.process, Bounds: a.liveSettings.Bounds, Store: a.store, StoreClock: direct, Clock: a.clock, Board: a.board, Follower: a.followers[1], Feeding: boardFeed.Feeding, Configs: a.configs,
+		Host: s.Host, Zone: s.Zone, Process: a.process, Bounds: a.liveSettings.Bounds, Store: a.store, StoreClock: direct, Clock: a.clock, Board: a.board, Follower: a.followers[1], Feeding: boardFeed.Feeding, Configs: a.configs, Operators: a.followers[0],
 		Advisers: advice.New(s.Host, a.node, adviser, a.clock, a.board),
 		Connect:  func(id, address string) owner.Executor { return platform.NewExecutor(id, address) },
 		Logger:   logger, Registry: registry,
