plan, owner: long runs and lasting tasks leave an evacuated zone

Cause: an evacuated zone got no new work, but long runs and lasting tasks stayed there until the zone went down, and steps that only fit there waited with the reason `room`.

A task stays 10 s after a move, twice as long after each further one. Tickets are asked for while nothing waits. LongWaits gives the reason `evacuated`. Log line `run moves`, counter node.owner.moved.

Measured: by tests only. Each of TestEvacuationMovesRuns and TestZonesAreEvacuatedInTurn failed with its mechanism left out (Tolerate, backoff, nothing waits, waits for the zone, worth, claims, tickets). Tests of node/internal/plan, node/internal/owner and coord/pages pass.

--- a/node/internal/owner/decide.go
+++ b/node/internal/owner/decide.go
@@ -90,6 +90,7 @@
 			zap.Duration("for", s.For), zap.Bool("stopped", s.Stopped), zap.Int64("epoch", t.epoch))
 	}
 	t.logAnomalies(&orders)
+	t.logMoves(orders.Moves)
 	for _, x := range orders.Expired {
 		t.noteExpiry(x)
 	}
--- a/node/internal/owner/ownermetrics.go
+++ b/node/internal/owner/ownermetrics.go
@@ -30,6 +30,7 @@
 	vanished     metrics.Counter                  // runs that an executor had confirmed and listed no more
 	doubled      metrics.Counter                  // runs of tasks that were done or ran elsewhere
 	lapsed       map[basis]metrics.Counter        // executors whose leases ended while they didn't respond
+	moved        metrics.Counter                  // runs that were ordered to leave an evacuated zone
 	ends         map[model.Phase]metrics.Counter
 	late         metrics.Counter // jobs that finished after their latency objective
 	jobLatency   *meter.Latency  // from a job's acceptance until its end is recorded
@@ -50,7 +51,7 @@
 	return &ownerMetrics{
 		epoch: gauge("epoch"), terms: counter("terms"), executors: gauge("executors"), silent: gauge("silent"), excluded: excluded, bounded: gauge("bounded"), waiting: gauge("waiting"),
 		paused: gauge("paused"), lag: gauge("lag"), starts: counter("starts"), failed: counter("failed"), refused: refused, oversize: gauge("oversize"), lost: counter("lost"),
-		crossed: counter("crossed"), vanished: counter("vanished"), doubled: counter("doubled"),
+		crossed: counter("crossed"), vanished: counter("vanished"), doubled: counter("doubled"), moved: counter("moved"),
 		lapsed: map[basis]metrics.Counter{
 			byLease:  metrics.GetOrRegisterCounter("node.owner.lapsed.lease", r),
 			byRecord: metrics.GetOrRegisterCounter("node.owner.lapsed.record", r),
--- a/node/internal/plan/decide.go
+++ b/node/internal/plan/decide.go
@@ -16,7 +16,8 @@
 // once.
 func (s *State) Decide(now time.Time) Orders {
 	s.decision++
-	if !now.Before(s.nextSweep) {
+	swept := !now.Before(s.nextSweep)
+	if swept {
 		s.nextSweep = now.Add(sweepInterval)
 		s.sweep(now)
 		s.startCopies(now)
@@ -38,6 +39,9 @@
 		s.placeStage(c.stage, p, now)
 		s.backlogged = s.backlogged || c.stage.waiting > 0
 	}
+	if swept {
+		s.moveRuns(waiting, pools, now)
+	}
 	s.adjustPaces(now)
 	out := s.orders
 	s.orders = Orders{}
--- a/node/internal/plan/ends.go
+++ b/node/internal/plan/ends.go
@@ -13,12 +13,12 @@
 		if end.Outcome == model.RunDone {
 			s.learnSlowdown(r.stage, e, now.Sub(r.startedAt))
 		}
-		r.stage.saveCheckpoint(r.index, end.Checkpoint)
+		r.stage.saveCheckpoint(r.index, end.Checkpoint, now)
 		s.removeRun(r)
 	} else if st != nil {
 		t := &st.tasks[end.Task.Index]
 		t.lastNumber = max(t.lastNumber, end.Number)
-		st.saveCheckpoint(end.Task.Index, end.Checkpoint)
+		st.saveCheckpoint(end.Task.Index, end.Checkpoint, now)
 	}
 	if st == nil || st.occur.job.phase.Final() {
 		return
--- a/node/internal/plan/orders.go
+++ b/node/internal/plan/orders.go
@@ -47,12 +47,20 @@
 	Stops          []Stop
 	Paces          []Pace
 	AdviceRequests []AdviceRequest
+	Moves          []Move      // runs among Stops, to be logged
 	Stalls         []Stall     // to be logged
 	Expired        []Expiry    // to be logged
 	Vanished       []Vanished  // to be logged
 	Duplicates     []Duplicate // to be logged
 }
 
+// Move describes a run that was ordered to stop so that its task goes on outside of an
+// evacuated zone.
+type Move struct {
+	Stop
+	Zone string // the evacuated zone
+}
+
 // Vanished describes a run that an executor had confirmed, and that it lists neither as running
 // nor as ended.
 type Vanished struct {
--- a/node/internal/plan/report.go
+++ b/node/internal/plan/report.go
@@ -88,7 +88,7 @@
 		s.checkStall(r, requestedAt, now)
 	}
 	r.gauge = reported.Gauge
-	r.stage.saveCheckpoint(r.index, reported.Checkpoint)
+	r.stage.saveCheckpoint(r.index, reported.Checkpoint, now)
 }
 
 // adopt adds a reported run that the State doesn't have, which an earlier owner
--- a/node/internal/plan/stage.go
+++ b/node/internal/plan/stage.go
@@ -124,13 +124,21 @@
 	return st.tasks[0].checkpoint
 }
 
-// saveCheckpoint records the latest checkpoint of task i; empty leaves it unchanged.
-func (st *stage) saveCheckpoint(i int, checkpoint string) {
-	if checkpoint == "" {
-		return
+// saveCheckpoint records the latest checkpoint of task i, known at now; empty leaves it
+// unchanged.
+func (st *stage) saveCheckpoint(i int, checkpoint string, now time.Time) {
+	if st.spec.Gang {
+		i = 0
 	}
+	if t := &st.tasks[i]; checkpoint != "" && checkpoint != t.checkpoint {
+		t.checkpoint, t.savedAt = checkpoint, now
+	}
+}
+
+// savedAt returns when the checkpoint of task i was first known, the zero time for none.
+func (st *stage) savedAt(i int) time.Time {
 	if st.spec.Gang {
 		i = 0
 	}
-	st.tasks[i].checkpoint = checkpoint
+	return st.tasks[i].savedAt
 }
--- a/node/internal/plan/stall.go
+++ b/node/internal/plan/stall.go
@@ -56,9 +56,19 @@
 
 // stallTime returns how long the run may make no progress before it counts as stalled.
 func (r *run) stallTime() time.Duration {
-	perPercent := r.stage.spec.Estimate / fullPercent
+	return max(stallAfter, stallPercents*r.timePerPercent()) << min(r.stage.tasks[r.index].stalls, maxStallDoublings)
+}
+
+// timePerPercent returns how long the run takes for a percent of its task: by its progress, or by
+// the estimate if it has made none.
+func (r *run) timePerPercent() time.Duration {
 	if made := r.percent - r.firstPercent; made > 0 {
-		perPercent = r.progressTime / time.Duration(made)
+		return r.progressTime / time.Duration(made)
 	}
-	return max(stallAfter, stallPercents*perPercent) << min(r.stage.tasks[r.index].stalls, maxStallDoublings)
+	return r.stage.spec.Estimate / fullPercent
+}
+
+// remaining returns how long the run is expected to go on, 0 if that isn't known.
+func (r *run) remaining() time.Duration {
+	return time.Duration(fullPercent-min(max(0, r.percent), fullPercent)) * r.timePerPercent()
 }
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -33,6 +33,7 @@
 	changed            []*executor    // executors with changed runs or a new report since the last decision
 	teams              map[string]*team
 	dirty              map[string]*job                 // jobs with progress that isn't recorded yet
+	pendingMoves       []pendingMove                   // runs that were ordered to move and haven't ended
 	ended              map[string]bool                 // jobs whose end is recorded and whose rows still exist
 	pendingAdvice      map[model.StepID]pendingRequest // requests to the adviser without an answer
 	longRequests       int                             // of these, long ones
--- a/node/internal/plan/task.go
+++ b/node/internal/plan/task.go
@@ -1,5 +1,7 @@
 package plan
 
+import "time"
+
 // task is one task of a stage.
 type task struct {
 	done       bool
@@ -7,8 +9,10 @@
 	failedRuns []int // numbers
 	stalls     int   // how often a run of it was found stalled
 	checkpoint string
-	run        *run   // current run, or nil
-	unwanted   []*run // other runs that may still exist
+	savedAt    time.Time  // when checkpoint was first known
+	moved      moveRecord // moves out of evacuated zones
+	run        *run       // current run, or nil
+	unwanted   []*run     // other runs that may still exist
 }
 
 // startable reports whether a new run of the task may start. Beside other runs only a copy
--- a/node/internal/plan/waits.go
+++ b/node/internal/plan/waits.go
@@ -19,7 +19,7 @@
 // its service.
 type Wait struct {
 	Step          model.StepID
-	Reason        string // limit, room, advice or unsettled
+	Reason        string // limit, room, advice, unsettled or evacuated
 	Waiting       int    // tasks without a run
 	Since         time.Time
 	Usable        int  // executors that accept new work
@@ -100,6 +100,8 @@
 		}
 	}
 	switch {
+	case s.waitsForZone(st):
+		w.Reason = "evacuated"
 	case j.inherited && s.unsettled(j.queue.Service, now):
 		w.Reason = "unsettled"
 	case s.team(j.spec.Team).headroom(st.spec.Need, s.limit(j.spec), 1) == 0:
