plan, platform: how slow cold executors are is learned

Cause: executors that have just started, or whose zone's evacuation has ended, are slow for the time that cold_left_ms of their entry gives. Urgent work went there as to any other, and their runs made their whole kind count as slow.

Runs on cold executors count for their kind's cold slowdown only, relative to their step's mean or, where a whole step was cold, to the estimate and what is usual for its queue. From three runs on, until the entry's time has passed, urgent work goes first to other zones with room and to other executors. Work that isn't urgent still prefers slow kinds, and no longer executors that are slow for another reason.

Measured: by tests only. TestColdExecutors failed with the kind's runs not told apart, without the zones' order, and with the time of the entry ignored; TestColdIsLearnedWithoutWarmRuns without the estimates. Tests of node/internal/plan, node/internal/owner, platform, platform/fake, coord/model and coord/pages pass.

--- a/coord/model/executor.go
+++ b/coord/model/executor.go
@@ -19,13 +19,14 @@
 	Labels    []string      // all labels, including kind and rack
 	Draining  bool          // it accepts no new work
 	Remaining time.Duration // when draining: the least time until it stops
+	Cold      time.Duration // how much longer it is slow since it started a short while ago; 0 if it isn't
 }
 
 // SameOffer reports whether tasks find the same at the executor as at another one: its service,
-// place, kind, labels and room, and whether it accepts new work.
+// place, kind, labels and room, and whether it accepts new work and is cold.
 func (e *Executor) SameOffer(other *Executor) bool {
 	return e.Service == other.Service && e.Zone == other.Zone && e.Kind == other.Kind && e.Rack == other.Rack &&
-		e.Room == other.Room && e.Draining == other.Draining && slices.Equal(e.Labels, other.Labels)
+		e.Room == other.Room && e.Draining == other.Draining && (e.Cold > 0) == (other.Cold > 0) && slices.Equal(e.Labels, other.Labels)
 }
 
 // Has reports whether the executor carries a label.
--- a/node/internal/plan/decide.go
+++ b/node/internal/plan/decide.go
@@ -16,6 +16,7 @@
 // once.
 func (s *State) Decide(now time.Time) Orders {
 	s.decision++
+	s.beginColdTimes(now)
 	swept := !now.Before(s.nextSweep)
 	if swept {
 		s.nextSweep = now.Add(sweepInterval)
--- a/node/internal/plan/ends.go
+++ b/node/internal/plan/ends.go
@@ -11,7 +11,7 @@
 	st := s.reportedStage(now, end.Task)
 	if r := e.runs[runKey{task: end.Task, number: end.Number}]; r != nil {
 		if end.Outcome == model.RunDone {
-			s.learnSlowdown(r.stage, e, now.Sub(r.startedAt))
+			s.learnSlowdown(r.stage, e, r.startedAt, now)
 		}
 		r.stage.saveCheckpoint(r.index, end.Checkpoint, now)
 		s.removeRun(r)
--- a/node/internal/plan/executor.go
+++ b/node/internal/plan/executor.go
@@ -25,10 +25,13 @@
 	lastReport     time.Time
 	progressedAt   time.Time // when a run on it last made progress or was done
 	lastPaceChange time.Time
-	changed        bool    // it is in State.changed
-	zone           int     // number of its zone
-	pooledIn       int     // last decision in which it accepted new work
-	relativeTime   float64 // how long tasks take on its kind of hardware, during that decision
+	changed        bool      // it is in State.changed
+	zone           int       // number of its zone
+	coldSince      time.Time // when its entry first said that it is cold; zero for never in this life
+	coldUntil      time.Time // when that has passed
+	pooledIn       int       // last decision in which it accepted new work
+	kindTime       float64   // how long tasks take on its kind of hardware, during that decision
+	relativeTime   float64   // how long tasks take on it, during that decision
 }
 
 // free returns the unused capacity.
@@ -57,9 +60,11 @@
 	return 0
 }
 
-// SetExecutor adds an executor or updates its registration.
+// SetExecutor adds an executor or updates its registration. The time for which it is cold counts
+// from the next decision.
 func (s *State) SetExecutor(info model.Executor) {
 	e := s.executor(info.ID)
+	s.noteCold(e, info.Cold)
 	e.info, e.zone = info, s.zone(info.Zone)
 	s.markChanged(e)
 }
@@ -138,6 +143,7 @@
 		r.seen, r.confirmedAt = false, now
 	}
 	e.runsKnown, e.bornIn = false, s.decision
+	e.coldSince, e.coldUntil = time.Time{}, time.Time{} // The entry of this life tells.
 }
 
 // RemoveExecutor removes an executor whose runs are all gone.
--- a/node/internal/plan/place.go
+++ b/node/internal/plan/place.go
@@ -173,11 +173,10 @@
 		}
 	} else {
 		score = float64(left.CPU) / math.Max(1, float64(e.info.Room.CPU))
-		penalty := speedPenalty * (e.relativeTime - 1)
 		if st.urgent() {
-			score += penalty
+			score += speedPenalty * (e.relativeTime - 1)
 		} else {
-			score -= penalty // Leave the faster ones to urgent work.
+			score -= speedPenalty * (e.kindTime - 1) // Leave the faster kinds to urgent work.
 		}
 	}
 	failedOn := st.failedOn[e.info.ID] && e.failureStreak > 0 // No run has succeeded there since.
--- a/node/internal/plan/pool.go
+++ b/node/internal/plan/pool.go
@@ -30,7 +30,8 @@
 	p := &pool{service: service, decision: s.decision, byLabel: make(map[string]*pool)}
 	for _, e := range s.executors {
 		if e.info.Service == service && s.schedulable(e, now) {
-			e.pooledIn, e.relativeTime = s.decision, s.slowdown(e)
+			e.pooledIn, e.kindTime = s.decision, s.slowdown(e)
+			e.relativeTime = e.kindTime * s.coldSlowdown(e, now)
 			p.executors = append(p.executors, e)
 		}
 	}
--- a/node/internal/plan/speed.go
+++ b/node/internal/plan/speed.go
@@ -16,13 +16,19 @@
 
 // learnSlowdown updates the slowdown of an executor's hardware kind from a completed
 // run, relative to the mean of its stage. Tasks of a stage are alike, so that they
-// differ mainly by where they ran.
-func (s *State) learnSlowdown(st *stage, e *executor, runTime time.Duration) {
+// differ mainly by where they ran. Runs on a cold executor tell how slow those are.
+func (s *State) learnSlowdown(st *stage, e *executor, startedAt, now time.Time) {
+	runTime := now.Sub(startedAt)
 	if runTime < minTimedRun || st.spec.Filler || st.spec.Lasting {
 		return
 	}
+	if cold := e.coldTime(startedAt, now); cold > 0 {
+		s.learnCold(st, e, runTime, cold)
+		return
+	}
 	st.totalRunTime += runTime
 	st.timedRuns++
+	s.learnEstimate(st, e, runTime)
 	if st.timedRuns < 2 || e.info.Kind == "" {
 		return
 	}
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -43,6 +43,9 @@
 	paused             bool                            // no run may start
 	adviceSlots        int                             // maximum number of pending requests to the adviser
 	slowdowns          map[string]float64              // learned, by kind of hardware
+	coldSlowdowns      map[string]coldSlowdown         // learned, by kind of hardware
+	estimateRatios     map[string]float64              // learned run times relative to the estimates, by queue
+	newlyCold          []*executor                     // their cold time begins with the next decision
 	recordedClosed     []string                        // executors that the last record names as closed, sorted
 	recordedUnverified []string                        // of these, executors that may have unrecorded runs, sorted
 	maybeClosed        map[string]bool                 // executors that the stored record may name as closed
@@ -59,7 +62,7 @@
 func New(config *model.Config, opts ...Option) *State {
 	s := &State{
 		config: config, remoteSlowdown: 1, quotaWindow: defaultQuotaWindow, maxStopTime: time.Second, jobs: make(map[string]*job), executors: make(map[string]*executor), zones: make(map[string]int),
-		teams: make(map[string]*team), dirty: make(map[string]*job), ended: make(map[string]bool), slowdowns: make(map[string]float64), pendingAdvice: make(map[model.StepID]pendingRequest), ticketsRequired: make(map[string]time.Time), maybeClosed: make(map[string]bool), adviceSlots: 1,
+		teams: make(map[string]*team), dirty: make(map[string]*job), ended: make(map[string]bool), slowdowns: make(map[string]float64), coldSlowdowns: make(map[string]coldSlowdown), estimateRatios: make(map[string]float64), pendingAdvice: make(map[model.StepID]pendingRequest), ticketsRequired: make(map[string]time.Time), maybeClosed: make(map[string]bool), adviceSlots: 1,
 	}
 	for _, opt := range opts {
 		opt(s)
--- a/node/internal/plan/zones.go
+++ b/node/internal/plan/zones.go
@@ -15,14 +15,15 @@
 type zoneUse struct {
 	name     string
 	number   int
-	capacity int // tasks of the stage that fit
-	runs     int // current runs of the stage
-	rotated  int // position in an order that differs from step to step
+	capacity int     // tasks of the stage that fit
+	slowness float64 // sum of relativeTime/kindTime over them
+	runs     int     // current runs of the stage
+	rotated  int     // position in an order that differs from step to step
 }
 
 // rankZones sets the ranks of the executors' zones in fits, for n more tasks of the stage.
-// Zones with capacity for all n come first, and among these those with the most runs of the
-// stage. Ties are broken in an order that differs from step to step.
+// Zones with capacity for all n come first; among these, for an urgent stage, those that aren't
+// slow; and then those with the most runs of the stage. Ties are broken in an order that differs from step to step.
 func (st *stage) rankZones(fits []fit, n int) {
 	zones := zonesOf(fits)
 	if len(zones) < 2 {
@@ -44,6 +45,9 @@
 		if d := fitsAll(b.capacity, n) - fitsAll(a.capacity, n); d != 0 {
 			return d
 		}
+		if a.slow() != b.slow() && st.urgent() {
+			return cmp.Compare(a.slow(), b.slow())
+		}
 		if a.runs != b.runs {
 			return b.runs - a.runs
 		}
@@ -68,6 +72,9 @@
 			z = &zones[len(zones)-1]
 		}
 		z.capacity += fits[i].tasks
+		if e.relativeTime > 0 {
+			z.slowness += float64(fits[i].tasks) * e.relativeTime / e.kindTime
+		}
 	}
 	return zones
 }
@@ -89,3 +96,16 @@
 	}
 	return 0
 }
+
+// slowZone is how many times longer than usual for their kinds tasks take on the executors of a
+// zone on average, from which on the zone counts as slow. Learned times vary by less.
+const slowZone = 1.25
+
+// slow returns 1 if the zone's executors are much slower than usual for their kinds, and 0
+// otherwise: most of them may have started a short while ago.
+func (z *zoneUse) slow() int {
+	if z.slowness > slowZone*float64(z.capacity) {
+		return 1
+	}
+	return 0
+}
