plan, owner: lost work is counted by cause

Change: what a run has done since its last checkpoint counts when it ends, as lapsed, lost, copy, stop or gang: counters node.owner.wasted.CAUSE in core-milliseconds, and the log line `work lost` each ten seconds at most. Lasting tasks, failed runs, runs of cancelled jobs and runs that were never confirmed don't count.

Measured: by tests only. TestWastedWork failed with copies not told from stops, with all runs counted, with checkpoints left out, and with an executor's last report taken for the time of its silence. Tests of node/internal/plan, node/internal/owner and coord/pages pass; the first run of TestWireNamesStayInTheirFolder failed on the log field core_ms, which is now wasted.

--- a/node/internal/owner/decide.go
+++ b/node/internal/owner/decide.go
@@ -60,6 +60,7 @@
 		t.expireCancellations(now)
 		t.updateGauges(excluded)
 		t.logLoad(excluded)
+		t.noteWasted(now)
 		for _, sess := range t.sessions {
 			sess.expireEntry(now)
 			sess.retire(now)
--- a/node/internal/owner/ownermetrics.go
+++ b/node/internal/owner/ownermetrics.go
@@ -31,6 +31,7 @@
 	doubled      metrics.Counter                  // runs of tasks that were done or ran elsewhere
 	lapsed       map[basis]metrics.Counter        // executors whose leases ended while they didn't respond
 	moved        metrics.Counter                  // runs that were ordered to leave an evacuated zone
+	wasted       map[plan.Waste]metrics.Counter   // work that was lost, in core-milliseconds, by reason
 	ends         map[model.Phase]metrics.Counter
 	late         metrics.Counter // jobs that finished after their latency objective
 	jobLatency   *meter.Latency  // from a job's acceptance until its end is recorded
@@ -48,10 +49,14 @@
 	for _, why := range plan.Refusals() {
 		refused[why] = metrics.GetOrRegisterCounter("node.owner.refused."+why.String(), r)
 	}
+	wasted := make(map[plan.Waste]metrics.Counter)
+	for _, why := range plan.Wastes() {
+		wasted[why] = metrics.GetOrRegisterCounter("node.owner.wasted."+why.String(), r)
+	}
 	return &ownerMetrics{
 		epoch: gauge("epoch"), terms: counter("terms"), executors: gauge("executors"), silent: gauge("silent"), excluded: excluded, bounded: gauge("bounded"), waiting: gauge("waiting"),
 		paused: gauge("paused"), lag: gauge("lag"), starts: counter("starts"), failed: counter("failed"), refused: refused, oversize: gauge("oversize"), lost: counter("lost"),
-		crossed: counter("crossed"), vanished: counter("vanished"), doubled: counter("doubled"), moved: counter("moved"),
+		crossed: counter("crossed"), vanished: counter("vanished"), doubled: counter("doubled"), moved: counter("moved"), wasted: wasted,
 		lapsed: map[basis]metrics.Counter{
 			byLease:  metrics.GetOrRegisterCounter("node.owner.lapsed.lease", r),
 			byRecord: metrics.GetOrRegisterCounter("node.owner.lapsed.record", r),
--- a/node/internal/plan/answers.go
+++ b/node/internal/plan/answers.go
@@ -20,7 +20,7 @@
 // Started notes that an executor confirmed a start.
 func (s *State) Started(now time.Time, o Start) {
 	if r := s.find(o.Executor, o.Task, o.Number); r != nil {
-		r.confirmedAt, r.seen = now, true
+		r.confirmedAt, r.seen, r.ran = now, true, true
 		if r.state == starting || r.state == inDoubt {
 			r.state = active
 		}
--- a/node/internal/plan/ends.go
+++ b/node/internal/plan/ends.go
@@ -14,6 +14,9 @@
 			s.learnSlowdown(r.stage, e, r.startedAt, now)
 		}
 		r.stage.saveCheckpoint(r.index, end.Checkpoint, now)
+		if cause, wasted := wasteOf(r, end.Outcome); wasted {
+			s.noteWasted(r, cause, r.workedUntil(end.Outcome, now))
+		}
 		s.removeRun(r)
 	} else if st != nil {
 		t := &st.tasks[end.Task.Index]
--- a/node/internal/plan/executor.go
+++ b/node/internal/plan/executor.go
@@ -123,6 +123,7 @@
 		return
 	}
 	for _, r := range e.runs {
+		s.noteWasted(r, WastedLost, e.lastSeen())
 		s.removeRun(r)
 	}
 }
--- a/node/internal/plan/report.go
+++ b/node/internal/plan/report.go
@@ -48,6 +48,7 @@
 					Stop: Stop{Task: r.stage.taskID(r.index), Number: r.number, Executor: e.info.ID}, For: now.Sub(r.confirmedAt),
 				})
 			}
+			s.noteWasted(r, WastedLost, now)
 			s.removeRun(r)
 			if r.stage.spec.Gang {
 				s.stopRuns(r.stage, now)
@@ -68,7 +69,7 @@
 		}
 	}
 	s.markRunning(r.stage.occur.job)
-	r.seen, r.restored = true, false
+	r.seen, r.ran, r.restored = true, true, false
 	if r.confirmedAt.IsZero() {
 		r.confirmedAt = now
 	}
--- a/node/internal/plan/run.go
+++ b/node/internal/plan/run.go
@@ -34,6 +34,7 @@
 	spare         bool         // it is unwanted because a copy may start, and may still finish first
 	restored      bool         // known only from a record
 	seen          bool         // the executor has confirmed that it exists; its end will be reported
+	ran           bool         // an executor has confirmed it at some time, maybe in an earlier life
 	stopOrderedAt time.Time
 	percent       int           // progress
 	firstPercent  int           // progress in the first report of it
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -55,6 +55,7 @@
 	inheritedClosed map[string]bool
 	leaseEnds       map[string]time.Time // when the leases end on some executors that the previous owner closed
 	forgotten       []string             // jobs that were forgotten, until TakeForgotten returns them
+	wasted          [wasteCount]float64  // core-milliseconds of lost work that TakeWasted hasn't returned
 	orders          Orders               // to be returned by Decide
 }
 
