plan, owner: slow, failing and flapping executors get urgent work last

Cause: an executor that was slower than its kind, failed what it ran or stopped answering again and again got urgent work as any other. A step in one zone used a slow executor there while other zones had room.

Change: each executor has a record of its present life: run times against the mean of its step, and failures. Slow and cold executors are left out for urgent work while the others of all zones suffice, and come last if not; requests to the adviser order zones alike.

--- a/node/internal/owner/decide.go
+++ b/node/internal/owner/decide.go
@@ -125,7 +125,7 @@
 	}
 	t.owner.logger.Info("owner load", zap.Int64("epoch", t.epoch), zap.Int("jobs", t.plan.Jobs()), zap.Int("waiting", t.plan.Waiting()), zap.Int("unrecorded", t.plan.Unrecorded()),
 		zap.Duration("lag", t.lag.smoothed), zap.Duration("decision", t.longestDecision), zap.Duration("confirmed", t.owner.clock.Boot()-t.writeConfirmed),
-		zap.Int("executors", len(t.sessions)), zap.Any("excluded", reasons))
+		zap.Int("executors", len(t.sessions)), zap.Int("slow", t.plan.CountSlow(t.owner.clock.Now())), zap.Any("excluded", reasons))
 	t.longestDecision = 0
 }
 
--- a/node/internal/plan/copies.go
+++ b/node/internal/plan/copies.go
@@ -25,6 +25,9 @@
 			if r.copyable() && (silent || !s.backlogged && r.straggles(now)) {
 				if !silent {
 					r.stage.noteSlow(e)
+					if e.coldTime(r.startedAt, now) == 0 {
+						s.noteRunTime(r.stage, e, now.Sub(r.startedAt), now) // It may never end, if the copy is faster.
+					}
 				}
 				r.spare = true
 				s.supersede(r)
--- a/node/internal/plan/ends.go
+++ b/node/internal/plan/ends.go
@@ -28,7 +28,7 @@
 	}
 	switch end.Outcome {
 	case model.RunDone:
-		e.noteSuccess()
+		e.noteSuccess(now)
 		e.progressedAt = now
 		if !st.spec.Lasting {
 			s.taskDone(st, end.Task.Index, now)
--- a/node/internal/plan/executor.go
+++ b/node/internal/plan/executor.go
@@ -26,6 +26,7 @@
 	progressedAt   time.Time // when a run on it last made progress or was done
 	lastPaceChange time.Time
 	changed        bool      // it is in State.changed
+	track          track     // what its runs tell of it
 	zone           int       // number of its zone
 	coldSince      time.Time // when its entry first said that it is cold; zero for never in this life
 	coldUntil      time.Time // when that has passed
@@ -112,6 +113,7 @@
 func (s *State) Silent(now time.Time, id string) {
 	if e := s.executors[id]; e != nil && !e.silent {
 		e.silent, e.silentSince = true, now
+		e.track.noteResult(true, now) // What runs there is held up.
 	}
 }
 
@@ -144,7 +146,9 @@
 		r.seen, r.confirmedAt = false, now
 	}
 	e.runsKnown, e.bornIn = false, s.decision
-	e.coldSince, e.coldUntil = time.Time{}, time.Time{} // The entry of this life tells.
+	// The entry of this life tells whether it is cold, and it may be of another kind.
+	e.coldSince, e.coldUntil, e.track = time.Time{}, time.Time{}, track{}
+	e.failureStreak, e.lastFailedJob = 0, ""
 }
 
 // RemoveExecutor removes an executor whose runs are all gone.
--- a/node/internal/plan/pool.go
+++ b/node/internal/plan/pool.go
@@ -31,7 +31,7 @@
 	for _, e := range s.executors {
 		if e.info.Service == service && s.schedulable(e, now) {
 			e.pooledIn, e.kindTime = s.decision, s.slowdown(e)
-			e.relativeTime = e.kindTime * s.coldSlowdown(e, now)
+			e.relativeTime = e.kindTime * s.coldSlowdown(e, now) * e.track.slowdown(now)
 			p.executors = append(p.executors, e)
 		}
 	}
--- a/node/internal/plan/speed.go
+++ b/node/internal/plan/speed.go
@@ -26,6 +26,7 @@
 		s.learnCold(st, e, runTime, cold)
 		return
 	}
+	s.noteRunTime(st, e, runTime, now)
 	st.totalRunTime += runTime
 	st.timedRuns++
 	s.learnEstimate(st, e, runTime)
--- /dev/null
+++ b/node/internal/plan/track_test.go
@@ -0,0 +1,197 @@
+package plan
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/balsamford/balsamford/coord/model"
+)
+
+// uneven is a cell of four executors, one of which is odd.
+type uneven struct {
+	*fixture
+	now    time.Time
+	rounds int
+}
+
+// round runs eight tasks, two on each executor. They take a second, and factor times as long on
+// the odd executor, unless they fail there.
+func (u *uneven) round(factor float64, fails bool) {
+	u.rounds++
+	id := fmt.Sprint("round", u.rounds)
+	j := u.job(id, model.Step{Count: 8, Need: model.Amount{CPU: 16000}})
+	j.Sent = u.now
+	u.state.AddJob(u.now, j, nil)
+	starts := u.state.Decide(u.now).Starts
+	u.confirm(u.now, starts)
+	ends := make(map[string][]model.End)
+	for _, o := range starts {
+		end := model.End{Task: o.Task, Number: o.Number, Outcome: model.RunDone}
+		if o.Executor == "odd" && fails {
+			end.Outcome = model.RunFailed
+		}
+		ends[o.Executor] = append(ends[o.Executor], end)
+	}
+	for _, executor := range []string{"a", "b", "c", "odd"} {
+		at := u.now.Add(time.Second)
+		if executor == "odd" {
+			at = u.now.Add(time.Duration(factor * float64(time.Second)))
+		}
+		u.state.Reported(at, executor, Report{RequestedAt: at, Ends: ends[executor]})
+	}
+	u.now = u.now.Add(4 * time.Second)
+	u.state.Cancel(u.now, id)
+}
+
+// An executor is slow, fails everything or stops answering again and again, while its entry and
+// its answers say that it is healthy. Urgent work goes there last, as long as that lasts: until
+// runs there are as fast as elsewhere, the record has aged, or the executor begins another life.
+func TestOddExecutorGetsUrgentWorkLast(t *testing.T) {
+	repeat := func(n int, factor float64, fails bool) func(u *uneven) {
+		return func(u *uneven) {
+			for range n {
+				u.round(factor, fails)
+			}
+		}
+	}
+	flap := func(u *uneven) {
+		for range 3 {
+			u.state.Silent(u.now, "odd")
+			u.now = u.now.Add(time.Second)
+			u.state.Reported(u.now, "odd", Report{RequestedAt: u.now})
+			u.now = u.now.Add(time.Second)
+		}
+	}
+	tests := map[string]struct {
+		before, after func(u *uneven)
+		last          bool
+	}{
+		"healthy":               {before: repeat(6, 1, false)},
+		"a little slower":       {before: repeat(6, 1.15, false)},
+		"one long run":          {before: func(u *uneven) { repeat(3, 1, false)(u); repeat(1, 3, false)(u) }, after: repeat(1, 1, false)},
+		"slow":                  {before: repeat(6, 3, false), last: true},
+		"fails everything":      {before: repeat(6, 1, true), last: true},
+		"failed once":           {before: repeat(1, 1, true)},
+		"flaps":                 {before: flap, last: true},
+		"was silent once":       {before: func(u *uneven) { u.state.Silent(u.now, "odd"); repeat(1, 1, false)(u) }},
+		"slow, then fast":       {before: repeat(6, 3, false), after: repeat(6, 1, false)},
+		"failing, then healthy": {before: repeat(10, 1, true), after: repeat(1, 1, false)},
+		"slow, a minute ago":    {before: repeat(6, 3, false), after: func(u *uneven) { u.now = u.now.Add(time.Minute) }},
+		"another life": {
+			before: repeat(6, 3, false), after: func(u *uneven) {
+				u.state.NewIncarnation(u.now, "odd")
+				u.state.Reported(u.now, "odd", Report{RequestedAt: u.now})
+			},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u := &uneven{fixture: newFixture(), now: epoch}
+			u.addReady("a", "b", "c", "odd")
+			tt.before(u)
+			if tt.last {
+				is.Equal(u.state.CountSlow(u.now), 1)
+			}
+			if tt.after != nil {
+				tt.after(u)
+			}
+			u.now = u.now.Add(faultyBackoff)
+			is.Equal(u.state.CountSlow(u.now) == 1, tt.last)
+			// Three executors are full before the odd one gets work, or not.
+			for i := range 7 {
+				u.state.AddJob(u.now, u.job(fmt.Sprint("urgent", i), model.Step{Count: 1, Need: model.Amount{CPU: 16000}}), nil)
+			}
+			odd := 0
+			for i, o := range u.state.Decide(u.now).Starts {
+				if o.Executor == "odd" {
+					odd++
+					is.True(!tt.last || i >= 6)
+				}
+			}
+			is.Equal(odd > 0, true)
+		})
+	}
+}
+
+// Where a step of an urgent job would fit into one zone only with slow executors, it goes to
+// another zone, and beyond what the others hold to the slow ones as well. The adviser is asked
+// about the other zone first.
+func TestZoneOfSlowExecutors(t *testing.T) {
+	tests := map[string]struct {
+		tasks int
+		queue string
+		slow  []string
+		used  int // slow executors that get work, or that the adviser is asked about
+	}{
+		"fit elsewhere":    {tasks: 6, queue: "urgent", slow: []string{"z0-0"}},
+		"fit nowhere else": {tasks: 11, queue: "urgent", slow: []string{"z0-0"}, used: 1},
+		"not urgent":       {tasks: 12, queue: "bulk", slow: []string{"z0-0"}, used: 2},
+		"advised":          {tasks: 1, queue: "quick", slow: []string{"z0-0", "z0-1", "z0-2"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for i := range 4 { // The order of zones differs from job to job.
+				f := newFixture()
+				f.addZones(2, 3) // Two tasks fit on each executor.
+				for _, id := range tt.slow {
+					f.state.executors[id].track = track{excess: 0.6, at: epoch}
+				}
+				j := f.job(fmt.Sprint("j", i), model.Step{Count: tt.tasks, Need: model.Amount{CPU: 16000}})
+				j.Queue = tt.queue
+				f.state.AddJob(epoch, j, nil)
+				orders := f.state.Decide(epoch)
+				var used []string
+				for _, o := range orders.Starts {
+					used = append(used, o.Executor)
+				}
+				for _, q := range orders.AdviceRequests {
+					used = append(used, q.Executors[:2]...)
+				}
+				is.True(len(used) > 0)
+				used = slices.DeleteFunc(used, func(id string) bool { return !slices.Contains(tt.slow, id) })
+				is.Equal(len(used), tt.used)
+			}
+		})
+	}
+}
+
+// A task that had far more to do than the others of its step doesn't make its executor count as
+// slow, and neither does one failure; two do.
+func TestOneRunSaysLittle(t *testing.T) {
+	is := is.New(t)
+	for n := range 3 {
+		var slow, failing track
+		for range n {
+			slow.noteTime(100, epoch)
+			failing.noteResult(true, epoch)
+		}
+		is.Equal(slow.slowdown(epoch) > 1, n == 2)
+		is.Equal(failing.slowdown(epoch) > 1, n == 2)
+	}
+}
+
+// A run that is far behind the others of its step never ends once its copy is faster. Its
+// executor's record has it all the same.
+func TestStragglerCountsForExecutor(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.addReady("slow")
+	f.state.AddJob(epoch, f.job("j", model.Step{Count: 4, Need: oneCore, Copies: true}), nil)
+	starts := f.state.Decide(epoch).Starts
+	f.confirm(epoch, starts)
+	var ends []model.End
+	for _, o := range starts[:3] {
+		ends = append(ends, model.End{Task: o.Task, Number: o.Number, Outcome: model.RunDone})
+	}
+	at := epoch.Add(time.Second)
+	f.state.Reported(at, "slow", Report{RequestedAt: at, Ends: ends, Runs: []model.Run{{Task: starts[3].Task, Number: starts[3].Number}}})
+	is.Equal(f.state.executors["slow"].track.excess, 0.0)
+	f.state.Decide(epoch.Add(4 * time.Second))
+	is.True(f.state.executors["slow"].track.excess > 0.2)
+}
--- a/node/internal/plan/zones.go
+++ b/node/internal/plan/zones.go
@@ -97,14 +97,10 @@
 	return 0
 }
 
-// slowZone is how many times longer than usual for their kinds tasks take on the executors of a
-// zone on average, from which on the zone counts as slow. Learned times vary by less.
-const slowZone = 1.25
-
-// slow returns 1 if the zone's executors are much slower than usual for their kinds, and 0
-// otherwise: most of them may have started a short while ago.
+// slow returns 1 if the zone's executors are slow on average, and 0 otherwise: most of
+// them may have started a short while ago.
 func (z *zoneUse) slow() int {
-	if z.slowness > slowZone*float64(z.capacity) {
+	if z.slowness > slowRatio*float64(z.capacity) {
 		return 1
 	}
 	return 0
