--- a/node/app.go
+++ b/node/app.go
@@ -110,7 +110,7 @@
 	})
 	boardFeed := feed.New(s.Host, s.Zone, a.node, a.clock, a.board)
 	a.followers = []*follow.Follower{
-		follow.New(a.store, a.clock, platform.ConfigTable, []string{""}, a.configs, follow.WithGap(configGap), follow.WithShortWait(func() bool { return a.owner.Owning() }), follow.WithLogger(logger)),
+		follow.New(a.store, a.clock, platform.ConfigTable, []string{""}, a.configs, follow.WithGap(configGap), follow.WithShortWait(a.evacuates), follow.WithLogger(logger)),
 		follow.New(a.store, a.clock, board.Table, board.Parts(), a.board, follow.WithGap(owner.FollowGap), follow.WithFeed(boardFeed), follow.WithRecent(boardFeed.Feeding), follow.WithLogger(logger)),
 	}
 	boardFeed.Offer(board.Table, a.followers[1])
@@ -129,6 +129,10 @@
 	return a, nil
 }
 
+// evacuates reports whether this host orders starts that an operator's evacuation of a zone has to end
+// in time.
+func (a *app) evacuates() bool { return a.liveSettings.Bounds().Evacuate > 0 && a.owner.Owning() }
+
 // registerConfigMetrics registers the gauges of the configuration in force.
 func (a *app) registerConfigMetrics() {
 	_ = a.registry.Register("node.config.version", metrics.NewFunctionalGauge(func() int64 {
--- a/node/internal/owner/ownermetrics.go
+++ b/node/internal/owner/ownermetrics.go
@@ -17,6 +17,7 @@
 	executors    metrics.Gauge                    // executors known to the owner
 	silent       metrics.Gauge                    // executors that don't respond
 	excluded     map[plan.Exclusion]metrics.Gauge // executors that get no new work, by reason
+	slow         metrics.Gauge                    // executors that get urgent work last
 	bounded      metrics.Gauge                    // executors whose leases end by a recorded time though they respond
 	unknownZones metrics.Counter                  // evacuated zones in which no executor was known
 	waiting      metrics.Gauge                    // tasks that are ready but have no run
@@ -31,6 +32,8 @@
 	vanished     metrics.Counter                  // runs that an executor had confirmed and listed no more
 	doubled      metrics.Counter                  // runs of tasks that were done or ran elsewhere
 	lapsed       map[basis]metrics.Counter        // executors whose leases ended while they didn't respond
+	moved        metrics.Counter                  // runs that were ordered to leave an evacuated zone
+	wasted       map[plan.Waste]metrics.Counter   // work that was lost, in core-milliseconds, by reason
 	ends         map[model.Phase]metrics.Counter
 	late         metrics.Counter // jobs that finished after their latency objective
 	jobLatency   *meter.Latency  // from a job's acceptance until its end is recorded
@@ -48,10 +51,14 @@
 	for _, why := range plan.Refusals() {
 		refused[why] = metrics.GetOrRegisterCounter("node.owner.refused."+why.String(), r)
 	}
+	wasted := make(map[plan.Waste]metrics.Counter)
+	for _, why := range plan.Wastes() {
+		wasted[why] = metrics.GetOrRegisterCounter("node.owner.wasted."+why.String(), r)
+	}
 	return &ownerMetrics{
-		epoch: gauge("epoch"), terms: counter("terms"), executors: gauge("executors"), silent: gauge("silent"), excluded: excluded, bounded: gauge("bounded"), waiting: gauge("waiting"), unknownZones: metrics.GetOrRegisterCounter("node.owner.zones.unknown", r),
+		epoch: gauge("epoch"), terms: counter("terms"), executors: gauge("executors"), silent: gauge("silent"), slow: gauge("slow"), excluded: excluded, bounded: gauge("bounded"), waiting: gauge("waiting"), unknownZones: counter("zones.unknown"),
 		paused: gauge("paused"), lag: gauge("lag"), starts: counter("starts"), failed: counter("failed"), refused: refused, oversize: gauge("oversize"), lost: counter("lost"),
-		crossed: counter("crossed"), vanished: counter("vanished"), doubled: counter("doubled"),
+		crossed: counter("crossed"), vanished: counter("vanished"), doubled: counter("doubled"), moved: counter("moved"), wasted: wasted,
 		lapsed: map[basis]metrics.Counter{
 			byLease:  metrics.GetOrRegisterCounter("node.owner.lapsed.lease", r),
 			byRecord: metrics.GetOrRegisterCounter("node.owner.lapsed.record", r),
@@ -96,6 +103,7 @@
 	}
 	c.executors.Update(int64(len(t.sessions)))
 	c.silent.Update(int64(silent))
+	c.slow.Update(int64(t.plan.CountSlow(t.owner.clock.Now())))
 	c.bounded.Update(int64(bounded))
 	for x, g := range c.excluded {
 		g.Update(int64(excluded[x]))
@@ -110,7 +118,7 @@
 
 // reset zeroes the gauges that only an owner maintains.
 func (c *ownerMetrics) reset() {
-	for _, g := range []metrics.Gauge{c.executors, c.silent, c.bounded, c.waiting, c.paused, c.lag, c.oversize} {
+	for _, g := range []metrics.Gauge{c.executors, c.silent, c.slow, c.bounded, c.waiting, c.paused, c.lag, c.oversize} {
 		g.Update(0)
 	}
 	for _, g := range c.excluded {
--- a/node/internal/plan/ends.go
+++ b/node/internal/plan/ends.go
@@ -11,21 +11,24 @@
 	st := s.reportedStage(now, end.Task)
 	if r := e.runs[runKey{task: end.Task, number: end.Number}]; r != nil {
 		if end.Outcome == model.RunDone {
-			s.learnSlowdown(r.stage, e, now.Sub(r.startedAt))
+			s.learnSlowdown(r.stage, e, r.startedAt, now)
+		}
+		r.stage.saveCheckpoint(r.index, end.Checkpoint, now)
+		if cause, wasted := wasteOf(r, end.Outcome); wasted {
+			s.noteWasted(r, cause, r.workedUntil(end.Outcome, now))
 		}
-		r.stage.saveCheckpoint(r.index, end.Checkpoint)
 		s.removeRun(r)
 	} else if st != nil {
 		t := &st.tasks[end.Task.Index]
 		t.lastNumber = max(t.lastNumber, end.Number)
-		st.saveCheckpoint(end.Task.Index, end.Checkpoint)
+		st.saveCheckpoint(end.Task.Index, end.Checkpoint, now)
 	}
 	if st == nil || st.occur.job.phase.Final() {
 		return
 	}
 	switch end.Outcome {
 	case model.RunDone:
-		e.noteSuccess()
+		e.noteSuccess(now)
 		e.progressedAt = now
 		if !st.spec.Lasting {
 			s.taskDone(st, end.Task.Index, now)
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -33,6 +33,7 @@
 	changed            []*executor    // executors with changed runs or a new report since the last decision
 	teams              map[string]*team
 	dirty              map[string]*job                 // jobs with progress that isn't recorded yet
+	pendingMoves       []pendingMove                   // runs that were ordered to move and haven't ended
 	ended              map[string]bool                 // jobs whose end is recorded and whose rows still exist
 	pendingAdvice      map[model.StepID]pendingRequest // requests to the adviser without an answer
 	longRequests       int                             // of these, long ones
@@ -42,6 +43,9 @@
 	paused             bool                            // no run may start
 	adviceSlots        int                             // maximum number of pending requests to the adviser
 	slowdowns          map[string]float64              // learned, by kind of hardware
+	coldSlowdowns      map[string]coldSlowdown         // learned, by kind of hardware
+	estimateRatios     map[string]float64              // learned run times relative to the estimates, by queue
+	newlyCold          []*executor                     // their cold time begins with the next decision
 	recordedClosed     []string                        // executors that the last record names as closed, sorted
 	recordedUnverified []string                        // of these, executors that may have unrecorded runs, sorted
 	maybeClosed        map[string]bool                 // executors that the stored record may name as closed
@@ -51,6 +55,7 @@
 	inheritedClosed map[string]bool
 	leaseEnds       map[string]time.Time // when the leases end on some executors that the previous owner closed
 	forgotten       []string             // jobs that were forgotten, until TakeForgotten returns them
+	wasted          [wasteCount]float64  // core-milliseconds of lost work that TakeWasted hasn't returned
 	orders          Orders               // to be returned by Decide
 }
 
@@ -58,7 +63,7 @@
 func New(config *model.Config, opts ...Option) *State {
 	s := &State{
 		config: config, remoteSlowdown: 1, quotaWindow: defaultQuotaWindow, maxStopTime: time.Second, jobs: make(map[string]*job), executors: make(map[string]*executor), zones: make(map[string]int),
-		teams: make(map[string]*team), dirty: make(map[string]*job), ended: make(map[string]bool), slowdowns: make(map[string]float64), pendingAdvice: make(map[model.StepID]pendingRequest), ticketsRequired: make(map[string]time.Time), maybeClosed: make(map[string]bool), adviceSlots: 1,
+		teams: make(map[string]*team), dirty: make(map[string]*job), ended: make(map[string]bool), slowdowns: make(map[string]float64), coldSlowdowns: make(map[string]coldSlowdown), estimateRatios: make(map[string]float64), pendingAdvice: make(map[model.StepID]pendingRequest), ticketsRequired: make(map[string]time.Time), maybeClosed: make(map[string]bool), adviceSlots: 1,
 	}
 	for _, opt := range opts {
 		opt(s)
