soak: zones that operators evacuate

Cause: an evacuation has to hold through kills, pauses, cuts, takeovers and outages. Change: a fault writes and deletes rows of two zones, beside rows that can't be read or are for no zone; every third stand-in executor is in another zone. The checker judges starts: none is later than evacuate_ms (5 s) once all owners must know of the row, unless orders to the executor were held up. Owners must know once all hosts that run could read the store for 1 s, or a calm host could for 3 s; later faults excuse nothing. Other checks and kinds of faults are as before; random numbers of the other kinds are, too.

--- a/trial/internal/soak/executorfault.go
+++ b/trial/internal/soak/executorfault.go
@@ -13,16 +13,18 @@
 	before, after, between, second := in.randomDuration(10, 1500), in.randomDuration(10, 600), in.randomDuration(100, 2500), in.randomDuration(300, 4000)
 	return func() {
 		in.harness.history.recordFault("connections to executor %s stall for %v, it is restarted, and they stall for %v and, %v later, for %v", e.id, before, after, between, second)
-		e.proxy.SetMode(Stall)
-		time.Sleep(before)
-		e.fake.Restart()
-		time.Sleep(after)
-		e.proxy.SetMode(Pass)
-		in.harness.register(e)
-		time.Sleep(between)
-		e.proxy.SetMode(Stall)
-		time.Sleep(second)
-		e.proxy.SetMode(Pass)
+		e.calm.disturb(func() {
+			e.proxy.SetMode(Stall)
+			time.Sleep(before)
+			e.fake.Restart()
+			time.Sleep(after)
+			e.proxy.SetMode(Pass)
+			in.harness.register(e)
+			time.Sleep(between)
+			e.proxy.SetMode(Stall)
+			time.Sleep(second)
+			e.proxy.SetMode(Pass)
+		})
 	}
 }
 
--- a/trial/internal/soak/harness.go
+++ b/trial/internal/soak/harness.go
@@ -23,7 +23,9 @@
 	executors []*executor
 	servers   []*httptest.Server // of the fakes
 
-	storeCalm calm // faults of the store
+	storeCalm   calm // faults of the store
+	storeUp     calm // those of them in which the store answers nobody
+	evacuations *evacuations
 
 	mu        sync.Mutex  // guards the fields below
 	version   int         // of the newest configuration
@@ -33,9 +35,11 @@
 // executor is a fake executor and the proxy in front of it.
 type executor struct {
 	id      string
+	zone    string
 	fake    *fake.Executor
 	proxy   *Proxy
 	expired atomic.Bool // its entry has expired and isn't renewed
+	calm    calm        // faults that hold up orders to it
 }
 
 // slowClockRate is the clock rate of every other executor, relative to real time.
@@ -44,13 +48,18 @@
 // newHarness starts the fake platform and the processes. If it fails, the caller has
 // to close the returned harness all the same.
 func newHarness(s *Settings) (*harness, error) {
-	hs := &harness{seed: s.Seed, store: fake.NewStore(), adviser: fake.NewAdviser(), checker: fake.NewChecker(), history: newHistory()}
+	hs := &harness{seed: s.Seed, store: fake.NewStore(), adviser: fake.NewAdviser(), checker: fake.NewChecker(), history: newHistory(), evacuations: newEvacuations()}
 	hs.checker.SetLimit(fake.Team, fake.TeamLimit)
 	hs.publishConfig()
 	storeAddress, adviser := hs.serve(hs.store), hs.serve(hs.adviser)
 	for i := range s.Executors {
-		e := &executor{id: fmt.Sprintf("i-%d", i)}
+		e := &executor{id: fmt.Sprintf("i-%d", i), zone: fake.Zone}
+		if i%3 == 2 {
+			e.zone = otherZone
+		}
 		e.fake = fake.NewExecutor(e.id, hs.checker)
+		e.fake.SetZone(e.zone)
+		e.fake.OnStart(func(run string) { hs.judgeStart(run, e, time.Now()) })
 		e.fake.UseAdviser(hs.adviser)
 		if i%2 == 1 {
 			e.fake.SetClockRate(slowClockRate)
--- a/trial/internal/soak/host.go
+++ b/trial/internal/soak/host.go
@@ -39,6 +39,7 @@
 	adviser       string // address
 	storeProxy    *Proxy
 	calm          calm // faults of the process and of its connections to the store
+	link          calm // those of them in which a running process can't read the store
 
 	mu            sync.Mutex // guards the fields below; held during a start, stop or pause
 	cmd           *exec.Cmd
@@ -63,7 +64,7 @@
 func (h *host) writeSettings() error {
 	s := fake.Settings{
 		Host: h.name, Ingress: h.clientAddress, Ready: h.readyAddress, Link: h.linkAddress, Store: h.storeProxy.Address(), Adviser: h.adviser,
-		Grace: int(gracePeriod.Seconds()), Status: h.statusSeconds,
+		Grace: int(gracePeriod.Seconds()), Status: h.statusSeconds, Bound: int(evacuationBound.Milliseconds()),
 	}
 	text, err := s.Text()
 	if err != nil {
@@ -176,12 +177,14 @@
 	defer h.mu.Unlock()
 	var err error
 	h.calm.disturb(func() {
-		if err = h.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
-			return
-		}
-		time.Sleep(d)
-		h.startedAt = h.startedAt.Add(d) // The process may have been paused during its startup.
-		err = h.cmd.Process.Signal(syscall.SIGCONT)
+		h.link.disturb(func() {
+			if err = h.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+				return
+			}
+			time.Sleep(d)
+			h.startedAt = h.startedAt.Add(d) // The process may have been paused during its startup.
+			err = h.cmd.Process.Signal(syscall.SIGCONT)
+		})
 	})
 	return err
 }
--- a/trial/internal/soak/injector.go
+++ b/trial/internal/soak/injector.go
@@ -25,6 +25,7 @@
 		{harness: hs, rand: newRand(seed, 2), kinds: []faultKind{(*injector).stormConfig}, least: 2000, most: 9000},
 		{harness: hs, rand: newRand(seed, 3), kinds: []faultKind{(*injector).stallRestart}, least: 500, most: 4000},
 		{harness: hs, rand: newRand(seed, 4), kinds: []faultKind{(*injector).isolateExecutors}, least: 2000, most: 9000},
+		{harness: hs, rand: newRand(seed, 5), kinds: []faultKind{(*injector).evacuateZone}, least: 2000, most: 9000},
 	}
 }
 
@@ -93,9 +94,11 @@
 	return func() {
 		in.harness.history.recordFault("store connections of %s: %v for %v", h.name, mode, d)
 		h.calm.disturb(func() {
-			h.storeProxy.SetMode(mode)
-			time.Sleep(d)
-			h.storeProxy.SetMode(Pass)
+			h.link.disturb(func() {
+				h.storeProxy.SetMode(mode)
+				time.Sleep(d)
+				h.storeProxy.SetMode(Pass)
+			})
 		})
 	}
 }
@@ -105,9 +108,11 @@
 	e, mode, d := in.randomExecutor(), in.randomMode(), in.randomDuration(300, 7000)
 	return func() {
 		in.harness.history.recordFault("connections to executor %s: %v for %v", e.id, mode, d)
-		e.proxy.SetMode(mode)
-		time.Sleep(d)
-		e.proxy.SetMode(Pass)
+		e.calm.disturb(func() {
+			e.proxy.SetMode(mode)
+			time.Sleep(d)
+			e.proxy.SetMode(Pass)
+		})
 	}
 }
 
@@ -117,9 +122,11 @@
 	return func() {
 		in.harness.history.recordFault("store is down for %v", d)
 		in.harness.storeCalm.disturb(func() {
-			in.harness.store.SetDown(true)
-			time.Sleep(d)
-			in.harness.store.SetDown(false)
+			in.harness.storeUp.disturb(func() {
+				in.harness.store.SetDown(true)
+				time.Sleep(d)
+				in.harness.store.SetDown(false)
+			})
 		})
 	}
 }
@@ -139,15 +146,17 @@
 		in.harness.history.recordFault("store is down for %v, and the entries of %d executors expire; %s is killed for %v", d, len(late), h.name, dark)
 		var g errgroup.Group
 		in.harness.storeCalm.disturb(func() {
-			in.harness.store.SetDown(true)
-			time.Sleep(d - beforeReturn)
-			for e := range late {
-				e.expired.Store(true)
-				in.harness.store.Put("servers", e.id, nil)
-			}
-			g.Go(func() error { in.kill(h, dark); return nil })
-			time.Sleep(beforeReturn)
-			in.harness.store.SetDown(false)
+			in.harness.storeUp.disturb(func() {
+				in.harness.store.SetDown(true)
+				time.Sleep(d - beforeReturn)
+				for e := range late {
+					e.expired.Store(true)
+					in.harness.store.Put("servers", e.id, nil)
+				}
+				g.Go(func() error { in.kill(h, dark); return nil })
+				time.Sleep(beforeReturn)
+				in.harness.store.SetDown(false)
+			})
 		})
 		for e, wait := range late {
 			g.Go(func() error {
@@ -234,8 +243,11 @@
 	e, d, late := in.randomExecutor(), in.randomDuration(500, 4000), in.randomDuration(300, 3000)
 	return func() {
 		in.harness.history.recordFault("executor %s executes some orders %v late for %v", e.id, late, d)
-		e.fake.SetLate(late)
-		time.Sleep(d)
-		e.fake.SetLate(0)
+		e.calm.disturb(func() {
+			e.fake.SetLate(late)
+			time.Sleep(d)
+			e.fake.SetLate(0)
+			time.Sleep(late) // The last orders are executed.
+		})
 	}
 }
--- a/trial/internal/soak/soak.go
+++ b/trial/internal/soak/soak.go
@@ -25,9 +25,12 @@
 
 // Report is the result of a soak.
 type Report struct {
-	Accepted   int      // accepted jobs
-	Starts     int      // started runs
-	Faults     []string // injected, each with its time
+	Accepted int      // accepted jobs
+	Starts   int      // started runs
+	Faults   []string // injected, each with its time
+	// Evacuation is the longest time from the acknowledgement of an evacuation until a start in
+	// the zone that faults don't excuse, 0 without one.
+	Evacuation time.Duration
 	Violations []string // of the scheduler's guarantees
 }
 
@@ -73,7 +76,7 @@
 		}
 	}
 	return &Report{
-		Accepted: len(hs.history.acceptedJobs()), Starts: hs.checker.Starts(), Faults: hs.history.faults, Violations: append(hs.history.violations, hs.checker.Violations()...),
+		Accepted: len(hs.history.acceptedJobs()), Starts: hs.checker.Starts(), Faults: hs.history.faults, Evacuation: hs.evacuations.longestStart(), Violations: append(hs.history.violations, hs.checker.Violations()...),
 	}, nil
 }
 
