plan: records of executors cost decisions less

Change: executors that are cold, slow or failing are marked, and only theirs are looked at; a kind's slowness is looked up once for successive executors of it; times of checkpoints and moves are kept apart from the task, for the few that have any.

--- a/node/internal/plan/cold.go
+++ b/node/internal/plan/cold.go
@@ -36,7 +36,7 @@
 			e.coldSince = now
 		}
 		if e.info.Cold > 0 || now.Before(e.coldUntil) {
-			e.coldUntil = now.Add(e.info.Cold)
+			e.coldUntil, e.odd = now.Add(e.info.Cold), true
 		}
 	}
 	s.newlyCold = s.newlyCold[:0]
--- a/node/internal/plan/decide.go
+++ b/node/internal/plan/decide.go
@@ -29,7 +29,7 @@
 		waiting = s.waitingStages(now)
 	}
 	pools := make(map[string]*pool)
-	s.backlogged = false
+	s.backlogged, s.slowPooled = false, false
 	for _, c := range waiting {
 		service := c.stage.occur.job.queue.Service
 		p := pools[service]
--- a/node/internal/plan/evacuate.go
+++ b/node/internal/plan/evacuate.go
@@ -85,7 +85,7 @@
 func (r *run) movable(now time.Time) bool {
 	t := &r.stage.tasks[r.index]
 	return r.state == active && r.seen && !r.unwanted && len(t.unwanted) == 0 && !t.done && !r.executor.silent &&
-		!r.stage.occur.job.phase.Final() && !now.Before(t.moved.next())
+		!r.stage.occur.job.phase.Final() && !now.Before(t.nextMove())
 }
 
 // unavailable returns the number of tasks of a lasting stage that aren't at work: those without
--- a/node/internal/plan/executor.go
+++ b/node/internal/plan/executor.go
@@ -26,13 +26,15 @@
 	progressedAt   time.Time // when a run on it last made progress or was done
 	lastPaceChange time.Time
 	changed        bool      // it is in State.changed
-	track          track     // what its runs tell of it
 	zone           int       // number of its zone
+	pooledIn       int       // last decision in which it accepted new work
+	kindTime       float64   // how many times longer than on average tasks take on its kind of hardware, during that decision
+	ownTime        float64   // how many times longer tasks take on it than on its kind, during that decision
+	relativeTime   float64   // the product of both
+	odd            bool      // it was cold, slow or failing when it was last looked at or reported
+	track          track     // what its runs tell of it
 	coldSince      time.Time // when its entry first said that it is cold; zero for never in this life
 	coldUntil      time.Time // when that has passed
-	pooledIn       int       // last decision in which it accepted new work
-	kindTime       float64   // how long tasks take on its kind of hardware, during that decision
-	relativeTime   float64   // how long tasks take on it, during that decision
 }
 
 // free returns the unused capacity.
@@ -113,7 +115,7 @@
 func (s *State) Silent(now time.Time, id string) {
 	if e := s.executors[id]; e != nil && !e.silent {
 		e.silent, e.silentSince = true, now
-		e.track.noteResult(true, now) // What runs there is held up.
+		e.noteResult(true, now) // What runs there is held up.
 	}
 }
 
--- a/node/internal/plan/faults.go
+++ b/node/internal/plan/faults.go
@@ -16,7 +16,7 @@
 	if job != e.lastFailedJob {
 		e.lastFailedJob = job
 		e.failureStreak++
-		e.track.noteResult(true, now)
+		e.noteResult(true, now)
 	}
 	if e.failureStreak >= faultyStreak {
 		e.backoffUntil = now.Add(faultyBackoff)
@@ -26,5 +26,5 @@
 // noteSuccess resets the count of failures after a successful run.
 func (e *executor) noteSuccess(now time.Time) {
 	e.failureStreak, e.lastFailedJob = 0, ""
-	e.track.noteResult(false, now)
+	e.noteResult(false, now)
 }
--- a/node/internal/plan/moves.go
+++ b/node/internal/plan/moves.go
@@ -210,7 +210,8 @@
 func (m *moveSweep) move(r *run, target *executor) {
 	s := m.state
 	t := &r.stage.tasks[r.index]
-	t.moved = moveRecord{count: t.moved.count + 1, last: m.now}
+	h := t.keepHistory()
+	h.moves, h.movedAt = h.moves+1, m.now
 	s.stopRun(r, m.now)
 	s.pendingMoves = append(s.pendingMoves, pendingMove{run: r, target: target})
 	m.claims[target] = m.claims[target].Add(r.stage.spec.Room())
--- a/node/internal/plan/place.go
+++ b/node/internal/plan/place.go
@@ -66,7 +66,7 @@
 		return nil
 	}
 	if !st.spec.Lasting {
-		fits = st.rankFits(fits, n)
+		fits = s.rankFits(st, fits, n)
 	}
 	fits = firstFits(fits, n)
 	out := make([]*executor, 0, n)
--- a/node/internal/plan/pool.go
+++ b/node/internal/plan/pool.go
@@ -28,10 +28,18 @@
 // newPool returns the executors of a service that accept new work at now.
 func (s *State) newPool(service string, now time.Time) *pool {
 	p := &pool{service: service, decision: s.decision, byLabel: make(map[string]*pool)}
+	kind, kindTime := "", 1.0
 	for _, e := range s.executors {
 		if e.info.Service == service && s.schedulable(e, now) {
-			e.pooledIn, e.kindTime = s.decision, s.slowdown(e)
-			e.relativeTime = e.kindTime * s.coldSlowdown(e, now) * e.track.slowdown(now)
+			if e.info.Kind != kind {
+				kind, kindTime = e.info.Kind, s.slowdown(e)
+			}
+			e.pooledIn, e.kindTime, e.ownTime = s.decision, kindTime, 1
+			if e.odd {
+				e.ownTime = s.ownSlowdown(e, now)
+			}
+			e.relativeTime = e.kindTime * e.ownTime
+			s.slowPooled = s.slowPooled || e.slow()
 			p.executors = append(p.executors, e)
 		}
 	}
--- a/node/internal/plan/stage.go
+++ b/node/internal/plan/stage.go
@@ -131,7 +131,7 @@
 		i = 0
 	}
 	if t := &st.tasks[i]; checkpoint != "" && checkpoint != t.checkpoint {
-		t.checkpoint, t.savedAt = checkpoint, now
+		t.checkpoint, t.keepHistory().savedAt = checkpoint, now
 	}
 }
 
@@ -140,5 +140,5 @@
 	if st.spec.Gang {
 		i = 0
 	}
-	return st.tasks[i].savedAt
+	return st.tasks[i].savedAt()
 }
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -40,6 +40,7 @@
 	shortRequestAt     time.Time                       // when a short one was last ordered
 	ticketsRequired    map[string]time.Time            // by queue, until when its starts need tickets though it isn't advised
 	backlogged         bool                            // the last decision left tasks waiting
+	slowPooled         bool                            // during a decision: an executor that accepts new work is slow
 	paused             bool                            // no run may start
 	adviceSlots        int                             // maximum number of pending requests to the adviser
 	slowdowns          map[string]float64              // learned, by kind of hardware
--- a/node/internal/plan/task.go
+++ b/node/internal/plan/task.go
@@ -1,7 +1,5 @@
 package plan
 
-import "time"
-
 // task is one task of a stage.
 type task struct {
 	done       bool
@@ -9,10 +7,9 @@
 	failedRuns []int // numbers
 	stalls     int   // how often a run of it was found stalled
 	checkpoint string
-	savedAt    time.Time  // when checkpoint was first known
-	moved      moveRecord // moves out of evacuated zones
-	run        *run       // current run, or nil
-	unwanted   []*run     // other runs that may still exist
+	history    *taskHistory // nil for none
+	run        *run         // current run, or nil
+	unwanted   []*run       // other runs that may still exist
 }
 
 // startable reports whether a new run of the task may start. Beside other runs only a copy
--- a/node/internal/plan/track.go
+++ b/node/internal/plan/track.go
@@ -86,7 +86,17 @@
 		return
 	}
 	mean := float64(st.totalRunTime) / float64(st.timedRuns)
-	e.track.noteTime(float64(runTime)/(mean*s.slowdown(e)), now)
+	e.noteTime(float64(runTime)/(mean*s.slowdown(e)), now)
+}
+
+// ownSlowdown returns how many times longer tasks are taken to need on an executor than on others
+// of its kind.
+func (s *State) ownSlowdown(e *executor, now time.Time) float64 {
+	if !e.odd {
+		return 1
+	}
+	e.odd = now.Before(e.coldUntil) || e.track.slowdown(now) > 1
+	return s.coldSlowdown(e, now) * e.track.slowdown(now)
 }
 
 // CountSlow returns the number of executors that get urgent work last: by their record, or since
@@ -94,7 +104,7 @@
 func (s *State) CountSlow(now time.Time) int {
 	n := 0
 	for _, e := range s.executors {
-		if e.track.slowdown(now)*s.coldSlowdown(e, now) >= slowRatio {
+		if s.ownSlowdown(e, now) >= slowRatio {
 			n++
 		}
 	}
@@ -106,12 +116,28 @@
 const slowRatio = 1 + slowExcess
 
 // slow reports whether urgent work goes to the executor last, during the present decision.
-func (e *executor) slow() bool { return e.relativeTime >= slowRatio*e.kindTime }
+func (e *executor) slow() bool { return e.ownTime >= slowRatio }
+
+// noteTime notes that a run took ratio times as long as expected.
+func (e *executor) noteTime(ratio float64, now time.Time) {
+	e.track.noteTime(ratio, now)
+	e.odd = e.odd || e.track.excess >= slowExcess
+}
+
+// noteResult notes a failed or a successful run.
+func (e *executor) noteResult(failed bool, now time.Time) {
+	e.track.noteResult(failed, now)
+	e.odd = e.odd || e.track.failures >= failingShare
+}
 
 // rankFits sets the ranks of the executors in fits, for n more tasks of a stage, and returns
 // those that it may use. Those that are slow are left out for urgent work if the others suffice,
 // and come last if not.
-func (st *stage) rankFits(fits []fit, n int) []fit {
+func (s *State) rankFits(st *stage, fits []fit, n int) []fit {
+	if !s.slowPooled {
+		st.rankZones(fits, n)
+		return fits
+	}
 	slowAt := len(fits)
 	if st.urgent() {
 		for i := 0; i < slowAt; {
--- a/node/internal/plan/track_test.go
+++ b/node/internal/plan/track_test.go
@@ -140,7 +140,7 @@
 				f := newFixture()
 				f.addZones(2, 3) // Two tasks fit on each executor.
 				for _, id := range tt.slow {
-					f.state.executors[id].track = track{excess: 0.6, at: epoch}
+					f.state.executors[id].track, f.state.executors[id].odd = track{excess: 0.6, at: epoch}, true
 				}
 				j := f.job(fmt.Sprint("j", i), model.Step{Count: tt.tasks, Need: model.Amount{CPU: 16000}})
 				j.Queue = tt.queue
--- a/node/internal/plan/zones.go
+++ b/node/internal/plan/zones.go
@@ -16,7 +16,7 @@
 	name     string
 	number   int
 	capacity int     // tasks of the stage that fit
-	slowness float64 // sum of relativeTime/kindTime over them
+	slowness float64 // sum of ownTime over them
 	runs     int     // current runs of the stage
 	rotated  int     // position in an order that differs from step to step
 }
@@ -72,9 +72,7 @@
 			z = &zones[len(zones)-1]
 		}
 		z.capacity += fits[i].tasks
-		if e.relativeTime > 0 {
-			z.slowness += float64(fits[i].tasks) * e.relativeTime / e.kindTime
-		}
+		z.slowness += float64(fits[i].tasks) * e.ownTime
 	}
 	return zones
 }
