plan: moves look at a bounded number of steps and ask the adviser seldom

A step's requests for moves are 1 s apart, then 2 s, up to 64 s.

Tests of node/internal/plan and coord/pages pass.

--- a/node/internal/plan/evacuate.go
+++ b/node/internal/plan/evacuate.go
@@ -16,7 +16,7 @@
 	if s.evacuates(zones) {
 		return
 	}
-	s.evacuated = make(map[string]bool, len(zones))
+	s.evacuated, s.moveRequests = make(map[string]bool, len(zones)), make(map[*stage]moveRequests)
 	for _, z := range zones {
 		s.evacuated[z] = true
 	}
@@ -102,17 +102,57 @@
 	return n
 }
 
+const (
+	// moveRequestPause is the time between two requests for moves of a step. It doubles with
+	// each further one, up to maxMoveRequestDoublings times: tickets expire before a step
+	// whose tasks find no room, and asking again for ever would keep the adviser busy.
+	moveRequestPause        = time.Second
+	maxMoveRequestDoublings = 6
+)
+
+// moveRequests is what is kept of the requests to the adviser for moves of a stage.
+type moveRequests struct {
+	count int
+	next  time.Time // there is no other one before that
+}
+
 // requestForMove orders a request to the adviser, so that n running tasks of a stage may go to
-// other executors of p. It names executors with capacity for a task, first those that are known
-// to be allowed.
+// other executors of p.
 func (s *State) requestForMove(st *stage, p *pool, n int, now time.Time) {
 	q := &st.occur.job.queue
 	long := q.Decide > longRequestTime
 	if !st.advice.requestedAt.IsZero() || now.Before(st.advice.nextRequest) || !s.adviceSlotFree(long, now) {
 		return
 	}
+	asked := s.moveRequests[st]
+	if now.Before(asked.next) {
+		return
+	}
+	names := st.executorsForMove(p, n, now)
+	if len(names) == 0 {
+		return
+	}
+	s.moveRequests[st] = moveRequests{count: asked.count + 1, next: now.Add(moveRequestPause << min(asked.count, maxMoveRequestDoublings))}
+	st.advice.requestedAt = now
+	estimate := q.Decide + time.Duration(len(names))*q.Each
+	if long {
+		s.longRequests++
+	} else {
+		s.shortRequestAt = now
+	}
+	s.pendingAdvice[st.id()] = pendingRequest{decision: s.decision, long: long, until: now.Add(estimate + lostRequestGrace)}
+	s.orders.AdviceRequests = append(s.orders.AdviceRequests, AdviceRequest{Step: st.id(), Executors: names, EstimatedTime: estimate, decision: s.decision})
+}
+
+// executorsForMove returns the executors of p to ask the adviser about, so that n running tasks of
+// the stage find enough that are allowed: some with capacity for a task, first those that are
+// known to be allowed.
+func (st *stage) executorsForMove(p *pool, n int, now time.Time) []string {
 	var allowed, unasked []string
 	perTask := st.spec.Room()
+	if !st.spec.Gang && !p.mayFit(perTask) {
+		return nil
+	}
 	for _, e := range p.executors {
 		t, answered := st.advice.ticketFor(e)
 		switch {
@@ -137,18 +177,7 @@
 			expected += expectedAllowedShare
 		}
 	}
-	if len(names) == 0 {
-		return
-	}
-	st.advice.requestedAt = now
-	estimate := q.Decide + time.Duration(len(names))*q.Each
-	if long {
-		s.longRequests++
-	} else {
-		s.shortRequestAt = now
-	}
-	s.pendingAdvice[st.id()] = pendingRequest{decision: s.decision, long: long, until: now.Add(estimate + lostRequestGrace)}
-	s.orders.AdviceRequests = append(s.orders.AdviceRequests, AdviceRequest{Step: st.id(), Executors: names, EstimatedTime: estimate, decision: s.decision})
+	return names
 }
 
 // roomForMove returns executors of p on which n tasks of a running stage could start if its runs
--- a/node/internal/plan/evacuate_test.go
+++ b/node/internal/plan/evacuate_test.go
@@ -22,6 +22,7 @@
 	percent map[runKey]float64
 	ends    map[string][]model.End // to be reported, by executor
 	moves   []Move
+	asked   int     // requests to the adviser
 	resumed []Start // with a checkpoint
 	worst   map[string]int
 }
@@ -77,6 +78,7 @@
 			}
 		}
 		c.confirm(c.now, orders.Starts)
+		c.asked += len(orders.AdviceRequests)
 		for _, q := range orders.AdviceRequests {
 			tickets := make(map[string]string)
 			for _, id := range q.Executors {
@@ -297,3 +299,37 @@
 	c.state.Decide(c.now)
 	is.Equal(len(c.state.pendingMoves), 0)
 }
+
+// Hundreds of steps can't leave the zone, and a sweep looks at a part of them only. The one that
+// can leave does so all the same, though it comes last.
+func TestStuckStepsHoldNoneBack(t *testing.T) {
+	is := is.New(t)
+	c := newCell(0.17)
+	c.addZone("z", 1, 201, "only")
+	for i := range 200 {
+		c.submit(fmt.Sprint("first", i), "urgent", model.Step{Count: 1, Checkpoints: true, Label: "only", Estimate: time.Hour})
+	}
+	c.submit("last", "urgent", model.Step{Count: 1, Checkpoints: true, Estimate: time.Minute})
+	c.play(10)
+	c.addZone("y", 1, 201)
+	c.state.SetEvacuated([]string{"z"})
+	c.play(10)
+	is.Equal(len(c.moves), 1)
+	is.Equal(c.zoneOf("last", "y"), 1)
+}
+
+// A step in the zone needs tickets, and the adviser allows it nowhere else or its tasks find no
+// room there. The adviser isn't asked again and again.
+func TestMovesAskAdviserSeldom(t *testing.T) {
+	is := is.New(t)
+	c := newCell(0.17)
+	c.addZone("z", 1, 8)
+	c.submit("j", "advised", model.Step{Count: 8, Gang: true, Checkpoints: true, Estimate: time.Minute})
+	c.play(10)
+	c.addZone("y", 1, 7)
+	c.state.SetEvacuated([]string{"z"})
+	c.asked = 0
+	c.play(300)
+	is.True(c.asked >= 2 && c.asked <= 6)
+	is.Equal(len(c.moves), 0)
+}
--- a/node/internal/plan/moves.go
+++ b/node/internal/plan/moves.go
@@ -20,6 +20,9 @@
 	// gang that is larger is moved alone.
 	maxMovesPerSweep = 4
 	maxPendingMoves  = 16
+	// maxFailedMoves bounds the steps for which one sweep finds no executor. The next sweep
+	// goes on with the others, so that a zone with hundreds of steps doesn't hold up decisions.
+	maxFailedMoves = 64
 )
 
 // pendingMove is a run that has been ordered to stop, and the executor that had capacity for its
@@ -45,6 +48,7 @@
 	skipped map[*stage]bool // nothing more of them moves
 	budget  map[*stage]int  // of lasting stages, tasks that may still be stopped
 	moved   int
+	failed  int // stages for which no executor was found
 }
 
 // moveRuns stops runs in evacuated zones whose tasks can go on elsewhere now, if no other task
@@ -66,10 +70,19 @@
 	for _, p := range s.pendingMoves {
 		m.claims[p.target] = m.claims[p.target].Add(p.run.stage.spec.Room())
 	}
-	for _, c := range m.candidates() {
+	candidates := m.candidates()
+	first := s.nextMove
+	s.nextMove = 0
+	for i := range candidates {
 		if m.moved >= maxMovesPerSweep || len(s.pendingMoves) >= maxPendingMoves {
 			return
 		}
+		at := (first + i) % len(candidates)
+		if m.failed == maxFailedMoves {
+			s.nextMove = at
+			return
+		}
+		c := candidates[at]
 		st := c.run.stage
 		switch {
 		case m.skipped[st]:
@@ -151,7 +164,7 @@
 	targets := m.state.roomForMove(st, p, 1, m.claims, m.now)
 	if targets == nil {
 		m.skipped[st] = true
-		m.askAdviser(st, p, 1)
+		m.fail(st, p, 1)
 		return
 	}
 	m.budget[st]--
@@ -182,7 +195,7 @@
 		targets = m.state.roomForMove(st, p, n, m.claims, m.now)
 	}
 	if targets == nil {
-		m.askAdviser(st, p, n)
+		m.fail(st, p, n)
 		return
 	}
 	for i := range st.tasks {
@@ -190,8 +203,10 @@
 	}
 }
 
-// askAdviser asks for tickets for n tasks of a stage, if they need any.
-func (m *moveSweep) askAdviser(st *stage, p *pool, n int) {
+// fail notes that there is no executor for n tasks of a stage. It asks the adviser for tickets, if
+// they need any.
+func (m *moveSweep) fail(st *stage, p *pool, n int) {
+	m.failed++
 	if m.state.advised(st.occur.job, m.now) {
 		m.state.requestForMove(st, p, n, m.now)
 	}
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -34,6 +34,8 @@
 	teams              map[string]*team
 	dirty              map[string]*job                 // jobs with progress that isn't recorded yet
 	pendingMoves       []pendingMove                   // runs that were ordered to move and haven't ended
+	moveRequests       map[*stage]moveRequests         // since the set of evacuated zones has changed
+	nextMove           int                             // position in the next sweep's candidates at which it begins
 	ended              map[string]bool                 // jobs whose end is recorded and whose rows still exist
 	pendingAdvice      map[model.StepID]pendingRequest // requests to the adviser without an answer
 	longRequests       int                             // of these, long ones
