plan: small tasks leave large executors to what only fits there

Cause: a task goes where it leaves the smallest part of an executor free. So small tasks filled a large executor that was half full while smaller ones were empty, and a task that only fitted on the large one waited.

Change: an executor that could still take a task that fits on no smaller one comes after the others, for tasks that don't need its size.

Measured: by test only. TestSmallTasksLeaveLargeExecutors failed without the penalty.

--- a/node/internal/plan/executor.go
+++ b/node/internal/plan/executor.go
@@ -31,6 +31,7 @@
 	kindTime       float64   // how many times longer than on average tasks take on its kind of hardware, during that decision
 	ownTime        float64   // how many times longer tasks take on it than on its kind, during that decision
 	relativeTime   float64   // the product of both
+	smallerCPU     int64     // size of the next smaller executors during that decision, 0 for none
 	odd            bool      // it was cold, slow or failing when it was last looked at or reported
 	track          track     // what its runs tell of it
 	coldSince      time.Time // when its entry first said that it is cold; zero for never in this life
--- a/node/internal/plan/place.go
+++ b/node/internal/plan/place.go
@@ -173,6 +173,9 @@
 		}
 	} else {
 		score = float64(left.CPU) / math.Max(1, float64(e.info.Room.CPU))
+		if e.wastesSize(perTask.CPU) {
+			score += largePenalty
+		}
 		if st.urgent() {
 			score += speedPenalty * (e.relativeTime - 1)
 		} else {
--- a/node/internal/plan/pool.go
+++ b/node/internal/plan/pool.go
@@ -43,6 +43,7 @@
 			p.executors = append(p.executors, e)
 		}
 	}
+	noteSizes(p.executors)
 	return p
 }
 
