plan: lasting tasks are spread over zones

Cause: lasting tasks went where they fitted best, which may be one executor or one zone, so that its loss took all of a step. They don't wait for one another, unlike the tasks of other steps.

Change: each lasting task goes to the zone with the fewest of its step, unless an executor elsewhere is better by more than a fit (data, speed, failures). Gangs and other steps are placed as before.

TestLastingTasksSpreadOverZones failed without the rule, with the bound on scores left out, and with running tasks not counted. Tests of node/internal/plan, node/internal/owner and coord/pages pass.

--- a/node/internal/plan/place.go
+++ b/node/internal/plan/place.go
@@ -65,8 +65,11 @@
 	if len(fits) == 0 {
 		return nil
 	}
-	if !st.spec.Lasting {
+	switch {
+	case !st.spec.Lasting:
 		fits = s.rankFits(st, fits, n)
+	case !st.spec.Gang:
+		return st.spreadOverZones(fits, n)
 	}
 	fits = firstFits(fits, n)
 	out := make([]*executor, 0, n)
--- a/node/internal/plan/zones.go
+++ b/node/internal/plan/zones.go
@@ -29,13 +29,7 @@
 	if len(zones) < 2 {
 		return
 	}
-	for i := range st.tasks {
-		if r := st.tasks[i].run; r != nil {
-			if z := findZone(zones, r.executor.zone); z != nil {
-				z.runs++
-			}
-		}
-	}
+	st.countRuns(zones)
 	slices.SortFunc(zones, func(a, b zoneUse) int { return cmp.Compare(a.name, b.name) })
 	first := int((xxhash.Sum64String(st.occur.job.spec.ID) + uint64(st.index)) % uint64(len(zones)))
 	for i := range zones {
@@ -61,6 +55,17 @@
 	}
 }
 
+// countRuns adds the current runs of the stage to their zones.
+func (st *stage) countRuns(zones []zoneUse) {
+	for i := range st.tasks {
+		if r := st.tasks[i].run; r != nil {
+			if z := findZone(zones, r.executor.zone); z != nil {
+				z.runs++
+			}
+		}
+	}
+}
+
 // zonesOf returns the zones of executors with their capacity.
 func zonesOf(fits []fit) []zoneUse {
 	var zones []zoneUse
--- a/node/internal/plan/zones_test.go
+++ b/node/internal/plan/zones_test.go
@@ -61,3 +61,59 @@
 		})
 	}
 }
+
+// A zone is lost while lasting tasks run. They lie evenly in the zones, so that few are lost, but
+// not where that costs more than how well they fit. What is started later fills the gaps.
+func TestLastingTasksSpreadOverZones(t *testing.T) {
+	tests := map[string]struct {
+		step   model.Step
+		before func(f *fixture) // the step starts
+		want   []int            // tasks by zone
+	}{
+		"even":           {step: model.Step{Count: 9}, want: []int{3, 3, 3}},
+		"data in a zone": {step: model.Step{Count: 9, Rack: "z1-rack"}, want: []int{0, 9, 0}},
+		"a full zone": {
+			step: model.Step{Count: 8}, want: []int{4, 0, 4},
+			before: func(f *fixture) {
+				for _, id := range []string{"z1-0", "z1-1"} {
+					f.state.executors[id].used = fullExecutor
+				}
+			},
+		},
+		"a slow zone": {
+			step: model.Step{Count: 8}, want: []int{4, 0, 4},
+			before: func(f *fixture) {
+				for _, id := range []string{"z1-0", "z1-1"} {
+					f.state.executors[id].track, f.state.executors[id].odd = track{excess: 1, at: epoch}, true
+				}
+			},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			f.addZones(3, 2)
+			for _, e := range f.state.executors {
+				e.info.Labels = []string{"a", e.info.Zone + "-rack"}
+			}
+			if tt.before != nil {
+				tt.before(f)
+			}
+			tt.step.Lasting, tt.step.Need = true, oneCore
+			f.state.AddJob(epoch, f.job("j", tt.step), nil)
+			byZone := func() []int {
+				out := make([]int, 3)
+				for _, e := range f.state.executors {
+					out[e.zone-1] += len(e.runs) // Zone 0 is the empty one.
+				}
+				return out
+			}
+			f.confirm(epoch, f.state.Decide(epoch).Starts)
+			is.Equal(byZone(), tt.want)
+			f.state.RemoveRuns("z0-0") // Its tasks start again.
+			f.state.Decide(epoch)
+			is.Equal(byZone(), tt.want)
+		})
+	}
+}
