--- a/node/internal/plan/place.go
+++ b/node/internal/plan/place.go
@@ -65,8 +65,11 @@
 	if len(fits) == 0 {
 		return nil
 	}
-	if !st.spec.Lasting {
-		fits = st.rankFits(fits, n)
+	switch {
+	case !st.spec.Lasting:
+		fits = s.rankFits(st, fits, n)
+	case !st.spec.Gang:
+		return st.spreadOverZones(fits, n)
 	}
 	fits = firstFits(fits, n)
 	out := make([]*executor, 0, n)
@@ -173,6 +176,9 @@
 		}
 	} else {
 		score = float64(left.CPU) / math.Max(1, float64(e.info.Room.CPU))
+		if e.wastesSize(perTask.CPU) {
+			score += largePenalty
+		}
 		if st.urgent() {
 			score += speedPenalty * (e.relativeTime - 1)
 		} else {
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -34,12 +34,15 @@
 	teams              map[string]*team
 	dirty              map[string]*job                 // jobs with progress that isn't recorded yet
 	pendingMoves       []pendingMove                   // runs that were ordered to move and haven't ended
+	moveRequests       map[*stage]moveRequests         // since the set of evacuated zones has changed
+	nextMove           int                             // position in the next sweep's candidates at which it begins
 	ended              map[string]bool                 // jobs whose end is recorded and whose rows still exist
 	pendingAdvice      map[model.StepID]pendingRequest // requests to the adviser without an answer
 	longRequests       int                             // of these, long ones
 	shortRequestAt     time.Time                       // when a short one was last ordered
 	ticketsRequired    map[string]time.Time            // by queue, until when its starts need tickets though it isn't advised
 	backlogged         bool                            // the last decision left tasks waiting
+	slowPooled         bool                            // during a decision: an executor that accepts new work is slow
 	paused             bool                            // no run may start
 	adviceSlots        int                             // maximum number of pending requests to the adviser
 	slowdowns          map[string]float64              // learned, by kind of hardware
--- a/node/internal/plan/zones.go
+++ b/node/internal/plan/zones.go
@@ -16,7 +16,7 @@
 	name     string
 	number   int
 	capacity int     // tasks of the stage that fit
-	slowness float64 // sum of relativeTime/kindTime over them
+	slowness float64 // sum of ownTime over them
 	runs     int     // current runs of the stage
 	rotated  int     // position in an order that differs from step to step
 }
@@ -29,13 +29,7 @@
 	if len(zones) < 2 {
 		return
 	}
-	for i := range st.tasks {
-		if r := st.tasks[i].run; r != nil {
-			if z := findZone(zones, r.executor.zone); z != nil {
-				z.runs++
-			}
-		}
-	}
+	st.countRuns(zones)
 	slices.SortFunc(zones, func(a, b zoneUse) int { return cmp.Compare(a.name, b.name) })
 	first := int((xxhash.Sum64String(st.occur.job.spec.ID) + uint64(st.index)) % uint64(len(zones)))
 	for i := range zones {
@@ -61,6 +55,17 @@
 	}
 }
 
+// countRuns adds the current runs of the stage to their zones.
+func (st *stage) countRuns(zones []zoneUse) {
+	for i := range st.tasks {
+		if r := st.tasks[i].run; r != nil {
+			if z := findZone(zones, r.executor.zone); z != nil {
+				z.runs++
+			}
+		}
+	}
+}
+
 // zonesOf returns the zones of executors with their capacity.
 func zonesOf(fits []fit) []zoneUse {
 	var zones []zoneUse
@@ -72,9 +77,7 @@
 			z = &zones[len(zones)-1]
 		}
 		z.capacity += fits[i].tasks
-		if e.relativeTime > 0 {
-			z.slowness += float64(fits[i].tasks) * e.relativeTime / e.kindTime
-		}
+		z.slowness += float64(fits[i].tasks) * e.ownTime
 	}
 	return zones
 }
