plan: requests to the adviser name full executors under a backlog

Cause: while all executors were nearly full, a request named only those with capacity at that moment. Other stages had taken it when the answer came, and the stage asked again. All slots were busy and a tenth and more of the capacity stayed unused though enough work waited.

Change: while more work waits than fits into the free capacity, a stage that is next in order names up to 100 executors, also full ones, and renews tickets that expire before the next answer. How many follows from the tasks that may start (those beyond the team's limit no longer count), the share that the queue's adviser allowed lately, the free capacity, how fast capacity becomes free, and the cost of an answer for each task that it lets start. Known allowed executors come first. Without a backlog requests stay as they were, except that the share is learned. A gang renews all its tickets in one call.

--- a/node/internal/plan/advice.go
+++ b/node/internal/plan/advice.go
@@ -8,10 +8,6 @@
 )
 
 const (
-	// maxExecutorsPerRequest bounds the executors that one request names, since each
-	// adds to the adviser's answer time. If a third of them are allowed, a step of
-	// some dozen tasks fits on them.
-	maxExecutorsPerRequest = 30
 	// ticketMargin is the least remaining validity of a ticket when a start is
 	// ordered, but at most half of the validity. It covers the time until the order
 	// reaches the executor.
@@ -27,13 +23,6 @@
 	quickSlotDivisor = 4
 	// reservationTime is how long after the last short request slots stay reserved.
 	reservationTime = 2 * time.Second
-	// expectedAllowedShare is the fraction of executors without an earlier answer
-	// that the adviser is expected to allow.
-	expectedAllowedShare = 0.4
-	// requestSurplus times the waiting tasks is the number of tasks for which a
-	// request should find capacity, since other work takes some of it before the
-	// answer comes.
-	requestSurplus = 1.5
 	// minLongRequestStarts is the number of expected starts from which a long request
 	// is sent at once. If there are fewer because executors are full, the stage waits
 	// up to longRequestWait for free capacity.
@@ -177,6 +166,7 @@
 	if st.advice.tickets == nil {
 		st.advice.tickets = make(map[string]ticket, len(q.Executors))
 	}
+	s.noteShare(st, q, tickets)
 	usableUntil, nextRequest := now.Add(valid-min(ticketMargin, valid/2)), now.Add(failedRequestBackoff)
 	for _, id := range q.Executors {
 		e := s.executors[id]
@@ -197,6 +187,36 @@
 	}
 }
 
+// allowedShare returns what is learned of the share that the adviser of a queue allows.
+func (s *State) allowedShare(queue string) *allowedShare {
+	a := s.allowedShares[queue]
+	if a == nil {
+		a = &allowedShare{}
+		s.allowedShares[queue] = a
+	}
+	return a
+}
+
+// noteShare learns from an answer to q what share of the executors is allowed. Tickets that were
+// renewed tell nothing of it.
+func (s *State) noteShare(st *stage, q AdviceRequest, tickets map[string]string) {
+	named, allowed := 0, 0
+	for _, id := range q.Executors {
+		e := s.executors[id]
+		if e == nil || q.decision <= e.bornIn || q.decision <= st.advice.hintChangedIn {
+			continue
+		}
+		if _, answered := st.advice.ticketFor(e); answered {
+			continue
+		}
+		named++
+		if _, ok := tickets[id]; ok {
+			allowed++
+		}
+	}
+	s.allowedShare(st.occur.job.queue.Name).note(named, allowed)
+}
+
 // removeRequest removes a request that is no longer pending. It returns false if the request
 // counts as lost already.
 func (s *State) removeRequest(q AdviceRequest) bool {
--- /dev/null
+++ b/node/internal/plan/compose_test.go
@@ -0,0 +1,132 @@
+package plan
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/matryer/is"
+
+	"github.com/balsamford/balsamford/coord/model"
+)
+
+// advisedLoad replays a load of long tasks on executors that stay full, with an adviser that allows
+// a third of the executors for each step. Each slot is one host with one request at a time.
+type advisedLoad struct {
+	state        *State
+	now          time.Time
+	rand         *rand.Rand
+	jobs         int
+	total        int64 // capacity
+	used         int64 // now
+	usedTime     float64
+	events       eventQueue
+	calls, named int
+}
+
+// event is something that happens at a time.
+type event struct {
+	at time.Time
+	do func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int           { return len(q) }
+func (q eventQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)        { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// heavyQueue has the figures that were measured for an adviser.
+var heavyQueue = model.Queue{
+	Name: "heavy", Service: "s", Priority: 2, Attempts: 2, Stretch: 20, Slack: time.Minute, Advised: true,
+	Decide: 494 * time.Millisecond, Each: 7150 * time.Microsecond, Valid: 2500 * time.Millisecond,
+}
+
+func newAdvisedLoad(executors, slots int) *advisedLoad {
+	config := model.NewConfig(1, append([]model.Queue{heavyQueue}, queues...), []model.Service{{Name: "s"}}, []model.Team{{Name: "t", Weight: 1000}})
+	l := &advisedLoad{state: New(config), now: epoch, rand: rand.New(rand.NewPCG(3, 4))}
+	l.state.SetAdviceSlots(slots)
+	for i := range executors {
+		room := model.Amount{CPU: int64(16000 << (i % 3)), Memory: 1 << 30}
+		l.total += room.CPU / 9000 * 9000 // Whole tasks fit.
+		id := fmt.Sprintf("e%03d", i)
+		l.state.SetExecutor(model.Executor{ID: id, Service: "s", Room: room, Kind: "a", Rack: "r", Zone: fmt.Sprintf("z%d", i%6)})
+		l.state.Reported(l.now, id, Report{RequestedAt: l.now})
+	}
+	l.state.AllExecutorsListed(l.now)
+	return l
+}
+
+func (l *advisedLoad) submit(tasks int) {
+	l.jobs++
+	step := model.Step{Count: tasks, Need: model.Amount{CPU: 9000, Memory: 1}, Estimate: time.Duration(2000+l.rand.IntN(4000)) * time.Millisecond}
+	l.state.AddJob(l.now, &model.Job{ID: fmt.Sprintf("%06d", l.jobs), Queue: "heavy", Team: "t", Steps: []model.Step{step}, Sent: l.now}, nil)
+}
+
+// run makes decisions until end, and keeps so many tasks waiting.
+func (l *advisedLoad) run(end time.Time, waiting int) {
+	const interval = 10 * time.Millisecond
+	for ; l.now.Before(end); l.now = l.now.Add(interval) {
+		for len(l.events) > 0 && !l.events[0].at.After(l.now) {
+			heap.Pop(&l.events).(event).do()
+		}
+		if l.state.Waiting() < waiting {
+			l.submit(4 + l.rand.IntN(12))
+		}
+		orders := l.state.Decide(l.now)
+		for _, o := range orders.Starts {
+			l.start(o)
+		}
+		for _, q := range orders.AdviceRequests {
+			l.ask(q)
+		}
+		l.usedTime += float64(l.used) / float64(l.total) * interval.Seconds()
+	}
+}
+
+func (l *advisedLoad) start(o Start) {
+	st := l.state.stageOf(o.Task)
+	l.used += st.spec.Need.CPU
+	l.state.Started(l.now, o)
+	heap.Push(&l.events, event{at: l.now.Add(st.spec.Estimate), do: func() {
+		l.used -= st.spec.Need.CPU
+		l.state.Reported(l.now, o.Executor, Report{RequestedAt: l.now.Add(-time.Second), More: true, Ends: []model.End{{Seq: 1, Task: o.Task, Number: o.Number, Outcome: model.RunDone}}})
+	}})
+}
+
+func (l *advisedLoad) ask(q AdviceRequest) {
+	l.calls++
+	l.named += len(q.Executors)
+	heap.Push(&l.events, event{at: l.now.Add(heavyQueue.Decide + time.Duration(len(q.Executors))*heavyQueue.Each), do: func() {
+		tickets := make(map[string]string)
+		for _, id := range q.Executors {
+			if xxhash.Sum64String(q.Step.Job+id)%3 == 0 {
+				tickets[id] = "ticket"
+			}
+		}
+		l.state.AdviceReceived(l.now, q, tickets, heavyQueue.Valid)
+	}})
+}
+
+// While all executors were nearly full, requests named the few that had capacity, and other stages
+// had taken that capacity when the answer came. A tenth and more of the capacity stayed unused
+// though enough work waited.
+func TestFullExecutorsAreNotAskedAbout(t *testing.T) {
+	is := is.New(t)
+	l := newAdvisedLoad(60, 5)
+	l.run(epoch.Add(10*time.Second), 300)
+	l.usedTime, l.calls, l.named = 0, 0, 0
+	l.run(epoch.Add(40*time.Second), 300)
+	used := l.usedTime / 30
+	t.Logf("used %.3f of the capacity with %d calls that named %d executors", used, l.calls, l.named)
+	is.True(used > 0.82) // 0.74 without full executors in requests.
+}
--- a/node/internal/plan/decide.go
+++ b/node/internal/plan/decide.go
@@ -20,6 +20,7 @@
 		s.nextSweep = now.Add(sweepInterval)
 		s.sweep(now)
 		s.startCopies(now)
+		s.turnover.update(s.capacity(), now)
 	}
 	s.expireAdviceRequests(now)
 	var waiting []waitingStage
@@ -33,9 +34,11 @@
 		p := pools[service]
 		if p == nil {
 			p = s.newPool(service, now)
+			p.supply = s.newSupply(p, waiting)
 			pools[service] = p
 		}
 		s.placeStage(c.stage, p, now)
+		p.supply.ahead += c.stage.waitingCPU()
 		s.backlogged = s.backlogged || c.stage.waiting > 0
 	}
 	s.adjustPaces(now)
--- a/node/internal/plan/decide_bench_test.go
+++ b/node/internal/plan/decide_bench_test.go
@@ -20,11 +20,19 @@
 	rand    *rand.Rand
 	running []Start // in the order of their starts
 	jobs    int
+	late    bool // answers of the adviser come after the expected time instead of at once
+	asked   []pendingAnswer
+}
+
+// pendingAnswer is a request with the time at which it is answered.
+type pendingAnswer struct {
+	request AdviceRequest
+	at      time.Time
 }
 
 // newBacklog returns a backlog of stages with waiting tasks on so many executors.
-func newBacklog(executors, waiting int, queues ...string) *backlog {
-	b := &backlog{fixture: newFixture(), now: epoch, rand: rand.New(rand.NewPCG(1, 2))}
+func newBacklog(executors, waiting int, late bool, queues ...string) *backlog {
+	b := &backlog{late: late, fixture: newFixture(), now: epoch, rand: rand.New(rand.NewPCG(1, 2))}
 	s := b.fixture.state
 	s.SetAdviceSlots(executors / 6)
 	for i := range executors {
@@ -67,6 +75,17 @@
 	b.fixture.confirm(b.now, orders.Starts)
 	b.running = append(b.running, orders.Starts...)
 	for _, q := range orders.AdviceRequests {
+		at := b.now
+		if b.late {
+			at = at.Add(q.EstimatedTime)
+		}
+		b.asked = append(b.asked, pendingAnswer{request: q, at: at})
+	}
+	b.asked = slices.DeleteFunc(b.asked, func(p pendingAnswer) bool {
+		if p.at.After(b.now) {
+			return false
+		}
+		q := p.request
 		tickets := make(map[string]string)
 		for _, id := range q.Executors {
 			if b.rand.IntN(3) == 0 {
@@ -74,7 +93,8 @@
 			}
 		}
 		s.AdviceReceived(b.now, q, tickets, 2*time.Second)
-	}
+		return true
+	})
 }
 
 // end ends the n runs that started first.
@@ -99,15 +119,18 @@
 	tests := map[string]struct {
 		executors, waiting int
 		queue              string
+		late               bool
 	}{
-		"540 executors, 400 tasks wait":           {540, 400, "urgent"},
-		"540 executors, 4000 tasks wait":          {540, 4000, "urgent"},
-		"540 executors, 4000 tasks wait, advised": {540, 4000, "advised"},
-		"2000 executors, 4000 tasks wait":         {2000, 4000, "urgent"},
+		"350 executors, 9000 tasks wait":          {350, 9000, "urgent", false},
+		"350 executors, 9000 tasks wait, advised": {350, 9000, "advised", true},
+		"540 executors, 400 tasks wait":           {540, 400, "urgent", false},
+		"540 executors, 4000 tasks wait":          {540, 4000, "urgent", false},
+		"540 executors, 4000 tasks wait, advised": {540, 4000, "advised", false},
+		"2000 executors, 4000 tasks wait":         {2000, 4000, "urgent", false},
 	}
 	for name, tt := range tests {
 		b.Run(name, func(b *testing.B) {
-			load := newBacklog(tt.executors, tt.waiting, tt.queue)
+			load := newBacklog(tt.executors, tt.waiting, tt.late, tt.queue)
 			took := make([]time.Duration, 0, b.N)
 			b.ResetTimer()
 			for range b.N {
--- a/node/internal/plan/ends.go
+++ b/node/internal/plan/ends.go
@@ -14,6 +14,7 @@
 			s.learnSlowdown(r.stage, e, now.Sub(r.startedAt))
 		}
 		r.stage.saveCheckpoint(r.index, end.Checkpoint)
+		s.turnover.note(r.reserved.CPU)
 		s.removeRun(r)
 	} else if st != nil {
 		t := &st.tasks[end.Task.Index]
--- a/node/internal/plan/gang.go
+++ b/node/internal/plan/gang.go
@@ -27,7 +27,7 @@
 	}
 	if len(selected) < n {
 		if s.advised(st.occur.job, now) {
-			s.requestAdvice(st, p, now)
+			s.requestAdvice(st, p, n, now)
 		}
 		return
 	}
--- a/node/internal/plan/place.go
+++ b/node/internal/plan/place.go
@@ -37,7 +37,7 @@
 func (s *State) placeEach(st *stage, p *pool, n int, now time.Time) {
 	selected := s.selectExecutors(st, p, n, now)
 	if len(selected) < n && s.advised(st.occur.job, now) {
-		s.requestAdvice(st, p, now)
+		s.requestAdvice(st, p, n, now)
 	}
 	i := 0
 	for _, e := range selected {
--- a/node/internal/plan/pool.go
+++ b/node/internal/plan/pool.go
@@ -19,6 +19,7 @@
 	unfit     []model.Amount   // needs for which no executor has room
 	byLabel   map[string]*pool // subsets of the executors, made when they are first needed
 	byRack    map[string]*pool // the same
+	supply    *supply          // of the service
 }
 
 // AvoidZone excludes the executors of a zone from new work. An empty name excludes
@@ -49,7 +50,7 @@
 	}
 	q := p.byLabel[label]
 	if q == nil {
-		q = &pool{service: p.service, label: label, decision: p.decision}
+		q = &pool{service: p.service, label: label, decision: p.decision, supply: p.supply}
 		for _, e := range p.executors {
 			if e.info.Has(label) {
 				q.executors = append(q.executors, e)
@@ -69,7 +70,7 @@
 	for _, e := range p.executors {
 		q := p.byRack[e.info.Rack]
 		if q == nil {
-			q = &pool{service: p.service, label: p.label, rack: e.info.Rack, decision: p.decision}
+			q = &pool{service: p.service, label: p.label, rack: e.info.Rack, decision: p.decision, supply: p.supply}
 			p.byRack[e.info.Rack] = q
 		}
 		q.executors = append(q.executors, e)
--- a/node/internal/plan/request.go
+++ b/node/internal/plan/request.go
@@ -1,18 +1,15 @@
 package plan
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/balsamford/balsamford/coord/model"
 )
 
-// requestAdvice orders a request about the stage if none is pending and a slot is
-// free. It names executors with free capacity: first those that are known to be
-// allowed but whose tickets have expired, then as many others as the waiting tasks
-// seem to need.
-func (s *State) requestAdvice(st *stage, p *pool, now time.Time) {
+// requestAdvice orders a request for n tasks of the stage if none is pending and a slot is free. It
+// names executors with free capacity, and under a backlog full ones, too: first those that are
+// known to be allowed but whose tickets have expired, then as many others as the tasks seem to need.
+func (s *State) requestAdvice(st *stage, p *pool, n int, now time.Time) {
 	if !st.advice.requestedAt.IsZero() || now.Before(st.advice.nextRequest) || now.Before(st.advice.nextDraft) && len(p.executors) == st.advice.draftedFor {
 		return
 	}
@@ -21,15 +18,16 @@
 	if !s.adviceSlotFree(long, now) {
 		return
 	}
-	draft := s.draftRequest(st, p, now)
+	ahead := p.supply.backlogged() && p.supply.nextInOrder(q.Decide+q.Valid)
+	draft := s.draftRequest(st, p, n, ahead, now)
 	if len(draft.executors) == 0 && st.reviewDenials(p, now) {
-		draft = s.draftRequest(st, p, now)
+		draft = s.draftRequest(st, p, n, ahead, now)
 	}
 	if len(draft.executors) == 0 {
 		st.advice.delayDraft(p, now)
 		return
 	}
-	if long && draft.someFull && draft.expectedStarts < float64(min(st.waiting, minLongRequestStarts)) && now.Sub(st.readySince) < longRequestWait {
+	if long && !ahead && draft.someFull && draft.expectedStarts < float64(min(st.waiting, minLongRequestStarts)) && now.Sub(st.readySince) < longRequestWait {
 		st.advice.delayDraft(p, now)
 		return
 	}
@@ -44,78 +42,6 @@
 	s.orders.AdviceRequests = append(s.orders.AdviceRequests, AdviceRequest{Step: st.id(), Executors: draft.executors, EstimatedTime: estimate, decision: s.decision})
 }
 
-// requestDraft is a request that may be sent.
-type requestDraft struct {
-	executors      []string
-	expectedStarts float64 // tasks that the answer is expected to let start
-	someFull       bool    // executors were left out for lack of capacity
-}
-
-// draftRequest returns the request for a stage. It leaves out executors with a valid
-// ticket, those that aren't allowed, and those without free capacity.
-func (s *State) draftRequest(st *stage, p *pool, now time.Time) requestDraft {
-	perTask := st.spec.Room()
-	var d requestDraft
-	if !p.mayFit(perTask) {
-		return d
-	}
-	var allowed, unasked []fit
-	covered := 0
-	for _, e := range p.executors {
-		full := !perTask.Fits(e.free())
-		if full && d.someFull {
-			continue
-		}
-		t, answered := st.advice.ticketFor(e)
-		if answered && !t.allowed || now.Before(t.nextRequest) {
-			continue
-		}
-		n := e.capacityFor(st, perTask)
-		switch {
-		case n == 0:
-			d.someFull = true
-		case t.usable(now):
-			covered += n
-		case answered:
-			allowed = append(allowed, fit{executor: e, tasks: n, score: e.relativeTime})
-		default:
-			unasked = append(unasked, fit{executor: e, tasks: n, score: e.relativeTime})
-		}
-	}
-	better := func(a, b fit) int {
-		if st.urgent() {
-			if c := cmp.Compare(a.score, b.score); c != 0 {
-				return c
-			}
-		}
-		return cmp.Compare(b.tasks, a.tasks)
-	}
-	if !st.spec.Lasting {
-		all := slices.Concat(allowed, unasked)
-		st.rankZones(all, st.waiting)
-		allowed, unasked = all[:len(allowed)], all[len(allowed):]
-		withinZone := better
-		better = func(a, b fit) int { return cmp.Or(a.zoneRank-b.zoneRank, withinZone(a, b)) }
-	}
-	slices.SortFunc(allowed, better)
-	slices.SortFunc(unasked, better)
-	wanted := requestSurplus * float64(st.waiting-covered)
-	for i, group := range [][]fit{allowed, unasked} {
-		probability := 1.0
-		if i > 0 {
-			probability = expectedAllowedShare
-		}
-		for _, ft := range group {
-			if len(d.executors) == maxExecutorsPerRequest || d.expectedStarts >= wanted {
-				return d
-			}
-			d.executors = append(d.executors, ft.executor.info.ID)
-			d.expectedStarts += probability * float64(ft.tasks)
-		}
-	}
-	return d
-}
-
 // reviewDenials forgets the denials for executors of p if they have stood for a while and the
 // other executors couldn't hold the stage even if they were idle. The adviser may have had
 // another configuration than this host. It reports whether there were any.
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -38,6 +38,8 @@
 	longRequests       int                             // of these, long ones
 	shortRequestAt     time.Time                       // when a short one was last ordered
 	ticketsRequired    map[string]time.Time            // by queue, until when its starts need tickets though it isn't advised
+	allowedShares      map[string]*allowedShare        // by queue
+	turnover           turnover                        // of the executors' capacity
 	backlogged         bool                            // the last decision left tasks waiting
 	paused             bool                            // no run may start
 	adviceSlots        int                             // maximum number of pending requests to the adviser
@@ -58,7 +60,7 @@
 func New(config *model.Config, opts ...Option) *State {
 	s := &State{
 		config: config, remoteSlowdown: 1, quotaWindow: defaultQuotaWindow, maxStopTime: time.Second, jobs: make(map[string]*job), executors: make(map[string]*executor), zones: make(map[string]int),
-		teams: make(map[string]*team), dirty: make(map[string]*job), ended: make(map[string]bool), slowdowns: make(map[string]float64), pendingAdvice: make(map[model.StepID]pendingRequest), ticketsRequired: make(map[string]time.Time), maybeClosed: make(map[string]bool), adviceSlots: 1,
+		teams: make(map[string]*team), dirty: make(map[string]*job), ended: make(map[string]bool), slowdowns: make(map[string]float64), pendingAdvice: make(map[model.StepID]pendingRequest), ticketsRequired: make(map[string]time.Time), maybeClosed: make(map[string]bool), adviceSlots: 1, allowedShares: make(map[string]*allowedShare),
 	}
 	for _, opt := range opts {
 		opt(s)
