plan: idle slots of the adviser are used, hopeless steps ask last

Cause: a step wasn't asked about while all executors were full at each draft (mayFit), since a stage with a ticket took each bit of capacity that became free in the same decision; steps were put off for 1.5 s if few of their tasks would start, and for 100 ms after an empty draft, whether slots were idle or not; a quarter of the slots was kept as long as any short request came each 2 s; steps whose result is worthless by then took slots from others.

Change: requests that weren't sent are tried again at the end of the decision if slots are idle, also about full executors, hopeless steps last. The slots kept for short requests follow the number that were needed at a time lately (a quarter until that is known, half at most). A decision reports the time in which a step waited for advice although slots were idle and executors had capacity, and each second one such step.

--- a/node/internal/plan/advice.go
+++ b/node/internal/plan/advice.go
@@ -15,14 +15,6 @@
 	// lostRequestGrace is how long after the expected time of its answer a request
 	// counts as lost.
 	lostRequestGrace = 3 * time.Second
-	// longRequestTime is the answer time above which a request counts as long: it
-	// occupies a host for so long that short requests must not wait behind it.
-	longRequestTime = 200 * time.Millisecond
-	// quickSlotDivisor sets the slots that are reserved for short requests: one in
-	// quickSlotDivisor, and at least one.
-	quickSlotDivisor = 4
-	// reservationTime is how long after the last short request slots stay reserved.
-	reservationTime = 2 * time.Second
 	// minLongRequestStarts is the number of expected starts from which a long request
 	// is sent at once. If there are fewer because executors are full, the stage waits
 	// up to longRequestWait for free capacity.
@@ -46,25 +38,6 @@
 	until    time.Time // when it counts as lost
 }
 
-// SetAdviceSlots sets the number of requests that may be pending at the adviser at a
-// time: one for each host that can send them.
-func (s *State) SetAdviceSlots(n int) { s.adviceSlots = n }
-
-// adviceSlotFree reports whether another request may be sent. Slots are reserved for short requests
-// until reservationTime after the last one, or after the first call.
-func (s *State) adviceSlotFree(long bool, now time.Time) bool {
-	if s.shortRequestAt.IsZero() {
-		s.shortRequestAt = now
-	}
-	if len(s.pendingAdvice) >= s.adviceSlots {
-		return false
-	}
-	if !long || now.Sub(s.shortRequestAt) > reservationTime {
-		return true
-	}
-	return s.longRequests < max(1, s.adviceSlots-max(1, s.adviceSlots/quickSlotDivisor))
-}
-
 // expireAdviceRequests drops the requests that count as lost.
 func (s *State) expireAdviceRequests(now time.Time) {
 	for id, q := range s.pendingAdvice {
@@ -84,6 +57,7 @@
 	nextRequest   time.Time         // no request is sent before that, since the last one failed
 	nextDraft     time.Time         // no request is drafted before that, unless executors have come or gone
 	draftedFor    int               // number of executors when nextDraft was set
+	nextAhead     time.Time         // full executors aren't asked about in idle slots before that
 	reviewAt      time.Time         // denials stand until then; zero if there are none
 }
 
--- a/node/internal/plan/compose_test.go
+++ b/node/internal/plan/compose_test.go
@@ -130,3 +130,98 @@
 	t.Logf("used %.3f of the capacity with %d calls that named %d executors", used, l.calls, l.named)
 	is.True(used > 0.82) // 0.74 without full executors in requests.
 }
+
+// crowd returns a fixture with executors, on each of which full is taken, and one step that waits.
+func crowd(n int, full model.Amount, step model.Step) *fixture {
+	f := newFixture()
+	for i := range n {
+		f.addReady(fmt.Sprintf("e%03d", i))
+	}
+	f.state.AddJob(epoch, f.job("running", model.Step{Count: n, Need: full, Spread: 1}), nil)
+	f.confirm(epoch, f.state.Decide(epoch).Starts)
+	f.addAdvised("j", "advised", epoch, step)
+	return f
+}
+
+// Requests without a backlog must stay small, since each executor makes the answer come later.
+// Under a backlog they name executors that are full, those known to be allowed first.
+func TestRequestFollowsBacklog(t *testing.T) {
+	tests := map[string]struct {
+		used        model.Amount
+		tasks       int
+		least, most int
+	}{
+		"idle executors": {used: oneCore, tasks: 8, least: 1, most: 10},
+		"backlog":        {used: fullExecutor, tasks: 200, least: maxExecutorsUnderBacklog, most: maxExecutorsUnderBacklog},
+		"small backlog":  {used: fullExecutor, tasks: 4, least: 12, most: 40},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := crowd(150, tt.used, model.Step{Count: tt.tasks, Need: model.Amount{CPU: 8000, Memory: 100}, Estimate: time.Hour})
+			requests := f.state.Decide(epoch).AdviceRequests
+			is.Equal(len(requests), 1)
+			is.True(len(requests[0].Executors) >= tt.least)
+			is.True(len(requests[0].Executors) <= tt.most)
+		})
+	}
+}
+
+// Tickets of a stage that still needs them expired before they were renewed, and the renewal
+// named executors that had never been asked about before those known to be allowed.
+func TestTicketsAreRenewedInTime(t *testing.T) {
+	is := is.New(t)
+	f := crowd(120, fullExecutor, model.Step{Count: 20, Need: model.Amount{CPU: 8000, Memory: 100}, Estimate: time.Hour})
+	first := f.state.Decide(epoch).AdviceRequests[0]
+	tickets := make(map[string]string)
+	for i, id := range first.Executors {
+		if i%3 == 0 {
+			tickets[id] = "ticket"
+		}
+	}
+	f.state.AdviceReceived(epoch, first, tickets, 2*time.Second)
+	named, renewed := 0, time.Duration(0)
+	for now := epoch; renewed == 0; now = now.Add(10 * time.Millisecond) {
+		is.True(now.Before(epoch.Add(2 * time.Second)))
+		for _, q := range f.state.Decide(now).AdviceRequests {
+			if tickets[q.Executors[0]] != "" {
+				renewed = now.Sub(epoch)
+				for _, id := range q.Executors[:len(tickets)] {
+					is.Equal(tickets[id], "ticket")
+				}
+			}
+			named += len(q.Executors)
+			f.state.AdviceReceived(now, q, nil, 2*time.Second)
+		}
+	}
+	is.True(renewed > 500*time.Millisecond)
+	is.True(renewed+heavyQueue.Decide < 2*time.Second)
+}
+
+// The tickets of a gang's executors were renewed one by one, so that they were never valid at once.
+func TestGangRenewsItsTicketsAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.addReady("a", "b")
+	f.addAdvised("j", "advised", epoch, model.Step{Count: 2, Need: fullExecutor, Gang: true, Estimate: time.Hour})
+	q := f.state.Decide(epoch).AdviceRequests[0]
+	is.Equal(len(q.Executors), 2)
+	q.Executors = []string{"a"} // The adviser answered for one of them.
+	f.state.AdviceReceived(epoch, q, map[string]string{"a": "ticket"}, 2*time.Second)
+	requests := f.state.Decide(epoch.Add(failedRequestBackoff)).AdviceRequests
+	is.Equal(len(requests), 1)
+	is.Equal(len(requests[0].Executors), 2)
+}
+
+// Stages far back in the order named full executors, whose capacity stages before them would use.
+func TestStageFarBackIsNotNextInOrder(t *testing.T) {
+	is := is.New(t)
+	f := crowd(10, fullExecutor, model.Step{Count: 1, Need: oneCore})
+	f.state.Decide(epoch)
+	p := f.state.newPool("s", epoch)
+	p.supply = f.state.newSupply(p, f.state.waitingStages(epoch))
+	is.True(p.supply.backlogged())
+	is.True(p.supply.nextInOrder(3 * time.Second))
+	p.supply.ahead = 10 * fullExecutor.CPU // It takes 5 s until so much has become free.
+	is.True(!p.supply.nextInOrder(3 * time.Second))
+}
--- a/node/internal/plan/decide.go
+++ b/node/internal/plan/decide.go
@@ -41,6 +41,7 @@
 		p.supply.ahead += c.stage.waitingCPU()
 		s.backlogged = s.backlogged || c.stage.waiting > 0
 	}
+	s.useIdleSlots(now)
 	s.adjustPaces(now)
 	out := s.orders
 	s.orders = Orders{}
--- a/node/internal/plan/orders.go
+++ b/node/internal/plan/orders.go
@@ -47,10 +47,12 @@
 	Stops          []Stop
 	Paces          []Pace
 	AdviceRequests []AdviceRequest
-	Stalls         []Stall     // to be logged
-	Expired        []Expiry    // to be logged
-	Vanished       []Vanished  // to be logged
-	Duplicates     []Duplicate // to be logged
+	AdviceIdle     time.Duration // in which a step waited for advice while slots were idle
+	AdviceIdles    []AdviceIdle  // to be logged
+	Stalls         []Stall       // to be logged
+	Expired        []Expiry      // to be logged
+	Vanished       []Vanished    // to be logged
+	Duplicates     []Duplicate   // to be logged
 }
 
 // Vanished describes a run that an executor had confirmed, and that it lists neither as running
--- a/node/internal/plan/request.go
+++ b/node/internal/plan/request.go
@@ -10,27 +10,43 @@
 // names executors with free capacity, and under a backlog full ones, too: first those that are
 // known to be allowed but whose tickets have expired, then as many others as the tasks seem to need.
 func (s *State) requestAdvice(st *stage, p *pool, n int, now time.Time) {
-	if !st.advice.requestedAt.IsZero() || now.Before(st.advice.nextRequest) || now.Before(st.advice.nextDraft) && len(p.executors) == st.advice.draftedFor {
+	if !st.advice.requestedAt.IsZero() {
 		return
 	}
+	if !s.tryRequest(st, p, n, now) {
+		s.noteUnsent(st, p, n, now)
+		s.deferRequest(st, p, n, now)
+	}
+}
+
+// tryRequest orders a request unless it has to wait. It returns false if it wasn't ordered.
+func (s *State) tryRequest(st *stage, p *pool, n int, now time.Time) bool {
+	if now.Before(st.advice.nextRequest) || now.Before(st.advice.nextDraft) && len(p.executors) == st.advice.draftedFor {
+		return false
+	}
 	q := &st.occur.job.queue
 	long := q.Decide > longRequestTime
-	if !s.adviceSlotFree(long, now) {
-		return
+	if st.hopeless(now) || !s.adviceSlotFree(long, now) {
+		return false
 	}
 	ahead := p.supply.backlogged() && p.supply.nextInOrder(q.Decide+q.Valid)
 	draft := s.draftRequest(st, p, n, ahead, now)
 	if len(draft.executors) == 0 && st.reviewDenials(p, now) {
 		draft = s.draftRequest(st, p, n, ahead, now)
 	}
-	if len(draft.executors) == 0 {
+	few := draft.someFull && draft.expectedStarts < float64(min(st.waiting, minLongRequestStarts)) && now.Sub(st.readySince) < longRequestWait
+	if len(draft.executors) == 0 || long && !ahead && few {
 		st.advice.delayDraft(p, now)
-		return
-	}
-	if long && !ahead && draft.someFull && draft.expectedStarts < float64(min(st.waiting, minLongRequestStarts)) && now.Sub(st.readySince) < longRequestWait {
-		st.advice.delayDraft(p, now)
-		return
+		return false
 	}
+	s.sendRequest(st, draft, now)
+	return true
+}
+
+// sendRequest orders a request.
+func (s *State) sendRequest(st *stage, draft requestDraft, now time.Time) {
+	q := &st.occur.job.queue
+	long := q.Decide > longRequestTime
 	st.advice.requestedAt = now
 	estimate := q.Decide + time.Duration(len(draft.executors))*q.Each
 	if long {
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -37,6 +37,14 @@
 	pendingAdvice      map[model.StepID]pendingRequest // requests to the adviser without an answer
 	longRequests       int                             // of these, long ones
 	shortRequestAt     time.Time                       // when a short one was last ordered
+	shortRequests      peak                            // short requests that were needed at a time
+	shortWanted        int                             // short requests that the present decision has wanted so far
+	unsentRequests     []unsentRequest                 // of the present decision, to be sent if slots are idle
+	hopelessRequests   []unsentRequest                 // the same for hopeless stages
+	firstUnsent        unsentRequest                   // of the present decision, with the most urgent stage
+	idleChecked        time.Time                       // when idle slots were last looked for
+	idleSince          time.Time                       // since when a step waits while slots are idle; zero if none does
+	idleLogged         time.Time                       // when that was last reported
 	ticketsRequired    map[string]time.Time            // by queue, until when its starts need tickets though it isn't advised
 	allowedShares      map[string]*allowedShare        // by queue
 	turnover           turnover                        // of the executors' capacity
