owner: metrics and a log line of the requests to the adviser

Cause: nothing showed how many calls were made, what came of them, and whether a step waited for advice while the adviser could have been asked.

Change: counters node.owner.advice.calls, .named, .allowed, .failed and .idle, and the log line "advice idle".

--- a/node/internal/owner/decide.go
+++ b/node/internal/owner/decide.go
@@ -90,6 +90,7 @@
 			zap.Duration("for", s.For), zap.Bool("stopped", s.Stopped), zap.Int64("epoch", t.epoch))
 	}
 	t.logAnomalies(&orders)
+	t.noteIdleAdvice(&orders)
 	for _, x := range orders.Expired {
 		t.noteExpiry(x)
 	}
@@ -133,21 +134,3 @@
 		zap.String("reason", w.Reason), zap.Int("tasks", w.Waiting), zap.Duration("for", now.Sub(w.Since)), zap.Int("usable", w.Usable),
 		zap.Int("allowed", w.Allowed), zap.Int("roomy", w.WithCapacity), zap.Bool("excess", w.OverQuota), zap.Bool("asking", w.AdvicePending), zap.Int64("epoch", t.epoch))
 }
-
-// askAdviser queries the placement adviser and gives the response to the plan.
-func (t *term) askAdviser(a plan.AdviceRequest) {
-	advice, err := t.owner.advisers.Ask(a.Step, a.Executors, a.EstimatedTime)
-	now := t.owner.clock.Now()
-	t.mu.Lock()
-	if err != nil {
-		t.plan.AdviceFailed(now, a)
-	} else {
-		t.plan.AdviceReceived(now, a, advice.Tickets, advice.Valid)
-	}
-	t.mu.Unlock()
-	if err != nil {
-		t.owner.logger.Info("placement advice failed", zap.String("job", a.Step.Job), zap.Int("step", a.Step.Step), zap.Int("executors", len(a.Executors)), zap.Error(err))
-		return
-	}
-	signal(t.wakeDecider)
-}
--- a/node/internal/owner/ownermetrics.go
+++ b/node/internal/owner/ownermetrics.go
@@ -21,6 +21,7 @@
 	waiting      metrics.Gauge                    // tasks that are ready but have no run
 	paused       metrics.Gauge                    // 1 while no run may start, since ownership isn't confirmed
 	lag          metrics.Gauge                    // by how much the decision loop falls behind, in milliseconds
+	advice       adviceMetrics                    // of the requests to the adviser
 	starts       metrics.Counter                  // starts confirmed by executors
 	failed       metrics.Counter                  // starts that failed or whose outcome is unknown
 	refused      map[plan.Refusal]metrics.Counter // starts that are known not to have happened, by reason
@@ -49,7 +50,7 @@
 	}
 	return &ownerMetrics{
 		epoch: gauge("epoch"), terms: counter("terms"), executors: gauge("executors"), silent: gauge("silent"), excluded: excluded, bounded: gauge("bounded"), waiting: gauge("waiting"),
-		paused: gauge("paused"), lag: gauge("lag"), starts: counter("starts"), failed: counter("failed"), refused: refused, oversize: gauge("oversize"), lost: counter("lost"),
+		paused: gauge("paused"), lag: gauge("lag"), advice: newAdviceMetrics(r), starts: counter("starts"), failed: counter("failed"), refused: refused, oversize: gauge("oversize"), lost: counter("lost"),
 		crossed: counter("crossed"), vanished: counter("vanished"), doubled: counter("doubled"),
 		lapsed: map[basis]metrics.Counter{
 			byLease:  metrics.GetOrRegisterCounter("node.owner.lapsed.lease", r),
