plan: the adviser is asked ahead while slots are idle

Cause: a job of several steps waited for the adviser before each of them, and a recurring job at each occurrence, also while slots were idle.

Change: while more than a quarter of the slots is idle, requests are sent about steps whose predecessors are expected to end, by estimate, kind of hardware and progress, and about occurrences that are due, as long before as the answer takes. Two requests a step at most, since runs may take much longer than estimated. An occurrence that was asked about and hasn't begun is no part of the job's progress. A second request for the same step replaces the first one in the count of long requests.

--- a/node/internal/plan/advice.go
+++ b/node/internal/plan/advice.go
@@ -3,8 +3,6 @@
 import (
 	"maps"
 	"time"
-
-	"github.com/balsamford/balsamford/coord/model"
 )
 
 const (
@@ -58,6 +56,7 @@
 	nextDraft     time.Time         // no request is drafted before that, unless executors have come or gone
 	draftedFor    int               // number of executors when nextDraft was set
 	nextAhead     time.Time         // full executors aren't asked about in idle slots before that
+	aheadAttempts int               // requests that were sent before the tasks could start
 	reviewAt      time.Time         // denials stand until then; zero if there are none
 }
 
@@ -120,17 +119,25 @@
 // allowed may be so now, since without a hint the adviser may allow none.
 func (s *State) hintChanged(j *job) {
 	for _, o := range j.occurs {
-		for _, st := range o.stages {
-			st.advice.hintChangedIn = s.decision
-			st.advice.forgetDenials()
-		}
+		s.hintChangedFor(o)
+	}
+	if j.coming != nil {
+		s.hintChangedFor(j.coming)
+	}
+}
+
+// hintChangedFor does the same for an occurrence.
+func (s *State) hintChangedFor(o *occurrence) {
+	for _, st := range o.stages {
+		st.advice.hintChangedIn = s.decision
+		st.advice.forgetDenials()
 	}
 }
 
 // AdviceReceived stores the adviser's answer to q: tickets has a ticket for each of the
 // executors named that may run the step. The tickets are valid from now on for the time valid.
 func (s *State) AdviceReceived(now time.Time, q AdviceRequest, tickets map[string]string, valid time.Duration) {
-	st := s.stageOf(model.Task{Job: q.Step.Job, Occur: q.Step.Occur, Step: q.Step.Step})
+	st := s.adviceStage(q.Step)
 	if s.removeRequest(q) && st != nil {
 		st.advice.requestedAt = time.Time{}
 	}
@@ -210,7 +217,7 @@
 	if !s.removeRequest(q) {
 		return
 	}
-	if st := s.stageOf(model.Task{Job: q.Step.Job, Occur: q.Step.Occur, Step: q.Step.Step}); st != nil {
+	if st := s.adviceStage(q.Step); st != nil {
 		st.advice.requestedAt, st.advice.nextRequest = time.Time{}, now.Add(failedRequestBackoff)
 	}
 }
--- a/node/internal/plan/decide.go
+++ b/node/internal/plan/decide.go
@@ -42,6 +42,7 @@
 		s.backlogged = s.backlogged || c.stage.waiting > 0
 	}
 	s.useIdleSlots(now)
+	s.askAhead(pools, now)
 	s.adjustPaces(now)
 	out := s.orders
 	s.orders = Orders{}
--- a/node/internal/plan/job.go
+++ b/node/internal/plan/job.go
@@ -15,6 +15,7 @@
 	recorded     model.Phase         // phase that was recorded last; model.Queued without a record
 	occurs       map[int]*occurrence // begun and unfinished occurrences, by number
 	next         int                 // first occurrence that hasn't begun
+	coming       *occurrence         // the next one, if the adviser was asked about it before it began, or nil
 	ahead        map[int]bool        // later occurrences that have finished already, by number
 	delay        Delay
 	overQuota    bool          // it exceeds its team's submission quota
--- a/node/internal/plan/occurrence.go
+++ b/node/internal/plan/occurrence.go
@@ -100,8 +100,11 @@
 
 // begin begins occurrence k, which must not have begun.
 func (j *job) begin(k int) *occurrence {
-	o := newOccurrence(j, k)
-	j.occurs[k] = o
+	o := j.coming
+	if o == nil || o.number != k {
+		o = newOccurrence(j, k)
+	}
+	j.coming, j.occurs[k] = nil, o
 	return o
 }
 
--- a/node/internal/plan/request.go
+++ b/node/internal/plan/request.go
@@ -49,6 +49,9 @@
 	long := q.Decide > longRequestTime
 	st.advice.requestedAt = now
 	estimate := q.Decide + time.Duration(len(draft.executors))*q.Each
+	if old, ok := s.pendingAdvice[st.id()]; ok {
+		s.removeRequest(AdviceRequest{Step: st.id(), decision: old.decision}) // The stage was built anew.
+	}
 	if long {
 		s.longRequests++
 	} else {
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -42,6 +42,7 @@
 	unsentRequests     []unsentRequest                 // of the present decision, to be sent if slots are idle
 	hopelessRequests   []unsentRequest                 // the same for hopeless stages
 	firstUnsent        unsentRequest                   // of the present decision, with the most urgent stage
+	nextAskAhead       time.Time                       // nothing is asked ahead before that
 	idleChecked        time.Time                       // when idle slots were last looked for
 	idleSince          time.Time                       // since when a step waits while slots are idle; zero if none does
 	idleLogged         time.Time                       // when that was last reported
