plan: the adviser's answers can be handed to a successor

Executors are bound by the start of their life; an executor whose life was found out by a report and whose entry is older is left out.

--- a/node/internal/plan/executor.go
+++ b/node/internal/plan/executor.go
@@ -10,6 +10,7 @@
 type executor struct {
 	info           model.Executor
 	bornIn         int          // last decision before its present life was found out
+	lifeKnown      bool         // info.Born is the start of its present life
 	unrecorded     bool         // a successor wouldn't know of it
 	runsKnown      bool         // it can't have runs that this owner doesn't know; required for new work
 	silent         bool         // it doesn't answer
@@ -60,6 +61,7 @@
 // SetExecutor adds an executor or updates its registration.
 func (s *State) SetExecutor(info model.Executor) {
 	e := s.executor(info.ID)
+	e.lifeKnown = !info.Born.IsZero() && (e.lifeKnown && info.Born.Equal(e.info.Born) || info.Born.After(e.info.Born))
 	e.info, e.zone = info, s.zone(info.Zone)
 	s.markChanged(e)
 }
@@ -137,7 +139,7 @@
 		}
 		r.seen, r.confirmedAt = false, now
 	}
-	e.runsKnown, e.bornIn = false, s.decision
+	e.runsKnown, e.bornIn, e.lifeKnown = false, s.decision, false
 }
 
 // RemoveExecutor removes an executor whose runs are all gone.
