plan: tickets that have just come count for the next request

Cause: an executor that was answered for isn't named for 0.1 s, and its ticket didn't count as held meanwhile. So a stage asked about further executors right after each answer, as if it had no tickets.

Change: a valid ticket counts at once; only executors without one are left out for 0.1 s.

--- a/node/internal/plan/compose.go
+++ b/node/internal/plan/compose.go
@@ -88,7 +88,7 @@
 			continue
 		}
 		t, answered := st.advice.ticketFor(e)
-		if answered && !t.allowed || c.now.Before(t.nextRequest) {
+		if answered && !t.allowed {
 			continue
 		}
 		n := e.capacityFor(st, perTask)
@@ -104,6 +104,8 @@
 		case t.usable(c.now.Add(c.lead)):
 			c.held = append(c.held, ft)
 			continue
+		case c.now.Before(t.nextRequest):
+			continue
 		case answered && n > 0:
 			group = allowedFree
 		case answered:
