plan: node.owner.advice.idle doesn't count slots kept for short requests

Cause: the counter grew whenever short requests kept a slot that a long one could have used, which is intended, so that it didn't show faults.

Change: it counts other slots only. The log line tells of both, as a warning only if it is a fault.

--- a/node/internal/owner/advice.go
+++ b/node/internal/owner/advice.go
@@ -30,7 +30,11 @@
 func (t *term) noteIdleAdvice(orders *plan.Orders) {
 	t.owner.metrics.advice.idle.Inc(orders.AdviceIdle.Milliseconds())
 	for _, w := range orders.AdviceIdles {
-		t.owner.logger.Warn("advice idle", zap.String("id", w.Step.Job), zap.Int("occur", w.Step.Occur), zap.Int("step", w.Step.Step),
+		level := zap.WarnLevel
+		if w.Reserved || w.Failed {
+			level = zap.InfoLevel
+		}
+		t.owner.logger.Log(level, "advice idle", zap.String("id", w.Step.Job), zap.Int("occur", w.Step.Occur), zap.Int("step", w.Step.Step),
 			zap.Int("tasks", w.Waiting), zap.Duration("for", w.For), zap.Int("executors", w.Executors), zap.Int("slots", w.Slots),
 			zap.Bool("reserved", w.Reserved), zap.Bool("failed", w.Failed), zap.Int64("epoch", t.epoch))
 	}
--- a/node/internal/plan/idle.go
+++ b/node/internal/plan/idle.go
@@ -32,8 +32,8 @@
 	}
 }
 
-// noteIdleSlots adds up the time in which a step waited for advice though slots were idle and
-// executors had capacity, and reports the step.
+// noteIdleSlots adds up the time in which a step waited for advice though slots were idle, other than
+// those kept for short requests, and executors had capacity. It reports the step in either case.
 func (s *State) noteIdleSlots(now time.Time) {
 	passed := min(now.Sub(s.idleChecked), maxIdleGap)
 	q := s.firstUnsent
@@ -52,14 +52,17 @@
 		s.idleSince = now // The next decision tells whether it stays so.
 		return
 	}
-	s.orders.AdviceIdle += passed
+	long := q.stage.occur.job.queue.Decide > longRequestTime
+	reserved := long && !s.adviceSlotFree(true, now)
+	if !reserved {
+		s.orders.AdviceIdle += passed
+	}
 	if now.Sub(s.idleLogged) < idleLogInterval {
 		return
 	}
 	s.idleLogged = now
-	long := q.stage.occur.job.queue.Decide > longRequestTime
 	s.orders.AdviceIdles = append(s.orders.AdviceIdles, AdviceIdle{
 		Step: q.stage.id(), Waiting: q.stage.waiting, For: now.Sub(q.stage.readySince), Executors: len(draft.executors), Slots: idle,
-		Reserved: long && !s.adviceSlotFree(true, now), Failed: now.Before(q.stage.advice.nextRequest),
+		Reserved: reserved, Failed: now.Before(q.stage.advice.nextRequest),
 	})
 }
