--- a/node/internal/plan/advice.go
+++ b/node/internal/plan/advice.go
@@ -2,16 +2,11 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
-
-	"github.com/balsamford/balsamford/coord/model"
 )
 
 const (
-	// maxExecutorsPerRequest bounds the executors that one request names, since each
-	// adds to the adviser's answer time. If a third of them are allowed, a step of
-	// some dozen tasks fits on them.
-	maxExecutorsPerRequest = 30
 	// ticketMargin is the least remaining validity of a ticket when a start is
 	// ordered, but at most half of the validity. It covers the time until the order
 	// reaches the executor.
@@ -19,21 +14,6 @@
 	// lostRequestGrace is how long after the expected time of its answer a request
 	// counts as lost.
 	lostRequestGrace = 3 * time.Second
-	// longRequestTime is the answer time above which a request counts as long: it
-	// occupies a host for so long that short requests must not wait behind it.
-	longRequestTime = 200 * time.Millisecond
-	// quickSlotDivisor sets the slots that are reserved for short requests: one in
-	// quickSlotDivisor, and at least one.
-	quickSlotDivisor = 4
-	// reservationTime is how long after the last short request slots stay reserved.
-	reservationTime = 2 * time.Second
-	// expectedAllowedShare is the fraction of executors without an earlier answer
-	// that the adviser is expected to allow.
-	expectedAllowedShare = 0.4
-	// requestSurplus times the waiting tasks is the number of tasks for which a
-	// request should find capacity, since other work takes some of it before the
-	// answer comes.
-	requestSurplus = 1.5
 	// minLongRequestStarts is the number of expected starts from which a long request
 	// is sent at once. If there are fewer because executors are full, the stage waits
 	// up to longRequestWait for free capacity.
@@ -57,27 +37,9 @@
 	until    time.Time // when it counts as lost
 }
 
-// SetAdviceSlots sets the number of requests that may be pending at the adviser at a
-// time: one for each host that can send them.
-func (s *State) SetAdviceSlots(n int) { s.adviceSlots = n }
-
-// adviceSlotFree reports whether another request may be sent. Slots are reserved for short requests
-// until reservationTime after the last one, or after the first call.
-func (s *State) adviceSlotFree(long bool, now time.Time) bool {
-	if s.shortRequestAt.IsZero() {
-		s.shortRequestAt = now
-	}
-	if len(s.pendingAdvice) >= s.adviceSlots {
-		return false
-	}
-	if !long || now.Sub(s.shortRequestAt) > reservationTime {
-		return true
-	}
-	return s.longRequests < max(1, s.adviceSlots-max(1, s.adviceSlots/quickSlotDivisor))
-}
-
-// expireAdviceRequests drops the requests that count as lost.
+// expireAdviceRequests drops the requests that count as lost, and frees the slots of those that failed.
 func (s *State) expireAdviceRequests(now time.Time) {
+	s.failedSlots = slices.DeleteFunc(s.failedSlots, func(until time.Time) bool { return !until.After(now) })
 	for id, q := range s.pendingAdvice {
 		if now.After(q.until) {
 			s.AdviceFailed(now, AdviceRequest{Step: id, decision: q.decision})
@@ -95,6 +57,8 @@
 	nextRequest   time.Time         // no request is sent before that, since the last one failed
 	nextDraft     time.Time         // no request is drafted before that, unless executors have come or gone
 	draftedFor    int               // number of executors when nextDraft was set
+	nextAhead     time.Time         // full executors aren't asked about in idle slots before that
+	aheadAttempts int               // requests that were sent before the tasks could start
 	reviewAt      time.Time         // denials stand until then; zero if there are none
 }
 
@@ -157,17 +121,25 @@
 // allowed may be so now, since without a hint the adviser may allow none.
 func (s *State) hintChanged(j *job) {
 	for _, o := range j.occurs {
-		for _, st := range o.stages {
-			st.advice.hintChangedIn = s.decision
-			st.advice.forgetDenials()
-		}
+		s.hintChangedFor(o)
+	}
+	if j.coming != nil {
+		s.hintChangedFor(j.coming)
+	}
+}
+
+// hintChangedFor does the same for an occurrence.
+func (s *State) hintChangedFor(o *occurrence) {
+	for _, st := range o.stages {
+		st.advice.hintChangedIn = s.decision
+		st.advice.forgetDenials()
 	}
 }
 
 // AdviceReceived stores the adviser's answer to q: tickets has a ticket for each of the
 // executors named that may run the step. The tickets are valid from now on for the time valid.
 func (s *State) AdviceReceived(now time.Time, q AdviceRequest, tickets map[string]string, valid time.Duration) {
-	st := s.stageOf(model.Task{Job: q.Step.Job, Occur: q.Step.Occur, Step: q.Step.Step})
+	st := s.adviceStage(q.Step)
 	if s.removeRequest(q) && st != nil {
 		st.advice.requestedAt = time.Time{}
 	}
@@ -177,6 +149,7 @@
 	if st.advice.tickets == nil {
 		st.advice.tickets = make(map[string]ticket, len(q.Executors))
 	}
+	s.noteShare(st, q, tickets)
 	usableUntil, nextRequest := now.Add(valid-min(ticketMargin, valid/2)), now.Add(failedRequestBackoff)
 	for _, id := range q.Executors {
 		e := s.executors[id]
@@ -197,6 +170,36 @@
 	}
 }
 
+// allowedShare returns what is learned of the share that the adviser of a queue allows.
+func (s *State) allowedShare(queue string) *allowedShare {
+	a := s.allowedShares[queue]
+	if a == nil {
+		a = &allowedShare{}
+		s.allowedShares[queue] = a
+	}
+	return a
+}
+
+// noteShare learns from an answer to q what share of the executors is allowed. Tickets that were
+// renewed tell nothing of it.
+func (s *State) noteShare(st *stage, q AdviceRequest, tickets map[string]string) {
+	named, allowed := 0, 0
+	for _, id := range q.Executors {
+		e := s.executors[id]
+		if e == nil || q.decision <= e.bornIn || q.decision <= st.advice.hintChangedIn {
+			continue
+		}
+		if _, answered := st.advice.ticketFor(e); answered {
+			continue
+		}
+		named++
+		if _, ok := tickets[id]; ok {
+			allowed++
+		}
+	}
+	s.allowedShare(st.occur.job.queue.Name).note(named, allowed)
+}
+
 // removeRequest removes a request that is no longer pending. It returns false if the request
 // counts as lost already.
 func (s *State) removeRequest(q AdviceRequest) bool {
@@ -211,12 +214,14 @@
 	return true
 }
 
-// AdviceFailed notes that q failed.
+// AdviceFailed notes that q failed. Its slot stays occupied for failedRequestBackoff: if calls fail at
+// once, each of many stages would otherwise send one in each decision.
 func (s *State) AdviceFailed(now time.Time, q AdviceRequest) {
 	if !s.removeRequest(q) {
 		return
 	}
-	if st := s.stageOf(model.Task{Job: q.Step.Job, Occur: q.Step.Occur, Step: q.Step.Step}); st != nil {
+	s.failedSlots = append(s.failedSlots, now.Add(failedRequestBackoff))
+	if st := s.adviceStage(q.Step); st != nil {
 		st.advice.requestedAt, st.advice.nextRequest = time.Time{}, now.Add(failedRequestBackoff)
 	}
 }
--- a/node/internal/plan/decide_bench_test.go
+++ b/node/internal/plan/decide_bench_test.go
@@ -20,11 +20,20 @@
 	rand    *rand.Rand
 	running []Start // in the order of their starts
 	jobs    int
+	late    bool // answers of the adviser come after the expected time instead of at once
+	asked   []pendingAnswer
+	took    []time.Duration // by each decision alone
+}
+
+// pendingAnswer is a request with the time at which it is answered.
+type pendingAnswer struct {
+	request AdviceRequest
+	at      time.Time
 }
 
 // newBacklog returns a backlog of stages with waiting tasks on so many executors.
-func newBacklog(executors, waiting int, queues ...string) *backlog {
-	b := &backlog{fixture: newFixture(), now: epoch, rand: rand.New(rand.NewPCG(1, 2))}
+func newBacklog(executors, waiting int, late bool, queues ...string) *backlog {
+	b := &backlog{late: late, fixture: newFixture(), now: epoch, rand: rand.New(rand.NewPCG(1, 2))}
 	s := b.fixture.state
 	s.SetAdviceSlots(executors / 6)
 	for i := range executors {
@@ -63,10 +72,23 @@
 // decide makes a decision, confirms its starts and answers its requests to the adviser.
 func (b *backlog) decide() {
 	s := b.fixture.state
+	began := time.Now()
 	orders := s.Decide(b.now)
+	b.took = append(b.took, time.Since(began))
 	b.fixture.confirm(b.now, orders.Starts)
 	b.running = append(b.running, orders.Starts...)
 	for _, q := range orders.AdviceRequests {
+		at := b.now
+		if b.late {
+			at = at.Add(q.EstimatedTime)
+		}
+		b.asked = append(b.asked, pendingAnswer{request: q, at: at})
+	}
+	b.asked = slices.DeleteFunc(b.asked, func(p pendingAnswer) bool {
+		if p.at.After(b.now) {
+			return false
+		}
+		q := p.request
 		tickets := make(map[string]string)
 		for _, id := range q.Executors {
 			if b.rand.IntN(3) == 0 {
@@ -74,7 +96,8 @@
 			}
 		}
 		s.AdviceReceived(b.now, q, tickets, 2*time.Second)
-	}
+		return true
+	})
 }
 
 // end ends the n runs that started first.
@@ -99,16 +122,20 @@
 	tests := map[string]struct {
 		executors, waiting int
 		queue              string
+		late               bool
 	}{
-		"540 executors, 400 tasks wait":           {540, 400, "urgent"},
-		"540 executors, 4000 tasks wait":          {540, 4000, "urgent"},
-		"540 executors, 4000 tasks wait, advised": {540, 4000, "advised"},
-		"2000 executors, 4000 tasks wait":         {2000, 4000, "urgent"},
+		"350 executors, 9000 tasks wait":          {350, 9000, "urgent", false},
+		"350 executors, 9000 tasks wait, advised": {350, 9000, "advised", true},
+		"540 executors, 400 tasks wait":           {540, 400, "urgent", false},
+		"540 executors, 4000 tasks wait":          {540, 4000, "urgent", false},
+		"540 executors, 4000 tasks wait, advised": {540, 4000, "advised", false},
+		"2000 executors, 4000 tasks wait":         {2000, 4000, "urgent", false},
 	}
 	for name, tt := range tests {
 		b.Run(name, func(b *testing.B) {
-			load := newBacklog(tt.executors, tt.waiting, tt.queue)
+			load := newBacklog(tt.executors, tt.waiting, tt.late, tt.queue)
 			took := make([]time.Duration, 0, b.N)
+			load.took = nil
 			b.ResetTimer()
 			for range b.N {
 				began := time.Now()
@@ -116,6 +143,8 @@
 				took = append(took, time.Since(began))
 			}
 			slices.Sort(took)
+			slices.Sort(load.took)
+			b.ReportMetric(float64(load.took[len(load.took)*99/100].Microseconds()), "decide-p99-µs")
 			b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-µs")
 			b.ReportMetric(float64(load.fixture.state.Waiting()), "waiting")
 			b.ReportMetric(float64(len(load.running)), "running")
--- a/node/internal/plan/ends.go
+++ b/node/internal/plan/ends.go
@@ -17,6 +17,7 @@
 		if cause, wasted := wasteOf(r, end.Outcome); wasted {
 			s.noteWasted(r, cause, r.workedUntil(end.Outcome, now))
 		}
+		s.turnover.note(r.reserved.CPU)
 		s.removeRun(r)
 	} else if st != nil {
 		t := &st.tasks[end.Task.Index]
--- a/node/internal/plan/executor.go
+++ b/node/internal/plan/executor.go
@@ -10,6 +10,7 @@
 type executor struct {
 	info           model.Executor
 	bornIn         int          // last decision before its present life was found out
+	lifeKnown      bool         // info.Born is the start of its present life
 	unrecorded     bool         // a successor wouldn't know of it
 	runsKnown      bool         // it can't have runs that this owner doesn't know; required for new work
 	silent         bool         // it doesn't answer
@@ -69,6 +70,7 @@
 func (s *State) SetExecutor(info model.Executor) {
 	e := s.executor(info.ID)
 	s.noteCold(e, info.Cold)
+	e.lifeKnown = !info.Born.IsZero() && (e.lifeKnown && info.Born.Equal(e.info.Born) || info.Born.After(e.info.Born))
 	e.info, e.zone = info, s.zone(info.Zone)
 	s.markChanged(e)
 }
@@ -148,7 +150,7 @@
 		}
 		r.seen, r.confirmedAt = false, now
 	}
-	e.runsKnown, e.bornIn = false, s.decision
+	e.runsKnown, e.bornIn, e.lifeKnown = false, s.decision, false
 	// The entry of this life tells whether it is cold, and it may be of another kind.
 	e.coldSince, e.coldUntil, e.track = time.Time{}, time.Time{}, track{}
 	e.failureStreak, e.lastFailedJob = 0, ""
--- a/node/internal/plan/orders.go
+++ b/node/internal/plan/orders.go
@@ -47,11 +47,13 @@
 	Stops          []Stop
 	Paces          []Pace
 	AdviceRequests []AdviceRequest
-	Moves          []Move      // runs among Stops, to be logged
-	Stalls         []Stall     // to be logged
-	Expired        []Expiry    // to be logged
-	Vanished       []Vanished  // to be logged
-	Duplicates     []Duplicate // to be logged
+	Moves          []Move        // runs among Stops, to be logged
+	AdviceIdle     time.Duration // in which a step waited for advice while slots were idle
+	AdviceIdles    []AdviceIdle  // to be logged
+	Stalls         []Stall       // to be logged
+	Expired        []Expiry      // to be logged
+	Vanished       []Vanished    // to be logged
+	Duplicates     []Duplicate   // to be logged
 }
 
 // Move describes a run that was ordered to stop so that its task goes on outside of an
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -40,7 +40,19 @@
 	pendingAdvice      map[model.StepID]pendingRequest // requests to the adviser without an answer
 	longRequests       int                             // of these, long ones
 	shortRequestAt     time.Time                       // when a short one was last ordered
+	failedSlots        []time.Time                     // until when the slots of failed requests stay occupied
+	shortRequests      peak                            // short requests that were needed at a time
+	shortWanted        int                             // short requests that the present decision has wanted so far
+	unsentRequests     []unsentRequest                 // of the present decision, to be sent if slots are idle
+	hopelessRequests   []unsentRequest                 // the same for hopeless stages
+	firstUnsent        unsentRequest                   // of the present decision, with the most urgent stage
+	nextAskAhead       time.Time                       // nothing is asked ahead before that
+	idleChecked        time.Time                       // when idle slots were last looked for
+	idleSince          time.Time                       // since when a step waits while slots are idle; zero if none does
+	idleLogged         time.Time                       // when that was last reported
 	ticketsRequired    map[string]time.Time            // by queue, until when its starts need tickets though it isn't advised
+	allowedShares      map[string]*allowedShare        // by queue
+	turnover           turnover                        // of the executors' capacity
 	backlogged         bool                            // the last decision left tasks waiting
 	slowPooled         bool                            // during a decision: an executor that accepts new work is slow
 	paused             bool                            // no run may start
@@ -65,8 +77,24 @@
 // New returns an empty State with the given configuration, which may be nil.
 func New(config *model.Config, opts ...Option) *State {
 	s := &State{
-		config: config, remoteSlowdown: 1, quotaWindow: defaultQuotaWindow, maxStopTime: time.Second, jobs: make(map[string]*job), executors: make(map[string]*executor), zones: make(map[string]int),
-		teams: make(map[string]*team), dirty: make(map[string]*job), ended: make(map[string]bool), slowdowns: make(map[string]float64), coldSlowdowns: make(map[string]coldSlowdown), estimateRatios: make(map[string]float64), pendingAdvice: make(map[model.StepID]pendingRequest), ticketsRequired: make(map[string]time.Time), maybeClosed: make(map[string]bool), adviceSlots: 1,
+		config:          config,
+		remoteSlowdown:  1,
+		quotaWindow:     defaultQuotaWindow,
+		maxStopTime:     time.Second,
+		jobs:            make(map[string]*job),
+		executors:       make(map[string]*executor),
+		zones:           make(map[string]int),
+		teams:           make(map[string]*team),
+		dirty:           make(map[string]*job),
+		ended:           make(map[string]bool),
+		slowdowns:       make(map[string]float64),
+		coldSlowdowns:   make(map[string]coldSlowdown),
+		estimateRatios:  make(map[string]float64),
+		pendingAdvice:   make(map[model.StepID]pendingRequest),
+		ticketsRequired: make(map[string]time.Time),
+		maybeClosed:     make(map[string]bool),
+		adviceSlots:     1,
+		allowedShares:   make(map[string]*allowedShare),
 	}
 	for _, opt := range opts {
 		opt(s)
