--- a/trial/internal/soak/harness.go
+++ b/trial/internal/soak/harness.go
@@ -59,7 +59,7 @@
 		}
 		e.fake = fake.NewExecutor(e.id, hs.checker)
 		e.fake.SetZone(e.zone)
-		e.fake.OnStart(func(run string) { hs.judgeStart(run, e, time.Now()) })
+		e.fake.OnStart(func(run string, _ int64) { hs.judgeStart(run, e, time.Now()) })
 		e.fake.UseAdviser(hs.adviser)
 		if i%2 == 1 {
 			e.fake.SetClockRate(slowClockRate)
