--- a/node/internal/owner/executorentries_test.go
+++ b/node/internal/owner/executorentries_test.go
@@ -233,3 +233,14 @@
 		})
 	}
 }
+
+// An executor that goes on becomes cold, for example after an evacuation. The plan must learn of
+// that and of its end, and not each time that the entry is renewed.
+func TestColdEntryReachesPlan(t *testing.T) {
+	is := is.New(t)
+	sess := &session{hasEntry: true}
+	is.True(sess.updateEntry(model.Executor{Cold: 2 * time.Second}))
+	is.True(!sess.updateEntry(model.Executor{Cold: time.Second}))
+	is.True(sess.updateEntry(model.Executor{}))
+	is.True(!sess.updateEntry(model.Executor{}))
+}
--- a/node/internal/owner/ownermetrics.go
+++ b/node/internal/owner/ownermetrics.go
@@ -18,6 +18,7 @@
 	silent       metrics.Gauge                    // executors that don't respond
 	excluded     map[plan.Exclusion]metrics.Gauge // executors that get no new work, by reason
 	slow         metrics.Gauge                    // executors that get urgent work last
+	staying      metrics.Gauge                    // runs in evacuated zones
 	bounded      metrics.Gauge                    // executors whose leases end by a recorded time though they respond
 	waiting      metrics.Gauge                    // tasks that are ready but have no run
 	paused       metrics.Gauge                    // 1 while no run may start, since ownership isn't confirmed
@@ -55,7 +56,7 @@
 		wasted[why] = metrics.GetOrRegisterCounter("node.owner.wasted."+why.String(), r)
 	}
 	return &ownerMetrics{
-		epoch: gauge("epoch"), terms: counter("terms"), executors: gauge("executors"), silent: gauge("silent"), slow: gauge("slow"), excluded: excluded, bounded: gauge("bounded"), waiting: gauge("waiting"),
+		epoch: gauge("epoch"), terms: counter("terms"), executors: gauge("executors"), silent: gauge("silent"), slow: gauge("slow"), staying: gauge("staying"), excluded: excluded, bounded: gauge("bounded"), waiting: gauge("waiting"),
 		paused: gauge("paused"), lag: gauge("lag"), starts: counter("starts"), failed: counter("failed"), refused: refused, oversize: gauge("oversize"), lost: counter("lost"),
 		crossed: counter("crossed"), vanished: counter("vanished"), doubled: counter("doubled"), moved: counter("moved"), wasted: wasted,
 		lapsed: map[basis]metrics.Counter{
@@ -103,6 +104,7 @@
 	c.executors.Update(int64(len(t.sessions)))
 	c.silent.Update(int64(silent))
 	c.slow.Update(int64(t.plan.CountSlow(t.owner.clock.Now())))
+	c.staying.Update(int64(t.plan.RunsInEvacuated()))
 	c.bounded.Update(int64(bounded))
 	for x, g := range c.excluded {
 		g.Update(int64(excluded[x]))
@@ -117,7 +119,7 @@
 
 // reset zeroes the gauges that only an owner maintains.
 func (c *ownerMetrics) reset() {
-	for _, g := range []metrics.Gauge{c.executors, c.silent, c.slow, c.bounded, c.waiting, c.paused, c.lag, c.oversize} {
+	for _, g := range []metrics.Gauge{c.executors, c.silent, c.slow, c.staying, c.bounded, c.waiting, c.paused, c.lag, c.oversize} {
 		g.Update(0)
 	}
 	for _, g := range c.excluded {
--- a/node/internal/plan/copies_test.go
+++ b/node/internal/plan/copies_test.go
@@ -143,6 +143,7 @@
 				}
 			}
 			is.Equal(copies, tt.copies)
+			is.Equal(f.state.executors["slow"].track.excess > 0, tt.copies > 0) // The run may never end.
 		})
 	}
 }
--- a/node/internal/plan/evacuate.go
+++ b/node/internal/plan/evacuate.go
@@ -35,6 +35,20 @@
 	return true
 }
 
+// RunsInEvacuated returns the number of runs that may exist on executors in evacuated zones.
+func (s *State) RunsInEvacuated() int {
+	n := 0
+	if len(s.evacuated) == 0 {
+		return n
+	}
+	for _, e := range s.executors {
+		if s.evacuated[e.info.Zone] {
+			n += len(e.runs)
+		}
+	}
+	return n
+}
+
 // waitsForZone reports whether the stage waits because of an evacuation: the executors that
 // could hold it if they were idle are in evacuated zones.
 func (s *State) waitsForZone(st *stage) bool {
