plan: moves keep to the number of tasks that a step may have on one executor

Of a step with Spread both tasks in the zone were stopped, and one waited.

Change: expected tasks of the step count like its runs there. The map of requests for moves exists from the beginning, also where the set of zones is put in place in another way.

Measured: TestMovesKeepSpread failed before. Tests of node/internal/plan pass.

--- a/node/internal/plan/evacuate.go
+++ b/node/internal/plan/evacuate.go
@@ -194,6 +194,18 @@
 	return names
 }
 
+// movesTo returns the number of tasks of the stage that are expected to start on an executor once
+// their runs have ended.
+func (s *State) movesTo(st *stage, e *executor) int {
+	n := 0
+	for _, m := range s.pendingMoves {
+		if m.run.stage == st && m.target == e {
+			n++
+		}
+	}
+	return n
+}
+
 // roomForMove returns executors of p on which n tasks of a running stage could start if its runs
 // were gone that are to move, and nil if there aren't enough. claims has what earlier moves need.
 func (s *State) roomForMove(st *stage, p *pool, n int, claims map[*executor]model.Amount, now time.Time) []*executor {
@@ -217,7 +229,7 @@
 			if st.spec.Gang {
 				own = 0
 			}
-			k = min(k, st.spec.Spread-own)
+			k = min(k, st.spec.Spread-own-s.movesTo(st, e))
 		}
 		if advised && k > 0 {
 			if _, ok := st.advice.validTicket(e, now); !ok {
--- a/node/internal/plan/evacuate_test.go
+++ b/node/internal/plan/evacuate_test.go
@@ -305,3 +305,22 @@
 	is.True(c.asked >= 2 && c.asked <= 6)
 	is.Equal(len(c.moves), 0)
 }
+
+// A step may have two tasks on one executor, and one of them runs outside of the zone already. Of
+// the two in the zone one can go there, and the other one stays at work.
+func TestMovesKeepSpread(t *testing.T) {
+	is := is.New(t)
+	c := newCell(0.17)
+	c.addZone("y", 1, 8)
+	c.addZone("z", 1, 8)
+	c.submit("j", "urgent", model.Step{Count: 3, Spread: 2, Checkpoints: true, Estimate: time.Minute})
+	c.play(10)
+	from, to := "y", "z"
+	if c.zoneOf("j", from) == 1 {
+		from, to = to, from
+	}
+	c.state.SetEvacuated([]string{from})
+	c.play(20)
+	is.Equal(c.zoneOf("j", from), 1)
+	is.Equal(c.zoneOf("j", to), 2)
+}
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -66,7 +66,7 @@
 func New(config *model.Config, opts ...Option) *State {
 	s := &State{
 		config: config, remoteSlowdown: 1, quotaWindow: defaultQuotaWindow, maxStopTime: time.Second, jobs: make(map[string]*job), executors: make(map[string]*executor), zones: make(map[string]int),
-		teams: make(map[string]*team), dirty: make(map[string]*job), ended: make(map[string]bool), slowdowns: make(map[string]float64), coldSlowdowns: make(map[string]coldSlowdown), estimateRatios: make(map[string]float64), pendingAdvice: make(map[model.StepID]pendingRequest), ticketsRequired: make(map[string]time.Time), maybeClosed: make(map[string]bool), adviceSlots: 1,
+		teams: make(map[string]*team), dirty: make(map[string]*job), ended: make(map[string]bool), slowdowns: make(map[string]float64), coldSlowdowns: make(map[string]coldSlowdown), estimateRatios: make(map[string]float64), moveRequests: make(map[*stage]moveRequests), pendingAdvice: make(map[model.StepID]pendingRequest), ticketsRequired: make(map[string]time.Time), maybeClosed: make(map[string]bool), adviceSlots: 1,
 	}
 	for _, opt := range opts {
 		opt(s)
