plan: a property test of evacuations

Cause: the tests of evacuate.go each play one load.

Change: TestRandomEvacuations draws jobs, zones and evacuations, and checks after each decision that no task runs twice, no executor is over its capacity, nothing starts in an evacuated zone, and moves keep within Tolerate.

It failed without the exclusion of evacuated zones, without the check of Tolerate for tasks, and without the one for gangs; it didn't fail without the claims, for which TestEvacuationMovesRuns does.

--- a/node/internal/plan/evacuate_test.go
+++ b/node/internal/plan/evacuate_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/balsamford/balsamford/coord/model"
 )
@@ -324,3 +325,47 @@
 	is.Equal(c.zoneOf("j", from), 1)
 	is.Equal(c.zoneOf("j", to), 2)
 }
+
+// Zones are evacuated at random while jobs of all kinds come. No task runs twice, no executor is
+// over its capacity, nothing starts in an evacuated zone, and moves keep within Tolerate.
+func TestRandomEvacuations(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c := newCell(rapid.SampledFrom([]float64{0.5, 5, 25}).Draw(rt, "progress"))
+		zones := []string{"x", "y", "z"}
+		for _, z := range zones {
+			c.addZone(z, 2, rapid.IntRange(3, 12).Draw(rt, "room"), z)
+		}
+		for i := range rapid.IntRange(5, 40).Draw(rt, "rounds") {
+			if rapid.IntRange(0, 3).Draw(rt, "change") == 0 {
+				c.state.SetEvacuated(zones[rapid.IntRange(0, 3).Draw(rt, "from"):])
+			}
+			if i < 6 {
+				c.submit(fmt.Sprint(i), rapid.SampledFrom([]string{"urgent", "bulk", "advised"}).Draw(rt, "queue"), model.Step{
+					Count: rapid.IntRange(1, 6).Draw(rt, "count"), Spread: rapid.IntRange(0, 2).Draw(rt, "spread"), Tolerate: rapid.IntRange(0, 3).Draw(rt, "tolerate"),
+					Checkpoints: rapid.Bool().Draw(rt, "checkpoints"), Lasting: rapid.Bool().Draw(rt, "lasting"), Gang: rapid.Bool().Draw(rt, "gang"), Estimate: time.Minute,
+				})
+			}
+			for range 5 {
+				before := len(c.moves)
+				c.play(1)
+				tasks, used := make(map[model.Task]bool), make(map[string]int64)
+				for k, o := range c.running {
+					e := c.state.executors[o.Executor]
+					if used[o.Executor] += oneCore.CPU; used[o.Executor] > e.info.Room.CPU || tasks[k.task] {
+						rt.Fatalf("task twice, or executor over its capacity: %v", o)
+					}
+					tasks[k.task] = true
+					if r := e.runs[k]; r != nil && r.startedAt.Equal(c.now) && c.state.evacuated[e.info.Zone] {
+						rt.Fatalf("start in an evacuated zone: %v", o)
+					}
+				}
+				for _, m := range c.moves[before:] {
+					st := c.state.stageOf(m.Task)
+					if st.spec.Lasting && st.unavailable() > st.spec.Tolerate || !st.spec.Lasting && !st.spec.Checkpoints {
+						rt.Fatalf("%d tasks unavailable after %v", st.unavailable(), m)
+					}
+				}
+			}
+		}
+	})
+}
