--- a/node/internal/plan/evacuate.go
+++ b/node/internal/plan/evacuate.go
@@ -35,6 +35,20 @@
 	return true
 }
 
+// RunsInEvacuated returns the number of runs that may exist on executors in evacuated zones.
+func (s *State) RunsInEvacuated() int {
+	n := 0
+	if len(s.evacuated) == 0 {
+		return n
+	}
+	for _, e := range s.executors {
+		if s.evacuated[e.info.Zone] {
+			n += len(e.runs)
+		}
+	}
+	return n
+}
+
 // waitsForZone reports whether the stage waits because of an evacuation: the executors that
 // could hold it if they were idle are in evacuated zones.
 func (s *State) waitsForZone(st *stage) bool {
@@ -180,6 +194,18 @@
 	return names
 }
 
+// movesTo returns the number of tasks of the stage that are expected to start on an executor once
+// their runs have ended.
+func (s *State) movesTo(st *stage, e *executor) int {
+	n := 0
+	for _, m := range s.pendingMoves {
+		if m.run.stage == st && m.target == e {
+			n++
+		}
+	}
+	return n
+}
+
 // roomForMove returns executors of p on which n tasks of a running stage could start if its runs
 // were gone that are to move, and nil if there aren't enough. claims has what earlier moves need.
 func (s *State) roomForMove(st *stage, p *pool, n int, claims map[*executor]model.Amount, now time.Time) []*executor {
@@ -203,7 +229,7 @@
 			if st.spec.Gang {
 				own = 0
 			}
-			k = min(k, st.spec.Spread-own)
+			k = min(k, st.spec.Spread-own-s.movesTo(st, e))
 		}
 		if advised && k > 0 {
 			if _, ok := st.advice.validTicket(e, now); !ok {
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -95,6 +95,7 @@
 		maybeClosed:     make(map[string]bool),
 		adviceSlots:     1,
 		allowedShares:   make(map[string]*allowedShare),
+		moveRequests:    make(map[*stage]moveRequests),
 	}
 	for _, opt := range opts {
 		opt(s)
