plan: tasks beyond their team's limit are no backlog for requests

Cause: a team at its limit with thousands of waiting tasks made requests of all stages large and slow, though executors were idle.

Change: a stage that the limit kept back in the last decision doesn't count as work that competes for capacity.

Result: the case "limited team" of TestRequestFollowsBacklog failed before.

--- a/node/internal/plan/compose_test.go
+++ b/node/internal/plan/compose_test.go
@@ -210,9 +210,11 @@
 	tests := map[string]struct {
 		used        model.Amount
 		tasks       int
+		limited     bool // a team that is at its limit has thousands of tasks waiting
 		least, most int
 	}{
 		"idle executors": {used: oneCore, tasks: 8, least: 1, most: 10},
+		"limited team":   {used: oneCore, tasks: 8, limited: true, least: 1, most: 10},
 		"backlog":        {used: fullExecutor, tasks: 200, least: maxExecutorsUnderBacklog, most: maxExecutorsUnderBacklog},
 		"small backlog":  {used: fullExecutor, tasks: 4, least: 12, most: 40},
 	}
@@ -220,7 +222,11 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := crowd(150, tt.used, model.Step{Count: tt.tasks, Need: model.Amount{CPU: 8000, Memory: 100}, Estimate: time.Hour})
-			requests := f.state.Decide(epoch).AdviceRequests
+			if tt.limited {
+				f.state.AddJob(epoch, &model.Job{ID: "l", Queue: "bulk", Team: "capped", Steps: []model.Step{{Count: 9000, Need: oneCore}}, Sent: epoch}, nil)
+				f.state.AdviceFailed(epoch, f.state.Decide(epoch).AdviceRequests[0])
+			}
+			requests := f.state.Decide(epoch.Add(failedRequestBackoff)).AdviceRequests
 			is.Equal(len(requests), 1)
 			is.True(len(requests[0].Executors) >= tt.least)
 			is.True(len(requests[0].Executors) <= tt.most)
@@ -241,7 +247,7 @@
 		}
 	}
 	f.state.AdviceReceived(epoch, first, tickets, 2*time.Second)
-	named, renewed := 0, time.Duration(0)
+	renewed := time.Duration(0)
 	for now := epoch; renewed == 0; now = now.Add(10 * time.Millisecond) {
 		is.True(now.Before(epoch.Add(2 * time.Second)))
 		for _, q := range f.state.Decide(now).AdviceRequests {
@@ -251,7 +257,6 @@
 					is.Equal(tickets[id], "ticket")
 				}
 			}
-			named += len(q.Executors)
 			f.state.AdviceReceived(now, q, nil, 2*time.Second)
 		}
 	}
--- a/node/internal/plan/supply.go
+++ b/node/internal/plan/supply.go
@@ -33,8 +33,14 @@
 	return c
 }
 
-// waitingCPU returns the processors that the waiting tasks need.
-func (st *stage) waitingCPU() int64 { return int64(st.waiting) * st.spec.Need.CPU }
+// waitingCPU returns the processors that the waiting tasks need. It is 0 if the team's limit kept some
+// of them back when they were last looked at: these compete for no capacity.
+func (st *stage) waitingCPU() int64 {
+	if !st.lastBlocked.IsZero() && st.blockCause == blockedByLimit {
+		return 0
+	}
+	return int64(st.waiting) * st.spec.Need.CPU
+}
 
 // backlogged reports whether more work waits than fits into the free capacity.
 func (c *supply) backlogged() bool { return c.waiting > c.free }
