plan: a decision sends a bounded number of long requests

Cause: each draft looks at all executors. A decision in which all slots were free drafted a request for each of them, and sorted executors even if nothing was wanted.

Change: twelve long requests a decision; another decision follows at once. Only groups that are needed are sorted, and none if the tickets suffice.

--- a/node/internal/owner/decide.go
+++ b/node/internal/owner/decide.go
@@ -97,6 +97,9 @@
 	for _, a := range orders.AdviceRequests {
 		t.group.Go(func() error { t.askAdviser(a); return nil })
 	}
+	if orders.More {
+		signal(t.wakeDecider)
+	}
 	signal(t.wakeRecorder)
 }
 
--- a/node/internal/plan/compose.go
+++ b/node/internal/plan/compose.go
@@ -80,12 +80,14 @@
 	if st.spec.Gang && covered < float64(n) && c.renewAll() {
 		covered = 0
 	}
-	c.order()
 	surplus := requestSurplus
 	if ahead {
 		surplus = backlogSurplus
 	}
-	c.fill(surplus * (float64(n) - covered))
+	if wanted := surplus * (float64(n) - covered); wanted > 0 {
+		c.rank()
+		c.fill(wanted)
+	}
 	return c.draft
 }
 
@@ -160,32 +162,33 @@
 	return min(float64(c.tasks), x+freed)
 }
 
-// order sorts each group, the best executors first.
-func (c *composition) order() {
-	st := c.stage
-	better := func(a, b fit) int {
-		if st.urgent() {
-			if d := cmp.Compare(a.score, b.score); d != 0 {
-				return d
-			}
-		}
-		return cmp.Compare(b.tasks, a.tasks)
-	}
-	if !st.spec.Lasting {
-		all := slices.Concat(c.groups[:]...)
-		st.rankZones(all, st.waiting)
-		for i := range c.groups {
-			n := len(c.groups[i])
-			c.groups[i], all = all[:n:n], all[n:]
-		}
-		withinZone := better
-		better = func(a, b fit) int { return cmp.Or(a.zoneRank-b.zoneRank, withinZone(a, b)) }
+// rank ranks the zones of all executors. It does nothing for lasting tasks, which aren't placed by zone.
+func (c *composition) rank() {
+	if c.stage.spec.Lasting {
+		return
 	}
+	all := slices.Concat(c.groups[:]...)
+	c.stage.rankZones(all, c.stage.waiting)
 	for i := range c.groups {
-		slices.SortFunc(c.groups[i], better)
+		n := len(c.groups[i])
+		c.groups[i], all = all[:n:n], all[n:]
 	}
 }
 
+// sort sorts a group, the best executors first.
+func (c *composition) sort(group []fit) {
+	urgent := c.stage.urgent()
+	slices.SortFunc(group, func(a, b fit) int {
+		if a.zoneRank != b.zoneRank {
+			return a.zoneRank - b.zoneRank
+		}
+		if urgent && a.score != b.score {
+			return cmp.Compare(a.score, b.score)
+		}
+		return b.tasks - a.tasks
+	})
+}
+
 // groupOrder returns the groups in the order in which executors are named: those known to be allowed
 // first, except that executors with much free capacity go before full ones. After a zone has come
 // back, its executors aren't known yet and idle.
@@ -193,6 +196,7 @@
 	if len(c.groups[unaskedFree]) == 0 || len(c.groups[allowedFull]) == 0 {
 		return [4]int{allowedFree, allowedFull, unaskedFree, unaskedFull}
 	}
+	c.sort(c.groups[unaskedFree])
 	share := c.state.allowedShare(c.stage.occur.job.queue.Name).value()
 	if share*c.expected(c.groups[unaskedFree][0]) > c.expected(c.groups[allowedFull][0]) {
 		return [4]int{allowedFree, unaskedFree, allowedFull, unaskedFull}
@@ -214,6 +218,10 @@
 		if group >= unaskedFree {
 			share = c.state.allowedShare(q.Name).value()
 		}
+		if len(c.draft.executors) == most || c.draft.expectedStarts >= wanted {
+			return
+		}
+		c.sort(fits)
 		for _, ft := range fits {
 			if len(c.draft.executors) == most || c.draft.expectedStarts >= wanted {
 				return
--- a/node/internal/plan/orders.go
+++ b/node/internal/plan/orders.go
@@ -47,6 +47,7 @@
 	Stops          []Stop
 	Paces          []Pace
 	AdviceRequests []AdviceRequest
+	More           bool          // another decision is due at once
 	AdviceIdle     time.Duration // in which a step waited for advice while slots were idle
 	AdviceIdles    []AdviceIdle  // to be logged
 	Stalls         []Stall       // to be logged
--- a/node/internal/plan/request.go
+++ b/node/internal/plan/request.go
@@ -26,6 +26,10 @@
 	}
 	q := &st.occur.job.queue
 	long := q.Decide > longRequestTime
+	if long && s.longSent >= maxLongPerDecision {
+		s.orders.More = true
+		return false
+	}
 	if long && !s.adviceSlotFree(long, now) || st.hopeless(now) || !long && !s.adviceSlotFree(long, now) {
 		return false // Hopeless steps don't count as short ones that want a slot.
 	}
@@ -54,6 +58,7 @@
 	}
 	if long {
 		s.longRequests++
+		s.longSent++
 	} else {
 		s.shortRequestAt = now
 	}
--- a/node/internal/plan/slots.go
+++ b/node/internal/plan/slots.go
@@ -14,6 +14,9 @@
 	maxShortDivisor = 2
 	// reservationTime is how long after the last short request slots stay reserved.
 	reservationTime = 2 * time.Second
+	// maxLongPerDecision bounds the long requests that one decision sends in order, since each looks
+	// at all executors. The next decision follows within some 10 ms, and an answer takes far longer.
+	maxLongPerDecision = 12
 	// maxIdleDrafts bounds the requests that one decision drafts for slots that would stay idle.
 	maxIdleDrafts = 4
 )
@@ -107,5 +110,5 @@
 	s.noteIdleSlots(now)
 	clear(s.unsentRequests)
 	clear(s.hopelessRequests)
-	s.unsentRequests, s.hopelessRequests, s.shortWanted = s.unsentRequests[:0], s.hopelessRequests[:0], 0
+	s.unsentRequests, s.hopelessRequests, s.shortWanted, s.longSent = s.unsentRequests[:0], s.hopelessRequests[:0], 0, 0
 }
--- a/node/internal/plan/slots_test.go
+++ b/node/internal/plan/slots_test.go
@@ -70,7 +70,7 @@
 	is := is.New(t)
 	f := newFixture()
 	f.addReady("a", "b")
-	const slots = 24
+	const slots = 12
 	f.state.SetAdviceSlots(slots)
 	for i := range 2 * slots {
 		f.addAdvised(fmt.Sprintf("long%d", i), "advised", epoch, model.Step{Count: 1, Need: oneCore, Estimate: time.Hour})
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -39,6 +39,7 @@
 	shortRequestAt     time.Time                       // when a short one was last ordered
 	failedSlots        []time.Time                     // until when the slots of failed requests stay occupied
 	shortRequests      peak                            // short requests that were needed at a time
+	longSent           int                             // long requests that the present decision has sent so far
 	shortWanted        int                             // short requests that the present decision has wanted so far
 	unsentRequests     []unsentRequest                 // of the present decision, to be sent if slots are idle
 	hopelessRequests   []unsentRequest                 // the same for hopeless stages
