--- a/node/internal/plan/orders.go
+++ b/node/internal/plan/orders.go
@@ -48,6 +48,7 @@
 	Paces          []Pace
 	AdviceRequests []AdviceRequest
 	Moves          []Move        // runs among Stops, to be logged
+	More           bool          // another decision is due at once
 	AdviceIdle     time.Duration // in which a step waited for advice while slots were idle
 	AdviceIdles    []AdviceIdle  // to be logged
 	Stalls         []Stall       // to be logged
