owner: an owner that stops or gives way hands its state to a successor

Cause: a planned stop cost the successor a read of the records and a round of reports from all executors before earlier jobs went on. The successor uses it only for the next epoch and after its claim on the resignation's version; otherwise it reads the records as before. A transfer that fails lets the owner go on; a resignation of unknown outcome keeps starts back until a write succeeds. Hosts that stop say so to probes, aren't chosen and refuse states and offers.

--- a/coord/model/executor.go
+++ b/coord/model/executor.go
@@ -8,17 +8,17 @@
 // Executor is one incarnation of a machine that runs tasks, as it describes
 // itself.
 type Executor struct {
-	ID        string
-	Born      time.Time // start of this incarnation, by its own clock
-	Service   string
-	Address   string // IP number and port
-	Zone      string
-	Room      Amount // total capacity for tasks
-	Kind      string // hardware type
-	Rack      string
-	Labels    []string      // all labels, including kind and rack
-	Draining  bool          // it accepts no new work
-	Remaining time.Duration // when draining: the least time until it stops
+	ID        string        `cbor:"1,keyasint"`
+	Born      time.Time     `cbor:"2,keyasint,omitempty"` // start of this incarnation, by its own clock
+	Service   string        `cbor:"3,keyasint,omitempty"`
+	Address   string        `cbor:"4,keyasint,omitempty"` // IP number and port
+	Zone      string        `cbor:"5,keyasint,omitempty"`
+	Room      Amount        `cbor:"6,keyasint"`           // total capacity for tasks
+	Kind      string        `cbor:"7,keyasint,omitempty"` // hardware type
+	Rack      string        `cbor:"8,keyasint,omitempty"`
+	Labels    []string      `cbor:"9,keyasint,omitempty"`  // all labels, including kind and rack
+	Draining  bool          `cbor:"10,keyasint,omitempty"` // it accepts no new work
+	Remaining time.Duration `cbor:"11,keyasint,omitempty"` // when draining: the least time until it stops
 }
 
 // SameOffer reports whether tasks find the same at the executor as at another one: its service,
--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -1,12 +1,17 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"os"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/balsamford/balsamford/platform/fake"
 )
@@ -46,3 +51,83 @@
 	})
 	is.Equal(len(r.judge.Violations()), 0)
 }
+
+// handoverGap bounds the time without a start while the cell moves by a planned stop. Reading the records
+// and a round of reports come on top without the state.
+const handoverGap = time.Second
+
+// logged returns how often the hosts' logs have a message.
+func (r *rig) logged(message string) int {
+	r.t.Helper()
+	n := 0
+	for _, h := range r.hosts {
+		data, err := os.ReadFile(h.path + ".log")
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		n += strings.Count(string(data), `"`+message+`"`)
+	}
+	return n
+}
+
+// load submits short jobs to hosts that are ready until the returned function is called, which returns the
+// numbers of the accepted ones.
+func (r *rig) load(first int) (stop func() (accepted []int)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	var accepted []int
+	g.Go(func() error {
+		for n := first; ctx.Err() == nil; n++ { // About as many as the team may run.
+			time.Sleep(50 * time.Millisecond)
+			for _, h := range r.hosts {
+				if code, _ := r.call(h, http.MethodPost, fake.Queue+id(n), fake.Key, twoSteps); code == http.StatusOK {
+					accepted = append(accepted, n)
+					break
+				}
+			}
+		}
+		return nil
+	})
+	return func() []int { cancel(); _ = g.Wait(); return accepted }
+}
+
+// A planned stop of the owner under load: the successor goes on with its state, so that jobs start without a
+// gap, what runs goes on, and no task runs twice.
+func TestStopHandsOverStateUnderLoad(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 3)
+	r.await("an owner", startTime, func() bool { return r.owner() != nil })
+	code, _ := r.call(r.hosts[0], http.MethodPost, fake.Queue+id(1), fake.Key, lasting)
+	is.Equal(code, http.StatusOK)
+	r.await("lasting tasks to run", doneTime, func() bool { return r.judge.Running() == 2 })
+	stop := r.load(100)
+	time.Sleep(3 * time.Second) // Successors are chosen and have read all they need.
+	before := r.owner()
+	is.NoErr(before.command.Process.Signal(syscall.SIGTERM))
+	longest, last, starts := time.Duration(0), time.Now(), r.judge.Starts()
+	for begin := time.Now(); time.Since(begin) < 4*time.Second; time.Sleep(5 * time.Millisecond) {
+		if n := r.judge.Starts(); n != starts {
+			starts, last = n, time.Now()
+		}
+		longest = max(longest, time.Since(last))
+	}
+	accepted := stop()
+	t.Logf("longest time without a start: %v, %d jobs accepted", longest, len(accepted))
+	is.True(r.owner() != before)
+	is.True(longest < handoverGap)
+	is.Equal(r.logged("state taken over"), 1)
+	is.Equal(r.logged("state dropped"), 0)
+	is.Equal(r.judge.Running() >= 2, true)
+	r.await("jobs to be done", doneTime, func() bool {
+		for _, n := range accepted {
+			if _, body := r.call(r.owner(), http.MethodGet, fake.Queue+id(n), fake.Key, ""); body != `{"state":"done"}` {
+				return false
+			}
+		}
+		return true
+	})
+	for _, v := range r.judge.Violations() {
+		t.Log(v)
+	}
+	is.Equal(len(r.judge.Violations()), 0)
+}
--- a/node/internal/board/submissions.go
+++ b/node/internal/board/submissions.go
@@ -46,6 +46,13 @@
 	return out
 }
 
+// Job returns the submission of a job, nil if it isn't known.
+func (s *Submissions) Job(id string) *model.Job {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.jobs[id]
+}
+
 // Reset implements follow.Handler. It replaces the jobs at once, so that a host that takes over
 // meanwhile never reads a part of them.
 func (s *Submissions) Reset(rows []platform.Row) {
--- a/node/internal/owner/authority.go
+++ b/node/internal/owner/authority.go
@@ -38,7 +38,7 @@
 
 // mayStart reports whether runs may start. The term's mu is held.
 func (t *term) mayStart() bool {
-	return !t.resigning && t.owner.clock.Boot() >= t.noStartUntil && t.certain()
+	return !t.resigning && !t.frozen && t.owner.clock.Boot() >= t.noStartUntil && t.certain()
 }
 
 // certain reports whether this host certainly still owns the cell. It does for the authority
--- a/node/internal/owner/batch.go
+++ b/node/internal/owner/batch.go
@@ -21,6 +21,7 @@
 // batch is the content of one write.
 type batch struct {
 	changes        []plan.Change
+	bare           bool                 // only the owner's row is written, since the state is being handed over
 	partial        bool                 // there are more changes than one write can hold
 	oversize       []string             // jobs whose records are larger than a row may be, left out
 	ends           map[*session]lastEnd // that this write covers, by executor
@@ -89,6 +90,9 @@
 	t := r.term
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.frozen {
+		return batch{bare: true, writeAheadZone: r.row.WriteAheadZone}
+	}
 	b := batch{used: t.updateUsed(maxUsedRows)}
 	b.addChanges(t.plan.Changes(maxChangeRows+1), t.rowSize())
 	t.noteOversize(b.oversize)
--- a/node/internal/owner/decide.go
+++ b/node/internal/owner/decide.go
@@ -42,6 +42,10 @@
 func (t *term) decideOnce() {
 	now := t.owner.clock.Now()
 	t.mu.Lock()
+	if t.frozen {
+		t.mu.Unlock()
+		return
+	}
 	if c := t.owner.configs.Config(); c != t.config {
 		t.config = c
 		t.plan.Configure(c)
--- a/node/internal/owner/execute.go
+++ b/node/internal/owner/execute.go
@@ -202,6 +202,10 @@
 
 func (sess *session) pace(p *plan.Pace) {
 	t := sess.term
+	t.mu.Lock()
+	sess.pacing = p
+	t.mu.Unlock()
+	defer sess.paced()
 	_, err := sess.client.Pace(platform.PaceOrder{Task: p.Task, Number: p.Number, Percent: p.Percent, Fence: sess.callFence().token}, orderTimeout)
 	if sess.noteOutcome(err); err != nil {
 		t.owner.logger.Info("pace failed", zap.String("id", p.Task.Job), zap.Int("percent", p.Percent), zap.String("executor", p.Executor), zap.Error(err))
@@ -211,6 +215,13 @@
 	}
 }
 
+// paced notes that no pace is on its way.
+func (sess *session) paced() {
+	sess.term.mu.Lock()
+	defer sess.term.mu.Unlock()
+	sess.pacing = nil
+}
+
 // dropIncarnation removes an executor whose incarnation has ended. The term's mu is held.
 func (sess *session) dropIncarnation() {
 	if sess.closed() {
--- a/node/internal/owner/handover.go
+++ b/node/internal/owner/handover.go
@@ -22,6 +22,8 @@
 type handover struct {
 	Row     board.Owner `cbor:"1,keyasint"` // the resigning owner's row
 	Version int64       `cbor:"2,keyasint"` // of the row
+	// State is the ID of the state that the first successor holds, empty if there is none.
+	State string `cbor:"3,keyasint,omitempty"`
 }
 
 // offerReply is the response to a handover.
@@ -29,12 +31,12 @@
 	Taken bool `cbor:"1,keyasint"`
 }
 
-// offer offers ownership to the successors in row, in order, until one accepts. The
-// row is this host's resignation. Successors that get no offer see the resignation on
-// the board a little later.
-func (o *Owner) offer(row board.Owner, version int64) {
+// offer offers ownership to the successors in row, in order, until one accepts, and returns its
+// name. The row is this host's resignation. The first successor holds the state of that ID, if it
+// isn't empty. Successors that get no offer see the resignation on the board a little later.
+func (o *Owner) offer(row board.Owner, version int64, state string) string {
 	if o.node == nil {
-		return
+		return ""
 	}
 	for _, name := range row.Successors {
 		h, ok := o.board.Host(name)
@@ -43,13 +45,15 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
 		var t offerReply
-		err := o.node.Call(ctx, h.Link, offerVerb, &handover{Row: row, Version: version}, &t)
+		err := o.node.Call(ctx, h.Link, offerVerb, &handover{Row: row, Version: version, State: state}, &t)
 		cancel()
 		o.logger.Info("ownership offered", zap.String("to", name), zap.Int64("epoch", row.Epoch), zap.Bool("taken", t.Taken), zap.Error(err))
 		if err == nil && t.Taken {
-			return
+			return name
 		}
+		state = ""
 	}
+	return ""
 }
 
 // serveOffer handles offers from a resigning owner.
@@ -59,7 +63,7 @@
 		return err
 	}
 	t := offerReply{}
-	if o.awaitingOffer.Load() {
+	if o.awaitingOffer.Load() && !o.stopping.Load() {
 		select {
 		case o.offers <- h:
 			t.Taken = true
@@ -89,7 +93,10 @@
 // acceptOffer takes over the offered ownership, unless the offer is outdated or its row
 // has a newer format.
 func (o *Owner) acceptOffer(ctx context.Context, g *errgroup.Group, h *handover) {
+	state := o.takeState(h)
 	if h.Row.Resigned && h.Row.Epoch > o.lastEpoch && h.Row.Format <= board.Format {
-		o.acquire(ctx, g, h.Row, h.Version)
+		o.acquire(ctx, g, h.Row, h.Version, state)
+	} else if state != nil {
+		o.dropState(state, "the offer is outdated")
 	}
 }
--- a/node/internal/owner/load.go
+++ b/node/internal/owner/load.go
@@ -85,10 +85,30 @@
 	t.loaded = true
 	o.logger.Info("records read", zap.Int64("epoch", t.epoch), zap.Int("jobs", len(jobs)), zap.Int("records", len(records)), zap.Int("cancelled", len(cancelled)),
 		zap.Int("closed", len(closed.Executors)), zap.Int("unconfigured", t.plan.Unconfigured()))
+	t.followEntries(ctx)
+	return nil
+}
+
+// begin starts a term that has the state of the last owner.
+func (t *term) begin(ctx context.Context) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.loaded = true
+	t.owner.submissions.follower.SetGap(ownSubmissionsGap)
+	for _, sess := range t.sessions {
+		sess.run()
+	}
+	t.followEntries(ctx)
+	signal(t.wakeDecider)
+	signal(t.wakeRecorder)
+}
+
+// followEntries begins to follow the executor table. The term's mu is held.
+func (t *term) followEntries(ctx context.Context) {
+	o := t.owner
 	entries := follow.New(o.store, o.clock, platform.ExecutorTable, []string{""}, &executorEntries{term: t}, follow.WithGap(entriesGap), follow.WithLogger(o.logger))
 	t.entries = entries
 	t.group.Go(func() error { return entries.Run(ctx) })
-	return nil
 }
 
 // syncState tells up to when a table's changes have been received; follow.Follower implements
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -55,13 +55,15 @@
 	metrics       *ownerMetrics
 
 	owning              atomic.Bool
-	awaitingOffer       atomic.Bool      // awaitOffer is waiting, so an offer can be accepted
-	prepared            atomic.Bool      // this host has all it needs to take over at once
-	lastEpoch           int64            // epoch of the last term of this process; used by Run only
-	boardGap            time.Duration    // poll interval set on boardFollower, 0 if unknown; used by Run only
-	warnedEpoch         int64            // epoch for which warnNewerFormat has logged; used by Run only
-	unresponsiveVersion int64            // row version at which the owner didn't respond to a probe; used by Run only
-	submissions         *submissionsCopy // nil while this host keeps no copy; used by Run only
+	awaitingOffer       atomic.Bool                       // awaitOffer is waiting, so an offer can be accepted
+	stopping            atomic.Bool                       // the process is about to end, so that this host takes nothing over
+	submissionRows      atomic.Pointer[board.Submissions] // of submissions, nil while this host keeps no copy
+	prepared            atomic.Bool                       // this host has all it needs to take over at once
+	lastEpoch           int64                             // epoch of the last term of this process; used by Run only
+	boardGap            time.Duration                     // poll interval set on boardFollower, 0 if unknown; used by Run only
+	warnedEpoch         int64                             // epoch for which warnNewerFormat has logged; used by Run only
+	unresponsiveVersion int64                             // row version at which the owner didn't respond to a probe; used by Run only
+	submissions         *submissionsCopy                  // nil while this host keeps no copy; used by Run only
 	// nextOverloadHandover is the boot time before which the cell isn't handed over because
 	// of overload; used by updateSuccessors only.
 	nextOverloadHandover time.Duration
@@ -72,6 +74,7 @@
 	rowCreator    RowCreator        // creates rows on behalf of other hosts
 
 	mu         sync.Mutex // guards the fields below
+	held       *heldState // state of an owner that is about to resign, nil for none
 	term       *term      // current term, nil if this host doesn't own the cell
 	rowSeen    time.Time  // when the owner's row last changed, as seen by this host
 	rowVersion int64      // of the owner's row at rowSeen
@@ -119,9 +122,11 @@
 func (o *Owner) Run(ctx context.Context) error {
 	var g errgroup.Group
 	defer func() { _ = g.Wait() }() // It never fails.
+	defer context.AfterFunc(ctx, func() { o.stopping.Store(true) })()
 	for ctx.Err() == nil {
 		o.copySubmissions(ctx, &g, o.updateBoardGap() || o.mostPowerful())
 		o.prepared.Store(o.submissions.synced() && !o.boardFollower.Failing())
+		o.expireState()
 		offer := o.awaitOffer(ctx)
 		if ctx.Err() != nil || o.configs.Config() == nil {
 			continue
@@ -134,7 +139,7 @@
 		if !ok {
 			continue
 		}
-		if !o.acquire(ctx, &g, row, version) {
+		if !o.acquire(ctx, &g, row, version, nil) {
 			_ = o.clock.Sleep(ctx, claimBackoff)
 		}
 	}
@@ -165,20 +170,23 @@
 }
 
 // acquire claims ownership and, if the claim succeeds, runs a term. It reports
-// whether the claim succeeded.
-func (o *Owner) acquire(ctx context.Context, g *errgroup.Group, row board.Owner, version int64) bool {
+// whether the claim succeeded. state is that of the last owner, nil if it isn't known.
+func (o *Owner) acquire(ctx context.Context, g *errgroup.Group, row board.Owner, version int64, state *heldState) bool {
 	claim, version, err := o.claim(row, version)
 	if err != nil {
 		o.logger.Info("ownership not taken", zap.Int64("epoch", claim.Epoch), zap.Error(err))
+		if state != nil {
+			o.dropState(state, "ownership not taken")
+		}
 		return false
 	}
-	o.holdOwnership(ctx, g, row, claim, version)
+	o.holdOwnership(ctx, g, row, claim, version, state)
 	return true
 }
 
 // holdOwnership runs a term for a successful claim and returns when the term ends.
 // before is the row of the previous owner.
-func (o *Owner) holdOwnership(ctx context.Context, g *errgroup.Group, before, claim board.Owner, version int64) {
+func (o *Owner) holdOwnership(ctx context.Context, g *errgroup.Group, before, claim board.Owner, version int64, state *heldState) {
 	if before.Seq == 0 {
 		before.Host = "" // That host has never written as the owner: who did before isn't known.
 	}
@@ -186,7 +194,7 @@
 	o.submissions.follower.SetGap(ownerGap)
 	o.lastEpoch = claim.Epoch
 	o.owning.Store(true)
-	o.runTerm(ctx, before, claim, version)
+	o.runTerm(ctx, before, claim, version, state)
 	o.owning.Store(false)
 }
 
--- a/node/internal/owner/ownermetrics.go
+++ b/node/internal/owner/ownermetrics.go
@@ -12,28 +12,32 @@
 
 // ownerMetrics holds the metrics of an Owner.
 type ownerMetrics struct {
-	epoch        metrics.Gauge                    // of the current or last term
-	terms        metrics.Counter                  // terms of this host
-	executors    metrics.Gauge                    // executors known to the owner
-	silent       metrics.Gauge                    // executors that don't respond
-	excluded     map[plan.Exclusion]metrics.Gauge // executors that get no new work, by reason
-	bounded      metrics.Gauge                    // executors whose leases end by a recorded time though they respond
-	waiting      metrics.Gauge                    // tasks that are ready but have no run
-	paused       metrics.Gauge                    // 1 while no run may start, since ownership isn't confirmed
-	lag          metrics.Gauge                    // by how much the decision loop falls behind, in milliseconds
-	starts       metrics.Counter                  // starts confirmed by executors
-	failed       metrics.Counter                  // starts that failed or whose outcome is unknown
-	refused      map[plan.Refusal]metrics.Counter // starts that are known not to have happened, by reason
-	oversize     metrics.Gauge                    // records that are larger than a row may be
-	lost         metrics.Counter                  // runs that neither finished nor were stopped by an order
-	crossed      metrics.Counter                  // acknowledgements that another life of an executor took
-	vanished     metrics.Counter                  // runs that an executor had confirmed and listed no more
-	doubled      metrics.Counter                  // runs of tasks that were done or ran elsewhere
-	lapsed       map[basis]metrics.Counter        // executors whose leases ended while they didn't respond
-	ends         map[model.Phase]metrics.Counter
-	late         metrics.Counter // jobs that finished after their latency objective
-	jobLatency   *meter.Latency  // from a job's acceptance until its end is recorded
-	writeLatency *meter.Latency  // duration of the owner's writes
+	epoch           metrics.Gauge                    // of the current or last term
+	terms           metrics.Counter                  // terms of this host
+	executors       metrics.Gauge                    // executors known to the owner
+	silent          metrics.Gauge                    // executors that don't respond
+	excluded        map[plan.Exclusion]metrics.Gauge // executors that get no new work, by reason
+	bounded         metrics.Gauge                    // executors whose leases end by a recorded time though they respond
+	waiting         metrics.Gauge                    // tasks that are ready but have no run
+	paused          metrics.Gauge                    // 1 while no run may start, since ownership isn't confirmed
+	lag             metrics.Gauge                    // by how much the decision loop falls behind, in milliseconds
+	starts          metrics.Counter                  // starts confirmed by executors
+	failed          metrics.Counter                  // starts that failed or whose outcome is unknown
+	refused         map[plan.Refusal]metrics.Counter // starts that are known not to have happened, by reason
+	oversize        metrics.Gauge                    // records that are larger than a row may be
+	lost            metrics.Counter                  // runs that neither finished nor were stopped by an order
+	crossed         metrics.Counter                  // acknowledgements that another life of an executor took
+	vanished        metrics.Counter                  // runs that an executor had confirmed and listed no more
+	doubled         metrics.Counter                  // runs of tasks that were done or ran elsewhere
+	lapsed          map[basis]metrics.Counter        // executors whose leases ended while they didn't respond
+	ends            map[model.Phase]metrics.Counter
+	late            metrics.Counter // jobs that finished after their latency objective
+	handoverSent    metrics.Counter // states that a successor has taken over
+	handoverTaken   metrics.Counter // states that this host has taken over
+	handoverDropped metrics.Counter // received states that weren't used
+	handoverTime    *meter.Latency  // from the request for a hand-over until the successor has taken it
+	jobLatency      *meter.Latency  // from a job's acceptance until its end is recorded
+	writeLatency    *meter.Latency  // duration of the owner's writes
 }
 
 func newOwnerMetrics(r metrics.Registry) *ownerMetrics {
@@ -61,6 +65,7 @@
 			model.Failed:    metrics.GetOrRegisterCounter("node.job.failed", r),
 			model.Cancelled: metrics.GetOrRegisterCounter("node.job.cancelled", r),
 		},
+		handoverSent: counter("handover.sent"), handoverTaken: counter("handover.taken"), handoverDropped: counter("handover.dropped"), handoverTime: meter.NewLatency("node.owner.handover.time", r),
 		late:       metrics.GetOrRegisterCounter("node.job.late", r),
 		jobLatency: meter.NewLatency("node.job.time", r), writeLatency: meter.NewLatency("node.owner.record", r),
 	}
--- a/node/internal/owner/probe.go
+++ b/node/internal/owner/probe.go
@@ -40,6 +40,7 @@
 type probeReply struct {
 	Yields   bool `cbor:"1,keyasint"`           // the term of that epoch has ended or ends now
 	Prepared bool `cbor:"2,keyasint,omitempty"` // the host could take over at once
+	Stopping bool `cbor:"3,keyasint,omitempty"` // the host's process is about to end
 }
 
 // ownerStatus is what a probe found out about an owner that has stopped writing.
@@ -60,9 +61,10 @@
 		if err := s.Recv(&p); err != nil {
 			return err
 		}
-		return s.Send(&probeReply{Yields: o.yields(p.Epoch), Prepared: o.prepared.Load()})
+		return s.Send(&probeReply{Yields: o.yields(p.Epoch), Prepared: o.prepared.Load(), Stopping: o.stopping.Load()})
 	}))
 	node.Handle(offerVerb, link.HandlerFunc(o.serveOffer))
+	node.Handle(stateVerbPut, link.HandlerFunc(o.serveStatePut))
 	node.Handle(notifyVerb, link.HandlerFunc(o.serveNotification))
 	node.Handle(createVerb, link.HandlerFunc(o.serveCreate))
 	node.Handle(stateVerb, link.HandlerFunc(o.serveState))
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -51,6 +51,8 @@
 	timeout   time.Duration   // how long to wait for the next response; raised to minWriteTimeout if less
 	undeleted []string        // ended jobs whose progress rows a failed write should have deleted
 	expiring  map[string]bool // ended jobs whose phase rows a failed write may have deleted; nil for none
+	resigned  bool            // this host has given up ownership
+	inDoubt   bool            // a resignation may have been written, and no write has succeeded since
 	giveUp    chan struct{}   // closed when a resignation has taken too long; nil before one begins
 }
 
@@ -66,6 +68,9 @@
 			return r.finish(ctx)
 		case <-t.wakeRecorder:
 		}
+		if r.handOver(ctx) {
+			return context.Cause(ctx)
+		}
 		now, sentBoot := t.owner.clock.Now(), t.owner.clock.Boot()
 		b := r.collect()
 		if b.empty() && now.Sub(last) < heartbeatInterval {
@@ -84,6 +89,7 @@
 		}
 		last = now
 		t.confirm(sentBoot, r.row.Authority)
+		r.resignationUndone()
 		r.markRecorded(b)
 		if b.partial {
 			signal(t.wakeRecorder)
@@ -122,7 +128,10 @@
 		}
 		w.Puts = append(w.Puts, put)
 	}
-	finished, expired := r.addCleanup(&w)
+	var finished, expired []string
+	if !b.bare {
+		finished, expired = r.addCleanup(&w)
+	}
 	r.term.mu.Lock()
 	r.term.limitAuthority(next.Authority)
 	for i := range b.changes {
--- a/node/internal/owner/session.go
+++ b/node/internal/owner/session.go
@@ -52,6 +52,7 @@
 	doubtUntil    time.Time     // until then a lease of an order to its last incarnation may last
 	reportClock   time.Duration // time of the newest report, on the executor's clock
 	lastResponse  time.Duration // boot time at which the last successful poll was sent
+	pacing        *plan.Pace    // on its way, nil for none
 	takenSeq      int64         // sequence number of the last end that was given to the plan
 	recordedSeq   int64         // sequence number of the last end whose effect is recorded
 	ackedSeq      int64         // sequence number of the last end that the executor was told to forget, by its answer
@@ -224,7 +225,7 @@
 // isn't positive if ownership hasn't been confirmed for too long. The term's mu is held.
 func (t *term) leaseExtension() time.Duration {
 	extension := t.lastConfirmed() + t.bounds.Lease - t.owner.clock.Boot()
-	if extension < leaseDuration && t.hasMajority() {
+	if extension < leaseDuration && !t.resignInDoubt && t.hasMajority() { // A successor to a resigned owner waits for Bounds.Lease only.
 		extension += unconfirmedExtension
 	}
 	return min(leaseDuration, t.bounds.Lease, extension)
--- a/node/internal/owner/submissionscopy.go
+++ b/node/internal/owner/submissionscopy.go
@@ -58,11 +58,13 @@
 	if !wanted {
 		o.submissions.cancel()
 		o.submissions = nil
+		o.submissionRows.Store(nil)
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	rows := board.NewSubmissions(o.logger)
 	f := follow.New(o.store, o.clock, board.Submitted, board.Parts(), rows, follow.WithGap(submissionsGap), follow.WithLogger(o.logger))
 	o.submissions = &submissionsCopy{rows: rows, follower: f, cancel: cancel}
+	o.submissionRows.Store(rows)
 	g.Go(func() error { return f.Run(ctx) })
 }
--- a/node/internal/owner/successors.go
+++ b/node/internal/owner/successors.go
@@ -47,14 +47,16 @@
 		}
 		t.mu.Lock()
 		changed := !slices.Equal(names, t.successorHosts)
-		t.successorHosts = names
+		t.successorHosts, t.chosen = names, chosen
+		requested := t.handover != nil
 		t.mu.Unlock()
 		if changed {
 			t.owner.logger.Info("successors chosen", zap.Int64("epoch", t.epoch), zap.Strings("hosts", names))
 		}
-		if cause := t.betterOwner(chosen); cause != nil {
-			t.cancel(cause)
-			return nil
+		if !requested {
+			if cause := t.betterOwner(chosen); cause != nil {
+				t.requestHandover(cause, []board.Host{chosen[0].host})
+			}
 		}
 		_ = t.owner.clock.Sleep(ctx, successorsInterval)
 	}
@@ -83,7 +85,7 @@
 		}
 		_ = g.Wait() // It never fails.
 		for i, reply := range replies {
-			if reply != nil && len(out) < maxSuccessors {
+			if reply != nil && !reply.Stopping && len(out) < maxSuccessors {
 				out = append(out, successor{host: batch[i], prepared: reply.Prepared})
 			}
 		}
@@ -103,7 +105,7 @@
 	}
 	t.mu.Lock()
 	overloaded := t.lag.overloaded()
-	unsettled := !t.loaded || t.resigning || o.clock.Boot()-t.writeConfirmed > t.authority // A resignation may fail.
+	unsettled := !t.loaded || t.resigning || o.clock.Boot()-t.writeConfirmed > t.authority || o.clock.Now().Before(t.noHandoverBefore) // A resignation may fail.
 	t.mu.Unlock()
 	next := chosen[0].host
 	switch {
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -77,6 +77,12 @@
 	leaseEndStoreTime map[string]time.Duration // by silent executor, the store time by which all its leases have ended
 	recordedLeaseEnds map[string]time.Duration // by executor, the earliest end of its leases that the stored record may name, in store time
 	leaseEndHostTime  map[string]time.Time     // by executor that the last owner had closed, the local time by which its leases have ended
+	frozen            bool                     // the state is being handed over: nothing starts and reports aren't taken into account
+	resignInDoubt     bool                     // a resignation may have been written, so that another host may take over
+	handover          *handoverRequest         // nil if none is wanted
+	handoverFailures  int                      // hand-overs that have failed
+	noHandoverBefore  time.Time                // before it the cell isn't given to a better host, since that has failed
+	chosen            []successor              // successorHosts with what they replied
 	resigning         bool                     // ownership is being handed over; no run may start
 	writeConfirmed    time.Duration            // boot time at which the last write that confirmed ownership was sent
 	authority         time.Duration            // how long runs may start after writeConfirmed
@@ -114,13 +120,15 @@
 const observedWritesQueued = 4
 
 // runTerm runs a term until ownership is lost or ctx ends. before is the row of the
-// previous owner; claim is this host's row, which has the given version.
-func (o *Owner) runTerm(ctx context.Context, before, claim board.Owner, version int64) {
+// previous owner; claim is this host's row, which has the given version. state is what the previous owner
+// handed over, nil for nothing. The end of ctx asks for a hand-over; the term ends after it.
+func (o *Owner) runTerm(ctx context.Context, before, claim board.Owner, version int64, state *heldState) {
 	now := o.clock.Now()
 	o.metrics.epoch.Update(claim.Epoch)
 	o.metrics.terms.Inc(1)
 	defer o.metrics.reset()
-	ctx, end := context.WithCancelCause(ctx)
+	stop := ctx
+	ctx, end := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer end(nil)
 	g, gctx := errgroup.WithContext(ctx)
 	t := &term{
@@ -139,14 +147,23 @@
 	if before.Epoch > 0 && !before.Resigned && before.Host != o.host {
 		t.noStartUntil = o.clock.Boot() + boardAuthority // That owner may not have seen the takeover yet.
 	}
-	t.plan = plan.New(t.config, plan.WithRemoteSlowdown(t.bounds.Far), plan.WithStopTime(t.bounds.Stop+stopReportDelay), plan.WithRunNumberBase(int(claim.Epoch-1)*runNumbersPerEpoch), plan.WithSettleDeadline(now.Add(t.settleTime)), plan.WithReregisterDeadline(reregisterBy), plan.WithWriteAheadZone(before.WriteAheadZone), plan.WithRecordSize(t.rowSize()),
-		plan.WithQuota(t.bounds.ShareWindow, t.bounds.ShareSlack))
-	t.ctx = gctx
+	newPlan := func() *plan.State {
+		return plan.New(t.config, plan.WithRemoteSlowdown(t.bounds.Far), plan.WithStopTime(t.bounds.Stop+stopReportDelay), plan.WithRunNumberBase(int(claim.Epoch-1)*runNumbersPerEpoch), plan.WithSettleDeadline(now.Add(t.settleTime)), plan.WithReregisterDeadline(reregisterBy), plan.WithWriteAheadZone(before.WriteAheadZone), plan.WithRecordSize(t.rowSize()),
+			plan.WithQuota(t.bounds.ShareWindow, t.bounds.ShareSlack))
+	}
+	t.plan, t.ctx = newPlan(), gctx
 	rec := &recorder{term: t, row: claim, version: version}
+	restored := t.useState(rec, state)
+	if !restored {
+		t.plan = newPlan()
+	}
 	o.setTerm(t)
 	defer o.setTerm(nil)
+	defer context.AfterFunc(stop, t.stopTerm)()
 	g.Go(func() error {
-		if err := t.load(gctx, version, o.submissions); err != nil {
+		if restored {
+			t.begin(gctx)
+		} else if err := t.load(gctx, version, o.submissions); err != nil {
 			return err
 		}
 		return t.decide(gctx)
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -147,6 +147,10 @@
 	if sess.closed() {
 		return false
 	}
+	if t.frozen {
+		sess.noteFrozenReport(p, rep, now)
+		return true
+	}
 	sess.logAnswer(p, rep)
 	if !rep.Born.IsZero() && rep.Born.After(sess.born) && sess.beginLife(rep.Born) || sess.ofEarlierLife(p, rep) {
 		return true
@@ -172,6 +176,15 @@
 	return true
 }
 
+// noteFrozenReport notes a report that isn't taken into account, since the state is being handed over. It shows
+// that the executor follows this owner. The term's mu is held.
+func (sess *session) noteFrozenReport(p poll, rep *platform.Report, now time.Time) {
+	if sess.lease.known() && !sess.silent && rep.Born.Equal(sess.born) && !sess.ofEarlierLife(p, rep) && rep.Clock >= sess.reportClock {
+		sess.lease.observeClock(rep.Clock, now)
+		sess.lastResponse = max(sess.lastResponse, p.sentBoot)
+	}
+}
+
 // newEnds returns the ends that haven't been given to the plan yet. The term's mu is held.
 func (sess *session) newEnds(ends []model.End) []model.End {
 	out := ends[:0]
--- a/node/internal/plan/snapshot.go
+++ b/node/internal/plan/snapshot.go
@@ -28,22 +28,23 @@
 // Error implements error.
 func (e *SnapshotError) Error() string { return "snapshot: " + e.Reason }
 
-// age is a time as its distance before the time of the snapshot in nanoseconds, negative for later
+// Age is a time as its distance before the time of the snapshot in nanoseconds, negative for later
 // times. The zero value stands for the zero time.
-type age int64
+type Age int64
 
-func ageOf(t, now time.Time) age {
+// AgeOf returns the age of t at now.
+func AgeOf(t, now time.Time) Age {
 	if t.IsZero() {
 		return 0
 	}
 	if d := now.Sub(t); d != 0 {
-		return age(d)
+		return Age(d)
 	}
 	return 1 // Zero is taken.
 }
 
-// at returns the time for a snapshot of the time now.
-func (a age) at(now time.Time) time.Time {
+// At returns the time for a snapshot of the time now.
+func (a Age) At(now time.Time) time.Time {
 	if a == 0 {
 		return time.Time{}
 	}
@@ -54,22 +55,22 @@
 type stateFormat struct {
 	Version            int                   `cbor:"1,keyasint"`
 	Decision           int                   `cbor:"2,keyasint,omitempty"`
-	NextSweep          age                   `cbor:"3,keyasint,omitempty"`
-	Settle             age                   `cbor:"4,keyasint,omitempty"`
+	NextSweep          Age                   `cbor:"3,keyasint,omitempty"`
+	Settle             Age                   `cbor:"4,keyasint,omitempty"`
 	WriteAheadZone     string                `cbor:"5,keyasint,omitempty"`
-	Reregister         age                   `cbor:"6,keyasint,omitempty"`
+	Reregister         Age                   `cbor:"6,keyasint,omitempty"`
 	Listed             bool                  `cbor:"7,keyasint,omitempty"`
-	ListedAsOf         age                   `cbor:"8,keyasint,omitempty"`
+	ListedAsOf         Age                   `cbor:"8,keyasint,omitempty"`
 	Ended              []string              `cbor:"9,keyasint,omitempty"`
-	ShortRequest       age                   `cbor:"10,keyasint,omitempty"`
-	TicketsRequired    map[string]age        `cbor:"11,keyasint,omitempty"`
+	ShortRequest       Age                   `cbor:"10,keyasint,omitempty"`
+	TicketsRequired    map[string]Age        `cbor:"11,keyasint,omitempty"`
 	Slowdowns          map[string]float64    `cbor:"12,keyasint,omitempty"`
 	RecordedClosed     []string              `cbor:"13,keyasint,omitempty"`
 	RecordedUnverified []string              `cbor:"14,keyasint,omitempty"`
 	MaybeClosed        []string              `cbor:"15,keyasint,omitempty"`
 	ClosedInDoubt      bool                  `cbor:"16,keyasint,omitempty"`
 	InheritedClosed    []string              `cbor:"17,keyasint,omitempty"`
-	LeaseEnds          map[string]age        `cbor:"18,keyasint,omitempty"`
+	LeaseEnds          map[string]Age        `cbor:"18,keyasint,omitempty"`
 	Forgotten          []string              `cbor:"19,keyasint,omitempty"`
 	Stops              []stopFormat          `cbor:"20,keyasint,omitempty"` // decided and not returned by Decide yet
 	Executors          []executorFormat      `cbor:"21,keyasint,omitempty"`
@@ -99,7 +100,7 @@
 // teamFormat is a team. What its runs take follows from the runs.
 type teamFormat struct {
 	UrgentPeak int64   `cbor:"1,keyasint,omitempty"`
-	Peaked     age     `cbor:"2,keyasint,omitempty"`
+	Peaked     Age     `cbor:"2,keyasint,omitempty"`
 	Tokens     float64 `cbor:"3,keyasint,omitempty"`
 	// Refilled is a time, not an age: it is compared with the times of acceptance, which are
 	// those of other hosts' clocks.
@@ -111,9 +112,9 @@
 // is in doubt in the snapshot.
 func (s *State) Snapshot(now time.Time) ([]byte, error) {
 	f := stateFormat{
-		Version: snapshotVersion, Decision: s.decision, NextSweep: ageOf(s.nextSweep, now), Settle: ageOf(s.settleDeadline, now), WriteAheadZone: s.writeAheadZone,
-		Reregister: ageOf(s.reregisterUntil, now), Listed: s.executorsListed, ListedAsOf: ageOf(s.listedAsOf, now), Ended: slices.Collect(maps.Keys(s.ended)),
-		ShortRequest: ageOf(s.shortRequestAt, now), TicketsRequired: agesOf(s.ticketsRequired, now), Slowdowns: s.slowdowns, RecordedClosed: s.recordedClosed,
+		Version: snapshotVersion, Decision: s.decision, NextSweep: AgeOf(s.nextSweep, now), Settle: AgeOf(s.settleDeadline, now), WriteAheadZone: s.writeAheadZone,
+		Reregister: AgeOf(s.reregisterUntil, now), Listed: s.executorsListed, ListedAsOf: AgeOf(s.listedAsOf, now), Ended: slices.Collect(maps.Keys(s.ended)),
+		ShortRequest: AgeOf(s.shortRequestAt, now), TicketsRequired: agesOf(s.ticketsRequired, now), Slowdowns: s.slowdowns, RecordedClosed: s.recordedClosed,
 		RecordedUnverified: s.recordedUnverified, MaybeClosed: slices.Collect(maps.Keys(s.maybeClosed)), ClosedInDoubt: s.closedInDoubt,
 		InheritedClosed: slices.Collect(maps.Keys(s.inheritedClosed)), LeaseEnds: agesOf(s.leaseEnds, now), Forgotten: s.forgotten, Backlogged: s.backlogged,
 		Teams: make(map[string]teamFormat, len(s.teams)),
@@ -122,7 +123,7 @@
 		f.Stops = append(f.Stops, stopFormat{Job: o.Task.Job, Occur: o.Task.Occur, Step: o.Task.Step, Index: o.Task.Index, Number: o.Number, Executor: o.Executor})
 	}
 	for name, t := range s.teams {
-		f.Teams[name] = teamFormat{UrgentPeak: t.urgentPeak, Peaked: ageOf(t.peakedAt, now), Tokens: t.tokens, Refilled: t.refilledAt}
+		f.Teams[name] = teamFormat{UrgentPeak: t.urgentPeak, Peaked: AgeOf(t.peakedAt, now), Tokens: t.tokens, Refilled: t.refilledAt}
 	}
 	for _, e := range s.executors {
 		f.Executors = append(f.Executors, e.format(now))
@@ -145,19 +146,19 @@
 }
 
 // agesOf converts times to ages.
-func agesOf(times map[string]time.Time, now time.Time) map[string]age {
-	out := make(map[string]age, len(times))
+func agesOf(times map[string]time.Time, now time.Time) map[string]Age {
+	out := make(map[string]Age, len(times))
 	for k, t := range times {
-		out[k] = ageOf(t, now)
+		out[k] = AgeOf(t, now)
 	}
 	return out
 }
 
 // timesOf converts ages to times.
-func timesOf(ages map[string]age, now time.Time) map[string]time.Time {
+func timesOf(ages map[string]Age, now time.Time) map[string]time.Time {
 	out := make(map[string]time.Time, len(ages))
 	for k, a := range ages {
-		out[k] = a.at(now)
+		out[k] = a.At(now)
 	}
 	return out
 }
@@ -210,9 +211,9 @@
 	if err != nil {
 		return err
 	}
-	s.decision, s.nextSweep, s.settleDeadline, s.writeAheadZone = f.Decision, f.NextSweep.at(now), f.Settle.at(now), f.WriteAheadZone
-	s.reregisterUntil, s.executorsListed, s.listedAsOf = f.Reregister.at(now), f.Listed, f.ListedAsOf.at(now)
-	s.ended, s.shortRequestAt, s.ticketsRequired = set(f.Ended), f.ShortRequest.at(now), timesOf(f.TicketsRequired, now)
+	s.decision, s.nextSweep, s.settleDeadline, s.writeAheadZone = f.Decision, f.NextSweep.At(now), f.Settle.At(now), f.WriteAheadZone
+	s.reregisterUntil, s.executorsListed, s.listedAsOf = f.Reregister.At(now), f.Listed, f.ListedAsOf.At(now)
+	s.ended, s.shortRequestAt, s.ticketsRequired = set(f.Ended), f.ShortRequest.At(now), timesOf(f.TicketsRequired, now)
 	s.recordedClosed, s.recordedUnverified, s.maybeClosed, s.closedInDoubt = f.RecordedClosed, f.RecordedUnverified, set(f.MaybeClosed), f.ClosedInDoubt
 	s.inheritedClosed, s.leaseEnds, s.forgotten, s.backlogged = set(f.InheritedClosed), timesOf(f.LeaseEnds, now), f.Forgotten, f.Backlogged
 	maps.Copy(s.slowdowns, f.Slowdowns)
@@ -220,7 +221,7 @@
 		s.orders.Stops = append(s.orders.Stops, Stop{Task: model.Task{Job: o.Job, Occur: o.Occur, Step: o.Step, Index: o.Index}, Number: o.Number, Executor: o.Executor})
 	}
 	for name, t := range f.Teams {
-		s.teams[name] = &team{urgentPeak: t.UrgentPeak, peakedAt: t.Peaked.at(now), tokens: t.Tokens, refilledAt: t.Refilled}
+		s.teams[name] = &team{urgentPeak: t.UrgentPeak, peakedAt: t.Peaked.At(now), tokens: t.Tokens, refilledAt: t.Refilled}
 	}
 	for i := range f.Executors {
 		s.restoreExecutor(&f.Executors[i], now)
@@ -232,7 +233,7 @@
 	}
 	s.changed = nil // Runs that were added aren't changes.
 	for i := range f.Executors {
-		e := s.executors[f.Executors[i].ID]
+		e := s.executors[f.Executors[i].Info.ID]
 		if e.changed = f.Executors[i].Changed; e.changed {
 			s.changed = append(s.changed, e)
 		}
--- a/node/internal/plan/snapshot_test.go
+++ b/node/internal/plan/snapshot_test.go
@@ -41,7 +41,7 @@
 	case "lasting":
 		j.Steps[0].Lasting, j.Steps[0].Target, j.Queue = true, 100*time.Millisecond, "bulk"
 	case "recurring":
-		j.Times, j.First, j.Every = 5, h.now, 300*time.Millisecond
+		j.Times, j.First, j.Every = 5, h.now.Add(time.Duration(h.jobs)*time.Microsecond), 300*time.Millisecond
 	case "copies":
 		j.Steps[0].Copies = true
 	case "filler":
@@ -178,6 +178,11 @@
 				is.Equal(s.exclusion(s.executors[id], h.now), restored.exclusion(restored.executors[id], h.now.Add(ahead)))
 			}
 			rep := Report{RequestedAt: h.now}
+			for _, r := range s.executors["e1"].runs {
+				if r.stage.spec.Gang { // Which members of a gang are stopped after one has vanished follows no order.
+					rep.Runs = append(rep.Runs, model.Run{Task: r.stage.taskID(r.index), Number: r.number})
+				}
+			}
 			s.Reported(h.now, "e1", rep)
 			rep.RequestedAt = h.now.Add(ahead)
 			restored.Reported(h.now.Add(ahead), "e1", rep)
--- a/node/internal/plan/snapshotjob.go
+++ b/node/internal/plan/snapshotjob.go
@@ -33,13 +33,13 @@
 // stageFormat is a stage. Tasks without a difference to a new one are left out.
 type stageFormat struct {
 	Index      int           `cbor:"1,keyasint,omitempty"`
-	Ready      age           `cbor:"2,keyasint,omitempty"`
-	Logged     age           `cbor:"3,keyasint,omitempty"`
+	Ready      Age           `cbor:"2,keyasint,omitempty"`
+	Logged     Age           `cbor:"3,keyasint,omitempty"`
 	FailedOn   []string      `cbor:"4,keyasint,omitempty"`
 	SlowOn     []string      `cbor:"5,keyasint,omitempty"`
 	RunTime    time.Duration `cbor:"6,keyasint,omitempty"`
 	TimedRuns  int           `cbor:"7,keyasint,omitempty"`
-	Blocked    age           `cbor:"8,keyasint,omitempty"`
+	Blocked    Age           `cbor:"8,keyasint,omitempty"`
 	BlockCause blockCause    `cbor:"9,keyasint,omitempty"`
 	Tasks      []taskFormat  `cbor:"10,keyasint,omitempty"`
 }
@@ -81,8 +81,8 @@
 // format returns the stage's format, and false if it is as a new one.
 func (st *stage) format(now time.Time) (stageFormat, bool) {
 	f := stageFormat{
-		Index: st.index, Ready: ageOf(st.readySince, now), Logged: ageOf(st.lastLogged, now), FailedOn: slices.Collect(maps.Keys(st.failedOn)), SlowOn: slices.Collect(maps.Keys(st.slowOn)),
-		RunTime: st.totalRunTime, TimedRuns: st.timedRuns, Blocked: ageOf(st.lastBlocked, now), BlockCause: st.blockCause,
+		Index: st.index, Ready: AgeOf(st.readySince, now), Logged: AgeOf(st.lastLogged, now), FailedOn: slices.Collect(maps.Keys(st.failedOn)), SlowOn: slices.Collect(maps.Keys(st.slowOn)),
+		RunTime: st.totalRunTime, TimedRuns: st.timedRuns, Blocked: AgeOf(st.lastBlocked, now), BlockCause: st.blockCause,
 	}
 	for i := range st.tasks {
 		t := &st.tasks[i]
@@ -174,7 +174,7 @@
 
 // restoreStageOf restores a new stage from a snapshot.
 func (s *State) restoreStageOf(st *stage, f *stageFormat, now time.Time) error {
-	st.readySince, st.lastLogged, st.lastBlocked, st.blockCause = f.Ready.at(now), f.Logged.at(now), f.Blocked.at(now), f.BlockCause
+	st.readySince, st.lastLogged, st.lastBlocked, st.blockCause = f.Ready.At(now), f.Logged.At(now), f.Blocked.At(now), f.BlockCause
 	st.totalRunTime, st.timedRuns = f.RunTime, f.TimedRuns
 	if len(f.FailedOn) > 0 {
 		st.failedOn = set(f.FailedOn)
--- a/node/internal/plan/snapshotrun.go
+++ b/node/internal/plan/snapshotrun.go
@@ -7,18 +7,18 @@
 	Number       int           `cbor:"1,keyasint"`
 	Executor     string        `cbor:"2,keyasint"`
 	State        runState      `cbor:"3,keyasint,omitempty"`
-	Started      age           `cbor:"4,keyasint,omitempty"`
-	Confirmed    age           `cbor:"5,keyasint,omitempty"`
+	Started      Age           `cbor:"4,keyasint,omitempty"`
+	Confirmed    Age           `cbor:"5,keyasint,omitempty"`
 	Unwanted     bool          `cbor:"6,keyasint,omitempty"`
 	Spare        bool          `cbor:"7,keyasint,omitempty"`
 	Restored     bool          `cbor:"8,keyasint,omitempty"`
 	Seen         bool          `cbor:"9,keyasint,omitempty"`
-	StopOrdered  age           `cbor:"10,keyasint,omitempty"`
+	StopOrdered  Age           `cbor:"10,keyasint,omitempty"`
 	Percent      int           `cbor:"11,keyasint,omitempty"`
 	FirstPercent int           `cbor:"12,keyasint,omitempty"`
-	FirstReport  age           `cbor:"13,keyasint,omitempty"`
+	FirstReport  Age           `cbor:"13,keyasint,omitempty"`
 	ProgressTime time.Duration `cbor:"14,keyasint,omitempty"`
-	Progressed   age           `cbor:"15,keyasint,omitempty"`
+	Progressed   Age           `cbor:"15,keyasint,omitempty"`
 	Gauge        int64         `cbor:"16,keyasint,omitempty"`
 	Pace         int           `cbor:"17,keyasint,omitempty"`
 	PaceInDoubt  bool          `cbor:"18,keyasint,omitempty"`
@@ -26,9 +26,9 @@
 
 func (r *run) format(now time.Time) runFormat {
 	f := runFormat{
-		Number: r.number, Executor: r.executor.info.ID, State: r.state, Started: ageOf(r.startedAt, now), Confirmed: ageOf(r.confirmedAt, now), Unwanted: r.unwanted, Spare: r.spare, Restored: r.restored,
-		Seen: r.seen, StopOrdered: ageOf(r.stopOrderedAt, now), Percent: r.percent, FirstPercent: r.firstPercent, FirstReport: ageOf(r.firstReport, now), ProgressTime: r.progressTime,
-		Progressed: ageOf(r.progressedAt, now), Gauge: r.gauge, Pace: r.pace, PaceInDoubt: r.paceInDoubt,
+		Number: r.number, Executor: r.executor.info.ID, State: r.state, Started: AgeOf(r.startedAt, now), Confirmed: AgeOf(r.confirmedAt, now), Unwanted: r.unwanted, Spare: r.spare, Restored: r.restored,
+		Seen: r.seen, StopOrdered: AgeOf(r.stopOrderedAt, now), Percent: r.percent, FirstPercent: r.firstPercent, FirstReport: AgeOf(r.firstReport, now), ProgressTime: r.progressTime,
+		Progressed: AgeOf(r.progressedAt, now), Gauge: r.gauge, Pace: r.pace, PaceInDoubt: r.paceInDoubt,
 	}
 	if r.state == starting {
 		f.State = inDoubt // The answer goes to this owner only.
@@ -42,10 +42,10 @@
 	if e == nil || f.State < starting || f.State > stopping || s.find(f.Executor, st.taskID(i), f.Number) != nil || !f.Unwanted && t.run != nil {
 		return &SnapshotError{Reason: "damaged run of job " + st.occur.job.spec.ID}
 	}
-	r := s.newRun(st, i, f.Number, e, f.State, f.Started.at(now))
-	r.confirmedAt, r.spare, r.restored, r.seen = f.Confirmed.at(now), f.Spare, f.Restored, f.Seen
-	r.stopOrderedAt, r.percent, r.firstPercent, r.firstReport = f.StopOrdered.at(now), f.Percent, f.FirstPercent, f.FirstReport.at(now)
-	r.progressTime, r.progressedAt, r.gauge, r.pace, r.paceInDoubt = f.ProgressTime, f.Progressed.at(now), f.Gauge, f.Pace, f.PaceInDoubt
+	r := s.newRun(st, i, f.Number, e, f.State, f.Started.At(now))
+	r.confirmedAt, r.spare, r.restored, r.seen = f.Confirmed.At(now), f.Spare, f.Restored, f.Seen
+	r.stopOrderedAt, r.percent, r.firstPercent, r.firstReport = f.StopOrdered.At(now), f.Percent, f.FirstPercent, f.FirstReport.At(now)
+	r.progressTime, r.progressedAt, r.gauge, r.pace, r.paceInDoubt = f.ProgressTime, f.Progressed.At(now), f.Gauge, f.Pace, f.PaceInDoubt
 	if f.Unwanted {
 		s.markUnwanted(r)
 	} else {
