owner: a hand-over that fails in the last transfer resigns as before

Cause: the recorder ended without a resignation when no successor took the state of a stopping owner. Change: the recorder finishes as usual after a hand-over; process tests with the successor paused, killed while paused, and the store away.

--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/balsamford/balsamford/node/internal/board"
 	"github.com/balsamford/balsamford/platform/fake"
 )
 
@@ -131,3 +132,77 @@
 	}
 	is.Equal(len(r.judge.Violations()), 0)
 }
+
+// The successor is lost while the owner sends it the state, or comes back later, or the store is away
+// when the owner resigns. The jobs go on under another owner, nothing stays held back, and no
+// task runs twice.
+func TestHandoverFailsHalfway(t *testing.T) {
+	tests := map[string]struct {
+		fail func(r *rig, successor *host)
+		heal func(r *rig, successor *host)
+	}{
+		"successor is killed": {
+			fail: func(_ *rig, h *host) { _ = h.command.Process.Signal(syscall.SIGSTOP) },
+			heal: func(_ *rig, h *host) { _ = h.command.Process.Kill(); _ = h.command.Wait() },
+		},
+		"successor is paused": {
+			fail: func(_ *rig, h *host) { _ = h.command.Process.Signal(syscall.SIGSTOP) },
+			heal: func(_ *rig, h *host) { _ = h.command.Process.Signal(syscall.SIGCONT) },
+		},
+		"store is away": {
+			fail: func(r *rig, _ *host) { r.store.SetDown(true) },
+			heal: func(r *rig, _ *host) { r.store.SetDown(false) },
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t, 3)
+			r.await("an owner", startTime, func() bool { return r.owner() != nil })
+			code, _ := r.call(r.hosts[0], http.MethodPost, fake.Queue+id(1), fake.Key, lasting)
+			is.Equal(code, http.StatusOK)
+			r.await("lasting tasks to run", doneTime, func() bool { return r.judge.Running() == 2 })
+			stop := r.load(100)
+			time.Sleep(3 * time.Second) // Successors are chosen and have read all they need.
+			before, successor := r.owner(), r.successor()
+			tt.fail(r, successor)
+			is.NoErr(before.command.Process.Signal(syscall.SIGTERM))
+			time.Sleep(300 * time.Millisecond) // The state is on its way, or is held without a resignation.
+			tt.heal(r, successor)
+			r.await("another owner", doneTime, func() bool { return r.owner() != nil && r.owner() != before })
+			starts := r.judge.Starts()
+			r.await("starts", doneTime, func() bool { return r.judge.Starts() > starts })
+			accepted := stop()
+			r.await("jobs to be done", doneTime, func() bool {
+				for _, n := range accepted {
+					if _, body := r.call(r.owner(), http.MethodGet, fake.Queue+id(n), fake.Key, ""); body != `{"state":"done"}` {
+						return false
+					}
+				}
+				return true
+			})
+			is.Equal(r.judge.Running(), 2)
+			for _, v := range r.judge.Violations() {
+				t.Log(v)
+			}
+			is.Equal(len(r.judge.Violations()), 0)
+			t.Logf("%d states sent, %d taken over, %d dropped", r.logged("state received"), r.logged("state taken over"), r.logged("state dropped"))
+		})
+	}
+}
+
+// successor returns the first successor that the store's row of the owner names.
+func (r *rig) successor() *host {
+	r.t.Helper()
+	var o board.Owner
+	if err := board.Decode(row(r.store.Get(board.Table, board.Main, board.OwnerKey)), &o); err != nil {
+		r.t.Fatal(err)
+	}
+	for _, h := range r.hosts {
+		if len(o.Successors) > 0 && h.name == o.Successors[0] {
+			return h
+		}
+	}
+	r.t.Fatal("the owner names no successor")
+	return nil
+}
--- a/node/internal/owner/ownermetrics.go
+++ b/node/internal/owner/ownermetrics.go
@@ -65,7 +65,8 @@
 			model.Failed:    metrics.GetOrRegisterCounter("node.job.failed", r),
 			model.Cancelled: metrics.GetOrRegisterCounter("node.job.cancelled", r),
 		},
-		handoverSent: counter("handover.sent"), handoverTaken: counter("handover.taken"), handoverDropped: counter("handover.dropped"), handoverTime: meter.NewLatency("node.owner.handover.time", r),
+		handoverSent: metrics.GetOrRegisterCounter("node.owner.handover.sent", r), handoverTaken: metrics.GetOrRegisterCounter("node.owner.handover.taken", r),
+		handoverDropped: metrics.GetOrRegisterCounter("node.owner.handover.dropped", r), handoverTime: meter.NewLatency("node.owner.handover.time", r),
 		late:       metrics.GetOrRegisterCounter("node.job.late", r),
 		jobLatency: meter.NewLatency("node.job.time", r), writeLatency: meter.NewLatency("node.owner.record", r),
 	}
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -69,7 +69,7 @@
 		case <-t.wakeRecorder:
 		}
 		if r.handOver(ctx) {
-			return context.Cause(ctx)
+			return r.finish(ctx)
 		}
 		now, sentBoot := t.owner.clock.Now(), t.owner.clock.Boot()
 		b := r.collect()
