soak: hosts stopped one after another, and counts of hand-overs with state

Cause: planned stops came one at a time, so that no successor was stopped right after it had taken the cell over. Change: a series of stops of all hosts 1.3 s apart, by random numbers of its own, so that the other faults of a seed stay. The report counts the states that hosts have taken over and dropped.

--- a/trial/internal/soak/host.go
+++ b/trial/internal/soak/host.go
@@ -228,6 +228,15 @@
 	}
 }
 
+// logged returns how often the host's log has a message.
+func (h *host) logged(message string) int {
+	text, err := os.ReadFile(h.logPath)
+	if err != nil {
+		return 0
+	}
+	return bytes.Count(text, []byte(`"text":"`+message+`"`))
+}
+
 // isReady reports whether the host accepts clients.
 func (h *host) isReady(c *http.Client) bool {
 	resp, err := c.Get("http://" + h.readyAddress + platform.ReadyPath)
--- a/trial/internal/soak/hostfault.go
+++ b/trial/internal/soak/hostfault.go
@@ -47,6 +47,32 @@
 	}
 }
 
+// stopInterval is the time between two stops of hosts that are stopped in turn.
+const stopInterval = 1300 * time.Millisecond
+
+// restartInTurn does the same with all hosts, one after the other.
+func (in *injector) restartInTurn() func() {
+	delay, order := in.randomDuration(500, 3500), in.rand.Perm(len(in.harness.hosts))
+	return func() {
+		time.Sleep(delay)
+		var g errgroup.Group
+		for _, i := range order {
+			h := in.harness.hosts[i]
+			in.harness.history.recordFault("%s is restarted, one of all", h.name)
+			g.Go(func() error {
+				fault, err := h.restart()
+				if fault != "" {
+					in.harness.history.recordViolation("%s: %s", h.name, fault)
+				}
+				in.recordError("start", err)
+				return nil
+			})
+			time.Sleep(stopInterval)
+		}
+		_ = g.Wait() // Its functions return no errors.
+	}
+}
+
 // reloadHost changes the settings of a process, with or without a signal.
 func (in *injector) reloadHost() func() {
 	h, signal := in.randomHost(), in.rand.IntN(2) == 0
--- a/trial/internal/soak/injector.go
+++ b/trial/internal/soak/injector.go
@@ -25,6 +25,7 @@
 		{harness: hs, rand: newRand(seed, 2), kinds: []faultKind{(*injector).stormConfig}, least: 2000, most: 9000},
 		{harness: hs, rand: newRand(seed, 3), kinds: []faultKind{(*injector).stallRestart}, least: 500, most: 4000},
 		{harness: hs, rand: newRand(seed, 4), kinds: []faultKind{(*injector).isolateExecutors}, least: 2000, most: 9000},
+		{harness: hs, rand: newRand(seed, 5), kinds: []faultKind{(*injector).restartInTurn}, least: 7000, most: 12000},
 	}
 }
 
--- a/trial/internal/soak/soak.go
+++ b/trial/internal/soak/soak.go
@@ -27,6 +27,8 @@
 type Report struct {
 	Accepted   int      // accepted jobs
 	Starts     int      // started runs
+	Handovers  int      // times that a host took the cell over with its last owner's state
+	Dropped    int      // states of the cell that a host received and didn't use
 	Faults     []string // injected, each with its time
 	Violations []string // of the scheduler's guarantees
 }
@@ -72,8 +74,13 @@
 			hs.history.recordViolation("%s at the final shutdown: %s", h.name, fault)
 		}
 	}
+	handovers, dropped := 0, 0
+	for _, h := range hs.hosts {
+		handovers += h.logged("state taken over")
+		dropped += h.logged("state dropped")
+	}
 	return &Report{
-		Accepted: len(hs.history.acceptedJobs()), Starts: hs.checker.Starts(), Faults: hs.history.faults, Violations: append(hs.history.violations, hs.checker.Violations()...),
+		Accepted: len(hs.history.acceptedJobs()), Starts: hs.checker.Starts(), Handovers: handovers, Dropped: dropped, Faults: hs.history.faults, Violations: append(hs.history.violations, hs.checker.Violations()...),
 	}, nil
 }
 
--- a/trial/internal/soak/soak_test.go
+++ b/trial/internal/soak/soak_test.go
@@ -80,7 +80,7 @@
 		}
 		return
 	}
-	t.Logf("seed %d (%s): %d jobs accepted, %d runs, %d faults injected", seed, cause, r.Accepted, r.Starts, len(r.Faults))
+	t.Logf("seed %d (%s): %d jobs accepted, %d runs, %d faults injected, %d hand-overs with state, %d states dropped", seed, cause, r.Accepted, r.Starts, len(r.Faults), r.Handovers, r.Dropped)
 	if len(r.Violations) == 0 {
 		return
 	}
