owner: a planned stop prefers hosts that have been restarted already

Cause: while all hosts are stopped in turn, 1.3 s apart, the first successors are as likely as others to be stopped next, so that owners follow one another. Change: a host's row tells when its process began; one host that began after the owner is among the successors, and gets the state first. Result: TestStopPrefersRestartedHost; tests of owner and board pass.

--- a/node/app.go
+++ b/node/app.go
@@ -225,7 +225,7 @@
 // register writes the host's row on the board, and retries until it succeeds or ctx ends.
 func (a *app) register(ctx context.Context, address string) error {
 	put, err := board.Put(board.Table, board.PartOf(a.startSettings.Host, 0), board.HostKey(a.startSettings.Host), board.Host{
-		Name: a.startSettings.Host, Zone: a.startSettings.Zone, Link: address, Process: a.process, Power: a.startSettings.CPU,
+		Name: a.startSettings.Host, Zone: a.startSettings.Zone, Link: address, Process: a.process, Power: a.startSettings.CPU, Started: a.clock.Now().UnixMilli(),
 	})
 	if err != nil {
 		return err
--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -142,6 +142,7 @@
 	Link    string `cbor:"3,keyasint"` // address for calls between hosts
 	Process string `cbor:"4,keyasint"`
 	Power   int    `cbor:"5,keyasint,omitempty"` // CPU that the process may use, in thousandths of a core
+	Started int64  `cbor:"6,keyasint,omitempty"` // when the process began, in Unix ms by its clock; 0 if unknown
 }
 
 // Accepted is a job's acceptance row.
--- a/node/internal/owner/statehandover_test.go
+++ b/node/internal/owner/statehandover_test.go
@@ -81,6 +81,31 @@
 	}
 }
 
+// While all hosts are stopped in turn, the cell goes to a host that has been restarted already, although
+// others of other zones come before it in the list of successors.
+func TestStopPrefersRestartedHost(t *testing.T) {
+	is := is.New(t)
+	tm, b := newTerm()
+	putRow(t, b, board.HostKey("h"), board.Host{Name: "h", Zone: "a", Power: 800, Started: 1000})
+	for _, h := range []board.Host{
+		{Name: "b1", Zone: "b", Power: 800, Started: 900}, {Name: "b2", Zone: "b", Power: 800, Started: 900}, {Name: "b3", Zone: "b", Power: 800},
+		{Name: "a1", Zone: "a", Power: 800, Started: 900}, {Name: "a2", Zone: "a", Power: 800, Started: 2000}, {Name: "weak", Zone: "b", Power: 200, Started: 3000},
+	} {
+		putRow(t, b, board.HostKey(h.Name), h)
+	}
+	hosts := tm.owner.candidates(1)
+	is.Equal(len(hosts), 6)
+	is.Equal(hosts[0].Zone, "b")
+	is.Equal(hosts[maxSuccessors-1].Name, "a2")
+	is.Equal(hosts[5].Name, "weak")
+	for _, h := range hosts[:maxSuccessors] {
+		tm.chosen = append(tm.chosen, successor{host: h, prepared: h.Name != hosts[0].Name})
+	}
+	next := tm.handoverCandidates()
+	is.Equal(len(next), 2) // The first isn't prepared.
+	is.Equal(next[0].Name, "a2")
+}
+
 // failingStore fails writes while failing is set.
 type failingStore struct {
 	Store
--- a/node/internal/owner/statesend.go
+++ b/node/internal/owner/statesend.go
@@ -90,8 +90,10 @@
 	t.requestHandover(&StopError{}, t.handoverCandidates())
 }
 
-// handoverCandidates returns the successors that could take over at once.
+// handoverCandidates returns the successors that could take over at once, first those that have begun after
+// this host: they won't be stopped soon if all hosts are stopped in turn.
 func (t *term) handoverCandidates() []board.Host {
+	self, _ := t.owner.board.Host(t.owner.host)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []board.Host
@@ -100,6 +102,7 @@
 			out = append(out, c.host)
 		}
 	}
+	slices.SortStableFunc(out, func(a, b board.Host) int { return compareBool(!restartedAfter(a, self), !restartedAfter(b, self)) })
 	return out
 }
 
--- a/node/internal/owner/successors.go
+++ b/node/internal/owner/successors.go
@@ -130,9 +130,24 @@
 		return cmp.Or(cmp.Compare(b.Power, a.Power), compareBool(a.Zone == self.Zone, b.Zone == self.Zone),
 			cmp.Compare(tieBreak(a.Name, epoch), tieBreak(b.Name, epoch)))
 	})
-	return hosts
+	return reserveForRestarted(hosts, self)
 }
 
+// reserveForRestarted moves the first host that has begun after self up to the last of the successors, unless it
+// is less powerful than the first of all. While all hosts are stopped in turn, it has been stopped already, and
+// an owner there stays.
+func reserveForRestarted(hosts []board.Host, self board.Host) []board.Host {
+	at := slices.IndexFunc(hosts, func(h board.Host) bool { return restartedAfter(h, self) })
+	if at < maxSuccessors || hosts[at].Power < hosts[0].Power {
+		return hosts
+	}
+	h := hosts[at]
+	return slices.Insert(slices.Delete(hosts, at, at+1), maxSuccessors-1, h)
+}
+
+// restartedAfter reports whether a host's process has begun after that of self.
+func restartedAfter(h, self board.Host) bool { return self.Started > 0 && h.Started > self.Started }
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
