owner: a takeover after a long pause doesn't wait for entries that are recorded

Cause: after a kill of all hosts for 3 s, jobs that were accepted before started nothing for 2.5 s (reregisterGrace) and a poll of the entries more, since executors might have lost their entries. Change: since format 4 each executor is recorded before its first run, and a successor asks those without an entry, too. So nothing waits for registrations if the last owner wrote its row in that format and found no entry missing, and all rows of used executors can be read. Otherwise the wait stays.

--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -77,6 +77,9 @@
 // With format 4 owners send executors fencing tokens that are larger than an epoch: executors refuse
 // the calls of owners with an earlier format after that. They don't write the rows of type Used either.
 
+// UsedFormat is the first format of owners that record each executor in a Used before its first run.
+const UsedFormat = 4
+
 // SplitFormat is the first format that keeps submissions in the table Submitted. Owners
 // with an earlier format expect them in the acceptance rows of the board.
 const SplitFormat = 2
--- a/node/internal/owner/load.go
+++ b/node/internal/owner/load.go
@@ -82,6 +82,9 @@
 	for n, row := range used {
 		t.used.restore(n, row.Executors)
 	}
+	if t.usedComplete {
+		t.plan.ExecutorsRecorded()
+	}
 	t.loaded = true
 	o.logger.Info("records read", zap.Int64("epoch", t.epoch), zap.Int("jobs", len(jobs)), zap.Int("records", len(records)), zap.Int("cancelled", len(cancelled)),
 		zap.Int("closed", len(closed.Executors)), zap.Int("unconfigured", t.plan.Unconfigured()))
@@ -169,6 +172,7 @@
 			var u board.Used
 			if err := board.Decode(row, &u); err != nil {
 				t.owner.logger.Error("skipping used executors: row not decoded", zap.Error(err))
+				t.usedComplete = false
 				continue
 			}
 			used[n] = u
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -91,6 +91,7 @@
 	oversize          []string                 // jobs whose records were left out last for their size, sorted
 	unaccepted        map[string]time.Time     // when cancellations of jobs that aren't accepted were first seen, by job
 	recordedEnds      map[string]model.Phase   // final phases that this term has recorded, by job
+	usedComplete      bool                     // the stored record of used executors has all that may have runs
 	entriesLoaded     bool                     // the executor table has been read
 	entries           syncState                // of the executor table; nil before it is followed
 	settleShortened   bool                     // settleTime was shortened, since a majority has responded
@@ -141,6 +142,7 @@
 	if !o.ownedRecently(before) {
 		reregisterBy = now.Add(reregisterGrace)
 	}
+	t.usedComplete = recordsUsed(before)
 	age, _ := o.rowAge(before)
 	o.logger.Info("ownership taken", zap.Int64("epoch", claim.Epoch), zap.String("from", before.Host), zap.Bool("resigned", before.Resigned),
 		zap.Duration("age", age), zap.Bool("incomplete", before.ExecutorsMayBeMissing), zap.Duration("grace", reregisterBy.Sub(now)))
@@ -195,6 +197,14 @@
 	return age < maxUnwritten
 }
 
+// recordsUsed reports whether the owner of row had recorded all executors on which it or an earlier owner may have
+// started runs. It had done so before each first run, however long ago it wrote the row; executors that it didn't find
+// when it took over are excepted, for which it says that some may be missing. A row that only claims ownership
+// doesn't tell.
+func recordsUsed(row board.Owner) bool {
+	return row.Format >= board.UsedFormat && row.StoreTime != 0 && !row.ExecutorsMayBeMissing
+}
+
 // rowAge returns the greatest time that may have passed since the owner's row was written, and
 // false if that isn't known.
 func (o *Owner) rowAge(row board.Owner) (time.Duration, bool) {
--- a/node/internal/owner/term_test.go
+++ b/node/internal/owner/term_test.go
@@ -54,6 +54,27 @@
 	}
 }
 
+// Earlier jobs wait for executors to register again unless the last owner had certainly recorded each executor
+// before its first run: otherwise tasks start again that run on executors without an entry.
+func TestUnrecordedExecutorsAreAwaited(t *testing.T) {
+	const written = time.Hour // on the store's clock
+	tests := map[string]struct {
+		row      board.Owner
+		recorded bool
+	}{
+		"complete":                {row: board.Owner{Format: board.UsedFormat, StoreTime: written}, recorded: true},
+		"an earlier format":       {row: board.Owner{Format: board.UsedFormat - 1, StoreTime: written}},
+		"entries were incomplete": {row: board.Owner{Format: board.UsedFormat, StoreTime: written, ExecutorsMayBeMissing: true}},
+		"claim without a write":   {row: board.Owner{Format: board.UsedFormat}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(recordsUsed(tt.row), tt.recorded)
+		})
+	}
+}
+
 // The first writes after an outage of the store declared the entries of executors complete,
 // since no entry had changed yet that showed the outage. So did those of a new owner that
 // hadn't read the entries.
--- a/node/internal/plan/executor.go
+++ b/node/internal/plan/executor.go
@@ -158,6 +158,10 @@
 // registered at asOf. Those that registered later may be missing.
 func (s *State) AllExecutorsListed(asOf time.Time) { s.executorsListed, s.listedAsOf = true, asOf }
 
+// ExecutorsRecorded notes that all executors which may have unrecorded runs are known by a record, whether
+// they are registered or not. Nothing waits for registrations then.
+func (s *State) ExecutorsRecorded() { s.reregisterUntil = time.Time{} }
+
 // executorsComplete reports whether all executors are known that may have unrecorded runs. The
 // list is as old as the last answer of the store: while the store doesn't answer, executors that
 // register again stay unknown.
--- a/node/restart_test.go
+++ b/node/restart_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -8,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/balsamford/balsamford/platform/fake"
 )
@@ -66,3 +69,75 @@
 	}
 	is.Equal(len(r.judge.Violations()), 0)
 }
+
+const (
+	// comebackAcceptance and comebackStart bound the time from the start of all processes to the
+	// first accepted job and to the first task of a job that was accepted before.
+	comebackAcceptance = time.Second
+	comebackStart      = 3 * time.Second
+)
+
+// After a kill of all hosts for some seconds, the first job is accepted and the first task starts soon, also
+// a task that waited before.
+func TestAllHostsComeBack(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 3)
+	r.await("an owner", startTime, func() bool { return r.owner() != nil })
+	ctx, cancel := context.WithCancel(context.Background())
+	var heartbeats errgroup.Group
+	addresses := make([]string, executorCount)
+	for i, e := range r.executors {
+		addresses[i] = r.serve(e)
+	}
+	heartbeats.Go(func() error {
+		for ; ctx.Err() == nil; time.Sleep(500 * time.Millisecond) {
+			for i, e := range r.executors {
+				r.store.Put("servers", fmt.Sprintf("i-%d", i), e.Entry(fake.Service, addresses[i]))
+			}
+		}
+		return nil
+	})
+	n := 0
+	submit := func() bool {
+		for _, h := range r.hosts {
+			n++
+			if code, _ := r.call(h, http.MethodPost, fake.Queue+id(n), fake.Key, twoSteps); code == http.StatusOK {
+				return true
+			}
+		}
+		return false
+	}
+	r.await("a start", doneTime, func() bool { submit(); return r.judge.Starts() > 0 })
+	time.Sleep(4 * time.Second) // The owner has seen for long enough that no entry is missing.
+	last := 0
+	for range 3 { // The last job waits for its second step, or for all of its tasks.
+		is.True(submit())
+		last = n
+	}
+	for _, h := range r.hosts {
+		is.NoErr(h.command.Process.Kill())
+	}
+	for _, h := range r.hosts {
+		_ = h.command.Wait() // It was killed.
+	}
+	time.Sleep(3 * time.Second)
+	began, starts := time.Now(), r.judge.Starts()
+	for _, h := range r.hosts {
+		r.start(h)
+	}
+	r.await("a job to be accepted", startTime, submit)
+	accepted := time.Since(began)
+	r.await("a start", startTime, func() bool { return r.judge.Starts() > starts })
+	started := time.Since(began)
+	r.await("the waiting job to be done", doneTime, func() bool {
+		_, body := r.call(r.hosts[0], http.MethodGet, fake.Queue+id(last), fake.Key, "")
+		return body == `{"state":"done"}`
+	})
+	done := time.Since(began)
+	t.Logf("accepted after %v, started after %v, done after %v", accepted, started, done)
+	cancel()
+	is.NoErr(heartbeats.Wait())
+	is.True(accepted < comebackAcceptance)
+	is.True(started < comebackStart)
+	is.Equal(len(r.judge.Violations()), 0)
+}
