owner: a term that has just begun looks for a successor before it stops

Cause: an owner that was stopped in its first half second had no list of successors yet, and resigned without its state. Change: it probes the hosts then.

--- a/node/internal/owner/statesend.go
+++ b/node/internal/owner/statesend.go
@@ -87,7 +87,12 @@
 		t.cancel(&StopError{})
 		done()
 	})
-	t.requestHandover(&StopError{}, t.handoverCandidates())
+	candidates := t.handoverCandidates()
+	if len(candidates) == 0 { // The term has just begun.
+		t.setSuccessors(t.chooseSuccessors())
+		candidates = t.handoverCandidates()
+	}
+	t.requestHandover(&StopError{}, candidates)
 }
 
 // handoverCandidates returns the successors that could take over at once, first those that have begun after
--- a/node/internal/owner/successors.go
+++ b/node/internal/owner/successors.go
@@ -41,18 +41,7 @@
 func (t *term) updateSuccessors(ctx context.Context) error {
 	for ctx.Err() == nil {
 		chosen := t.chooseSuccessors()
-		names := make([]string, 0, len(chosen))
-		for _, c := range chosen {
-			names = append(names, c.host.Name)
-		}
-		t.mu.Lock()
-		changed := !slices.Equal(names, t.successorHosts)
-		t.successorHosts, t.chosen = names, chosen
-		requested := t.handover != nil
-		t.mu.Unlock()
-		if changed {
-			t.owner.logger.Info("successors chosen", zap.Int64("epoch", t.epoch), zap.Strings("hosts", names))
-		}
+		requested := t.setSuccessors(chosen)
 		if !requested {
 			if cause := t.betterOwner(chosen); cause != nil {
 				t.requestHandover(cause, []board.Host{chosen[0].host})
@@ -63,6 +52,21 @@
 	return nil
 }
 
+// setSuccessors sets the list of successors and reports whether a hand-over is under way.
+func (t *term) setSuccessors(chosen []successor) bool {
+	names := make([]string, 0, len(chosen))
+	for _, c := range chosen {
+		names = append(names, c.host.Name)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !slices.Equal(names, t.successorHosts) {
+		t.owner.logger.Info("successors chosen", zap.Int64("epoch", t.epoch), zap.Strings("hosts", names))
+	}
+	t.successorHosts, t.chosen = names, chosen
+	return t.handover != nil
+}
+
 // successor is a host that responded to a probe.
 type successor struct {
 	host     board.Host
--- a/node/internal/plan/snapshot_test.go
+++ b/node/internal/plan/snapshot_test.go
@@ -217,3 +217,31 @@
 	slices.SortFunc(ids, cmp.Compare[string])
 	is.Equal(ids, []string{"j"})
 }
+
+// The owner holds starts back while it takes a snapshot.
+func BenchmarkSnapshot(b *testing.B) {
+	backlog := newBacklog(350, 9000, "urgent", "bulk")
+	s, now := backlog.fixture.state, backlog.now
+	for b.Loop() {
+		data, err := s.Snapshot(now)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(data)), "bytes")
+	}
+}
+
+// The successor starts nothing while it restores one.
+func BenchmarkRestore(b *testing.B) {
+	backlog := newBacklog(350, 9000, "urgent", "bulk")
+	s, now := backlog.fixture.state, backlog.now
+	data, err := s.Snapshot(now)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if err := New(backlog.fixture.config).Restore(now, data, func(id string) *model.Job { return s.jobs[id].spec }); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
