--- a/node/internal/owner/statehandover_test.go
+++ b/node/internal/owner/statehandover_test.go
@@ -153,6 +153,61 @@
 	is.True(tm.betterOwner([]successor{{host: board.Host{Name: "next", Power: 9}, prepared: true}}) == nil) // It isn't tried again at once.
 }
 
+// An owner that gives way goes on if its successor doesn't hold the state, with nothing held back, and tries again after
+// a pause. It gives way without its state to an earlier program, and after some failures; a process that stops does so at once.
+func TestOwnerGoesOnAfterFailedTransfer(t *testing.T) {
+	stop, better := error(&StopError{}), error(&HandoverError{Host: "next"})
+	timeout := error(&link.StreamError{Op: "receive", Err: context.DeadlineExceeded})
+	tests := map[string]struct {
+		cause    error
+		err      error
+		others   int // candidates beside the one that failed
+		failures int // before
+		ends     bool
+		again    bool // the next candidate is tried at once
+	}{
+		"no answer":                 {cause: better, err: timeout},
+		"refused":                   {cause: better, err: &StateRefusedError{Reason: "submissions"}},
+		"earlier program":           {cause: better, err: &link.RemoteError{Code: "verb"}, ends: true},
+		"too large":                 {cause: better, err: &link.SizeError{}, ends: true},
+		"stops, no answer":          {cause: stop, err: timeout, ends: true},
+		"stops, another candidate":  {cause: stop, err: timeout, others: 1, again: true},
+		"no answer after some more": {cause: better, err: timeout, failures: maxHandoverFailures - 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tm, _ := newTerm()
+			ctx, cancel := context.WithCancelCause(context.Background())
+			tm.cancel, tm.loaded, tm.handoverFailures, tm.owner.boardFollower, tm.owner.node = cancel, true, tt.failures, workingFollower{}, &link.Node{}
+			tm.confirm(tm.owner.clock.Boot(), minAuthority)
+			failed := board.Host{Name: "next"}
+			tm.handover = &handoverRequest{cause: tt.cause, candidates: []board.Host{failed}, put: make(chan putOutcome, 1)}
+			for range tt.others {
+				tm.handover.candidates = append(tm.handover.candidates, board.Host{Name: "other"})
+			}
+			tm.freeze()
+			tm.handover.put <- putOutcome{to: failed, err: tt.err}
+			r := &recorder{term: tm}
+			is.Equal(r.handOver(ctx), tt.ends)
+			is.Equal(ctx.Err() != nil, tt.ends)
+			if tt.ends {
+				is.Equal(context.Cause(ctx), tt.cause)
+				return
+			}
+			is.True(tm.mayStart())
+			is.Equal(tm.handover != nil, tt.again)
+			if tt.again {
+				is.Equal(tm.handover.candidates[0].Name, "other")
+				return
+			}
+			is.True(tm.noHandoverBefore.After(tm.owner.clock.Now()))
+			tm.requestHandover(tt.cause, []board.Host{failed})
+			is.Equal(ctx.Err() != nil, tt.failures+1 == maxHandoverFailures) // Without the state after that.
+		})
+	}
+}
+
 // A successor takes no lease of its predecessor for ended while the executor may follow it, however the
 // clocks run and however long the transfer takes.
 func TestSuccessorAwaitsLeasesOfSender(t *testing.T) {
