owner: a term that begins with a state notices a later owner on the board

Cause: by reading: the board may show another claim before the term listens. Change: the term is told of the owner that the board shows.

--- a/node/internal/owner/statereceive.go
+++ b/node/internal/owner/statereceive.go
@@ -238,6 +238,7 @@
 	for _, id := range cancelled {
 		t.plan.Cancel(now, id)
 	}
+	t.OwnerChanged(o.board.Owner()) // It may show a later owner already.
 	o.metrics.handoverTaken.Inc(1)
 	o.logger.Info("state taken over", zap.Int64("epoch", t.epoch), zap.Int("jobs", t.plan.Jobs()), zap.Int("executors", len(t.sessions)), zap.Int("bytes", s.size), zap.Duration("age", o.clock.Boot()-s.atBoot))
 	return true
