--- a/node/internal/owner/clean.go
+++ b/node/internal/owner/clean.go
@@ -153,3 +153,26 @@
 		}
 	}
 }
+
+// takeExpired removes and returns the jobs whose phase rows an earlier write has deleted, though
+// it got no response: the board doesn't show them any more. The others are deleted again.
+func (r *recorder) takeExpired() []string {
+	var gone []string
+	for id := range r.expiring {
+		if !r.term.owner.board.HasPhase(id) {
+			gone = append(gone, id)
+			delete(r.expiring, id)
+		}
+	}
+	return gone
+}
+
+// noteExpiring notes that a failed write may have deleted the phase rows of jobs.
+func (r *recorder) noteExpiring(ids []string) {
+	if r.expiring == nil {
+		r.expiring = make(map[string]bool)
+	}
+	for _, id := range ids {
+		r.expiring[id] = true
+	}
+}
