--- a/node/internal/board/rows.go
+++ b/node/internal/board/rows.go
@@ -77,6 +77,9 @@
 // With format 4 owners send executors fencing tokens that are larger than an epoch: executors refuse
 // the calls of owners with an earlier format after that. They don't write the rows of type Used either.
 
+// UsedFormat is the first format of owners that record each executor in a Used before its first run.
+const UsedFormat = 4
+
 // SplitFormat is the first format that keeps submissions in the table Submitted. Owners
 // with an earlier format expect them in the acceptance rows of the board.
 const SplitFormat = 2
@@ -142,6 +145,7 @@
 	Link    string `cbor:"3,keyasint"` // address for calls between hosts
 	Process string `cbor:"4,keyasint"`
 	Power   int    `cbor:"5,keyasint,omitempty"` // CPU that the process may use, in thousandths of a core
+	Started int64  `cbor:"6,keyasint,omitempty"` // when the process began, in Unix ms by its clock; 0 if unknown
 }
 
 // Accepted is a job's acceptance row.
--- a/node/internal/owner/load.go
+++ b/node/internal/owner/load.go
@@ -82,13 +82,36 @@
 	for n, row := range used {
 		t.used.restore(n, row.Executors)
 	}
+	if t.usedComplete {
+		t.plan.ExecutorsRecorded()
+	}
 	t.loaded = true
 	o.logger.Info("records read", zap.Int64("epoch", t.epoch), zap.Int("jobs", len(jobs)), zap.Int("records", len(records)), zap.Int("cancelled", len(cancelled)),
 		zap.Int("closed", len(closed.Executors)), zap.Int("unconfigured", t.plan.Unconfigured()))
+	t.followEntries(ctx)
+	return nil
+}
+
+// begin starts a term that has the state of the last owner.
+func (t *term) begin(ctx context.Context) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.loaded = true
+	t.owner.submissions.follower.SetGap(ownSubmissionsGap)
+	for _, sess := range t.sessions {
+		sess.run()
+	}
+	t.followEntries(ctx)
+	signal(t.wakeDecider)
+	signal(t.wakeRecorder)
+}
+
+// followEntries begins to follow the executor table. The term's mu is held.
+func (t *term) followEntries(ctx context.Context) {
+	o := t.owner
 	entries := follow.New(o.store, o.clock, platform.ExecutorTable, []string{""}, &executorEntries{term: t}, follow.WithGap(entriesGap), follow.WithLogger(o.logger))
 	t.entries = entries
 	t.group.Go(func() error { return entries.Run(ctx) })
-	return nil
 }
 
 // syncState tells up to when a table's changes have been received; follow.Follower implements
@@ -149,6 +172,7 @@
 			var u board.Used
 			if err := board.Decode(row, &u); err != nil {
 				t.owner.logger.Error("skipping used executors: row not decoded", zap.Error(err))
+				t.usedComplete = false
 				continue
 			}
 			used[n] = u
--- a/node/internal/owner/recorder.go
+++ b/node/internal/owner/recorder.go
@@ -51,6 +51,8 @@
 	timeout   time.Duration   // how long to wait for the next response; raised to minWriteTimeout if less
 	undeleted []string        // ended jobs whose progress rows a failed write should have deleted
 	expiring  map[string]bool // ended jobs whose phase rows a failed write may have deleted; nil for none
+	resigned  bool            // this host has given up ownership
+	inDoubt   bool            // a resignation may have been written, and no write has succeeded since
 	giveUp    chan struct{}   // closed when a resignation has taken too long; nil before one begins
 }
 
@@ -66,6 +68,9 @@
 			return r.finish(ctx)
 		case <-t.wakeRecorder:
 		}
+		if r.handOver(ctx) {
+			return r.finish(ctx)
+		}
 		now, sentBoot := t.owner.clock.Now(), t.owner.clock.Boot()
 		b := r.collect()
 		if b.empty() && now.Sub(last) < heartbeatInterval {
@@ -84,6 +89,7 @@
 		}
 		last = now
 		t.confirm(sentBoot, r.row.Authority)
+		r.resignationUndone()
 		r.markRecorded(b)
 		if b.partial {
 			signal(t.wakeRecorder)
@@ -122,7 +128,10 @@
 		}
 		w.Puts = append(w.Puts, put)
 	}
-	finished, expired := r.addCleanup(&w)
+	var finished, expired []string
+	if !b.bare {
+		finished, expired = r.addCleanup(&w)
+	}
 	r.term.mu.Lock()
 	r.term.limitAuthority(next.Authority)
 	for i := range b.changes {
@@ -156,29 +165,6 @@
 	return nil
 }
 
-// takeExpired removes and returns the jobs whose phase rows an earlier write has deleted, though
-// it got no response: the board doesn't show them any more. The others are deleted again.
-func (r *recorder) takeExpired() []string {
-	var gone []string
-	for id := range r.expiring {
-		if !r.term.owner.board.HasPhase(id) {
-			gone = append(gone, id)
-			delete(r.expiring, id)
-		}
-	}
-	return gone
-}
-
-// noteExpiring notes that a failed write may have deleted the phase rows of jobs.
-func (r *recorder) noteExpiring(ids []string) {
-	if r.expiring == nil {
-		r.expiring = make(map[string]bool)
-	}
-	for _, id := range ids {
-		r.expiring[id] = true
-	}
-}
-
 // send sends a write to the store and returns the version of the owner's row. The
 // response may be lost; the write is also known to be applied once the board shows its
 // sequence number. A *WriteTimeoutError means that the outcome is unknown.
--- a/node/internal/owner/successors.go
+++ b/node/internal/owner/successors.go
@@ -41,26 +41,32 @@
 func (t *term) updateSuccessors(ctx context.Context) error {
 	for ctx.Err() == nil {
 		chosen := t.chooseSuccessors()
-		names := make([]string, 0, len(chosen))
-		for _, c := range chosen {
-			names = append(names, c.host.Name)
-		}
-		t.mu.Lock()
-		changed := !slices.Equal(names, t.successorHosts)
-		t.successorHosts = names
-		t.mu.Unlock()
-		if changed {
-			t.owner.logger.Info("successors chosen", zap.Int64("epoch", t.epoch), zap.Strings("hosts", names))
-		}
-		if cause := t.betterOwner(chosen); cause != nil {
-			t.cancel(cause)
-			return nil
+		requested := t.setSuccessors(chosen)
+		if !requested {
+			if cause := t.betterOwner(chosen); cause != nil {
+				t.requestHandover(cause, []board.Host{chosen[0].host})
+			}
 		}
 		_ = t.owner.clock.Sleep(ctx, successorsInterval)
 	}
 	return nil
 }
 
+// setSuccessors sets the list of successors and reports whether a hand-over is under way.
+func (t *term) setSuccessors(chosen []successor) bool {
+	names := make([]string, 0, len(chosen))
+	for _, c := range chosen {
+		names = append(names, c.host.Name)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !slices.Equal(names, t.successorHosts) {
+		t.owner.logger.Info("successors chosen", zap.Int64("epoch", t.epoch), zap.Strings("hosts", names))
+	}
+	t.successorHosts, t.chosen = names, chosen
+	return t.handover != nil
+}
+
 // successor is a host that responded to a probe.
 type successor struct {
 	host     board.Host
@@ -83,7 +89,7 @@
 		}
 		_ = g.Wait() // It never fails.
 		for i, reply := range replies {
-			if reply != nil && len(out) < maxSuccessors {
+			if reply != nil && !reply.Stopping && len(out) < maxSuccessors {
 				out = append(out, successor{host: batch[i], prepared: reply.Prepared})
 			}
 		}
@@ -103,7 +109,7 @@
 	}
 	t.mu.Lock()
 	overloaded := t.lag.overloaded()
-	unsettled := !t.loaded || t.resigning || o.clock.Boot()-t.writeConfirmed > t.authority // A resignation may fail.
+	unsettled := !t.loaded || t.resigning || o.clock.Boot()-t.writeConfirmed > t.authority || o.clock.Now().Before(t.noHandoverBefore) // A resignation may fail.
 	t.mu.Unlock()
 	next := chosen[0].host
 	switch {
@@ -128,9 +134,24 @@
 		return cmp.Or(cmp.Compare(b.Power, a.Power), compareBool(a.Zone == self.Zone, b.Zone == self.Zone),
 			cmp.Compare(tieBreak(a.Name, epoch), tieBreak(b.Name, epoch)))
 	})
-	return hosts
+	return reserveForRestarted(hosts, self)
+}
+
+// reserveForRestarted moves the first host that has begun after self up to the last of the successors, unless it
+// is less powerful than the first of all. While all hosts are stopped in turn, it has been stopped already, and
+// an owner there stays.
+func reserveForRestarted(hosts []board.Host, self board.Host) []board.Host {
+	at := slices.IndexFunc(hosts, func(h board.Host) bool { return restartedAfter(h, self) })
+	if at < maxSuccessors || hosts[at].Power < hosts[0].Power {
+		return hosts
+	}
+	h := hosts[at]
+	return slices.Insert(slices.Delete(hosts, at, at+1), maxSuccessors-1, h)
 }
 
+// restartedAfter reports whether a host's process has begun after that of self.
+func restartedAfter(h, self board.Host) bool { return self.Started > 0 && h.Started > self.Started }
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
--- a/trial/internal/soak/soak.go
+++ b/trial/internal/soak/soak.go
@@ -25,9 +25,11 @@
 
 // Report is the result of a soak.
 type Report struct {
-	Accepted int      // accepted jobs
-	Starts   int      // started runs
-	Faults   []string // injected, each with its time
+	Accepted  int      // accepted jobs
+	Starts    int      // started runs
+	Handovers int      // times that a host took the cell over with its last owner's state
+	Dropped   int      // states of the cell that a host received and didn't use
+	Faults    []string // injected, each with its time
 	// Evacuation is the longest time from the acknowledgement of an evacuation until a start in
 	// the zone that faults don't excuse, 0 without one.
 	Evacuation time.Duration
@@ -75,8 +77,13 @@
 			hs.history.recordViolation("%s at the final shutdown: %s", h.name, fault)
 		}
 	}
+	handovers, dropped := 0, 0
+	for _, h := range hs.hosts {
+		handovers += h.logged("state taken over")
+		dropped += h.logged("state dropped")
+	}
 	return &Report{
-		Accepted: len(hs.history.acceptedJobs()), Starts: hs.checker.Starts(), Faults: hs.history.faults, Evacuation: hs.evacuations.longestStart(), Violations: append(hs.history.violations, hs.checker.Violations()...),
+		Accepted: len(hs.history.acceptedJobs()), Starts: hs.checker.Starts(), Handovers: handovers, Dropped: dropped, Faults: hs.history.faults, Evacuation: hs.evacuations.longestStart(), Violations: append(hs.history.violations, hs.checker.Violations()...),
 	}, nil
 }
 
