owner: a process that stops sends its state also after failed hand-overs

Cause: by reading: three failures of an owner that gives way, to one host, kept a later stop from handing its state to any other. Change: the limit holds for giving way only. Result: TestOwnerGoesOnAfterFailedTransfer with that case passes.

--- a/node/internal/owner/statehandover_test.go
+++ b/node/internal/owner/statehandover_test.go
@@ -198,6 +198,8 @@
 			is.True(tm.noHandoverBefore.After(tm.owner.clock.Now()))
 			tm.requestHandover(tt.cause, []board.Host{failed})
 			is.Equal(ctx.Err() != nil, tt.failures+1 == maxHandoverFailures) // Without the state after that.
+			tm.requestHandover(stop, []board.Host{failed})
+			is.True(tm.handover != nil) // A process that stops tries in any case.
 		})
 	}
 }
--- a/node/internal/owner/statesend.go
+++ b/node/internal/owner/statesend.go
@@ -58,8 +58,10 @@
 // requestHandover asks for a hand-over for the given cause to one of the candidates. Without any the term
 // ends at once. A request replaces an earlier one of an owner that gives way.
 func (t *term) requestHandover(cause error, candidates []board.Host) {
+	var stop *StopError
+	stops := errors.As(cause, &stop)
 	t.mu.Lock()
-	possible := len(candidates) > 0 && t.loaded && t.owner.node != nil && t.handoverFailures < maxHandoverFailures
+	possible := len(candidates) > 0 && t.loaded && t.owner.node != nil && (stops || t.handoverFailures < maxHandoverFailures)
 	if possible && t.handover == nil {
 		t.handover = &handoverRequest{cause: cause, candidates: candidates, began: t.owner.clock.Now()}
 	} else if possible {
