--- a/trial/internal/soak/host.go
+++ b/trial/internal/soak/host.go
@@ -70,7 +70,11 @@
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(h.settingsPath, []byte(text), 0o600)
+	next := h.settingsPath + ".next" // A process that starts meanwhile must not read a file that isn't whole.
+	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, h.settingsPath)
 }
 
 // start starts the process. The caller holds mu.
