owner: the name of a metric is written out again

Cause: coord/pages finds names of metrics by their text; a merge had shortened one. Change: node.owner.zones.unknown is registered by its whole name. Measured: coord/pages failed on it and passes.

--- a/node/internal/owner/ownermetrics.go
+++ b/node/internal/owner/ownermetrics.go
@@ -71,7 +71,7 @@
 		excluded:     excluded,
 		bounded:      gauge("bounded"),
 		waiting:      gauge("waiting"),
-		unknownZones: counter("zones.unknown"),
+		unknownZones: metrics.GetOrRegisterCounter("node.owner.zones.unknown", r),
 		paused:       gauge("paused"),
 		lag:          gauge("lag"),
 		advice:       newAdviceMetrics(r),
