owner: in an outage of the store no successor took the state

Cause: a host counts as prepared while it can read the board and the submissions. While the store is away none is, so that an owner that stopped then resigned without its state, and its successor waited for the store to read the records. Change: a host takes a state if its copies were complete within 10 s, and an owner tries all its successors, prepared ones first.

--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -60,6 +60,7 @@
 	stopping            atomic.Bool                       // the process is about to end, so that this host takes nothing over
 	submissionRows      atomic.Pointer[board.Submissions] // of submissions, nil while this host keeps no copy
 	prepared            atomic.Bool                       // this host has all it needs to take over at once
+	preparedAt          atomic.Int64                      // boot time when that was last so, in nanoseconds; 0 for never
 	lastEpoch           int64                             // epoch of the last term of this process; used by Run only
 	boardGap            time.Duration                     // poll interval set on boardFollower, 0 if unknown; used by Run only
 	warnedEpoch         int64                             // epoch for which warnNewerFormat has logged; used by Run only
@@ -127,7 +128,7 @@
 	defer context.AfterFunc(ctx, func() { o.stopping.Store(true) })()
 	for ctx.Err() == nil {
 		o.copySubmissions(ctx, &g, o.updateBoardGap() || o.mostPowerful())
-		o.prepared.Store(o.submissions.synced() && !o.boardFollower.Failing())
+		o.notePrepared(o.submissions.synced() && !o.boardFollower.Failing())
 		o.expireState()
 		offer := o.awaitOffer(ctx)
 		if ctx.Err() != nil || o.configs.Config() == nil {
@@ -148,6 +149,14 @@
 	return nil
 }
 
+// notePrepared notes whether this host has all it needs to take over at once.
+func (o *Owner) notePrepared(prepared bool) {
+	o.prepared.Store(prepared)
+	if prepared {
+		o.preparedAt.Store(int64(o.clock.Boot()))
+	}
+}
+
 // updateBoardGap sets how often the board is polled: often if this host may have to
 // take over soon. It reports whether that is the case. Until the board is read, no host
 // knows that, and all of them may have just started.
--- a/node/internal/owner/statereceive.go
+++ b/node/internal/owner/statereceive.go
@@ -21,6 +21,10 @@
 	// stateValidity is how long a received state is kept for the offer of ownership, which follows after
 	// one write to the store.
 	stateValidity = 5 * time.Second
+	// maxCopyAge is how old this host's copies of the board and the submissions may be when it takes a state. In an
+	// outage of the store no host can read them, and a state is all that a successor needs. Older copies could show a
+	// job whose end the sender has forgotten, as it does 30 s after its rows are deleted at the earliest.
+	maxCopyAge = 10 * time.Second
 )
 
 // statePut hands over the state of an owner.
@@ -111,12 +115,19 @@
 		return "size"
 	case o.currentTerm() != nil || row.Epoch > p.Epoch:
 		return "another owner"
-	case !o.prepared.Load():
+	case !o.hasRecentCopies():
 		return "submissions"
 	}
 	return ""
 }
 
+// hasRecentCopies reports whether this host's copies of the board and the submissions were complete within
+// maxCopyAge.
+func (o *Owner) hasRecentCopies() bool {
+	at := time.Duration(o.preparedAt.Load())
+	return at > 0 && o.clock.Boot()-at <= maxCopyAge
+}
+
 // findJobs adds the specifications that this host has to jobs, and returns the IDs of the others.
 func (o *Owner) findJobs(ids []string, jobs map[string]*model.Job) []string {
 	c := o.submissionRows.Load()
--- a/node/internal/owner/statesend.go
+++ b/node/internal/owner/statesend.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -91,19 +92,21 @@
 	t.requestHandover(&StopError{}, candidates)
 }
 
-// handoverCandidates returns the successors that could take over at once, first those that have begun after
-// this host: they won't be stopped soon if all hosts are stopped in turn.
+// handoverCandidates returns the successors, first those that could take over at once, and among these those
+// that have begun after this host: they won't be stopped soon if all hosts are stopped in turn. In an outage of the
+// store none could take over without the state.
 func (t *term) handoverCandidates() []board.Host {
 	self, _ := t.owner.board.Host(t.owner.host)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []board.Host
-	for _, c := range t.chosen {
-		if c.prepared {
-			out = append(out, c.host)
-		}
+	chosen := slices.Clone(t.chosen)
+	slices.SortStableFunc(chosen, func(a, b successor) int {
+		return cmp.Or(compareBool(!a.prepared, !b.prepared), compareBool(!restartedAfter(a.host, self), !restartedAfter(b.host, self)))
+	})
+	out := make([]board.Host, 0, len(chosen))
+	for _, c := range chosen {
+		out = append(out, c.host)
 	}
-	slices.SortStableFunc(out, func(a, b board.Host) int { return compareBool(!restartedAfter(a, self), !restartedAfter(b, self)) })
 	return out
 }
 
