plan: a forecast of the waits of new jobs

Cause: nothing tells a host at acceptance whether a job can still be in time. Change: State.Forecast replays the waiting stages in the plan's order under the teams' limits, at the adviser and on the executors, at the pace that was measured, and puts one job for each queue, size and mark of the quota into that order. The outcomes of earlier forecasts give the trust in them. The forecast isn't used yet and its accuracy isn't measured yet.

--- /dev/null
+++ b/node/internal/plan/forecaster.go
@@ -0,0 +1,192 @@
+package plan
+
+import (
+	"time"
+
+	"github.com/balsamford/balsamford/coord/model"
+)
+
+const (
+	// maxForecastRank is the highest rank whose arrivals are told apart: the lowest priority in use,
+	// beyond the quota.
+	maxForecastRank = 7
+	// typicalSmoothing is the weight of a job in the typical one of its queue and size.
+	typicalSmoothing = 0.1
+	// runTimeSmoothing is the weight of a run in the learned run times of its queue.
+	runTimeSmoothing = 0.05
+	// minTypicalRuns is the number of runs from which learned run times are used.
+	minTypicalRuns = 20
+)
+
+// forecaster holds what forecasts are made from. The zero value has measured nothing.
+type forecaster struct {
+	since    time.Time // first forecast; zero before it
+	last     *Forecast // nil before the first one
+	waiting  []waitingStage
+	rooms    map[string]*roomSupply  // by service
+	limits   map[string]*limitSupply // by team
+	advice   [2]supply               // slots of the adviser, in seconds of short and of long requests
+	queues   map[string]*queueRecord // by queue
+	checks   checks
+	measured bool // the maps exist
+}
+
+// roomSupply is the capacity of a service's executors, in core-seconds.
+type roomSupply struct {
+	supply
+	arrived [maxForecastRank + 1]flow // by rank
+}
+
+// limitSupply is a team's limit, in seconds of each resource.
+type limitSupply [3]supply
+
+// queueRecord is what is learned of a queue's jobs.
+type queueRecord struct {
+	started   flow // jobs
+	typical   [SizeClasses]typicalJob
+	runs      int     // that were timed
+	ratio     float64 // mean of run times divided by estimates
+	deviation float64 // mean deviation from ratio
+}
+
+// typicalJob is the mean of recent jobs of a queue and size.
+type typicalJob struct {
+	known bool
+	path  time.Duration // longest path through its steps
+}
+
+// prepare makes the maps.
+func (f *forecaster) prepare() {
+	if !f.measured {
+		f.rooms, f.limits, f.queues = make(map[string]*roomSupply), make(map[string]*limitSupply), make(map[string]*queueRecord)
+		f.measured = true
+	}
+}
+
+func (f *forecaster) room(service string) *roomSupply {
+	f.prepare()
+	r := f.rooms[service]
+	if r == nil {
+		r = &roomSupply{}
+		f.rooms[service] = r
+	}
+	return r
+}
+
+func (f *forecaster) limit(team string) *limitSupply {
+	f.prepare()
+	l := f.limits[team]
+	if l == nil {
+		l = &limitSupply{}
+		f.limits[team] = l
+	}
+	return l
+}
+
+func (f *forecaster) queue(name string) *queueRecord {
+	f.prepare()
+	q := f.queues[name]
+	if q == nil {
+		q = &queueRecord{}
+		f.queues[name] = q
+	}
+	return q
+}
+
+// noteArrival notes a new job, and what was forecast for it.
+func (s *State) noteArrival(j *job, now time.Time) {
+	if j.objective() == 0 {
+		return
+	}
+	f, work := &s.forecaster, workOf(j.spec)
+	rank := j.queue.Priority
+	if j.overQuota {
+		rank += overQuotaRankPenalty
+	}
+	f.room(j.queue.Service).arrived[min(max(0, rank), maxForecastRank)].add(now, work)
+	f.queue(j.spec.Queue).typical[sizeClass(work)].learn(j)
+	if f.last != nil && !f.last.Unknown {
+		f.checks.add(j.spec.ID, f.last.Wait(j.spec, j.overQuota), now)
+	}
+}
+
+// learn updates the typical job.
+func (t *typicalJob) learn(j *job) {
+	if !t.known {
+		*t = typicalJob{known: true, path: j.criticalPath}
+		return
+	}
+	t.path += time.Duration(typicalSmoothing * float64(j.criticalPath-t.path))
+}
+
+// stepSeconds returns what n tasks of a step take of a limit, multiplied by their time in milliseconds.
+func stepSeconds(step *model.Step, n int) model.Amount {
+	ms := step.Estimate.Milliseconds() * int64(n)
+	return model.Amount{CPU: step.Need.CPU * ms, Memory: step.Need.Memory * ms, Accel: step.Need.Accel * ms}
+}
+
+// noteStart notes that a task was ordered to start.
+func (s *State) noteStart(st *stage, now time.Time) {
+	j := st.occur.job
+	if st.spec.Lasting {
+		return
+	}
+	f := &s.forecaster
+	f.room(j.queue.Service).started.add(now, coreSeconds(st.spec))
+	if limit := s.limit(j.spec); limit != (model.Amount{}) {
+		l, taken := f.limit(j.spec.Team), stepSeconds(st.spec, 1)
+		for i, n := range resources(taken) {
+			l[i].started.add(now, float64(n))
+		}
+	}
+	if first := st.waiting == len(st.tasks)-1; first {
+		if st.index == 0 {
+			f.queue(j.spec.Queue).started.add(now, 1)
+		}
+		if s.advised(j, now) {
+			f.advice[adviceClass(&j.queue)].started.add(now, requestTime(&j.queue).Seconds())
+		}
+	}
+	if st.waiting == 0 {
+		f.checks.resolve(j.spec.ID, now)
+	}
+}
+
+// noteRunTime learns how long runs of a queue take compared to their estimates. Runs that resumed
+// from a checkpoint are shorter and don't count.
+func (s *State) noteRunTime(r *run, took time.Duration) {
+	st := r.stage
+	if st.spec.Lasting || st.spec.Filler || st.spec.Estimate <= 0 || r.restored || st.checkpoint(r.index) != "" {
+		return
+	}
+	q := s.forecaster.queue(st.occur.job.spec.Queue)
+	ratio := min(float64(took)/float64(st.spec.Estimate), 4) // A run on a frozen executor says little.
+	weight := max(runTimeSmoothing, 1/float64(q.runs+1))
+	q.deviation += weight * (max(ratio-q.ratio, q.ratio-ratio) - q.deviation)
+	q.ratio += weight * (ratio - q.ratio)
+	q.runs++
+}
+
+// leastRunTime returns the least run time to expect, in percent of the estimate.
+func (q *queueRecord) leastRunTime() int {
+	if q.runs < minTypicalRuns {
+		return 0
+	}
+	return int(100 * min(1, max(0, q.ratio-q.deviation)))
+}
+
+// resources returns the components of an amount.
+func resources(a model.Amount) [3]int64 { return [3]int64{a.CPU, a.Memory, a.Accel} }
+
+// adviceClass returns 1 for queues whose requests to the adviser are long, otherwise 0.
+func adviceClass(q *model.Queue) int {
+	if q.Decide > longRequestTime {
+		return 1
+	}
+	return 0
+}
+
+// requestTime returns how long a request to the adviser takes.
+func requestTime(q *model.Queue) time.Duration {
+	return q.Decide + maxExecutorsPerRequest*q.Each
+}
--- /dev/null
+++ b/node/internal/plan/outlook.go
@@ -0,0 +1,241 @@
+package plan
+
+import (
+	"time"
+
+	"github.com/balsamford/balsamford/coord/model"
+)
+
+// A forecast goes over the waiting stages as the plan serves them, three times: under the teams'
+// limits, at the adviser and on the executors. Each stage takes the next supply when it has passed the
+// one before, so that work that can't use executors yet doesn't hold back work behind it. Jobs that
+// don't exist, one for each queue, size and mark of the quota, are put into the same order; when they
+// are served is what new jobs have to expect.
+
+// probe is a job that doesn't exist, in a forecast.
+type probe struct {
+	queue model.Queue
+	size  int
+	over  int // 1 if beyond the quota
+	stage *stage
+}
+
+// probes returns the jobs to forecast.
+func (s *State) probes(now time.Time) []probe {
+	var out []probe
+	for name, q := range s.config.Queues {
+		record := s.forecaster.queues[name]
+		if record == nil {
+			continue
+		}
+		for size := range record.typical {
+			t := &record.typical[size]
+			if !t.known {
+				continue
+			}
+			for over := range 2 {
+				spec := &model.Job{Queue: name, Steps: []model.Step{{Count: 1, Estimate: t.path}}, Sent: now}
+				j := &job{spec: spec, queue: q, criticalPath: t.path, overQuota: over == 1}
+				j.queue.Name = name
+				st := &stage{occur: &occurrence{job: j}, spec: &spec.Steps[0], waiting: 1, path: max(t.path, 1)}
+				out = append(out, probe{queue: j.queue, size: size, over: over, stage: st})
+			}
+		}
+	}
+	return out
+}
+
+// noteScarcity notes what the waiting stages wait for.
+func (s *State) noteScarcity(now time.Time) {
+	f := &s.forecaster
+	f.prepare()
+	full, limited, advised := make(map[string]bool), make(map[string]bool), [2]bool{}
+	for _, w := range f.waiting {
+		st := w.stage
+		if st.waiting == 0 || st.lastBlocked.IsZero() {
+			continue
+		}
+		j := st.occur.job
+		switch {
+		case st.blockCause == blockedByLimit:
+			limited[j.spec.Team] = true
+		case s.advised(j, now) && (!st.advice.requestedAt.IsZero() || !s.adviceSlotFree(adviceClass(&j.queue) == 1, now)):
+			advised[adviceClass(&j.queue)] = true
+		default:
+			full[j.queue.Service] = true
+		}
+	}
+	for service := range full {
+		f.room(service)
+	}
+	for service, r := range f.rooms {
+		r.noteScarce(full[service], now)
+	}
+	for team := range limited {
+		f.limit(team)
+	}
+	for team, l := range f.limits {
+		for i := range l {
+			l[i].noteScarce(limited[team], now)
+		}
+	}
+	for i := range f.advice {
+		f.advice[i].noteScarce(advised[i], now)
+	}
+}
+
+// fillForecast makes a forecast.
+func (s *State) fillForecast(out *Forecast, now time.Time) {
+	f := &s.forecaster
+	out.Trust = Trust{Limit: f.checks.trust(blockedByLimit, now), Room: f.checks.trust(blockedByCapacity, now), Advice: f.checks.trust(blockedByAdvice, now)}
+	if s.config == nil || !f.scarce() {
+		return
+	}
+	all, demands := make([]*demand, 0, len(f.waiting)), make([]demand, len(f.waiting))
+	for i, w := range f.waiting {
+		if w.stage.waiting > 0 && !w.stage.occur.job.phase.Final() {
+			demands[i].stage = w.stage
+			all = append(all, &demands[i])
+		}
+	}
+	probes := s.probes(now)
+	out.Queues = make(map[string]*QueueForecast)
+	for _, p := range probes {
+		if out.Queues[p.queue.Name] == nil {
+			record := f.queues[p.queue.Name]
+			out.Queues[p.queue.Name] = &QueueForecast{RunTime: record.leastRunTime(), Pace: record.started.rate(now, flowBuckets*flowBucket)}
+		}
+	}
+	s.forecastQuotas(out, now)
+	s.forecastLimits(out, all, probes, now)
+	s.forecastAdvice(out, all, probes, now)
+	s.forecastRoom(out, all, probes, now)
+}
+
+// scarce reports whether work waits for anything.
+func (f *forecaster) scarce() bool {
+	for _, r := range f.rooms {
+		if !r.scarce.IsZero() {
+			return true
+		}
+	}
+	for _, l := range f.limits {
+		if !l[0].scarce.IsZero() {
+			return true
+		}
+	}
+	return !f.advice[0].scarce.IsZero() || !f.advice[1].scarce.IsZero()
+}
+
+// forecastQuotas sets what is left of the teams' quotas, for those that have used them up.
+func (s *State) forecastQuotas(out *Forecast, now time.Time) {
+	out.Teams = make(map[string]*TeamForecast)
+	for name, c := range s.config.Teams {
+		t := s.teams[name]
+		if t == nil || c.Weight <= 0 || t.refilledAt.IsZero() {
+			continue
+		}
+		if left := t.tokens + c.Weight*max(0, now.Sub(t.refilledAt).Seconds()); left < 1 {
+			out.Teams[name] = &TeamForecast{Jobs: left}
+		}
+	}
+}
+
+// forecastAdvice sets the waits for the adviser: for a slot, without the request itself.
+func (s *State) forecastAdvice(out *Forecast, all []*demand, probes []probe, now time.Time) {
+	for class := range s.forecaster.advice {
+		slots := &s.forecaster.advice[class]
+		if slots.scarce.IsZero() {
+			continue
+		}
+		var asked []*demand
+		for _, d := range all {
+			j := d.stage.occur.job
+			if !s.advised(j, now) || adviceClass(&j.queue) != class {
+				continue
+			}
+			d.work = requestTime(&j.queue).Seconds()
+			if !d.stage.advice.requestedAt.IsZero() || len(d.stage.advice.tickets) > 0 {
+				d.work = 0 // A request is pending or answered.
+			}
+			asked = append(asked, d)
+		}
+		waiting := len(asked)
+		for _, p := range probes {
+			if p.queue.Advised && adviceClass(&p.queue) == class {
+				asked = append(asked, &demand{stage: p.stage, probe: true})
+			}
+		}
+		pace := slots.pace(float64(max(1, s.adviceSlots)), now)
+		serve(now, asked, false, func(int) float64 { return pace })
+		at := waiting
+		for _, p := range probes {
+			if p.queue.Advised && adviceClass(&p.queue) == class {
+				out.Queues[p.queue.Name].Advice[p.over][p.size] = seconds(asked[at].start).Milliseconds()
+				at++
+			}
+		}
+		for _, d := range asked[:waiting] {
+			d.release = max(d.release, d.end)
+		}
+	}
+}
+
+// forecastRoom sets the waits for executors.
+func (s *State) forecastRoom(out *Forecast, all []*demand, probes []probe, now time.Time) {
+	out.Services = make(map[string]model.Amount)
+	for service, room := range s.forecaster.rooms {
+		if room.scarce.IsZero() {
+			continue
+		}
+		cores, free := 0.0, model.Amount{}
+		for _, e := range s.executors {
+			if e.info.Service != service || !s.schedulable(e, now) {
+				continue
+			}
+			cores += float64(e.info.Room.CPU) / 1000
+			left := e.free()
+			free = model.Amount{CPU: max(free.CPU, left.CPU), Memory: max(free.Memory, left.Memory), Accel: max(free.Accel, left.Accel)}
+		}
+		out.Services[service] = free
+		if cores == 0 {
+			continue // Nothing can be said about executors that will come.
+		}
+		var asked []*demand
+		for _, d := range all {
+			if j := d.stage.occur.job; j.queue.Service == service {
+				d.work = coreSeconds(d.stage.spec) * float64(d.stage.waiting)
+				asked = append(asked, d)
+			}
+		}
+		waiting := len(asked)
+		for _, p := range probes {
+			if p.queue.Service == service {
+				asked = append(asked, &demand{stage: p.stage, probe: true})
+			}
+		}
+		serve(now, asked, true, room.paces(cores, now))
+		at := waiting
+		for _, p := range probes {
+			if p.queue.Service == service {
+				out.Queues[p.queue.Name].Room[p.over][p.size] = seconds(asked[at].start).Milliseconds()
+				at++
+			}
+		}
+	}
+}
+
+// paces returns the pace at which work of a rank is served: what is left by better work that keeps
+// arriving, but a quarter of all at least, since bursts end.
+func (r *roomSupply) paces(cores float64, now time.Time) func(rank int) float64 {
+	all := r.pace(cores, now)
+	var left [maxForecastRank + 2]float64
+	rest := all
+	for rank := range left {
+		left[rank] = max(rest, all*minPaceShare)
+		if rank <= maxForecastRank {
+			rest -= r.arrived[rank].rate(now, flowBuckets*flowBucket)
+		}
+	}
+	return func(rank int) float64 { return left[min(max(0, rank), len(left)-1)] }
+}
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -51,7 +51,8 @@
 	inheritedClosed map[string]bool
 	leaseEnds       map[string]time.Time // when the leases end on some executors that the previous owner closed
 	forgotten       []string             // jobs that were forgotten, until TakeForgotten returns them
-	orders          Orders               // to be returned by Decide
+	forecaster      forecaster
+	orders          Orders // to be returned by Decide
 }
 
 // New returns an empty State with the given configuration, which may be nil.
