--- a/node/internal/plan/forecast.go
+++ b/node/internal/plan/forecast.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"math"
 	"time"
 
 	"github.com/balsamford/balsamford/coord/model"
@@ -22,21 +23,12 @@
 // measured last. What isn't listed is expected not to wait. It must not be changed.
 type Forecast struct {
 	Unknown  bool                       `cbor:"1,keyasint,omitempty"` // nothing can be said
-	Trust    Trust                      `cbor:"2,keyasint,omitempty"`
 	Queues   map[string]*QueueForecast  `cbor:"3,keyasint,omitempty"` // by queue
 	Teams    map[string]*TeamForecast   `cbor:"4,keyasint,omitempty"` // by team
 	Services map[string]model.Amount    `cbor:"5,keyasint,omitempty"` // by service, the most that an executor has free, of each resource
 	Limits   map[string][]LimitForecast `cbor:"6,keyasint,omitempty"` // by team, its waits for its limit
 }
 
-// Trust is the share of a forecast wait that is almost certain, in percent, by the cause of the wait.
-// It follows from how well earlier forecasts held.
-type Trust struct {
-	Limit  int `cbor:"1,keyasint,omitempty"`
-	Room   int `cbor:"2,keyasint,omitempty"`
-	Advice int `cbor:"3,keyasint,omitempty"`
-}
-
 // Waits are waits in milliseconds, by size.
 type Waits [SizeClasses]int64
 
@@ -46,11 +38,15 @@
 	Advice  [2]Waits `cbor:"2,keyasint"`           // the same
 	RunTime int      `cbor:"3,keyasint,omitempty"` // least run time to expect, in percent of the estimate; 0 if that isn't known
 	Pace    float64  `cbor:"4,keyasint,omitempty"` // jobs that started per second
+	// Margins are the factors by which waits may be too long, within and beyond the quota. They follow
+	// from how well forecasts held lately.
+	Margins [2]float64 `cbor:"5,keyasint"`
 }
 
 // TeamForecast tells how much of its quota a team has left.
 type TeamForecast struct {
 	Jobs float64 `cbor:"1,keyasint"` // that it may submit now
+	Rate float64 `cbor:"2,keyasint"` // by which they grow per second
 }
 
 // LimitForecast has the waits of a team's new jobs of a queue until they fit under its limit.
@@ -102,6 +98,18 @@
 	return d
 }
 
+// Margin returns the factor by which the forecast wait of a job may be too long.
+func (f *Forecast) Margin(j *model.Job, beyondQuota bool) float64 {
+	q := f.Queues[j.Queue]
+	switch {
+	case q == nil:
+		return maxMargin
+	case beyondQuota:
+		return max(minMargin, q.Margins[1])
+	}
+	return max(minMargin, q.Margins[0])
+}
+
 // mayFit reports whether the first tasks of a job may fit on executors at once. Tasks that waited
 // before it are larger then.
 func (f *Forecast) mayFit(j *model.Job) bool {
@@ -120,10 +128,14 @@
 	return true
 }
 
-// Beyond reports whether a team has used its quota up.
-func (f *Forecast) Beyond(team string) bool {
+// Left returns how many jobs a team may submit within its quota, on one of so many hosts, by a forecast of
+// the given age. Hosts share what the quota has gained since.
+func (f *Forecast) Left(team string, age time.Duration, hosts int) float64 {
 	t := f.Teams[team]
-	return t != nil && t.Jobs < 1
+	if t == nil {
+		return math.Inf(1)
+	}
+	return t.Jobs + t.Rate*age.Seconds()/float64(max(1, hosts))
 }
 
 // RunTime returns the least time that the steps of a job are expected to take once they start.
--- a/node/internal/plan/forecaster.go
+++ b/node/internal/plan/forecaster.go
@@ -16,6 +16,8 @@
 	runTimeSmoothing = 0.05
 	// minTypicalRuns is the number of runs from which learned run times are used.
 	minTypicalRuns = 20
+	// maxValuedShare is the share of jobs that start in time from which jobs like them aren't rejected.
+	maxValuedShare = 0.125
 )
 
 // forecaster holds what forecasts are made from. The zero value has measured nothing.
@@ -42,11 +44,14 @@
 
 // queueRecord is what is learned of a queue's jobs.
 type queueRecord struct {
-	started   flow // jobs
+	started   flow    // jobs
+	arrived   [2]flow // jobs, within and beyond the quota
+	valued    [2]flow // the same that started early enough to end with value
 	typical   [SizeClasses]typicalJob
-	runs      int     // that were timed
-	ratio     float64 // mean of run times divided by estimates
-	deviation float64 // mean deviation from ratio
+	runs      int        // that were timed
+	ratio     float64    // mean of run times divided by estimates
+	deviation float64    // mean deviation from ratio
+	margins   [2]float64 // of forecasts, within and beyond the quota
 }
 
 // typicalJob is the mean of recent jobs of a queue and size.
@@ -87,7 +92,7 @@
 	f.prepare()
 	q := f.queues[name]
 	if q == nil {
-		q = &queueRecord{}
+		q = &queueRecord{margins: [2]float64{defaultMargin, defaultMargin}}
 		f.queues[name] = q
 	}
 	return q
@@ -104,10 +109,34 @@
 		rank += overQuotaRankPenalty
 	}
 	f.room(j.queue.Service).arrived[min(max(0, rank), maxForecastRank)].add(now, work)
-	f.queue(j.spec.Queue).typical[sizeClass(work)].learn(j)
-	if f.last != nil && !f.last.Unknown {
-		f.checks.add(j.spec.ID, f.last.Wait(j.spec, j.overQuota), now)
+	q := f.queue(j.spec.Queue)
+	q.typical[sizeClass(work)].learn(j)
+	q.arrived[j.quotaMark()].add(now, 1)
+	if f.last == nil || f.last.Unknown {
+		return
+	}
+	d, worthless := f.last.Wait(j.spec, j.overQuota), lateFactor*j.objective()
+	if _, wait := d.Longest(); wait > 0 && wait+f.last.RunTime(j.spec) > worthless {
+		f.checks.add(j.spec.ID, &q.margins[j.quotaMark()], now.Add(worthless))
+	}
+}
+
+// quotaMark returns 1 if the job exceeds its team's quota, otherwise 0.
+func (j *job) quotaMark() int {
+	if j.overQuota {
+		return 1
+	}
+	return 0
+}
+
+// margin returns the factor by which forecasts for jobs with a mark of the quota may be too long. While
+// many of these jobs start in time, no forecast to the contrary holds: small tasks fit between large ones
+// that wait before them, which a forecast doesn't see.
+func (q *queueRecord) margin(mark int, now time.Time) float64 {
+	if q.valued[mark].rate(now, paceWindow) > maxValuedShare*q.arrived[mark].rate(now, paceWindow) {
+		return maxMargin
 	}
+	return q.margins[mark]
 }
 
 // learn updates the typical job.
@@ -141,15 +170,16 @@
 	}
 	if first := st.waiting == len(st.tasks)-1; first {
 		if st.index == 0 {
-			f.queue(j.spec.Queue).started.add(now, 1)
+			q := f.queue(j.spec.Queue)
+			q.started.add(now, 1)
+			if objective := j.objective(); objective > 0 && !now.Add(st.remainingPath()).After(j.spec.Sent.Add(lateFactor*objective)) {
+				q.valued[j.quotaMark()].add(now, 1)
+			}
 		}
 		if s.advised(j, now) {
 			f.advice[adviceClass(&j.queue)].started.add(now, requestTime(&j.queue).Seconds())
 		}
 	}
-	if st.waiting == 0 {
-		f.checks.resolve(j.spec.ID, now)
-	}
 }
 
 // noteRunTime learns how long runs of a queue take compared to their estimates. Runs that resumed
--- a/node/internal/plan/limitforecast.go
+++ b/node/internal/plan/limitforecast.go
@@ -21,7 +21,7 @@
 			d.work = float64(resources(stepSeconds(d.stage.spec, d.stage.waiting))[kind])
 		}
 		over := 0
-		if out.Beyond(team) {
+		if out.Left(team, 0, 1) < 1 {
 			over = 1
 		}
 		asked := demands[:len(demands):len(demands)]
--- a/node/internal/plan/outlook.go
+++ b/node/internal/plan/outlook.go
@@ -87,7 +87,6 @@
 // fillForecast makes a forecast.
 func (s *State) fillForecast(out *Forecast, now time.Time) {
 	f := &s.forecaster
-	out.Trust = Trust{Limit: f.checks.trust(blockedByLimit, now), Room: f.checks.trust(blockedByCapacity, now), Advice: f.checks.trust(blockedByAdvice, now)}
 	if s.config == nil || !f.scarce() {
 		return
 	}
@@ -103,7 +102,7 @@
 	for _, p := range probes {
 		if out.Queues[p.queue.Name] == nil {
 			record := f.queues[p.queue.Name]
-			out.Queues[p.queue.Name] = &QueueForecast{RunTime: record.leastRunTime(), Pace: record.started.rate(now, flowBuckets*flowBucket)}
+			out.Queues[p.queue.Name] = &QueueForecast{Margins: [2]float64{record.margin(0, now), record.margin(1, now)}, RunTime: record.leastRunTime(), Pace: record.started.rate(now, flowBuckets*flowBucket)}
 		}
 	}
 	s.forecastQuotas(out, now)
@@ -127,7 +126,7 @@
 	return !f.advice[0].scarce.IsZero() || !f.advice[1].scarce.IsZero()
 }
 
-// forecastQuotas sets what is left of the teams' quotas, for those that have used them up.
+// forecastQuotas sets what is left of the teams' quotas.
 func (s *State) forecastQuotas(out *Forecast, now time.Time) {
 	out.Teams = make(map[string]*TeamForecast)
 	for name, c := range s.config.Teams {
@@ -135,9 +134,9 @@
 		if t == nil || c.Weight <= 0 || t.refilledAt.IsZero() {
 			continue
 		}
-		if left := t.tokens + c.Weight*max(0, now.Sub(t.refilledAt).Seconds()); left < 1 {
-			out.Teams[name] = &TeamForecast{Jobs: left}
-		}
+		burst := c.Weight*s.quotaWindow.Seconds() + float64(s.quotaSlack)
+		left := min(burst, t.tokens+c.Weight*max(0, now.Sub(t.refilledAt).Seconds()))
+		out.Teams[name] = &TeamForecast{Jobs: left, Rate: c.Weight}
 	}
 }
 
@@ -232,7 +231,7 @@
 	var left [maxForecastRank + 2]float64
 	rest := all
 	for rank := range left {
-		left[rank] = max(rest, all*minPaceShare)
+		left[rank] = max(rest, all*minRankShare)
 		if rank <= maxForecastRank {
 			rest -= r.arrived[rank].rate(now, flowBuckets*flowBucket)
 		}
--- a/node/internal/plan/supply.go
+++ b/node/internal/plan/supply.go
@@ -8,6 +8,9 @@
 	// minPaceShare times the nominal pace is the least pace that is expected. Executors that
 	// start nothing for a moment, after a fault for instance, usually go on.
 	minPaceShare = 0.25
+	// minRankShare times the pace is the least pace that is expected for work of any rank, since the arrival
+	// of better work varies.
+	minRankShare = 0.1
 )
 
 // supply is something that waiting work takes in turn: the executors of a service, the limit of a
