--- a/node/internal/plan/forecaster.go
+++ b/node/internal/plan/forecaster.go
@@ -7,9 +7,6 @@
 )
 
 const (
-	// maxForecastRank is the highest rank whose arrivals are told apart: the lowest priority in use,
-	// beyond the quota.
-	maxForecastRank = 7
 	// typicalSmoothing is the weight of a job in the typical one of its queue and size.
 	typicalSmoothing = 0.1
 	// runTimeSmoothing is the weight of a run in the learned run times of its queue.
@@ -25,7 +22,7 @@
 	since    time.Time // first forecast; zero before it
 	last     *Forecast // nil before the first one
 	waiting  []waitingStage
-	rooms    map[string]*roomSupply  // by service
+	rooms    map[string]*supply      // of core-seconds, by service
 	limits   map[string]*limitSupply // by team
 	advice   [2]supply               // slots of the adviser, in seconds of short and of long requests
 	queues   map[string]*queueRecord // by queue
@@ -33,12 +30,6 @@
 	measured bool // the maps exist
 }
 
-// roomSupply is the capacity of a service's executors, in core-seconds.
-type roomSupply struct {
-	supply
-	arrived [maxForecastRank + 1]flow // by rank
-}
-
 // limitSupply is a team's limit, in seconds of each resource.
 type limitSupply [3]supply
 
@@ -63,16 +54,16 @@
 // prepare makes the maps.
 func (f *forecaster) prepare() {
 	if !f.measured {
-		f.rooms, f.limits, f.queues = make(map[string]*roomSupply), make(map[string]*limitSupply), make(map[string]*queueRecord)
+		f.rooms, f.limits, f.queues = make(map[string]*supply), make(map[string]*limitSupply), make(map[string]*queueRecord)
 		f.measured = true
 	}
 }
 
-func (f *forecaster) room(service string) *roomSupply {
+func (f *forecaster) room(service string) *supply {
 	f.prepare()
 	r := f.rooms[service]
 	if r == nil {
-		r = &roomSupply{}
+		r = &supply{}
 		f.rooms[service] = r
 	}
 	return r
@@ -108,7 +99,15 @@
 	if j.overQuota {
 		rank += overQuotaRankPenalty
 	}
-	f.room(j.queue.Service).arrived[min(max(0, rank), maxForecastRank)].add(now, work)
+	f.room(j.queue.Service).arrive(rank, work, now)
+	if limit := s.limit(j.spec); limit != (model.Amount{}) {
+		l := f.limit(j.spec.Team)
+		for i := range j.spec.Steps {
+			for kind, n := range resources(stepSeconds(&j.spec.Steps[i], j.spec.Steps[i].Count)) {
+				l[kind].arrive(rank, float64(n), now)
+			}
+		}
+	}
 	q := f.queue(j.spec.Queue)
 	q.typical[sizeClass(work)].learn(j)
 	q.arrived[j.quotaMark()].add(now, 1)
@@ -133,7 +132,7 @@
 // many of these jobs start in time, no forecast to the contrary holds: small tasks fit between large ones
 // that wait before them, which a forecast doesn't see.
 func (q *queueRecord) margin(mark int, now time.Time) float64 {
-	if q.valued[mark].rate(now, paceWindow) > maxValuedShare*q.arrived[mark].rate(now, paceWindow) {
+	if q.valued[mark].rate(now, flowBuckets*flowBucket) > maxValuedShare*q.arrived[mark].rate(now, flowBuckets*flowBucket) {
 		return maxMargin
 	}
 	return q.margins[mark]
--- a/node/internal/plan/limitforecast.go
+++ b/node/internal/plan/limitforecast.go
@@ -33,8 +33,7 @@
 				probed, origins, asked = append(probed, d), append(origins, p), append(asked, d)
 			}
 		}
-		pace := s.forecaster.limits[team][kind].pace(nominal*1000, now) // Needs are in milliseconds.
-		serve(now, asked, false, func(int) float64 { return pace })
+		serve(now, asked, false, s.forecaster.limits[team][kind].paces(nominal*1000, now)) // Needs are in milliseconds.
 		waits := make(map[string]*Waits)
 		for i, d := range probed {
 			name := origins[i].queue.Name
--- a/node/internal/plan/outlook.go
+++ b/node/internal/plan/outlook.go
@@ -69,18 +69,18 @@
 		f.room(service)
 	}
 	for service, r := range f.rooms {
-		r.noteScarce(full[service], now)
+		r.observe(full[service], now)
 	}
 	for team := range limited {
 		f.limit(team)
 	}
 	for team, l := range f.limits {
 		for i := range l {
-			l[i].noteScarce(limited[team], now)
+			l[i].observe(limited[team], now)
 		}
 	}
 	for i := range f.advice {
-		f.advice[i].noteScarce(advised[i], now)
+		f.advice[i].observe(advised[i], now)
 	}
 }
 
@@ -223,18 +223,3 @@
 		}
 	}
 }
-
-// paces returns the pace at which work of a rank is served: what is left by better work that keeps
-// arriving, but a quarter of all at least, since bursts end.
-func (r *roomSupply) paces(cores float64, now time.Time) func(rank int) float64 {
-	all := r.pace(cores, now)
-	var left [maxForecastRank + 2]float64
-	rest := all
-	for rank := range left {
-		left[rank] = max(rest, all*minRankShare)
-		if rank <= maxForecastRank {
-			rest -= r.arrived[rank].rate(now, flowBuckets*flowBucket)
-		}
-	}
-	return func(rank int) float64 { return left[min(max(0, rank), len(left)-1)] }
-}
