front, owner: jobs that would end worthless are rejected at once

Cause: nothing checks at acceptance whether a job can still be in time. Change: the reply to a notification carries the owner's forecast once for each host, at most four a second; a host that rejects jobs asks for it by an empty notification. The front service asks admit before it stores a job, and answers 503 with a Retry-After if the verdict is against the job and neither the owner nor the store knows it as accepted. Jobs that a host has accepted aren't decided on again for 15 s, since their write may be in doubt.

--- a/node/internal/admit/gate.go
+++ b/node/internal/admit/gate.go
@@ -17,6 +17,9 @@
 	// minReturnPace is the least pace at which jobs of a lane are asked to return, per second. Without
 	// it the first job of a queue that has started nothing would return never.
 	minReturnPace = 0.2
+	// passTime is how long a job that was accepted isn't decided on again. Its write may be in progress, or in doubt,
+	// so that a rejection might not be true; clients try again within that time.
+	passTime = 15 * time.Second
 	// sampleInterval is the share of the verdicts against jobs of a lane that aren't carried out. The
 	// owner needs them to see whether forecasts hold, and no lane is starved by wrong ones.
 	sampleInterval = 8
@@ -40,14 +43,15 @@
 	latest   map[lane]time.Time // when the last job of a lane is due
 	expected map[lane]int       // jobs of a lane that are to return
 	swept    time.Time
-	forecast *plan.Forecast // that sent refers to
-	sent     map[string]int // jobs that were accepted under it, by team
-	turns    map[lane]int   // verdicts against jobs
+	forecast *plan.Forecast       // that sent refers to
+	sent     map[string]int       // jobs that were accepted under it, by team
+	turns    map[lane]int         // verdicts against jobs
+	passed   map[string]time.Time // when jobs were accepted
 }
 
 // New returns a Gate that has rejected no job.
 func New() *Gate {
-	return &Gate{absences: make(map[string]absence), latest: make(map[lane]time.Time), expected: make(map[lane]int), sent: make(map[string]int), turns: make(map[lane]int)}
+	return &Gate{absences: make(map[string]absence), latest: make(map[lane]time.Time), expected: make(map[lane]int), sent: make(map[string]int), turns: make(map[lane]int), passed: make(map[string]time.Time)}
 }
 
 // Decide decides on a job at now by a forecast of the given age, which may be nil. hosts is the number of
@@ -56,6 +60,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sweep(now)
+	if _, ok := g.passed[job.ID]; ok {
+		return Verdict{Objective: plan.Objective(job)}
+	}
 	if forecast != g.forecast {
 		g.forecast = forecast
 		clear(g.sent)
@@ -87,7 +94,7 @@
 	}
 	switch {
 	case !v.Rejected:
-		g.forget(job.ID)
+		g.pass(job.ID, now)
 		g.sent[job.Team]++
 	case early:
 		v.Retry = wholeSeconds(before.due.Sub(now)) // It keeps its place.
@@ -103,11 +110,16 @@
 	return v
 }
 
-// Forget notes that a job that was rejected is accepted after all.
-func (g *Gate) Forget(id string) {
+// Pass notes at now that a job is accepted whatever the verdict was.
+func (g *Gate) Pass(now time.Time, id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.pass(id, now)
+}
+
+func (g *Gate) pass(id string, now time.Time) {
 	g.forget(id)
+	g.passed[id] = now
 }
 
 // expect notes when a rejected job is expected to return.
@@ -174,6 +186,11 @@
 		return
 	}
 	g.swept = now
+	for id, at := range g.passed {
+		if now.Sub(at) > passTime {
+			delete(g.passed, id)
+		}
+	}
 	for id, x := range g.absences {
 		if now.Sub(x.due) > returnWindow {
 			g.forget(id)
--- a/node/internal/owner/owner.go
+++ b/node/internal/owner/owner.go
@@ -70,6 +70,7 @@
 	offers        chan handover     // offers of ownership from a resigning owner
 	notifications chan notification // to be sent to the owner
 	rowCreator    RowCreator        // creates rows on behalf of other hosts
+	held          heldForecast      // of the owner on another host
 
 	mu         sync.Mutex // guards the fields below
 	term       *term      // current term, nil if this host doesn't own the cell
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -91,6 +91,7 @@
 	writeAheadZone    string                   // zone in which runs are recorded before they start, may be empty
 	heldStarts        map[string][]plan.Start  // starts that wait for their record, by job
 	endsSent          map[string]bool          // jobs whose end was sent to the store with unknown outcome so far
+	made              madeForecast             // the last forecast
 	untrimmed         []string                 // ended jobs without runs whose submissions aren't deleted yet
 	lastTrim          time.Time                // when trimSubmissions last wrote
 }
