--- a/node/internal/plan/forecast_test.go
+++ b/node/internal/plan/forecast_test.go
@@ -35,7 +35,7 @@
 	is.True(!f.Unknown)
 	urgent, bulk := f.Wait(job("urgent"), false), f.Wait(job("bulk"), false)
 	is.True(urgent.Room < 500*time.Millisecond)
-	is.True(bulk.Room > time.Second) // behind the tasks that wait
+	is.True(bulk.Room > time.Second)                        // behind the tasks that wait
 	is.True(f.Wait(job("urgent"), true).Room > time.Second) // behind all that can be in time
 	s.Pause(true)
 	s.Decide(load.now)
