--- a/node/internal/front/admission_test.go
+++ b/node/internal/front/admission_test.go
@@ -39,7 +39,7 @@
 	noted    atomic.Int32
 	asked    atomic.Int32
 	age      time.Duration
-	forecast *plan.Forecast
+	forecast atomic.Pointer[plan.Forecast]
 }
 
 func (f *fakes) Write(*platform.Write) (int64, error) {
@@ -70,7 +70,7 @@
 func (f *fakes) State(string) (owner.JobState, bool) {
 	return owner.JobState{Known: f.owned.Load(), Queue: fake.QueueName}, f.owned.Load()
 }
-func (f *fakes) Forecast() (*plan.Forecast, time.Duration) { return f.forecast, f.age }
+func (f *fakes) Forecast() (*plan.Forecast, time.Duration) { return f.forecast.Load(), f.age }
 func (f *fakes) RefreshForecast()                          { f.asked.Add(1) }
 func (f *fakes) Hosts() int                                { return 1 }
 
@@ -133,20 +133,21 @@
 	}{
 		"overload":                    {code: http.StatusServiceUnavailable},
 		"forecast isn't fresh":        {code: http.StatusServiceUnavailable, asked: 1, change: func(f *fakes) { f.age = 400 * time.Millisecond }},
-		"no backlog":                  {code: http.StatusOK, writes: 1, change: func(f *fakes) { f.forecast = &plan.Forecast{} }},
-		"host hasn't heard":           {code: http.StatusOK, writes: 1, change: func(f *fakes) { f.forecast = nil }},
+		"no backlog":                  {code: http.StatusOK, writes: 1, change: func(f *fakes) { f.forecast.Store(&plan.Forecast{}) }},
+		"host hasn't heard":           {code: http.StatusOK, writes: 1, change: func(f *fakes) { f.forecast.Store(nil) }},
 		"owner killed or cut off":     {code: http.StatusOK, writes: 1, change: func(f *fakes) { f.age = 1100 * time.Millisecond }},
-		"owner has just taken over":   {code: http.StatusOK, writes: 1, change: func(f *fakes) { f.forecast.Unknown = true }},
+		"owner has just taken over":   {code: http.StatusOK, writes: 1, change: func(f *fakes) { f.forecast.Load().Unknown = true }},
 		"accepted, the owner knows":   {code: http.StatusOK, change: func(f *fakes) { f.owned.Store(true) }},
 		"accepted, only stored":       {code: http.StatusOK, change: func(f *fakes) { f.stored.Store(true) }},
 		"store fails reads":           {code: http.StatusOK, writes: 1, change: func(f *fakes) { f.away.Store(true) }},
 		"store fails reads and write": {code: http.StatusServiceUnavailable, change: func(f *fakes) { f.away.Store(true); f.refused.Store(true) }},
-		"accepted, store fails write": {code: http.StatusServiceUnavailable, change: func(f *fakes) { f.forecast = nil; f.refused.Store(true) }},
+		"accepted, store fails write": {code: http.StatusServiceUnavailable, change: func(f *fakes) { f.forecast.Store(nil); f.refused.Store(true) }},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			f, r := &fakes{forecast: overloaded()}, metrics.NewRegistry()
+			f, r := &fakes{}, metrics.NewRegistry()
+			f.forecast.Store(overloaded())
 			if tt.change != nil {
 				tt.change(f)
 			}
@@ -173,7 +174,7 @@
 	is.Equal(code, http.StatusServiceUnavailable) // by the store
 	f.refused.Store(false)
 	waits := plan.Waits{60_000, 60_000, 60_000}
-	f.forecast = &plan.Forecast{Queues: map[string]*plan.QueueForecast{fake.QueueName: {Room: [2]plan.Waits{waits, waits}, Margins: [2]float64{1, 1}}}}
+	f.forecast.Store(&plan.Forecast{Queues: map[string]*plan.QueueForecast{fake.QueueName: {Room: [2]plan.Waits{waits, waits}, Margins: [2]float64{1, 1}}}})
 	code, _ = submit()
 	is.Equal(code, http.StatusOK)
 	is.Equal(f.writes.Load(), int32(1))
