plan: forecasts reuse the urgencies of the decision

Cause: each forecast computed the urgency of each waiting stage twice for each supply. Change: the first ones are those of the last decision.

--- a/node/internal/plan/limitforecast.go
+++ b/node/internal/plan/limitforecast.go
@@ -22,7 +22,7 @@
 		}
 		asked := demands[:len(demands):len(demands)]
 		for _, p := range probes {
-			asked = append(asked, &demand{stage: p.stage, probe: true})
+			asked = append(asked, p.demand())
 		}
 		serve(now, asked, false, s.forecaster.limits[team][kind].paces(nominal*1000, now)) // Needs are in milliseconds.
 		waits := make(map[string]*[2]Waits)
--- a/node/internal/plan/outlook.go
+++ b/node/internal/plan/outlook.go
@@ -14,12 +14,16 @@
 
 // probe is a job that doesn't exist, in a forecast.
 type probe struct {
-	queue model.Queue
-	size  int
-	over  int // 1 if beyond the quota
-	stage *stage
+	queue   model.Queue
+	size    int
+	over    int // 1 if beyond the quota
+	stage   *stage
+	urgency urgency // at the time of the forecast
 }
 
+// demand returns the probe as a demand without work.
+func (p *probe) demand() *demand { return &demand{stage: p.stage, first: p.urgency, probe: true} }
+
 // probes returns the jobs to forecast.
 func (s *State) probes(now time.Time) []probe {
 	var out []probe
@@ -38,7 +42,7 @@
 				j := &job{spec: spec, queue: q, criticalPath: t.path, overQuota: over == 1}
 				j.queue.Name = name
 				st := &stage{occur: &occurrence{job: j}, spec: &spec.Steps[0], waiting: 1, path: max(t.path, 1)}
-				out = append(out, probe{queue: j.queue, size: size, over: over, stage: st})
+				out = append(out, probe{queue: j.queue, size: size, over: over, stage: st, urgency: st.urgency(now)})
 			}
 		}
 	}
@@ -93,7 +97,7 @@
 	all, demands := make([]*demand, 0, len(f.waiting)), make([]demand, len(f.waiting))
 	for i, w := range f.waiting {
 		if w.stage.waiting > 0 && !w.stage.occur.job.phase.Final() {
-			demands[i].stage = w.stage
+			demands[i].stage, demands[i].first = w.stage, w.urgency
 			all = append(all, &demands[i])
 		}
 	}
@@ -162,7 +166,7 @@
 		waiting := len(asked)
 		for _, p := range probes {
 			if p.queue.Advised && adviceClass(&p.queue) == class {
-				asked = append(asked, &demand{stage: p.stage, probe: true})
+				asked = append(asked, p.demand())
 			}
 		}
 		pace := slots.pace(float64(max(1, s.adviceSlots)), now)
@@ -210,7 +214,7 @@
 		waiting := len(asked)
 		for _, p := range probes {
 			if p.queue.Service == service {
-				asked = append(asked, &demand{stage: p.stage, probe: true})
+				asked = append(asked, p.demand())
 			}
 		}
 		serve(now, asked, true, room.paces(cores, now))
--- a/node/internal/plan/serve.go
+++ b/node/internal/plan/serve.go
@@ -14,8 +14,9 @@
 // demand is waiting work in a forecast, in units of the supply that it waits for.
 type demand struct {
 	stage   *stage
-	probe   bool // it isn't work of the plan
-	urgency urgency
+	probe   bool    // it isn't work of the plan
+	first   urgency // at the time of the forecast
+	urgency urgency // when it is served
 	work    float64
 	release float64 // seconds from now until it can take the supply
 	start   float64 // result: seconds from now until its first part is served
@@ -59,7 +60,7 @@
 	var changed byUrgency // demands whose place in ready isn't known
 	probes := 0
 	for _, d := range demands {
-		d.urgency = d.stage.urgency(now)
+		d.urgency = d.first
 		d.start, d.end = forecastHorizon, forecastHorizon
 		switch {
 		case d.probe:
