plan: better work that keeps arriving also goes before others at the adviser

Change: requests of arriving jobs count by rank, as they do for executors and limits. Two more loads in the replays.

--- a/node/internal/admit/replay_test.go
+++ b/node/internal/admit/replay_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -66,24 +67,32 @@
 	made     time.Time
 	now      time.Time
 	rand     *rand.Rand
+	allow    *rand.Rand // of the adviser
 	jobs     map[string]*sent
 	all      []*sent
-	runs     map[time.Time][]plan.Start // by end
-	reject   bool                       // jobs are rejected; otherwise verdicts have no effect
-	load     float64                    // multiplies what teams usually send
-	most     int                        // largest number of tasks that waited
+	runs     map[time.Time][]plan.Start         // by end
+	reject   bool                               // jobs are rejected; otherwise verdicts have no effect
+	load     float64                            // multiplies what teams usually send
+	answers  map[time.Time][]plan.AdviceRequest // by the time of the answer
+	most     int                                // largest number of tasks that waited
 }
 
-func newReplay(seed uint64, reject bool, capacity model.Amount) *replay {
+func newReplay(seed uint64, reject bool, capacity model.Amount, slots int) *replay {
 	config := make([]model.Team, 0, len(teams))
 	for _, t := range teams {
 		config = append(config, model.Team{Name: t, Weight: 9, Limit: capacity})
 	}
+	all := slices.Clone(queues)
+	if slots > 0 {
+		all[1].Advised, all[1].Decide, all[1].Each, all[1].Valid = true, 500*time.Millisecond, 7*time.Millisecond, 2500*time.Millisecond
+	}
 	r := &replay{
-		config: model.NewConfig(1, queues, []model.Service{{Name: "s"}}, config), gate: admit.New(), now: start, rand: rand.New(rand.NewPCG(seed, 1)),
+		answers: make(map[time.Time][]plan.AdviceRequest),
+		config:  model.NewConfig(1, all, []model.Service{{Name: "s"}}, config), gate: admit.New(), now: start, rand: rand.New(rand.NewPCG(seed, 1)), allow: rand.New(rand.NewPCG(seed, 2)),
 		load: 1, jobs: make(map[string]*sent), runs: make(map[time.Time][]plan.Start), reject: reject,
 	}
 	r.state = plan.New(r.config)
+	r.state.SetAdviceSlots(max(1, slots))
 	for i := range executors {
 		id := fmt.Sprintf("e%d", i)
 		r.state.SetExecutor(model.Executor{ID: id, Service: "s", Room: model.Amount{CPU: cores * 1000, Memory: 1 << 20}})
@@ -139,7 +148,21 @@
 		}
 	}
 	delete(r.runs, r.now)
+	for _, q := range r.answers[r.now] {
+		tickets := make(map[string]string)
+		for _, id := range q.Executors {
+			if r.allow.IntN(3) == 0 {
+				tickets[id] = "ticket"
+			}
+		}
+		r.state.AdviceReceived(r.now, q, tickets, 2500*time.Millisecond)
+	}
+	delete(r.answers, r.now)
 	orders := r.state.Decide(r.now)
+	for _, q := range orders.AdviceRequests {
+		at := r.now.Add(q.EstimatedTime.Truncate(step) + step)
+		r.answers[at] = append(r.answers[at], q)
+	}
 	for _, o := range orders.Starts {
 		r.state.Started(r.now, o)
 		end := r.now.Add(r.jobs[o.Task.Job].kind.takes.Truncate(step))
@@ -225,11 +248,14 @@
 	tests := map[string]struct {
 		load  float64
 		limit model.Amount
+		slots int // of the adviser, which the long jobs need; 0 for none
 	}{
 		"usual load near capacity":     {load: 1},
 		"burst fills the executors":    {load: 1.1},
 		"backlog outlasts the burst":   {load: 1.2},
 		"limit of the team":            {load: 0.9, limit: model.Amount{CPU: 100_000}},
+		"adviser":                      {load: 0.9, slots: 3},
+		"adviser, more load":           {load: 1.1, slots: 4},
 		"limit of the team, more load": {load: 1.1, limit: model.Amount{CPU: 110_000}},
 	}
 	rejected, wrong := 0, 0
@@ -238,7 +264,7 @@
 			is := is.New(t)
 			var all, within, others outcome
 			for seed := range uint64(3) {
-				r := newReplay(seed, false, tt.limit)
+				r := newReplay(seed, false, tt.limit, tt.slots)
 				r.load = tt.load
 				r.run(100*time.Second, r.burst)
 				for sum, match := range map[*outcome]func(s *sent) bool{
@@ -256,7 +282,7 @@
 		})
 	}
 	is := is.New(t)
-	is.True(rejected >= 100)      // there is something to judge
+	is.True(rejected >= 200)      // there is something to judge
 	is.True(wrong*10 <= rejected) // nine of ten rejections are right
 }
 
@@ -264,7 +290,7 @@
 func TestRejectionsStarveNobody(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(3) {
-		without, with := newReplay(seed, false, model.Amount{}), newReplay(seed, true, model.Amount{})
+		without, with := newReplay(seed, false, model.Amount{}, 0), newReplay(seed, true, model.Amount{}, 0)
 		for _, r := range []*replay{without, with} {
 			r.load = 1.2 + 0.1*float64(seed)
 			r.run(100*time.Second, r.burst)
--- a/node/internal/plan/forecaster.go
+++ b/node/internal/plan/forecaster.go
@@ -100,6 +100,9 @@
 		rank += overQuotaRankPenalty
 	}
 	f.room(j.queue.Service).arrive(rank, work, now)
+	if s.advised(j, now) {
+		f.advice[adviceClass(&j.queue)].arrive(rank, requestTime(&j.queue).Seconds()*float64(len(j.spec.Steps)), now)
+	}
 	if limit := s.limit(j.spec); limit != (model.Amount{}) {
 		l := f.limit(j.spec.Team)
 		for i := range j.spec.Steps {
--- a/node/internal/plan/outlook.go
+++ b/node/internal/plan/outlook.go
@@ -169,8 +169,7 @@
 				asked = append(asked, p.demand())
 			}
 		}
-		pace := slots.pace(float64(max(1, s.adviceSlots)), now)
-		serve(now, asked, false, func(int) float64 { return pace })
+		serve(now, asked, false, slots.paces(float64(max(1, s.adviceSlots)), now))
 		at := waiting
 		for _, p := range probes {
 			if p.queue.Advised && adviceClass(&p.queue) == class {
