owner: a test of forecasts between programs

Cause: no test showed that the forecast survives the encoding, nor that earlier programs understand the new messages.

--- a/node/internal/owner/forecast_test.go
+++ b/node/internal/owner/forecast_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/balsamford/balsamford/coord/timer"
@@ -84,3 +85,30 @@
 	f, _ := tm.owner.Forecast()
 	is.Equal(f, nil)
 }
+
+// Hosts and owners with an earlier program, whose messages lack the forecast, and later ones understand each other.
+func TestForecastBetweenPrograms(t *testing.T) {
+	is := is.New(t)
+	sent := &notificationReply{ID: forecastID{2, 5}, Age: time.Millisecond, Forecast: &plan.Forecast{
+		Queues: map[string]*plan.QueueForecast{"q": {Room: [2]plan.Waits{{1, 2, 3}, {4, 5, 6}}, Margins: [2]float64{1.25, 100}}},
+		Teams:  map[string]*plan.TeamForecast{"t": {Jobs: 0.5, Rate: 8}}, Limits: map[string][]plan.LimitForecast{"t": {{Queue: "q", Waits: [2]plan.Waits{{7}}}}},
+	}}
+	data, err := cbor.Marshal(sent)
+	is.NoErr(err)
+	var got notificationReply
+	is.NoErr(cbor.Unmarshal(data, &got))
+	is.Equal(&got, sent)
+	is.NoErr(cbor.Unmarshal(data, &struct{}{})) // the earlier reply
+	data, err = cbor.Marshal(struct{}{})
+	is.NoErr(err)
+	got = notificationReply{}
+	is.NoErr(cbor.Unmarshal(data, &got))
+	is.Equal(got, notificationReply{})
+	data, err = cbor.Marshal(&notification{Cancelled: []string{"a"}, Seen: forecastID{2, 5}})
+	is.NoErr(err)
+	var earlier struct {
+		Cancelled []string `cbor:"2,keyasint,omitempty"`
+	}
+	is.NoErr(cbor.Unmarshal(data, &earlier))
+	is.Equal(earlier.Cancelled, []string{"a"})
+}
