admit: a returning job keeps at most a second from new ones

Cause: a job that was due to return added up to 5 s to the wait of new jobs, the spacing of a slow queue on one of many hosts. New jobs could be rejected that would have been served in time. Change: it adds the time in which the queue starts it, a second at most. Result: tests of admit pass.

--- a/node/internal/admit/gate.go
+++ b/node/internal/admit/gate.go
@@ -83,7 +83,9 @@
 		if !known || early {
 			due = g.due(l, now)
 		}
-		a.Ahead = time.Duration(due) * spacing
+		if q := forecast.Queues[job.Queue]; q != nil && q.Pace > 0 {
+			a.Ahead = min(returnWindow, time.Duration(float64(due)/q.Pace*float64(time.Second)))
+		}
 		a.BeyondQuota = forecast.Left(job.Team, age, hosts)-float64(g.sent[job.Team]+due) < 1
 	}
 	v := Decide(a, forecast, age)
