--- a/node/internal/plan/compose.go
+++ b/node/internal/plan/compose.go
@@ -18,9 +18,8 @@
 	// answer comes.
 	requestSurplus = 1.5
 	// backlogSurplus is the same under a backlog, where more of the capacity is taken, and
-	// maxFreedTasks the most tasks that an executor without free capacity counts for. In replayed
-	// loads with 8 to 15 executors for each slot, 2 and 2 used 0.90 of the capacity on average,
-	// 1.5 and 1 used 0.88, 1 and 1 used 0.82, 4 and 2 used 0.86.
+	// maxFreedTasks the most tasks that an executor without free capacity counts for. With less, capacity
+	// stays idle until the next answer; with more, long requests keep other stages waiting.
 	backlogSurplus = 2.0
 	maxFreedTasks  = 2.0
 	// maxRenewalLead is the largest part of a ticket's validity that may be left when it is
