--- a/trial/internal/soak/host.go
+++ b/trial/internal/soak/host.go
@@ -19,9 +19,11 @@
 const (
 	// gracePeriod is the maximum time from SIGTERM to the exit of a process.
 	gracePeriod = 6 * time.Second
-	// startupTime is the maximum time from the start of a process until it handles
-	// signals. An earlier SIGTERM or SIGHUP would kill it at once.
-	startupTime = 500 * time.Millisecond
+	// startupTime bounds the wait for the first log line of a process, and startupPoll is the time between
+	// two looks. A signal that comes before the process handles signals ends it at once; it logs only after
+	// that. On a loaded machine this has taken longer than half a second.
+	startupTime = 10 * time.Second
+	startupPoll = 5 * time.Millisecond
 	// dumpTime is how long a process that didn't exit in time may take to dump its goroutines.
 	dumpTime = time.Second
 )
@@ -44,8 +46,8 @@
 	mu            sync.Mutex // guards the fields below; held during a start, stop or pause
 	cmd           *exec.Cmd
 	startCount    int
-	startedAt     time.Time // last start, plus the length of later pauses
-	statusSeconds int       // setting: how long the state of an ended job can be queried
+	logStart      int64 // size of the log file at the last start
+	statusSeconds int   // setting: how long the state of an ended job can be queried
 }
 
 // newHost returns a host with addresses from ports and writes its settings file to dir.
@@ -86,7 +88,7 @@
 	h.cmd = exec.Command(h.binary, "--config", h.settingsPath) //nolint:gosec // The program under test.
 	h.cmd.Stdout, h.cmd.Stderr = out, out
 	h.startCount++
-	h.startedAt = time.Now()
+	h.logStart = h.logSize()
 	if err := h.cmd.Start(); err != nil {
 		return err
 	}
@@ -127,7 +129,20 @@
 }
 
 // awaitStartup waits until the process handles signals. The caller holds mu.
-func (h *host) awaitStartup() { time.Sleep(time.Until(h.startedAt.Add(startupTime))) }
+func (h *host) awaitStartup() {
+	for end := time.Now().Add(startupTime); h.logSize() == h.logStart && time.Now().Before(end); {
+		time.Sleep(startupPoll)
+	}
+}
+
+// logSize returns the size of the log file, 0 if there is none.
+func (h *host) logSize() int64 {
+	info, err := os.Stat(h.logPath)
+	if err != nil {
+		return 0
+	}
+	return info.Size()
+}
 
 // terminate stops the process with SIGTERM and waits for its exit. It returns why the
 // shutdown wasn't graceful, or an empty string. The caller holds mu.
@@ -186,7 +201,6 @@
 				return
 			}
 			time.Sleep(d)
-			h.startedAt = h.startedAt.Add(d) // The process may have been paused during its startup.
 			err = h.cmd.Process.Signal(syscall.SIGCONT)
 		})
 	})
