plan, owner: what a successor lacked after a planned hand-over

Cause: tickets in a handed-over state counted their validity from the receipt, up to 0.5 s too long, and were then refused. The successor didn't know which tasks had been moved and moved them again, nor which moves were under way, when checkpoints were saved, which runs had been confirmed in an earlier life, how many slots short requests need, how fast capacity becomes free, and what the adviser had been asked about occurrences still to come. Change: the offer states the state's age when its sender knew that it is held. That was after the receiver had said so, so that the receiver has a bound for the age at the receipt, however long messages took. Without the age no ticket is used.

--- a/node/internal/owner/handover.go
+++ b/node/internal/owner/handover.go
@@ -24,6 +24,9 @@
 	Version int64       `cbor:"2,keyasint"` // of the row
 	// State is the ID of the state that the first successor holds, empty if there is none.
 	State string `cbor:"3,keyasint,omitempty"`
+	// StateAge is for how long the state had existed when the sender learned that it is held. Zero
+	// if that isn't known: earlier programs don't send it.
+	StateAge time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // offerReply is the response to a handover.
@@ -32,9 +35,9 @@
 }
 
 // offer offers ownership to the successors in row, in order, until one accepts, and returns its
-// name. The row is this host's resignation. The first successor holds the state of that ID, if it
+// name. The row is this host's resignation. The first successor holds the state that is named, if it
 // isn't empty. Successors that get no offer see the resignation on the board a little later.
-func (o *Owner) offer(row board.Owner, version int64, state string) string {
+func (o *Owner) offer(row board.Owner, version int64, state putOutcome) string {
 	if o.node == nil {
 		return ""
 	}
@@ -45,13 +48,13 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
 		var t offerReply
-		err := o.node.Call(ctx, h.Link, offerVerb, &handover{Row: row, Version: version, State: state}, &t)
+		err := o.node.Call(ctx, h.Link, offerVerb, &handover{Row: row, Version: version, State: state.id, StateAge: state.age}, &t)
 		cancel()
 		o.logger.Info("ownership offered", zap.String("to", name), zap.Int64("epoch", row.Epoch), zap.Bool("taken", t.Taken), zap.Error(err))
 		if err == nil && t.Taken {
 			return name
 		}
-		state = ""
+		state = putOutcome{}
 	}
 	return ""
 }
--- a/node/internal/owner/resign.go
+++ b/node/internal/owner/resign.go
@@ -42,7 +42,7 @@
 		t.owner.logger.Info("state not handed over in time", zap.Int64("epoch", t.epoch))
 	}
 	if r.writeResignation(r.collect) {
-		t.owner.offer(r.row, r.version, "")
+		t.owner.offer(r.row, r.version, putOutcome{})
 	}
 }
 
--- a/node/internal/owner/statehandover_test.go
+++ b/node/internal/owner/statehandover_test.go
@@ -247,3 +247,30 @@
 		}
 	})
 }
+
+// A ticket is never taken for valid for longer than it is, however long the state and the messages about it
+// took and however the clocks run, and for hardly shorter if they were fast.
+func TestAgeOfStateCoversItsTransfer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		duration := func(name string) time.Duration {
+			return time.Duration(rapid.Int64Range(0, int64(statePutTimeout)).Draw(t, name))
+		}
+		rate := float64(rapid.IntRange(981, 1019).Draw(t, "rate")) / 1000 // of the receiver's clock by the sender's
+		transfer, handling, answer := duration("transfer"), duration("handling"), 1+duration("answer")
+		clock := timer.New(timer.WithManual(time.Unix(1_800_000_000, 0)))
+		o := New(Deps{Host: "h", Process: "p", Clock: clock, Board: board.New(zap.NewNop()), Logger: zap.NewNop()})
+		s := &heldState{epoch: 4, id: "a", at: clock.Now(), atBoot: clock.Boot()}
+		clock.Advance(time.Duration(float64(handling) * rate))
+		is.True(o.hold(s))
+		offer := &handover{Row: board.Owner{Epoch: 4, Resigned: true}, State: "a", StateAge: transfer + handling + answer}
+		is.True(o.takeState(offer) == s)
+		least := time.Duration(float64(transfer) * rate) // by the receiver's clock
+		is.True(s.age >= least)
+		is.True(s.age <= least+answer+(transfer+handling+answer)/20+time.Microsecond)
+	})
+	var earlier handover // An earlier program doesn't send the age.
+	if s := (&heldState{}); s.ageAtReceipt(earlier.StateAge) < time.Hour {
+		t.Fatal("a state of unknown age counts as new")
+	}
+}
--- a/node/internal/owner/statelink_test.go
+++ b/node/internal/owner/statelink_test.go
@@ -114,7 +114,7 @@
 				is.Equal(jobs, 1)
 				is.Equal(held.jobs["j"].Steps, spec.Steps)
 				restored := plan.New(nil)
-				is.NoErr(restored.Restore(now, held.state.Plan, func(id string) *model.Job { return held.jobs[id] }))
+				is.NoErr(restored.Restore(now, 0, held.state.Plan, func(id string) *model.Job { return held.jobs[id] }))
 			}
 			cancel()
 			_ = relay.conn.Close()
--- a/node/internal/owner/statereceive.go
+++ b/node/internal/owner/statereceive.go
@@ -25,6 +25,9 @@
 	// outage of the store no host can read them, and a state is all that a successor needs. Older copies could show a
 	// job whose end the sender has forgotten, as it does 30 s after its rows are deleted at the earliest.
 	maxCopyAge = 10 * time.Second
+	// unknownStateAge is the age of a state whose sender doesn't tell it. No ticket is valid for that
+	// long, and the answers of the adviser still tell which executors are allowed.
+	unknownStateAge = 24 * time.Hour
 )
 
 // statePut hands over the state of an owner.
@@ -57,6 +60,8 @@
 	jobs   map[string]*model.Job // specifications of all jobs of the plan
 	at     time.Time
 	atBoot time.Duration
+	heldAt time.Duration // boot time before the sender was told that it is held
+	age    time.Duration // bounds from above how old it was at the receipt
 }
 
 // serveStatePut receives the state of an owner that is about to resign.
@@ -161,6 +166,7 @@
 	if o.stopping.Load() {
 		return false
 	}
+	s.heldAt = o.clock.Boot()
 	o.mu.Lock()
 	before := o.held
 	o.held = s
@@ -188,9 +194,19 @@
 		o.dropState(s, "the offer came late")
 		return nil
 	}
+	s.age = s.ageAtReceipt(h.StateAge)
 	return s
 }
 
+// ageAtReceipt returns how old the state was when it was received, at most, from its age when the sender
+// knew that it is held, 0 if that isn't known. That was after heldAt, however long messages took.
+func (s *heldState) ageAtReceipt(known time.Duration) time.Duration {
+	if known <= 0 {
+		return unknownStateAge
+	}
+	return max(0, time.Duration(float64(known)/minClockRate)-(s.heldAt-s.atBoot))
+}
+
 // expireState drops a state for which no offer has come.
 func (o *Owner) expireState() {
 	o.mu.Lock()
@@ -227,7 +243,7 @@
 		o.dropState(s, "it lacks job "+id)
 		return false
 	}
-	if err := t.restore(&s.state, s.jobs, s.at, s.atBoot); err != nil {
+	if err := t.restore(&s.state, s.jobs, s.at, s.atBoot, s.age); err != nil {
 		o.dropState(s, err.Error())
 		return false
 	}
--- a/node/internal/owner/statesend.go
+++ b/node/internal/owner/statesend.go
@@ -47,6 +47,7 @@
 	id    string // of the state
 	bytes int
 	jobs  int
+	age   time.Duration // of the state when it was known to be held
 	err   error
 }
 
@@ -132,6 +133,7 @@
 	to := h.candidates[0]
 	t.mu.Unlock()
 	t.awaitOrders(ctx)
+	takenAt := t.owner.clock.Boot()
 	data, err := r.snapshot()
 	id := strconv.FormatInt(r.attempt, 10) + "/" + strconv.FormatInt(int64(t.owner.clock.Boot()), 10)
 	out := putOutcome{to: to, id: id, bytes: len(data), err: err}
@@ -146,6 +148,7 @@
 	put := h.put
 	t.group.Go(func() error {
 		out.jobs, out.err = t.putState(to, p)
+		out.age = t.owner.clock.Boot() - takenAt
 		put <- out
 		signal(t.wakeRecorder)
 		return nil
@@ -223,7 +226,7 @@
 	r.resigned = true
 	t.cancel(cause) // No lease is extended any more.
 	r.row.Successors = append([]string{out.to.Name}, slices.DeleteFunc(slices.Clone(r.row.Successors), func(n string) bool { return n == out.to.Name })...)
-	taken := t.owner.offer(r.row, r.version, out.id)
+	taken := t.owner.offer(r.row, r.version, out)
 	took := t.owner.clock.Now().Sub(h.began)
 	if taken == out.to.Name {
 		t.owner.metrics.handoverSent.Inc(1)
--- a/node/internal/owner/statesnapshot.go
+++ b/node/internal/owner/statesnapshot.go
@@ -115,10 +115,10 @@
 }
 
 // restore brings the term into the state of its predecessor, which this host received at the given
-// local and boot time. After an error nothing of it has taken effect but the plan, which must not
+// local and boot time, when it was at most age old. After an error nothing of it has taken effect but the plan, which must not
 // be used. The term's mu is held.
-func (t *term) restore(f *termState, jobs map[string]*model.Job, at time.Time, atBoot time.Duration) error {
-	if err := t.plan.Restore(at, f.Plan, func(id string) *model.Job { return jobs[id] }); err != nil {
+func (t *term) restore(f *termState, jobs map[string]*model.Job, at time.Time, atBoot, age time.Duration) error {
+	if err := t.plan.Restore(at, age, f.Plan, func(id string) *model.Job { return jobs[id] }); err != nil {
 		return err
 	}
 	t.settleTime, t.settleShortened = f.Settle.At(at).Sub(t.began), f.SettleShortened
--- a/node/internal/plan/adviceanswers.go
+++ b/node/internal/plan/adviceanswers.go
@@ -65,11 +65,10 @@
 			continue
 		}
 		for _, k := range slices.Sorted(maps.Keys(j.occurs)) {
-			for _, st := range j.occurs[k].stages {
-				if a := s.stageAnswers(st, index, now); st.unfinished > 0 && len(a.Allowed)+len(a.Denied) > 0 {
-					out.Stages = append(out.Stages, a)
-				}
-			}
+			out.addOccur(s, j.occurs[k], index, now)
+		}
+		if j.coming != nil && j.coming.number == j.next {
+			out.addOccur(s, j.coming, index, now)
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.allowedShares)) {
@@ -79,6 +78,15 @@
 	return out
 }
 
+// addOccur adds the answers for the stages of an occurrence.
+func (a *AdviceAnswers) addOccur(s *State, o *occurrence, index map[string]int, now time.Time) {
+	for _, st := range o.stages {
+		if x := s.stageAnswers(st, index, now); st.unfinished > 0 && len(x.Allowed)+len(x.Denied) > 0 {
+			a.Stages = append(a.Stages, x)
+		}
+	}
+}
+
 // stageAnswers returns the answers for a stage. index has the indexes of the executors.
 func (s *State) stageAnswers(st *stage, index map[string]int, now time.Time) StageAnswers {
 	out := StageAnswers{Job: st.occur.job.spec.ID, Occur: st.occur.number, Step: st.index, Advised: st.occur.job.queue.Advised}
@@ -119,7 +127,7 @@
 	}
 	for i := range a.Stages {
 		x := &a.Stages[i]
-		if st := s.stageOf(model.Task{Job: x.Job, Occur: x.Occur, Step: x.Step}); st != nil {
+		if st := s.answeredStage(x); st != nil {
 			s.addStageAnswers(st, x, executors, now, age)
 		}
 	}
@@ -130,6 +138,22 @@
 	}
 }
 
+// answeredStage returns the stage that answers are for, nil if there is none. The adviser may have been
+// asked ahead about the next occurrence of a job.
+func (s *State) answeredStage(a *StageAnswers) *stage {
+	if st := s.stageOf(model.Task{Job: a.Job, Occur: a.Occur, Step: a.Step}); st != nil {
+		return st
+	}
+	j := s.jobs[a.Job]
+	if j == nil || j.phase.Final() || j.occurs[a.Occur] != nil || j.ahead[a.Occur] || a.Occur != j.next || a.Occur >= j.spec.Occurrences() || a.Step < 0 || a.Step >= len(j.spec.Steps) {
+		return nil
+	}
+	if j.coming == nil || j.coming.number != j.next {
+		j.coming = newOccurrence(j, j.next)
+	}
+	return j.coming.stages[a.Step]
+}
+
 // addStageAnswers adds the answers for a stage.
 func (s *State) addStageAnswers(st *stage, a *StageAnswers, executors []*executor, now time.Time, age time.Duration) {
 	add := func(e *executor, t ticket) {
--- a/node/internal/plan/snapshot.go
+++ b/node/internal/plan/snapshot.go
@@ -14,7 +14,8 @@
 // rolling restart of all hosts under full traffic. The formats of a snapshot hold ages in place of
 // times, since clocks of hosts differ. The successor adds them to the time of receipt, so that all
 // times are later than they were by the duration of the transfer: leases count as longer, and
-// reports that it requests itself come after all of them.
+// reports that it requests itself come after all of them. Only tickets of the adviser must not count
+// as longer, so that Restore is told how old the snapshot may be.
 //
 // A new field of State that a successor needs gets a field with a new number in the struct for its
 // part, and one line in the two functions that convert that struct.
@@ -80,6 +81,9 @@
 	Backlogged         bool                  `cbor:"25,keyasint,omitempty"`
 	Cold               map[string]coldFormat `cbor:"26,keyasint,omitempty"`
 	EstimateRatios     map[string]float64    `cbor:"27,keyasint,omitempty"`
+	ShortRequests      *peakFormat           `cbor:"28,keyasint,omitempty"`
+	Turnover           *turnoverFormat       `cbor:"29,keyasint,omitempty"`
+	Moves              []moveFormat          `cbor:"30,keyasint,omitempty"` // that haven't ended
 }
 
 // coldFormat is a coldSlowdown.
@@ -98,6 +102,16 @@
 	Executor string `cbor:"6,keyasint"`
 }
 
+// stopFormatOf returns the format of a stop.
+func stopFormatOf(o Stop) stopFormat {
+	return stopFormat{Job: o.Task.Job, Occur: o.Task.Occur, Step: o.Task.Step, Index: o.Task.Index, Number: o.Number, Executor: o.Executor}
+}
+
+// stop returns the stop.
+func (f *stopFormat) stop() Stop {
+	return Stop{Task: model.Task{Job: f.Job, Occur: f.Occur, Step: f.Step, Index: f.Index}, Number: f.Number, Executor: f.Executor}
+}
+
 // teamFormat is a team. What its runs take follows from the runs.
 type teamFormat struct {
 	UrgentPeak int64   `cbor:"1,keyasint,omitempty"`
@@ -119,15 +133,18 @@
 		RecordedUnverified: s.recordedUnverified, MaybeClosed: slices.Collect(maps.Keys(s.maybeClosed)), ClosedInDoubt: s.closedInDoubt,
 		InheritedClosed: slices.Collect(maps.Keys(s.inheritedClosed)), LeaseEnds: agesOf(s.leaseEnds, now), Forgotten: s.forgotten, Backlogged: s.backlogged,
 		Teams: make(map[string]teamFormat, len(s.teams)), Advice: s.AdviceAnswers(now), Cold: make(map[string]coldFormat, len(s.coldSlowdowns)), EstimateRatios: s.estimateRatios,
+		ShortRequests: s.shortRequests.format(now), Turnover: s.turnover.format(now), Moves: s.moveFormats(),
 	}
 	for _, o := range s.orders.Stops {
-		f.Stops = append(f.Stops, stopFormat{Job: o.Task.Job, Occur: o.Task.Occur, Step: o.Task.Step, Index: o.Task.Index, Number: o.Number, Executor: o.Executor})
+		f.Stops = append(f.Stops, stopFormatOf(o))
 	}
 	for name, t := range s.teams {
 		f.Teams[name] = teamFormat{UrgentPeak: t.urgentPeak, Peaked: AgeOf(t.peakedAt, now), Tokens: t.tokens, Refilled: t.refilledAt}
 	}
 	for _, e := range s.executors {
-		f.Executors = append(f.Executors, e.format(now))
+		x := e.format(now)
+		x.NewlyCold = slices.Contains(s.newlyCold, e)
+		f.Executors = append(f.Executors, x)
 	}
 	for _, j := range s.jobs {
 		f.Jobs = append(f.Jobs, s.jobFormat(j, now))
@@ -200,10 +217,10 @@
 // maxSnapshotElements bounds the length of a list or map in a snapshot, above the jobs of a cell.
 const maxSnapshotElements = 1 << 20
 
-// Restore replaces what a State that New has returned lacks by a snapshot that was received at now.
-// spec returns the specification of a job, nil if it isn't known. After an error, which is a
-// *SnapshotError, the State must not be used.
-func (s *State) Restore(now time.Time, data []byte, spec func(id string) *model.Job) error {
+// Restore replaces what a State that New has returned lacks by a snapshot that was received at now
+// and was age old then, at most. spec returns the specification of a job, nil if it isn't known. After
+// an error, which is a *SnapshotError, the State must not be used.
+func (s *State) Restore(now time.Time, age time.Duration, data []byte, spec func(id string) *model.Job) error {
 	f, err := decodeSnapshot(data)
 	if err != nil {
 		return err
@@ -219,7 +236,7 @@
 		s.coldSlowdowns[kind] = coldSlowdown{factor: c.Factor, runs: c.Runs}
 	}
 	for _, o := range f.Stops {
-		s.orders.Stops = append(s.orders.Stops, Stop{Task: model.Task{Job: o.Job, Occur: o.Occur, Step: o.Step, Index: o.Index}, Number: o.Number, Executor: o.Executor})
+		s.orders.Stops = append(s.orders.Stops, o.stop())
 	}
 	for name, t := range f.Teams {
 		s.teams[name] = &team{urgentPeak: t.UrgentPeak, peakedAt: t.Peaked.At(now), tokens: t.Tokens, refilledAt: t.Refilled}
@@ -240,7 +257,8 @@
 		}
 	}
 	if f.Advice != nil {
-		s.AddAdviceAnswers(now, f.Advice, 0) // The caller's now is when the snapshot was received.
+		s.AddAdviceAnswers(now, f.Advice, age)
 	}
+	s.restoreLearned(f, now)
 	return nil
 }
--- a/node/internal/plan/snapshot_test.go
+++ b/node/internal/plan/snapshot_test.go
@@ -162,7 +162,7 @@
 			spec.Sent = spec.Sent.Add(ahead)
 			specs[id] = &spec
 		}
-		is.NoErr(restored.Restore(h.now.Add(ahead), data, func(id string) *model.Job { return specs[id] }))
+		is.NoErr(restored.Restore(h.now.Add(ahead), 0, data, func(id string) *model.Job { return specs[id] }))
 		for name, u := range s.teams {
 			v := restored.team(name)
 			is.Equal(u.used, v.used)
@@ -206,12 +206,12 @@
 	is.NoErr(err)
 	spec := f.state.jobs["j"].spec
 	for _, bad := range [][]byte{nil, data[:len(data)/2], {0xa1, 0x01, 0x00}} {
-		is.True(New(f.config).Restore(epoch, bad, func(string) *model.Job { return spec }) != nil)
+		is.True(New(f.config).Restore(epoch, 0, bad, func(string) *model.Job { return spec }) != nil)
 	}
-	is.True(New(f.config).Restore(epoch, data, func(string) *model.Job { return nil }) != nil)
+	is.True(New(f.config).Restore(epoch, 0, data, func(string) *model.Job { return nil }) != nil)
 	shorter := *spec
 	shorter.Steps = []model.Step{{Count: 1, Need: oneCore}}
-	is.True(New(f.config).Restore(epoch, data, func(string) *model.Job { return &shorter }) != nil)
+	is.True(New(f.config).Restore(epoch, 0, data, func(string) *model.Job { return &shorter }) != nil)
 	ids, err := SnapshotJobs(data)
 	is.NoErr(err)
 	slices.SortFunc(ids, cmp.Compare[string])
@@ -240,7 +240,7 @@
 		b.Fatal(err)
 	}
 	for b.Loop() {
-		if err := New(backlog.fixture.config).Restore(now, data, func(id string) *model.Job { return s.jobs[id].spec }); err != nil {
+		if err := New(backlog.fixture.config).Restore(now, 0, data, func(id string) *model.Job { return s.jobs[id].spec }); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/node/internal/plan/snapshotexecutor.go
+++ b/node/internal/plan/snapshotexecutor.go
@@ -29,6 +29,7 @@
 	Excess        float64        `cbor:"29,keyasint,omitempty"` // of its track
 	Failures      float64        `cbor:"30,keyasint,omitempty"` // of its track
 	Tracked       Age            `cbor:"31,keyasint,omitempty"`
+	NewlyCold     bool           `cbor:"32,keyasint,omitempty"` // its cold time begins with the next decision
 }
 
 func (e *executor) format(now time.Time) executorFormat {
@@ -48,5 +49,8 @@
 	e.failureStreak, e.lastFailedJob, e.backoffUntil = f.FailureStreak, f.LastFailed, f.Backoff.At(now)
 	e.lastReport, e.progressedAt, e.lastPaceChange, e.servingRuns = f.LastReport.At(now), f.Progressed.At(now), f.PaceChange.At(now), f.ServingRuns
 	e.lifeKnown, e.odd, e.coldSince, e.coldUntil = f.LifeKnown, f.Odd, f.ColdSince.At(now), f.ColdUntil.At(now)
+	if f.NewlyCold {
+		s.newlyCold = append(s.newlyCold, e)
+	}
 	e.track = track{excess: f.Excess, failures: f.Failures, at: f.Tracked.At(now)}
 }
--- a/node/internal/plan/snapshotjob.go
+++ b/node/internal/plan/snapshotjob.go
@@ -53,6 +53,9 @@
 	Stalls     int         `cbor:"5,keyasint,omitempty"`
 	Checkpoint string      `cbor:"6,keyasint,omitempty"`
 	Runs       []runFormat `cbor:"7,keyasint,omitempty"`
+	Saved      Age         `cbor:"8,keyasint,omitempty"` // when the checkpoint was first known
+	Moves      int         `cbor:"9,keyasint,omitempty"`
+	Moved      Age         `cbor:"10,keyasint,omitempty"` // the last time
 }
 
 func (s *State) jobFormat(j *job, now time.Time) jobFormat {
@@ -87,6 +90,9 @@
 	for i := range st.tasks {
 		t := &st.tasks[i]
 		tf := taskFormat{Index: i, Done: t.done, LastNumber: t.lastNumber, Failed: t.failedRuns, Stalls: t.stalls, Checkpoint: t.checkpoint}
+		if h := t.history; h != nil {
+			tf.Saved, tf.Moves, tf.Moved = AgeOf(h.savedAt, now), h.moves, AgeOf(h.movedAt, now)
+		}
 		if t.run != nil {
 			tf.Runs = append(tf.Runs, t.run.format(now))
 		}
@@ -184,7 +190,7 @@
 	}
 	for i := range f.Tasks {
 		tf := &f.Tasks[i]
-		if tf.Index < 0 || tf.Index >= len(st.tasks) {
+		if tf.Index < 0 || tf.Index >= len(st.tasks) || tf.Moves < 0 {
 			return &SnapshotError{Reason: "damaged task of job " + st.occur.job.spec.ID}
 		}
 		t := &st.tasks[tf.Index]
@@ -200,6 +206,9 @@
 			}
 		}
 		t.lastNumber, t.stalls, t.checkpoint = max(t.lastNumber, tf.LastNumber), tf.Stalls, tf.Checkpoint
+		if tf.Saved != 0 || tf.Moves > 0 {
+			t.history = &taskHistory{savedAt: tf.Saved.At(now), moves: tf.Moves, movedAt: tf.Moved.At(now)}
+		}
 	}
 	return nil
 }
--- a/node/internal/plan/snapshotrun.go
+++ b/node/internal/plan/snapshotrun.go
@@ -22,13 +22,14 @@
 	Gauge        int64         `cbor:"16,keyasint,omitempty"`
 	Pace         int           `cbor:"17,keyasint,omitempty"`
 	PaceInDoubt  bool          `cbor:"18,keyasint,omitempty"`
+	Ran          bool          `cbor:"19,keyasint,omitempty"` // absent in snapshots of earlier programs
 }
 
 func (r *run) format(now time.Time) runFormat {
 	f := runFormat{
 		Number: r.number, Executor: r.executor.info.ID, State: r.state, Started: AgeOf(r.startedAt, now), Confirmed: AgeOf(r.confirmedAt, now), Unwanted: r.unwanted, Spare: r.spare, Restored: r.restored,
 		Seen: r.seen, StopOrdered: AgeOf(r.stopOrderedAt, now), Percent: r.percent, FirstPercent: r.firstPercent, FirstReport: AgeOf(r.firstReport, now), ProgressTime: r.progressTime,
-		Progressed: AgeOf(r.progressedAt, now), Gauge: r.gauge, Pace: r.pace, PaceInDoubt: r.paceInDoubt,
+		Progressed: AgeOf(r.progressedAt, now), Gauge: r.gauge, Pace: r.pace, PaceInDoubt: r.paceInDoubt, Ran: r.ran,
 	}
 	if r.state == starting {
 		f.State = inDoubt // The answer goes to this owner only.
@@ -44,6 +45,7 @@
 	}
 	r := s.newRun(st, i, f.Number, e, f.State, f.Started.At(now))
 	r.confirmedAt, r.spare, r.restored, r.seen = f.Confirmed.At(now), f.Spare, f.Restored, f.Seen
+	r.ran = f.Ran || f.Seen
 	r.stopOrderedAt, r.percent, r.firstPercent, r.firstReport = f.StopOrdered.At(now), f.Percent, f.FirstPercent, f.FirstReport.At(now)
 	r.progressTime, r.progressedAt, r.gauge, r.pace, r.paceInDoubt = f.ProgressTime, f.Progressed.At(now), f.Gauge, f.Pace, f.PaceInDoubt
 	if f.Unwanted {
