plan, owner: a zone that comes back gets work after one write

Cause: each executor of a zone that was cut off was found to answer at another time, within its polls and their pauses, and the record of closed executors followed each answer. A write that was under way still named those that had just answered, so that a zone got work in portions. The body of TestClosedExecutorsRunOnlyWhatIsRecorded is a function now, which a second property uses with zones; its events are as before.

--- a/node/internal/owner/ownermetrics.go
+++ b/node/internal/owner/ownermetrics.go
@@ -31,6 +31,7 @@
 	oversize        metrics.Gauge                    // records that are larger than a row may be
 	lost            metrics.Counter                  // runs that neither finished nor were stopped by an order
 	crossed         metrics.Counter                  // acknowledgements that another life of an executor took
+	returned        metrics.Counter                  // zones that were cut off and answered again
 	vanished        metrics.Counter                  // runs that an executor had confirmed and listed no more
 	doubled         metrics.Counter                  // runs of tasks that were done or ran elsewhere
 	lapsed          map[basis]metrics.Counter        // executors whose leases ended while they didn't respond
@@ -81,6 +82,7 @@
 		oversize:     gauge("oversize"),
 		lost:         counter("lost"),
 		crossed:      counter("crossed"),
+		returned:     counter("returned"),
 		vanished:     counter("vanished"),
 		doubled:      counter("doubled"),
 		moved:        counter("moved"),
--- a/node/internal/owner/watch.go
+++ b/node/internal/owner/watch.go
@@ -170,12 +170,30 @@
 	t.shortenSettle(now)
 	delete(t.leaseEndStoreTime, sess.info.ID)
 	delete(t.leaseEndHostTime, sess.info.ID)
+	returning := t.plan.Returning(sess.info.Zone)
 	t.plan.Reported(now, sess.info.ID, plan.Report{RequestedAt: p.sentAt, Runs: rep.Runs, Ends: sess.newEnds(rep.Ends), More: len(rep.Ends) >= maxEndsListed})
+	if !returning && t.plan.Returning(sess.info.Zone) {
+		t.pollReturning(sess.info.Zone)
+	}
 	signal(t.wakeDecider)
 	signal(t.wakeRecorder)
 	return true
 }
 
+// pollReturning polls the silent executors of a zone that was cut off at once, since the first one has answered:
+// their polls that are under way may have been lost, and the next ones come after a pause. The term's mu is held.
+func (t *term) pollReturning(zone string) {
+	silent := 0
+	for _, sess := range t.sessions {
+		if sess.silent && sess.info.Zone == zone {
+			silent++
+			signal(sess.pollRequested)
+		}
+	}
+	t.owner.metrics.returned.Inc(1)
+	t.owner.logger.Info("zone answers again", zap.String("zone", zone), zap.Int("silent", silent), zap.Int64("epoch", t.epoch))
+}
+
 // noteFrozenReport notes a report that isn't taken into account, since the state is being handed over. It shows
 // that the executor follows this owner. The term's mu is held.
 func (sess *session) noteFrozenReport(p poll, rep *platform.Report, now time.Time) {
--- a/node/internal/plan/closed.go
+++ b/node/internal/plan/closed.go
@@ -8,15 +8,16 @@
 
 // An executor that is excluded from new work is recorded as closed. A successor that
 // can't reach it then knows that all runs on it are recorded. So an executor may get
-// new work again only once the stored record doesn't name it any more.
+// new work again only once the stored record doesn't name it any more. A successor waits for the
+// leases of those that aren't named, so that any may be left out.
 
-// Closed returns the executors that are excluded from new work, and whether the stored record
-// differs or, after a write without an answer, may differ. unverified lists those that may have
+// Closed returns the executors that are excluded from new work, except silent ones of returning
+// zones, and whether the stored record differs or, after a write without an answer, may differ. unverified lists those that may have
 // unrecorded runs: they haven't reported to this owner, and an earlier owner may have
 // started runs there that it couldn't record. Both lists are sorted.
 func (s *State) Closed() (closed, unverified []string, differs bool) {
 	for id, e := range s.executors {
-		if !e.excluded() {
+		if !e.excluded() || s.mayReturn(e) {
 			continue
 		}
 		closed = append(closed, id)
--- a/node/internal/plan/closed_test.go
+++ b/node/internal/plan/closed_test.go
@@ -80,55 +80,68 @@
 		ids := []string{"a", "b", "c"}
 		f := newFixture()
 		f.addReady(ids...)
-		stored := &recordedState{closed: make(map[string]bool), runs: make(map[model.Task]model.Place)}
-		now := epoch
-		for i := range rapid.IntRange(1, 60).Draw(t, "events") {
-			now = now.Add(10 * time.Millisecond)
-			id := rapid.SampledFrom(ids).Draw(t, "executor")
-			switch rapid.SampledFrom([]string{"job", "silent", "answers", "write"}).Draw(t, "event") {
-			case "job":
-				f.state.AddJob(now, f.job(fmt.Sprintf("j%d", i), model.Step{Count: 2, Need: oneCore}), nil)
-				f.confirm(now, f.state.Decide(now).Starts)
-			case "silent":
-				f.state.Silent(epoch, id)
-			case "answers":
-				rep := Report{RequestedAt: now}
-				for _, r := range f.state.executors[id].runs {
-					rep.Runs = append(rep.Runs, model.Run{Task: r.stage.taskID(r.index), Number: r.number})
-				}
-				f.state.Reported(now, id, rep)
-			case "write":
-				changes := f.state.Changes(1 + rapid.IntRange(0, 3).Draw(t, "room"))
-				var closed []string
-				differs := false
-				if more := f.state.Changes(len(changes) + 1); len(more) == len(changes) { // Nothing else is to be recorded.
-					if closed, _, differs = f.state.Closed(); differs {
-						f.state.RecordingClosed(closed)
-					}
-				}
-				if !rapid.Bool().Draw(t, "done") {
-					continue
-				}
-				stored.apply(changes, closed, differs)
-				if !rapid.Bool().Draw(t, "answered") {
-					continue
-				}
-				for _, c := range changes {
-					f.state.Recorded(c)
-				}
-				if differs {
-					f.state.ClosedRecorded(closed, nil)
+		checkClosedRuns(t, f, ids, "job", "silent", "answers", "write")
+	})
+}
+
+// checkClosedRuns plays drawn events and checks that all runs on an executor are recorded that the stored record names
+// as closed.
+func checkClosedRuns(t *rapid.T, f *fixture, ids []string, events ...string) {
+	stored := &recordedState{closed: make(map[string]bool), runs: make(map[model.Task]model.Place)}
+	now := epoch
+	for i := range rapid.IntRange(1, 60).Draw(t, "events") {
+		now = now.Add(10 * time.Millisecond)
+		id := rapid.SampledFrom(ids).Draw(t, "executor")
+		switch rapid.SampledFrom(events).Draw(t, "event") {
+		case "job":
+			f.state.AddJob(now, f.job(fmt.Sprintf("j%d", i), model.Step{Count: 2, Need: oneCore}), nil)
+			f.confirm(now, f.state.Decide(now).Starts)
+		case "silent":
+			f.state.Silent(epoch, id)
+		case "cut":
+			for _, x := range ids {
+				f.state.Silent(now, x)
+			}
+		case "later":
+			now = now.Add(time.Duration(rapid.IntRange(1, 13).Draw(t, "seconds")) * time.Second)
+			f.confirm(now, f.state.Decide(now).Starts)
+		case "answers":
+			rep := Report{RequestedAt: now}
+			for _, r := range f.state.executors[id].runs {
+				rep.Runs = append(rep.Runs, model.Run{Task: r.stage.taskID(r.index), Number: r.number})
+			}
+			f.state.Reported(now, id, rep)
+		case "write":
+			changes := f.state.Changes(1 + rapid.IntRange(0, 3).Draw(t, "room"))
+			var closed []string
+			differs := false
+			if more := f.state.Changes(len(changes) + 1); len(more) == len(changes) { // Nothing else is to be recorded.
+				if closed, _, differs = f.state.Closed(); differs {
+					f.state.RecordingClosed(closed)
 				}
 			}
-			for id := range stored.closed {
-				for key := range f.state.executors[id].runs {
-					if stored.runs[key.task].Executor != id {
-						t.Fatalf("run %v on closed executor %s isn't recorded", key, id)
-					}
+			if !rapid.Bool().Draw(t, "done") {
+				continue
+			}
+			stored.apply(changes, closed, differs)
+			if !rapid.Bool().Draw(t, "answered") {
+				continue
+			}
+			for _, c := range changes {
+				f.state.Recorded(c)
+			}
+			if differs {
+				f.state.ClosedRecorded(closed, nil)
+			}
+		}
+		for id := range stored.closed {
+			for key := range f.state.executors[id].runs {
+				if stored.runs[key.task].Executor != id {
+					t.Fatalf("run %v on closed executor %s isn't recorded", key, id)
 				}
 			}
 		}
-	})
+	}
 }
 
 // A task that was recorded on an executor that left starts again once that executor's
--- a/node/internal/plan/decide.go
+++ b/node/internal/plan/decide.go
@@ -17,6 +17,7 @@
 func (s *State) Decide(now time.Time) Orders {
 	s.decision++
 	s.beginColdTimes(now)
+	s.expireReturns(now)
 	swept := !now.Before(s.nextSweep)
 	if swept {
 		s.nextSweep = now.Add(sweepInterval)
--- a/node/internal/plan/report.go
+++ b/node/internal/plan/report.go
@@ -22,6 +22,9 @@
 	if e == nil {
 		return
 	}
+	if e.silent {
+		s.noteReturn(e, now)
+	}
 	e.runsKnown, e.silent, e.lastReport = true, false, now
 	s.markChanged(e)
 	for _, end := range rep.Ends {
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -65,6 +65,7 @@
 	recordedClosed     []string                        // executors that the last record names as closed, sorted
 	recordedUnverified []string                        // of these, executors that may have unrecorded runs, sorted
 	maybeClosed        map[string]bool                 // executors that the stored record may name as closed
+	returns            map[string]zoneReturn           // by zone
 	closedInDoubt      bool                            // a record was written without an answer, so that the last one may not be the stored one
 	// inheritedClosed has the executors that the previous owner recorded as closed,
 	// except those that may have unrecorded runs.
@@ -97,6 +98,7 @@
 		adviceSlots:     1,
 		allowedShares:   make(map[string]*allowedShare),
 		moveRequests:    make(map[*stage]moveRequests),
+		returns:         make(map[string]zoneReturn),
 	}
 	for _, opt := range opts {
 		opt(s)
