--- a/node/internal/owner/statehandover_test.go
+++ b/node/internal/owner/statehandover_test.go
@@ -274,3 +274,21 @@
 		t.Fatal("a state of unknown age counts as new")
 	}
 }
+
+// The sender is killed after its state was received, so that no offer comes. The state, of some MiB, is dropped, and the host
+// takes another one later.
+func TestStateIsDroppedWithItsSender(t *testing.T) {
+	is := is.New(t)
+	clock := timer.New(timer.WithManual(time.Unix(1_800_000_000, 0)))
+	o := New(Deps{Host: "h", Process: "p", Clock: clock, Board: board.New(zap.NewNop()), Logger: zap.NewNop()})
+	is.True(o.hold(&heldState{epoch: 4, id: "a", atBoot: clock.Boot()}))
+	clock.Advance(stateValidity)
+	o.expireState()
+	is.True(o.held != nil) // The offer may still come.
+	clock.Advance(time.Millisecond)
+	o.expireState()
+	o.expireState()
+	is.True(o.held == nil)
+	is.Equal(o.metrics.handoverDropped.Count(), int64(1))
+	is.True(o.hold(&heldState{epoch: 5, id: "b", atBoot: clock.Boot()}))
+}
--- a/node/internal/plan/track_test.go
+++ b/node/internal/plan/track_test.go
@@ -182,3 +182,70 @@
 		is.Equal(failing.slowdown(epoch) > 1, n == 2)
 	}
 }
+
+// The link to a zone flaps. Urgent work goes to the other zone while there is room, and to the executors behind the link
+// beyond that, since they answer. They count as healthy again a while after.
+func TestLinkThatFlapsMovesUrgentWork(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.addZones(2, 3) // Two tasks fit on each executor.
+	now := epoch
+	for range 3 {
+		for i := range 3 {
+			f.state.Silent(now, fmt.Sprint("z0-", i))
+		}
+		now = now.Add(time.Second)
+		for i := range 3 {
+			f.state.Reported(now, fmt.Sprint("z0-", i), Report{RequestedAt: now})
+		}
+	}
+	is.Equal(f.state.CountSlow(now), 3)
+	for i, zone := range []string{"z1", "z0"} {
+		f.state.AddJob(now, f.job(fmt.Sprint("j", i), model.Step{Count: 6, Need: model.Amount{CPU: 16000}}), nil)
+		starts := f.state.Decide(now).Starts
+		is.Equal(len(starts), 6)
+		for _, o := range starts {
+			is.Equal(f.state.executors[o.Executor].info.Zone, zone)
+		}
+	}
+	is.Equal(f.state.CountSlow(now.Add(time.Minute)), 0)
+}
+
+// The store is away, so that starts are held back, while runs end. The record of a slow executor goes on, nothing is
+// stopped or copied meanwhile, and a run that lapsed goes on from its checkpoint on another executor afterwards.
+func TestRecordsGoOnWhileStartsAreHeldBack(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.addReady("a", "b", "c", "odd")
+	f.state.AddJob(epoch, f.job("j", model.Step{Count: 8, Need: model.Amount{CPU: 16000}, Estimate: time.Second, Checkpoints: true, Copies: true}), nil)
+	starts := f.state.Decide(epoch).Starts
+	is.Equal(len(starts), 8)
+	f.confirm(epoch, starts)
+	f.state.Pause(true)
+	ends := make(map[string][]model.End)
+	for _, o := range starts {
+		end := model.End{Task: o.Task, Number: o.Number, Outcome: model.RunDone}
+		if o.Executor == "b" && len(ends["b"]) == 0 {
+			end.Outcome, end.Checkpoint = model.RunLapsed, "saved"
+		}
+		ends[o.Executor] = append(ends[o.Executor], end)
+	}
+	for tenths := 1; tenths <= 30; tenths++ {
+		now := epoch.Add(time.Duration(tenths) * 100 * time.Millisecond)
+		for id, at := range map[string]int{"a": 10, "b": 10, "c": 10, "odd": 30} {
+			if at == tenths {
+				f.state.Reported(now, id, Report{RequestedAt: now, Ends: ends[id]})
+			}
+		}
+		orders := f.state.Decide(now)
+		is.Equal(len(orders.Starts)+len(orders.Stops), 0)
+	}
+	now := epoch.Add(3 * time.Second)
+	is.Equal(f.state.CountSlow(now), 1)
+	is.Equal(len(f.state.TakeWasted()), 0) // Its checkpoint was saved.
+	f.state.Pause(false)
+	starts = f.state.Decide(now).Starts
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Checkpoint, "saved")
+	is.True(starts[0].Executor != "odd")
+}
--- a/node/internal/plan/waste_test.go
+++ b/node/internal/plan/waste_test.go
@@ -94,3 +94,33 @@
 		})
 	}
 }
+
+// The owner is killed while a run goes on, and then the run's executor is lost. The successor knows the run from the record and
+// the checkpoint from a report. It counts what was done since then, once, and the task goes on from there.
+func TestSuccessorAfterKillKeepsCheckpoint(t *testing.T) {
+	is := is.New(t)
+	killed := newFixture()
+	killed.addReady("e")
+	step := model.Step{Count: 1, Need: model.Amount{CPU: 2000}, Checkpoints: true}
+	killed.state.AddJob(epoch, killed.job("j", step), nil)
+	starts := killed.state.Decide(epoch).Starts
+	is.Equal(len(starts), 1)
+	killed.confirm(epoch, starts)
+	recorded := killed.state.Changes(1)[0].Progress
+
+	f := newFixture(WithSettleDeadline(epoch.Add(settleTime)))
+	f.state.AddJob(epoch, f.job("j", step), recorded)
+	f.addReady("other")
+	f.addExecutor("e")
+	at := epoch.Add(6 * time.Second)
+	f.state.Reported(at, "e", Report{RequestedAt: at, Runs: []model.Run{{Task: starts[0].Task, Number: starts[0].Number, Percent: 1, Checkpoint: "saved"}}})
+	is.Equal(len(f.state.Decide(at).Starts), 0)
+	at = at.Add(4 * time.Second)
+	f.state.Silent(at, "e")
+	f.state.RemoveRuns("e")
+	is.Equal(f.state.TakeWasted(), map[Waste]int64{WastedLost: 4 * 2000})
+	again := f.state.Decide(at).Starts
+	is.Equal(len(again), 1)
+	is.Equal(again[0].Executor, "other")
+	is.Equal(again[0].Checkpoint, "saved")
+}
