plan: drafts of requests and the look at tickets cost less

Cause: with the order kept, a decision with the adviser spent its time in maps of tickets, in drafts of requests with new buffers each, and in maps of teams. Change: a stage whose tickets have all expired is passed over without a look at them; of the others, an executor is looked up once and only for a usable ticket. The buffers of a draft are used again. A team keeps its limit until the configuration changes.

--- a/node/internal/plan/advice.go
+++ b/node/internal/plan/advice.go
@@ -52,6 +52,7 @@
 // again unless the stage can't run without them.
 type advice struct {
 	tickets       map[string]ticket // by executor that the adviser has answered for
+	usableUntil   time.Time         // no ticket is usable after that
 	requestedAt   time.Time         // when the pending request was ordered; zero for none
 	hintChangedIn int               // last decision before the queue's hint has come or gone
 	nextRequest   time.Time         // no request is sent before that, since the last one failed
@@ -76,6 +77,17 @@
 	nextRequest time.Time // no request names the executor before that, since it was answered for or has refused the ticket
 }
 
+// setTicket stores the answer for an executor.
+func (a *advice) setTicket(id string, t ticket) {
+	if a.tickets == nil {
+		a.tickets = make(map[string]ticket)
+	}
+	a.tickets[id] = t
+	if t.usableUntil.After(a.usableUntil) {
+		a.usableUntil = t.usableUntil
+	}
+}
+
 // ticketFor returns the answer for the present life of an executor, and false if there is none.
 func (a *advice) ticketFor(e *executor) (ticket, bool) {
 	t, ok := a.tickets[e.info.ID]
@@ -108,7 +120,7 @@
 		return
 	}
 	t.usableUntil, t.nextRequest = time.Time{}, now.Add(failedRequestBackoff)
-	a.tickets[id] = t
+	a.setTicket(id, t)
 }
 
 // forgetDenials forgets which executors weren't allowed.
@@ -166,7 +178,7 @@
 		if !ok && st.advice.reviewAt.IsZero() {
 			st.advice.reviewAt = now.Add(denialReviewInterval)
 		}
-		st.advice.tickets[id] = ticket{decision: q.decision, allowed: ok, text: text, usableUntil: usableUntil, nextRequest: nextRequest}
+		st.advice.setTicket(id, ticket{decision: q.decision, allowed: ok, text: text, usableUntil: usableUntil, nextRequest: nextRequest})
 	}
 }
 
--- a/node/internal/plan/adviceanswers.go
+++ b/node/internal/plan/adviceanswers.go
@@ -136,11 +136,8 @@
 		if _, known := st.advice.ticketFor(e); known {
 			return
 		}
-		if st.advice.tickets == nil {
-			st.advice.tickets = make(map[string]ticket)
-		}
 		t.decision = s.decision
-		st.advice.tickets[e.info.ID] = t
+		st.advice.setTicket(e.info.ID, t)
 	}
 	for _, t := range a.Tickets {
 		if t.Executor >= 0 && t.Executor < len(executors) && executors[t.Executor] != nil && t.Left > age {
--- a/node/internal/plan/compose.go
+++ b/node/internal/plan/compose.go
@@ -50,9 +50,19 @@
 	now    time.Time
 	groups [4][]fit // by group
 	held   []fit    // executors with a ticket that stays valid
+	ranked []fit    // of all groups
 	draft  requestDraft
 }
 
+// reset prepares the composition of another request. The buffers stay: a draft looks at all executors of a
+// service, and under a backlog a decision makes dozens of drafts.
+func (c *composition) reset() {
+	for i := range c.groups {
+		c.groups[i] = c.groups[i][:0]
+	}
+	*c = composition{groups: c.groups, held: c.held[:0], ranked: c.ranked[:0]}
+}
+
 // The groups of executors that a request may name.
 const (
 	allowedFree = iota // known to be allowed, with free capacity
@@ -67,7 +77,9 @@
 	if !ahead && !p.mayFit(st.spec.Room()) {
 		return requestDraft{}
 	}
-	c := composition{state: s, stage: st, pool: p, tasks: n, ahead: ahead, now: now}
+	c := &s.composition
+	c.reset()
+	c.state, c.stage, c.pool, c.tasks, c.ahead, c.now = s, st, p, n, ahead, now
 	if q := &st.occur.job.queue; ahead {
 		c.lead = min(q.Decide+maxExecutorsPerRequest*q.Each, q.Valid/maxRenewalLead)
 	}
@@ -131,7 +143,11 @@
 // renewAll makes all executors with a ticket part of the request, if it names others. A gang needs
 // all its tickets valid at once, which they aren't for long if they are renewed at different times.
 func (c *composition) renewAll() bool {
-	if len(slices.Concat(c.groups[:]...)) == 0 {
+	named := 0
+	for _, group := range c.groups {
+		named += len(group)
+	}
+	if named == 0 {
 		return false
 	}
 	for _, ft := range c.held {
@@ -141,7 +157,7 @@
 		}
 		c.groups[group] = append(c.groups[group], ft)
 	}
-	c.held = nil
+	c.held = c.held[:0]
 	return true
 }
 
@@ -166,11 +182,13 @@
 	if c.stage.spec.Lasting {
 		return
 	}
-	all := slices.Concat(c.groups[:]...)
-	c.stage.rankZones(all, c.stage.waiting)
-	for i := range c.groups {
-		n := len(c.groups[i])
-		c.groups[i], all = all[:n:n], all[n:]
+	for _, group := range c.groups {
+		c.ranked = append(c.ranked, group...)
+	}
+	c.stage.rankZones(c.ranked, c.stage.waiting)
+	rest := c.ranked
+	for _, group := range c.groups {
+		rest = rest[copy(group, rest):]
 	}
 }
 
--- a/node/internal/plan/place.go
+++ b/node/internal/plan/place.go
@@ -93,13 +93,16 @@
 	}
 	var fits []fit
 	advised := s.advised(st.occur.job, now)
+	if advised && !st.advice.usableUntil.After(now) {
+		return nil
+	}
 	if advised && len(st.advice.tickets) < len(p.executors) {
-		for id := range st.advice.tickets {
-			e := s.executors[id]
-			if e == nil || !p.has(e) {
+		for id, t := range st.advice.tickets {
+			if !t.usable(now) {
 				continue
 			}
-			if _, ok := st.advice.validTicket(e, now); !ok {
+			e := s.executors[id]
+			if e == nil || !p.has(e) || t.decision <= e.bornIn {
 				continue
 			}
 			if k := e.capacityFor(st, perTask); k > 0 {
--- a/node/internal/plan/pool.go
+++ b/node/internal/plan/pool.go
@@ -28,7 +28,7 @@
 
 // newPool returns the executors of a service that accept new work at now.
 func (s *State) newPool(service string, now time.Time) *pool {
-	p := &pool{service: service, decision: s.decision, byLabel: make(map[string]*pool)}
+	p := &pool{service: service, decision: s.decision, byLabel: make(map[string]*pool), executors: make([]*executor, 0, len(s.executors))}
 	kind, kindTime := "", 1.0
 	for _, e := range s.executors {
 		if e.info.Service == service && s.schedulable(e, now) {
--- a/node/internal/plan/reserve.go
+++ b/node/internal/plan/reserve.go
@@ -27,17 +27,17 @@
 // CPU that the team's urgent work needed recently is reserved for it: otherwise other
 // work of the team could fill the limit, and urgent work would wait for that to end.
 func (s *State) headroom(st *stage, now time.Time) int {
-	limit, t := s.usableLimit(st, now), s.team(st.occur.job.spec.Team)
+	t := s.team(st.occur.job.spec.Team)
+	limit := s.usableLimit(st, t, now)
 	if limit.CPU > 0 && st.urgent() {
 		t.recordUrgentDemand(t.urgentCPU+st.spec.Need.CPU*int64(st.waiting), now)
 	}
 	return t.headroom(st.spec.Need, limit, st.waiting)
 }
 
-// usableLimit returns the limit of the stage's team without what is reserved for other work.
-func (s *State) usableLimit(st *stage, now time.Time) model.Amount {
-	spec := st.occur.job.spec
-	limit, t := s.limit(spec), s.team(spec.Team)
+// usableLimit returns the limit of the stage's team t without what is reserved for other work.
+func (s *State) usableLimit(st *stage, t *team, now time.Time) model.Amount {
+	limit := s.limit(t, st.occur.job.spec)
 	if limit.CPU > 0 && !st.urgent() {
 		reserved := min(t.expectedUrgent(now), int64(maxReserveShare*float64(limit.CPU))) - t.urgentCPU
 		limit.CPU = max(1, limit.CPU-max(0, reserved))
@@ -48,7 +48,8 @@
 // withinLimit reports whether the runs of the stage's team fit under the limit that is usable for
 // the stage, so that a run of it that is stopped may start again.
 func (s *State) withinLimit(st *stage, now time.Time) bool {
-	limit, used := s.usableLimit(st, now), s.team(st.occur.job.spec.Team).used
+	t := s.team(st.occur.job.spec.Team)
+	limit, used := s.usableLimit(st, t, now), t.used
 	return (limit.CPU == 0 || used.CPU <= limit.CPU) && (limit.Memory == 0 || used.Memory <= limit.Memory) && (limit.Accel == 0 || used.Accel <= limit.Accel)
 }
 
--- a/node/internal/plan/team.go
+++ b/node/internal/plan/team.go
@@ -15,16 +15,30 @@
 	peakedAt   time.Time
 	tokens     float64   // jobs that it may submit within its quota
 	refilledAt time.Time // when tokens were last added
+	terms      teamTerms
 }
 
-// limit returns what the running tasks of a job's team may take. Under a configuration without
+// teamTerms is what a configuration says of a team. It is kept, since each decision needs it for
+// each stage that waits.
+type teamTerms struct {
+	config *model.Config // nil for none
+	known  bool          // the configuration has the team
+	limit  model.Amount
+}
+
+// limit returns what the running tasks of a job's team t may take. Under a configuration without
 // the team it is the limit under which the job was accepted.
-func (s *State) limit(spec *model.Job) model.Amount {
-	if s.config != nil {
-		if t, ok := s.config.Teams[spec.Team]; ok {
-			return t.Limit
+func (s *State) limit(t *team, spec *model.Job) model.Amount {
+	if s.config != t.terms.config {
+		t.terms = teamTerms{config: s.config}
+		if s.config != nil {
+			configured, ok := s.config.Teams[spec.Team]
+			t.terms.known, t.terms.limit = ok, configured.Limit
 		}
 	}
+	if t.terms.known {
+		return t.terms.limit
+	}
 	if spec.Terms != nil {
 		return spec.Terms.Limit
 	}
--- a/node/internal/plan/waits.go
+++ b/node/internal/plan/waits.go
@@ -81,7 +81,7 @@
 		return Wait{}, false
 	}
 	st.lastLogged = now
-	j := st.occur.job
+	j, team := st.occur.job, s.team(st.occur.job.spec.Team)
 	w := Wait{Step: st.id(), Waiting: st.waiting, Since: st.readySince, OverQuota: j.overQuota, AdvicePending: !st.advice.requestedAt.IsZero(), Reason: "room"}
 	perTask, advised := st.spec.Room(), s.advised(j, now)
 	for _, e := range s.executors {
@@ -104,7 +104,7 @@
 		w.Reason = "evacuated"
 	case j.inherited && s.unsettled(j.queue.Service, now):
 		w.Reason = "unsettled"
-	case s.team(j.spec.Team).headroom(st.spec.Need, s.limit(j.spec), 1) == 0:
+	case team.headroom(st.spec.Need, s.limit(team, j.spec), 1) == 0:
 		w.Reason = "limit"
 	case advised && w.Allowed < w.Usable && w.WithCapacity == 0:
 		w.Reason = "advice"
