--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -28,6 +28,7 @@
 	executorsListed    bool            // all executors that were registered at listedAsOf are known
 	listedAsOf         time.Time
 	jobs               map[string]*job
+	order              waitOrder // of the stages that wait
 	executors          map[string]*executor
 	zones              map[string]int // numbers of the executors' zones, by name
 	changed            []*executor    // executors with changed runs or a new report since the last decision
@@ -46,6 +47,7 @@
 	shortWanted        int                             // short requests that the present decision has wanted so far
 	unsentRequests     []unsentRequest                 // of the present decision, to be sent if slots are idle
 	hopelessRequests   []unsentRequest                 // the same for hopeless stages
+	composition        composition                     // of the last draft of a request
 	firstUnsent        unsentRequest                   // of the present decision, with the most urgent stage
 	nextAskAhead       time.Time                       // nothing is asked ahead before that
 	idleChecked        time.Time                       // when idle slots were last looked for
@@ -111,6 +113,7 @@
 func (s *State) Configure(config *model.Config) {
 	old := s.config
 	s.config = config
+	s.order.changeTerms()
 	clear(s.ticketsRequired) // It may be the configuration that the executors have.
 	for _, j := range s.jobs {
 		j.updateQueue(config)
