plan: jobs keep their teams, findFits its buffer

Cause: a look-up of the team for each waiting stage was a tenth of a decision, and findFits made a third of what a decision allocates. A property test also drew on the order of maps, so that a failure couldn't be repeated. The slice of findFits is used again. The test hands jobs over in order.

--- a/node/internal/plan/job.go
+++ b/node/internal/plan/job.go
@@ -10,6 +10,7 @@
 type job struct {
 	spec         *model.Job
 	order        *waitOrder // of the State
+	team         *team
 	queue        model.Queue
 	inherited    bool // an earlier owner had it; there may be runs of it that this owner doesn't know
 	phase        model.Phase
@@ -34,7 +35,7 @@
 	if s.jobs[spec.ID] != nil || s.ended[spec.ID] {
 		return false
 	}
-	j := &job{spec: spec, inherited: progress != nil, occurs: make(map[int]*occurrence), ahead: make(map[int]bool)}
+	j := &job{spec: spec, team: s.team(spec.Team), inherited: progress != nil, occurs: make(map[int]*occurrence), ahead: make(map[int]bool)}
 	j.criticalPath, j.occurSize = criticalPath(spec.Steps), spec.OccurrenceSize()
 	if spec.Terms != nil {
 		j.queue = spec.Terms.Queue
--- a/node/internal/plan/place.go
+++ b/node/internal/plan/place.go
@@ -85,13 +85,14 @@
 }
 
 // findFits returns the executors of the pool on which tasks of a stage may start now, in no
-// order.
+// order. The slice is valid until the next call.
 func (s *State) findFits(st *stage, p *pool, now time.Time) []fit {
 	perTask := st.spec.Room()
 	if !p.mayFit(perTask) {
 		return nil
 	}
-	var fits []fit
+	fits := s.fits[:0]
+	defer func() { s.fits = fits }()
 	advised := s.advised(st.occur.job, now)
 	if advised && !st.advice.usableUntil.After(now) {
 		return nil
--- a/node/internal/plan/reserve.go
+++ b/node/internal/plan/reserve.go
@@ -27,7 +27,7 @@
 // CPU that the team's urgent work needed recently is reserved for it: otherwise other
 // work of the team could fill the limit, and urgent work would wait for that to end.
 func (s *State) headroom(st *stage, now time.Time) int {
-	t := s.team(st.occur.job.spec.Team)
+	t := st.occur.job.team
 	limit := s.usableLimit(st, t, now)
 	if limit.CPU > 0 && st.urgent() {
 		t.recordUrgentDemand(t.urgentCPU+st.spec.Need.CPU*int64(st.waiting), now)
@@ -48,7 +48,7 @@
 // withinLimit reports whether the runs of the stage's team fit under the limit that is usable for
 // the stage, so that a run of it that is stopped may start again.
 func (s *State) withinLimit(st *stage, now time.Time) bool {
-	t := s.team(st.occur.job.spec.Team)
+	t := st.occur.job.team
 	limit, used := s.usableLimit(st, t, now), t.used
 	return (limit.CPU == 0 || used.CPU <= limit.CPU) && (limit.Memory == 0 || used.Memory <= limit.Memory) && (limit.Accel == 0 || used.Accel <= limit.Accel)
 }
--- a/node/internal/plan/run.go
+++ b/node/internal/plan/run.go
@@ -99,7 +99,7 @@
 	r.urgent = r.stage.urgent()
 	j := r.stage.occur.job
 	j.runCount++
-	t := s.team(j.spec.Team)
+	t := j.team
 	t.used = t.used.Add(r.need)
 	if r.urgent {
 		t.urgentCPU += r.need.CPU
@@ -120,7 +120,7 @@
 	}
 	j := r.stage.occur.job
 	j.runCount--
-	t := s.team(j.spec.Team)
+	t := j.team
 	t.used = t.used.Sub(r.need)
 	if r.urgent {
 		t.urgentCPU -= r.need.CPU
--- a/node/internal/plan/snapshot.go
+++ b/node/internal/plan/snapshot.go
@@ -222,7 +222,7 @@
 		s.orders.Stops = append(s.orders.Stops, Stop{Task: model.Task{Job: o.Job, Occur: o.Occur, Step: o.Step, Index: o.Index}, Number: o.Number, Executor: o.Executor})
 	}
 	for name, t := range f.Teams {
-		s.teams[name] = &team{urgentPeak: t.UrgentPeak, peakedAt: t.Peaked.At(now), tokens: t.Tokens, refilledAt: t.Refilled}
+		*s.team(name) = team{urgentPeak: t.UrgentPeak, peakedAt: t.Peaked.At(now), tokens: t.Tokens, refilledAt: t.Refilled}
 	}
 	for i := range f.Executors {
 		s.restoreExecutor(&f.Executors[i], now)
--- a/node/internal/plan/snapshotjob.go
+++ b/node/internal/plan/snapshotjob.go
@@ -121,7 +121,7 @@
 		return &SnapshotError{Reason: "damaged record of job " + f.ID}
 	}
 	j := &job{
-		spec: spec, inherited: f.Inherited, phase: f.Phase, recorded: f.Recorded, occurs: make(map[int]*occurrence), next: f.Next, ahead: make(map[int]bool),
+		spec: spec, team: s.team(spec.Team), inherited: f.Inherited, phase: f.Phase, recorded: f.Recorded, occurs: make(map[int]*occurrence), next: f.Next, ahead: make(map[int]bool),
 		overQuota: f.OverQuota, version: f.Version,
 	}
 	j.criticalPath, j.occurSize = criticalPath(spec.Steps), spec.OccurrenceSize()
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -47,6 +47,7 @@
 	shortWanted        int                             // short requests that the present decision has wanted so far
 	unsentRequests     []unsentRequest                 // of the present decision, to be sent if slots are idle
 	hopelessRequests   []unsentRequest                 // the same for hopeless stages
+	fits               []fit                           // the last ones that findFits has returned
 	composition        composition                     // of the last draft of a request
 	firstUnsent        unsentRequest                   // of the present decision, with the most urgent stage
 	nextAskAhead       time.Time                       // nothing is asked ahead before that
--- a/node/internal/plan/waitorder_test.go
+++ b/node/internal/plan/waitorder_test.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -113,7 +114,9 @@
 			},
 			"taken over": func() {
 				next := successor(now.Add(settleTime))
-				for _, c := range f.state.Changes(len(specs)) {
+				changes := f.state.Changes(len(specs))
+				slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Job, b.Job) }) // The order affects the quota.
+				for _, c := range changes {
 					next.state.AddJob(now, specs[c.Job], c.Progress)
 				}
 				f, running = next, nil
@@ -132,6 +135,7 @@
 			f.confirm(now, orders.Starts)
 			running = append(running, orders.Starts...)
 			for _, q := range orders.AdviceRequests {
+				q.Executors = executors
 				f.state.AdviceReceived(now, q, map[string]string{"a": "ticket", "b": "ticket"}, time.Minute)
 			}
 		}
--- a/node/internal/plan/waits.go
+++ b/node/internal/plan/waits.go
@@ -81,7 +81,7 @@
 		return Wait{}, false
 	}
 	st.lastLogged = now
-	j, team := st.occur.job, s.team(st.occur.job.spec.Team)
+	j, team := st.occur.job, st.occur.job.team
 	w := Wait{Step: st.id(), Waiting: st.waiting, Since: st.readySince, OverQuota: j.overQuota, AdvicePending: !st.advice.requestedAt.IsZero(), Reason: "room"}
 	perTask, advised := st.spec.Room(), s.advised(j, now)
 	for _, e := range s.executors {
