--- a/node/internal/plan/team.go
+++ b/node/internal/plan/team.go
@@ -18,14 +18,6 @@
 	terms      teamTerms
 }
 
-// teamTerms is what a configuration says of a team. It is kept, since each decision needs it for
-// each stage that waits.
-type teamTerms struct {
-	config *model.Config // nil for none
-	known  bool          // the configuration has the team
-	limit  model.Amount
-}
-
 // limit returns what the running tasks of a job's team t may take. Under a configuration without
 // the team it is the limit under which the job was accepted.
 func (s *State) limit(t *team, spec *model.Job) model.Amount {
--- a/node/internal/plan/waitorder_test.go
+++ b/node/internal/plan/waitorder_test.go
@@ -52,23 +52,6 @@
 		executors := []string{"a", "b", "c"}
 		var running []Start
 		specs := make(map[string]*model.Job)
-		submit := func() {
-			jobs++
-			j := &model.Job{ID: fmt.Sprintf("j%02d", jobs), Queue: []string{"urgent", "bulk", "advised"}[random.IntN(3)], Team: []string{"t", "capped"}[random.IntN(2)], Sent: now.Truncate(time.Second)}
-			for i := range 1 + random.IntN(3) {
-				step := model.Step{Count: 1 + random.IntN(3), Need: oneCore, Estimate: time.Duration(1+random.IntN(3)) * time.Second, Copies: random.IntN(3) == 0, Gang: random.IntN(6) == 0, Lasting: random.IntN(12) == 0}
-				if i > 0 && random.IntN(3) > 0 {
-					step.After = []int{random.IntN(i)}
-				}
-				j.Steps = append(j.Steps, step)
-			}
-			if random.IntN(4) == 0 {
-				j.Times, j.First, j.Every = 1+random.IntN(4), now.Add(time.Duration(random.IntN(3))*time.Second), time.Second
-			}
-			if f.state.AddJob(now, j, nil) {
-				specs[j.ID] = j
-			}
-		}
 		end := func(outcome model.Outcome) {
 			if len(running) > 0 {
 				i := random.IntN(len(running))
@@ -77,13 +60,24 @@
 				f.state.Reported(now, o.Executor, Report{RequestedAt: now, More: true, Ends: []model.End{{Seq: 1, Task: o.Task, Number: o.Number, Outcome: outcome}}})
 			}
 		}
-		successor := func(settle time.Time) *fixture {
-			next := newFixture(WithSettleDeadline(settle))
-			next.state.Configure(f.state.config)
-			return next
-		}
 		events := map[string]func(){
-			"submit":   submit,
+			"submit": func() {
+				jobs++
+				j := &model.Job{ID: fmt.Sprintf("j%02d", jobs), Queue: []string{"urgent", "bulk", "advised"}[random.IntN(3)], Team: []string{"t", "capped"}[random.IntN(2)], Sent: now.Truncate(time.Second)}
+				for i := range 1 + random.IntN(3) {
+					step := model.Step{Count: 1 + random.IntN(3), Need: oneCore, Estimate: time.Duration(1+random.IntN(3)) * time.Second, Copies: random.IntN(3) == 0, Gang: random.IntN(6) == 0, Lasting: random.IntN(12) == 0}
+					if i > 0 && random.IntN(3) > 0 {
+						step.After = []int{random.IntN(i)}
+					}
+					j.Steps = append(j.Steps, step)
+				}
+				if random.IntN(4) == 0 {
+					j.Times, j.First, j.Every = 1+random.IntN(4), now.Add(time.Duration(random.IntN(3))*time.Second), time.Second
+				}
+				if f.state.AddJob(now, j, nil) {
+					specs[j.ID] = j
+				}
+			},
 			"done":     func() { end(model.RunDone) },
 			"failed":   func() { end(model.RunFailed) },
 			"lapsed":   func() { end(model.RunLapsed) },
@@ -106,14 +100,14 @@
 			},
 			"handed over": func() {
 				data, err := f.state.Snapshot(now)
-				next := successor(epoch)
+				next := &fixture{state: New(f.state.config)}
 				if err != nil || next.state.Restore(now, data, func(id string) *model.Job { return specs[id] }) != nil {
 					t.Fatal("the state can't be handed over")
 				}
 				f = next
 			},
 			"taken over": func() {
-				next := successor(now.Add(settleTime))
+				next := &fixture{state: New(f.state.config, WithSettleDeadline(now.Add(settleTime)))}
 				changes := f.state.Changes(len(specs))
 				slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Job, b.Job) }) // The order affects the quota.
 				for _, c := range changes {
