--- a/node/internal/plan/snapshot.go
+++ b/node/internal/plan/snapshot.go
@@ -239,7 +239,7 @@
 		s.orders.Stops = append(s.orders.Stops, o.stop())
 	}
 	for name, t := range f.Teams {
-		s.teams[name] = &team{urgentPeak: t.UrgentPeak, peakedAt: t.Peaked.At(now), tokens: t.Tokens, refilledAt: t.Refilled}
+		*s.team(name) = team{urgentPeak: t.UrgentPeak, peakedAt: t.Peaked.At(now), tokens: t.Tokens, refilledAt: t.Refilled}
 	}
 	for i := range f.Executors {
 		s.restoreExecutor(&f.Executors[i], now)
