plan: the test of the kept order hands over with an age

Cause: Restore takes the age of the state since the hand-over's last change, and the test was written beside it. Change: it passes none, as its state is restored at once. Measured: go test ./node/internal/plan passes, also with -race.

--- a/node/internal/plan/waitorder_test.go
+++ b/node/internal/plan/waitorder_test.go
@@ -101,7 +101,7 @@
 			"handed over": func() {
 				data, err := f.state.Snapshot(now)
 				next := &fixture{state: New(f.state.config)}
-				if err != nil || next.state.Restore(now, data, func(id string) *model.Job { return specs[id] }) != nil {
+				if err != nil || next.state.Restore(now, 0, data, func(id string) *model.Job { return specs[id] }) != nil {
 					t.Fatal("the state can't be handed over")
 				}
 				f = next
