plan, owner: under overload, defer the jobs worth the least for their work

Cause: when more work waits than can be in time, the order by latest starts spends capacity on jobs that are late in spite of it; in overloads that were measured it is mostly one team that fills its own limit. Large jobs keep a floor, by reservation with backfill. A log line, a gauge and two counters.

--- a/node/internal/owner/decide.go
+++ b/node/internal/owner/decide.go
@@ -57,6 +57,7 @@
 	t.plan.SetAdviceSlots(max(1, len(t.owner.board.Hosts())))
 	orders := t.plan.Decide(now)
 	t.longestDecision = max(t.longestDecision, t.owner.clock.Now().Sub(now))
+	t.noteDeferred(now)
 	var waits []plan.Wait
 	if now.Sub(t.waitsLogged) > waitsInterval {
 		t.waitsLogged = now
--- a/node/internal/owner/ownermetrics.go
+++ b/node/internal/owner/ownermetrics.go
@@ -12,30 +12,32 @@
 
 // ownerMetrics holds the metrics of an Owner.
 type ownerMetrics struct {
-	epoch           metrics.Gauge                    // of the current or last term
-	terms           metrics.Counter                  // terms of this host
-	executors       metrics.Gauge                    // executors known to the owner
-	silent          metrics.Gauge                    // executors that don't respond
-	excluded        map[plan.Exclusion]metrics.Gauge // executors that get no new work, by reason
-	slow            metrics.Gauge                    // executors that get urgent work last
-	staying         metrics.Gauge                    // runs in evacuated zones
-	bounded         metrics.Gauge                    // executors whose leases end by a recorded time though they respond
-	unknownZones    metrics.Counter                  // evacuated zones in which no executor was known
-	waiting         metrics.Gauge                    // tasks that are ready but have no run
-	paused          metrics.Gauge                    // 1 while no run may start, since ownership isn't confirmed
-	lag             metrics.Gauge                    // by how much the decision loop falls behind, in milliseconds
-	advice          adviceMetrics                    // of the requests to the adviser
-	starts          metrics.Counter                  // starts confirmed by executors
-	failed          metrics.Counter                  // starts that failed or whose outcome is unknown
-	refused         map[plan.Refusal]metrics.Counter // starts that are known not to have happened, by reason
-	oversize        metrics.Gauge                    // records that are larger than a row may be
-	lost            metrics.Counter                  // runs that neither finished nor were stopped by an order
-	crossed         metrics.Counter                  // acknowledgements that another life of an executor took
-	vanished        metrics.Counter                  // runs that an executor had confirmed and listed no more
-	doubled         metrics.Counter                  // runs of tasks that were done or ran elsewhere
-	lapsed          map[basis]metrics.Counter        // executors whose leases ended while they didn't respond
-	moved           metrics.Counter                  // runs that were ordered to leave an evacuated zone
-	wasted          map[plan.Waste]metrics.Counter   // work that was lost, in core-milliseconds, by reason
+	epoch           metrics.Gauge                     // of the current or last term
+	terms           metrics.Counter                   // terms of this host
+	executors       metrics.Gauge                     // executors known to the owner
+	silent          metrics.Gauge                     // executors that don't respond
+	excluded        map[plan.Exclusion]metrics.Gauge  // executors that get no new work, by reason
+	slow            metrics.Gauge                     // executors that get urgent work last
+	staying         metrics.Gauge                     // runs in evacuated zones
+	bounded         metrics.Gauge                     // executors whose leases end by a recorded time though they respond
+	unknownZones    metrics.Counter                   // evacuated zones in which no executor was known
+	waiting         metrics.Gauge                     // tasks that are ready but have no run
+	paused          metrics.Gauge                     // 1 while no run may start, since ownership isn't confirmed
+	lag             metrics.Gauge                     // by how much the decision loop falls behind, in milliseconds
+	advice          adviceMetrics                     // of the requests to the adviser
+	starts          metrics.Counter                   // starts confirmed by executors
+	failed          metrics.Counter                   // starts that failed or whose outcome is unknown
+	refused         map[plan.Refusal]metrics.Counter  // starts that are known not to have happened, by reason
+	oversize        metrics.Gauge                     // records that are larger than a row may be
+	lost            metrics.Counter                   // runs that neither finished nor were stopped by an order
+	crossed         metrics.Counter                   // acknowledgements that another life of an executor took
+	vanished        metrics.Counter                   // runs that an executor had confirmed and listed no more
+	doubled         metrics.Counter                   // runs of tasks that were done or ran elsewhere
+	lapsed          map[basis]metrics.Counter         // executors whose leases ended while they didn't respond
+	moved           metrics.Counter                   // runs that were ordered to leave an evacuated zone
+	wasted          map[plan.Waste]metrics.Counter    // work that was lost, in core-milliseconds, by reason
+	deferred        metrics.Gauge                     // jobs that can't be in time, so that others can
+	deferrals       map[plan.Deferral]metrics.Counter // how often jobs were deferred, by reason
 	ends            map[model.Phase]metrics.Counter
 	late            metrics.Counter // jobs that finished after their latency objective
 	handoverSent    metrics.Counter // states that a successor has taken over
@@ -61,6 +63,10 @@
 	for _, why := range plan.Wastes() {
 		wasted[why] = metrics.GetOrRegisterCounter("node.owner.wasted."+why.String(), r)
 	}
+	deferrals := make(map[plan.Deferral]metrics.Counter)
+	for _, why := range plan.Deferrals() {
+		deferrals[why] = metrics.GetOrRegisterCounter("node.owner.deferred."+why.String(), r)
+	}
 	return &ownerMetrics{
 		epoch:        gauge("epoch"),
 		terms:        counter("terms"),
@@ -85,6 +91,8 @@
 		doubled:      counter("doubled"),
 		moved:        counter("moved"),
 		wasted:       wasted,
+		deferred:     gauge("deferred"),
+		deferrals:    deferrals,
 		lapsed: map[basis]metrics.Counter{
 			byLease:  metrics.GetOrRegisterCounter("node.owner.lapsed.lease", r),
 			byRecord: metrics.GetOrRegisterCounter("node.owner.lapsed.record", r),
@@ -147,7 +155,7 @@
 
 // reset zeroes the gauges that only an owner maintains.
 func (c *ownerMetrics) reset() {
-	for _, g := range []metrics.Gauge{c.executors, c.silent, c.slow, c.staying, c.bounded, c.waiting, c.paused, c.lag, c.oversize} {
+	for _, g := range []metrics.Gauge{c.executors, c.silent, c.slow, c.staying, c.bounded, c.waiting, c.paused, c.lag, c.oversize, c.deferred} {
 		g.Update(0)
 	}
 	for _, g := range c.excluded {
--- a/node/internal/owner/term.go
+++ b/node/internal/owner/term.go
@@ -72,6 +72,7 @@
 	lossyUntil        time.Time                // until when responses of executors are expected to get lost
 	lastLostResponse  time.Time                // when a response of an executor was last lost
 	waitsLogged       time.Time                // when long waits were last logged
+	deferred          deferredLog              // jobs that were deferred and aren't logged yet
 	waste             wasteLog                 // work that was lost and isn't logged yet
 	paused            bool                     // no run may start
 	fences            map[string]int64         // by executor, how often its fencing token was raised
--- a/node/internal/plan/decide.go
+++ b/node/internal/plan/decide.go
@@ -23,6 +23,7 @@
 		s.sweep(now)
 		s.startCopies(now)
 		s.turnover.update(s.capacity(), now)
+		s.markJobs(now)
 	}
 	s.expireAdviceRequests(now)
 	var waiting []waitingStage
--- a/node/internal/plan/decide_bench_test.go
+++ b/node/internal/plan/decide_bench_test.go
@@ -151,3 +151,25 @@
 		})
 	}
 }
+
+// The sweep of feasible.go goes over all waiting jobs each 100 ms, between which ten decisions are made.
+func BenchmarkMarkJobs(b *testing.B) {
+	load := newBacklog(350, 9000, false, "urgent", "bulk")
+	s := load.fixture.state
+	took := make([]time.Duration, 0, b.N)
+	deferred := 0
+	for range b.N {
+		for k := range 10 {
+			load.round([]string{"urgent", "bulk"}[k%2])
+		}
+		began := time.Now()
+		s.markJobs(load.now)
+		took = append(took, time.Since(began))
+		deferred += s.Deferred()
+	}
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-µs")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-µs")
+	b.ReportMetric(float64(len(s.candidates)), "jobs")
+	b.ReportMetric(float64(deferred)/float64(b.N), "deferred")
+}
--- a/node/internal/plan/ends.go
+++ b/node/internal/plan/ends.go
@@ -51,7 +51,7 @@
 // taskDone handles the success of a run. In a gang the success of one member
 // completes all tasks.
 func (s *State) taskDone(st *stage, index int, now time.Time) {
-	o := st.occur
+	o, before := st.occur, st.unfinished
 	if st.spec.Gang {
 		for i := range st.tasks {
 			st.finishTask(i)
@@ -65,12 +65,14 @@
 		}
 		s.stopSpares(st, index, now)
 	}
+	s.noteDone(st, before-st.unfinished)
 	s.markRunning(o.job)
 	s.markDirty(o.job)
 	if !o.done() {
 		return
 	}
 	if o.job.isLast(o) {
+		s.judgeEnd(o.job, now)
 		s.endJob(o.job, model.Done, now)
 		return
 	}
--- a/node/internal/plan/executor.go
+++ b/node/internal/plan/executor.go
@@ -17,6 +17,8 @@
 	silentSince    time.Time    // when it was found not to answer
 	used           model.Amount // capacity that the runs take
 	fillerCPU      int64        // CPU need of fillers, which use idle CPU only
+	lastingCPU     int64        // part of used.CPU that lasting tasks take
+	reservation    *reservation // for a large task, or nil
 	runs           map[runKey]*run
 	servingRuns    int       // runs with a latency target
 	urgentRuns     int       // runs of urgent work
--- a/node/internal/plan/expect.go
+++ b/node/internal/plan/expect.go
@@ -6,6 +6,9 @@
 // their estimates.
 const estimateSmoothing = 0.05
 
+// minTimedRuns is the number of runs from which their mean is preferred to the estimate.
+const minTimedRuns = 2
+
 // learnEstimate updates how long tasks of a queue take, relative to their estimates, from a run
 // on a warm executor.
 func (s *State) learnEstimate(st *stage, e *executor, runTime time.Duration) {
@@ -25,7 +28,7 @@
 // nanoseconds: the mean of its runs, or what is usual for estimates of its queue. It returns
 // false if neither is known.
 func (s *State) expectedTime(st *stage) (float64, bool) {
-	if st.timedRuns >= 2 {
+	if st.timedRuns >= minTimedRuns {
 		return float64(st.totalRunTime) / float64(st.timedRuns), true
 	}
 	ratio, ok := s.estimateRatios[st.occur.job.spec.Queue]
--- /dev/null
+++ b/node/internal/plan/floor.go
@@ -0,0 +1,129 @@
+package plan
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Small jobs are worth the most for their work. Without a floor, an overload would be met with the
+// large jobs of a queue alone.
+
+const (
+	// floorShare times how often a queue's jobs are served is how often its large ones are at least.
+	floorShare = 0.5
+	// floorMargin times that is aimed at, since some of the jobs that are chosen are late in spite of it.
+	floorMargin = 1.05
+	// floorMemory is the time constant with which ends of jobs are forgotten.
+	floorMemory = 30 * time.Second
+)
+
+// floor counts a queue's jobs, by size.
+type floor struct {
+	judged [sizeClasses]float64 // jobs that have ended or become hopeless, decaying
+	served [sizeClasses]float64 // what these were worth, 1 for each that met its objective, decaying
+}
+
+// lacking returns how many jobs of a class have to be served in addition, if as many jobs wait, and as
+// many of these are going to be served.
+func (f *floor) lacking(class sizeClass, waiting, kept [sizeClasses]float64) int {
+	all, served := 0.0, 0.0
+	for k := range sizeClasses {
+		all += f.judged[k] + waiting[k]
+		served += f.served[k] + kept[k]
+	}
+	if all == 0 {
+		return 0
+	}
+	return int(math.Ceil(floorMargin*floorShare*served/all*(f.judged[class]+waiting[class]) - f.served[class] - kept[class]))
+}
+
+// floorsDecay lets the floors forget.
+func (s *State) floorsDecay(now time.Time) {
+	keep := math.Exp(-float64(now.Sub(s.floorsDecayed)) / float64(floorMemory))
+	for _, f := range s.floors {
+		for k := range sizeClasses {
+			f.judged[k] *= keep
+			f.served[k] *= keep
+		}
+	}
+	s.floorsDecayed = now
+}
+
+// floorOf returns the floor of a queue and creates it if necessary.
+func (s *State) floorOf(queue string) *floor {
+	f := s.floors[queue]
+	if f == nil {
+		f = &floor{}
+		s.floors[queue] = f
+	}
+	return f
+}
+
+// judge counts a job that has ended or become hopeless with what it is worth. It counts once.
+func (s *State) judge(j *job, worth float64) {
+	if j.judged || j.size == 0 || j.unbounded {
+		return
+	}
+	j.judged, j.floored = true, false
+	f, class := s.floorOf(j.spec.Queue), j.sizes.class(j.size)
+	f.judged[class]++
+	f.served[class] += worth
+}
+
+// judgeEnd counts a job that is done.
+func (s *State) judgeEnd(j *job, now time.Time) {
+	objective := j.latencyObjective()
+	switch took := now.Sub(j.spec.Sent); {
+	case took <= objective:
+		s.judge(j, 1)
+	case took <= lateFactor*objective:
+		s.judge(j, lateWorth)
+	default:
+		s.judge(j, 0)
+	}
+}
+
+// raiseFloors chooses deferred large jobs that are to be in time in spite of their work, for queues that
+// serve them too seldom: first those with the most time left. The next sweep leaves out others for them.
+func (s *State) raiseFloors() {
+	byQueue := make(map[string][]*candidate)
+	for i := range s.candidates {
+		c := &s.candidates[i]
+		if c.overloaded && !c.fixed && c.mark != markHopeless {
+			byQueue[c.job.spec.Queue] = append(byQueue[c.job.spec.Queue], c)
+		}
+	}
+	for queue, jobs := range byQueue {
+		if slices.ContainsFunc(jobs, func(c *candidate) bool { return c.job.floored && c.job.unreserved }) {
+			continue // More of them would only take from the others.
+		}
+		var waiting, kept [sizeClasses]float64
+		var deferred [sizeClasses][]*candidate
+		for _, c := range jobs {
+			class := c.sizes.class(c.job.size)
+			waiting[class]++
+			switch c.mark {
+			case unmarked:
+				kept[class]++
+			case markLate:
+				kept[class] += lateWorth
+			case markDeferred, markHopeless:
+			}
+			if c.mark != unmarked && !c.job.floored && c.due >= 0 {
+				deferred[class] = append(deferred[class], c)
+			}
+		}
+		for class := largeSize; class < sizeClasses; class++ {
+			n := s.floorOf(queue).lacking(class, waiting, kept)
+			if n <= 0 || len(deferred[class]) == 0 {
+				continue
+			}
+			slices.SortFunc(deferred[class], func(a, b *candidate) int { return cmp.Or(cmp.Compare(b.due, a.due), compareSlacks(a, b)) })
+			for _, c := range deferred[class][:min(n, len(deferred[class]))] {
+				c.job.floored = true
+			}
+		}
+	}
+}
--- a/node/internal/plan/job.go
+++ b/node/internal/plan/job.go
@@ -24,6 +24,13 @@
 	occurSize    int           // of an occurrence without runs in the record, in bytes
 	version      int           // increases with each change of the progress
 	criticalPath time.Duration // longest path through the steps, by their estimates
+	size         float64       // core-seconds of an occurrence, by the estimates
+	sizes        *jobSizes     // of its queue
+	unbounded    bool          // it recurs or has lasting tasks
+	mark         mark          // of the last sweep
+	floored      bool          // it is to be in time in spite of its work
+	unreserved   bool          // it is floored, and not enough executors are reserved for it
+	judged       bool          // it counts for the floor of its queue
 }
 
 // AddJob adds a job with the progress that an earlier owner recorded, or nil for a
@@ -45,6 +52,7 @@
 		j.phase, j.recorded = progress.Phase, progress.Phase // A job that has ended stays until its last runs are gone.
 		s.restoreOccurrences(j, progress, now)
 	}
+	s.noteSize(j)
 	s.jobs[spec.ID] = j
 	return true
 }
--- a/node/internal/plan/occurrence.go
+++ b/node/internal/plan/occurrence.go
@@ -31,6 +31,14 @@
 	return o
 }
 
+// origin returns the time from which the latency objective counts.
+func (o *occurrence) origin() time.Time {
+	if o.job.spec.Times > 0 {
+		return o.job.spec.Due(o.number)
+	}
+	return o.job.spec.Sent
+}
+
 // done reports whether all tasks are done.
 func (o *occurrence) done() bool {
 	for _, st := range o.stages {
--- a/node/internal/plan/request.go
+++ b/node/internal/plan/request.go
@@ -103,11 +103,14 @@
 
 // capacityFor returns how many more tasks of the stage fit on the executor.
 func (e *executor) capacityFor(st *stage, perTask model.Amount) int {
-	n := st.waiting
+	n, free := st.waiting, e.free()
+	if e.reservation != nil {
+		free = e.reservation.free(st)
+	}
 	if st.spec.Spread > 0 {
 		n = min(n, st.spec.Spread-e.runsOf(st))
 	}
-	return fitting(n, perTask, e.free())
+	return fitting(n, perTask, free)
 }
 
 // fitting returns how many of n tasks fit into a free capacity.
--- a/node/internal/plan/reserve.go
+++ b/node/internal/plan/reserve.go
@@ -42,6 +42,9 @@
 		reserved := min(t.expectedUrgent(now), int64(maxReserveShare*float64(limit.CPU))) - t.urgentCPU
 		limit.CPU = max(1, limit.CPU-max(0, reserved))
 	}
+	if r := t.reservedFor; limit.CPU > 0 && r != nil && r != st {
+		limit.CPU = max(1, limit.CPU-r.spec.Need.CPU)
+	}
 	return limit
 }
 
--- a/node/internal/plan/run.go
+++ b/node/internal/plan/run.go
@@ -101,6 +101,10 @@
 	j.runCount++
 	t := s.team(j.spec.Team)
 	t.used = t.used.Add(r.need)
+	if r.stage.spec.Lasting {
+		t.lastingCPU += r.need.CPU
+		r.executor.lastingCPU += r.reserved.CPU
+	}
 	if r.urgent {
 		t.urgentCPU += r.need.CPU
 		r.executor.urgentRuns++
@@ -122,6 +126,10 @@
 	j.runCount--
 	t := s.team(j.spec.Team)
 	t.used = t.used.Sub(r.need)
+	if r.stage.spec.Lasting {
+		t.lastingCPU -= r.need.CPU
+		r.executor.lastingCPU -= r.reserved.CPU
+	}
 	if r.urgent {
 		t.urgentCPU -= r.need.CPU
 		r.executor.urgentRuns--
--- a/node/internal/plan/slots.go
+++ b/node/internal/plan/slots.go
@@ -60,8 +60,8 @@
 	if st.spec.Lasting {
 		return false
 	}
-	grace := (lateFactor - 1) * st.occur.job.latencyObjective()
-	return now.After(st.urgency(now).latestStart.Add(grace))
+	j := st.occur.job
+	return j.mark == markHopeless || now.Add(st.remainingPath()).After(st.occur.origin().Add(lateFactor*j.latencyObjective()))
 }
 
 // unsentRequest is a request that wasn't sent though none is pending for its stage.
--- a/node/internal/plan/snapshotjob.go
+++ b/node/internal/plan/snapshotjob.go
@@ -140,6 +140,7 @@
 	for _, k := range f.Ahead {
 		j.ahead[k] = true
 	}
+	s.noteSize(j)
 	s.jobs[f.ID] = j
 	for i := range f.Occurs {
 		if err := s.restoreOccur(j, &f.Occurs[i], now); err != nil {
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -54,18 +54,26 @@
 	ticketsRequired    map[string]time.Time            // by queue, until when its starts need tickets though it isn't advised
 	allowedShares      map[string]*allowedShare        // by queue
 	turnover           turnover                        // of the executors' capacity
-	backlogged         bool                            // the last decision left tasks waiting
-	slowPooled         bool                            // during a decision: an executor that accepts new work is slow
-	paused             bool                            // no run may start
-	adviceSlots        int                             // maximum number of pending requests to the adviser
-	slowdowns          map[string]float64              // learned, by kind of hardware
-	coldSlowdowns      map[string]coldSlowdown         // learned, by kind of hardware
-	estimateRatios     map[string]float64              // learned run times relative to the estimates, by queue
-	newlyCold          []*executor                     // their cold time begins with the next decision
-	recordedClosed     []string                        // executors that the last record names as closed, sorted
-	recordedUnverified []string                        // of these, executors that may have unrecorded runs, sorted
-	maybeClosed        map[string]bool                 // executors that the stored record may name as closed
-	closedInDoubt      bool                            // a record was written without an answer, so that the last one may not be the stored one
+	throughputs        map[string]*throughput          // by service
+	jobSizes           map[string]*jobSizes            // by queue
+	floors             map[string]*floor               // by queue
+	floorsDecayed      time.Time                       // when floors were last made to forget
+	candidates         []candidate                     // of the last sweep
+	deferred           deferredCounts
+	keepOrder          bool // no job is marked; tests compare with it
+	reservations       []*reservation
+	backlogged         bool                    // the last decision left tasks waiting
+	slowPooled         bool                    // during a decision: an executor that accepts new work is slow
+	paused             bool                    // no run may start
+	adviceSlots        int                     // maximum number of pending requests to the adviser
+	slowdowns          map[string]float64      // learned, by kind of hardware
+	coldSlowdowns      map[string]coldSlowdown // learned, by kind of hardware
+	estimateRatios     map[string]float64      // learned run times relative to the estimates, by queue
+	newlyCold          []*executor             // their cold time begins with the next decision
+	recordedClosed     []string                // executors that the last record names as closed, sorted
+	recordedUnverified []string                // of these, executors that may have unrecorded runs, sorted
+	maybeClosed        map[string]bool         // executors that the stored record may name as closed
+	closedInDoubt      bool                    // a record was written without an answer, so that the last one may not be the stored one
 	// inheritedClosed has the executors that the previous owner recorded as closed,
 	// except those that may have unrecorded runs.
 	inheritedClosed map[string]bool
@@ -97,6 +105,9 @@
 		adviceSlots:     1,
 		allowedShares:   make(map[string]*allowedShare),
 		moveRequests:    make(map[*stage]moveRequests),
+		throughputs:     make(map[string]*throughput),
+		jobSizes:        make(map[string]*jobSizes),
+		floors:          make(map[string]*floor),
 	}
 	for _, opt := range opts {
 		opt(s)
--- a/node/internal/plan/team.go
+++ b/node/internal/plan/team.go
@@ -9,12 +9,15 @@
 // team holds an organisation's resource usage, its demand for urgent work and the
 // token bucket of its submission quota.
 type team struct {
-	used       model.Amount // needs of all runs that may exist
-	urgentCPU  int64        // part of used.CPU that urgent work takes
-	urgentPeak int64        // CPU that urgent work had or wanted at peakedAt
-	peakedAt   time.Time
-	tokens     float64   // jobs that it may submit within its quota
-	refilledAt time.Time // when tokens were last added
+	used        model.Amount // needs of all runs that may exist
+	urgentCPU   int64        // part of used.CPU that urgent work takes
+	urgentPeak  int64        // CPU that urgent work had or wanted at peakedAt
+	peakedAt    time.Time
+	tokens      float64   // jobs that it may submit within its quota
+	refilledAt  time.Time // when tokens were last added
+	lastingCPU  int64     // part of used.CPU that lasting tasks take
+	throughput  throughput
+	reservedFor *stage // one of its tasks is to fit under the limit first, or nil
 }
 
 // limit returns what the running tasks of a job's team may take. Under a configuration without
--- a/node/internal/plan/urgency.go
+++ b/node/internal/plan/urgency.go
@@ -29,11 +29,8 @@
 // urgency returns the stage's place in the order of waiting stages.
 func (st *stage) urgency(now time.Time) urgency {
 	j := st.occur.job
-	origin := j.spec.Sent
-	if j.spec.Times > 0 {
-		origin = j.spec.Due(st.occur.number)
-	}
-	u := urgency{rank: j.queue.Priority}
+	origin := st.occur.origin()
+	u := urgency{rank: j.queue.Priority + j.mark.rankPenalty()}
 	if j.overQuota {
 		u.rank += overQuotaRankPenalty
 	}
@@ -45,6 +42,8 @@
 	remaining := st.remainingPath()
 	u.latestStart = origin.Add(objective - remaining)
 	switch {
+	case j.mark == markLate:
+		u.latestStart = u.latestStart.Add((lateFactor - 1) * objective)
 	case now.Add(remaining).After(origin.Add(lateFactor * objective)):
 		u.rank += 2 * lateRankPenalty
 	case now.Add(remaining).After(origin.Add(objective)):
