--- a/node/internal/plan/waitingstage.go
+++ b/node/internal/plan/waitingstage.go
@@ -34,7 +34,7 @@
 
 // nextRankChange returns the time after which the stage's rank isn't the one at now, zero for never.
 func (st *stage) nextRankChange(now time.Time) time.Time {
-	if st.spec.Lasting {
+	if st.spec.Lasting || st.occur.job.mark == markLate {
 		return time.Time{}
 	}
 	late := st.urgency(now).latestStart
