--- a/node/internal/plan/feasible.go
+++ b/node/internal/plan/feasible.go
@@ -13,8 +13,8 @@
 
 // markJobs marks the waiting jobs that can't be in time.
 func (s *State) markJobs(now time.Time) {
-	if s.keepOrder {
-		return
+	if s.keepOrder || !s.backlogged && len(s.candidates) == 0 && len(s.reservations) == 0 {
+		return // The last decision left nothing waiting, and no mark is set.
 	}
 	s.floorsDecay(now)
 	s.updateRatios()
--- a/node/internal/plan/place.go
+++ b/node/internal/plan/place.go
@@ -88,7 +88,7 @@
 // order.
 func (s *State) findFits(st *stage, p *pool, now time.Time) []fit {
 	perTask := st.spec.Room()
-	if !p.mayFit(perTask) {
+	if !p.mayFit(perTask) || !s.mayUseReserved(st) && !p.mayFitUnreserved(perTask) {
 		return nil
 	}
 	var fits []fit
@@ -108,11 +108,15 @@
 		}
 		return fits
 	}
-	room := false
+	room, reserved := false, false
 	for _, e := range p.executors {
 		if !perTask.Fits(e.free()) {
 			continue
 		}
+		if r := e.reservation; r != nil && !perTask.Fits(r.free(st)) {
+			reserved = true
+			continue
+		}
 		room = true
 		if advised {
 			if _, ok := st.advice.validTicket(e, now); !ok {
@@ -123,7 +127,11 @@
 			fits = append(fits, fit{executor: e, tasks: k, score: s.score(st, e)})
 		}
 	}
-	if !room {
+	switch {
+	case room:
+	case reserved:
+		p.unfitUnreserved = append(p.unfitUnreserved, perTask)
+	default:
 		p.noteUnfit(perTask)
 	}
 	return fits
--- a/node/internal/plan/pool.go
+++ b/node/internal/plan/pool.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/balsamford/balsamford/coord/model"
@@ -11,15 +12,16 @@
 // backlog of thousands of waiting tasks on full executors, most stages are so passed over
 // without a look at the executors.
 type pool struct {
-	service   string
-	label     string // the executors have it; empty for no label
-	rack      string // the executors are on it; empty for any rack
-	decision  int    // number of the decision
-	executors []*executor
-	unfit     []model.Amount   // needs for which no executor has room
-	byLabel   map[string]*pool // subsets of the executors, made when they are first needed
-	byRack    map[string]*pool // the same
-	supply    *supply          // of the service
+	service         string
+	label           string // the executors have it; empty for no label
+	rack            string // the executors are on it; empty for any rack
+	decision        int    // number of the decision
+	executors       []*executor
+	unfit           []model.Amount   // needs for which no executor has room
+	unfitUnreserved []model.Amount   // needs for which none has room beside what is reserved
+	byLabel         map[string]*pool // subsets of the executors, made when they are first needed
+	byRack          map[string]*pool // the same
+	supply          *supply          // of the service
 }
 
 // AvoidZone excludes the executors of a zone from new work. An empty name excludes
@@ -98,5 +100,10 @@
 	return true
 }
 
+// mayFitUnreserved reports whether an executor may have room for a need beside what is reserved.
+func (p *pool) mayFitUnreserved(need model.Amount) bool {
+	return !slices.ContainsFunc(p.unfitUnreserved, func(u model.Amount) bool { return u.Fits(need) })
+}
+
 // noteUnfit notes that no executor has room for a need.
 func (p *pool) noteUnfit(need model.Amount) { p.unfit = append(p.unfit, need) }
--- a/node/internal/plan/reservation.go
+++ b/node/internal/plan/reservation.go
@@ -39,6 +39,11 @@
 	return free.Sub(r.stage.spec.Room())
 }
 
+// mayUseReserved reports whether tasks of a stage may start on reserved capacity.
+func (s *State) mayUseReserved(st *stage) bool {
+	return st.occur.job.floored || st.spec.Estimate > 0 && st.spec.Estimate <= s.longestReservation
+}
+
 // reserve ends reservations that aren't needed any more, and makes those for at most one stage of a
 // service a sweep, since more would take long to find.
 func (s *State) reserve(now time.Time) {
@@ -46,7 +51,7 @@
 	s.reservations = slices.DeleteFunc(s.reservations, func(r *reservation) bool {
 		e, st := r.executor, r.stage
 		r.wait = s.timeToFit(e, st, now)
-		if s.executors[e.info.ID] == e && s.schedulable(e, now) && st.occur.job.floored && st.waiting > held[st] && e.runsOf(st) == r.runs {
+		if s.executors[e.info.ID] == e && s.schedulable(e, now) && s.waitsFloored(st) && st.waiting > held[st] && e.runsOf(st) == r.runs {
 			held[st]++
 			count[st.occur.job.queue.Service]++
 			return false
@@ -81,6 +86,16 @@
 			}
 		}
 	}
+	s.longestReservation = 0
+	for _, r := range s.reservations {
+		s.longestReservation = max(s.longestReservation, r.wait)
+	}
+}
+
+// waitsFloored reports whether a stage waits whose job a floor serves.
+func (s *State) waitsFloored(st *stage) bool {
+	j := st.occur.job
+	return j.floored && !j.phase.Final() && s.jobs[j.spec.ID] == j && st.waiting > 0
 }
 
 // flooredCandidates returns the jobs that floors serve, the most urgent first.
--- a/node/internal/plan/state.go
+++ b/node/internal/plan/state.go
@@ -62,6 +62,7 @@
 	deferred           deferredCounts
 	keepOrder          bool // no job is marked; tests compare with it
 	reservations       []*reservation
+	longestReservation time.Duration           // the longest wait of the reservations
 	backlogged         bool                    // the last decision left tasks waiting
 	slowPooled         bool                    // during a decision: an executor that accepts new work is slow
 	paused             bool                    // no run may start
--- a/node/internal/plan/throughput.go
+++ b/node/internal/plan/throughput.go
@@ -9,6 +9,10 @@
 // are. The first runs of a burst end only after some seconds.
 const throughputPrior = 2 * time.Second
 
+// maxUpdateGap bounds the time between two updates for which tasks count. While nothing waits there are
+// none, and it isn't known how long the capacity was in full use.
+const maxUpdateGap = 3 * sweepInterval
+
 // throughput learns how much work is done in a second while a capacity is in full use: that of a
 // service, or what a team's limit leaves to it. Unlike turnover it counts core-seconds, since the
 // waiting tasks need not be as long as those that run. The zero value expects full use.
@@ -26,7 +30,7 @@
 		keep := math.Exp(-float64(passed) / float64(turnoverTime))
 		t.total *= keep
 		t.observed = time.Duration(float64(t.observed) * keep)
-		if full {
+		if full && passed <= maxUpdateGap {
 			t.total += t.done
 			t.observed += passed
 		}
