--- a/node/internal/plan/feasible.go
+++ b/node/internal/plan/feasible.go
@@ -44,7 +44,9 @@
 			o = s.teamOverload(j)
 			teams[j.spec.Team] = o
 		}
-		o.add(c)
+		if o.limited {
+			o.add(c)
+		}
 	}
 	for name, o := range teams {
 		s.markTeam(s.team(name), o, now)
@@ -54,7 +56,7 @@
 		service := c.job.queue.Service
 		o := services[service]
 		if o == nil {
-			o = &overload{cause: DeferredByRoom}
+			o = &overload{cause: DeferredByRoom, jobs: make([]*candidate, 0, len(s.candidates))}
 			services[service] = o
 		}
 		if c.mark != markDeferred {
@@ -81,8 +83,8 @@
 		for _, o := range j.occurs {
 			c.addWork(o, objective, now)
 		}
-	} else if o := j.occurs[0]; o != nil { // Much faster, since maps are slow to iterate over.
-		c.addWork(o, objective, now)
+	} else if j.single != nil {
+		c.addWork(j.single, objective, now) // Without the cost of a map for each job.
 	}
 	mean := c.sizes.mean()
 	if c.cpu == 0 || c.work <= 0 {
--- a/node/internal/plan/job.go
+++ b/node/internal/plan/job.go
@@ -14,6 +14,7 @@
 	phase        model.Phase
 	recorded     model.Phase         // phase that was recorded last; model.Queued without a record
 	occurs       map[int]*occurrence // begun and unfinished occurrences, by number
+	single       *occurrence         // the one in occurs if the job doesn't recur, or nil
 	next         int                 // first occurrence that hasn't begun
 	coming       *occurrence         // the next one, if the adviser was asked about it before it began, or nil
 	ahead        map[int]bool        // later occurrences that have finished already, by number
--- a/node/internal/plan/occurrence.go
+++ b/node/internal/plan/occurrence.go
@@ -113,6 +113,9 @@
 		o = newOccurrence(j, k)
 	}
 	j.coming, j.occurs[k] = nil, o
+	if j.spec.Times == 0 {
+		j.single = o
+	}
 	return o
 }
 
@@ -138,6 +141,7 @@
 // finish notes that the tasks of an open occurrence are done.
 func (j *job) finish(o *occurrence) {
 	delete(j.occurs, o.number)
+	j.single = nil
 	if o.number >= j.next {
 		j.ahead[o.number] = true
 	}
--- a/node/internal/plan/overload.go
+++ b/node/internal/plan/overload.go
@@ -36,7 +36,11 @@
 		if c.mark == markHopeless {
 			continue
 		}
-		lanes[c.rank] = append(lanes[c.rank], c)
+		lane := lanes[c.rank]
+		if lane == nil {
+			lane = make([]*candidate, 0, len(o.jobs))
+		}
+		lanes[c.rank] = append(lane, c)
 	}
 	for len(lanes) > 0 {
 		rank := slices.Min(slices.Collect(maps.Keys(lanes)))
@@ -65,7 +69,7 @@
 	if o.cpu > 0 {
 		atOnce = o.free * o.ready / o.cpu
 	}
-	var kept dispensable
+	kept := make(dispensable, 0, len(lane))
 	for _, c := range lane {
 		o.ahead += c.load()
 		if !c.fixed && !c.job.floored {
