--- a/node/internal/plan/place.go
+++ b/node/internal/plan/place.go
@@ -88,35 +88,27 @@
 // order. The slice is valid until the next call.
 func (s *State) findFits(st *stage, p *pool, now time.Time) []fit {
 	perTask := st.spec.Room()
-	if !p.mayFit(perTask) {
+	if !p.mayFit(perTask) || !s.mayUseReserved(st) && !p.mayFitUnreserved(perTask) {
 		return nil
 	}
-	fits := s.fits[:0]
-	defer func() { s.fits = fits }()
 	advised := s.advised(st.occur.job, now)
 	if advised && !st.advice.usableUntil.After(now) {
 		return nil
 	}
 	if advised && len(st.advice.tickets) < len(p.executors) {
-		for id, t := range st.advice.tickets {
-			if !t.usable(now) {
-				continue
-			}
-			e := s.executors[id]
-			if e == nil || !p.has(e) || t.decision <= e.bornIn {
-				continue
-			}
-			if k := e.capacityFor(st, perTask); k > 0 {
-				fits = append(fits, fit{executor: e, tasks: k, score: s.score(st, e)})
-			}
-		}
-		return fits
+		return s.findTicketedFits(st, p, now)
 	}
-	room := false
+	fits := s.fits[:0]
+	defer func() { s.fits = fits }()
+	room, reserved := false, false
 	for _, e := range p.executors {
 		if !perTask.Fits(e.free()) {
 			continue
 		}
+		if r := e.reservation; r != nil && !perTask.Fits(r.free(st)) {
+			reserved = true
+			continue
+		}
 		room = true
 		if advised {
 			if _, ok := st.advice.validTicket(e, now); !ok {
@@ -127,12 +119,36 @@
 			fits = append(fits, fit{executor: e, tasks: k, score: s.score(st, e)})
 		}
 	}
-	if !room {
+	switch {
+	case room:
+	case reserved:
+		p.unfitUnreserved = append(p.unfitUnreserved, perTask)
+	default:
 		p.noteUnfit(perTask)
 	}
 	return fits
 }
 
+// findTicketedFits does the same for a stage that has answers of the adviser for few executors.
+func (s *State) findTicketedFits(st *stage, p *pool, now time.Time) []fit {
+	perTask := st.spec.Room()
+	fits := s.fits[:0]
+	defer func() { s.fits = fits }()
+	for id, t := range st.advice.tickets {
+		if !t.usable(now) {
+			continue
+		}
+		e := s.executors[id]
+		if e == nil || !p.has(e) || t.decision <= e.bornIn {
+			continue
+		}
+		if k := e.capacityFor(st, perTask); k > 0 {
+			fits = append(fits, fit{executor: e, tasks: k, score: s.score(st, e)})
+		}
+	}
+	return fits
+}
+
 // compareFits orders executors for a stage, the best first.
 func compareFits(a, b fit) int {
 	return cmp.Or(a.zoneRank-b.zoneRank, cmp.Compare(a.score, b.score), cmp.Compare(a.executor.info.ID, b.executor.info.ID))
