plan: the floor of large jobs follows outcomes, not what waits

Cause: the floor counted waiting jobs that were marked as not served. Change: a job counts once, when it ends or misses its objective; chosen jobs count until then. The margin is 1.1.

--- a/node/internal/plan/feasible.go
+++ b/node/internal/plan/feasible.go
@@ -137,9 +137,10 @@
 	case c.fixed || c.slack >= 0:
 	case late < 0:
 		c.mark = markHopeless
-		s.judge(c.job, 0)
+		s.judge(c.job, false)
 	default:
-		c.mark, c.late, c.slack, c.job.floored = markLate, true, late, false
+		c.mark, c.late, c.slack = markLate, true, late
+		s.judge(c.job, false)
 		c.rank += missedRankPenalty
 	}
 }
@@ -201,7 +202,10 @@
 		if !c.overloaded || c.fixed {
 			m = unmarked
 		}
-		c.job.mark, c.job.floored = m, c.job.floored && c.overloaded
+		c.job.mark = m
+		if !c.overloaded {
+			s.release(c.job)
+		}
 		if m != markDeferred && (m != markLate || c.due < 0) {
 			continue
 		}
--- a/node/internal/plan/floor.go
+++ b/node/internal/plan/floor.go
@@ -14,29 +14,44 @@
 	// floorShare times how often a queue's jobs are served is how often its large ones are at least.
 	floorShare = 0.5
 	// floorMargin times that is aimed at, since some of the jobs that are chosen are late in spite of it.
-	floorMargin = 1.05
+	floorMargin = 1.1
 	// floorMemory is the time constant with which ends of jobs are forgotten.
 	floorMemory = 30 * time.Second
 )
 
 // floor counts a queue's jobs, by size.
 type floor struct {
-	judged [sizeClasses]float64 // jobs that have ended or become hopeless, decaying
-	served [sizeClasses]float64 // what these were worth, 1 for each that met its objective, decaying
+	judged [sizeClasses]float64 // jobs that have ended or missed their objective, decaying
+	served [sizeClasses]float64 // of these, jobs that met their objective, decaying
+	chosen [sizeClasses]int     // jobs that were chosen and aren't judged yet
 }
 
-// lacking returns how many jobs of a class have to be served in addition, if as many jobs wait, and as
-// many of these are going to be served.
-func (f *floor) lacking(class sizeClass, waiting, kept [sizeClasses]float64) int {
+// lacking returns how many more jobs of a class have to be chosen.
+func (f *floor) lacking(class sizeClass) int {
 	all, served := 0.0, 0.0
 	for k := range sizeClasses {
-		all += f.judged[k] + waiting[k]
-		served += f.served[k] + kept[k]
+		all += f.judged[k]
+		served += f.served[k]
 	}
 	if all == 0 {
 		return 0
 	}
-	return int(math.Ceil(floorMargin*floorShare*served/all*(f.judged[class]+waiting[class]) - f.served[class] - kept[class]))
+	chosen := float64(f.chosen[class])
+	return int(math.Ceil(floorMargin*floorShare*served/all*(f.judged[class]+chosen) - f.served[class] - chosen))
+}
+
+// choose chooses a job of a class, which must not be chosen yet.
+func (f *floor) choose(j *job, class sizeClass) {
+	f.chosen[class]++
+	j.floored, j.flooredAs = true, class
+}
+
+// release undoes the choice of a job if it is chosen.
+func (s *State) release(j *job) {
+	if j.floored {
+		j.floored = false
+		s.floorOf(j.spec.Queue).chosen[j.flooredAs]--
+	}
 }
 
 // floorsDecay lets the floors forget.
@@ -61,28 +76,23 @@
 	return f
 }
 
-// judge counts a job that has ended or become hopeless with what it is worth. It counts once.
-func (s *State) judge(j *job, worth float64) {
+// judge counts a job that has ended or missed its objective. It counts once.
+func (s *State) judge(j *job, inTime bool) {
 	if j.judged || j.size == 0 || j.unbounded {
 		return
 	}
-	j.judged, j.floored = true, false
+	j.judged = true
+	s.release(j)
 	f, class := s.floorOf(j.spec.Queue), j.sizes.class(j.size)
 	f.judged[class]++
-	f.served[class] += worth
+	if inTime {
+		f.served[class]++
+	}
 }
 
 // judgeEnd counts a job that is done.
 func (s *State) judgeEnd(j *job, now time.Time) {
-	objective := j.latencyObjective()
-	switch took := now.Sub(j.spec.Sent); {
-	case took <= objective:
-		s.judge(j, 1)
-	case took <= lateFactor*objective:
-		s.judge(j, lateWorth)
-	default:
-		s.judge(j, 0)
-	}
+	s.judge(j, now.Sub(j.spec.Sent) <= j.latencyObjective())
 }
 
 // raiseFloors chooses deferred large jobs that are to be in time in spite of their work, for queues that
@@ -99,30 +109,22 @@
 		if slices.ContainsFunc(jobs, func(c *candidate) bool { return c.job.floored && c.job.unreserved }) {
 			continue // More of them would only take from the others.
 		}
-		var waiting, kept [sizeClasses]float64
 		var deferred [sizeClasses][]*candidate
 		for _, c := range jobs {
-			class := c.sizes.class(c.job.size)
-			waiting[class]++
-			switch c.mark {
-			case unmarked:
-				kept[class]++
-			case markLate:
-				kept[class] += lateWorth
-			case markDeferred, markHopeless:
-			}
 			if c.mark != unmarked && !c.job.floored && c.due >= 0 {
+				class := c.sizes.class(c.job.size)
 				deferred[class] = append(deferred[class], c)
 			}
 		}
+		f := s.floorOf(queue)
 		for class := largeSize; class < sizeClasses; class++ {
-			n := s.floorOf(queue).lacking(class, waiting, kept)
+			n := f.lacking(class)
 			if n <= 0 || len(deferred[class]) == 0 {
 				continue
 			}
 			slices.SortFunc(deferred[class], func(a, b *candidate) int { return cmp.Or(cmp.Compare(b.due, a.due), compareSlacks(a, b)) })
 			for _, c := range deferred[class][:min(n, len(deferred[class]))] {
-				c.job.floored = true
+				f.choose(c.job, class)
 			}
 		}
 	}
--- a/node/internal/plan/job.go
+++ b/node/internal/plan/job.go
@@ -30,6 +30,7 @@
 	unbounded    bool          // it recurs or has lasting tasks
 	mark         mark          // of the last sweep
 	floored      bool          // it is to be in time in spite of its work
+	flooredAs    sizeClass     // for which floor
 	unreserved   bool          // it is floored, and not enough executors are reserved for it
 	judged       bool          // it counts for the floor of its queue
 }
