plan, admit: forecasts that allow for chance at the latest start

The pace was measured over 2 s, which varies too much; a host counted jobs beyond the quota against what was left of it; and jobs that are served just before they become late were taken to be late. Change: the pace is at least the limit or the executors; a step that becomes late while it is served goes back in the replay; no job is taken to be late unless the work before it takes twice the time to its latest start; small tasks aren't rejected for room behind larger ones; usual arrivals aren't biased at the start. No forecast is made until work has waited for 0.5 s.

--- a/node/internal/admit/admit_test.go
+++ b/node/internal/admit/admit_test.go
@@ -108,6 +108,26 @@
 	is.True(!g.Decide(due.Add(600*time.Millisecond), newJob("new"), newForecast(8_000, 8_000), 0, 1).Rejected)
 }
 
+// Clients return after 0.4 to 1 s whatever they were told. If that moved the place of others, a persistent client would
+// push them back.
+func TestEarlyReturnShiftsNobody(t *testing.T) {
+	is := is.New(t)
+	f := newForecast(20_000, 20_000)
+	calm, hasty := admit.New(), admit.New()
+	first := hasty.Decide(start, newJob("first"), f, 0, 1)
+	calm.Decide(start, newJob("first"), f, 0, 1)
+	for i := range 10 {
+		now := start.Add(time.Duration(i+1) * 600 * time.Millisecond)
+		v := hasty.Decide(now, newJob("first"), f, 0, 1)
+		is.True(v.Rejected)
+		is.Equal(now.Add(v.Retry).Sub(start.Add(first.Retry)).Truncate(time.Second), time.Duration(0)) // its own place
+	}
+	for i := range 5 {
+		now := start.Add(6*time.Second + time.Duration(i)*time.Millisecond)
+		is.Equal(hasty.Decide(now, newJob(fmt.Sprint(i)), f, 0, 1), calm.Decide(now, newJob(fmt.Sprint(i)), f, 0, 1))
+	}
+}
+
 // If all verdicts against a lane were carried out, a wrong forecast would never be found out.
 func TestEachEighthVerdictIsASample(t *testing.T) {
 	is := is.New(t)
--- a/node/internal/admit/gate.go
+++ b/node/internal/admit/gate.go
@@ -97,7 +97,9 @@
 	switch {
 	case !v.Rejected:
 		g.pass(job.ID, now)
-		g.sent[job.Team]++
+		if !a.BeyondQuota {
+			g.sent[job.Team]++ // Jobs beyond the quota don't use it up.
+		}
 	case early:
 		v.Retry = wholeSeconds(before.due.Sub(now)) // It keeps its place.
 	default:
--- a/node/internal/admit/verdicts_test.go
+++ b/node/internal/admit/verdicts_test.go
@@ -26,32 +26,37 @@
 		"adviser, more load":           {load: 1.1, slots: 4},
 		"limit of the team, more load": {load: 1.1, limit: model.Amount{CPU: 110_000}},
 	}
-	rejected, wrong := 0, 0
+	rejected, wrong, worthless, excess, found := 0, 0, 0, 0, 0
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			var all, within, others outcome
-			for seed := range uint64(3) {
+			var all, within, others, beyond outcome
+			for seed := range uint64(9) {
 				r := newReplay(seed, false, tt.limit, tt.slots)
 				r.load = tt.load
 				r.run(100*time.Second, r.burst)
 				for sum, match := range map[*outcome]func(s *sent) bool{
-					&all: func(*sent) bool { return true }, &within: func(s *sent) bool { return s.kind.queue == "short" && !s.verdict.Beyond }, &others: func(s *sent) bool { return s.job.Team != "a" },
+					&all: func(*sent) bool { return true }, &within: func(s *sent) bool { return s.kind.queue == "short" && !s.verdict.Beyond }, &others: func(s *sent) bool { return s.job.Team != "a" }, &beyond: func(s *sent) bool { return s.kind.tasks > 1 && s.verdict.Beyond },
 				} {
 					o := r.outcomes(match)
 					sum.jobs, sum.rejected, sum.wrong, sum.worthless = sum.jobs+o.jobs, sum.rejected+o.rejected, sum.wrong+o.wrong, sum.worthless+o.worthless
 				}
 			}
 			t.Logf("all %+v, short within the quota %+v, other teams %+v", all, within, others)
-			rejected, wrong = rejected+all.rejected, wrong+all.wrong
+			rejected, wrong, worthless = rejected+all.rejected, wrong+all.wrong, worthless+all.worthless
+			if tt.limit.CPU > 0 {
+				excess, found = excess+beyond.worthless, found+beyond.rejected-beyond.wrong
+			}
 			is.True(all.wrong*200 <= all.jobs)         // few jobs are rejected though they would have value
 			is.Equal(within.rejected, 0)               // they start at once
 			is.True(others.rejected*50 <= others.jobs) // they don't pay for the burst of another team
 		})
 	}
 	is := is.New(t)
-	is.True(rejected >= 200)      // there is something to judge
-	is.True(wrong*10 <= rejected) // nine of ten rejections are right
+	t.Logf("%d rejected, %d of them wrongly, of %d worthless; of %d long excess jobs under a limit that end worthless %d are rejected", rejected, wrong, worthless, excess, found)
+	is.True(rejected >= 200)         // there is something to judge
+	is.True(wrong*100 <= 3*rejected) // 97 of 100 rejections are right
+	is.True(found*2 >= excess)       // the case that is the easiest to foresee is found
 }
 
 // Rejections must not starve a queue, team or size, nor cost more than they save. Here they are carried out.
--- a/node/internal/plan/checks.go
+++ b/node/internal/plan/checks.go
@@ -5,16 +5,15 @@
 const (
 	// maxPendingChecks bounds the jobs whose forecasts are compared with what comes of them.
 	maxPendingChecks = 2048
-	// defaultMargin is the margin of forecasts that have not been checked. In trials 16 of 195
-	// rejections were wrong with 3, and 21 of 210 with 2.
-	defaultMargin = 3.0
+	// defaultMargin is the margin of forecasts that have not been checked.
+	defaultMargin = 1.5
 	minMargin     = 1.25
 	// maxMargin is so large that no forecast leads to a rejection.
 	maxMargin = 100.0
 	// widenMargin and narrowMargin are the factors by which one outcome changes the margin. They
-	// balance when one of nine jobs that a forecast gave up ended with value.
+	// balance when one of 41 jobs that a forecast gave up ended with value.
 	widenMargin  = 1.5
-	narrowMargin = 0.95
+	narrowMargin = 0.99
 )
 
 // checks compares the forecasts for jobs that were expected to end worthless, and were accepted, with
--- a/node/internal/plan/contention.go
+++ b/node/internal/plan/contention.go
@@ -8,18 +8,19 @@
 const (
 	// paceWindow is the time over which the pace of a contention is measured.
 	paceWindow = 2 * time.Second
-	// minPaceShare times the nominal pace is the least pace that is expected. Executors that
-	// start nothing for a moment, after a fault for instance, usually go on.
-	minPaceShare = 0.25
-	// minRankShare times the pace is the least pace that is expected for work of any rank, since the
-	// arrival of better work varies.
-	minRankShare = 0.1
+	// minRankShare times the pace is the least pace that is expected for work of any rank, and betterShare is
+	// the share of the usual better work that is expected to keep coming, since its arrival varies. With all of it,
+	// 16 of 612 rejections in replays were wrong, with 0.7 of it 14 of 602.
+	minRankShare = 0.2
+	betterShare  = 0.7
 	// usualTime is the time constant of the usual arrivals. It is longer than typical bursts of 4 to 8 s:
 	// otherwise work that came in a burst would be expected to keep coming.
 	usualTime = 20 * time.Second
 	// scarceGap is how long no work may be seen waiting for a contention that counts as scarce. Work of a team at its
 	// limit also waits for executors at times.
 	scarceGap = 600 * time.Millisecond
+	// longScarce is how long work must have waited before a forecast is made: less is no overload.
+	longScarce = 500 * time.Millisecond
 	// maxForecastRank is the highest rank whose arrivals are told apart: the lowest priority in use,
 	// beyond the quota.
 	maxForecastRank = 7
@@ -34,6 +35,7 @@
 	arrived    [maxForecastRank + 1]flow
 	usual      [maxForecastRank + 1]float64 // arrivals per second, by rank
 	usualAt    time.Time                    // when usual was last updated
+	since      time.Time                    // when usual was first updated
 }
 
 // arrive notes that work of a rank has arrived.
@@ -43,7 +45,11 @@
 
 // observe updates what is usual, and notes whether work waits for the contention.
 func (p *contention) observe(scarce bool, now time.Time) {
-	weight := 1 - math.Exp(-float64(now.Sub(p.usualAt))/float64(usualTime))
+	if p.since.IsZero() {
+		p.since = now.Add(-paceWindow)
+	}
+	took := float64(now.Sub(p.usualAt))
+	weight := min(1, max(1-math.Exp(-took/float64(usualTime)), took/float64(now.Sub(p.since)))) // At first, the plain mean.
 	for rank := range p.usual {
 		p.usual[rank] += weight * (p.arrived[rank].rate(now, paceWindow) - p.usual[rank])
 	}
@@ -59,15 +65,15 @@
 	}
 }
 
-// pace returns the amount of work that is expected to start in a second. nominal is the amount
-// that could start by estimates. What was started shows the pace only if work waited all the time:
-// otherwise it shows the demand.
+// lacking reports whether work has waited for the contention for long.
+func (p *contention) lacking(now time.Time) bool {
+	return !p.scarce.IsZero() && now.Sub(p.scarce) >= longScarce
+}
+
+// pace returns the most work that is expected to start in a second. nominal is what could start by
+// estimates: what was started in a short time varies too much to show that it is less.
 func (p *contention) pace(nominal float64, now time.Time) float64 {
-	measured := p.started.rate(now, paceWindow)
-	if p.scarce.IsZero() || now.Sub(p.scarce) < paceWindow {
-		return max(measured, nominal)
-	}
-	return max(measured, nominal*minPaceShare)
+	return max(p.started.rate(now, paceWindow), nominal)
 }
 
 // paces returns the pace at which work of a rank is served: what is left by better work that keeps
@@ -79,7 +85,7 @@
 	for rank := range left {
 		left[rank] = max(rest, all*minRankShare)
 		if rank <= maxForecastRank {
-			rest -= min(p.usual[rank], p.arrived[rank].rate(now, flowBuckets*flowBucket))
+			rest -= betterShare * min(p.usual[rank], p.arrived[rank].rate(now, flowBuckets*flowBucket), p.arrived[rank].rate(now, paceWindow))
 		}
 	}
 	return func(rank int) float64 { return left[min(max(0, rank), len(left)-1)] }
--- a/node/internal/plan/forecaster.go
+++ b/node/internal/plan/forecaster.go
@@ -83,7 +83,7 @@
 		}
 	}
 	q := f.queue(j.spec.Queue)
-	q.typical[sizeClass(work)].learn(j)
+	q.typical[sizeClass(work)].learn(j, work)
 	q.arrived[j.quotaMark()].add(now, 1)
 	if f.last == nil || f.last.Unknown {
 		return
--- a/node/internal/plan/limitforecast.go
+++ b/node/internal/plan/limitforecast.go
@@ -22,9 +22,9 @@
 		}
 		asked := demands[:len(demands):len(demands)]
 		for _, p := range probes {
-			asked = append(asked, p.demand())
+			asked = append(asked, p.demand(p.typical.taken[kind]))
 		}
-		serve(now, asked, false, s.forecaster.limits[team][kind].paces(nominal*1000, now)) // Needs are in milliseconds.
+		serve(now, asked, false, certainLimit, s.forecaster.limits[team][kind].paces(nominal*1000, now)) // Needs are in milliseconds.
 		waits := make(map[string]*[2]Waits)
 		for i, d := range asked[len(demands):] {
 			p := &probes[i]
--- a/node/internal/plan/outlook.go
+++ b/node/internal/plan/outlook.go
@@ -54,7 +54,7 @@
 // fillForecast makes a forecast.
 func (s *State) fillForecast(out *Forecast, now time.Time) {
 	f := &s.forecaster
-	if s.config == nil || !f.scarce() {
+	if s.config == nil || !f.scarce(now) {
 		return
 	}
 	all, demands := make([]*demand, 0, len(f.waiting)), make([]demand, len(f.waiting))
@@ -78,19 +78,19 @@
 	s.forecastRoom(out, all, probes, now)
 }
 
-// scarce reports whether work waits for anything.
-func (f *forecaster) scarce() bool {
+// scarce reports whether work has waited for anything for long.
+func (f *forecaster) scarce(now time.Time) bool {
 	for _, r := range f.rooms {
-		if !r.scarce.IsZero() {
+		if r.lacking(now) {
 			return true
 		}
 	}
 	for _, l := range f.limits {
-		if !l[0].scarce.IsZero() {
+		if l[0].lacking(now) {
 			return true
 		}
 	}
-	return !f.advice[0].scarce.IsZero() || !f.advice[1].scarce.IsZero()
+	return f.advice[0].lacking(now) || f.advice[1].lacking(now)
 }
 
 // forecastQuotas sets what is left of the teams' quotas.
@@ -129,10 +129,10 @@
 		waiting := len(asked)
 		for _, p := range probes {
 			if p.queue.Advised && adviceClass(&p.queue) == class {
-				asked = append(asked, p.demand())
+				asked = append(asked, p.demand(0))
 			}
 		}
-		serve(now, asked, false, slots.paces(float64(max(1, s.adviceSlots)), now))
+		serve(now, asked, false, certainRoom, slots.paces(float64(max(1, s.adviceSlots)), now))
 		at := waiting
 		for _, p := range probes {
 			if p.queue.Advised && adviceClass(&p.queue) == class {
@@ -146,6 +146,9 @@
 	}
 }
 
+// fittingShare is the share of the mean need of waiting tasks below which a job's tasks may fit between them.
+const fittingShare = 0.9
+
 // forecastRoom sets the waits for executors.
 func (s *State) forecastRoom(out *Forecast, all []*demand, probes []probe, now time.Time) {
 	out.Services = make(map[string]model.Amount)
@@ -167,23 +170,28 @@
 			continue // Nothing can be said about executors that will come.
 		}
 		var asked []*demand
+		needs, tasks := 0.0, 0.0
 		for _, d := range all {
 			if j := d.stage.occur.job; j.queue.Service == service {
 				d.work = coreSeconds(d.stage.spec) * float64(d.stage.waiting)
+				needs += float64(d.stage.spec.Room().CPU) * float64(d.stage.waiting)
+				tasks += float64(d.stage.waiting)
 				asked = append(asked, d)
 			}
 		}
 		waiting := len(asked)
 		for _, p := range probes {
 			if p.queue.Service == service {
-				asked = append(asked, p.demand())
+				asked = append(asked, p.demand(p.typical.work))
 			}
 		}
-		serve(now, asked, true, room.paces(cores, now))
+		serve(now, asked, true, certainRoom, room.paces(cores, now))
 		at := waiting
 		for _, p := range probes {
 			if p.queue.Service == service {
-				out.Queues[p.queue.Name].Room[p.over][p.size] = seconds(asked[at].start).Milliseconds()
+				if p.typical.need >= fittingShare*needs/max(1, tasks) {
+					out.Queues[p.queue.Name].Room[p.over][p.size] = seconds(asked[at].start).Milliseconds()
+				}
 				at++
 			}
 		}
--- a/node/internal/plan/probe.go
+++ b/node/internal/plan/probe.go
@@ -13,10 +13,13 @@
 	over    int // 1 if beyond the quota
 	stage   *stage
 	urgency urgency // at the time of the forecast
+	typical *typicalJob
 }
 
-// demand returns the probe as a demand without work.
-func (p *probe) demand() *demand { return &demand{stage: p.stage, first: p.urgency, probe: true} }
+// demand returns the probe as a demand that takes nothing from others. own is its work.
+func (p *probe) demand(own float64) *demand {
+	return &demand{stage: p.stage, first: p.urgency, probe: true, work: own}
+}
 
 // probes returns the jobs to forecast.
 func (s *State) probes(now time.Time) []probe {
@@ -36,7 +39,7 @@
 				j := &job{spec: spec, queue: q, criticalPath: t.path, overQuota: over == 1}
 				j.queue.Name = name
 				st := &stage{occur: &occurrence{job: j}, spec: &spec.Steps[0], waiting: 1, path: max(t.path, 1)}
-				out = append(out, probe{queue: j.queue, size: size, over: over, stage: st, urgency: st.urgency(now)})
+				out = append(out, probe{queue: j.queue, size: size, over: over, stage: st, urgency: st.urgency(now), typical: t})
 			}
 		}
 	}
