--- a/node/internal/admit/admit_test.go
+++ b/node/internal/admit/admit_test.go
@@ -128,6 +128,19 @@
 	}
 }
 
+// Jobs beyond the quota take nothing from it. If they were counted, later jobs within it would be judged as beyond it.
+func TestJobsBeyondTheQuotaLeaveItAlone(t *testing.T) {
+	is := is.New(t)
+	g, f := admit.New(), newForecast(0, 5_000) // late, but worth something
+	f.Teams = map[string]*plan.TeamForecast{"t": {Jobs: 0.5, Rate: 10}}
+	for i := range 5 {
+		is.True(g.Decide(start, newJob(fmt.Sprint(i)), f, 0, 1).Beyond)
+	}
+	later := start.Add(100 * time.Millisecond)
+	is.True(!g.Decide(later, newJob("within"), f, 100*time.Millisecond, 1).Beyond)
+	is.True(g.Decide(later, newJob("beyond"), f, 100*time.Millisecond, 1).Beyond)
+}
+
 // If all verdicts against a lane were carried out, a wrong forecast would never be found out.
 func TestEachEighthVerdictIsASample(t *testing.T) {
 	is := is.New(t)
