--- a/node/internal/plan/candidate.go
+++ b/node/internal/plan/candidate.go
@@ -24,6 +24,7 @@
 	due        time.Duration // until the latest start at which it meets its objective
 	cpu        int64         // that its ready tasks need, in thousandths of a core
 	wants      int64         // part of cpu that its team's limit doesn't hold back
+	tasks      int           // that are ready
 	ready      float64       // core-seconds of its ready tasks
 	work       float64       // core-seconds of all its waiting tasks
 	value      float64       // relative to the mean of its queue
--- a/node/internal/plan/contention.go
+++ b/node/internal/plan/contention.go
@@ -26,10 +26,9 @@
 	maxForecastRank = 7
 )
 
-// contention is something that waiting work takes in turn: the executors of a service, the limit of a
-// team or the slots of the adviser.
+// contention is something that waiting work takes in turn: the executors of a service or the limit of a
+// team.
 type contention struct {
-	started    flow      // amount of work that was started
 	scarce     time.Time // since when work has waited for it without a break; zero if none does
 	lastScarce time.Time // when work was last seen waiting
 	arrived    [maxForecastRank + 1]flow
@@ -70,16 +69,9 @@
 	return !p.scarce.IsZero() && now.Sub(p.scarce) >= longScarce
 }
 
-// pace returns the most work that is expected to start in a second. nominal is what could start by
-// estimates: what was started in a short time varies too much to show that it is less.
-func (p *contention) pace(nominal float64, now time.Time) float64 {
-	return max(p.started.rate(now, paceWindow), nominal)
-}
-
-// paces returns the pace at which work of a rank is served: what is left by better work that keeps
+// paces returns, for a pace of all work, the one at which work of a rank is served: what is left by better work that keeps
 // arriving.
-func (p *contention) paces(nominal float64, now time.Time) func(rank int) float64 {
-	all := p.pace(nominal, now)
+func (p *contention) paces(all float64, now time.Time) func(rank int) float64 {
 	var left [maxForecastRank + 2]float64
 	rest := all
 	for rank := range left {
--- a/node/internal/plan/decide.go
+++ b/node/internal/plan/decide.go
@@ -28,7 +28,6 @@
 	if !s.paused {
 		waiting = s.waitingStages(now)
 	}
-	s.forecaster.waiting = waiting
 	pools := make(map[string]*pool)
 	s.backlogged, s.slowPooled = false, false
 	for _, c := range waiting {
--- a/node/internal/plan/feasible.go
+++ b/node/internal/plan/feasible.go
@@ -13,6 +13,7 @@
 
 // markJobs marks the waiting jobs that can't be in time.
 func (s *State) markJobs(now time.Time) {
+	s.forecaster.services, s.forecaster.teams = nil, nil
 	if s.keepOrder || !s.backlogged && len(s.candidates) == 0 && len(s.reservations) == 0 {
 		return // The last decision left nothing waiting, and no mark is set.
 	}
@@ -67,6 +68,7 @@
 	for name, o := range services {
 		s.markService(name, o, now)
 	}
+	s.forecaster.services, s.forecaster.teams = overloaded(services), overloaded(teams)
 	s.applyMarks()
 	s.raiseFloors()
 	s.reserve(now)
@@ -113,6 +115,7 @@
 			continue
 		}
 		c.ready += work
+		c.tasks += st.waiting
 		c.wants += st.waitingCPU()
 		c.fixed = c.fixed || st.spec.Gang && st.waiting < len(st.tasks)
 		remaining := st.remainingPath()
@@ -165,6 +168,7 @@
 	}
 	t.throughput.update(o.full, now)
 	if o.cpu > o.free {
+		o.exceeded = true
 		o.mark()
 		for _, c := range o.jobs {
 			c.overloaded = true
@@ -188,6 +192,7 @@
 	if o.wants <= o.free {
 		return
 	}
+	o.exceeded = true
 	o.mark()
 	for _, c := range o.jobs {
 		c.overloaded = true
--- a/node/internal/plan/forecast.go
+++ b/node/internal/plan/forecast.go
@@ -15,6 +15,9 @@
 	SizeClasses = 3
 )
 
+// usualShare times the work of a usual job is the work from which its forecast holds for a job.
+const usualShare = 0.8
+
 // sizeBounds are the sizes in core-seconds from which a job belongs to the second and the third class.
 // A task of some cores for some seconds is below the first, and some ten of them below the second.
 var sizeBounds = [SizeClasses - 1]float64{16, 128}
@@ -59,7 +62,7 @@
 	}
 	var d Delay
 	if q := f.Queues[j.Queue]; q != nil {
-		d.Room, d.Advice = milliseconds(q.Room[over][size]), milliseconds(q.Advice[over][size])
+		d.Room = milliseconds(q.Room[over][size])
 	}
 	if d.Room > 0 && f.mayFit(j) {
 		d.Room = 0
@@ -69,9 +72,20 @@
 			d.Limit = milliseconds(l.Waits[over][size])
 		}
 	}
+	if f.favoured(j, size) {
+		latest := max(0, Objective(j)-criticalPath(j.Steps))
+		d.Room, d.Limit = min(d.Room, latest), min(d.Limit, latest)
+	}
 	return d
 }
 
+// favoured reports whether a job may be in time though a usual one of its class of size isn't: it is worth more for its
+// work, or a floor may serve it.
+func (f *Forecast) favoured(j *model.Job, size int) bool {
+	q, work := f.Queues[j.Queue], workOf(j)
+	return q != nil && (work < usualShare*q.Work[size] || q.Large > 0 && work > q.Large)
+}
+
 // Margin returns the factor by which the forecast wait of a job may be too long.
 func (f *Forecast) Margin(j *model.Job, beyondQuota bool) float64 {
 	q := f.Queues[j.Queue]
--- a/node/internal/plan/forecaster.go
+++ b/node/internal/plan/forecaster.go
@@ -1,31 +1,24 @@
 package plan
 
-import (
-	"time"
-
-	"github.com/balsamford/balsamford/coord/model"
-)
+import "time"
 
 // forecaster holds what forecasts are made from. The zero value has measured nothing.
 type forecaster struct {
-	since    time.Time // first forecast; zero before it
-	last     *Forecast // nil before the first one
-	waiting  []waitingStage
+	since    time.Time               // first forecast; zero before it
+	last     *Forecast               // nil before the first one
+	services map[string]*overload    // that the last sweep found, by service
+	teams    map[string]*overload    // the same, by team
 	rooms    map[string]*contention  // of core-seconds, by service
-	limits   map[string]*limitSupply // by team
-	advice   [2]contention           // slots of the adviser, in seconds of short and of long requests
+	limits   map[string]*contention  // the same, by team
 	queues   map[string]*queueRecord // by queue
 	checks   checks
 	measured bool // the maps exist
 }
 
-// limitSupply is a team's limit, in seconds of each resource.
-type limitSupply [3]contention
-
 // prepare makes the maps.
 func (f *forecaster) prepare() {
 	if !f.measured {
-		f.rooms, f.limits, f.queues = make(map[string]*contention), make(map[string]*limitSupply), make(map[string]*queueRecord)
+		f.rooms, f.limits, f.queues = make(map[string]*contention), make(map[string]*contention), make(map[string]*queueRecord)
 		f.measured = true
 	}
 }
@@ -40,11 +33,11 @@
 	return r
 }
 
-func (f *forecaster) limit(team string) *limitSupply {
+func (f *forecaster) limit(team string) *contention {
 	f.prepare()
 	l := f.limits[team]
 	if l == nil {
-		l = &limitSupply{}
+		l = &contention{}
 		f.limits[team] = l
 	}
 	return l
@@ -71,16 +64,8 @@
 		rank += overQuotaRankPenalty
 	}
 	f.room(j.queue.Service).arrive(rank, work, now)
-	if s.advised(j, now) {
-		f.advice[adviceClass(&j.queue)].arrive(rank, requestTime(&j.queue).Seconds()*float64(len(j.spec.Steps)), now)
-	}
-	if limit := s.limit(j.team, j.spec); limit != (model.Amount{}) {
-		l := f.limit(j.spec.Team)
-		for i := range j.spec.Steps {
-			for kind, n := range resources(stepSeconds(&j.spec.Steps[i], j.spec.Steps[i].Count)) {
-				l[kind].arrive(rank, float64(n), now)
-			}
-		}
+	if s.limit(j.team, j.spec).CPU > 0 {
+		f.limit(j.spec.Team).arrive(rank, work, now)
 	}
 	q := f.queue(j.spec.Queue)
 	q.typical[workClass(work)].learn(j, work)
@@ -102,36 +87,17 @@
 	return 0
 }
 
-// stepSeconds returns what n tasks of a step take of a limit, multiplied by their time in milliseconds.
-func stepSeconds(step *model.Step, n int) model.Amount {
-	ms := step.Estimate.Milliseconds() * int64(n)
-	return model.Amount{CPU: step.Need.CPU * ms, Memory: step.Need.Memory * ms, Accel: step.Need.Accel * ms}
-}
-
 // noteStart notes that a task was ordered to start.
 func (s *State) noteStart(st *stage, now time.Time) {
 	j := st.occur.job
 	if st.spec.Lasting {
 		return
 	}
-	f := &s.forecaster
-	f.room(j.queue.Service).started.add(now, coreSeconds(st.spec))
-	if limit := s.limit(j.team, j.spec); limit != (model.Amount{}) {
-		l, taken := f.limit(j.spec.Team), stepSeconds(st.spec, 1)
-		for i, n := range resources(taken) {
-			l[i].started.add(now, float64(n))
-		}
-	}
-	if first := st.waiting == len(st.tasks)-1; first {
-		if st.index == 0 {
-			q := f.queue(j.spec.Queue)
-			q.started.add(now, 1)
-			if objective := j.objective(); objective > 0 && !now.Add(st.remainingPath()).After(j.spec.Sent.Add(lateFactor*objective)) {
-				q.valued[j.quotaMark()].add(now, 1)
-			}
-		}
-		if s.advised(j, now) {
-			f.advice[adviceClass(&j.queue)].started.add(now, requestTime(&j.queue).Seconds())
+	if first := st.waiting == len(st.tasks)-1; first && st.index == 0 {
+		q := s.forecaster.queue(j.spec.Queue)
+		q.started.add(now, 1)
+		if objective := j.objective(); objective > 0 && !now.Add(st.remainingPath()).After(j.spec.Sent.Add(lateFactor*objective)) {
+			q.valued[j.quotaMark()].add(now, 1)
 		}
 	}
 }
@@ -150,19 +116,3 @@
 	q.ratio += weight * (ratio - q.ratio)
 	q.runs++
 }
-
-// resources returns the components of an amount.
-func resources(a model.Amount) [3]int64 { return [3]int64{a.CPU, a.Memory, a.Accel} }
-
-// adviceClass returns 1 for queues whose requests to the adviser are long, otherwise 0.
-func adviceClass(q *model.Queue) int {
-	if q.Decide > longRequestTime {
-		return 1
-	}
-	return 0
-}
-
-// requestTime returns how long a request to the adviser takes.
-func requestTime(q *model.Queue) time.Duration {
-	return q.Decide + maxExecutorsPerRequest*q.Each
-}
--- a/node/internal/plan/overload.go
+++ b/node/internal/plan/overload.go
@@ -9,16 +9,23 @@
 // overload is a capacity for which jobs compete, during one sweep: that of a service, or what a team's
 // limit leaves to it.
 type overload struct {
-	cause   Deferral
-	jobs    []*candidate
-	free    float64 // cores
-	rate    float64 // core-seconds a second
-	cpu     float64 // cores that ready work needs
-	wants   float64 // of these, cores that no team's limit holds back
-	ready   float64 // core-seconds of the ready work
-	ahead   float64 // core-seconds of the work before and including the job that is looked at
-	limited bool    // there is a limit
-	full    bool    // it is in full use
+	cause    Deferral
+	jobs     []*candidate
+	free     float64 // cores
+	rate     float64 // core-seconds a second
+	cpu      float64 // cores that ready work needs
+	wants    float64 // of these, cores that no team's limit holds back
+	ready    float64 // core-seconds of the ready work
+	ahead    float64 // core-seconds of the work before and including the job that is looked at
+	limited  bool    // there is a limit
+	full     bool    // it is in full use
+	exceeded bool    // ready work doesn't fit into what is free
+}
+
+// overloaded returns the overloads that were exceeded.
+func overloaded(all map[string]*overload) map[string]*overload {
+	maps.DeleteFunc(all, func(_ string, o *overload) bool { return !o.exceeded })
+	return all
 }
 
 // add adds a job.
--- a/node/internal/plan/probe.go
+++ b/node/internal/plan/probe.go
@@ -1,45 +1,35 @@
 package plan
 
-import (
-	"time"
-
-	"github.com/balsamford/balsamford/coord/model"
-)
+import "github.com/balsamford/balsamford/coord/model"
 
 // probe is a job that doesn't exist, in a forecast.
 type probe struct {
-	queue   model.Queue
-	size    int
-	over    int // 1 if beyond the quota
-	stage   *stage
-	urgency urgency // at the time of the forecast
-	typical *typicalJob
-}
-
-// demand returns the probe as a demand that takes nothing from others. own is its work.
-func (p *probe) demand(own float64) *demand {
-	return &demand{stage: p.stage, first: p.urgency, probe: true, work: own}
+	*candidate
+	size int
+	need float64 // CPU of its largest task, in thousandths of a core
 }
 
 // probes returns the jobs to forecast.
-func (s *State) probes(now time.Time) []probe {
+func (s *State) probes() []probe {
 	var out []probe
 	for name, q := range s.config.Queues {
-		record := s.forecaster.queues[name]
-		if record == nil {
+		record, sizes := s.forecaster.queues[name], s.jobSizes[name]
+		if record == nil || sizes == nil || sizes.mean() == 0 {
 			continue
 		}
 		for size := range record.typical {
 			t := &record.typical[size]
-			if !t.known {
+			if !t.known || t.work <= 0 {
 				continue
 			}
 			for over := range 2 {
-				spec := &model.Job{Queue: name, Steps: []model.Step{{Count: 1, Estimate: t.path}}, Sent: now}
-				j := &job{spec: spec, queue: q, criticalPath: t.path, overQuota: over == 1}
+				j := &job{spec: &model.Job{Queue: name}, queue: q, criticalPath: t.path, overQuota: over == 1, sizes: sizes, size: t.work}
 				j.queue.Name = name
-				st := &stage{occur: &occurrence{job: j}, spec: &spec.Steps[0], waiting: 1, path: max(t.path, 1)}
-				out = append(out, probe{queue: j.queue, size: size, over: over, stage: st, urgency: st.urgency(now), typical: t})
+				c := &candidate{job: j, sizes: sizes, priority: q.Priority, rank: q.Priority + over*overQuotaRankPenalty, work: t.work * sizes.ratio}
+				c.value = baseValue + (1-baseValue)*t.work/sizes.mean()
+				c.slack = j.latencyObjective() - seconds(t.path.Seconds()*sizes.ratio)
+				c.due = c.slack
+				out = append(out, probe{candidate: c, size: size, need: t.need})
 			}
 		}
 	}
--- a/node/internal/plan/queueforecast.go
+++ b/node/internal/plan/queueforecast.go
@@ -5,10 +5,11 @@
 
 // QueueForecast has the expected waits of new jobs of a queue.
 type QueueForecast struct {
-	Room    [2]Waits `cbor:"1,keyasint"`           // within and beyond the team's quota
-	Advice  [2]Waits `cbor:"2,keyasint"`           // the same
-	RunTime int      `cbor:"3,keyasint,omitempty"` // least run time to expect, in percent of the estimate; 0 if that isn't known
-	Pace    float64  `cbor:"4,keyasint,omitempty"` // jobs that started per second
+	Room    [2]Waits             `cbor:"1,keyasint"`           // within and beyond the team's quota
+	Work    [SizeClasses]float64 `cbor:"6,keyasint"`           // core-seconds of a usual job of each size
+	Large   float64              `cbor:"7,keyasint,omitempty"` // core-seconds above which a floor may serve a job; 0 if that isn't known
+	RunTime int                  `cbor:"3,keyasint,omitempty"` // least run time to expect, in percent of the estimate; 0 if that isn't known
+	Pace    float64              `cbor:"4,keyasint,omitempty"` // jobs that started per second
 	// Margins are the factors by which waits may be too long, within and beyond the quota. They follow
 	// from how well forecasts held lately.
 	Margins [2]float64 `cbor:"5,keyasint"`
--- a/node/internal/plan/queuerecord.go
+++ b/node/internal/plan/queuerecord.go
@@ -49,26 +49,19 @@
 	path  time.Duration // longest path through its steps
 	need  float64       // CPU of its largest task, in thousandths of a core
 	work  float64       // core-seconds
-	taken [3]float64    // of a limit, in seconds of each resource, as stepSeconds has them
 }
 
 // learn updates the typical job.
 func (t *typicalJob) learn(j *job, work float64) {
-	need, taken := 0.0, [3]float64{}
+	need := 0.0
 	for i := range j.spec.Steps {
 		need = max(need, float64(j.spec.Steps[i].Room().CPU))
-		for kind, n := range resources(stepSeconds(&j.spec.Steps[i], j.spec.Steps[i].Count)) {
-			taken[kind] += float64(n)
-		}
 	}
 	if !t.known {
-		*t = typicalJob{known: true, path: j.criticalPath, need: need, work: work, taken: taken}
+		*t = typicalJob{known: true, path: j.criticalPath, need: need, work: work}
 		return
 	}
 	t.need += typicalSmoothing * (need - t.need)
 	t.work += typicalSmoothing * (work - t.work)
-	for kind := range taken {
-		t.taken[kind] += typicalSmoothing * (taken[kind] - t.taken[kind])
-	}
 	t.path += time.Duration(typicalSmoothing * float64(j.criticalPath-t.path))
 }
