--- a/entry/internal/oper/server_test.go
+++ b/entry/internal/oper/server_test.go
@@ -90,6 +90,12 @@
 	is.Equal(status, http.StatusUnauthorized) // the bootstrap secret is no longer valid
 	d.secret = secret
 	is.True(old != secret)
+	// The host honours no keys until a read that was sent after it was listed has confirmed the version.
+	deadline := time.Now().Add(10 * time.Second)
+	for !d.follower.Fresh() {
+		is.True(time.Now().Before(deadline)) // the configuration is confirmed
+		time.Sleep(time.Millisecond)
+	}
 }
 
 func TestDoor(t *testing.T) {
