plan: a chosen large job that was cancelled or failed stayed chosen

Cause: a floor counts the jobs that it has chosen until they are judged, and a job that is cancelled or fails never is. With each one the floor chose fewer large jobs, until its owner's term ended. Change: a job is released when it ends, and whenever it is judged, also again. Measured: TestChosenJobsThatEndAreReleased fails without the first; tests of plan and owner pass.

--- a/node/internal/plan/answers.go
+++ b/node/internal/plan/answers.go
@@ -126,6 +126,7 @@
 // endJob puts a job into a final phase and stops its runs.
 func (s *State) endJob(j *job, phase model.Phase, now time.Time) {
 	j.phase = phase
+	s.release(j)
 	s.markDirty(j)
 	for _, o := range j.occurs {
 		for _, st := range o.stages {
--- a/node/internal/plan/feasible_test.go
+++ b/node/internal/plan/feasible_test.go
@@ -119,6 +119,35 @@
 	}
 }
 
+// A large job that a floor had chosen counted as chosen for ever once it was cancelled or failed, and the
+// floor then chose too few others.
+func TestChosenJobsThatEndAreReleased(t *testing.T) {
+	is := is.New(t)
+	r := newOverloadReplay(10, true, 1)
+	chosen := func() int {
+		n := 0
+		for _, f := range r.state.floors {
+			for class := range sizeClasses {
+				n += f.chosen[class]
+			}
+		}
+		return n
+	}
+	for range 1000 {
+		for r.owed["other"] += 11; r.owed["other"] > 0; {
+			r.owed["other"] -= r.submit("bulk", "other", 2, int64(2+18*(r.rand.IntN(10)/9)), 1500*time.Millisecond)
+		}
+		if r.step(); chosen() > 0 {
+			break
+		}
+	}
+	is.True(chosen() > 0)
+	for id := range r.state.jobs {
+		r.state.Cancel(r.now, id)
+	}
+	is.Equal(chosen(), 0)
+}
+
 // Where all work fits, or has no objective, decisions are the same as without marks.
 func TestNothingIsMarkedWithoutOverload(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/node/internal/plan/floor.go
+++ b/node/internal/plan/floor.go
@@ -78,11 +78,11 @@
 
 // judge counts a job that has ended or missed its objective. It counts once.
 func (s *State) judge(j *job, inTime bool) {
+	s.release(j)
 	if j.judged || j.size == 0 || j.unbounded {
 		return
 	}
 	j.judged = true
-	s.release(j)
 	f, class := s.floorOf(j.spec.Queue), j.sizes.class(j.size)
 	f.judged[class]++
 	if inTime {
