--- a/review/rig3/executor_test.go
+++ b/review/rig3/executor_test.go
@@ -126,6 +126,16 @@
 	e.w.rec.note("%s crashes", e.id)
 }
 
+// leave ends the life after a graceful shutdown, with its entry.
+func (e *executor) leave() {
+	e.crash()
+	e.w.mu.Lock()
+	defer e.w.mu.Unlock()
+	e.beats = 0
+	e.store.put("servers", e.id, nil)
+	e.w.rec.note("%s has left", e.id)
+}
+
 // report writes the entry. The lock is held.
 func (e *executor) report() {
 	e.beat = time.Now()
--- a/review/rig3/node_test.go
+++ b/review/rig3/node_test.go
@@ -23,6 +23,7 @@
 	path  string // of the settings
 	front string
 	ready string
+	hint  string // address of the adviser
 	cmd   *exec.Cmd
 	done  chan struct{}
 }
@@ -70,7 +71,7 @@
 heartbeat_ms = 1500
 contracts = ["base","drain","config","cost","recover","sched","tenants","quota","platform","advice","upkeep","sharing"]
 orders = "rpc"
-hint = "127.0.0.1:9"
+hint = %q
 [zones]
 z0 = "r"
 z1 = "r"
@@ -146,7 +147,7 @@
 rate_per_s = 60.0
 duties = []
 duty_per_s = 60.0
-`, n.name, n.ip, n.zone, n.front, n.ready, n.ip, n.c.storeAt)
+`, n.name, n.ip, n.zone, n.hint, n.front, n.ready, n.ip, n.c.storeAt)
 }
 
 // newCell starts a store and prepares n nodes in zones z0, z1 and so on.
@@ -166,7 +167,7 @@
 		if err != nil {
 			return nil, err
 		}
-		m := &node{c: c, name: fmt.Sprintf("edge-z%d-%d", i%4, i/4+1), zone: fmt.Sprintf("z%d", i%4), ip: ip, front: ip + ":8183", ready: ip + ":8184"}
+		m := &node{c: c, name: fmt.Sprintf("edge-z%d-%d", i%4, i/4+1), zone: fmt.Sprintf("z%d", i%4), ip: ip, front: ip + ":8183", ready: ip + ":8184", hint: "127.0.0.1:9"}
 		m.path = filepath.Join(dir, m.name+".toml")
 		if err := os.WriteFile(m.path, []byte(m.settings()), 0o600); err != nil {
 			return nil, err
@@ -197,6 +198,12 @@
 	return "", fmt.Errorf("no free address")
 }
 
+// advise writes the settings with another address of the adviser.
+func (n *node) advise(address string) error {
+	n.hint = address
+	return os.WriteFile(n.path, []byte(n.settings()), 0o600)
+}
+
 // start starts the process by the deploy file's run line.
 func (n *node) start() error {
 	cmd := exec.Command("target/node")
